--- /dev/null
+++ b/quorum/doc.go
@@ -0,0 +1,2 @@
+// Package quorum is a pure replicated log after Raft.
+package quorum
--- /dev/null
+++ b/quorum/errors.go
@@ -0,0 +1,103 @@
+package quorum
+
+import (
+	"fmt"
+
+	"github.com/go-faster/errors"
+)
+
+// Reason says why a request was refused. Its String is used as a counter label.
+type Reason uint8
+
+// Reasons of a refusal.
+const (
+	// ReasonNotLeader: another replica leads, or none does.
+	ReasonNotLeader Reason = iota
+	// ReasonUncommittedFull: the entries that wait for a quorum have reached
+	// Config.MaxUncommittedBytes.
+	ReasonUncommittedFull
+	// ReasonTransferring: leadership is being handed over.
+	ReasonTransferring
+	// ReasonTooManyReads: Config.MaxReads reads wait for their quorum.
+	ReasonTooManyReads
+	// ReasonTooLarge: one entry exceeds Config.MaxEntryBytes.
+	ReasonTooLarge
+	// ReasonMembershipPending: an earlier change of membership, or the first
+	// entry of the leader's term, is not committed yet.
+	ReasonMembershipPending
+	// ReasonNotCaughtUp: the learner does not hold the committed log yet.
+	ReasonNotCaughtUp
+	// ReasonInvalidChange: the change does not fit the membership.
+	ReasonInvalidChange
+	// ReasonQueueFull: the replica's queue of requests is full.
+	ReasonQueueFull
+	// ReasonStopped: the replica is stopping or has stopped.
+	ReasonStopped
+	// ReasonCanceled: the caller gave up before the request was taken up.
+	ReasonCanceled
+	// Reasons is the number of reasons.
+	Reasons
+)
+
+var reasonNames = [Reasons]string{
+	"not_leader", "uncommitted_full", "transferring", "too_many_reads", "too_large", "membership_pending",
+	"not_caught_up", "invalid_change", "queue_full", "stopped", "canceled",
+}
+
+// String returns the name of the reason in snake case.
+func (r Reason) String() string {
+	if r >= Reasons {
+		return "unknown"
+	}
+	return reasonNames[r]
+}
+
+// RefusedError says that a request had no effect and never will.
+type RefusedError struct {
+	Reason Reason
+	// Leader is the leader as far as it is known; only for ReasonNotLeader.
+	Leader ID
+	// Detail explains the refusal to an operator; may be empty.
+	Detail string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	s := "quorum: refused: " + e.Reason.String()
+	if e.Leader != NoID {
+		s += fmt.Sprintf(" (leader %s)", e.Leader)
+	}
+	if e.Detail != "" {
+		s += ": " + e.Detail
+	}
+	return s
+}
+
+// Is reports whether target is a RefusedError of the same reason, so that
+// errors.Is(err, ErrNotLeader) works for every leader.
+func (e *RefusedError) Is(target error) bool {
+	t, ok := target.(*RefusedError)
+	return ok && t.Reason == e.Reason
+}
+
+// Refusals for use with errors.Is.
+var (
+	ErrNotLeader         = &RefusedError{Reason: ReasonNotLeader}
+	ErrUncommittedFull   = &RefusedError{Reason: ReasonUncommittedFull}
+	ErrTransferring      = &RefusedError{Reason: ReasonTransferring}
+	ErrTooManyReads      = &RefusedError{Reason: ReasonTooManyReads}
+	ErrTooLarge          = &RefusedError{Reason: ReasonTooLarge}
+	ErrMembershipPending = &RefusedError{Reason: ReasonMembershipPending}
+	ErrNotCaughtUp       = &RefusedError{Reason: ReasonNotCaughtUp}
+	ErrInvalidChange     = &RefusedError{Reason: ReasonInvalidChange}
+	ErrQueueFull         = &RefusedError{Reason: ReasonQueueFull}
+	ErrStopped           = &RefusedError{Reason: ReasonStopped}
+	ErrCanceled          = &RefusedError{Reason: ReasonCanceled}
+)
+
+// Refused returns the refusal in err's chain, if there is one.
+func Refused(err error) (*RefusedError, bool) {
+	var r *RefusedError
+	ok := errors.As(err, &r)
+	return r, ok
+}
--- /dev/null
+++ b/quorum/journal/doc.go
@@ -0,0 +1,2 @@
+// Package journal keeps a replica's log on disk.
+package journal
