--- /dev/null
+++ b/engine/prefix.go
@@ -0,0 +1,112 @@
+package engine
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+)
+
+// BytesPerToken is the estimate of a prompt's tokens from its bytes.
+const BytesPerToken = 4
+
+// EstimateTokens estimates the tokens of a text of size bytes, at least 1.
+func EstimateTokens(size int) int {
+	return max(1, (size+BytesPerToken-1)/BytesPerToken)
+}
+
+// PrefixBlocks gives the hashes of the whole blocks of blockTokens tokens at
+// the start of a prompt of a model. Each hash covers the model and all of the
+// prompt up to the end of its block, so that equal hashes mean equal prefixes.
+func PrefixBlocks(model, prompt string, blockTokens int) []uint64 {
+	size := blockTokens * BytesPerToken
+	if size <= 0 {
+		return nil
+	}
+	blocks := make([]uint64, 0, len(prompt)/size)
+	previous := xxhash.Sum64String(model)
+	for start := 0; start+size <= len(prompt); start += size {
+		previous = chainHash(previous, prompt[start:start+size])
+		blocks = append(blocks, previous)
+	}
+	return blocks
+}
+
+func chainHash(previous uint64, block string) uint64 {
+	var seed [8]byte
+	binary.LittleEndian.PutUint64(seed[:], previous)
+	digest := xxhash.New()
+	_, _ = digest.Write(seed[:])
+	_, _ = digest.WriteString(block)
+	return digest.Sum64()
+}
+
+// Prompt is what the scheduler and the stand-in read of a model's body.
+type Prompt struct {
+	Model string
+	// Text is the prompt, or the messages one after another.
+	Text string
+	// Chat says that the body has messages.
+	Chat bool
+	// MaxTokens limits the output; 0 means no limit was given.
+	MaxTokens int
+}
+
+type completionBody struct {
+	Model               string          `json:"model"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []chatMessage   `json:"messages"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// ParsePrompt reads a completion or chat completion body. It fails if the body
+// is no JSON object or has neither a prompt nor messages.
+func ParsePrompt(body []byte) (Prompt, error) {
+	var parsed completionBody
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		return Prompt{}, errors.Wrap(err, "completion body")
+	}
+	prompt := Prompt{
+		Model:     parsed.Model,
+		Chat:      parsed.Messages != nil,
+		MaxTokens: max(parsed.MaxTokens, parsed.MaxCompletionTokens, 0),
+	}
+	if !prompt.Chat && parsed.Prompt == nil {
+		return Prompt{}, errors.New("completion body has neither prompt nor messages")
+	}
+	if prompt.Chat {
+		prompt.Text = joinMessages(parsed.Messages)
+		return prompt, nil
+	}
+	prompt.Text = plainText(parsed.Prompt)
+	return prompt, nil
+}
+
+func joinMessages(messages []chatMessage) string {
+	var text strings.Builder
+	for _, message := range messages {
+		text.WriteString(message.Role)
+		text.WriteByte(':')
+		text.WriteString(plainText(message.Content))
+		text.WriteByte('\n')
+	}
+	return text.String()
+}
+
+// plainText gives a JSON string's text, and any other value as it is written:
+// content in parts still counts its bytes.
+func plainText(value json.RawMessage) string {
+	var text string
+	if err := json.Unmarshal(value, &text); err == nil {
+		return text
+	}
+	return string(value)
+}
