--- a/engine/errors.go
+++ b/engine/errors.go
@@ -19,6 +19,8 @@
 	ErrUnknownStream = errors.New("unknown stream")
 	// ErrUnsupported: the backend server doesn't have this call.
 	ErrUnsupported = errors.New("call not supported")
+	// ErrRefused: the engine refused the call, other than a run.
+	ErrRefused = errors.New("refused")
 	// ErrTooLarge: what the engine sent exceeds a limit of the adapter. It
 	// comes together with ErrUnknown.
 	ErrTooLarge = errors.New("over the size limit")
@@ -37,8 +39,8 @@
 	Call string
 	// ID is the attempt, empty for calls without one.
 	ID AttemptID
-	// Class is ErrNeverSent, ErrUnknown, ErrDuplicate, ErrUnknownStream or
-	// ErrUnsupported.
+	// Class is ErrNeverSent, ErrUnknown, ErrDuplicate, ErrUnknownStream,
+	// ErrRefused or ErrUnsupported.
 	Class error
 	// Err is the cause; nil if the class says it all.
 	Err error
--- a/engine/http.go
+++ b/engine/http.go
@@ -71,6 +71,8 @@
 	transport *http.Transport
 }
 
+var _ Client = (*HTTP)(nil)
+
 // NewHTTP makes an adapter to the backend server at a base URL such as
 // "http://127.0.0.1:9000". It fails if the address is no such URL, and
 // connects to nothing.
