--- /dev/null
+++ b/gate/types.go
@@ -0,0 +1,156 @@
+// Package gate decides what an agent lets into its backend server: admission order over all entries, attempts and
+// their leases, preemption, tombstones and proofs. It is pure: events and the time go in, actions come out.
+package gate
+
+import (
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// EntryID names one run of an entry process. A restarted entry is another one.
+type EntryID struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Event is something that happened outside the gate.
+type Event interface{ gateEvent() }
+
+type (
+	// Tick lets time pass: leases, probes and estimates are looked at. The agent sends one every TickInterval.
+	Tick struct{}
+
+	// EntryUp says that an entry's link pair is open.
+	EntryUp struct{ Entry EntryID }
+
+	// EntryDown says that an entry's link was lost. Its leases run on until they expire.
+	EntryDown struct{ Entry EntryID }
+
+	// EntryEnded says that control committed the end of an entry incarnation.
+	EntryEnded struct{ Entry EntryID }
+
+	// Received carries a message of an entry. A Dispatch is passed on only once its body is whole and its digest holds.
+	Received struct {
+		Entry   EntryID
+		Message *wire.EntryMessage
+	}
+
+	// Announced carries the latest announcement of the backend server.
+	Announced struct{ Server *wire.ServerRecord }
+
+	// Leaving says that the backend server or an operator asked for a graceful leave.
+	Leaving struct{}
+
+	// Probed carries the verdict of the agent's own probe of the backend server.
+	Probed struct {
+		OK      bool
+		Latency time.Duration
+	}
+
+	// EngineListed carries the streams that the engine ran when this agent incarnation started. Nothing is admitted
+	// before all of them are over.
+	EngineListed struct{ Streams []engine.StreamInfo }
+
+	// EngineProgress says that tokens (or a service's answer) arrived for an attempt. Events go on to the entry.
+	EngineProgress struct {
+		Attempt *wire.AttemptID
+		Events  [][]byte
+	}
+
+	// EngineEnded says how a run ended. Err is nil only with a complete outcome.
+	EngineEnded struct {
+		Attempt *wire.AttemptID
+		Outcome engine.Outcome
+		Err     error
+	}
+
+	// EngineCancelled carries the engine's answer to a cancel.
+	EngineCancelled struct {
+		Attempt *wire.AttemptID
+		Result  engine.CancelResult
+		Err     error
+	}
+
+	// EngineLoad carries a load report, as old as Age.
+	EngineLoad struct {
+		Load engine.Load
+		Age  time.Duration
+	}
+)
+
+func (Tick) gateEvent()            {}
+func (EntryUp) gateEvent()         {}
+func (EntryDown) gateEvent()       {}
+func (EntryEnded) gateEvent()      {}
+func (Received) gateEvent()        {}
+func (Announced) gateEvent()       {}
+func (Leaving) gateEvent()         {}
+func (Probed) gateEvent()          {}
+func (EngineListed) gateEvent()    {}
+func (EngineProgress) gateEvent()  {}
+func (EngineEnded) gateEvent()     {}
+func (EngineCancelled) gateEvent() {}
+func (EngineLoad) gateEvent()      {}
+
+// Action is something the agent has to do, in the order given.
+type Action interface{ gateAction() }
+
+type (
+	// Send passes a message to an entry's link. If the link is down the agent drops it: every message is either
+	// repeated after EntryUp or covered by a lease.
+	Send struct {
+		Entry   EntryID
+		Message *wire.AgentMessage
+	}
+
+	// Broadcast passes a message to all linked entries.
+	Broadcast struct{ Message *wire.AgentMessage }
+
+	// StartEngine runs an attempt at the backend server; EngineProgress and EngineEnded follow.
+	StartEngine struct{ Dispatch *wire.Dispatch }
+
+	// CancelEngine cancels an attempt at the backend server; EngineCancelled follows. The gate repeats it as needed.
+	CancelEngine struct{ Attempt *wire.AttemptID }
+
+	// ListEngine asks the engine for its streams; EngineListed follows.
+	ListEngine struct{}
+
+	// Report proposes the outcome of a keyed attempt to control because its entry is gone.
+	Report struct{ Complete *wire.CompleteOperation }
+
+	// Changed says that the server's record must go to control's directory (condition, models, slots).
+	Changed struct{ Server *wire.ServerRecord }
+
+	// Count adds to a counter.
+	Count struct {
+		Counter Counter
+		Code    uint16 // result code, 0 for none
+		Tier    uint32
+		Add     uint64
+		Label   string // organisation, reason or cause, by counter
+	}
+)
+
+func (Send) gateAction()         {}
+func (Broadcast) gateAction()    {}
+func (StartEngine) gateAction()  {}
+func (CancelEngine) gateAction() {}
+func (ListEngine) gateAction()   {}
+func (Report) gateAction()       {}
+func (Changed) gateAction()      {}
+func (Count) gateAction()        {}
+
+// Counter names a counter of the gate.
+type Counter uint8
+
+// The counters of the gate.
+const (
+	Refusals      Counter = iota // by Code and Tier
+	Preemptions                  // by Tier of the preempted attempt
+	WastedPrefill                // tokens, by Label (cause)
+	ServedTokens                 // by Label (organisation) and Tier
+	LeasesExpired
+	ChartErrors
+)
--- /dev/null
+++ b/sched/types.go
@@ -0,0 +1,185 @@
+// Package sched decides for one entry which request goes to which backend server and when, what is refused and what
+// is tried again. It is pure: events and the time go in, actions come out.
+package sched
+
+import (
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// EpochShift is the number of low bits of an attempt number that count attempts within an owner's epoch.
+const EpochShift = 16
+
+// Request is what a caller asked for, after its key, class and body were checked.
+type Request struct {
+	ID           string
+	Organisation string
+	Class        *wire.Class
+	Target       string // model or service
+	Method       string
+	Path         string
+	ContentType  string
+	Body         []byte
+	BodyDigest   uint64   // xxhash64
+	PromptTokens uint32   // estimated
+	MaxTokens    uint32   // asked for by the caller, 0 for none
+	Prefix       []uint64 // digests of the prompt's leading blocks, shortest first
+	Stream       bool     // events are delivered as they come
+	Arrived      time.Time
+	Deadline     time.Time
+
+	// Key and what follows are set for a keyed request, whose operation record is committed before Arrive.
+	Key        string
+	Epoch      uint64
+	Candidates []string // servers that the record allows; empty: any
+	Earlier    []string // servers whose proofs are needed first, after a takeover
+}
+
+// Event is something that happened outside the scheduler.
+type Event interface{ schedEvent() }
+
+type (
+	// Tick lets time pass. The entry sends one every TickInterval.
+	Tick struct{}
+
+	// Arrive hands a request over. Exactly one Answer or Fail follows for it.
+	Arrive struct{ Request *Request }
+
+	// CallerLeft says that nobody waits for the answer any more.
+	CallerLeft struct{ Request string }
+
+	// AgentUp says that the link pair to an agent is open.
+	AgentUp struct{ Hello *wire.AgentHello }
+
+	// AgentDown says that the link to an agent was lost or its heartbeat is overdue. Its attempts are not over.
+	AgentDown struct {
+		Agent       string
+		Incarnation uint64
+	}
+
+	// Received carries a message of an agent.
+	Received struct {
+		Agent       string
+		Incarnation uint64
+		Message     *wire.AgentMessage
+	}
+
+	// Directory carries the committed directory (whole).
+	Directory struct{ Agents []*wire.AgentRecord }
+
+	// Config carries the committed classes (whole).
+	Config struct {
+		Version uint64
+		Classes []*wire.Class
+	}
+
+	// Widened answers a Widen action: the record now allows the candidates, or code says why not.
+	Widened struct {
+		Request    string
+		Candidates []string
+		Code       result.Code
+	}
+
+	// EngineProved carries what the backend server itself said of an attempt whose agent is gone.
+	EngineProved struct {
+		Attempt *wire.AttemptID
+		Server  string
+		Proof   wire.Proof
+	}
+
+	// CacheHint carries a prefix cache event of a server, late and with gaps.
+	CacheHint struct {
+		Server  string
+		Digest  uint64
+		Evicted bool
+	}
+)
+
+func (Tick) schedEvent()         {}
+func (Arrive) schedEvent()       {}
+func (CallerLeft) schedEvent()   {}
+func (AgentUp) schedEvent()      {}
+func (AgentDown) schedEvent()    {}
+func (Received) schedEvent()     {}
+func (Directory) schedEvent()    {}
+func (Config) schedEvent()       {}
+func (Widened) schedEvent()      {}
+func (EngineProved) schedEvent() {}
+func (CacheHint) schedEvent()    {}
+
+// Action is something the entry has to do, in the order given.
+type Action interface{ schedAction() }
+
+type (
+	// Send passes a message to an agent's link. A message that can't be sent is as good as lost.
+	Send struct {
+		Agent   string
+		Message *wire.EntryMessage
+	}
+
+	// Deliver passes events of the answer on, in order and each once.
+	Deliver struct {
+		Request string
+		Events  [][]byte
+	}
+
+	// Answer closes a request with a whole answer, whose events were all delivered.
+	Answer struct {
+		Request string
+		End     *wire.AnswerEnd
+	}
+
+	// Fail closes a request with a refusal or failure.
+	Fail struct {
+		Request string
+		Err     *result.Error
+	}
+
+	// Widen asks control to let a keyed request go to more servers; Widened follows.
+	Widen struct {
+		Request    string
+		Candidates []string
+	}
+
+	// ProveAtEngine asks the backend server itself to end an attempt, because its agent is gone; EngineProved follows.
+	ProveAtEngine struct {
+		Attempt *wire.AttemptID
+		Server  string
+		Address string
+	}
+
+	// Count adds to a counter.
+	Count struct {
+		Counter Counter
+		Code    result.Code
+		Tier    uint32
+		Class   string
+		Label   string // reason, cause or organisation, by counter
+		Add     uint64
+	}
+)
+
+func (Send) schedAction()          {}
+func (Deliver) schedAction()       {}
+func (Answer) schedAction()        {}
+func (Fail) schedAction()          {}
+func (Widen) schedAction()         {}
+func (ProveAtEngine) schedAction() {}
+func (Count) schedAction()         {}
+
+// Counter names a counter of the scheduler.
+type Counter uint8
+
+// The counters of the scheduler.
+const (
+	Refusals      Counter = iota // by Code and Tier
+	Retries                      // by Label (reason)
+	Goodput                      // by Tier and Class
+	Late                         // by Tier and Class
+	Lost                         // by Tier and Class
+	WastedPrefill                // tokens, by Label (cause)
+	ServedTokens                 // by Label (organisation) and Tier
+	ChartErrors
+)
