command line: operators' client and first subcommands (not yet whole)

Cause: the operators' interface is fixed by the contract, so its client and commands can be written before the control daemon.

--- /dev/null
+++ b/cmd/carawaypitch/operators.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/operator"
+	"github.com/carawaypitch/carawaypitch/settings"
+)
+
+// Environment variables that stand in for flags of the operators' commands.
+const (
+	controlEnv = "CARAWAYPITCH_CONTROL"
+	keyEnv     = "CARAWAYPITCH_OPERATOR_KEY"
+)
+
+const defaultControl = "http://127.0.0.1:8090"
+
+// operatorFlags are the flags that all operators' commands share.
+type operatorFlags struct {
+	settings string
+	control  string
+	key      string
+	json     bool
+}
+
+func (f *operatorFlags) set(flags *flag.FlagSet) {
+	flags.StringVar(&f.settings, "settings", "", "settings file of role operator: control instances and key")
+	flags.StringVar(&f.control, "control", os.Getenv(controlEnv), "URLs of control instances, separated by commas (default "+defaultControl+")")
+	flags.StringVar(&f.key, "key", os.Getenv(keyEnv), "operator key")
+	flags.BoolVar(&f.json, "json", false, "print JSON instead of a table")
+}
+
+// client makes the client from the flags and, where they are silent, the settings file.
+func (f *operatorFlags) client() (*operator.Client, error) {
+	if f.settings != "" {
+		read, err := settings.Load[settings.Operator](f.settings)
+		if err != nil {
+			return nil, err
+		}
+		if f.control == "" {
+			f.control = strings.Join(read.Controls, ",")
+		}
+		if f.key == "" {
+			f.key = read.Key
+		}
+	}
+	if f.control == "" {
+		f.control = defaultControl
+	}
+	if f.key == "" {
+		return nil, errors.Errorf("no operator key: give -key, -settings or %s", keyEnv)
+	}
+	return operator.New(strings.Split(f.control, ","), f.key, nil), nil
+}
+
+// print writes v as JSON or, for people, by the table function.
+func (f *operatorFlags) print(v any, table func(w io.Writer)) error {
+	if f.json {
+		return printJSON(os.Stdout, v)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+func printJSON(w io.Writer, v any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
+
+// percent shows a share for people.
+func percent(share float64) string {
+	return fmt.Sprintf("%.3g%%", share*100)
+}
--- /dev/null
+++ b/cmd/carawaypitch/target.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/subcommands"
+
+	"github.com/carawaypitch/carawaypitch/operator"
+)
+
+// targetCommand changes the target of one class and leaves the rest of it.
+type targetCommand struct {
+	classCommand
+	deadline time.Duration
+	lateMax  float64
+	lostMax  float64
+}
+
+func (*targetCommand) Name() string     { return "target" }
+func (*targetCommand) Synopsis() string { return "change how much late or lost work a class tolerates" }
+func (*targetCommand) Usage() string {
+	return `target [flags] CLASS
+  Changes only what is given; the change is based on the class as it is now and is refused if somebody else's change
+  came in between.
+
+  Examples:
+    carawaypitch target -late-max 0.01 -wait gate-check
+    carawaypitch target -deadline 90s -lost-max 0 appeal
+`
+}
+
+func (c *targetCommand) SetFlags(flags *flag.FlagSet) {
+	c.classCommand.SetFlags(flags)
+	flags.DurationVar(&c.deadline, "deadline", 0, "time from arrival to the whole answer")
+	flags.Float64Var(&c.lateMax, "late-max", 0, "share of answers that may be late, 0 to 1")
+	flags.Float64Var(&c.lostMax, "lost-max", 0, "share of requests that may be lost, 0 to 1")
+}
+
+func (c *targetCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if flags.NArg() != 1 {
+		return usage("target: one CLASS; flags come first")
+	}
+	client, err := c.client()
+	if err != nil {
+		return usage("%v", err)
+	}
+	return exit(c.retarget(ctx, client, flags))
+}
+
+func (c *targetCommand) retarget(ctx context.Context, client *operator.Client, flags *flag.FlagSet) error {
+	classes, err := client.Classes(ctx)
+	if err != nil {
+		return err
+	}
+	class, err := find(classes, flags.Arg(0))
+	if err != nil {
+		return err
+	}
+	flags.Visit(func(f *flag.Flag) { c.apply(f.Name, &class) })
+	return c.change(ctx, client, func(ifMatch uint64, changeID string) (operator.Change, error) {
+		if c.ifMatch == "" {
+			ifMatch = classes.Version
+		}
+		return client.PutClass(ctx, class, ifMatch, changeID)
+	})
+}
+
+func find(classes operator.Classes, name string) (operator.Class, error) {
+	for _, class := range classes.Classes {
+		if class.Name == name {
+			return class, nil
+		}
+	}
+	return operator.Class{}, errors.Errorf("no class %q", name)
+}
+
+func (c *targetCommand) apply(flagName string, class *operator.Class) {
+	switch flagName {
+	case "deadline":
+		class.DeadlineMS = uint32(c.deadline.Milliseconds())
+	case "late-max":
+		class.LateMax = c.lateMax
+	case "lost-max":
+		class.LostMax = c.lostMax
+	}
+}
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,236 @@
+// Package operator is the client of the operators' HTTP interface, which any control instance serves. The command
+// line is built on it.
+//
+// A change carries a change id, so a call whose answer was lost is sent again, also to another control instance,
+// and gets the first answer: it is never carried out twice.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/carawaypitch/carawaypitch/result"
+)
+
+// Bounds of one call.
+const (
+	// CallTimeout bounds one try at one control instance.
+	CallTimeout = 5 * time.Second
+	// Rounds is how often all control instances are tried before a call fails.
+	Rounds = 3
+	// RoundPause is waited between two rounds.
+	RoundPause = 500 * time.Millisecond
+	// maxReply bounds a reply's size in bytes.
+	maxReply = 64 << 20
+)
+
+// Client calls the control instances in turn until one answers.
+type Client struct {
+	controls []string
+	key      string
+	http     *http.Client
+}
+
+// New gives a client for the control instances at the given base URLs, with an operator key. Without a transport it
+// uses one of its own that takes no proxy from the environment.
+func New(controls []string, key string, transport http.RoundTripper) *Client {
+	if transport == nil {
+		transport = &http.Transport{}
+	}
+	return &Client{
+		controls: controls,
+		key:      key,
+		http:     &http.Client{Transport: transport, Timeout: CallTimeout},
+	}
+}
+
+// Class is a class of work with its target, as operators see it.
+type Class struct {
+	Name       string  `json:"name"`
+	Tier       uint32  `json:"tier"`        // 1 is the highest
+	DeadlineMS uint32  `json:"deadline_ms"` // milliseconds from arrival
+	LateMax    float64 `json:"late_max"`    // share of answers that may be late
+	LostMax    float64 `json:"lost_max"`    // share of requests that may be lost
+	Repeatable bool    `json:"repeatable"`
+	Kind       string  `json:"kind"`              // "model" or "service"
+	Preempt    string  `json:"preempt,omitempty"` // "allowed" or "never"
+	Version    uint64  `json:"version,omitempty"` // configuration version that set it
+}
+
+// Classes is the list of classes and the configuration version it is of.
+type Classes struct {
+	Version uint64  `json:"version"`
+	Classes []Class `json:"classes"`
+}
+
+// Change is the reply to an accepted change.
+type Change struct {
+	Version uint64 `json:"version"`
+}
+
+// NewChangeID gives an id for one change; a resend of the change uses the same one.
+func NewChangeID() string {
+	return uuid.NewString()
+}
+
+// Classes lists the classes.
+func (c *Client) Classes(ctx context.Context) (Classes, error) {
+	var out Classes
+	err := c.Get(ctx, "/v1/classes", &out)
+	return out, err
+}
+
+// Class gets one class.
+func (c *Client) Class(ctx context.Context, name string) (Class, error) {
+	var out Class
+	err := c.Get(ctx, classPath(name), &out)
+	return out, err
+}
+
+// PutClass creates or changes a class if the version in force is still ifMatch.
+func (c *Client) PutClass(ctx context.Context, class Class, ifMatch uint64, changeID string) (Change, error) {
+	class.Version = 0
+	body, err := json.Marshal(class)
+	if err != nil {
+		return Change{}, errors.Wrap(err, "encode class")
+	}
+	return c.PutRaw(ctx, class.Name, body, ifMatch, changeID)
+}
+
+// PutRaw puts a class from its JSON as written, so that a field which the interface refuses is refused by name.
+func (c *Client) PutRaw(ctx context.Context, name string, body []byte, ifMatch uint64, changeID string) (Change, error) {
+	return c.change(ctx, http.MethodPut, classPath(name), body, ifMatch, changeID)
+}
+
+// DeleteClass removes a class if the version in force is still ifMatch.
+func (c *Client) DeleteClass(ctx context.Context, name string, ifMatch uint64, changeID string) (Change, error) {
+	return c.change(ctx, http.MethodDelete, classPath(name), nil, ifMatch, changeID)
+}
+
+// Drain starts the graceful leave of a backend server.
+func (c *Client) Drain(ctx context.Context, server, changeID string) (Change, error) {
+	path := "/v1/servers/" + url.PathEscape(server) + "/drain"
+	return c.change(ctx, http.MethodPost, path, nil, 0, changeID)
+}
+
+// Get reads a path into out.
+func (c *Client) Get(ctx context.Context, path string, out any) error {
+	return c.call(ctx, call{method: http.MethodGet, path: path}, out)
+}
+
+func classPath(name string) string {
+	return "/v1/classes/" + url.PathEscape(name)
+}
+
+func (c *Client) change(ctx context.Context, method, path string, body []byte, ifMatch uint64, changeID string) (Change, error) {
+	var out Change
+	err := c.call(ctx, call{
+		method:   method,
+		path:     path,
+		body:     body,
+		ifMatch:  strconv.FormatUint(ifMatch, 10),
+		changeID: changeID,
+	}, &out)
+	return out, err
+}
+
+// call is one call, the same at every try.
+type call struct {
+	method   string
+	path     string
+	body     []byte
+	ifMatch  string
+	changeID string
+}
+
+// call tries every control instance, a few rounds long. A reply that another instance could better is not final:
+// the instance may be starting, cut off, or without a leader just now.
+func (c *Client) call(ctx context.Context, what call, out any) error {
+	var last error
+	for round := range Rounds {
+		if round > 0 {
+			if err := pause(ctx, RoundPause); err != nil {
+				return err
+			}
+		}
+		for _, base := range c.controls {
+			last = c.try(ctx, base, what, out)
+			if last == nil || final(last) {
+				return last
+			}
+		}
+	}
+	if last == nil {
+		return errors.New("no control instance given")
+	}
+	return last
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// final tells whether another control instance would say the same.
+func final(err error) bool {
+	var coded *result.Error
+	if !errors.As(err, &coded) {
+		return false
+	}
+	return coded.Code.Info().Status < http.StatusInternalServerError
+}
+
+func (c *Client) try(ctx context.Context, base string, what call, out any) error {
+	request, err := http.NewRequestWithContext(ctx, what.method, base+what.path, bytes.NewReader(what.body))
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	if what.body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	if what.changeID != "" {
+		request.Header.Set("If-Match", what.ifMatch)
+		request.Header.Set("Change-Id", what.changeID)
+	}
+	reply, err := c.http.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "control instance %s", base)
+	}
+	defer func() { _ = reply.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxReply))
+	if err != nil {
+		return errors.Wrapf(err, "read reply of %s", base)
+	}
+	return decode(reply.StatusCode, body, out)
+}
+
+// decode reads a reply: the result asked for, or the numbered error.
+func decode(status int, body []byte, out any) error {
+	if status < http.StatusMultipleChoices {
+		if err := json.Unmarshal(body, out); err != nil {
+			return errors.Wrap(err, "decode reply")
+		}
+		return nil
+	}
+	coded := new(result.Error)
+	if err := json.Unmarshal(body, coded); err != nil {
+		return errors.Errorf("status %d without a result code: %.200s", status, body)
+	}
+	return coded
+}
