--- /dev/null
+++ b/link/dial.go
@@ -0,0 +1,58 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"github.com/go-faster/errors"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/carawaypitch/carawaypitch/network"
+)
+
+// Dial opens a drpc connection to addr, an IP number and port. With a TLS configuration the handshake is part of
+// it; an empty ServerName means the host of addr. The context and network.DialTimeout bound the dialling only.
+//
+// With TLS 1.3 a server that refuses this side's certificate says so after the handshake: then Dial succeeds and
+// the first call fails.
+func Dial(ctx context.Context, n network.Network, addr string, config *tls.Config) (*drpcconn.Conn, error) {
+	conn, err := n.Dial(ctx, addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "link: dial")
+	}
+	if config != nil {
+		conn, err = clientHandshake(ctx, conn, addr, config)
+		if err != nil {
+			return nil, err
+		}
+	}
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// clientHandshake closes conn when it fails.
+func clientHandshake(ctx context.Context, conn net.Conn, addr string, config *tls.Config) (net.Conn, error) {
+	config = config.Clone()
+	if config.ServerName == "" {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil {
+			conn.Close()
+			return nil, errors.Wrap(err, "link: address")
+		}
+		config.ServerName = host
+	}
+	secure := tls.Client(conn, config)
+	ctx, cancel := context.WithTimeout(ctx, network.DialTimeout)
+	defer cancel()
+	if err := secure.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, errors.Wrap(err, "link: TLS handshake")
+	}
+	return secure, nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxPacket}}
+}
--- /dev/null
+++ b/link/serve.go
@@ -0,0 +1,156 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/carawaypitch/carawaypitch/network"
+)
+
+// acceptPause is the wait after a failed Accept, such as for want of file descriptors.
+const acceptPause = 100 * time.Millisecond
+
+type (
+	stoppingKey struct{}
+	abortKey    struct{}
+)
+
+// Stopping returns a channel that is closed when the Serve which made ctx, the context of a stream, should end.
+// A handler then sends what it still has and returns; its stream stays usable for DefaultFlush. For any other
+// context the channel is that of ctx itself.
+func Stopping(ctx context.Context) <-chan struct{} {
+	if stop, ok := ctx.Value(stoppingKey{}).(<-chan struct{}); ok {
+		return stop
+	}
+	return ctx.Done()
+}
+
+// Abort closes the connection of a stream that Serve made, given by the stream's context. Calls that are blocked on
+// it return. It does nothing for other contexts.
+func Abort(ctx context.Context) {
+	if abort, ok := ctx.Value(abortKey{}).(context.CancelFunc); ok {
+		abort()
+	}
+}
+
+// Serve accepts connections on listener and serves what register adds to the mux, until ctx ends or listener fails.
+// At the end of ctx it closes the listener, tells the handlers (see Stopping), and closes after DefaultFlush the
+// connections that are left. It returns nil then.
+//
+// With a TLS configuration a stranger without a certificate of its ClientCAs is refused before any call is read.
+// Serve fails with ErrNoClientAuth if the configuration doesn't require that: one who can reach the port could
+// otherwise run work as any entry.
+func Serve(ctx context.Context, listener net.Listener, config *tls.Config, register func(*drpcmux.Mux) error) error {
+	if config != nil && config.ClientAuth != tls.RequireAndVerifyClientCert {
+		return ErrNoClientAuth
+	}
+	mux := drpcmux.New()
+	if err := register(mux); err != nil {
+		return errors.Wrap(err, "link: register")
+	}
+	s := &server{
+		tls:  config,
+		drpc: drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}),
+	}
+	return s.run(ctx, listener)
+}
+
+type server struct {
+	tls  *tls.Config
+	drpc *drpcserver.Server
+	wg   sync.WaitGroup
+}
+
+func (s *server) run(ctx context.Context, listener net.Listener) error {
+	// Connections outlive ctx for a moment, so that handlers can send what they have.
+	conns, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer s.wg.Wait()
+	defer cancel()
+	conns = context.WithValue(conns, stoppingKey{}, ctx.Done())
+
+	closeListener := context.AfterFunc(ctx, func() { listener.Close() })
+	defer closeListener()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			if err == nil {
+				conn.Close()
+			}
+			s.drain()
+			return nil
+		}
+		if isTemporary(err) {
+			pause(ctx, acceptPause)
+			continue
+		}
+		if err != nil {
+			return errors.Wrap(err, "link: accept")
+		}
+		s.wg.Go(func() { s.serveConn(conns, conn) })
+	}
+}
+
+// drain waits until all handlers have returned, DefaultFlush at most.
+func (s *server) drain() {
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	timer := time.NewTimer(DefaultFlush)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+func (s *server) serveConn(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	ctx, abort := context.WithCancel(ctx)
+	defer abort()
+	ctx = context.WithValue(ctx, abortKey{}, abort)
+	// An idle connection has no stream that would end with ctx.
+	stopIdle := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stopIdle()
+
+	if s.tls != nil {
+		secure := tls.Server(conn, s.tls)
+		if !serverHandshake(ctx, secure) {
+			return
+		}
+		conn = secure
+	}
+	// The error says only that the peer left or was aborted; handlers report their own.
+	_ = s.drpc.ServeOne(ctx, conn)
+}
+
+func serverHandshake(ctx context.Context, conn *tls.Conn) bool {
+	ctx, cancel := context.WithTimeout(ctx, network.DialTimeout)
+	defer cancel()
+	return conn.HandshakeContext(ctx) == nil
+}
+
+func isTemporary(err error) bool {
+	var temporary interface{ Temporary() bool }
+	return errors.As(err, &temporary) && temporary.Temporary()
+}
+
+// pause waits for d or the end of ctx. It returns false in the second case.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
