--- /dev/null
+++ b/state/class.go
@@ -0,0 +1,149 @@
+package state
+
+import (
+	"regexp"
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+// Values of the fields of a class.
+const (
+	// HighestTier is the tier that is shed last.
+	HighestTier = 1
+	// LowestTier is the tier that is shed first.
+	LowestTier = 3
+	// MaxDeadline is the longest deadline that a class may have.
+	MaxDeadline = 24 * time.Hour
+
+	// KindModel is a class of completions.
+	KindModel = "model"
+	// KindService is a class of calls to plain services.
+	KindService = "service"
+
+	// PreemptAllowed lets a higher tier take the place of running work.
+	PreemptAllowed = "allowed"
+	// PreemptNever lets running work end.
+	PreemptNever = "never"
+)
+
+var className = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// CheckClass returns what is wrong with a class, or "".
+func CheckClass(c *wire.Class) string {
+	switch {
+	case !className.MatchString(c.GetName()):
+		return "name: 1 to 64 letters, digits, '.', '_' or '-', and a letter or digit first"
+	case c.GetTier() < HighestTier || c.GetTier() > LowestTier:
+		return "tier: 1, 2 or 3"
+	case c.GetDeadlineMs() == 0 || int64(c.GetDeadlineMs()) > MaxDeadline.Milliseconds():
+		return "deadline_ms: 1 to 86400000"
+	case !isShare(c.GetLateMax()):
+		return "late_max: a share from 0 to 1"
+	case !isShare(c.GetLostMax()):
+		return "lost_max: a share from 0 to 1"
+	case c.GetKind() != KindModel && c.GetKind() != KindService:
+		return "kind: model or service"
+	case c.GetPreempt() != PreemptAllowed && c.GetPreempt() != PreemptNever:
+		return "preempt: allowed or never"
+	default:
+		return ""
+	}
+}
+
+// isShare is false for what is no number, too.
+func isShare(v float64) bool {
+	return v >= 0 && v <= 1
+}
+
+// DefaultPreempt returns the value for a class that says nothing. The highest tier, services and work that may not
+// be repeated run to their end, since taking their place would lose them.
+func DefaultPreempt(c *wire.Class) string {
+	if c.GetTier() <= HighestTier || c.GetKind() == KindService || !c.GetRepeatable() {
+		return PreemptNever
+	}
+	return PreemptAllowed
+}
+
+func (s *State) putClass(cmd *wire.PutClass) *wire.CommandResult {
+	class := proto.CloneOf(cmd.GetClass())
+	if problem := CheckClass(class); problem != "" {
+		return refuse(result.InvalidClass, "%s", problem)
+	}
+	if res := s.checkVersion(class.GetName(), cmd.GetChange().GetIfMatch()); res != nil {
+		return res
+	}
+	if s.classes[class.GetName()] == nil && len(s.classes) >= s.limits.Classes {
+		return refuse(result.InvalidClass, "there are %d classes already", len(s.classes))
+	}
+	s.setClass(class)
+	res := accepted()
+	res.Class = class
+	return res
+}
+
+func (s *State) deleteClass(cmd *wire.DeleteClass) *wire.CommandResult {
+	class := s.classes[cmd.GetName()]
+	if class == nil {
+		return refuse(result.UnknownClass, "")
+	}
+	if res := s.checkVersion(cmd.GetName(), cmd.GetChange().GetIfMatch()); res != nil {
+		return res
+	}
+	delete(s.classes, cmd.GetName())
+	s.raiseConfig(cmd.GetName())
+	res := accepted()
+	res.Class = class
+	return res
+}
+
+// checkVersion compares the version that an operator saw with the one in force, and returns a refusal or nil. It
+// matches the version of the class, 0 where there is no such class, and as well the version of the whole
+// configuration: then nothing at all was changed since the operator looked.
+//
+// Without this, of two operators who saw the same version the second would undo the first one's change unseen.
+func (s *State) checkVersion(name string, ifMatch uint64) *wire.CommandResult {
+	class := s.classes[name]
+	if ifMatch == class.GetVersion() || (ifMatch == s.configVersion && ifMatch != 0) {
+		return nil
+	}
+	res := refuse(result.VersionConflict, "class %s has version %d, the change was made for %d",
+		name, class.GetVersion(), ifMatch)
+	res.Class = class
+	return res
+}
+
+// initializeClasses sets the first classes of a group, all or none, so that a crash in between leaves nothing that
+// is half set.
+func (s *State) initializeClasses(cmd *wire.InitializeClasses) *wire.CommandResult {
+	if s.configVersion != 0 {
+		return accepted()
+	}
+	for _, class := range cmd.GetClasses() {
+		if problem := CheckClass(class); problem != "" {
+			return refuse(result.InvalidClass, "class %q: %s", class.GetName(), problem)
+		}
+	}
+	if len(cmd.GetClasses()) > s.limits.Classes {
+		return refuse(result.InvalidClass, "more than %d classes", s.limits.Classes)
+	}
+	for _, class := range cmd.GetClasses() {
+		s.setClass(proto.CloneOf(class))
+	}
+	return accepted()
+}
+
+func (s *State) setClass(class *wire.Class) {
+	class.Version = s.index
+	s.classes[class.GetName()] = class
+	s.raiseConfig(class.GetName())
+}
+
+// raiseConfig takes the index of the present command as the version of the configuration. Indexes rise, so the
+// version never falls.
+func (s *State) raiseConfig(name string) {
+	s.configHistory.add(s.configVersion, s.index, name)
+	s.configVersion = s.index
+}
--- /dev/null
+++ b/state/expire.go
@@ -0,0 +1,139 @@
+package state
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"github.com/carawaypitch/carawaypitch/wire"
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxExpiryBatch bounds the records that one command visits, so that one command never holds the log up.
+const maxExpiryBatch = 4096
+
+// expireOperations forgets records begun before the given time, oldest first. Open records of registered entries
+// stay, whatever their age.
+//
+// A key that is forgotten must not be taken for a new one where a second run is not allowed: for work that may not
+// be repeated, and for work that was open, whose last attempt may still be going on. Such a key leaves a digest
+// for good, unless its own time (see keyTime) shows that it is old.
+func (s *State) expireOperations(cmd *wire.ExpireOperations) *wire.CommandResult {
+	before := min(cmd.GetBeforeUnixMs(), s.unixMS)
+	set := &s.operations
+	set.expiredBefore = max(set.expiredBefore, before)
+	limit := min(int(cmd.GetLimit()), maxExpiryBatch)
+	var digests []uint64
+	visited := 0
+	for op := set.first; op != nil && op.begunMS < before && visited < limit; {
+		next := op.next
+		visited++
+		if s.mayExpire(op, len(digests)) {
+			if set.needsDigest(op) {
+				digests = append(digests, keyDigest(op.key.organisation, op.key.key))
+			}
+			set.remove(op)
+		}
+		op = next
+	}
+	set.addDigests(digests)
+	s.changes.evict(s.limits.Changes, s.changeHorizon())
+	return accepted()
+}
+
+// mayExpire tells whether a record may be forgotten, with so many digests to be added already. When the memory of
+// digests is full, records that need one stay: then new keys are refused for want of room, and none is run twice.
+func (s *State) mayExpire(op *operation, pending int) bool {
+	if op.state == wire.OperationState_OPERATION_STATE_OPEN && !s.isGone(op.entry, op.inc) {
+		return false
+	}
+	full := len(s.operations.expired)+pending >= s.limits.ExpiredKeys
+	return !full || !s.operations.needsDigest(op)
+}
+
+func (o *operationSet) needsDigest(op *operation) bool {
+	if op.repeatable && op.state == wire.OperationState_OPERATION_STATE_DONE {
+		return false
+	}
+	ms, ok := keyTime(op.key.key)
+	// A caller's clock may run ahead of the leader's. Its key then looks younger than the horizon for a while after
+	// the record is gone, and only the digest tells that it was used.
+	return !ok || ms >= o.expiredBefore
+}
+
+// addDigests merges digests into the sorted ones.
+func (o *operationSet) addDigests(digests []uint64) {
+	if len(digests) == 0 {
+		return
+	}
+	o.expired = append(o.expired, digests...)
+	slices.Sort(o.expired)
+	o.expired = slices.Compact(o.expired)
+}
+
+// mayHaveExpired tells whether a key without a record may have had one that mattered. It may be wrong about a key
+// that was never used (two keys in 2^64 share a digest, and a key may be old by its own time); such a key is
+// refused, which is never a second run.
+func (o *operationSet) mayHaveExpired(organisation, key string) bool {
+	if ms, ok := keyTime(key); ok && ms < o.expiredBefore {
+		return true
+	}
+	_, found := slices.BinarySearch(o.expired, keyDigest(organisation, key))
+	return found
+}
+
+// keyDigest is the digest of an expired key. The length in front keeps ("a", "bc") apart from ("ab", "c").
+func keyDigest(organisation, key string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var length [8]byte
+	binary.LittleEndian.PutUint64(length[:], uint64(len(organisation)))
+	_, _ = d.Write(length[:])
+	_, _ = d.WriteString(organisation)
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
+
+// The form of a UUID of version 7 in text.
+const (
+	uuidLength      = 36
+	uuidVersionAt   = 14
+	uuidVersion     = '7'
+	uuidVariantAt   = 19
+	uuidVariants    = "89abAB"
+	uuidTimeHighEnd = 8
+	uuidTimeLowEnd  = 13
+)
+
+// keyTime returns the time that a key carries, in milliseconds since 1970, if the key is a UUID of version 7.
+func keyTime(key string) (uint64, bool) {
+	if !isUUIDv7(key) {
+		return 0, false
+	}
+	text := key[:uuidTimeHighEnd] + key[uuidTimeHighEnd+1:uuidTimeLowEnd]
+	raw, err := hex.DecodeString(text)
+	if err != nil {
+		return 0, false
+	}
+	var ms [8]byte
+	copy(ms[2:], raw)
+	return binary.BigEndian.Uint64(ms[:]), true
+}
+
+func isUUIDv7(key string) bool {
+	if len(key) != uuidLength || key[uuidVersionAt] != uuidVersion || !strings.ContainsRune(uuidVariants, rune(key[uuidVariantAt])) {
+		return false
+	}
+	for i := range len(key) {
+		isDash := i == 8 || i == 13 || i == 18 || i == 23
+		if isDash != (key[i] == '-') || !isDash && !isHex(key[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func isHex(c byte) bool {
+	return c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F'
+}
--- /dev/null
+++ b/state/limits.go
@@ -0,0 +1,60 @@
+package state
+
+import "time"
+
+// Limits bound what the state holds. All replicas of a group need the same, so they are no settings: replicas with
+// different limits would refuse different commands and part for good.
+type Limits struct {
+	// Classes bounds the classes.
+	Classes int
+	// Instances bounds the agents, and the entries, each.
+	Instances int
+	// ServersPerAgent bounds the backend servers of one agent.
+	ServersPerAgent int
+	// Ended bounds the remembered incarnations of removed agents and entries.
+	Ended int
+	// Draining bounds the backend servers that operators asked to leave.
+	Draining int
+	// Operations bounds the records of keyed requests.
+	Operations int
+	// AnswerBytes bounds the body of one kept answer, in bytes.
+	AnswerBytes int
+	// AnswersBytes bounds the bodies of all kept answers together, in bytes.
+	AnswersBytes int
+	// Servers bounds the servers that one record names.
+	Servers int
+	// ExpiredKeys bounds the digests of expired keys, of 8 bytes each.
+	ExpiredKeys int
+	// Changes bounds the remembered changes of operators.
+	Changes int
+	// ChangeAge is how long a change of an operator is remembered.
+	ChangeAge time.Duration
+	// History bounds the changes that a delta can be made from; older clients get everything.
+	History int
+}
+
+// DefaultLimits are in force in every group.
+var DefaultLimits = Limits{
+	Classes:         4096,
+	Instances:       8192,
+	ServersPerAgent: 64,
+	Ended:           8192,
+	Draining:        1024,
+	Operations:      1 << 18,
+	AnswerBytes:     64 << 10,
+	AnswersBytes:    64 << 20,
+	Servers:         256,
+	ExpiredKeys:     4 << 20,
+	Changes:         8192,
+	ChangeAge:       48 * time.Hour,
+	History:         1024,
+}
+
+// Bounds of single fields, in bytes.
+const (
+	maxName        = 128
+	maxKey         = 256
+	maxDigest      = 64
+	maxContentType = 256
+	maxMessage     = 1024
+)
--- /dev/null
+++ b/state/state.go
@@ -0,0 +1,116 @@
+package state
+
+import (
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// State is the replicated state. New makes an empty one.
+type State struct {
+	limits Limits
+
+	index            uint64 // of the last applied command
+	unixMS           uint64 // highest leader's clock seen
+	configVersion    uint64
+	directoryVersion uint64
+	fence            uint64
+	nextOrder        uint64
+
+	classes    map[string]*wire.Class
+	agents     map[string]*wire.AgentRecord
+	entries    map[string]*wire.EntryRecord
+	ended      endedSet
+	draining   map[string]bool
+	operations operationSet
+	orders     map[string]*wire.Order // by server: one at a time for each
+	changes    changeSet
+
+	configHistory    history
+	directoryHistory history
+}
+
+// New returns an empty state with DefaultLimits.
+func New() *State {
+	return newState(DefaultLimits)
+}
+
+func newState(limits Limits) *State {
+	return &State{
+		limits:           limits,
+		nextOrder:        1,
+		classes:          make(map[string]*wire.Class),
+		agents:           make(map[string]*wire.AgentRecord),
+		entries:          make(map[string]*wire.EntryRecord),
+		ended:            newEndedSet(),
+		draining:         make(map[string]bool),
+		operations:       newOperationSet(),
+		orders:           make(map[string]*wire.Order),
+		changes:          newChangeSet(),
+		configHistory:    history{limit: limits.History},
+		directoryHistory: history{limit: limits.History},
+	}
+}
+
+// Apply applies the command at the given index of the log and returns its result. Indexes rise; the result of a
+// command at an index that was applied already is a refusal, and changes nothing.
+func (s *State) Apply(index uint64, cmd *wire.Command) *wire.CommandResult {
+	if index <= s.index {
+		return refuse(result.Internal, "log index %d was applied before", index)
+	}
+	s.index = index
+	s.unixMS = max(s.unixMS, cmd.GetUnixMs())
+	res := s.dispatch(cmd)
+	if res.Version == 0 {
+		res.Version = s.configVersion
+	}
+	return res
+}
+
+func (s *State) dispatch(cmd *wire.Command) *wire.CommandResult {
+	switch kind := cmd.GetKind().(type) {
+	case *wire.Command_PutClass:
+		return s.change(kind.PutClass.GetChange(), func() *wire.CommandResult { return s.putClass(kind.PutClass) })
+	case *wire.Command_DeleteClass:
+		return s.change(kind.DeleteClass.GetChange(), func() *wire.CommandResult { return s.deleteClass(kind.DeleteClass) })
+	case *wire.Command_DrainServer:
+		return s.change(kind.DrainServer.GetChange(), func() *wire.CommandResult { return s.drainServer(kind.DrainServer) })
+	case *wire.Command_InitializeClasses:
+		return s.initializeClasses(kind.InitializeClasses)
+	case *wire.Command_RegisterAgent:
+		return s.registerAgent(kind.RegisterAgent.GetAgent())
+	case *wire.Command_RemoveAgent:
+		return s.removeAgent(kind.RemoveAgent)
+	case *wire.Command_RegisterEntry:
+		return s.registerEntry(kind.RegisterEntry.GetEntry())
+	case *wire.Command_EndEntry:
+		return s.endEntry(kind.EndEntry)
+	case *wire.Command_BeginOperation:
+		return s.beginOperation(kind.BeginOperation)
+	case *wire.Command_WidenOperation:
+		return s.widenOperation(kind.WidenOperation)
+	case *wire.Command_CompleteOperation:
+		return s.completeOperation(kind.CompleteOperation)
+	case *wire.Command_ReleaseOperation:
+		return s.releaseOperation(kind.ReleaseOperation)
+	case *wire.Command_ExpireOperations:
+		return s.expireOperations(kind.ExpireOperations)
+	case *wire.Command_RaiseFence:
+		return s.raiseFence()
+	case *wire.Command_PutOrder:
+		return s.putOrder(kind.PutOrder.GetOrder())
+	case *wire.Command_EndOrder:
+		return s.endOrder(kind.EndOrder)
+	default:
+		return refuse(result.BadMessage, "the command is not known to this version")
+	}
+}
+
+// accepted returns a new result without a code, which the caller may fill.
+func accepted() *wire.CommandResult {
+	return &wire.CommandResult{}
+}
+
+// refuse returns a result with the code and a message as of result.New.
+func refuse(code result.Code, format string, args ...any) *wire.CommandResult {
+	return &wire.CommandResult{Code: uint32(code), Message: result.New(code, format, args...).Message}
+}
