--- a/quorum/errors.go
+++ b/quorum/errors.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/go-faster/errors"
 )
 
@@ -33,6 +34,8 @@
 	ReasonQueueFull
 	// ReasonStopped: the replica is stopping or has stopped.
 	ReasonStopped
+	// ReasonEmpty: the proposal has no payload.
+	ReasonEmpty
 	// ReasonCanceled: the caller gave up before the request was taken up.
 	ReasonCanceled
 	// Reasons is the number of reasons.
@@ -41,7 +44,7 @@
 
 var reasonNames = [Reasons]string{
 	"not_leader", "uncommitted_full", "transferring", "too_many_reads", "too_large", "membership_pending",
-	"not_caught_up", "invalid_change", "queue_full", "stopped", "canceled",
+	"not_caught_up", "invalid_change", "queue_full", "stopped", "empty", "canceled",
 }
 
 // String returns the name of the reason in snake case.
@@ -52,6 +55,29 @@
 	return reasonNames[r]
 }
 
+var reasonCodes = [Reasons]result.Code{
+	ReasonNotLeader:         result.NotLeader,
+	ReasonUncommittedFull:   result.ProposalQueueFull,
+	ReasonTransferring:      result.NotLeader,
+	ReasonTooManyReads:      result.ProposalQueueFull,
+	ReasonTooLarge:          result.EntryTooLarge,
+	ReasonMembershipPending: result.ReplicaChangeBusy,
+	ReasonNotCaughtUp:       result.ReplicaNotCaughtUp,
+	ReasonInvalidChange:     result.FieldRefused,
+	ReasonQueueFull:         result.ProposalQueueFull,
+	ReasonStopped:           result.Stopping,
+	ReasonEmpty:             result.FieldRefused,
+	ReasonCanceled:          result.CallerLeft,
+}
+
+// Code returns the numbered result code of the reason.
+func (r Reason) Code() result.Code {
+	if r >= Reasons {
+		return result.Internal
+	}
+	return reasonCodes[r]
+}
+
 // RefusedError says that a request had no effect and never will.
 type RefusedError struct {
 	Reason Reason
@@ -73,6 +99,9 @@
 	return s
 }
 
+// Code returns the numbered result code of the refusal.
+func (e *RefusedError) Code() result.Code { return e.Reason.Code() }
+
 // Is reports whether target is a RefusedError of the same reason, so that
 // errors.Is(err, ErrNotLeader) works for every leader.
 func (e *RefusedError) Is(target error) bool {
@@ -92,6 +121,7 @@
 	ErrInvalidChange     = &RefusedError{Reason: ReasonInvalidChange}
 	ErrQueueFull         = &RefusedError{Reason: ReasonQueueFull}
 	ErrStopped           = &RefusedError{Reason: ReasonStopped}
+	ErrEmpty             = &RefusedError{Reason: ReasonEmpty}
 	ErrCanceled          = &RefusedError{Reason: ReasonCanceled}
 )
 
--- /dev/null
+++ b/quorum/journal/journaltest/fs.go
@@ -0,0 +1,351 @@
+// Package journaltest has a file system in memory for tests of what a crash
+// leaves on disk. It keeps apart what was written and what was synced.
+package journaltest
+
+import (
+	"io"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"sync"
+
+	"github.com/carawaypitch/carawaypitch/quorum/journal"
+	"github.com/go-faster/errors"
+)
+
+// ErrCrashed is returned by every change after a crash was reached, and by
+// files that were open at a crash.
+var ErrCrashed = errors.New("journaltest: crashed")
+
+// inode is the content of a file. Bytes after synced are lost in a crash, or
+// some of them.
+type inode struct {
+	data   []byte
+	synced int
+}
+
+// FS implements journal.FS. It is safe for concurrent use.
+type FS struct {
+	mu sync.Mutex
+	// now is the folder as processes see it, durable what a crash leaves.
+	now, durable map[string]*inode
+	// pending changes of the folder, in order, since the last SyncDir.
+	pending []func(folder map[string]*inode)
+	locked  map[string]bool
+	// epoch grows with each crash; files of an earlier one are dead.
+	epoch int
+
+	steps    int
+	stopStep int
+	stopKeep int
+	fault    func(op string, name string) error
+}
+
+// New returns an empty file system.
+func New() *FS {
+	return &FS{
+		now:     map[string]*inode{},
+		durable: map[string]*inode{},
+		locked:  map[string]bool{},
+	}
+}
+
+// Steps returns how many changes were made: writes, syncs, creations, cuts,
+// renames, removals.
+func (f *FS) Steps() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.steps
+}
+
+// StopAt makes the change of the given number, from 1, the last one. If it is
+// a write, only its first keep bytes are written. Zero lifts the stop.
+func (f *FS) StopAt(step, keep int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.steps, f.stopStep, f.stopKeep = 0, step, keep
+}
+
+// Fault makes changes fail with the error that fault returns; nil lets them
+// pass. op is write, sync, create, truncate, rename, remove or syncdir.
+func (f *FS) Fault(fault func(op, name string) error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fault = fault
+}
+
+// Kill ends the process: locks are released and open files are dead, but
+// nothing that was written is lost.
+func (f *FS) Kill() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restart()
+}
+
+// Crash loses what was not synced: of each file's unsynced end it keeps what
+// keep returns, of the folder's changes none.
+func (f *FS) Crash(keep func(unsynced int) int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crash(0, keep)
+}
+
+// CrashRandom is Crash with random parts kept, some of them garbled.
+func (f *FS) CrashRandom(r *rand.Rand) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(f.now)) {
+		if n := f.now[name]; len(n.data) > n.synced && r.IntN(4) == 0 {
+			n.data[n.synced+r.IntN(len(n.data)-n.synced)] ^= 1 << r.IntN(8)
+		}
+	}
+	f.crash(r.IntN(len(f.pending)+1), func(unsynced int) int { return r.IntN(unsynced + 1) })
+}
+
+func (f *FS) crash(changes int, keep func(int) int) {
+	for _, change := range f.pending[:changes] {
+		change(f.durable)
+	}
+	f.pending = nil
+	f.now = maps.Clone(f.durable)
+	for _, name := range slices.Sorted(maps.Keys(f.now)) {
+		n := f.now[name]
+		n.data = n.data[:n.synced+keep(len(n.data)-n.synced)]
+		n.synced = len(n.data)
+	}
+	f.restart()
+}
+
+func (f *FS) restart() {
+	f.epoch++
+	f.locked = map[string]bool{}
+	f.steps, f.stopStep, f.stopKeep = 0, 0, 0
+}
+
+// Wipe removes everything, as a replaced disk does.
+func (f *FS) Wipe() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now, f.durable, f.pending = map[string]*inode{}, map[string]*inode{}, nil
+	f.restart()
+}
+
+// Content returns a copy of a file's bytes.
+func (f *FS) Content(name string) []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := f.now[name]; n != nil {
+		return slices.Clone(n.data)
+	}
+	return nil
+}
+
+// SetContent replaces a file's bytes, as damage does; nil removes it.
+func (f *FS) SetContent(name string, data []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if data == nil {
+		delete(f.now, name)
+		delete(f.durable, name)
+		return
+	}
+	n := &inode{data: slices.Clone(data), synced: len(data)}
+	f.now[name], f.durable[name] = n, n
+}
+
+// step counts a change; an error means that it must not happen.
+func (f *FS) step(op, name string) error {
+	if f.fault != nil {
+		if err := f.fault(op, name); err != nil {
+			return err
+		}
+	}
+	if f.stopStep > 0 && f.steps >= f.stopStep {
+		return ErrCrashed
+	}
+	f.steps++
+	return nil
+}
+
+func (f *FS) changeFolder(change func(map[string]*inode)) {
+	change(f.now)
+	f.pending = append(f.pending, change)
+}
+
+// MkdirAll implements journal.FS.
+func (f *FS) MkdirAll(string) error { return nil }
+
+// ReadDir implements journal.FS.
+func (f *FS) ReadDir(dir string) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for path := range f.now {
+		if filepath.Dir(path) == filepath.Clean(dir) {
+			names = append(names, filepath.Base(path))
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// ReadFile implements journal.FS.
+func (f *FS) ReadFile(name string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.now[name]
+	if n == nil {
+		return nil, errors.Wrap(fs.ErrNotExist, name)
+	}
+	return slices.Clone(n.data), nil
+}
+
+// Create implements journal.FS.
+func (f *FS) Create(name string) (journal.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.step("create", name); err != nil {
+		return nil, err
+	}
+	if f.now[name] != nil {
+		return nil, errors.Wrap(fs.ErrExist, name)
+	}
+	n := &inode{}
+	f.changeFolder(func(folder map[string]*inode) { folder[name] = n })
+	return &file{fs: f, inode: n, name: name, epoch: f.epoch}, nil
+}
+
+// Truncate implements journal.FS.
+func (f *FS) Truncate(name string, size int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.step("truncate", name); err != nil {
+		return err
+	}
+	n := f.now[name]
+	if n == nil {
+		return errors.Wrap(fs.ErrNotExist, name)
+	}
+	n.data = n.data[:size]
+	n.synced = len(n.data)
+	return nil
+}
+
+// Rename implements journal.FS.
+func (f *FS) Rename(oldName, newName string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.step("rename", oldName); err != nil {
+		return err
+	}
+	n := f.now[oldName]
+	if n == nil {
+		return errors.Wrap(fs.ErrNotExist, oldName)
+	}
+	f.changeFolder(func(folder map[string]*inode) {
+		delete(folder, oldName)
+		folder[newName] = n
+	})
+	return nil
+}
+
+// Remove implements journal.FS.
+func (f *FS) Remove(name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.step("remove", name); err != nil {
+		return err
+	}
+	if f.now[name] == nil {
+		return errors.Wrap(fs.ErrNotExist, name)
+	}
+	f.changeFolder(func(folder map[string]*inode) { delete(folder, name) })
+	return nil
+}
+
+// SyncDir implements journal.FS.
+func (f *FS) SyncDir(dir string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.step("syncdir", dir); err != nil {
+		return err
+	}
+	for _, change := range f.pending {
+		change(f.durable)
+	}
+	f.pending = nil
+	return nil
+}
+
+// Lock implements journal.FS.
+func (f *FS) Lock(dir string) (io.Closer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.locked[dir] {
+		return nil, errors.New("journaltest: locked")
+	}
+	f.locked[dir] = true
+	return &unlocker{fs: f, dir: dir, epoch: f.epoch}, nil
+}
+
+type unlocker struct {
+	fs    *FS
+	dir   string
+	epoch int
+}
+
+// Close releases the lock.
+func (u *unlocker) Close() error {
+	u.fs.mu.Lock()
+	defer u.fs.mu.Unlock()
+	if u.epoch == u.fs.epoch {
+		delete(u.fs.locked, u.dir)
+	}
+	return nil
+}
+
+// file is an open file.
+type file struct {
+	fs    *FS
+	inode *inode
+	name  string
+	epoch int
+}
+
+// Write implements io.Writer.
+func (f *file) Write(p []byte) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if f.epoch != f.fs.epoch {
+		return 0, ErrCrashed
+	}
+	if err := f.fs.step("write", f.name); err != nil {
+		return 0, err
+	}
+	if f.fs.steps == f.fs.stopStep {
+		p = p[:min(f.fs.stopKeep, len(p))]
+		f.inode.data = append(f.inode.data, p...)
+		return len(p), ErrCrashed
+	}
+	f.inode.data = append(f.inode.data, p...)
+	return len(p), nil
+}
+
+// Sync implements journal.File.
+func (f *file) Sync() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if f.epoch != f.fs.epoch {
+		return ErrCrashed
+	}
+	if err := f.fs.step("sync", f.name); err != nil {
+		return err
+	}
+	f.inode.synced = len(f.inode.data)
+	return nil
+}
+
+// Close implements io.Closer.
+func (f *file) Close() error { return nil }
--- /dev/null
+++ b/quorum/journal/open.go
@@ -0,0 +1,247 @@
+package journal
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/carawaypitch/carawaypitch/quorum/quorumpb"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	identityName  = "identity"
+	segmentPrefix = "log-"
+	segmentSuffix = ".seg"
+)
+
+func segmentName(sequence uint64) string {
+	return fmt.Sprintf("%s%016x%s", segmentPrefix, sequence, segmentSuffix)
+}
+
+// Open opens the journal in dir, and creates it, with a new disk identity,
+// where dir is missing or empty. Errors carry the codes
+//
+//   - result.JournalLocked: another process has the folder;
+//   - result.JournalDamaged, result.SnapshotDamaged: synced data is missing or
+//     changed, nothing was touched;
+//   - result.WrongDisk: the segments were written under another identity;
+//   - result.JournalVersion: written by a newer version;
+//   - result.DiskFull, result.SyncFailed: the disk refuses.
+func Open(dir string, o Options) (*Journal, State, error) {
+	if o.FS == nil {
+		o.FS = OS()
+	}
+	if o.SegmentBytes == 0 {
+		o.SegmentBytes = DefaultSegmentBytes
+	}
+	if err := o.FS.MkdirAll(dir); err != nil {
+		return nil, State{}, fail(err, "create folder")
+	}
+	lock, err := o.FS.Lock(dir)
+	if err != nil {
+		return nil, State{}, result.Wrap(err, result.JournalLocked, "journal: %s", dir)
+	}
+	j := &Journal{fs: o.FS, dir: dir, segmentBytes: o.SegmentBytes, lock: lock}
+	state, err := j.recover()
+	if err != nil {
+		return nil, State{}, errors.Join(err, lock.Close())
+	}
+	return j, state, nil
+}
+
+// recover reads the folder, cuts a torn end and begins a new segment. The old
+// ones are never appended to: a torn end stays the end of its file.
+func (j *Journal) recover() (State, error) {
+	names, err := j.fs.ReadDir(j.dir)
+	if err != nil {
+		return State{}, fail(err, "read folder")
+	}
+	if err := j.removeTemporary(names); err != nil {
+		return State{}, err
+	}
+	if err := j.openIdentity(names); err != nil {
+		return State{}, err
+	}
+	snapshot, err := j.ReadSnapshot()
+	if err != nil {
+		return State{}, err
+	}
+	p := replay{state: State{Snapshot: snapshot}}
+	if err := j.readSegments(names, &p); err != nil {
+		return State{}, err
+	}
+	reset, err := p.finish()
+	if err != nil {
+		return State{}, err
+	}
+	j.hard = p.state.HardState
+	if err := j.roll(); err != nil {
+		return State{}, err
+	}
+	if reset {
+		// The crash came between a received snapshot and its Reset.
+		if err := j.Reset(snapshot.GetMeta()); err != nil {
+			return State{}, err
+		}
+	}
+	return p.state, nil
+}
+
+func (j *Journal) removeTemporary(names []string) error {
+	for _, name := range names {
+		if !strings.HasSuffix(name, temporarySuffix) {
+			continue
+		}
+		if err := j.fs.Remove(filepath.Join(j.dir, name)); err != nil {
+			return fail(err, "remove "+name)
+		}
+	}
+	return nil
+}
+
+// openIdentity reads the identity of the disk or makes one for an empty disk.
+func (j *Journal) openIdentity(names []string) error {
+	if slices.Contains(names, identityName) {
+		return j.readIdentity()
+	}
+	for _, name := range names {
+		if strings.HasSuffix(name, segmentSuffix) || strings.HasSuffix(name, snapshotSuffix) {
+			// With a new identity this log would vote as a new replica, and as
+			// the old one where a copy of it runs.
+			return damaged("%s without the disk's identity", name)
+		}
+	}
+	j.disk = uuid.NewString()
+	buf, err := appendRecord(nil, seed("", identityName), 0, &quorumpb.SegmentHeader{
+		Version: formatVersion,
+		Disk:    j.disk,
+	})
+	if err != nil {
+		return err
+	}
+	return j.replaceFile(identityName, buf)
+}
+
+func (j *Journal) readIdentity() error {
+	data, err := j.fs.ReadFile(filepath.Join(j.dir, identityName))
+	if err != nil {
+		return fail(err, "read identity")
+	}
+	payload, ok := payloadAt(data, seed("", identityName), 0)
+	header := &quorumpb.SegmentHeader{}
+	if !ok || proto.Unmarshal(payload, header) != nil || header.GetDisk() == "" {
+		return damaged("identity of the disk")
+	}
+	if header.GetVersion() > formatVersion {
+		return result.New(result.JournalVersion, "journal: version %d", header.GetVersion())
+	}
+	j.disk = header.GetDisk()
+	return nil
+}
+
+// readSegments replays all segments in order and cuts the newest one's torn end.
+func (j *Journal) readSegments(names []string, p *replay) error {
+	sequences, err := segmentSequences(names)
+	if err != nil {
+		return err
+	}
+	for i, sequence := range sequences {
+		if i > 0 && sequence != sequences[i-1]+1 {
+			return damaged("segment %d is missing", sequences[i-1]+1)
+		}
+		if err := j.readSegment(sequence, i == len(sequences)-1, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func segmentSequences(names []string) ([]uint64, error) {
+	var sequences []uint64
+	for _, name := range names {
+		if !strings.HasSuffix(name, segmentSuffix) {
+			continue
+		}
+		digits := strings.TrimSuffix(strings.TrimPrefix(name, segmentPrefix), segmentSuffix)
+		sequence, err := strconv.ParseUint(digits, 16, 64)
+		if err != nil || segmentName(sequence) != name {
+			return nil, damaged("file name %q", name)
+		}
+		sequences = append(sequences, sequence)
+	}
+	slices.Sort(sequences)
+	return sequences, nil
+}
+
+func (j *Journal) readSegment(sequence uint64, newest bool, p *replay) error {
+	name := segmentName(sequence)
+	path := filepath.Join(j.dir, name)
+	data, err := j.fs.ReadFile(path)
+	if err != nil {
+		return fail(err, "read "+name)
+	}
+	records, end, bad := readRecords(data, seed(j.disk, name))
+	torn := int64(len(data)) - end
+	// Only the newest segment can have a torn end: the others were complete
+	// before their successor was begun.
+	if bad || torn > 0 && !newest {
+		return damaged("%s at offset %d", name, end)
+	}
+	p.state.TornBytes += torn
+	if len(records) == 0 {
+		if !newest {
+			return damaged("%s is empty", name)
+		}
+		// The crash came while the segment was begun. Nothing was saved in it.
+		return j.removeUnfinished(path)
+	}
+	last, err := j.replaySegment(sequence, records, p)
+	if err != nil {
+		return err
+	}
+	j.segments = append(j.segments, segment{sequence: sequence, last: last})
+	if !newest {
+		return nil
+	}
+	// Also without a torn end: a process that was killed between write and
+	// sync left records that are readable but not durable. They count as
+	// acknowledged from now on, and a power cut would take them away.
+	if err := j.fs.Truncate(path, end); err != nil {
+		return fail(err, "cut "+name)
+	}
+	return nil
+}
+
+func (j *Journal) removeUnfinished(path string) error {
+	if err := j.fs.Remove(path); err != nil {
+		return fail(err, "remove unfinished segment")
+	}
+	return j.syncDir()
+}
+
+func (j *Journal) replaySegment(sequence uint64, records []*quorumpb.Record, p *replay) (last uint64, err error) {
+	header := records[0].GetHeader()
+	switch {
+	case header == nil || header.GetSequence() != sequence:
+		return 0, damaged("segment %d has no header", sequence)
+	case header.GetVersion() > formatVersion:
+		return 0, result.New(result.JournalVersion, "journal: version %d", header.GetVersion())
+	case header.GetDisk() != j.disk:
+		return 0, result.New(result.WrongDisk, "journal: segment %d is of disk %s", sequence, header.GetDisk())
+	}
+	for _, r := range records {
+		if err := p.add(r); err != nil {
+			return 0, err
+		}
+		if n := len(r.GetEntries()); n > 0 {
+			last = max(last, r.GetEntries()[n-1].GetIndex())
+		}
+	}
+	return last, nil
+}
--- /dev/null
+++ b/quorum/log.go
@@ -0,0 +1,165 @@
+package quorum
+
+import (
+	"slices"
+
+	"github.com/carawaypitch/carawaypitch/quorum/quorumpb"
+	"github.com/go-faster/errors"
+)
+
+// entryLog is the part of the log after the last compaction, in memory.
+//
+// Invariant: prevIndex <= applied <= handed <= commit <= last, and
+// handed <= persisted. Entries are shared with messages and never changed.
+type entryLog struct {
+	entries []*quorumpb.Entry
+	// Entry before the first of entries.
+	prevIndex, prevTerm uint64
+	// snapshot is the newest one that is on disk or about to be; its index is
+	// at least prevIndex.
+	snapshot *quorumpb.SnapshotMeta
+	// persisted is the last entry known to be on the disk.
+	persisted uint64
+	commit    uint64
+	// handed is the last committed entry given to the caller, applied the
+	// last one that the caller reported back.
+	handed, applied uint64
+}
+
+// newEntryLog returns the log that a restart found on disk.
+func newEntryLog(snapshot *quorumpb.SnapshotMeta, entries []*quorumpb.Entry, commit uint64) (*entryLog, error) {
+	l := &entryLog{
+		entries:   slices.Clone(entries),
+		prevIndex: snapshot.GetIndex(),
+		prevTerm:  snapshot.GetTerm(),
+		snapshot:  snapshot,
+		handed:    snapshot.GetIndex(),
+		applied:   snapshot.GetIndex(),
+	}
+	term := l.prevTerm
+	for i, e := range entries {
+		if e.GetIndex() != l.prevIndex+1+uint64(i) || e.GetTerm() < term {
+			return nil, errors.Errorf("quorum: entry %d of term %d does not follow the log", e.GetIndex(), e.GetTerm())
+		}
+		term = e.GetTerm()
+	}
+	l.persisted = l.last()
+	l.commit = max(min(commit, l.last()), l.prevIndex)
+	return l, nil
+}
+
+func (l *entryLog) last() uint64 { return l.prevIndex + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// term returns the term of the entry at index; ok is false where the log does
+// not hold it, or no longer.
+func (l *entryLog) term(index uint64) (term uint64, ok bool) {
+	switch {
+	case index == l.prevIndex:
+		return l.prevTerm, true
+	case index == l.snapshot.GetIndex():
+		return l.snapshot.GetTerm(), true
+	case index < l.prevIndex || index > l.last():
+		return 0, false
+	}
+	return l.entries[index-l.prevIndex-1].GetTerm(), true
+}
+
+func (l *entryLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+// upToDate tells whether a log that ends at index and term holds all that this
+// one holds (thesis 3.6.1).
+func (l *entryLog) upToDate(index, term uint64) bool {
+	own := l.lastTerm()
+	return term > own || term == own && index >= l.last()
+}
+
+// slice returns the entries from index from up to and with index to, cut after
+// maxBytes of payload but with at least one entry.
+func (l *entryLog) slice(from, to uint64, maxBytes int) []*quorumpb.Entry {
+	if from > to {
+		return nil
+	}
+	all := l.entries[from-l.prevIndex-1 : to-l.prevIndex]
+	size := 0
+	for i, e := range all {
+		size += len(e.GetData())
+		if i > 0 && size > maxBytes {
+			return slices.Clone(all[:i])
+		}
+	}
+	return slices.Clone(all)
+}
+
+// append adds entries after the last.
+func (l *entryLog) append(entries ...*quorumpb.Entry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// truncate drops the entries from index on.
+func (l *entryLog) truncate(index uint64) {
+	l.entries = slices.Clone(l.entries[:index-l.prevIndex-1])
+	// Without this, a crash after the new entries were acknowledged but not
+	// written would bring the old ones back.
+	l.persisted = min(l.persisted, index-1)
+}
+
+// conflict returns the index of the first entry that the log does not hold
+// with the same term; 0 if it holds them all.
+func (l *entryLog) conflict(entries []*quorumpb.Entry) uint64 {
+	for _, e := range entries {
+		if !l.matches(e.GetIndex(), e.GetTerm()) {
+			return e.GetIndex()
+		}
+	}
+	return 0
+}
+
+// hint returns the last position at or before index whose term is at most
+// term. Two logs can agree at no later position, so whole terms are skipped
+// where a follower's log differs (thesis 3.5).
+func (l *entryLog) hint(index, term uint64) (uint64, uint64) {
+	for i := min(index, l.last()); i > l.prevIndex; i-- {
+		if t, _ := l.term(i); t <= term {
+			return i, t
+		}
+	}
+	return l.prevIndex, l.prevTerm
+}
+
+// reset replaces the whole log by a snapshot.
+func (l *entryLog) reset(meta *quorumpb.SnapshotMeta) {
+	l.entries = nil
+	l.prevIndex, l.prevTerm = meta.GetIndex(), meta.GetTerm()
+	l.snapshot = meta
+	l.persisted = meta.GetIndex()
+	l.commit = meta.GetIndex()
+	l.handed = meta.GetIndex()
+}
+
+// compact drops the entries up to and with index.
+func (l *entryLog) compact(index uint64) {
+	if index <= l.prevIndex {
+		return
+	}
+	term, _ := l.term(index)
+	// The clone lets go of the old array.
+	l.entries = slices.Clone(l.entries[index-l.prevIndex:])
+	l.prevIndex, l.prevTerm = index, term
+}
+
+// payload returns the bytes of the entries after from, up to and with to.
+func (l *entryLog) payload(from, to uint64) int {
+	size := 0
+	for i := max(from, l.prevIndex) + 1; i <= min(to, l.last()); i++ {
+		size += len(l.entries[i-l.prevIndex-1].GetData())
+	}
+	return size
+}
--- /dev/null
+++ b/quorum/replication.go
@@ -0,0 +1,168 @@
+package quorum
+
+import "github.com/carawaypitch/carawaypitch/quorum/quorumpb"
+
+// replicate sends to every peer what it lacks. Ready calls it, so that all
+// proposals since the last batch leave together.
+func (n *Node) replicate() {
+	for _, p := range n.peers {
+		n.replicateTo(p)
+	}
+}
+
+func (n *Node) replicateTo(p *peer) {
+	if p.next <= n.log.prevIndex {
+		n.sendSnapshot(p)
+		return
+	}
+	switch p.state {
+	case peerProbe:
+		if !p.waiting {
+			n.sendAppend(p)
+			p.waiting = true
+		}
+	case peerReplicate:
+		for p.next <= n.log.last() && !p.full(&n.cfg) {
+			n.sendAppend(p)
+		}
+		if p.sentCommit < n.log.commit && !p.full(&n.cfg) {
+			n.sendAppend(p)
+		}
+	case peerSnapshot:
+	}
+}
+
+func (n *Node) sendAppend(p *peer) {
+	prev := p.next - 1
+	term, _ := n.log.term(prev)
+	entries := n.log.slice(p.next, n.log.last(), n.cfg.MaxBatchBytes)
+	n.sendEarly(&quorumpb.Message{
+		Type:      quorumpb.MessageType_MESSAGE_TYPE_APPEND,
+		To:        string(p.id),
+		Index:     prev,
+		IndexTerm: term,
+		Entries:   entries,
+		Commit:    n.log.commit,
+	})
+	p.sentCommit = n.log.commit
+	if p.state == peerReplicate && len(entries) > 0 {
+		p.track(entries, n.now)
+	}
+}
+
+// sendSnapshot starts a snapshot towards a peer that needs entries which the
+// log no longer holds.
+func (n *Node) sendSnapshot(p *peer) {
+	if p.state == peerSnapshot || !n.active(p) {
+		return
+	}
+	n.counters.SnapshotsSent++
+	p.state = peerSnapshot
+	p.snapshotIndex = n.log.snapshot.GetIndex()
+	p.sentAt = n.now
+	p.clearSent()
+	n.sendEarly(&quorumpb.Message{
+		Type:     quorumpb.MessageType_MESSAGE_TYPE_SNAPSHOT,
+		To:       string(p.id),
+		Snapshot: &quorumpb.Snapshot{Meta: n.log.snapshot},
+	})
+}
+
+// SnapshotFailed reports that the snapshot for id could not be handed to the
+// transport; the leader tries again after a heartbeat's answer.
+func (n *Node) SnapshotFailed(id ID) {
+	if p := n.peer(id); p != nil && p.state == peerSnapshot {
+		p.probe()
+		p.waiting = true
+	}
+}
+
+// SnapshotProgress reports that a part of the snapshot for id was
+// acknowledged, which puts off the next attempt.
+func (n *Node) SnapshotProgress(id ID) {
+	if p := n.peer(id); p != nil && p.state == peerSnapshot {
+		p.sentAt = n.now
+		p.heard = n.now
+	}
+}
+
+func (n *Node) sendHeartbeats() {
+	n.heartbeatElapsed = 0
+	for _, p := range n.peers {
+		n.sendEarly(&quorumpb.Message{
+			Type: quorumpb.MessageType_MESSAGE_TYPE_HEARTBEAT,
+			To:   string(p.id),
+			// Not past match: beyond it the peer's log may differ.
+			Commit:    min(p.match, n.log.commit),
+			ReadRound: n.reads.round,
+		})
+	}
+}
+
+func (n *Node) handleAppendReply(m *quorumpb.Message) {
+	p := n.peer(ID(m.GetFrom()))
+	if n.role != RoleLeader || p == nil {
+		return
+	}
+	p.heard = n.now
+	if m.GetReject() {
+		n.handleRejection(p, m)
+		return
+	}
+	if m.GetIndex() > n.log.last() {
+		// Nobody can hold what this leader has not sent in this term.
+		return
+	}
+	p.acknowledge(m.GetIndex(), n.now)
+	n.advanceCommit()
+	if n.role == RoleLeader {
+		n.finishTransfer(p)
+	}
+}
+
+// handleRejection goes back to where the logs may agree (thesis 3.5).
+func (n *Node) handleRejection(p *peer, m *quorumpb.Message) {
+	stale := m.GetIndex() <= p.match ||
+		p.state == peerSnapshot ||
+		p.state == peerProbe && m.GetIndex() != p.next-1
+	if stale {
+		return
+	}
+	index, _ := n.log.hint(m.GetHintIndex(), m.GetHintTerm())
+	p.probe()
+	p.next = max(p.match+1, min(m.GetIndex(), index+1))
+}
+
+func (n *Node) handleHeartbeatReply(m *quorumpb.Message) {
+	p := n.peer(ID(m.GetFrom()))
+	if n.role != RoleLeader || p == nil || m.GetReject() {
+		return
+	}
+	p.heard = n.now
+	p.readRound = max(p.readRound, m.GetReadRound())
+	n.confirmReads()
+	n.resend(p)
+}
+
+// resend repeats what must have been lost: the peer answers heartbeats but has
+// acknowledged nothing for a while. Without it one lost message would stop
+// replication to a peer until the next election.
+func (n *Node) resend(p *peer) {
+	overdue := n.now-p.sentAt >= uint64(n.cfg.ElectionTicks)/2
+	switch p.state {
+	case peerProbe:
+		p.waiting = false
+	case peerReplicate:
+		if len(p.sent) > 0 && overdue {
+			p.probe()
+		}
+	case peerSnapshot:
+		if n.now-p.sentAt >= snapshotRetryTimeouts*uint64(n.cfg.ElectionTicks) {
+			p.probe()
+		}
+	}
+}
+
+// snapshotRetryTimeouts is how many election timeouts a snapshot may go
+// without progress before it is sent again.
+const snapshotRetryTimeouts = 2
