engine: stand-in of a model engine and a plain service

Tests of agents and entries need a backend server whose speed, lag and faults are settable and which counts what ran. Contract tests of the HTTP adapter run against it under testing/synctest.

net/http writes headers and body apart for a body of a type it doesn't know, so the single-use body is a plain reader without GetBody.

--- /dev/null
+++ b/engine/helper_test.go
@@ -0,0 +1,126 @@
+package engine_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/engine/standin"
+)
+
+const chatBody = `{"model":"sample","messages":[{"role":"user","content":"May I appeal the refusal of my permit for the site?"}],"max_tokens":8}`
+
+// fixture is a network of stand-ins that share a ledger. It lives in a
+// synctest bubble.
+type fixture struct {
+	t       *testing.T
+	network *standin.Network
+	ledger  *standin.Ledger
+}
+
+func newFixture(t *testing.T) *fixture {
+	return &fixture{
+		t:       t,
+		network: standin.NewNetwork(),
+		ledger:  standin.NewLedger(1000),
+	}
+}
+
+// start runs a stand-in and gives it with a client to it. Both end with the
+// test.
+func (f *fixture) start(options standin.Options) (*standin.Server, *engine.HTTP) {
+	options.ListenFunc = f.network.Listen
+	options.Dial = f.network.DialContext
+	options.Ledger = f.ledger
+	server := standin.New(options)
+	ctx, stop := context.WithCancel(f.t.Context())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	<-server.Ready()
+	client := f.client(server.URL())
+	f.t.Cleanup(func() {
+		client.Close()
+		stop()
+		require.NoError(f.t, <-done)
+	})
+	return server, client
+}
+
+func (f *fixture) client(url string) *engine.HTTP {
+	client, err := engine.NewHTTP(url, engine.HTTPOptions{
+		Dial:           f.network.DialContext,
+		MaxAnswerBytes: 1 << 16,
+	})
+	require.NoError(f.t, err)
+	return client
+}
+
+// recorder is a sink that keeps what it gets.
+type recorder struct {
+	chunks  []engine.Chunk
+	payload []string
+	answers []engine.Answer
+	// onToken is called after each token, if set.
+	onToken func(index int) error
+}
+
+func (r *recorder) Chunk(chunk engine.Chunk) error {
+	r.payload = append(r.payload, string(chunk.Data))
+	chunk.Data = nil
+	r.chunks = append(r.chunks, chunk)
+	if chunk.Tokens > 0 && r.onToken != nil {
+		return r.onToken(chunk.Index)
+	}
+	return nil
+}
+
+func (r *recorder) Answer(answer engine.Answer) error {
+	r.answers = append(r.answers, answer)
+	return nil
+}
+
+// text joins the contents of the chunks, which in the stand-in's words hold no
+// escapes.
+func (r *recorder) text() string {
+	var joined strings.Builder
+	for at, payload := range r.payload {
+		if r.chunks[at].Tokens == 0 {
+			continue
+		}
+		_, rest, found := strings.Cut(payload, `"content":"`)
+		if !found {
+			_, rest, _ = strings.Cut(payload, `"text":"`)
+		}
+		content, _, _ := strings.Cut(rest, `"`)
+		joined.WriteString(content)
+	}
+	return joined.String()
+}
+
+func chat(id engine.AttemptID) engine.Request {
+	return engine.Request{
+		ID:   id,
+		Kind: engine.KindModel,
+		Path: "/v1/chat/completions",
+		Body: []byte(chatBody),
+	}
+}
+
+func issue(id engine.AttemptID) engine.Request {
+	return engine.Request{
+		ID:             id,
+		Kind:           engine.KindService,
+		Path:           "/v1/services/registry/passes",
+		Body:           []byte(`{"pass":"A 17"}`),
+		IdempotencyKey: "key-1",
+	}
+}
+
+func wholeText(t *testing.T, count int) string {
+	text, err := standin.Text([]byte(chatBody), "sample", count)
+	require.NoError(t, err)
+	return text
+}
--- a/engine/http_call.go
+++ b/engine/http_call.go
@@ -23,6 +23,8 @@
 	path   string
 	body   []byte
 	header http.Header
+	// repeatable marks a report: reading it twice does no harm.
+	repeatable bool
 }
 
 func (c call) fail(class, cause error) error {
@@ -42,17 +44,17 @@
 	return c.fail(ErrUnknown, cause)
 }
 
-// singleBody is a request body that can be sent once only. net/http sends a
+// singleBody gives a request body that can be sent once only. net/http sends a
 // request again on another connection, without a word, if an idle connection
 // turns out to be closed and the request counts as idempotent: which any POST
 // does that has an Idempotency-Key header and either no body or one that
 // GetBody gives again. A server that closed the connection after it read the
-// call would then run it twice. A body of a type unknown to net/http, empty or
-// not, without GetBody prevents that.
-type singleBody struct{ *bytes.Reader }
-
-// Close implements io.Closer.
-func (singleBody) Close() error { return nil }
+// call would then run it twice. A body that is not nil, empty or not, without
+// GetBody prevents that. It has a type that net/http knows to be in memory:
+// else headers and body would go out in two writes.
+func singleBody(body []byte) io.ReadCloser {
+	return io.NopCloser(bytes.NewReader(body))
+}
 
 // send sends the call once and gives the answer's head. Its error is
 // ErrNeverSent only if no connection was ever given to the call; with a
@@ -92,8 +94,10 @@
 	if request.Header == nil {
 		request.Header = make(http.Header)
 	}
-	request.Body = singleBody{bytes.NewReader(c.body)}
-	request.ContentLength = int64(len(c.body))
+	if !c.repeatable {
+		request.Body = singleBody(c.body)
+		request.ContentLength = int64(len(c.body))
+	}
 	return request, nil
 }
 
--- a/engine/http_report.go
+++ b/engine/http_report.go
@@ -98,9 +98,10 @@
 
 func get(name, path string) call {
 	return call{
-		name:   name,
-		method: http.MethodGet,
-		path:   path,
+		name:       name,
+		method:     http.MethodGet,
+		path:       path,
+		repeatable: true,
 	}
 }
 
--- a/engine/http_run.go
+++ b/engine/http_run.go
@@ -179,8 +179,13 @@
 		sink:    sink,
 		outcome: outcome,
 	}
-	err = stream.read(response.Body, h.options.MaxEventBytes)
-	return stream.outcome, err
+	if err := stream.read(response.Body, h.options.MaxEventBytes); err != nil {
+		// At once: some engines cancel at a lost connection, and every
+		// moment until then is computed for nobody.
+		_ = response.Body.Close()
+		return stream.outcome, err
+	}
+	return stream.outcome, nil
 }
 
 // modelRefusal takes a status other than 200. Only a duplicate leaves the
--- /dev/null
+++ b/engine/standin/options.go
@@ -0,0 +1,235 @@
+package standin
+
+import (
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+)
+
+// Options are the settings of a stand-in. [New] replaces zero values by those
+// of [ModelDefaults] or [ServiceDefaults], but for DecodeSlope, the lags, the
+// shares and ServiceTime, where zero means zero.
+type Options struct {
+	// Server is the backend server's name.
+	Server string
+	// Kind is model or service.
+	Kind engine.Kind
+	// Listen is the address that Run listens at; port 0 takes a free one.
+	Listen string
+	// ListenFunc replaces net.Listen, for a Network.
+	ListenFunc func(network, address string) (net.Listener, error)
+	// Agent is the base URL of the agent to announce to; empty for none.
+	Agent string
+	// Dial replaces net.Dialer.DialContext towards the agent.
+	Dial DialFunc
+	// Models are ready from the start; of a service, its name.
+	Models []string
+	// Slots is how many streams are in the batch, or calls run, at a time.
+	Slots int
+
+	// PrefillRate is the speed of prompt computing, in tokens a second.
+	PrefillRate float64
+	// PrefillChunk bounds the prompt tokens of one step.
+	PrefillChunk int
+	// DecodePace is the time between two tokens of a stream alone in the
+	// batch; DecodeSlope is added for each further decoding stream.
+	DecodePace  time.Duration
+	DecodeSlope time.Duration
+	// KVTokens bounds the prompt and output tokens of the batch.
+	KVTokens int
+	// CacheBlocks bounds the prefix cache; a block is BlockTokens tokens.
+	CacheBlocks int
+	BlockTokens int
+	// MinOutput and MaxOutput bound the output, in tokens, of a request
+	// without max_tokens.
+	MinOutput int
+	MaxOutput int
+	// HoldTime and MaxHeld bound how long, and how many, ended streams are
+	// remembered for resume and cancel calls.
+	HoldTime time.Duration
+	MaxHeld  int
+
+	// LoadLag and CacheLag are the ages of load reports and cache events.
+	LoadLag  time.Duration
+	CacheLag time.Duration
+	// CacheGap is the share of cache events that are lost, 0 to 1.
+	CacheGap float64
+
+	// Capabilities are announced, and acted by.
+	Capabilities engine.Capabilities
+	// Roles are the roles that an order may set.
+	Roles []string
+	// WeightBytes is the size of a model in the weight store.
+	WeightBytes int64
+	// Weights is the weight store; a nil one is New's own with WeightRate
+	// bytes a second.
+	Weights    *WeightStore
+	WeightRate float64
+
+	// ServiceTime is the duration of a service call, spread evenly by the
+	// share ServiceJitter, 0 to 1, up and down.
+	ServiceTime   time.Duration
+	ServiceJitter float64
+
+	// Ledger counts starts and overlaps. Stand-ins that share one detect a
+	// request that runs on two of them at a time. Nil for New's own.
+	Ledger *Ledger
+	// MaxTracked bounds the identities and keys that are counted.
+	MaxTracked int
+	// MaxBodyBytes bounds a request body.
+	MaxBodyBytes int64
+	// Seed decides the faults, gaps, jitter and nothing else.
+	Seed uint64
+	// Faults are in force from the start.
+	Faults Faults
+	// LeaveTimeout bounds the wait for the agent at a graceful stop.
+	LeaveTimeout time.Duration
+}
+
+// ModelDefaults are the settings of a model engine of middling speed.
+func ModelDefaults() Options {
+	return Options{
+		Server:       "engine",
+		Kind:         engine.KindModel,
+		Listen:       "127.0.0.1:0",
+		Models:       []string{"sample"},
+		Slots:        16,
+		PrefillRate:  8000,
+		PrefillChunk: 512,
+		DecodePace:   15 * time.Millisecond,
+		DecodeSlope:  time.Millisecond,
+		KVTokens:     1 << 17,
+		CacheBlocks:  4096,
+		BlockTokens:  16,
+		MinOutput:    16,
+		MaxOutput:    256,
+		HoldTime:     30 * time.Second,
+		MaxHeld:      4096,
+		LoadLag:      time.Second,
+		CacheLag:     time.Second,
+		Capabilities: engine.Capabilities{
+			Fencing:      engine.FencingRefuses,
+			KV:           true,
+			Resume:       true,
+			OnDisconnect: engine.DisconnectContinues,
+		},
+		Roles:        []string{"mixed", "prefill", "decode"},
+		WeightBytes:  1 << 30,
+		WeightRate:   1 << 30,
+		MaxTracked:   1 << 20,
+		MaxBodyBytes: 16 << 20,
+		LeaveTimeout: 5 * time.Minute,
+	}
+}
+
+// ServiceDefaults are the settings of a plain service.
+func ServiceDefaults() Options {
+	options := ModelDefaults()
+	options.Server = "registry"
+	options.Kind = engine.KindService
+	options.Models = []string{"registry"}
+	options.ServiceTime = 5 * time.Millisecond
+	options.Capabilities = engine.Capabilities{
+		Fencing:      engine.FencingIgnores,
+		OnDisconnect: engine.DisconnectContinues,
+	}
+	return options
+}
+
+// Instant is the shortest DecodePace: zero would mean the default.
+const Instant = time.Nanosecond
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
+
+func (o Options) withDefaults() Options {
+	d := ModelDefaults()
+	if o.Kind == engine.KindService {
+		d = ServiceDefaults()
+	}
+	o.Kind = orDefault(o.Kind, d.Kind)
+	o.Server = orDefault(o.Server, d.Server)
+	o.Listen = orDefault(o.Listen, d.Listen)
+	o.Slots = orDefault(o.Slots, d.Slots)
+	o.PrefillRate = orDefault(o.PrefillRate, d.PrefillRate)
+	o.PrefillChunk = orDefault(o.PrefillChunk, d.PrefillChunk)
+	o.DecodePace = orDefault(o.DecodePace, d.DecodePace)
+	o.KVTokens = orDefault(o.KVTokens, d.KVTokens)
+	o.CacheBlocks = orDefault(o.CacheBlocks, d.CacheBlocks)
+	o.BlockTokens = orDefault(o.BlockTokens, d.BlockTokens)
+	o.MaxOutput = orDefault(o.MaxOutput, max(d.MaxOutput, o.MinOutput))
+	o.MinOutput = orDefault(o.MinOutput, min(d.MinOutput, o.MaxOutput))
+	o.HoldTime = orDefault(o.HoldTime, d.HoldTime)
+	o.MaxHeld = orDefault(o.MaxHeld, d.MaxHeld)
+	o.WeightBytes = orDefault(o.WeightBytes, d.WeightBytes)
+	o.WeightRate = orDefault(o.WeightRate, d.WeightRate)
+	o.MaxTracked = orDefault(o.MaxTracked, d.MaxTracked)
+	o.MaxBodyBytes = orDefault(o.MaxBodyBytes, d.MaxBodyBytes)
+	o.LeaveTimeout = orDefault(o.LeaveTimeout, d.LeaveTimeout)
+	o.Capabilities = orDefault(o.Capabilities, d.Capabilities)
+	if o.Models == nil {
+		o.Models = d.Models
+	}
+	if o.Roles == nil {
+		o.Roles = d.Roles
+	}
+	if o.ListenFunc == nil {
+		o.ListenFunc = net.Listen
+	}
+	if o.Weights == nil {
+		o.Weights = NewWeightStore(o.WeightRate)
+	}
+	if o.Ledger == nil {
+		o.Ledger = NewLedger(o.MaxTracked)
+	}
+	return o
+}
+
+// Validate gives every mistake in the settings, joined, or nil. Zero values
+// are no mistakes.
+func (o Options) Validate() error {
+	var mistakes []error
+	check := func(ok bool, text string) {
+		if !ok {
+			mistakes = append(mistakes, errors.New(text))
+		}
+	}
+	check(o.Kind == "" || o.Kind == engine.KindModel || o.Kind == engine.KindService, "kind: must be model or service")
+	check(o.Slots >= 0, "slots: must not be negative")
+	check(o.PrefillRate >= 0, "prefill rate: must not be negative")
+	check(o.PrefillChunk >= 0, "prefill chunk: must not be negative")
+	check(o.DecodePace >= 0 && o.DecodeSlope >= 0, "decode pace and slope: must not be negative")
+	check(o.KVTokens >= 0, "KV tokens: must not be negative")
+	check(o.CacheBlocks >= 0 && o.BlockTokens >= 0, "cache blocks and block tokens: must not be negative")
+	check(o.MinOutput >= 0 && (o.MaxOutput == 0 || o.MaxOutput >= o.MinOutput), "output: must be 0 <= min <= max")
+	check(o.HoldTime >= 0 && o.MaxHeld >= 0, "hold time and held streams: must not be negative")
+	check(o.LoadLag >= 0 && o.CacheLag >= 0, "lags: must not be negative")
+	check(isShare(o.CacheGap), "cache gap: must be from 0 to 1")
+	check(o.ServiceTime >= 0, "service time: must not be negative")
+	check(isShare(o.ServiceJitter), "service jitter: must be from 0 to 1")
+	check(o.WeightBytes >= 0 && o.WeightRate >= 0, "weight size and rate: must not be negative")
+	check(o.MaxTracked >= 0 && o.MaxBodyBytes >= 0, "bounds: must not be negative")
+	check(o.LeaveTimeout >= 0, "leave timeout: must not be negative")
+	check(validCapabilities(o.Capabilities), "capabilities: fencing is refuses or ignores, on_disconnect cancels or continues")
+	mistakes = append(mistakes, o.Faults.Validate())
+	return errors.Join(mistakes...)
+}
+
+func validCapabilities(c engine.Capabilities) bool {
+	if c == (engine.Capabilities{}) {
+		return true
+	}
+	fencing := c.Fencing == engine.FencingRefuses || c.Fencing == engine.FencingIgnores
+	disconnect := c.OnDisconnect == engine.DisconnectCancels || c.OnDisconnect == engine.DisconnectContinues
+	return fencing && disconnect
+}
+
+func isShare(value float64) bool { return value >= 0 && value <= 1 }
--- /dev/null
+++ b/engine/standin/text.go
@@ -0,0 +1,68 @@
+package standin
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+)
+
+// words are the tokens. Each is safe in JSON as it is.
+var words = strings.Fields(`
+	the a to of and in for with on at by from permit garden pass stall site county route packet review reply note
+	form fee date month owner vendor market load yard gate trailer scale green branch leaf soil bin bag truck
+	north south east west open closed valid later early small large first second third new old full part copy`)
+
+// promptHash stands for everything that an answer's text depends on.
+func promptHash(prompt engine.Prompt) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(prompt.Model)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(prompt.Text)
+	return digest.Sum64()
+}
+
+// token gives token number index of the answer to a prompt.
+func token(prompt uint64, index int) string {
+	word := words[hashNumbers("token", prompt, uint64(index))%uint64(len(words))]
+	if index == 0 {
+		return word
+	}
+	return " " + word
+}
+
+// Text gives the first count tokens of the answer to a completion body, as
+// every stand-in writes it; model names the engine's model for a body without
+// one. It fails if the body is none.
+func Text(body []byte, model string, count int) (string, error) {
+	prompt, err := engine.ParsePrompt(body)
+	if err != nil {
+		return "", err
+	}
+	prompt.Model = orDefault(prompt.Model, model)
+	return text(promptHash(prompt), count), nil
+}
+
+func text(prompt uint64, count int) string {
+	var joined strings.Builder
+	for index := range count {
+		joined.WriteString(token(prompt, index))
+	}
+	return joined.String()
+}
+
+// Finish reasons.
+const (
+	finishLength = "length"
+	finishStop   = "stop"
+)
+
+// outputLength gives an answer's tokens and finish reason.
+func (o Options) outputLength(prompt engine.Prompt, hash uint64) (tokens int, reason string) {
+	if prompt.MaxTokens > 0 {
+		return prompt.MaxTokens, finishLength
+	}
+	spread := uint64(o.MaxOutput - o.MinOutput + 1)
+	return o.MinOutput + int(hashNumbers("length", hash)%spread), finishStop
+}
