--- a/gate/types.go
+++ b/gate/types.go
@@ -50,25 +50,36 @@
 	}
 
 	// EngineListed carries the streams that the engine ran when this agent incarnation started. Nothing is admitted
-	// before all of them are over.
-	EngineListed struct{ Streams []engine.StreamInfo }
+	// before all of them are over. Exactly one follows each ListEngine; with Err the list is not known.
+	// engine.ErrUnsupported says that this backend server keeps no list.
+	EngineListed struct {
+		Streams []engine.StreamInfo
+		Err     error
+	}
 
-	// EngineProgress says that tokens (or a service's answer) arrived for an attempt. Events go on to the entry.
+	// EngineProgress says that tokens (or a service's answer) arrived for an attempt. Events go on to the entry. The
+	// gate keeps the slices, so the agent must not write to them again. What a model engine answers with a status
+	// other than 200 is no part of an answer and must not come this way.
 	EngineProgress struct {
 		Attempt *wire.AttemptID
 		Events  [][]byte
+		Tokens  uint32 // in these events; 0: one in each event
 	}
 
-	// EngineEnded says how a run ended. Err is nil only with a complete outcome.
+	// EngineEnded says how a run ended. Err is nil only with a complete outcome. Exactly one follows each StartEngine,
+	// and only once the connection of the run is closed.
 	EngineEnded struct {
-		Attempt *wire.AttemptID
-		Outcome engine.Outcome
-		Err     error
+		Attempt     *wire.AttemptID
+		Outcome     engine.Outcome
+		Err         error
+		ContentType string // of the answer
 	}
 
-	// EngineCancelled carries the engine's answer to a cancel.
+	// EngineCancelled carries the engine's answer to a cancel. Exactly one follows each CancelEngine, with its Try:
+	// an unknown id proves an end only if the cancel was sent after the run's end, and the gate tells by the Try.
 	EngineCancelled struct {
 		Attempt *wire.AttemptID
+		Try     uint32
 		Result  engine.CancelResult
 		Err     error
 	}
@@ -111,8 +122,13 @@
 	// StartEngine runs an attempt at the backend server; EngineProgress and EngineEnded follow.
 	StartEngine struct{ Dispatch *wire.Dispatch }
 
-	// CancelEngine cancels an attempt at the backend server; EngineCancelled follows. The gate repeats it as needed.
-	CancelEngine struct{ Attempt *wire.AttemptID }
+	// CancelEngine cancels an attempt at the backend server; EngineCancelled with the same Try follows. The gate repeats
+	// it as needed. Stream is the engine's name of what is to be cancelled.
+	CancelEngine struct {
+		Attempt *wire.AttemptID
+		Stream  engine.AttemptID
+		Try     uint32
+	}
 
 	// ListEngine asks the engine for its streams; EngineListed follows.
 	ListEngine struct{}
