--- a/quorum/journal/errors.go
+++ b/quorum/journal/errors.go
@@ -1,9 +1,10 @@
 package journal
 
 import (
+	"syscall"
+
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/go-faster/errors"
-	"syscall"
 )
 
 // fail wraps the error of a write or sync: result.DiskFull where the disk or
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -314,7 +314,7 @@
 	Progress []Progress
 	// Transferee is to become the leader; NoID while none is.
 	Transferee ID
-	Counters Counters
+	Counters   Counters
 }
 
 // Status returns the Node's status.
--- a/quorum/replica/api.go
+++ b/quorum/replica/api.go
@@ -6,16 +6,18 @@
 	"github.com/carawaypitch/carawaypitch/quorum"
 	"github.com/carawaypitch/carawaypitch/quorum/journal"
 	"github.com/carawaypitch/carawaypitch/quorum/quorumpb"
+	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/go-faster/errors"
 )
 
 // Transport carries messages to other replicas. Messages may be lost, repeated
 // and reordered.
 type Transport interface {
-	// Send hands over messages for one replica. It must not block; what does
-	// not fit is dropped and counted by the transport. The receiver may get
-	// the messages only by the ID in to: a replica drops what is addressed to
-	// an earlier disk of its instance.
+	// Send hands over messages for one replica. It must not block and must not
+	// call the sending replica; what does not fit is dropped and counted by the
+	// transport. Deliver them to the instance's present replica: it drops and
+	// counts what is addressed to an earlier disk. The messages must not be
+	// changed, they share entries with the log.
 	Send(to quorum.ID, msgs []*quorumpb.Message)
 }
 
@@ -49,6 +51,8 @@
 	DefaultSnapshotEntries = 10_000
 	DefaultSnapshotBytes   = 64 << 20
 	DefaultKeepEntries     = 1_000
+	// DefaultMaxSnapshotBytes is half of what a journal record can hold.
+	DefaultMaxSnapshotBytes = 512 << 20
 )
 
 // Config configures a replica. Fields left zero take their default.
@@ -77,7 +81,8 @@
 	Seed uint64
 	// QueueLength bounds each queue of the replica, in requests or messages.
 	QueueLength int
-	// MaxBatchBytes bounds the entries of one message and of one apply.
+	// MaxBatchBytes bounds the entries of one message, of one write to disk, of
+	// one apply, and each part of a snapshot.
 	MaxBatchBytes int
 	// MaxEntryBytes bounds one proposal.
 	MaxEntryBytes int
@@ -87,6 +92,11 @@
 	// or bytes of them, a snapshot is taken.
 	SnapshotEntries int
 	SnapshotBytes   int
+	// MaxSnapshotBytes bounds a snapshot received from a leader.
+	MaxSnapshotBytes int
+	// OnChange, if set, is called in the core's goroutine after each change of
+	// role, term or leader. It must not block; it may call Status.
+	OnChange func(quorum.StateChange)
 	// KeepEntries is how many applied entries stay in the log after a
 	// snapshot, for followers that lag a little.
 	KeepEntries int
@@ -140,6 +150,8 @@
 	MessagesDropped, MessagesMisaddressed uint64
 	// Refused counts refusals by quorum.Reason.
 	Refused [quorum.Reasons]uint64
+	// MessagesMalformed counts received messages that broke the protocol.
+	MessagesMalformed uint64
 	// UnknownOutcomes counts proposals whose outcome stayed unknown.
 	UnknownOutcomes uint64
 }
@@ -169,6 +181,9 @@
 	return "quorum: unknown outcome: " + e.Cause.Error()
 }
 
+// Code returns the numbered result code.
+func (e *UnknownOutcomeError) Code() result.Code { return result.ProposalUnknown }
+
 // Unwrap returns the cause.
 func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
 
--- a/quorum/replica/replica.go
+++ b/quorum/replica/replica.go
@@ -2,71 +2,278 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/carawaypitch/carawaypitch/quorum"
+	"github.com/carawaypitch/carawaypitch/quorum/journal"
 	"github.com/carawaypitch/carawaypitch/quorum/quorumpb"
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/oklog/run"
 )
 
 // Replica is one member of a group.
 type Replica struct {
-	cfg   Config
-	mu    sync.Mutex
-	index uint64
+	cfg     Config
+	id      quorum.ID
+	journal *journal.Journal
+
+	// mu guards node. The core holds it for one step at a time and never
+	// while it waits; Status takes it in between.
+	mu   sync.Mutex
+	node *quorum.Node
+
+	inbox     chan *quorumpb.Message
+	proposals chan *request
+	reads     chan *request
+	commands  chan *request
+
+	toJournal   chan journalJob
+	fromJournal chan journalDone
+	toApply     chan applyJob
+	fromApply   chan applyDone
+	toSnapshot  chan snapshotJob
+	fromSnaps   chan snapshotDone
+
+	core    core
+	counts  counts
+	started atomic.Bool
+	// stopped is closed when no request will be answered any more.
+	stopped chan struct{}
 }
 
-// New opens the journal in cfg.Dir and returns a replica that Run starts.
-func New(cfg Config) (*Replica, error) { return &Replica{cfg: cfg}, nil }
+// New opens the journal in cfg.Dir, restores the state machine from its newest
+// snapshot and returns a replica that Run starts. Errors are those of
+// journal.Open, of StateMachine.Restore, or say what cfg lacks.
+func New(cfg Config) (*Replica, error) {
+	if err := cfg.complete(); err != nil {
+		return nil, err
+	}
+	j, state, err := journal.Open(cfg.Dir, journal.Options{FS: cfg.FS})
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{
+		cfg:         cfg,
+		id:          quorum.MakeID(cfg.Instance, j.Disk()),
+		journal:     j,
+		inbox:       make(chan *quorumpb.Message, cfg.QueueLength),
+		proposals:   make(chan *request, cfg.QueueLength),
+		reads:       make(chan *request, cfg.QueueLength),
+		commands:    make(chan *request, commandQueue),
+		toJournal:   make(chan journalJob, 1),
+		fromJournal: make(chan journalDone, 1),
+		toApply:     make(chan applyJob, 1),
+		fromApply:   make(chan applyDone, 1),
+		toSnapshot:  make(chan snapshotJob, 1),
+		fromSnaps:   make(chan snapshotDone, 1),
+		stopped:     make(chan struct{}),
+	}
+	if err := r.load(state); err != nil {
+		return nil, errors.Join(err, j.Close())
+	}
+	return r, nil
+}
 
-// ID returns the replica's identity.
-func (r *Replica) ID() quorum.ID { return quorum.MakeID(r.cfg.Instance, "disk") }
+// commandQueue bounds waiting membership changes and transfers.
+const commandQueue = 16
 
-// Bootstrap makes this replica, whose disk must be empty, one of the first
-// voters of a new group.
-func (r *Replica) Bootstrap(voters []Member) error { return nil }
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
 
-// Run runs the replica until ctx ends.
-func (r *Replica) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return ctx.Err()
+func (c *Config) complete() error {
+	switch {
+	case c.Instance == "":
+		return errors.New("replica: config without an instance")
+	case c.Dir == "":
+		return errors.New("replica: config without a folder")
+	case c.StateMachine == nil:
+		return errors.New("replica: config without a state machine")
+	}
+	setDefault(&c.FS, journal.OS())
+	setDefault(&c.TickInterval, DefaultTickInterval)
+	setDefault(&c.ElectionTicks, DefaultElectionTicks)
+	setDefault(&c.HeartbeatTicks, DefaultHeartbeatTicks)
+	setDefault(&c.QueueLength, DefaultQueueLength)
+	setDefault(&c.MaxBatchBytes, quorum.DefaultMaxBatchBytes)
+	setDefault(&c.SnapshotEntries, DefaultSnapshotEntries)
+	setDefault(&c.SnapshotBytes, DefaultSnapshotBytes)
+	setDefault(&c.KeepEntries, DefaultKeepEntries)
+	setDefault(&c.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
+	return nil
 }
 
-// Propose returns after data was committed and applied here.
-func (r *Replica) Propose(ctx context.Context, data []byte) (Applied, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.index++
-	return Applied{Index: r.index, Result: r.cfg.StateMachine.Apply(r.index, data)}, nil
+func (r *Replica) load(state journal.State) error {
+	if s := state.Snapshot; s != nil {
+		if err := r.cfg.StateMachine.Restore(s.GetMeta().GetIndex(), s.GetData()); err != nil {
+			return errors.Wrap(err, "replica: restore")
+		}
+	}
+	node, err := quorum.New(quorum.Config{
+		ID:                  r.id,
+		Rand:                rand.New(rand.NewPCG(r.cfg.Seed, idSeed(r.id))),
+		ElectionTicks:       r.cfg.ElectionTicks,
+		HeartbeatTicks:      r.cfg.HeartbeatTicks,
+		MaxBatchBytes:       r.cfg.MaxBatchBytes,
+		MaxEntryBytes:       r.cfg.MaxEntryBytes,
+		MaxUncommittedBytes: r.cfg.MaxUncommittedBytes,
+	}, state.HardState, state.Snapshot.GetMeta(), state.Entries)
+	if err != nil {
+		return err
+	}
+	r.node = node
+	r.core = newCore(r)
+	return nil
+}
+
+// idSeed makes the election timeouts of replicas with equal seeds differ.
+func idSeed(id quorum.ID) uint64 {
+	var seed uint64
+	for _, c := range []byte(id.Instance()) {
+		seed = seed*131 + uint64(c)
+	}
+	return seed
 }
 
-// Read returns an index such that a state machine that has applied it reflects
-// all that was committed before the call.
-func (r *Replica) Read(ctx context.Context) (uint64, error) {
+// ID returns the replica's identity.
+func (r *Replica) ID() quorum.ID { return r.id }
+
+// Bootstrap makes this replica one of the first voters of a new group. Call it
+// before Run, at every one of the voters with the same list. It returns
+// ErrNotEmpty where the disk holds a log already, which after a restart is the
+// normal case, and ErrRunTwice after Run.
+//
+// Only an operator may decide to call it, for a group that never existed. On
+// the wiped disk of an existing group's instance it would start a second group
+// beside the first; its identity differs, so the two never mix.
+func (r *Replica) Bootstrap(voters []Member) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.index, nil
+	if r.started.Load() {
+		return ErrRunTwice
+	}
+	if s := r.node.Status(); s.Last > 0 || s.Term > 0 {
+		return ErrNotEmpty
+	}
+	var members []*quorumpb.Member
+	included := false
+	for _, v := range voters {
+		included = included || v.ID == r.id
+		members = append(members, &quorumpb.Member{
+			Id:      string(v.ID),
+			Address: v.Address,
+			Role:    quorumpb.Role_ROLE_VOTER,
+		})
+	}
+	if !included {
+		return errors.Errorf("replica: %s is not among the first voters", r.id)
+	}
+	first, err := quorum.FirstEntry(groupID(voters), members)
+	if err != nil {
+		return err
+	}
+	hard := &quorumpb.HardState{Term: first.GetTerm(), Commit: first.GetIndex()}
+	entries := []*quorumpb.Entry{first}
+	if err := r.journal.Save(hard, entries); err != nil {
+		return err
+	}
+	return r.load(journal.State{HardState: hard, Entries: entries})
 }
 
-// Deliver hands over a message received by the transport. It never blocks.
-func (r *Replica) Deliver(msg *quorumpb.Message) {}
+// groupID derives the group's identity from the disks of its first voters,
+// which are random, so that all of them find the same one.
+func groupID(voters []Member) string {
+	var ids []string
+	for _, v := range voters {
+		ids = append(ids, string(v.ID))
+	}
+	slices.Sort(ids)
+	var name []byte
+	for _, id := range ids {
+		name = append(append(name, id...), '\n')
+	}
+	return uuid.NewSHA1(uuid.NameSpaceOID, name).String()
+}
 
-// Status returns the replica's status.
-func (r *Replica) Status() Status { return Status{ID: r.ID(), Applied: r.index} }
+// ErrRunTwice is returned by a second call of Run.
+var ErrRunTwice = errors.New("replica: Run was called before")
 
-// AddLearner adds a replica that receives the log without a vote.
-func (r *Replica) AddLearner(ctx context.Context, id quorum.ID, address string) (Applied, error) {
-	return Applied{}, nil
+// Run runs the replica until ctx ends, then returns nil after the journal is
+// closed. Any other error is one that the replica must not go on after: one of
+// the journal, quorum.ErrLostLog, or one of the state machine.
+func (r *Replica) Run(ctx context.Context) error {
+	if !r.started.CompareAndSwap(false, true) {
+		return ErrRunTwice
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var g run.Group
+	for _, duty := range []func(context.Context) error{r.runCore, r.runJournal, r.runApply, r.runSnapshots} {
+		g.Add(func() error { return duty(ctx) }, func(error) { cancel() })
+	}
+	err := g.Run()
+	r.stop()
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	return errors.Join(err, r.journal.Close())
 }
 
-// Promote turns a learner that has caught up into a voter.
-func (r *Replica) Promote(ctx context.Context, id quorum.ID) (Applied, error) {
-	return Applied{}, nil
+// Close ends a replica that was never run.
+func (r *Replica) Close() error {
+	if !r.started.CompareAndSwap(false, true) {
+		return nil
+	}
+	r.stop()
+	return r.journal.Close()
 }
 
-// Remove removes a replica from the group.
-func (r *Replica) Remove(ctx context.Context, id quorum.ID) (Applied, error) {
-	return Applied{}, nil
+// stop answers what still waits.
+func (r *Replica) stop() {
+	close(r.stopped)
+	r.core.loseAll(quorum.ErrStopped)
 }
 
-// TransferLeader hands leadership to the voter that is furthest on.
-func (r *Replica) TransferLeader(ctx context.Context) error { return nil }
+// Deliver hands over a message received by the transport. It never blocks: a
+// message that finds the queue full is dropped and counted.
+func (r *Replica) Deliver(msg *quorumpb.Message) {
+	select {
+	case r.inbox <- msg:
+	default:
+		r.counts.messagesDropped.Add(1)
+	}
+}
+
+// Status returns the replica's status.
+func (r *Replica) Status() Status {
+	r.mu.Lock()
+	s := r.node.Status()
+	r.mu.Unlock()
+	status := Status{
+		ID:       s.ID,
+		Leader:   s.Leader,
+		Role:     s.Role,
+		Term:     s.Term,
+		Last:     s.Last,
+		Commit:   s.Commit,
+		Applied:  s.Applied,
+		Snapshot: s.Snapshot,
+		Progress: s.Progress,
+		Counters: r.counts.read(s.Counters, r.journal.Stats()),
+	}
+	for _, m := range s.Membership.GetMembers() {
+		status.Members = append(status.Members, Member{
+			ID:      quorum.ID(m.GetId()),
+			Address: m.GetAddress(),
+			Voter:   m.GetRole() == quorumpb.Role_ROLE_VOTER,
+		})
+	}
+	return status
+}
