settings: files read strictly, every mistake reported at once with its place

A process that starts with half of its settings misread fails later and far from the cause. Unknown, missing and repeated keys, wrong types, bare numbers for durations and sizes, host names, port clashes, bad digests and unusable TLS files are all reported in one go with code, path, line and column; a mistake never repeats a key.

The test of syntax found that 600,000 opening brackets overflow the stack of the JSON parser within the limit of 1 MiB and end the process. jsonc now bounds the brackets at 20,000.

--- /dev/null
+++ b/settings/entry.go
@@ -0,0 +1,120 @@
+package settings
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// Entry is the settings of an entry instance.
+type Entry struct {
+	// Role is "entry".
+	Role Role `json:"role" settings:"required"`
+	// Instance is this process's name, unique in the deployment.
+	Instance string `json:"instance" settings:"required,name"`
+	// AvailabilityZone is the zone this process runs in.
+	AvailabilityZone string `json:"availability_zone" settings:"required,name"`
+	// Listen says where the process listens.
+	Listen EntryListen `json:"listen" settings:"required"`
+	// Controls are the link addresses, IP:port, of all control instances.
+	Controls []string `json:"controls" settings:"required,dial"`
+	// Organisations are the members whose keys are accepted until the replicated state is known.
+	Organisations []Organisation `json:"organisations"`
+	// OrganisationsFile is a file {"organisations": [...]} in place of Organisations. Load reads it into them and
+	// leaves this empty.
+	OrganisationsFile string `json:"organisations_file" settings:"path"`
+	// Limits bounds what the process holds.
+	Limits EntryLimits `json:"limits"`
+	// TLS is for the links to other processes. Without it links are plain TCP.
+	TLS TLS `json:"tls"`
+	// CallerTLS is for callers. Without it callers speak plain HTTP.
+	CallerTLS CallerTLS `json:"caller_tls"`
+	// Log says what is logged.
+	Log Log `json:"log"`
+	// Timing holds the process's intervals and bounds.
+	Timing EntryTiming `json:"timing"`
+}
+
+// EntryListen says where an entry instance listens, as IP:port; port 0 takes any free one.
+type EntryListen struct {
+	// Callers is where callers and the platform connect, by HTTP.
+	Callers string `json:"callers" settings:"required,listen"`
+}
+
+// EntryLimits bounds what an entry instance holds.
+type EntryLimits struct {
+	// MaxBody is the largest request body, in bytes. Default 4 MiB.
+	MaxBody Size `json:"max_body"`
+	// MaxAnswer is the largest answer, in bytes. Default 16 MiB.
+	MaxAnswer Size `json:"max_answer"`
+	// MaxQueued is how many requests may wait. Default 4096.
+	MaxQueued int `json:"max_queued"`
+	// MaxQueuedBytes bounds the bodies of all waiting requests, in bytes. Default 256 MiB.
+	MaxQueuedBytes Size `json:"max_queued_bytes"`
+	// MaxReservations is with how many agents one request waits at a time. Default 3.
+	MaxReservations int `json:"max_reservations"`
+}
+
+// EntryTiming holds an entry instance's intervals and bounds.
+type EntryTiming struct {
+	// Heartbeat is the interval between messages on a link without other traffic. Default 250ms.
+	Heartbeat time.Duration `json:"heartbeat"`
+	// CutOff is the silence of a majority of control instances after which no request is admitted. Default 2s.
+	CutOff time.Duration `json:"cut_off"`
+	// Lease is how long an agent goes on with an attempt that isn't renewed. Default 2s.
+	Lease time.Duration `json:"lease"`
+	// Drain is how long requests in flight may take after SIGTERM. Default 30s.
+	Drain time.Duration `json:"drain"`
+	// Dial is how long one try to connect may take. Default 1s.
+	Dial time.Duration `json:"dial"`
+}
+
+func (*Entry) expectedRole() Role { return RoleEntry }
+
+// DefaultEntry returns the settings that hold for keys a file leaves out.
+func DefaultEntry() Entry {
+	return Entry{
+		Role: RoleEntry,
+		Log:  Log{Level: log.InfoLevel},
+		Limits: EntryLimits{
+			MaxBody:         4 * MiB,
+			MaxAnswer:       16 * MiB,
+			MaxQueued:       4096,
+			MaxQueuedBytes:  256 * MiB,
+			MaxReservations: 3,
+		},
+		Timing: EntryTiming{
+			Heartbeat: defaultHeartbeat,
+			CutOff:    defaultCutOff,
+			Lease:     defaultLease,
+			Drain:     defaultDrain,
+			Dial:      defaultDial,
+		},
+	}
+}
+
+func (e *Entry) setDefaults() { *e = DefaultEntry() }
+
+func (e *Entry) derive() {}
+
+func (e *Entry) validate(c *checker) {
+	c.organisations(&e.Organisations, &e.OrganisationsFile)
+	c.unique("address", e.Controls, controlPath)
+	c.tlsFiles("tls", e.TLS)
+	c.tlsFiles("caller_tls", e.CallerTLS)
+	positive(c, "limits.max_body", e.Limits.MaxBody)
+	positive(c, "limits.max_answer", e.Limits.MaxAnswer)
+	positive(c, "limits.max_queued", e.Limits.MaxQueued)
+	positive(c, "limits.max_queued_bytes", e.Limits.MaxQueuedBytes)
+	positive(c, "limits.max_reservations", e.Limits.MaxReservations)
+	positive(c, "timing.heartbeat", e.Timing.Heartbeat)
+	positive(c, "timing.drain", e.Timing.Drain)
+	positive(c, "timing.dial", e.Timing.Dial)
+	c.silence("timing.cut_off", e.Timing.CutOff, e.Timing.Heartbeat)
+	c.silence("timing.lease", e.Timing.Lease, e.Timing.Heartbeat)
+}
+
+func controlPath(i int) string {
+	return fmt.Sprintf("controls[%d]", i)
+}
--- a/settings/jsonc/jsonc.go
+++ b/settings/jsonc/jsonc.go
@@ -12,11 +12,17 @@
 	"github.com/tailscale/hujson"
 )
 
-// MaxBytes is the largest document that Parse takes.
+// Bounds of what Parse takes.
 //
-// The parser descends one call for each level. A file of some hundred million brackets would use up the stack,
-// which ends the process without an error; at this size it can't.
-const MaxBytes = 1 << 20
+// The parser descends one call for each level, and a text of opening brackets alone (600,000 sufficed) uses up the
+// stack, which ends the process without an error. Depth can't be more than the number of opening brackets, so that
+// is bounded; those in strings and comments count too, which keeps the check apart from the parser's own rules.
+const (
+	// MaxBytes is the largest text.
+	MaxBytes = 1 << 20
+	// MaxBrackets is the largest number of opening brackets and braces.
+	MaxBrackets = 20_000
+)
 
 // Document is a parsed text.
 type Document struct {
@@ -44,6 +50,9 @@
 	if len(data) > MaxBytes {
 		return nil, &Error{Line: 1, Column: 1, Message: fmt.Sprintf("larger than %d bytes", MaxBytes)}
 	}
+	if bytes.Count(data, []byte("["))+bytes.Count(data, []byte("{")) > MaxBrackets {
+		return nil, &Error{Line: 1, Column: 1, Message: fmt.Sprintf("more than %d lists and objects", MaxBrackets)}
+	}
 	root, err := hujson.Parse(data)
 	if err != nil {
 		return nil, syntaxError(err)
@@ -57,8 +66,8 @@
 	return line, offset - d.lineStarts[line-1] + 1
 }
 
-// Duplicates returns the first key in each object that an earlier one of that object equals.
-func (d *Document) Duplicates() []*Error {
+// duplicates returns the keys that equal an earlier one of the same object.
+func (d *Document) duplicates() []*Error {
 	var found []*Error
 	for value := range d.Root.All() {
 		object, ok := value.Value.(*hujson.Object)
@@ -84,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	if twice := doc.Duplicates(); len(twice) > 0 {
+	if twice := doc.duplicates(); len(twice) > 0 {
 		return twice[0]
 	}
 	doc.Root.Standardize()
