--- /dev/null
+++ b/session/peer.go
@@ -0,0 +1,250 @@
+package session
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/ring"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// peer is one control instance and the link to it.
+type peer struct {
+	session *Session
+	number  int
+	address string
+
+	mu       sync.Mutex
+	ring     *ring.Ring[*wire.ClientMessage] // nil while there is no link
+	instance string                          // as of its hello
+	sent     map[uint64]time.Time            // polls without an answer
+	waiting  map[uint64]chan *wire.ProposeReply
+}
+
+func newPeer(s *Session, number int, address string) *peer {
+	return &peer{session: s, number: number, address: address}
+}
+
+// run dials until ctx ends, with a growing wait between tries.
+func (p *peer) run(ctx context.Context) {
+	timing := p.session.timing()
+	wait := timing.RedialMin
+	for ctx.Err() == nil {
+		wasUp, err := p.once(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if wasUp {
+			wait = timing.RedialMin
+			p.session.counters.linksLost.Inc()
+			p.session.cfg.Log.WithError(err).WithField("address", p.address).Warn("control_link_lost")
+		}
+		if !pause(ctx, wait) {
+			return
+		}
+		wait = min(2*wait, timing.RedialMax)
+	}
+}
+
+// once dials and serves one link until it ends.
+func (p *peer) once(ctx context.Context) (wasUp bool, err error) {
+	conn, err := link.Dial(ctx, p.session.cfg.Network, p.address, p.session.cfg.TLS)
+	if err != nil {
+		p.dialFailed(err)
+		return false, err
+	}
+	defer conn.Close()
+	// The stream outlives ctx for a moment, so that the pump can send what it has.
+	stream, err := wire.NewDRPCControlLinkClient(conn).Session(context.WithoutCancel(ctx))
+	if err != nil {
+		return false, err
+	}
+	if err := stream.Send(&wire.ClientBatch{Messages: []*wire.ClientMessage{p.hello()}}); err != nil {
+		return false, err
+	}
+	out := ring.New[*wire.ClientMessage]("control", outgoingRing)
+	p.open(out)
+	defer p.close()
+	p.poll()
+	pump := &link.Pump[*wire.ClientMessage, *wire.ControlBatch]{
+		Send:         func(batch []*wire.ClientMessage) error { return stream.Send(&wire.ClientBatch{Messages: batch}) },
+		Recv:         stream.Recv,
+		Abort:        func() { conn.Close() },
+		Ring:         out,
+		Beat:         p.pollMessage,
+		BeatInterval: p.session.cfg.PollInterval,
+		Receive:      p.receive,
+		Silence:      p.session.cfg.SilenceBound,
+	}
+	return true, pump.Run(ctx)
+}
+
+// dialFailed notes a refused connection as an answer: no process listens there.
+func (p *peer) dialFailed(err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		p.session.counters.dialsFailed.Inc()
+		return
+	}
+	p.session.counters.dialsRefused.Inc()
+	p.session.mu.Lock()
+	defer p.session.mu.Unlock()
+	p.session.freshness.Refused(p.number, time.Now())
+}
+
+func (p *peer) hello() *wire.ClientMessage {
+	cfg, view := p.session.cfg, p.session.View()
+	return &wire.ClientMessage{Kind: &wire.ClientMessage_Hello{Hello: &wire.ClientHello{
+		Instance:         cfg.Instance,
+		Role:             cfg.Role,
+		Incarnation:      cfg.Incarnation,
+		AvailabilityZone: cfg.Zone,
+		LinkAddress:      cfg.LinkAddress,
+		ConfigVersion:    view.ConfigVersion,
+		DirectoryVersion: view.DirectoryVersion,
+	}}}
+}
+
+func (p *peer) open(out *ring.Ring[*wire.ClientMessage]) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ring = out
+	p.sent = make(map[uint64]time.Time)
+	p.waiting = make(map[uint64]chan *wire.ProposeReply)
+}
+
+// close ends the link. Who waits for a reply learns that none will come.
+func (p *peer) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ring = nil
+	for _, reply := range p.waiting {
+		close(reply)
+	}
+	p.waiting = nil
+}
+
+// send passes a message on, and returns false if there is no link or its ring is full.
+func (p *peer) send(m *wire.ClientMessage) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ring != nil && p.ring.TryPush(m)
+}
+
+// poll asks at once, without waiting for the next interval.
+func (p *peer) poll() {
+	p.send(p.pollMessage())
+}
+
+func (p *peer) pollMessage() *wire.ClientMessage {
+	view := p.session.View()
+	id := p.session.ids.Add(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sent != nil {
+		p.sent[id] = time.Now()
+	}
+	return &wire.ClientMessage{Kind: &wire.ClientMessage_Poll{Poll: &wire.Poll{
+		Sequence:         id,
+		ConfigVersion:    view.ConfigVersion,
+		DirectoryVersion: view.DirectoryVersion,
+	}}}
+}
+
+// receive takes one batch. A batch with the answer to a poll shows that the instance hears this side.
+func (p *peer) receive(_ context.Context, batch *wire.ControlBatch) (bool, error) {
+	alive := false
+	for _, m := range batch.GetMessages() {
+		answered, err := p.message(m)
+		if err != nil {
+			return alive, err
+		}
+		alive = alive || answered
+	}
+	return alive, nil
+}
+
+func (p *peer) message(m *wire.ControlMessage) (answered bool, err error) {
+	s := p.session
+	switch kind := m.GetKind().(type) {
+	case *wire.ControlMessage_Hello:
+		p.mu.Lock()
+		p.instance = kind.Hello.GetInstance()
+		p.mu.Unlock()
+		s.setLeader(kind.Hello.GetLeader())
+	case *wire.ControlMessage_Config:
+		return false, s.applyConfig(kind.Config)
+	case *wire.ControlMessage_Directory:
+		return false, s.applyDirectory(kind.Directory)
+	case *wire.ControlMessage_Fresh:
+		return true, p.fresh(kind.Fresh)
+	case *wire.ControlMessage_Reply:
+		p.reply(kind.Reply)
+	case *wire.ControlMessage_Order:
+		s.order(p, kind.Order)
+	}
+	return false, nil
+}
+
+// fresh notes the answer to a poll. Only a confirmed one whose versions are in force here counts as confirmed.
+func (p *peer) fresh(f *wire.Fresh) error {
+	p.mu.Lock()
+	sent, known := p.sent[f.GetSequence()]
+	for sequence := range p.sent {
+		if sequence <= f.GetSequence() {
+			delete(p.sent, sequence)
+		}
+	}
+	p.mu.Unlock()
+	if !known {
+		return nil
+	}
+	s, now := p.session, time.Now()
+	s.setLeader(f.GetLeader())
+	view := s.View()
+	inForce := view.ConfigVersion >= f.GetConfigVersion() && view.DirectoryVersion >= f.GetDirectoryVersion()
+	s.mu.Lock()
+	s.freshness.Answered(p.number, sent, now)
+	if f.GetConfirmed() && inForce {
+		s.freshness.Confirmed(sent, now)
+	}
+	s.mu.Unlock()
+	s.registration.wake()
+	return nil
+}
+
+func (s *Session) applyConfig(u *wire.ConfigUpdate) error {
+	if u.GetVersion() < s.View().ConfigVersion {
+		s.counters.older.Inc()
+	}
+	err := s.update(func(v *View) (*View, error) { return v.withConfig(u) })
+	return s.countGap(err)
+}
+
+func (s *Session) applyDirectory(u *wire.DirectoryUpdate) error {
+	err := s.update(func(v *View) (*View, error) { return v.withDirectory(u) })
+	return s.countGap(err)
+}
+
+// countGap ends the link by its error; the next hello says which version is known, and the update begins there.
+func (s *Session) countGap(err error) error {
+	if err != nil {
+		s.counters.gaps.Inc()
+	}
+	return err
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/session/session.go
@@ -0,0 +1,266 @@
+package session
+
+import (
+	"context"
+	"crypto/tls"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/network"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// Defaults of Config.
+const (
+	DefaultPollInterval = time.Second
+	DefaultSilenceBound = 3 * time.Second
+	DefaultTry          = 2 * time.Second
+)
+
+// Capacities of the rings.
+const (
+	outgoingRing = 1024
+	orderRing    = 64
+)
+
+// Config configures a Session. Instance, Role, Incarnation, Controls and Network are required.
+type Config struct {
+	// Instance is this process's name.
+	Instance string
+	// Role is ROLE_ENTRY or ROLE_AGENT.
+	Role wire.Role
+	// Incarnation rises with each start of the process, such as nanoseconds since 1970 at the start. It isn't 0.
+	Incarnation uint64
+	// Zone is the availability zone.
+	Zone string
+	// LinkAddress is where entries dial this agent; empty for an entry.
+	LinkAddress string
+	// Controls are the link addresses of all control instances.
+	Controls []string
+	// Network opens the connections.
+	Network network.Network
+	// TLS is the configuration of the connections, nil for none.
+	TLS *tls.Config
+	// PollInterval is how often each control instance is polled.
+	PollInterval time.Duration
+	// SilenceBound is how long a majority may be silent before the process counts as cut off.
+	SilenceBound time.Duration
+	// Try is how long a proposal waits at one control instance before it goes to another.
+	Try time.Duration
+	// Log and Metrics may be nil.
+	Log     log.Interface
+	Metrics *metrics.Set
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.PollInterval, DefaultPollInterval)
+	setDefault(&c.SilenceBound, DefaultSilenceBound)
+	setDefault(&c.Try, DefaultTry)
+	if c.Log == nil {
+		c.Log = &log.Logger{Handler: log.HandlerFunc(func(*log.Entry) error { return nil }), Level: log.FatalLevel}
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	return c
+}
+
+func setDefault(d *time.Duration, fallback time.Duration) {
+	if *d <= 0 {
+		*d = fallback
+	}
+}
+
+// Session keeps the links to all control instances. Its methods may be called from any goroutine, before Run too.
+type Session struct {
+	cfg   Config
+	peers []*peer
+	view  atomic.Pointer[View]
+	ids   atomic.Uint64
+
+	mu        sync.Mutex
+	freshness *Freshness
+	leader    string
+	wanted    uint64 // highest configuration version seen on any message
+
+	notifyMu    sync.Mutex
+	subscribers []func(*View)
+
+	registration *registration
+	orders       *orders
+	counters     counters
+}
+
+// New returns a session that Run starts.
+func New(cfg Config) *Session {
+	cfg = cfg.withDefaults()
+	s := &Session{cfg: cfg, freshness: NewFreshness(len(cfg.Controls), cfg.SilenceBound, time.Now())}
+	s.view.Store(newView())
+	for i, address := range cfg.Controls {
+		s.peers = append(s.peers, newPeer(s, i, address))
+	}
+	s.registration = newRegistration(cfg)
+	s.orders = newOrders()
+	s.counters = newCounters(cfg.Metrics, s)
+	return s
+}
+
+// Run keeps the links and the registration until ctx ends, and returns the cause.
+func (s *Session) Run(ctx context.Context) error {
+	s.restart()
+	var wg sync.WaitGroup
+	for _, p := range s.peers {
+		wg.Go(func() { p.run(ctx) })
+	}
+	wg.Go(func() { s.register(ctx) })
+	wg.Wait()
+	return context.Cause(ctx)
+}
+
+// restart counts freshness from the start of Run.
+func (s *Session) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.freshness = NewFreshness(len(s.peers), s.cfg.SilenceBound, time.Now())
+}
+
+// View returns the newest configuration and directory.
+func (s *Session) View() *View {
+	return s.view.Load()
+}
+
+// Config returns the version of the configuration, and its classes sorted by name.
+func (s *Session) Config() (uint64, []*wire.Class) {
+	v := s.View()
+	return v.ConfigVersion, sorted(v.Classes)
+}
+
+// Servers returns the agents with their backend servers, sorted by agent.
+func (s *Session) Servers() []*wire.AgentRecord {
+	return sorted(s.View().Agents)
+}
+
+func sorted[V any](m map[string]V) []V {
+	list := make([]V, 0, len(m))
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		list = append(list, m[name])
+	}
+	return list
+}
+
+// Subscribe calls fn with each new view, in order and one at a time, and first with the present one. It must not block,
+// and must not call Subscribe.
+func (s *Session) Subscribe(fn func(*View)) {
+	s.notifyMu.Lock()
+	defer s.notifyMu.Unlock()
+	s.subscribers = append(s.subscribers, fn)
+	fn(s.View())
+}
+
+// update changes the view and tells the subscribers.
+func (s *Session) update(change func(*View) (*View, error)) error {
+	s.notifyMu.Lock()
+	defer s.notifyMu.Unlock()
+	old := s.View()
+	next, err := change(old)
+	if err != nil || next == old {
+		return err
+	}
+	s.view.Store(next)
+	for _, fn := range s.subscribers {
+		fn(next)
+	}
+	return nil
+}
+
+// Ready returns nil when the process may take work: the state was confirmed by a quorum and is in force here, this
+// incarnation was registered, and the process isn't cut off. Errors have code result.Starting or
+// result.CutOffFromControl.
+//
+// A process that starts with nothing, or with what a control instance in a minority tells it, would serve by classes
+// that were replaced long ago.
+func (s *Session) Ready() error {
+	s.mu.Lock()
+	confirmed := s.freshness.IsConfirmed()
+	s.mu.Unlock()
+	if !confirmed {
+		return result.New(result.Starting, "no quorum of control has confirmed the configuration yet")
+	}
+	if !s.registration.done.Load() {
+		return result.New(result.Starting, "this instance isn't registered yet")
+	}
+	return s.CutOff()
+}
+
+// CutOff returns nil, or an error with code result.CutOffFromControl while the process may be cut off, see Freshness.
+func (s *Session) CutOff() error {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.freshness.CutOff(now) {
+		return nil
+	}
+	return result.New(result.CutOffFromControl, "%d of %d control instances are silent, and none was confirmed by a quorum",
+		s.freshness.SilentInstances(now), len(s.peers))
+}
+
+// Contacts returns how each control instance is reached, in the order of Config.Controls.
+func (s *Session) Contacts() []Contact {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Contact, len(s.peers))
+	for i := range out {
+		out[i] = s.freshness.Contact(i, now)
+	}
+	return out
+}
+
+// ObserveVersion notes a configuration version that came on a message of another process, and returns true if what
+// is in force here is at least as new. On false the session fetches; the caller must not act on the message before a
+// view of that version came (see Subscribe), or it would mix two configurations.
+func (s *Session) ObserveVersion(version uint64) bool {
+	if version <= s.View().ConfigVersion {
+		return true
+	}
+	s.mu.Lock()
+	isNew := version > s.wanted
+	s.wanted = max(s.wanted, version)
+	s.mu.Unlock()
+	if isNew {
+		s.counters.fetches.Inc()
+		for _, p := range s.peers {
+			p.poll()
+		}
+	}
+	return false
+}
+
+// Leader returns the instance that leads as far as known, or "".
+func (s *Session) Leader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leader
+}
+
+func (s *Session) setLeader(instance string) {
+	if instance == "" {
+		return
+	}
+	s.mu.Lock()
+	s.leader = instance
+	s.mu.Unlock()
+}
+
+// timing is that of the links: a silent one is dialled anew at the bound.
+func (s *Session) timing() link.Timing {
+	return link.Timing{}.WithDefaults()
+}
--- /dev/null
+++ b/session/view.go
@@ -0,0 +1,92 @@
+package session
+
+import (
+	"maps"
+
+	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// View is the configuration and directory at one moment. It and its records are never changed.
+type View struct {
+	// ConfigVersion and DirectoryVersion are log indexes; 0 before the first update.
+	ConfigVersion, DirectoryVersion uint64
+	// Fence is the highest committed fence number seen.
+	Fence uint64
+	// Classes, Agents and Entries are by name.
+	Classes map[string]*wire.Class
+	Agents  map[string]*wire.AgentRecord
+	Entries map[string]*wire.EntryRecord
+}
+
+// errGap says that an update begins at a version that isn't known here.
+var errGap = errors.New("session: update doesn't follow on the known version")
+
+func newView() *View {
+	return &View{
+		Classes: make(map[string]*wire.Class),
+		Agents:  make(map[string]*wire.AgentRecord),
+		Entries: make(map[string]*wire.EntryRecord),
+	}
+}
+
+// withConfig returns the view after an update, or the view itself if the update brings nothing new. An update to a
+// lower version is refused: a control instance that was cut off may send what was in force an hour ago.
+func (v *View) withConfig(u *wire.ConfigUpdate) (*View, error) {
+	if u.GetVersion() < v.ConfigVersion {
+		return v, nil
+	}
+	next := *v
+	next.Fence = max(v.Fence, u.GetFence())
+	if u.GetVersion() == v.ConfigVersion {
+		return &next, nil
+	}
+	if !u.GetFull() && u.GetBase() > v.ConfigVersion {
+		return v, errGap
+	}
+	next.ConfigVersion = u.GetVersion()
+	next.Classes = start(v.Classes, u.GetFull())
+	for _, class := range u.GetClasses() {
+		next.Classes[class.GetName()] = class
+	}
+	for _, name := range u.GetRemoved() {
+		delete(next.Classes, name)
+	}
+	return &next, nil
+}
+
+// withDirectory is withConfig for the directory.
+func (v *View) withDirectory(u *wire.DirectoryUpdate) (*View, error) {
+	if u.GetVersion() <= v.DirectoryVersion {
+		return v, nil
+	}
+	if !u.GetFull() && u.GetBase() > v.DirectoryVersion {
+		return v, errGap
+	}
+	next := *v
+	next.DirectoryVersion = u.GetVersion()
+	next.Agents = start(v.Agents, u.GetFull())
+	next.Entries = start(v.Entries, u.GetFull())
+	for _, agent := range u.GetAgents() {
+		next.Agents[agent.GetAgent()] = agent
+	}
+	for _, name := range u.GetRemoved() {
+		delete(next.Agents, name)
+	}
+	for _, entry := range u.GetEntries() {
+		next.Entries[entry.GetEntry()] = entry
+	}
+	for _, name := range u.GetRemovedEntries() {
+		delete(next.Entries, name)
+	}
+	return &next, nil
+}
+
+// start returns the map that an update is put into: an empty one if it replaces everything.
+func start[V any](old map[string]V, full bool) map[string]V {
+	if full {
+		return make(map[string]V)
+	}
+	return maps.Clone(old)
+}
--- a/state/class.go
+++ b/state/class.go
@@ -58,15 +58,6 @@
 	return v >= 0 && v <= 1
 }
 
-// DefaultPreempt returns the value for a class that says nothing. The highest tier, services and work that may not
-// be repeated run to their end, since taking their place would lose them.
-func DefaultPreempt(c *wire.Class) string {
-	if c.GetTier() <= HighestTier || c.GetKind() == KindService || !c.GetRepeatable() {
-		return PreemptNever
-	}
-	return PreemptAllowed
-}
-
 func (s *State) putClass(cmd *wire.PutClass) *wire.CommandResult {
 	class := proto.CloneOf(cmd.GetClass())
 	if problem := CheckClass(class); problem != "" {
--- a/state/delta.go
+++ b/state/delta.go
@@ -36,7 +36,3 @@
 	}
 	return names, true
 }
-
-func (h *history) clear() {
-	h.items = nil
-}
