link, network/memory: in-memory network; tests of cuts, order, refusals and the end of a link

errors.Wrap of go-faster gives an error for a nil cause, so the first form of Send always failed; both places test the cause now.

--- a/link/agent_link.go
+++ b/link/agent_link.go
@@ -22,6 +22,9 @@
 
 	messages agentConn
 	long     agentConn
+
+	flushes atomic.Int32
+	flushed chan struct{} // closed when both streams have sent what they held
 }
 
 // agentConn is one of the two streams.
@@ -40,6 +43,7 @@
 func newAgentLink(d *AgentDialer) *agentLink {
 	return &agentLink{
 		dialer:   d,
+		flushed:  make(chan struct{}),
 		messages: agentConn{ring: ring.New[*wire.EntryMessage]("link_messages", MessagesRing)},
 		long:     agentConn{ring: ring.New[*wire.EntryMessage]("link_bulk", BulkRing)},
 	}
@@ -142,10 +146,25 @@
 		},
 		Silence: silence,
 		Flush:   l.dialer.Timing.Flush,
+		Flushed: l.waitForBothFlushes,
 	}
 	return p.Run(ctx)
 }
 
+// waitForBothFlushes keeps a stream open until the other one is done as well, for Timing.Flush at most. The agent
+// gives a link up when it loses one of the streams, and would not read the rest of the other.
+func (l *agentLink) waitForBothFlushes() {
+	if l.flushes.Add(1) == 2 {
+		close(l.flushed)
+	}
+	timer := time.NewTimer(l.dialer.Timing.Flush)
+	defer timer.Stop()
+	select {
+	case <-l.flushed:
+	case <-timer.C:
+	}
+}
+
 // sendLong sends each message of a batch in parts.
 func (l *agentLink) sendLong(messages []*wire.EntryMessage) error {
 	var batch wire.EntryBatch
--- a/link/entry_link.go
+++ b/link/entry_link.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/carawaypitch/carawaypitch/ring"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -28,6 +30,8 @@
 	isUp   atomic.Bool
 	duties sync.WaitGroup
 
+	streamsEnded atomic.Int32
+
 	messages agentRings
 	long     agentRings
 	sendMu   sync.Mutex
@@ -86,8 +90,7 @@
 
 	timing := l.server.Timing
 	err := l.pump(stream, l.messages, timing.Silence(), l.receiveShort)
-	l.isUp.Store(false)
-	l.fail(err)
+	l.ended(err)
 	l.duties.Wait()
 	err = context.Cause(l.ctx)
 	l.server.Down(l.id, err)
@@ -122,10 +125,23 @@
 		return err
 	}
 	err := l.pump(stream, l.long, l.server.Timing.Silence()*bulkSilenceFactor, l.receiveLong)
-	l.fail(err)
+	l.ended(err)
 	return err
 }
 
+// ended fails the link when one of its streams has ended. It first lets the other one read what the entry sent before
+// it closed both, for Timing.Flush at most; else the last messages of an entry that stops would be lost at random.
+func (l *entryLink) ended(err error) {
+	l.isUp.Store(false)
+	if l.streamsEnded.Add(1) == 2 {
+		l.fail(err)
+	}
+	if !errors.Is(err, ErrSilent) {
+		pause(l.ctx, l.server.Timing.Flush)
+	}
+	l.fail(err)
+}
+
 type entryReceive func(ctx context.Context, message *wire.EntryMessage) error
 
 func (l *entryLink) pump(stream entryStream, rings agentRings, silence time.Duration, receive entryReceive) error {
--- a/link/entry_server.go
+++ b/link/entry_server.go
@@ -196,8 +196,10 @@
 
 func (s *EntryServer) answerHello(stream entryStream) error {
 	hello := &wire.AgentMessage{Kind: &wire.AgentMessage_Hello{Hello: s.Hello()}}
-	err := stream.Send(&wire.AgentBatch{Messages: []*wire.AgentMessage{hello}})
-	return errors.Wrap(err, "link: hello")
+	if err := stream.Send(&wire.AgentBatch{Messages: []*wire.AgentMessage{hello}}); err != nil {
+		return errors.Wrap(err, "link: hello")
+	}
+	return nil
 }
 
 func agentMessageSize(message *wire.AgentMessage) int {
--- a/link/pump.go
+++ b/link/pump.go
@@ -43,6 +43,8 @@
 
 	// Flush bounds the sending of what Ring holds when ctx ends; zero means DefaultFlush.
 	Flush time.Duration
+	// Flushed, if not nil, is called when that is sent. The connection is closed when it returns.
+	Flushed func()
 
 	parent context.Context
 	sent   chan struct{} // closed when the sender is done
@@ -165,7 +167,10 @@
 	}
 	err := p.Send(batch)
 	clear(batch)
-	return errors.Wrap(err, "link: send")
+	if err != nil {
+		return errors.Wrap(err, "link: send")
+	}
+	return nil
 }
 
 // flush sends what Ring holds, after the end of ctx by order. It sends nothing when the pump failed.
@@ -184,6 +189,9 @@
 			return err
 		}
 	}
+	if p.Flushed != nil {
+		p.Flushed()
+	}
 	return cause
 }
 
--- /dev/null
+++ b/network/memory/memory_test.go
@@ -0,0 +1,112 @@
+package memory
+
+import (
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	hostA = "10.0.0.1"
+	hostB = "10.0.0.2"
+)
+
+// open returns the two ends of a connection from hostA to hostB.
+func open(t *testing.T, n *Network) (near, far net.Conn) {
+	t.Helper()
+	l, err := n.Host(hostB).Listen(hostB + ":0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	accepted := make(chan net.Conn)
+	go func() {
+		conn, _ := l.Accept()
+		accepted <- conn
+	}()
+	near, err = n.Host(hostA).Dial(context.Background(), l.Addr().String())
+	require.NoError(t, err)
+	far = <-accepted
+	t.Cleanup(func() { near.Close(); far.Close() })
+	return near, far
+}
+
+func TestCutHoldsBytesUntilHealed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New()
+		near, far := open(t, n)
+		n.Cut(hostA, hostB)
+		_, err := near.Write([]byte("hello"))
+		require.NoError(t, err, "a cut is silent")
+		near.Close()
+
+		require.NoError(t, far.SetReadDeadline(time.Now().Add(time.Minute)))
+		_, err = far.Read(make([]byte, 8))
+		var timeout net.Error
+		require.ErrorAs(t, err, &timeout)
+		require.True(t, timeout.Timeout())
+
+		n.Heal(hostA, hostB)
+		require.NoError(t, far.SetReadDeadline(time.Time{}))
+		data, err := io.ReadAll(far)
+		require.NoError(t, err)
+		require.Equal(t, "hello", string(data))
+	})
+}
+
+func TestDialFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New()
+		l, err := n.Host(hostB).Listen(hostB + ":0")
+		require.NoError(t, err)
+		n.Refuse(hostB, true)
+		_, err = n.Host(hostA).Dial(context.Background(), l.Addr().String())
+		require.ErrorIs(t, err, syscall.ECONNREFUSED)
+		n.Refuse(hostB, false)
+
+		n.Cut(hostA, hostB)
+		_, err = n.Host(hostA).Dial(context.Background(), l.Addr().String())
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		n.Heal(hostA, hostB)
+
+		require.NoError(t, l.Close())
+		_, err = n.Host(hostA).Dial(context.Background(), l.Addr().String())
+		require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	})
+}
+
+func TestDelayKeepsOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New()
+		near, far := open(t, n)
+		n.Delay(hostA, hostB, time.Second)
+		start := time.Now()
+		_, err := near.Write([]byte("a"))
+		require.NoError(t, err)
+		n.Heal(hostA, hostB)
+		_, err = near.Write([]byte("b"))
+		require.NoError(t, err)
+
+		buf := make([]byte, 2)
+		_, err = io.ReadFull(far, buf)
+		require.NoError(t, err)
+		require.Equal(t, "ab", string(buf))
+		require.Equal(t, time.Second, time.Since(start))
+	})
+}
+
+func TestResetEndsBothEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New()
+		near, far := open(t, n)
+		n.Reset(hostB)
+		_, err := far.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+		_, err = near.Write([]byte("x"))
+		require.ErrorIs(t, err, syscall.EPIPE)
+	})
+}
