--- a/engine/helper_test.go
+++ b/engine/helper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -9,6 +10,7 @@
 
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/engine/standin"
+	"github.com/carawaypitch/carawaypitch/network/memory"
 )
 
 const chatBody = `{"model":"sample","messages":[{"role":"user","content":"May I appeal the refusal of my permit for the site?"}],"max_tokens":8}`
@@ -17,14 +19,15 @@
 // synctest bubble.
 type fixture struct {
 	t       *testing.T
-	network *standin.Network
+	network *memory.Network
+	servers int
 	ledger  *standin.Ledger
 }
 
 func newFixture(t *testing.T) *fixture {
 	return &fixture{
 		t:       t,
-		network: standin.NewNetwork(),
+		network: memory.New(),
 		ledger:  standin.NewLedger(1000),
 	}
 }
@@ -32,8 +35,10 @@
 // start runs a stand-in and gives it with a client to it. Both end with the
 // test.
 func (f *fixture) start(options standin.Options) (*standin.Server, *engine.HTTP) {
-	options.ListenFunc = f.network.Listen
-	options.Dial = f.network.DialContext
+	f.servers++
+	host := fmt.Sprintf("10.0.1.%d", f.servers)
+	options.Network = f.network.Host(host)
+	options.Listen = host + ":0"
 	options.Ledger = f.ledger
 	server := standin.New(options)
 	ctx, stop := context.WithCancel(f.t.Context())
@@ -51,7 +56,7 @@
 
 func (f *fixture) client(url string) *engine.HTTP {
 	client, err := engine.NewHTTP(url, engine.HTTPOptions{
-		Dial:           f.network.DialContext,
+		Network:        f.network.Host("10.0.0.1"),
 		MaxAnswerBytes: 1 << 16,
 	})
 	require.NoError(f.t, err)
--- a/engine/http.go
+++ b/engine/http.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/network"
 )
 
 // Defaults of [HTTPOptions].
@@ -17,7 +19,6 @@
 	DefaultMaxKVBytes     = 64 << 20
 	DefaultMaxIdleConns   = 32
 	DefaultIdleTimeout    = 30 * time.Second
-	DefaultDialTimeout    = 2 * time.Second
 )
 
 // HTTPOptions are the settings of an [HTTP] adapter. Zero values mean the
@@ -33,10 +34,8 @@
 	MaxIdleConns int
 	// IdleTimeout closes idle connections.
 	IdleTimeout time.Duration
-	// DialTimeout bounds making a connection.
-	DialTimeout time.Duration
-	// Dial replaces net.Dialer.DialContext, for in-memory connections.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Network makes the connections; nil means network.TCP.
+	Network network.Network
 }
 
 func (o HTTPOptions) withDefaults() HTTPOptions {
@@ -55,11 +54,8 @@
 	if o.IdleTimeout <= 0 {
 		o.IdleTimeout = DefaultIdleTimeout
 	}
-	if o.DialTimeout <= 0 {
-		o.DialTimeout = DefaultDialTimeout
-	}
-	if o.Dial == nil {
-		o.Dial = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
+	if o.Network == nil {
+		o.Network = network.TCP{}
 	}
 	return o
 }
@@ -99,14 +95,16 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		Proxy:                 nil,
-		DialContext:           options.Dial,
+		Proxy: nil,
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return options.Network.Dial(ctx, address)
+		},
 		Protocols:             protocols,
 		DisableCompression:    true,
 		MaxIdleConns:          options.MaxIdleConns,
 		MaxIdleConnsPerHost:   options.MaxIdleConns,
 		IdleConnTimeout:       options.IdleTimeout,
-		TLSHandshakeTimeout:   options.DialTimeout,
+		TLSHandshakeTimeout:   network.DialTimeout,
 		ExpectContinueTimeout: 0,
 	}
 }
--- /dev/null
+++ b/engine/http_test.go
@@ -0,0 +1,273 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+type nullSink struct{ answers, chunks int }
+
+func (s *nullSink) Chunk(Chunk) error   { s.chunks++; return nil }
+func (s *nullSink) Answer(Answer) error { s.answers++; return nil }
+
+// closingServer answers the first request of each connection and closes the
+// connection after it has read the second.
+type closingServer struct {
+	listener net.Listener
+	seen     atomic.Int32
+}
+
+func startClosingServer(t *testing.T) *closingServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	server := &closingServer{listener: listener}
+	go server.accept()
+	return server
+}
+
+func (s *closingServer) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(conn)
+	}
+}
+
+func (s *closingServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for number := range 2 {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = bufio.NewReader(request.Body).WriteTo(new(strings.Builder))
+		s.seen.Add(1)
+		if number == 0 {
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+		}
+	}
+}
+
+// Symptom: a pass is issued twice. Sequence: a call with an Idempotency-Key goes
+// out on an idle connection; the service runs it and dies, which closes the
+// connection before any answer. Cause: net/http takes the key for a permission
+// to send the call again on a new connection, silently.
+func TestRunIsNeverReplayed(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		for _, body := range []string{"", `{"pass":1}`} {
+			t.Run(method+" "+body, func(t *testing.T) {
+				server := startClosingServer(t)
+				client, err := NewHTTP("http://"+server.listener.Addr().String(), HTTPOptions{})
+				require.NoError(t, err)
+				defer client.Close()
+				request := Request{
+					ID:             "r.1",
+					Kind:           KindService,
+					Method:         method,
+					Path:           "/passes",
+					Body:           []byte(body),
+					IdempotencyKey: "key-1",
+					Header:         http.Header{"X-Idempotency-Key": {"key-1"}},
+				}
+				_, err = client.Run(t.Context(), request, new(nullSink))
+				require.NoError(t, err)
+				_, err = client.Run(t.Context(), request, new(nullSink))
+				require.ErrorIs(t, err, ErrUnknown)
+				assert.EqualValues(t, 2, server.seen.Load())
+			})
+		}
+	}
+}
+
+func TestNeverSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := "http://" + listener.Addr().String()
+	require.NoError(t, listener.Close())
+	ended, stop := context.WithCancel(t.Context())
+	stop()
+	cases := map[string]struct {
+		ctx  context.Context
+		path string
+		body string
+	}{
+		"refused":         {ctx: t.Context(), path: "/p"},
+		"context ended":   {ctx: ended, path: "/p"},
+		"other host":      {ctx: t.Context(), path: "http://127.0.0.2/p"},
+		"relative":        {ctx: t.Context(), path: "p"},
+		"climbing":        {ctx: t.Context(), path: "/v1/services/x/../../streams/y/cancel"},
+		"climbing hidden": {ctx: t.Context(), path: "/v1/services/x/%2e%2E/streams/y/cancel"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			client, err := NewHTTP(address, HTTPOptions{})
+			require.NoError(t, err)
+			request := Request{
+				ID:   "r.1",
+				Kind: KindService,
+				Path: c.path,
+			}
+			_, err = client.Run(c.ctx, request, new(nullSink))
+			assert.ErrorIs(t, err, ErrNeverSent)
+			assert.NotErrorIs(t, err, ErrUnknown)
+		})
+	}
+}
+
+func TestModelBodyMustBeAnObject(t *testing.T) {
+	client, err := NewHTTP("http://127.0.0.1:1", HTTPOptions{})
+	require.NoError(t, err)
+	for _, body := range []string{"", "null", "[]", "{", `"x"`} {
+		request := Request{
+			ID:   "r.1",
+			Kind: KindModel,
+			Path: "/v1/completions",
+			Body: []byte(body),
+		}
+		_, err := client.Run(t.Context(), request, new(nullSink))
+		assert.ErrorIs(t, err, ErrInvalid, body)
+		assert.ErrorIs(t, err, ErrNeverSent, body)
+	}
+}
+
+// Symptom: a caller gets a fragment, or more than fits in memory. Sequence: the
+// engine's answer stops before its end, never ends, or leads elsewhere. Cause: an
+// answer's end is taken from the end of its connection.
+func TestAnswersThatAreNotWhole(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+	const stream = head + "Content-Type: text/event-stream\r\n\r\n"
+	const one = `data: {"choices":[{"text":"a"}]}` + "\n\n"
+	cases := map[string]struct {
+		kind   Kind
+		answer string
+		cause  error
+		whole  bool
+	}{
+		"short of its length":       {kind: KindService, answer: head + "Content-Length: 9\r\n\r\n{}", cause: ErrIncomplete},
+		"no last chunk":             {kind: KindService, answer: head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n", cause: ErrIncomplete},
+		"no length, cut JSON":       {kind: KindService, answer: head + "\r\n" + `{"a":`, cause: ErrIncomplete},
+		"no length, a number":       {kind: KindService, answer: head + "\r\n12", cause: ErrIncomplete},
+		"no length, whole JSON":     {kind: KindService, answer: head + "\r\n{}", whole: true},
+		"too large":                 {kind: KindService, answer: head + "\r\n" + strings.Repeat("[", 99), cause: ErrTooLarge},
+		"redirect":                  {kind: KindService, answer: "HTTP/1.1 307 T\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n", whole: true},
+		"stream without done":       {kind: KindModel, answer: stream + one, cause: ErrIncomplete},
+		"done without line end":     {kind: KindModel, answer: stream + one + "data: [DONE]", cause: ErrIncomplete},
+		"done without an empty one": {kind: KindModel, answer: stream + one + "data: [DONE]\n", cause: ErrIncomplete},
+		"fewer tokens than counted": {kind: KindModel, answer: stream + one + `data: {"choices":[],"usage":{"completion_tokens":2}}` + "\n\ndata: [DONE]\n\n", cause: ErrIncomplete},
+		"long event":                {kind: KindModel, answer: stream + "data: " + strings.Repeat("x", 200), cause: ErrTooLarge},
+		"long event in parts":       {kind: KindModel, answer: stream + strings.Repeat("data: xxxxxxxxx\n", 20), cause: ErrTooLarge},
+		"no JSON":                   {kind: KindModel, answer: stream + "data: x\n\n"},
+		"whole stream":              {kind: KindModel, answer: stream + one + "data: [DONE]\n\n", whole: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = fmt.Fprint(conn, c.answer)
+				_ = conn.Close()
+			}))
+			defer server.Close()
+			client, err := NewHTTP(server.URL, HTTPOptions{
+				MaxAnswerBytes: 64,
+				MaxEventBytes:  128,
+			})
+			require.NoError(t, err)
+			sink := new(nullSink)
+			outcome, err := client.Run(t.Context(), Request{
+				ID:   "r.1",
+				Kind: c.kind,
+				Path: "/p",
+				Body: []byte("{}"),
+			}, sink)
+			if c.whole {
+				require.NoError(t, err)
+				assert.Equal(t, EndCompleted, outcome.End)
+				return
+			}
+			require.ErrorIs(t, err, ErrUnknown)
+			assert.Equal(t, EndUnproved, outcome.End)
+			assert.Zero(t, sink.answers)
+			if c.cause != nil {
+				assert.ErrorIs(t, err, c.cause)
+			}
+		})
+	}
+}
+
+// Symptom: a stream is reported ended although it runs. Sequence: a cancel call
+// reaches something that doesn't know it, such as an engine of another version.
+// Cause: a bare 404 or any 200 taken for the engine's word.
+func TestCancelNeedsTheEnginesWord(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		body   string
+		class  error
+	}{
+		"bare 404":       {status: 404, body: "404 page not found", class: ErrUnsupported},
+		"empty 200":      {status: 200, body: "{}", class: ErrUnknown},
+		"other stream":   {status: 200, body: `{"id":"r.2","state":"cancelled"}`, class: ErrUnknown},
+		"still running":  {status: 200, body: `{"id":"r.1","state":"running"}`, class: ErrUnknown},
+		"server error":   {status: 500, body: "", class: ErrUnknown},
+		"no permission":  {status: 403, body: "", class: ErrRefused},
+		"unknown stream": {status: 404, body: `{"error":{"type":"unknown_stream"}}`},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_, _ = fmt.Fprint(w, c.body)
+			}))
+			defer server.Close()
+			client, err := NewHTTP(server.URL, HTTPOptions{})
+			require.NoError(t, err)
+			result, err := client.Cancel(t.Context(), "r.1")
+			if c.class == nil {
+				require.NoError(t, err)
+				assert.Equal(t, CancelUnknownID, result)
+				return
+			}
+			require.ErrorIs(t, err, c.class)
+			assert.Equal(t, CancelNone, result)
+		})
+	}
+}
+
+func TestStreamBodyKeepsTheCallersFields(t *testing.T) {
+	cases := map[string]string{
+		`{"prompt":"a<b","seed":12345678901234567890}`:   `{"prompt":"a<b","seed":12345678901234567890,"stream":true,"stream_options":{"include_usage":true}}`,
+		`{"stream":false,"stream_options":{"x":1}}`:      `{"stream":true,"stream_options":{"include_usage":true,"x":1}}`,
+		`{"stream_options":null,"temperature":1.50}`:     `{"stream":true,"stream_options":{"include_usage":true},"temperature":1.50}`,
+		`{"stream_options":{"include_usage":false}}`:     `{"stream":true,"stream_options":{"include_usage":true}}`,
+		`{"tools":[{"type":"function"}],"stream":"yes"}`: `{"stream":true,"stream_options":{"include_usage":true},"tools":[{"type":"function"}]}`,
+	}
+	for body, want := range cases {
+		got, err := streamBody([]byte(body))
+		require.NoError(t, err)
+		assert.Equal(t, want, string(got))
+	}
+}
+
+func TestPrefixBlocks(t *testing.T) {
+	long := PrefixBlocks("m", strings.Repeat("abcdefgh", 16), 16)
+	assert.Len(t, long, 2)
+	assert.Equal(t, long[:1], PrefixBlocks("m", strings.Repeat("abcdefgh", 15), 16))
+	assert.NotEqual(t, long[0], PrefixBlocks("other", strings.Repeat("abcdefgh", 16), 16)[0])
+	assert.NotEqual(t, long[1], PrefixBlocks("m", "X"+strings.Repeat("abcdefgh", 16), 16)[1])
+}
--- /dev/null
+++ b/engine/sse_test.go
@@ -0,0 +1,78 @@
+package engine
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const testEventLimit = 64
+
+// readEvents reads all events and gives the error that ended them.
+func readEvents(source io.Reader) ([]string, error) {
+	reader := newEventReader(source, testEventLimit)
+	var events []string
+	for {
+		data, err := reader.next()
+		if err != nil {
+			return events, err
+		}
+		events = append(events, string(data))
+	}
+}
+
+func TestEventReader(t *testing.T) {
+	cases := map[string]struct {
+		text   string
+		events []string
+		err    error
+	}{
+		"nothing":         {text: "", err: io.EOF},
+		"two":             {text: "data: a\n\ndata:b\n\n", events: []string{"a", "b"}, err: io.EOF},
+		"carriage return": {text: "data: a\r\n\r\n", events: []string{"a"}, err: io.EOF},
+		"parts":           {text: "data: a\ndata: b\n\n", events: []string{"a\nb"}, err: io.EOF},
+		"other fields":    {text: ": note\nevent: x\nid: 1\ndata: a\n\n", events: []string{"a"}, err: io.EOF},
+		"empty data":      {text: "data:\n\n", events: []string{""}, err: io.EOF},
+		"fragment":        {text: "data: a\n\ndata: b\n", events: []string{"a"}, err: io.ErrUnexpectedEOF},
+		"half a line":     {text: "data: a\n\ndat", events: []string{"a"}, err: io.ErrUnexpectedEOF},
+		"long line":       {text: "data: " + strings.Repeat("x", 65) + "\n\n", err: ErrTooLarge},
+		"longest line":    {text: "data: " + strings.Repeat("x", 64) + "\n\n", events: []string{strings.Repeat("x", 64)}, err: io.EOF},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			events, err := readEvents(strings.NewReader(c.text))
+			assert.Equal(t, c.events, events)
+			assert.ErrorIs(t, err, c.err)
+		})
+	}
+}
+
+// FuzzEventReader: events don't depend on how the bytes arrive, keep to the
+// limit, and those of a cut text are the first ones of the whole.
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte("data: a\n\ndata: [DONE]\n\n"), 9)
+	f.Add([]byte("data: a\r\ndata: b\r\n\r\n: c\n"), 3)
+	f.Fuzz(func(t *testing.T, text []byte, cut int) {
+		events, err := readEvents(bytes.NewReader(text))
+		require.Error(t, err)
+		slow, slowErr := readEvents(iotest.OneByteReader(bytes.NewReader(text)))
+		require.Equal(t, events, slow)
+		require.ErrorIs(t, slowErr, err)
+		for _, event := range events {
+			require.LessOrEqual(t, len(event), testEventLimit)
+		}
+		if cut < 0 || cut > len(text) {
+			return
+		}
+		part, _ := readEvents(bytes.NewReader(text[:cut]))
+		require.LessOrEqual(t, len(part), len(events))
+		for at, event := range part {
+			require.Equal(t, events[at], event)
+		}
+	})
+}
--- a/engine/standin/announcer.go
+++ b/engine/standin/announcer.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/network"
 )
 
 // Times of an [Announcer].
@@ -33,11 +34,11 @@
 	client  *http.Client
 }
 
-// NewAnnouncer makes an announcer to the agent at a base URL. A nil dial takes
-// sockets.
-func NewAnnouncer(agent string, dial DialFunc, current func() engine.Announcement) *Announcer {
-	if dial == nil {
-		dial = new(net.Dialer).DialContext
+// NewAnnouncer makes an announcer to the agent at a base URL; current gives the
+// announcement of the moment.
+func NewAnnouncer(agent string, network network.Network, current func() engine.Announcement) *Announcer {
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		return network.Dial(ctx, address)
 	}
 	return &Announcer{
 		agent:   strings.TrimSuffix(agent, "/"),
--- a/engine/standin/doc.go
+++ b/engine/standin/doc.go
@@ -13,5 +13,6 @@
 // against a second run, so that a test sees one.
 //
 // All time comes from package time and no goroutine polls, so a [Server] works
-// under testing/synctest, with a [Network] in place of sockets.
+// under testing/synctest, with package network/memory in place of
+// sockets.
 package standin
--- a/engine/standin/gate.go
+++ b/engine/standin/gate.go
@@ -4,13 +4,15 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/carawaypitch/carawaypitch/network"
 )
 
 // gateListener is a listener that can be closed for a while, so that new
 // connections are refused by the system itself: a connection that is accepted
 // and closed looks different to a caller.
 type gateListener struct {
-	listen func(network, address string) (net.Listener, error)
+	network network.Network
 
 	mu      sync.Mutex
 	current net.Listener
@@ -20,13 +22,13 @@
 	once    sync.Once
 }
 
-func newGateListener(listen func(network, address string) (net.Listener, error), address string) (*gateListener, error) {
-	current, err := listen("tcp", address)
+func newGateListener(network network.Network, address string) (*gateListener, error) {
+	current, err := network.Listen(address)
 	if err != nil {
 		return nil, err
 	}
 	return &gateListener{
-		listen:  listen,
+		network: network,
 		current: current,
 		address: current.Addr().String(),
 		closed:  make(chan struct{}),
@@ -87,7 +89,7 @@
 }
 
 func (g *gateListener) reopen() (net.Listener, error) {
-	current, err := g.listen("tcp", g.address)
+	current, err := g.network.Listen(g.address)
 	if err != nil {
 		return nil, err
 	}
--- a/engine/standin/options.go
+++ b/engine/standin/options.go
@@ -1,12 +1,12 @@
 package standin
 
 import (
-	"net"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/network"
 )
 
 // Options are the settings of a stand-in. [New] replaces zero values by those
@@ -19,12 +19,11 @@
 	Kind engine.Kind
 	// Listen is the address that Run listens at; port 0 takes a free one.
 	Listen string
-	// ListenFunc replaces net.Listen, for a Network.
-	ListenFunc func(network, address string) (net.Listener, error)
+	// Network is where it listens and reaches its agent; nil means
+	// network.TCP.
+	Network network.Network
 	// Agent is the base URL of the agent to announce to; empty for none.
 	Agent string
-	// Dial replaces net.Dialer.DialContext towards the agent.
-	Dial DialFunc
 	// Models are ready from the start; of a service, its name.
 	Models []string
 	// Slots is how many streams are in the batch, or calls run, at a time.
@@ -181,8 +180,8 @@
 	if o.Roles == nil {
 		o.Roles = d.Roles
 	}
-	if o.ListenFunc == nil {
-		o.ListenFunc = net.Listen
+	if o.Network == nil {
+		o.Network = network.TCP{}
 	}
 	if o.Weights == nil {
 		o.Weights = NewWeightStore(o.WeightRate)
--- a/engine/standin/run.go
+++ b/engine/standin/run.go
@@ -65,7 +65,7 @@
 	if s.options.Agent == "" {
 		return func(context.Context, bool) {}
 	}
-	announcer := NewAnnouncer(s.options.Agent, s.options.Dial, s.Announcement)
+	announcer := NewAnnouncer(s.options.Agent, s.options.Network, s.Announcement)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/engine/standin/server.go
+++ b/engine/standin/server.go
@@ -244,7 +244,7 @@
 
 // listen opens the listener.
 func (s *Server) listen() (net.Listener, error) {
-	gate, err := newGateListener(s.options.ListenFunc, s.options.Listen)
+	gate, err := newGateListener(s.options.Network, s.options.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
