--- a/link/agent_dialer.go
+++ b/link/agent_dialer.go
@@ -74,12 +74,15 @@
 	return wait/2 + time.Duration(d.Jitter()*float64(wait/2))
 }
 
-// Send passes a message to the agent. It returns false, and counts it, if the link isn't open, its ring is full, or the
-// message is over MaxMessage (MaxBody for a dispatched body). The message must not be changed afterwards. It never
-// blocks.
-func (d *AgentDialer) Send(message *wire.EntryMessage) bool {
+// Send passes a message to an incarnation of the agent. It returns false, and counts it, if there is no open link to
+// that incarnation, its ring is full, or the message is over MaxMessage (MaxBody for a dispatched body). The message
+// must not be changed afterwards. It never blocks.
+//
+// A newer incarnation is taken as proof that what was sent to the older one is over. Without the check a dispatch meant
+// for the old one could reach the new one just after that, and run beside the next attempt.
+func (d *AgentDialer) Send(incarnation uint64, message *wire.EntryMessage) bool {
 	l := d.current.Load()
-	if l == nil || !l.send(message) {
+	if l == nil || l.hello.GetIncarnation() != incarnation || !l.send(message) {
 		d.refused.Add(1)
 		return false
 	}
--- a/link/message.go
+++ b/link/message.go
@@ -101,7 +101,9 @@
 	case *wire.AgentMessage_Over:
 		key := keyOf(kind.Over.GetAttempt())
 		chosen := l[key]
-		delete(l, key)
+		if kind.Over.GetProof() != wire.Proof_PROOF_UNPROVEN {
+			delete(l, key)
+		}
 		return chosen
 	default:
 		return laneMessages
--- a/link/serve.go
+++ b/link/serve.go
@@ -44,11 +44,11 @@
 // At the end of ctx it closes the listener, tells the handlers (see Stopping), and closes after DefaultFlush the
 // connections that are left. It returns nil then.
 //
-// With a TLS configuration a stranger without a certificate of its ClientCAs is refused before any call is read.
-// Serve fails with ErrNoClientAuth if the configuration doesn't require that: one who can reach the port could
-// otherwise run work as any entry.
+// With a TLS configuration a stranger without the right certificate is refused before any call is read. Serve fails
+// with ErrNoClientAuth if the configuration doesn't require and check one: who can reach the port could otherwise
+// run work as any entry.
 func Serve(ctx context.Context, listener net.Listener, config *tls.Config, register func(*drpcmux.Mux) error) error {
-	if config != nil && config.ClientAuth != tls.RequireAndVerifyClientCert {
+	if config != nil && !refusesStrangers(config) {
 		return ErrNoClientAuth
 	}
 	mux := drpcmux.New()
@@ -62,6 +62,19 @@
 	return s.run(ctx, listener)
 }
 
+// refusesStrangers tells whether the configuration requires a certificate of clients, and checks it by itself or by a
+// function of its own.
+func refusesStrangers(config *tls.Config) bool {
+	switch config.ClientAuth {
+	case tls.RequireAndVerifyClientCert:
+		return true
+	case tls.RequireAnyClientCert:
+		return config.VerifyConnection != nil || config.VerifyPeerCertificate != nil
+	default:
+		return false
+	}
+}
+
 type server struct {
 	tls  *tls.Config
 	drpc *drpcserver.Server
