sched: scheduler of one entry, compiling

Cause: the entry daemon builds on Step and its events and actions. The chart gets the state awaiting_earlier for a key taken over, and a proof that comes after the caller left no longer runs the request again. Send carries the agent's incarnation, EarlierBegun the age of a record taken over. Not yet proved: only two smoke tests ran.

--- /dev/null
+++ b/sched/baseline.go
@@ -0,0 +1,37 @@
+package sched
+
+// baselineClass is the one class that the baselines order by.
+const baselineClass = ""
+
+// chooseBaseline picks a server by one of the policies that are there to be measured against.
+func (s *Scheduler) chooseBaseline(r *request) *server {
+	var fit []*server
+	for _, v := range r.pool.servers {
+		if s.canDispatch(r, v) {
+			fit = append(fit, v)
+		}
+	}
+	if len(fit) == 0 {
+		return nil
+	}
+	switch s.options.Policy {
+	case PolicyRoundRobin:
+		s.turn++
+		return fit[s.turn%len(fit)]
+	case PolicyLeastLoad:
+		return leastLoaded(fit)
+	default:
+		return fit[s.random.IntN(len(fit))]
+	}
+}
+
+// leastLoaded believes the last report, however old it is.
+func leastLoaded(servers []*server) *server {
+	best := servers[0]
+	for _, v := range servers[1:] {
+		if v.room.GetRunning() < best.room.GetRunning() {
+			best = v
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/sched/prefix.go
@@ -0,0 +1,161 @@
+package sched
+
+import "slices"
+
+const (
+	// longPrompt is from how many tokens on the prefix cache decides where a request goes.
+	longPrompt = 256
+	// serversPerPrefix bounds the servers remembered for one digest.
+	serversPerPrefix = 4
+	// blockTokens is how many tokens of a prompt one digest stands for.
+	blockTokens = 64
+)
+
+// prefixTable remembers to which servers prompts with a prefix were sent: those servers probably have it cached. It
+// is a bounded LRU, kept by own dispatches and corrected by cache events, which come late and with gaps.
+type prefixTable struct {
+	bound   int
+	entries map[uint64]*prefixEntry
+	newest  *prefixEntry
+	oldest  *prefixEntry
+}
+
+type prefixEntry struct {
+	digest  uint64
+	servers []string // the latest first
+	newer   *prefixEntry
+	older   *prefixEntry
+}
+
+func newPrefixTable(bound int) *prefixTable {
+	return &prefixTable{bound: bound, entries: map[uint64]*prefixEntry{}}
+}
+
+// note remembers that a prompt with these digests went to the server.
+func (t *prefixTable) note(server string, digests []uint64) {
+	for _, digest := range digests {
+		t.add(server, digest)
+	}
+}
+
+func (t *prefixTable) add(server string, digest uint64) {
+	e := t.entries[digest]
+	if e == nil {
+		e = &prefixEntry{digest: digest}
+		t.entries[digest] = e
+	} else {
+		t.unlink(e)
+	}
+	t.front(e)
+	if at := slices.Index(e.servers, server); at >= 0 {
+		e.servers = slices.Delete(e.servers, at, at+1)
+	}
+	e.servers = slices.Insert(e.servers, 0, server)
+	e.servers = e.servers[:min(len(e.servers), serversPerPrefix)]
+	if len(t.entries) > t.bound {
+		t.forget(t.oldest)
+	}
+}
+
+// hint takes a cache event of a server.
+func (t *prefixTable) hint(server string, digest uint64, evicted bool) {
+	if !evicted {
+		t.add(server, digest)
+		return
+	}
+	e := t.entries[digest]
+	if e == nil {
+		return
+	}
+	if at := slices.Index(e.servers, server); at >= 0 {
+		e.servers = slices.Delete(e.servers, at, at+1)
+	}
+	if len(e.servers) == 0 {
+		t.forget(e)
+	}
+}
+
+// cached returns how many of the digests the server probably has. Each digest covers all before it.
+func (t *prefixTable) cached(server string, digests []uint64) int {
+	for n := len(digests); n > 0; n-- {
+		if e := t.entries[digests[n-1]]; e != nil && slices.Contains(e.servers, server) {
+			return n
+		}
+	}
+	return 0
+}
+
+// holders returns the servers with the longest known prefix, the latest first.
+func (t *prefixTable) holders(digests []uint64) []string {
+	for n := len(digests); n > 0; n-- {
+		if e := t.entries[digests[n-1]]; e != nil {
+			return e.servers
+		}
+	}
+	return nil
+}
+
+func (t *prefixTable) forget(e *prefixEntry) {
+	t.unlink(e)
+	delete(t.entries, e.digest)
+}
+
+func (t *prefixTable) front(e *prefixEntry) {
+	e.older = t.newest
+	if t.newest != nil {
+		t.newest.newer = e
+	}
+	t.newest = e
+	if t.oldest == nil {
+		t.oldest = e
+	}
+}
+
+func (t *prefixTable) unlink(e *prefixEntry) {
+	if e.newer != nil {
+		e.newer.older = e.older
+	} else {
+		t.newest = e.older
+	}
+	if e.older != nil {
+		e.older.newer = e.newer
+	} else {
+		t.oldest = e.newer
+	}
+	e.newer, e.older = nil, nil
+}
+
+// affine returns the servers that probably have the prompt's prefix, for a prompt long enough to matter.
+func (s *Scheduler) affine(r *request, suits func(*request, *server) bool) []*server {
+	var picked []*server
+	if r.resume != nil {
+		if v := s.servers[r.resume.server]; v != nil && r.pool.has(v) && suits(r, v) {
+			picked = append(picked, v)
+		}
+	}
+	if r.PromptTokens < longPrompt {
+		return picked
+	}
+	for _, name := range s.prefixes.holders(r.Prefix) {
+		v := s.servers[name]
+		if v != nil && r.pool.has(v) && suits(r, v) && !slices.Contains(picked, v) {
+			picked = append(picked, v)
+		}
+	}
+	return picked
+}
+
+func (p *pool) has(v *server) bool {
+	return slices.Contains(v.pools, p)
+}
+
+// cachedTokens is how many tokens of the prompt the server probably needn't compute.
+func (s *Scheduler) cachedTokens(r *request, v *server) uint32 {
+	if r.resume != nil && r.resume.server == v.name && v.room.GetResume() {
+		return r.PromptTokens
+	}
+	if len(r.Prefix) == 0 {
+		return 0
+	}
+	return min(uint32(s.prefixes.cached(v.name, r.Prefix)*blockTokens), r.PromptTokens)
+}
--- /dev/null
+++ b/sched/proofs.go
@@ -0,0 +1,238 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// Times of asking for proof.
+const (
+	// cancelRepeat is how often a Cancel is repeated. A message that met a full ring is lost without a sign.
+	cancelRepeat = time.Second
+	// quietBound is how long a dispatch may stay without any answer of its agent on an open link. Then the dispatch,
+	// or the answer, was lost, and a Cancel asks what became of it.
+	quietBound = time.Second
+	// proveRepeat is how often the engine itself is asked again.
+	proveRepeat = 2 * time.Second
+)
+
+// over takes an agent's proof. Only one for the present attempt counts: a late one for an earlier attempt says
+// nothing of the attempt that runs now.
+func (s *Scheduler) over(a *agent, m *wire.Over) {
+	id := m.GetAttempt()
+	if isProof(m.GetProof()) {
+		s.lingers.over(a, id)
+	}
+	r := s.requests[id.GetRequest()]
+	if r == nil {
+		return
+	}
+	if r.state == awaitingEarlier {
+		s.earlierOver(r, a, m)
+		return
+	}
+	if !r.present(a, id) {
+		s.countStray(strayAttempt)
+		return
+	}
+	s.acknowledge(r)
+	s.overPresent(r, m)
+	s.setWake(r)
+}
+
+// isProof tells whether an attempt with this word is over. PROOF_UNPROVEN, and a word of a newer protocol, isn't one.
+func isProof(p wire.Proof) bool {
+	switch p {
+	case wire.Proof_PROOF_NEVER_STARTED, wire.Proof_PROOF_CANCELLED, wire.Proof_PROOF_COMPLETED, wire.Proof_PROOF_FAILED:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *Scheduler) overPresent(r *request, m *wire.Over) {
+	s.countWasted(r, m)
+	switch m.GetProof() {
+	case wire.Proof_PROOF_NEVER_STARTED:
+		s.neverStarted(r, m)
+	case wire.Proof_PROOF_CANCELLED:
+		s.cancelled(r, m)
+	case wire.Proof_PROOF_COMPLETED:
+		s.completed(r, m)
+	case wire.Proof_PROOF_FAILED:
+		r.setResume(m)
+		s.ended(r, evAttemptFailed, m.GetProof(), retryFailed, s.overError(m, result.EngineFailed))
+	default:
+		s.askCancel(r, wire.CancelCause_CANCEL_CAUSE_RETRY)
+	}
+}
+
+// neverStarted takes the promise that the attempt never began and never will. After a frame of the same attempt it
+// is a contradiction, and isn't believed.
+func (s *Scheduler) neverStarted(r *request, m *wire.Over) {
+	if r.attempt.framesSeen {
+		s.countStray(strayProof)
+		return
+	}
+	r.refusals++
+	r.avoidServer(r.attempt.server.name)
+	r.attempt.server.refused()
+	s.ended(r, evNeverStarted, m.GetProof(), retryNeverStarted, s.overError(m, result.RefusedNeverStarted))
+}
+
+func (s *Scheduler) cancelled(r *request, m *wire.Over) {
+	reason := retryCancelled
+	if m.GetPreemptedByTier() > 0 {
+		reason = retryPreempted
+	}
+	r.setResume(m)
+	s.ended(r, evCancelConfirmed, m.GetProof(), reason, s.overError(m, result.Cancelled))
+}
+
+// overError makes the error of a proof: the agent's own code if it says one.
+func (s *Scheduler) overError(m *wire.Over, def result.Code) *result.Error {
+	code := def
+	if m.GetCode() != 0 {
+		code = result.Code(m.GetCode())
+	}
+	err := result.New(code, "")
+	if m.GetMessage() != "" {
+		err = result.New(code, "%s", m.GetMessage())
+	}
+	return err.WithRetryAfter(time.Duration(m.GetRetryAfterMs()) * time.Millisecond)
+}
+
+// ended closes the present attempt by a proof and raises the event that says which. The request then waits in the
+// queue again or has its final answer.
+func (s *Scheduler) ended(r *request, e event, proof wire.Proof, reason string, err *result.Error) {
+	if r.attempt.brokenErr != nil {
+		err, reason = r.attempt.brokenErr, retryIncomplete
+	}
+	rec := r.record()
+	rec.over, rec.proof, rec.proved, rec.reason = s.now, proof, true, reason
+	rec.began = rec.began || began(proof)
+	if proof != wire.Proof_PROOF_NEVER_STARTED {
+		r.starts++
+	}
+	r.lastErr = err
+	if !r.abandoned() {
+		r.err = s.endError(r, e, err)
+	}
+	s.trueUp(r, proof)
+	old := r.attempt
+	if s.fire(r, e) != nil {
+		return
+	}
+	if s.table.Final(r.state) {
+		return
+	}
+	s.release(r)
+	s.countRetry(r, reason)
+	s.requeue(r, old)
+}
+
+// began tells whether the proof says that an engine began the attempt.
+func began(p wire.Proof) bool {
+	return p == wire.Proof_PROOF_CANCELLED || p == wire.Proof_PROOF_FAILED || p == wire.Proof_PROOF_COMPLETED
+}
+
+// endError is what the caller hears if the request isn't tried again.
+func (s *Scheduler) endError(r *request, e event, err *result.Error) *result.Error {
+	if e == evProvedOver && !r.Class.GetRepeatable() {
+		return result.New(result.OutcomeUnknown, "")
+	}
+	return err
+}
+
+// mayRetry tells whether the request may have another attempt after one that may have begun. Work that may not be
+// repeated never has: only a proof that nothing began lets it run, and that doesn't ask here.
+func (s *Scheduler) mayRetry(r *request) bool {
+	if !r.wanted() || !s.now.Before(r.limit()) || r.starts >= maxStarts {
+		return false
+	}
+	if r.ran() != result.RanNo && !r.Class.GetRepeatable() {
+		return false
+	}
+	if r.lastErr != nil && r.lastErr.Code == result.AnswerTooLarge {
+		return false
+	}
+	return s.canResume(r)
+}
+
+// requeue puts a request whose attempt is proved over back into the queue.
+func (s *Scheduler) requeue(r *request, old *attempt) {
+	if r.state != queued {
+		return
+	}
+	if err := s.refuseRetry(r); err != nil {
+		s.refuse(r, err)
+		return
+	}
+	s.prepareRetry(r)
+	s.backOff(r, old)
+	s.enqueue(r)
+}
+
+// provedOver closes the present attempt by a proof that doesn't say whether it began.
+func (s *Scheduler) provedOver(r *request, reason string) {
+	s.countLostPrefill(r, reason)
+	s.ended(r, evProvedOver, wire.Proof_PROOF_UNSPECIFIED, reason, result.New(result.EngineLost, ""))
+	s.setWake(r)
+}
+
+// engineProved takes what the backend server itself said of an attempt whose agent is gone. That it doesn't know the
+// attempt proves that it is over, not that it never ran: engines forget.
+func (s *Scheduler) engineProved(e EngineProved) {
+	if !isProof(e.Proof) {
+		return
+	}
+	s.lingers.proved(e.Attempt)
+	r := s.requests[e.Attempt.GetRequest()]
+	if r == nil || r.attempt == nil || r.attempt.id.GetNumber() != e.Attempt.GetNumber() || r.attempt.server.name != e.Server {
+		return
+	}
+	if began(e.Proof) {
+		r.record().began = true
+	}
+	s.provedOver(r, retryProved)
+}
+
+// askCancel wants the present attempt to be over. Repeating it is left to wake: an agent that can't prove the end
+// answers each Cancel at once, and the two would send each other messages without pause.
+func (s *Scheduler) askCancel(r *request, cause wire.CancelCause) {
+	if r.attempt.cancelAsked {
+		return
+	}
+	r.attempt.cancelCause = cause
+	_ = s.fire(r, evCancelAsked)
+	s.setWake(r)
+}
+
+// sendCancel sends the Cancel of the present attempt, or leaves it to be sent when the link is open again.
+func (s *Scheduler) sendCancel(r *request) {
+	a := r.attempt
+	if a == nil {
+		return
+	}
+	a.cancelAsked = true
+	if a.cancelCause == wire.CancelCause_CANCEL_CAUSE_UNSPECIFIED {
+		a.cancelCause = r.cancelCause()
+	}
+	a.cancelledAt = s.now
+	s.send(a.agent, cancelMessage(a.id, a.server.name, a.cancelCause))
+}
+
+func (r *request) cancelCause() wire.CancelCause {
+	if r.callerGone {
+		return wire.CancelCause_CANCEL_CAUSE_CALLER_LEFT
+	}
+	return wire.CancelCause_CANCEL_CAUSE_DEADLINE
+}
+
+func cancelMessage(id *wire.AttemptID, server string, cause wire.CancelCause) *wire.EntryMessage {
+	return &wire.EntryMessage{Kind: &wire.EntryMessage_Cancel{
+		Cancel: &wire.Cancel{Attempt: id, Server: server, Cause: cause},
+	}}
+}
--- /dev/null
+++ b/sched/queue.go
@@ -0,0 +1,264 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/fair"
+)
+
+// tierCount is the number of tiers. A tier beyond the last counts as the last.
+const tierCount = 3
+
+func tierIndex(tier uint32) int {
+	return int(min(max(tier, 1), tierCount)) - 1
+}
+
+// run is a list of requests sorted by rank, then by arrival. Requests mostly come in that order, so that adding is
+// cheap; the first and the last are always at hand.
+type run struct {
+	items []*request
+	head  int
+}
+
+func before(a, b *request) bool {
+	if !a.rank.Equal(b.rank) {
+		return a.rank.Before(b.rank)
+	}
+	return a.sequence < b.sequence
+}
+
+func (q *run) live() []*request {
+	return q.items[q.head:]
+}
+
+func (q *run) add(r *request) {
+	n := len(q.items)
+	if n == q.head || before(q.items[n-1], r) {
+		q.items = append(q.items, r)
+		return
+	}
+	q.items = slices.Insert(q.items, q.head+q.search(r), r)
+}
+
+func (q *run) length() int {
+	return len(q.items) - q.head
+}
+
+func (q *run) search(r *request) int {
+	at, _ := slices.BinarySearchFunc(q.live(), r, func(a, b *request) int {
+		switch {
+		case before(a, b):
+			return -1
+		case before(b, a):
+			return 1
+		default:
+			return 0
+		}
+	})
+	return at
+}
+
+func (q *run) remove(r *request) {
+	at := q.head + q.search(r)
+	if at == q.head {
+		q.items[at] = nil
+		q.head++
+		q.compact()
+		return
+	}
+	q.items = slices.Delete(q.items, at, at+1)
+}
+
+// compact gives the space before head back once it is the larger half.
+func (q *run) compact() {
+	if q.head*2 < len(q.items) {
+		return
+	}
+	n := copy(q.items, q.live())
+	clear(q.items[n:])
+	q.items = q.items[:n]
+	q.head = 0
+}
+
+// first returns the first request that the present walk hasn't passed over, or nil.
+func (q *run) first(mark uint64) *request {
+	for _, r := range q.live() {
+		if r.mark != mark {
+			return r
+		}
+	}
+	return nil
+}
+
+func (q *run) last() *request {
+	if len(q.items) == q.head {
+		return nil
+	}
+	return q.items[len(q.items)-1]
+}
+
+// lane holds the queued requests of one organisation in one class. Those with reservations stand apart, so that the
+// next one to reserve for is found without looking through them.
+type lane struct {
+	organisation string
+	class        *classQueue
+	plain        run
+	reserved     run
+}
+
+func (l *lane) part(r *request) *run {
+	if len(r.reservations) > 0 {
+		return &l.reserved
+	}
+	return &l.plain
+}
+
+func (l *lane) empty() bool {
+	return len(l.plain.live()) == 0 && len(l.reserved.live()) == 0
+}
+
+func (l *lane) first(mark uint64, plainOnly bool) *request {
+	a := l.plain.first(mark)
+	if plainOnly {
+		return a
+	}
+	b := l.reserved.first(mark)
+	if a == nil || (b != nil && before(b, a)) {
+		return b
+	}
+	return a
+}
+
+func (l *lane) last() *request {
+	a, b := l.plain.last(), l.reserved.last()
+	if a == nil || (b != nil && before(a, b)) {
+		return b
+	}
+	return a
+}
+
+// classQueue holds the lanes of one class that aren't empty, sorted by organisation.
+type classQueue struct {
+	class *class
+	tier  *tierQueue
+	lanes []*lane
+}
+
+// tierQueue holds what is queued of one tier in one pool, by class, sorted by the class's name.
+type tierQueue struct {
+	clock   *fair.Clock
+	classes []*classQueue
+	count   int
+}
+
+// place is where a request stands in the order of its tier.
+type place struct {
+	request *request
+	band    int   // of urgency; higher goes first
+	tag     int64 // of the organisation; lower goes first
+}
+
+// ahead tells whether a goes before b: the class nearer to breaking its targets, then the organisation with the
+// smaller share, then the earlier deadline.
+func (a place) ahead(b place) bool {
+	if a.band != b.band {
+		return a.band > b.band
+	}
+	if a.tag != b.tag {
+		return a.tag < b.tag
+	}
+	return before(a.request, b.request)
+}
+
+// next returns the best request that the present walk hasn't passed over, or nil.
+func (t *tierQueue) next(now time.Time, mark uint64, plainOnly bool) *request {
+	var best place
+	for _, c := range t.classes {
+		if p := c.next(now, mark, plainOnly); p.request != nil && (best.request == nil || p.ahead(best)) {
+			best = p
+		}
+	}
+	return best.request
+}
+
+func (c *classQueue) next(now time.Time, mark uint64, plainOnly bool) place {
+	var best place
+	earliest := time.Time{}
+	for _, l := range c.lanes {
+		r := l.first(mark, plainOnly)
+		if r == nil {
+			continue
+		}
+		if earliest.IsZero() || r.Deadline.Before(earliest) {
+			earliest = r.Deadline
+		}
+		p := place{request: r, tag: c.tier.clock.Tag(l.organisation)}
+		if best.request == nil || p.ahead(best) {
+			best = p
+		}
+	}
+	if best.request != nil {
+		best.band = band(c.class.urgency(now, earliest))
+	}
+	return best
+}
+
+// worst returns the request that would be served last, or nil.
+func (t *tierQueue) worst(now time.Time) *request {
+	var worst place
+	for _, c := range t.classes {
+		for _, l := range c.lanes {
+			r := l.last()
+			p := place{request: r, tag: t.clock.Tag(l.organisation), band: band(c.class.urgency(now, r.Deadline))}
+			if worst.request == nil || worst.ahead(p) {
+				worst = p
+			}
+		}
+	}
+	return worst.request
+}
+
+func (t *tierQueue) lane(c *class, organisation string) *lane {
+	at, ok := slices.BinarySearchFunc(t.classes, c.name, func(q *classQueue, name string) int {
+		return compareString(q.class.name, name)
+	})
+	if !ok {
+		t.classes = slices.Insert(t.classes, at, &classQueue{class: c, tier: t})
+	}
+	return t.classes[at].lane(organisation)
+}
+
+func (c *classQueue) lane(organisation string) *lane {
+	at, ok := c.search(organisation)
+	if !ok {
+		c.lanes = slices.Insert(c.lanes, at, &lane{organisation: organisation, class: c})
+	}
+	return c.lanes[at]
+}
+
+func (c *classQueue) search(organisation string) (int, bool) {
+	return slices.BinarySearchFunc(c.lanes, organisation, func(l *lane, name string) int {
+		return compareString(l.organisation, name)
+	})
+}
+
+// drop forgets an empty lane, and its class's queue with the last one.
+func (t *tierQueue) drop(l *lane) {
+	at, _ := l.class.search(l.organisation)
+	l.class.lanes = slices.Delete(l.class.lanes, at, at+1)
+	if len(l.class.lanes) == 0 {
+		t.classes = slices.DeleteFunc(t.classes, func(c *classQueue) bool { return c == l.class })
+	}
+}
+
+func compareString(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/sched/refuse.go
@@ -0,0 +1,205 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// Refusals.
+const (
+	// maxRefusals bounds how many gates a request of a lower tier is tried at. Tier 1 is tried until its deadline.
+	maxRefusals = 8
+	// Back-off after a refusal when no server has room.
+	backOffFirst = 5 * time.Millisecond
+	backOffMost  = 200 * time.Millisecond
+	// Bounds of the advice when to come back.
+	retryAfterLeast = 50 * time.Millisecond
+	retryAfterMost  = 10 * time.Second
+)
+
+// mayRefuse tells whether a queued request may be refused for want of room. A lower tier always may. Tier 1 may only
+// with fresh evidence that no lower tier runs or waits anywhere in its pool; without it, it queues.
+//
+// A load report lags: by the last one the pool may look full of tier 1 while a gate is just starting tier 3 work. A
+// gate check refused then would have been shed while lower-tier work is served.
+func (s *Scheduler) mayRefuse(r *request) bool {
+	if r.tier > 0 {
+		return true
+	}
+	return !r.pool.lowerQueued() && s.onlyTierOne(r.pool)
+}
+
+func (p *pool) lowerQueued() bool {
+	for tier := 1; tier < tierCount; tier++ {
+		if p.tiers[tier].count > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// onlyTierOne tells whether every server of the pool has said lately that nothing but tier 1 runs or waits there. A
+// server that says nothing is no evidence, nor is a pool without servers.
+func (s *Scheduler) onlyTierOne(p *pool) bool {
+	for _, v := range p.servers {
+		if v.room == nil || s.now.Sub(v.roomAt) > s.options.EvidenceAge {
+			return false
+		}
+		if v.room.GetLowestRunningTier() > 1 || v.room.GetLowestWaitingTier() > 1 {
+			return false
+		}
+	}
+	return len(p.servers) > 0
+}
+
+// refuseEarly refuses a request on arrival that can't be served in time, before any prefill is spent on it. A class
+// that tolerates lateness rather than loss waits instead.
+func (s *Scheduler) refuseEarly(r *request) *result.Error {
+	if s.options.Policy != PolicyTargets || r.mayBeLate || r.tier == 0 {
+		return nil
+	}
+	if s.directory && len(r.pool.servers) == 0 {
+		return result.New(result.NoServer, "").WithRetryAfter(retryAfterNoServer)
+	}
+	if !r.certain() || r.pool.ready == 0 {
+		return nil
+	}
+	wait := s.predictWait(r)
+	if s.now.Add(wait + s.bestRun(r)).Before(r.Deadline) {
+		return nil
+	}
+	return result.New(result.CannotFinishInTime, "").WithRetryAfter(s.jitter(wait))
+}
+
+// retryAfterNoServer is the advice while no server has the target.
+const retryAfterNoServer = time.Second
+
+// predictWait is how long a request that arrives now would probably wait in the queue.
+func (s *Scheduler) predictWait(r *request) time.Duration {
+	if r.pool.roomy > 0 {
+		return 0
+	}
+	ahead := s.aheadOf(r)
+	if ahead == 0 {
+		return s.leastBacklog(r.pool)
+	}
+	perSecond := r.pool.drain.value(s.now)
+	if perSecond <= 0 {
+		return s.leastBacklog(r.pool)
+	}
+	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+}
+
+// aheadOf is how many queued requests probably go first: all of higher tiers, and of its own tier no more than the
+// equal shares let go before it.
+func (s *Scheduler) aheadOf(r *request) int {
+	ahead := 0
+	for tier := 0; tier < r.tier; tier++ {
+		ahead += r.pool.tiers[tier].count
+	}
+	t := &r.pool.tiers[r.tier]
+	own, organisations := t.shares(r.Organisation)
+	return ahead + min(t.count, (own+1)*max(organisations, 1))
+}
+
+// shares returns how many requests of the organisation are queued, and how many organisations have some.
+func (t *tierQueue) shares(organisation string) (own, organisations int) {
+	var seen []string
+	for _, c := range t.classes {
+		for _, l := range c.lanes {
+			if l.organisation == organisation {
+				own += l.plain.length() + l.reserved.length()
+			}
+			if !slices.Contains(seen, l.organisation) {
+				seen = append(seen, l.organisation)
+			}
+		}
+	}
+	return own, len(seen)
+}
+
+// leastBacklog is the shortest time after which a gate would start new work.
+func (s *Scheduler) leastBacklog(p *pool) time.Duration {
+	least := time.Duration(-1)
+	for _, v := range p.servers {
+		if d := time.Duration(v.room.GetBacklogMs()) * time.Millisecond; v.ready && (least < 0 || d < least) {
+			least = d
+		}
+	}
+	return max(least, 0)
+}
+
+// bestRun is how long the request takes at the server that is fastest for it.
+func (s *Scheduler) bestRun(r *request) time.Duration {
+	best := time.Duration(-1)
+	for _, v := range s.sample(r, s.options.Choices, s.canReserve) {
+		if d := s.estimateRun(r, v); best < 0 || d < best {
+			best = d
+		}
+	}
+	return max(best, 0)
+}
+
+// giveUp refuses a request that is about to be dispatched and can't finish in time even so, and tells whether it
+// did. Its prefill would be wasted.
+func (s *Scheduler) giveUp(r *request, v *server) bool {
+	if s.options.Policy != PolicyTargets || r.mayBeLate || !r.certain() || r.ran() != result.RanNo {
+		return false
+	}
+	if s.now.Add(s.estimateRun(r, v)).Before(r.Deadline) || !s.mayRefuse(r) {
+		return false
+	}
+	s.refuse(r, result.New(result.CannotFinishInTime, ""))
+	return true
+}
+
+// refuseRetry ends a request that gates have refused too often, or whose time is up.
+func (s *Scheduler) refuseRetry(r *request) *result.Error {
+	if r.callerGone && !r.wanted() {
+		return result.New(result.CallerLeft, "")
+	}
+	if r.refusals < maxRefusals || r.mayBeLate || !s.mayRefuse(r) || s.options.Policy != PolicyTargets {
+		return nil
+	}
+	if r.lastErr != nil {
+		return r.lastErr
+	}
+	return result.New(result.RefusedNeverStarted, "")
+}
+
+// backOff has a refused request wait a little if no server has room for it. With room elsewhere it goes there at
+// once.
+func (s *Scheduler) backOff(r *request, old *attempt) {
+	r.notBefore = time.Time{}
+	if r.record().proof != wire.Proof_PROOF_NEVER_STARTED || s.options.Policy != PolicyTargets && s.chooseBaseline(r) != nil {
+		return
+	}
+	if s.options.Policy == PolicyTargets {
+		if r.pool.roomy > 0 && s.choose(r) != nil {
+			return
+		}
+		r.avoid = r.avoid[:0]
+	}
+	d := min(backOffFirst<<min(r.refusals, maxRefusals), backOffMost)
+	r.notBefore = s.now.Add(s.jitter(d))
+}
+
+// avoidServer keeps a request away from a server that has just refused it.
+func (r *request) avoidServer(name string) {
+	if !slices.Contains(r.avoid, name) {
+		r.avoid = append(r.avoid, name)
+	}
+}
+
+// jitter spreads d over a half more or less, so that those refused together don't come back together.
+func (s *Scheduler) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(s.random.Int64N(int64(d)+1))
+}
+
+// retryAfter is the advice when to come back, by what waits now.
+func (s *Scheduler) retryAfter(r *request) time.Duration {
+	return min(max(s.jitter(s.predictWait(r)), retryAfterLeast), retryAfterMost)
+}
--- a/sched/types.go
+++ b/sched/types.go
@@ -35,6 +35,11 @@
 	Epoch      uint64
 	Candidates []string // servers that the record allows; empty: any
 	Earlier    []string // servers whose proofs are needed first, after a takeover
+
+	// EarlierBegun is when the record of a request that was taken over was begun, by the clock of control's leader.
+	// An agent that started later than that has forgotten what its engine ran for the request, so its word that
+	// nothing was started isn't taken. Zero: no such word is taken.
+	EarlierBegun time.Time
 }
 
 // Event is something that happened outside the scheduler.
@@ -113,10 +118,13 @@
 type Action interface{ schedAction() }
 
 type (
-	// Send passes a message to an agent's link. A message that can't be sent is as good as lost.
+	// Send passes a message to an agent's link. A message that can't be sent is as good as lost. It must not be sent
+	// on a link to another incarnation of the agent: a newer incarnation is taken as proof that what was dispatched
+	// before is over, and a dispatch that reached it all the same would run beside the next attempt.
 	Send struct {
-		Agent   string
-		Message *wire.EntryMessage
+		Agent       string
+		Incarnation uint64
+		Message     *wire.EntryMessage
 	}
 
 	// Deliver passes events of the answer on, in order and each once.
