--- /dev/null
+++ b/control/http.go
@@ -0,0 +1,143 @@
+package control
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// Headers of operators' calls.
+const (
+	headerIfMatch  = "If-Match"
+	headerChangeID = "Change-Id"
+	headerETag     = "ETag"
+	bearerPrefix   = "Bearer "
+)
+
+// maxOperatorBody bounds the body of an operator's call, in bytes.
+const maxOperatorBody = 64 << 10
+
+// operatorKey is where the operator's name is kept while a call is handled.
+const operatorKey = "operator"
+
+// routes returns the operators' and the platform's HTTP interface.
+func (c *Control) routes() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.HTTPErrorHandler = c.writeError
+	e.GET("/healthz", c.getHealth)
+	e.GET("/readyz", c.getReady)
+	e.GET("/metrics", c.getMetrics)
+	g := e.Group("/v1", c.authenticate)
+	g.GET("/classes", c.getClasses)
+	g.GET("/classes/:name", c.getClass)
+	g.PUT("/classes/:name", c.putClass)
+	g.DELETE("/classes/:name", c.deleteClass)
+	g.GET("/status", c.getStatus)
+	g.GET("/servers", c.getServers)
+	g.POST("/servers/:name/drain", c.drainServer)
+	g.GET("/organisations", c.getOrganisations)
+	return e
+}
+
+// authenticate lets only operators through.
+func (c *Control) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(call echo.Context) error {
+		key, isBearer := strings.CutPrefix(call.Request().Header.Get(echo.HeaderAuthorization), bearerPrefix)
+		operator, known := c.keys.Find(key)
+		if !isBearer || !known {
+			return result.New(result.OperatorKeyWrong, "")
+		}
+		call.Set(operatorKey, operator)
+		return next(call)
+	}
+}
+
+func operatorOf(call echo.Context) string {
+	name, _ := call.Get(operatorKey).(string)
+	return name
+}
+
+// confirm waits for a quorum to confirm that the state here is no older than the call.
+func (c *Control) confirm(call echo.Context) error {
+	return c.reads.wait(call.Request().Context())
+}
+
+// errorBody is the JSON form of a refusal. Version is that in force, with result.VersionConflict.
+type errorBody struct {
+	Error   json.RawMessage `json:"error"`
+	Version *uint64         `json:"version,omitempty"`
+}
+
+// conflict is a refusal that names the version in force.
+type conflict struct {
+	refusal *result.Error
+	version uint64
+}
+
+// Error implements error.
+func (c conflict) Error() string { return c.refusal.Error() }
+
+// Unwrap returns the refusal itself.
+func (c conflict) Unwrap() error { return c.refusal }
+
+// writeError writes any error of a handler.
+func (c *Control) writeError(err error, call echo.Context) {
+	if call.Response().Committed {
+		return
+	}
+	failure := failureOf(err)
+	c.counters.refused(failure.Code).Inc()
+	var body errorBody
+	encoded, _ := json.Marshal(failure)
+	_ = json.Unmarshal(encoded, &body)
+	var with conflict
+	if errors.As(err, &with) {
+		body.Version = &with.version
+	}
+	if failure.RetryAfter > 0 {
+		seconds := (failure.RetryAfter + time.Second - 1) / time.Second
+		call.Response().Header().Set(echo.HeaderRetryAfter, formatUint(uint64(seconds)))
+	}
+	_ = call.JSON(failure.Status(), body)
+}
+
+// failureOf gives an error of the router its code.
+func failureOf(err error) *result.Error {
+	var routed *echo.HTTPError
+	if !errors.As(err, &routed) {
+		return result.From(err)
+	}
+	switch routed.Code {
+	case http.StatusNotFound:
+		return result.New(result.NotFound, "")
+	case http.StatusMethodNotAllowed:
+		return result.New(result.MethodNotAllowed, "")
+	default:
+		return result.Wrap(err, result.Internal, "")
+	}
+}
+
+// resultError returns the error of a refused command, or nil.
+func resultError(res *wire.CommandResult) error {
+	code := result.Code(res.GetCode())
+	if code == 0 {
+		return nil
+	}
+	failure := result.New(code, "%s", res.GetMessage())
+	if code != result.VersionConflict {
+		return failure
+	}
+	version := res.GetClass().GetVersion()
+	if version == 0 {
+		version = res.GetVersion()
+	}
+	return conflict{failure, version}
+}
--- /dev/null
+++ b/control/peer_server.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/quorum/quorumpb"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/ring"
+	"github.com/carawaypitch/carawaypitch/state"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// replyRing is the capacity of the ring of read replies towards one peer.
+const replyRing = 16
+
+// Messages serves a link that a peer dialled. It implements wire.DRPCReplicaLinkServer.
+func (p *peers) Messages(stream wire.DRPCReplicaLink_MessagesStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	hello := first.GetHello()
+	if hello.GetInstance() == "" || hello.GetReplica() == "" {
+		return link.ErrProtocol
+	}
+	c := p.control
+	if err := stream.Send(&wire.ReplicaBatch{Hello: c.replicaHello()}); err != nil {
+		return err
+	}
+	p.learn(hello)
+	ctx, cancel := untilStopping(stream.Context())
+	defer cancel()
+	replies := ring.New[*wire.ReplicaBatch]("read_replies", replyRing)
+	pump := &link.Pump[*wire.ReplicaBatch, *wire.ReplicaBatch]{
+		Send:         func(batch []*wire.ReplicaBatch) error { return sendEach(stream, batch) },
+		Recv:         stream.Recv,
+		Abort:        func() { link.Abort(stream.Context()) },
+		Ring:         replies,
+		Beat:         func() *wire.ReplicaBatch { return &wire.ReplicaBatch{Status: c.replicaStatus()} },
+		BeatInterval: statusInterval,
+		Receive: func(ctx context.Context, batch *wire.ReplicaBatch) (bool, error) {
+			return true, p.take(ctx, hello.GetInstance(), batch, replies)
+		},
+		Silence: peerSilence,
+	}
+	return pump.Run(ctx)
+}
+
+func sendEach(stream peerStream, batches []*wire.ReplicaBatch) error {
+	for _, b := range batches {
+		if err := stream.Send(b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// untilStopping returns the context of a stream, which also ends when the server should.
+func untilStopping(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	go func() {
+		select {
+		case <-link.Stopping(parent):
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// take hands messages to the replica, and starts the answer to a read request.
+func (p *peers) take(ctx context.Context, from string, batch *wire.ReplicaBatch, replies *ring.Ring[*wire.ReplicaBatch]) error {
+	for _, data := range batch.GetMessages() {
+		m := new(quorumpb.Message)
+		if err := proto.Unmarshal(data, m); err != nil {
+			return result.Wrap(err, result.BadMessage, "")
+		}
+		p.control.replica.Deliver(m)
+	}
+	if batch.GetStatus() != nil {
+		p.noteStatus(from, batch.GetStatus())
+	}
+	if round := batch.GetReadRequest(); round != 0 {
+		go func() { replies.TryPush(&wire.ReplicaBatch{ReadReply: p.control.confirmRead(ctx, round)}) }()
+	}
+	return nil
+}
+
+// confirmRead answers a follower's read request.
+func (c *Control) confirmRead(ctx context.Context, round uint64) *wire.ReadReply {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if _, err := c.replica.Read(ctx); err != nil {
+		return &wire.ReadReply{Round: round}
+	}
+	return &wire.ReadReply{Round: round, Confirmed: true, Index: c.machine.index()}
+}
+
+// Forward proposes a command that an operator gave to a follower. It implements wire.DRPCReplicaLinkServer.
+func (p *peers) Forward(ctx context.Context, in *wire.Propose) (*wire.ProposeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	return p.control.proposeHere(ctx, in.GetId(), in.GetCommand()), nil
+}
+
+// versions returns the versions of the configuration and of the directory here.
+func (c *Control) versions() (config, directory uint64) {
+	c.machine.read(func(s *state.State) { config, directory = s.ConfigVersion(), s.DirectoryVersion() })
+	return config, directory
+}
+
+// since is how long ago t was, 0 for a time in the future.
+func since(t time.Time) time.Duration {
+	return max(0, time.Since(t))
+}
--- /dev/null
+++ b/control/propose.go
@@ -0,0 +1,139 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/quorum"
+	"github.com/carawaypitch/carawaypitch/quorum/replica"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// Timing of proposals.
+const (
+	// proposeTimeout bounds one proposal at the leader.
+	proposeTimeout = 4 * time.Second
+	// changeTimeout bounds an operator's change, with the search for the leader.
+	changeTimeout = 8 * time.Second
+	retryPause    = 50 * time.Millisecond
+	// maxProposals bounds the proposals under way at one instance.
+	maxProposals = 4096
+)
+
+// proposeHere proposes a command at this replica and makes the reply to whoever sent it.
+func (c *Control) proposeHere(ctx context.Context, id uint64, cmd *wire.Command) *wire.ProposeReply {
+	index, res, err := c.propose(ctx, cmd)
+	reply := &wire.ProposeReply{Id: id, Index: index, Result: res}
+	if err != nil {
+		failure := result.From(err)
+		reply.Code = uint32(failure.Code)
+		reply.Message = failure.Message
+		c.counters.proposalFailed(failure.Code).Inc()
+	}
+	if result.Is(err, result.NotLeader) {
+		reply.Leader = c.leaderInstance()
+	}
+	return reply
+}
+
+// propose stamps a command with this instance's clock and has it committed. Errors have code
+//
+//   - result.ProposalUnknown: it may have been committed, or may yet be;
+//   - result.NotLeader, ProposalQueueFull, EntryTooLarge, Stopping or ControlUnavailable: it wasn't and won't be.
+func (c *Control) propose(ctx context.Context, cmd *wire.Command) (uint64, *wire.CommandResult, error) {
+	if !c.proposals.take() {
+		return 0, nil, result.New(result.ProposalQueueFull, "").WithRan(result.RanNo)
+	}
+	defer c.proposals.put()
+	stamped := proto.CloneOf(cmd)
+	stamped.UnixMs = uint64(time.Now().UnixMilli())
+	data, err := proto.Marshal(stamped)
+	if err != nil {
+		return 0, nil, result.Wrap(err, result.BadMessage, "")
+	}
+	applied, err := c.replica.Propose(ctx, data)
+	if err != nil {
+		return 0, nil, proposalError(err)
+	}
+	res := new(wire.CommandResult)
+	if err := proto.Unmarshal(applied.Result, res); err != nil {
+		return 0, nil, result.Wrap(err, result.Internal, "")
+	}
+	return applied.Index, res, nil
+}
+
+// proposalError gives an error of the replica its code. Whatever isn't a clear refusal is an unknown outcome.
+func proposalError(err error) error {
+	refused, ok := quorum.Refused(err)
+	if !ok || errors.Is(err, replica.ErrUnknownOutcome) {
+		return result.Wrap(err, result.ProposalUnknown, "")
+	}
+	code := result.ControlUnavailable
+	switch refused.Reason {
+	case quorum.ReasonNotLeader, quorum.ReasonTransferring:
+		code = result.NotLeader
+	case quorum.ReasonQueueFull, quorum.ReasonUncommittedFull:
+		code = result.ProposalQueueFull
+	case quorum.ReasonTooLarge:
+		code = result.EntryTooLarge
+	case quorum.ReasonStopped:
+		code = result.Stopping
+	}
+	return result.Wrap(err, code, "").WithRan(result.RanNo)
+}
+
+// change has an operator's change committed, wherever the leader is. Errors are those of propose.
+//
+// It tries again only while it is sure that the change wasn't proposed. After a lost outcome the operator hears so,
+// and may send the change again with the same Change-Id.
+func (c *Control) change(ctx context.Context, cmd *wire.Command) (*wire.CommandResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	for {
+		res, err := c.changeOnce(ctx, cmd)
+		if err == nil || !result.Is(err, result.NotLeader) {
+			return res, err
+		}
+		if !pause(ctx, retryPause) {
+			return nil, result.Wrap(err, result.ControlUnavailable, "no leader among the control instances").WithRan(result.RanNo)
+		}
+	}
+}
+
+func (c *Control) changeOnce(ctx context.Context, cmd *wire.Command) (*wire.CommandResult, error) {
+	_, res, err := c.propose(ctx, cmd)
+	if !result.Is(err, result.NotLeader) {
+		return res, err
+	}
+	leader := c.leaderInstance()
+	address := c.peers.address(leader)
+	if address == "" {
+		return nil, err
+	}
+	return c.forward(ctx, address, cmd)
+}
+
+// forward hands a change to the leader over a connection of its own: changes are rare, and an error of this
+// connection is then about this change only.
+func (c *Control) forward(ctx context.Context, address string, cmd *wire.Command) (*wire.CommandResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	conn, err := link.Dial(ctx, c.options.Network, address, c.dialTLS)
+	if err != nil {
+		return nil, result.Wrap(err, result.NotLeader, "").WithRan(result.RanNo)
+	}
+	defer conn.Close()
+	reply, err := wire.NewDRPCReplicaLinkClient(conn).Forward(ctx, &wire.Propose{Command: cmd})
+	if err != nil {
+		return nil, result.Wrap(err, result.ProposalUnknown, "")
+	}
+	if code := result.Code(reply.GetCode()); code != 0 {
+		return nil, result.New(code, "%s", reply.GetMessage())
+	}
+	return reply.GetResult(), nil
+}
--- /dev/null
+++ b/control/replication.go
@@ -0,0 +1,120 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/quorum"
+	"github.com/carawaypitch/carawaypitch/quorum/replica"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// tick is the unit of the replica's timing.
+const tick = 20 * time.Millisecond
+
+func (c *Control) replicaConfig() replica.Config {
+	return replica.Config{
+		Instance:       c.settings.Instance,
+		Dir:            c.settings.DataDir,
+		FS:             c.options.FS,
+		Transport:      c.peers,
+		StateMachine:   c.machine,
+		TickInterval:   tick,
+		ElectionTicks:  ticks(c.settings.Timing.Election),
+		HeartbeatTicks: ticks(c.settings.Timing.Heartbeat),
+		Seed:           c.options.Seed,
+		OnChange:       c.roleChanged,
+	}
+}
+
+// ticks rounds up, so that a timeout is never shorter than wanted.
+func ticks(d time.Duration) int {
+	return int((d + tick - 1) / tick)
+}
+
+func (c *Control) roleChanged(s quorum.StateChange) {
+	c.log.WithField("role", s.Role).WithField("term", s.Term).WithField("leader", s.Leader).Info("role_changed")
+	c.leader.wake()
+}
+
+// runReplica starts a new group if that is due, then runs the replica.
+func (c *Control) runReplica(ctx context.Context) error {
+	if err := c.bootstrap(ctx); err != nil {
+		return err
+	}
+	return c.replica.Run(ctx)
+}
+
+// bootstrap makes the configured replicas a new group, if the settings allow it and this disk is empty. It first hears
+// from all others that their disks are empty too.
+//
+// An instance whose disk was wiped still has bootstrap in its settings. Were it to start a group on its own, its
+// operators would see an empty configuration in force; so one peer with a group, or one that says nothing, is enough
+// to join or to wait.
+func (c *Control) bootstrap(ctx context.Context) error {
+	if !c.settings.Bootstrap || c.hasGroup() {
+		return nil
+	}
+	for {
+		changed := c.peers.wait()
+		voters, decided := c.firstVoters()
+		if decided && voters == nil {
+			return nil
+		}
+		if decided {
+			err := c.replica.Bootstrap(voters)
+			if errors.Is(err, replica.ErrNotEmpty) {
+				return nil
+			}
+			return errors.Wrap(err, "control: bootstrap")
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// firstVoters returns the voters of a new group once all peers are known to be empty; nil, and true, once one of them
+// is known to have a group.
+func (c *Control) firstVoters() (voters []replica.Member, decided bool) {
+	missing := false
+	for _, r := range c.settings.Replicas {
+		if r.Instance == c.settings.Instance {
+			voters = append(voters, replica.Member{ID: c.replica.ID(), Address: c.advertise(), Voter: true})
+			continue
+		}
+		hello := c.peers.hello(r.Instance)
+		if hello.GetHasGroup() {
+			return nil, true
+		}
+		missing = missing || hello == nil
+		voters = append(voters, replica.Member{ID: quorum.ID(hello.GetReplica()), Address: r.Address, Voter: true})
+	}
+	return voters, !missing
+}
+
+func (c *Control) hasGroup() bool {
+	return len(c.replica.Status().Members) > 0
+}
+
+func (c *Control) isLeader() bool {
+	return c.replica.Status().Role == quorum.RoleLeader
+}
+
+// leaderInstance returns the instance that leads as far as known, or "".
+func (c *Control) leaderInstance() string {
+	return c.replica.Status().Leader.Instance()
+}
+
+func (c *Control) replicaHello() *wire.ReplicaHello {
+	return &wire.ReplicaHello{
+		Instance:    c.settings.Instance,
+		Replica:     string(c.replica.ID()),
+		LinkAddress: c.advertise(),
+		HasGroup:    c.hasGroup(),
+	}
+}
--- /dev/null
+++ b/control/session.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"context"
+	"sync"
+
+	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/ring"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// session is the link of one entry or agent.
+type session struct {
+	control *Control
+	client  client
+	hello   *wire.ClientHello
+	out     *ring.Ring[*wire.ControlMessage]
+	slots   slots // of its proposals
+	cancel  context.CancelFunc
+
+	// mu keeps updates and the answers that name their versions in order.
+	mu                       sync.Mutex
+	config, directory, fence uint64 // as sent
+	isSlow                   bool
+}
+
+func newSession(c *Control, hello *wire.ClientHello, cancel context.CancelFunc) *session {
+	return &session{
+		control:   c,
+		client:    client{hello.GetRole(), hello.GetInstance()},
+		hello:     hello,
+		out:       ring.New[*wire.ControlMessage]("session", sessionRing),
+		slots:     newSlots(sessionProposals),
+		cancel:    cancel,
+		config:    hello.GetConfigVersion(),
+		directory: hello.GetDirectoryVersion(),
+	}
+}
+
+func (s *session) run(ctx context.Context, stream wire.DRPCControlLink_SessionStream) error {
+	s.send(&wire.ControlMessage{Kind: &wire.ControlMessage_Hello{Hello: &wire.ControlHello{
+		Instance: s.control.settings.Instance,
+		Leader:   s.control.leaderInstance(),
+	}}})
+	s.control.leader.wake() // its agent may wait for an order
+	pump := &link.Pump[*wire.ControlMessage, *wire.ClientBatch]{
+		Send:    func(batch []*wire.ControlMessage) error { return stream.Send(&wire.ControlBatch{Messages: batch}) },
+		Recv:    stream.Recv,
+		Abort:   func() { link.Abort(stream.Context()) },
+		Ring:    s.out,
+		Receive: s.receive,
+		Silence: sessionSilence,
+	}
+	return pump.Run(ctx)
+}
+
+// send queues a message. A full ring ends the session: with one message missing the client would take what follows
+// for the whole.
+func (s *session) send(m *wire.ControlMessage) {
+	if s.out.TryPush(m) {
+		return
+	}
+	s.control.counters.slowSessions.Inc()
+	s.isSlow = true
+	s.cancel()
+}
+
+func (s *session) receive(ctx context.Context, batch *wire.ClientBatch) (bool, error) {
+	for _, m := range batch.GetMessages() {
+		s.message(ctx, m)
+	}
+	return true, nil
+}
+
+func (s *session) message(ctx context.Context, m *wire.ClientMessage) {
+	switch kind := m.GetKind().(type) {
+	case *wire.ClientMessage_Poll:
+		s.poll(kind.Poll)
+	case *wire.ClientMessage_Propose:
+		s.propose(ctx, kind.Propose)
+	case *wire.ClientMessage_OrderResult:
+		s.control.leader.orderEnded(kind.OrderResult)
+	}
+}
+
+// poll asks for a confirmed read; its answer follows all updates that the read covers.
+func (s *session) poll(poll *wire.Poll) {
+	s.control.sessions.heard(s, poll)
+	asked := s.control.reads.ask(func(confirmed bool) { s.fresh(poll, confirmed) })
+	if !asked {
+		s.fresh(poll, false)
+	}
+}
+
+func (s *session) fresh(poll *wire.Poll, confirmed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pushLocked(newUpdateCache(s.control.machine))
+	s.send(&wire.ControlMessage{Kind: &wire.ControlMessage_Fresh{Fresh: &wire.Fresh{
+		Sequence:         poll.GetSequence(),
+		Confirmed:        confirmed,
+		ConfigVersion:    s.config,
+		DirectoryVersion: s.directory,
+		Leader:           s.control.leaderInstance(),
+	}}})
+}
+
+// push sends what changed since the last update.
+func (s *session) push(cache *updateCache) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pushLocked(cache)
+}
+
+func (s *session) pushLocked(cache *updateCache) {
+	if s.isSlow {
+		return
+	}
+	if u := cache.config(s.config, s.fence); u != nil {
+		s.config, s.fence = u.GetVersion(), u.GetFence()
+		s.send(&wire.ControlMessage{Kind: &wire.ControlMessage_Config{Config: u}})
+	}
+	if u := cache.directory(s.directory); u != nil {
+		s.directory = u.GetVersion()
+		s.send(&wire.ControlMessage{Kind: &wire.ControlMessage_Directory{Directory: u}})
+	}
+}
+
+// propose starts a proposal; its reply comes in any order.
+func (s *session) propose(ctx context.Context, p *wire.Propose) {
+	if !s.slots.take() {
+		s.reply(&wire.ProposeReply{
+			Id:      p.GetId(),
+			Code:    uint32(result.ProposalQueueFull),
+			Message: result.ProposalQueueFull.Info().Message,
+		})
+		return
+	}
+	go func() {
+		defer s.slots.put()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), proposeTimeout)
+		defer cancel()
+		s.reply(s.control.proposeHere(ctx, p.GetId(), p.GetCommand()))
+	}()
+}
+
+func (s *session) reply(r *wire.ProposeReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.send(&wire.ControlMessage{Kind: &wire.ControlMessage_Reply{Reply: r}})
+}
+
+// order sends an order to the agent.
+func (s *session) order(o *wire.Order) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.send(&wire.ControlMessage{Kind: &wire.ControlMessage_Order{Order: o}})
+}
--- /dev/null
+++ b/control/updates.go
@@ -0,0 +1,49 @@
+package control
+
+import (
+	"github.com/carawaypitch/carawaypitch/state"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// updateCache makes each update of one round once: most sessions are at the same version.
+type updateCache struct {
+	machine     *machine
+	configs     map[uint64]*wire.ConfigUpdate
+	directories map[uint64]*wire.DirectoryUpdate
+}
+
+func newUpdateCache(m *machine) *updateCache {
+	return &updateCache{
+		machine:     m,
+		configs:     make(map[uint64]*wire.ConfigUpdate),
+		directories: make(map[uint64]*wire.DirectoryUpdate),
+	}
+}
+
+// config returns the update from a version, or nil. A fence that rose alone makes an update without classes.
+func (c *updateCache) config(version, fence uint64) *wire.ConfigUpdate {
+	u, ok := c.configs[version]
+	if !ok {
+		c.machine.read(func(s *state.State) {
+			u = s.ConfigSince(version)
+			if u == nil && s.ConfigVersion() == version {
+				u = &wire.ConfigUpdate{Version: version, Base: version, Fence: s.Fence()}
+			}
+		})
+		c.configs[version] = u
+	}
+	if u != nil && u.GetVersion() == version && u.GetFence() <= fence {
+		return nil
+	}
+	return u
+}
+
+// directory returns the update from a version, or nil.
+func (c *updateCache) directory(version uint64) *wire.DirectoryUpdate {
+	u, ok := c.directories[version]
+	if !ok {
+		c.machine.read(func(s *state.State) { u = s.DirectorySince(version) })
+		c.directories[version] = u
+	}
+	return u
+}
--- a/state/expire.go
+++ b/state/expire.go
@@ -10,8 +10,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxExpiryBatch bounds the records that one command visits, so that one command never holds the log up.
-const maxExpiryBatch = 4096
+// MaxExpiryBatch bounds the records that one command visits, so that one command never holds the log up.
+const MaxExpiryBatch = 4096
 
 // expireOperations forgets records begun before the given time, oldest first. Open records of registered entries
 // stay, whatever their age.
@@ -23,7 +23,7 @@
 	before := min(cmd.GetBeforeUnixMs(), s.unixMS)
 	set := &s.operations
 	set.expiredBefore = max(set.expiredBefore, before)
-	limit := min(int(cmd.GetLimit()), maxExpiryBatch)
+	limit := min(int(cmd.GetLimit()), MaxExpiryBatch)
 	var digests []uint64
 	visited := 0
 	for op := set.first; op != nil && op.begunMS < before && visited < limit; {
@@ -62,6 +62,26 @@
 	return !ok || ms >= o.expiredBefore
 }
 
+// The part of Limits.Operations from which on records expire before their age.
+const (
+	crowdedNumerator   = 7
+	crowdedDenominator = 8
+)
+
+// CrowdedBefore returns the time, in milliseconds since 1970, before which records should expire since there are too
+// many of them, or 0.
+func (s *State) CrowdedBefore() uint64 {
+	excess := len(s.operations.byKey) - s.limits.Operations*crowdedNumerator/crowdedDenominator
+	if excess <= 0 {
+		return 0
+	}
+	op := s.operations.first
+	for range excess - 1 {
+		op = op.next
+	}
+	return op.begunMS + 1
+}
+
 // addDigests merges digests into the sorted ones.
 func (o *operationSet) addDigests(digests []uint64) {
 	if len(digests) == 0 {
