--- a/engine/contract_test.go
+++ b/engine/contract_test.go
@@ -18,9 +18,7 @@
 	requests := map[string]engine.Request{
 		"chat": chat("r.1"),
 		"text": {
-			ID:   "r.1",
-			Kind: engine.KindModel,
-			Path: "/v1/completions",
+			ID: "r.1", Kind: engine.KindModel, Path: "/v1/completions",
 			Body: []byte(`{"prompt":"May I?","max_tokens":8,"stream":false}`),
 		},
 	}
@@ -367,11 +365,7 @@
 				options.LoadLag = time.Second
 				server, client := newFixture(t).start(options)
 				order := func(fence uint64, kind engine.OrderKind, model string) engine.OrderState {
-					result, err := client.Order(t.Context(), engine.Order{
-						Fence: fence,
-						Kind:  kind,
-						Model: model,
-					})
+					result, err := client.Order(t.Context(), engine.Order{Fence: fence, Kind: kind, Model: model})
 					require.NoError(t, err)
 					return result.State
 				}
--- a/engine/helper_test.go
+++ b/engine/helper_test.go
@@ -106,12 +106,7 @@
 }
 
 func chat(id engine.AttemptID) engine.Request {
-	return engine.Request{
-		ID:   id,
-		Kind: engine.KindModel,
-		Path: "/v1/chat/completions",
-		Body: []byte(chatBody),
-	}
+	return engine.Request{ID: id, Kind: engine.KindModel, Path: "/v1/chat/completions", Body: []byte(chatBody)}
 }
 
 func issue(id engine.AttemptID) engine.Request {
--- a/engine/http_test.go
+++ b/engine/http_test.go
@@ -116,12 +116,7 @@
 		t.Run(name, func(t *testing.T) {
 			client, err := NewHTTP(address, HTTPOptions{})
 			require.NoError(t, err)
-			request := Request{
-				ID:   "r.1",
-				Kind: KindService,
-				Path: c.path,
-			}
-			_, err = client.Run(c.ctx, request, new(nullSink))
+			_, err = client.Run(c.ctx, Request{ID: "r.1", Kind: KindService, Path: c.path}, new(nullSink))
 			assert.ErrorIs(t, err, ErrNeverSent)
 			assert.NotErrorIs(t, err, ErrUnknown)
 		})
@@ -132,12 +127,7 @@
 	client, err := NewHTTP("http://127.0.0.1:1", HTTPOptions{})
 	require.NoError(t, err)
 	for _, body := range []string{"", "null", "[]", "{", `"x"`} {
-		request := Request{
-			ID:   "r.1",
-			Kind: KindModel,
-			Path: "/v1/completions",
-			Body: []byte(body),
-		}
+		request := Request{ID: "r.1", Kind: KindModel, Path: "/v1/completions", Body: []byte(body)}
 		_, err := client.Run(t.Context(), request, new(nullSink))
 		assert.ErrorIs(t, err, ErrInvalid, body)
 		assert.ErrorIs(t, err, ErrNeverSent, body)
@@ -184,18 +174,11 @@
 				_ = conn.Close()
 			}))
 			defer server.Close()
-			client, err := NewHTTP(server.URL, HTTPOptions{
-				MaxAnswerBytes: 64,
-				MaxEventBytes:  128,
-			})
+			client, err := NewHTTP(server.URL, HTTPOptions{MaxAnswerBytes: 64, MaxEventBytes: 128})
 			require.NoError(t, err)
 			sink := new(nullSink)
-			outcome, err := client.Run(t.Context(), Request{
-				ID:   "r.1",
-				Kind: c.kind,
-				Path: "/p",
-				Body: []byte("{}"),
-			}, sink)
+			request := Request{ID: "r.1", Kind: c.kind, Path: "/p", Body: []byte("{}")}
+			outcome, err := client.Run(t.Context(), request, sink)
 			if c.whole {
 				require.NoError(t, err)
 				assert.Equal(t, EndCompleted, outcome.End)
--- a/engine/standin/server.go
+++ b/engine/standin/server.go
@@ -190,18 +190,23 @@
 // stays down for a while: new connections are refused, and calls on old ones
 // get theirs closed.
 func (s *Server) Crash(down time.Duration) {
+	s.counters.add(func(stats *Stats) { stats.Crashes++ })
+	s.lose(down)
+	if down > 0 {
+		s.refuse(down)
+	}
+}
+
+// lose ends all that runs and forgets all that is held.
+func (s *Server) lose(down time.Duration) {
 	s.mu.Lock()
 	s.kill()
 	s.life, s.kill = context.WithCancel(context.Background())
 	s.downUntil = time.Now().Add(down)
 	s.mu.Unlock()
-	s.counters.add(func(stats *Stats) { stats.Crashes++ })
 	if s.model != nil {
 		s.model.batch.crash()
 	}
-	if down > 0 {
-		s.refuse(down)
-	}
 }
 
 // Close ends everything that runs, for good, and waits for the engine's
@@ -210,7 +215,7 @@
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
-	s.Crash(0)
+	s.lose(0)
 	if s.model != nil {
 		s.model.batch.close()
 	}
--- a/engine/standin/service.go
+++ b/engine/standin/service.go
@@ -119,6 +119,10 @@
 		return 0, errConnection
 	}
 	defer func() { <-s.slots }()
+	// A slot and the end of ctx may come together, and select takes either.
+	if ctx.Err() != nil {
+		return 0, errConnection
+	}
 	run := s.count(c.Request().Header.Get(engine.HeaderIdempotencyKey))
 	duration := s.faults.jittered(s.options.ServiceTime, s.options.ServiceJitter, string(id), uint64(run))
 	if err := pause(ctx, s.faults.slowed(duration)); err != nil {
