--- /dev/null
+++ b/gate/clearing.go
@@ -0,0 +1,233 @@
+package gate
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// Bounds of the listing.
+const (
+	listTimeout = 10 * time.Second // after which an unanswered listing is repeated
+	listRetry   = 250 * time.Millisecond
+)
+
+// clearing proves the engine free of attempts of an earlier incarnation of this agent. Entries take a newer
+// incarnation for the proof that the older one's attempts are over: were it announced while the engine still runs
+// one, the request would run on two engines.
+//
+// It lists the engine's streams, cancels all of them, and lists again: an attempt of the old incarnation may have
+// been on its way to the engine at the first listing.
+type clearing struct {
+	state  clearState
+	issued time.Time
+	again  time.Time
+	// unlisted: the server keeps no list of what it runs, so nothing proves it free. It is given some time to end
+	// the short calls of an earlier incarnation.
+	unlisted bool
+	left     []*oldStream
+	seen     map[engine.AttemptID]bool // streams whose end is confirmed
+	waiting  []deferredCancel
+}
+
+type clearState uint8
+
+const (
+	clearIdle     clearState = iota // before the first announcement
+	clearListing                    // a listing was asked for
+	clearWaiting                    // a listing failed, or no list is kept
+	clearStreams                    // cancels are under way
+	clearComplete                   // proved free
+)
+
+// oldStream is a listed stream.
+type oldStream struct {
+	id      engine.AttemptID
+	attempt *wire.AttemptID
+	try     uint32
+	pending bool
+	issued  time.Time
+	again   time.Time
+	backoff time.Duration
+}
+
+// deferredCancel is a cancel whose answer has to wait until the engine is cleared.
+type deferredCancel struct {
+	request string
+	who     asker
+}
+
+// begin lists at the first announcement: before it the agent has no address to ask.
+func (c *clearing) begin(g *Gate) {
+	if c.state == clearIdle {
+		c.seen = map[engine.AttemptID]bool{}
+		c.list(g)
+	}
+}
+
+// restart clears again, after the server was gone.
+func (c *clearing) restart() {
+	c.state = clearIdle
+	c.left = nil
+}
+
+func (c *clearing) list(g *Gate) {
+	c.state = clearListing
+	c.issued = g.now
+	g.emit(ListEngine{})
+}
+
+func (c *clearing) ask(request string, who asker) {
+	wanted := deferredCancel{request, who}
+	if !slices.Contains(c.waiting, wanted) {
+		c.waiting = append(c.waiting, wanted)
+	}
+}
+
+func (g *Gate) engineListed(e EngineListed) {
+	c := &g.clearing
+	if c.state != clearListing {
+		return
+	}
+	c.unlisted = errors.Is(e.Err, engine.ErrUnsupported)
+	if c.unlisted {
+		c.state = clearWaiting
+		c.again = g.now.Add(g.config.UnlistedSettle)
+		return
+	}
+	if e.Err != nil {
+		c.state = clearWaiting
+		c.again = g.now.Add(listRetry)
+		c.left = nil
+		return
+	}
+	c.take(g, e.Streams)
+}
+
+// take cancels what is listed. Attempts of this incarnation, after the server was gone, are the gate's own to end.
+func (c *clearing) take(g *Gate, streams []engine.StreamInfo) {
+	c.left = nil
+	for _, s := range streams {
+		if c.seen[s.ID] && !s.State.Running() {
+			continue
+		}
+		id := parseStream(s.ID)
+		if a := g.find(id); a != nil && a.begun() {
+			continue
+		}
+		c.left = append(c.left, &oldStream{id: s.ID, attempt: id})
+	}
+	if len(c.left) == 0 {
+		c.complete(g)
+		return
+	}
+	c.state = clearStreams
+	for _, s := range c.left {
+		s.cancel(g)
+	}
+}
+
+// parseStream reads the engine's name of an attempt. A name in another form keeps number 0.
+func parseStream(id engine.AttemptID) *wire.AttemptID {
+	text := string(id)
+	if dot := strings.LastIndexByte(text, '.'); dot >= 0 {
+		if number, err := strconv.ParseUint(text[dot+1:], 10, 64); err == nil {
+			return &wire.AttemptID{Request: text[:dot], Number: number}
+		}
+	}
+	return &wire.AttemptID{Request: text}
+}
+
+func (s *oldStream) cancel(g *Gate) {
+	s.try++
+	s.pending = true
+	s.issued = g.now
+	g.emit(CancelEngine{Attempt: s.attempt, Stream: s.id, Try: s.try})
+}
+
+// answered takes the answer to a cancel of a listed stream. An unknown id proves its end: the engine has listed it
+// before, so no dispatch of it is on its way.
+func (c *clearing) answered(g *Gate, e EngineCancelled) bool {
+	if c.state != clearStreams {
+		return false
+	}
+	at := slices.IndexFunc(c.left, func(s *oldStream) bool {
+		return s.attempt.GetRequest() == e.Attempt.GetRequest() && s.attempt.GetNumber() == e.Attempt.GetNumber()
+	})
+	if at < 0 {
+		return false
+	}
+	s := c.left[at]
+	if e.Err != nil || e.Result == engine.CancelNone {
+		s.pending = false
+		s.backoff = min(max(2*s.backoff, firstBackoff), longestWait)
+		s.again = g.now.Add(s.backoff)
+		return true
+	}
+	c.seen[s.id] = true
+	c.left = slices.Delete(c.left, at, at+1)
+	if len(c.left) == 0 {
+		c.list(g)
+	}
+	return true
+}
+
+// tick repeats what was not answered.
+func (c *clearing) tick(g *Gate) {
+	switch c.state {
+	case clearListing:
+		if g.now.Sub(c.issued) >= listTimeout {
+			c.list(g)
+		}
+	case clearWaiting:
+		c.endWait(g)
+	case clearStreams:
+		for _, s := range c.left {
+			if s.due(g.now) {
+				s.cancel(g)
+			}
+		}
+	}
+}
+
+func (s *oldStream) due(now time.Time) bool {
+	if s.pending {
+		return now.Sub(s.issued) >= answerTimeout
+	}
+	return !now.Before(s.again)
+}
+
+func (c *clearing) endWait(g *Gate) {
+	if g.now.Before(c.again) {
+		return
+	}
+	if c.unlisted {
+		c.complete(g)
+		return
+	}
+	c.list(g)
+}
+
+// complete opens the gate and answers what was asked meanwhile.
+func (c *clearing) complete(g *Gate) {
+	c.state = clearComplete
+	g.fireServer(onCleared)
+	waiting := c.waiting
+	c.waiting = nil
+	for _, d := range waiting {
+		if r := g.records.get(d.request); r != nil {
+			g.answerCancel(r, d.who)
+		}
+	}
+	for _, e := range g.entries.order {
+		if e.up && !e.ended {
+			g.resend(e)
+		}
+	}
+}
--- /dev/null
+++ b/gate/config.go
@@ -0,0 +1,88 @@
+package gate
+
+import "time"
+
+// TickInterval is how often the agent sends a Tick.
+const TickInterval = 20 * time.Millisecond
+
+// Defaults of Config.
+const (
+	DefaultLeaseDuration  = 3 * time.Second
+	DefaultOfferTimeout   = 250 * time.Millisecond
+	DefaultTombstoneLife  = 2 * time.Minute
+	DefaultKeepOver       = 15 * time.Second
+	DefaultRequestLife    = 15 * time.Minute
+	DefaultOperationLife  = 24 * time.Hour
+	DefaultSilentAfter    = 3 * time.Second
+	DefaultGoneAfter      = 10 * time.Second
+	DefaultUnlistedSettle = time.Second
+	DefaultMaxRecords     = 1 << 16
+	DefaultMaxWaiting     = 4096
+	DefaultMaxMemory      = 1 << 18
+	DefaultProbeFailures  = 2
+	DefaultAnswerBound    = 1 << 20
+	DefaultResendBound    = 256 << 10
+)
+
+// Config holds the settings of a Gate. A zero value means the default of that name.
+type Config struct {
+	// LeaseDuration is how long an entry may be silent before its attempts are given up.
+	LeaseDuration time.Duration
+	// OfferTimeout is how long an offered slot is kept for the dispatch.
+	OfferTimeout time.Duration
+	// TombstoneLife is how long an ended attempt is remembered after its end and after its deadline. It has to be
+	// longer than any message can be under way.
+	TombstoneLife time.Duration
+	// KeepOver is how long an Over message and its answer are kept for those who lost it.
+	KeepOver time.Duration
+	// RequestLife is the longest that an entry itself may ask about an attempt after it sent it.
+	RequestLife time.Duration
+	// OperationLife is the longest that another entry, which takes an operation over, may ask about an attempt.
+	OperationLife time.Duration
+	// SilentAfter and GoneAfter are how long after its last announcement a server is suspect and then gone.
+	SilentAfter, GoneAfter time.Duration
+	// UnlistedSettle is how long a new incarnation admits nothing at a server that keeps no list of what it runs.
+	UnlistedSettle time.Duration
+	// MaxRecords bounds the requests remembered, tombstones included. Beyond it new work is refused; up to twice as
+	// many are held for the tombstones of what is refused or cancelled then.
+	MaxRecords int
+	// MaxWaiting bounds the attempts that wait for room.
+	MaxWaiting int
+	// MaxMemory bounds the digests of keyed requests that ran here, in each of two generations.
+	MaxMemory int
+	// ProbeFailures is how many failed probes in a row make the server suspect.
+	ProbeFailures int
+	// AnswerBound and ResendBound bound the bytes of an answer kept for control and for an entry that lost its link.
+	AnswerBound, ResendBound int
+	// NoPredecessor says that no earlier incarnation of this agent can have run anything at this server. Without it
+	// a Cancel for an attempt that the gate never heard of is not answered with PROOF_NEVER_STARTED as long as it may
+	// speak of an attempt of an earlier incarnation.
+	NoPredecessor bool
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
+
+func (c Config) withDefaults() Config {
+	c.LeaseDuration = orDefault(c.LeaseDuration, DefaultLeaseDuration)
+	c.OfferTimeout = orDefault(c.OfferTimeout, DefaultOfferTimeout)
+	c.TombstoneLife = orDefault(c.TombstoneLife, DefaultTombstoneLife)
+	c.KeepOver = orDefault(c.KeepOver, DefaultKeepOver)
+	c.RequestLife = orDefault(c.RequestLife, DefaultRequestLife)
+	c.OperationLife = orDefault(c.OperationLife, DefaultOperationLife)
+	c.SilentAfter = orDefault(c.SilentAfter, DefaultSilentAfter)
+	c.GoneAfter = orDefault(c.GoneAfter, DefaultGoneAfter)
+	c.UnlistedSettle = orDefault(c.UnlistedSettle, DefaultUnlistedSettle)
+	c.MaxRecords = orDefault(c.MaxRecords, DefaultMaxRecords)
+	c.MaxWaiting = orDefault(c.MaxWaiting, DefaultMaxWaiting)
+	c.MaxMemory = orDefault(c.MaxMemory, DefaultMaxMemory)
+	c.ProbeFailures = orDefault(c.ProbeFailures, DefaultProbeFailures)
+	c.AnswerBound = orDefault(c.AnswerBound, DefaultAnswerBound)
+	c.ResendBound = orDefault(c.ResendBound, DefaultResendBound)
+	return c
+}
--- /dev/null
+++ b/gate/frames.go
@@ -0,0 +1,103 @@
+package gate
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// frameState is how much of its answer an attempt has passed on.
+type frameState struct {
+	base   uint64 // offset of its first event, over all attempts of the request
+	count  uint64 // events of this attempt
+	bytes  uint64 // their total length
+	digest *xxhash.Digest
+
+	kept      [][]byte // for control, and for an entry that lost its link
+	keptBytes int
+	dropped   bool // more came than may be kept
+}
+
+func (f *frameState) begin(d *wire.Dispatch) {
+	f.base = uint64(d.GetResumeFrom())
+	f.digest = xxhash.New()
+}
+
+func (f *frameState) next() uint64 { return f.base + f.count }
+
+// add counts events and keeps them as long as the bound allows.
+func (f *frameState) add(events [][]byte, bound int) {
+	for _, event := range events {
+		f.count++
+		f.bytes += uint64(len(event))
+		_, _ = f.digest.Write(event) // never fails
+		f.keep(event, bound)
+	}
+}
+
+func (f *frameState) keep(event []byte, bound int) {
+	if f.dropped {
+		return
+	}
+	f.keptBytes += len(event)
+	if f.keptBytes > bound {
+		f.dropped = true
+		f.kept = nil
+		return
+	}
+	f.kept = append(f.kept, event)
+}
+
+func (f *frameState) drop() {
+	f.kept = nil
+	f.dropped = true
+}
+
+// forward passes events on to the entry. After a cancel nobody wants them, but a preempted attempt goes on elsewhere
+// from the last event that the entry has.
+func (g *Gate) forward(a *attempt, events [][]byte) {
+	if len(events) == 0 {
+		return
+	}
+	offset := a.frames.next()
+	a.frames.add(events, g.keepBound(a))
+	if a.state == cancelling && a.cancel.tier == 0 {
+		return
+	}
+	g.sendFrame(a, offset, events)
+}
+
+func (g *Gate) keepBound(a *attempt) int {
+	if a.dispatch.GetReportToControl() {
+		return g.config.AnswerBound
+	}
+	return g.config.ResendBound
+}
+
+func (g *Gate) sendFrame(a *attempt, offset uint64, events [][]byte) {
+	g.send(a.owner.id, &wire.AgentMessage{Kind: &wire.AgentMessage_Frame{Frame: &wire.Frame{
+		Attempt: a.id(),
+		Offset:  offset,
+		Events:  events,
+	}}})
+}
+
+func (g *Gate) resendFrames(a *attempt) {
+	if len(a.frames.kept) > 0 {
+		g.sendFrame(a, a.frames.base, a.frames.kept)
+	}
+}
+
+// answerEnd closes a whole answer.
+func (a *attempt) answerEnd(e *EngineEnded) *wire.AnswerEnd {
+	return &wire.AnswerEnd{
+		Events:       a.frames.next(),
+		Bytes:        a.frames.bytes,
+		Digest:       a.frames.digest.Sum64(),
+		Status:       uint32(max(e.Outcome.Status, 0)),
+		ContentType:  e.ContentType,
+		PromptTokens: uint32(max(e.Outcome.PromptTokens, 0)),
+		CachedTokens: uint32(max(e.Outcome.CachedPromptTokens, 0)),
+		OutputTokens: uint32(max(e.Outcome.Tokens, 0)),
+	}
+}
--- /dev/null
+++ b/gate/leases.go
@@ -0,0 +1,136 @@
+package gate
+
+import (
+	"slices"
+	"time"
+)
+
+// entryState is what is known of one run of an entry.
+type entryState struct {
+	id      EntryID
+	heard   time.Time // last heartbeat, link or first message
+	up      bool      // its link is open
+	expired bool      // silent for longer than the lease
+	ended   bool      // control committed its end
+}
+
+// valid tells whether the entry's lease holds.
+func (e *entryState) valid() bool { return !e.expired && !e.ended }
+
+// mayAsk tells whether messages of the entry count.
+func (e *entryState) mayAsk() bool { return !e.ended }
+
+// forgetEntryAfter is how long an expired entry without a link is kept.
+const forgetEntryAfter = 10 * time.Minute
+
+// entryTable holds the entries in the order in which they were first heard, and the last ended incarnation of each.
+type entryTable struct {
+	byID  map[EntryID]*entryState
+	order []*entryState
+	ended map[string]uint64 // name -> highest ended incarnation
+}
+
+func newEntryTable() entryTable {
+	return entryTable{byID: map[EntryID]*entryState{}, ended: map[string]uint64{}}
+}
+
+// get finds or makes an entry. A message from an ended incarnation may arrive long after its end, from a buffer or
+// from a process that control only believed dead: its state says so.
+func (t *entryTable) get(id EntryID, now time.Time) *entryState {
+	if e := t.byID[id]; e != nil {
+		return e
+	}
+	e := &entryState{id: id, heard: now}
+	last, found := t.ended[id.Name]
+	e.ended = found && id.Incarnation <= last
+	t.byID[id] = e
+	t.order = append(t.order, e)
+	return e
+}
+
+// forget drops entries that were silent for long and own nothing.
+func (t *entryTable) forget(now time.Time, owns func(*entryState) bool) {
+	t.order = slices.DeleteFunc(t.order, func(e *entryState) bool {
+		if e.up || e.valid() || now.Sub(e.heard) < forgetEntryAfter || owns(e) {
+			return false
+		}
+		delete(t.byID, e.id)
+		return true
+	})
+}
+
+func (g *Gate) entryUp(id EntryID) {
+	e := g.entries.get(id, g.now)
+	e.up = true
+	g.renew(e)
+	if e.ended || !g.cleared() {
+		return
+	}
+	g.send(id, g.roomMessage())
+	g.resend(e)
+}
+
+func (g *Gate) entryDown(id EntryID) {
+	g.entries.get(id, g.now).up = false
+}
+
+// heartbeat renews the leases of all attempts of the entry.
+func (g *Gate) heartbeat(e *entryState) {
+	if e.ended {
+		return
+	}
+	g.renew(e)
+	if g.cleared() {
+		g.send(e.id, g.roomMessage())
+	}
+}
+
+func (g *Gate) renew(e *entryState) {
+	e.heard = g.now
+	e.expired = false
+}
+
+// entryEnded ends the leases of an incarnation and of all before it.
+func (g *Gate) entryEnded(id EntryID) {
+	g.entries.ended[id.Name] = max(g.entries.ended[id.Name], id.Incarnation)
+	g.entries.get(id, g.now)
+	for _, e := range g.entries.order {
+		if e.id.Name == id.Name && e.id.Incarnation <= id.Incarnation && !e.ended {
+			e.ended = true
+			g.endLease(e)
+		}
+	}
+}
+
+// expireLeases looks for entries that are silent for longer than a lease.
+func (g *Gate) expireLeases() {
+	for _, e := range g.entries.order {
+		if e.valid() && g.now.Sub(e.heard) > g.config.LeaseDuration {
+			e.expired = true
+			g.endLease(e)
+		}
+	}
+	g.entries.forget(g.now, g.ownsAny)
+}
+
+func (g *Gate) ownsAny(e *entryState) bool {
+	owned := func(a *attempt) bool { return a.owner == e }
+	return slices.ContainsFunc(g.runs, owned) || slices.ContainsFunc(g.held, owned) || g.waiting.contains(owned)
+}
+
+// endLease gives up what an entry owned. Nobody would take the answers: the engine would go on for nobody, and the
+// caller who comes back through another entry would meet his own request still running.
+func (g *Gate) endLease(e *entryState) {
+	owned := g.waiting.collect(func(a *attempt) bool { return a.owner == e })
+	for _, a := range g.held {
+		if a.owner == e && !slices.Contains(owned, a) {
+			owned = append(owned, a)
+		}
+	}
+	for _, a := range owned {
+		if g.fire(a, onExpire, occasion{refusal: refuseExpired, cause: CauseLeaseExpired}) {
+			g.emit(Count{Counter: LeasesExpired, Tier: a.tier(), Add: 1})
+		}
+	}
+	g.reportKept(e)
+}
--- /dev/null
+++ b/gate/list.go
@@ -0,0 +1,156 @@
+package gate
+
+import (
+	"slices"
+	"time"
+)
+
+// collect returns the waiting attempts that match, in order of arrival.
+func (w *waiting) collect(match func(*attempt) bool) []*attempt {
+	var out []*attempt
+	w.each(func(a *attempt) {
+		if match(a) {
+			out = append(out, a)
+		}
+	})
+	slices.SortFunc(out, func(a, b *attempt) int {
+		if a.sequence < b.sequence {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (w *waiting) contains(match func(*attempt) bool) bool {
+	found := false
+	w.each(func(a *attempt) { found = found || match(a) })
+	return found
+}
+
+func (w *waiting) each(visit func(*attempt)) {
+	for _, t := range w.tiers {
+		for _, q := range t.queues {
+			for _, a := range q.timely {
+				visit(a)
+			}
+			for _, a := range q.late {
+				visit(a)
+			}
+		}
+	}
+}
+
+// refuseWaiting refuses an attempt that has not started.
+func (g *Gate) refuseWaiting(a *attempt, no refusal) {
+	g.fire(a, onRefuse, occasion{refusal: no})
+}
+
+// refuseAllWaiting refuses all that wait and all that were offered a slot.
+func (g *Gate) refuseAllWaiting(no refusal) {
+	all := g.waiting.collect(func(*attempt) bool { return true })
+	for _, a := range slices.Clone(g.held) {
+		if !a.begun() && a.wait.heap == nil {
+			all = append(all, a)
+		}
+	}
+	for _, a := range all {
+		g.refuseWaiting(a, no)
+	}
+}
+
+// sweepWaiting refuses or sets back what waits beyond its deadline behind a head that doesn't.
+func (g *Gate) sweepWaiting() {
+	passed := g.waiting.collect(func(a *attempt) bool { return g.passed(a) && !a.work.GetMayBeLate() })
+	for _, a := range passed {
+		a.wait.queue.class.noteLate(true)
+		g.refuseWaiting(a, refuseDeadline)
+	}
+}
+
+// makePlace makes sure that the waiting list has a place for an attempt, and refuses the one that is last in order:
+// the attempt itself or a waiting one. It reports whether the attempt has a place.
+func (g *Gate) makePlace(a *attempt) bool {
+	if g.waiting.count < g.config.MaxWaiting {
+		return true
+	}
+	last := g.lastWaiting()
+	if last != nil && g.goesAfter(last, a) {
+		g.refuseWaiting(last, refuseShed(g.backlog()))
+		return true
+	}
+	if a.tier() == firstTier && g.lowerWork(a) {
+		return true
+	}
+	g.fire(a, onRefuse, occasion{refusal: refuseFull(g.backlog())})
+	return false
+}
+
+// lastWaiting is the attempt that would go last: of the lowest tier, late before timely, of the organisation that
+// was served most, with the latest deadline.
+func (g *Gate) lastWaiting() *attempt {
+	for _, t := range slices.Backward(g.waiting.tiers) {
+		if t.count == 0 {
+			continue
+		}
+		var last *attempt
+		for _, q := range t.queues {
+			if a := q.last(); a != nil && (last == nil || g.goesAfter(a, last)) {
+				last = a
+			}
+		}
+		return last
+	}
+	return nil
+}
+
+// last is the last of a queue. A heap's last leaf is not its greatest, so all are looked at.
+func (q *queue) last() *attempt {
+	heads := q.late
+	if len(heads) == 0 {
+		heads = q.timely
+	}
+	var last *attempt
+	for _, a := range heads {
+		if last == nil || earlier(last, a) {
+			last = a
+		}
+	}
+	return last
+}
+
+// goesAfter tells whether a goes after b, b perhaps not waiting yet.
+func (g *Gate) goesAfter(a, b *attempt) bool {
+	if a.tier() != b.tier() {
+		return a.tier() > b.tier()
+	}
+	if a.wait.late != b.wait.late {
+		return a.wait.late
+	}
+	clock := g.waiting.tier(a.tier()).clock
+	x, y := clock.Tag(a.work.GetOrganisation()), clock.Tag(b.work.GetOrganisation())
+	if x != y {
+		return x > y
+	}
+	return earlier(b, a)
+}
+
+// tooLate tells whether an arrival is predicted to miss its deadline. Refusing it now spends no prefill on it. The
+// first tier waits: it is never refused for want of room.
+func (g *Gate) tooLate(a *attempt) (refusal, bool) {
+	if a.work.GetMayBeLate() || a.tier() == firstTier {
+		return refusal{}, false
+	}
+	if g.passed(a) {
+		return refuseDeadline, true
+	}
+	wait := g.waitOf(a.tier())
+	if g.misses(a, wait) {
+		g.waiting.tier(a.tier()).class(a.work.GetClass()).noteLate(true)
+		return refuseTooLate(wait), true
+	}
+	return refusal{}, false
+}
+
+// backlog is the predicted time until a new attempt of the lowest tier would start.
+func (g *Gate) backlog() time.Duration { return g.waitOf(lowestTier) }
--- /dev/null
+++ b/gate/offers.go
@@ -0,0 +1,116 @@
+package gate
+
+import (
+	"slices"
+
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// maxLapses is how many offers an entry may leave unanswered before its reservation is refused.
+const maxLapses = 3
+
+// pump gives room to waiting attempts, the best first, until the best one has none. It stops there rather than let
+// smaller ones past: a large attempt would otherwise wait for ever for its room.
+func (g *Gate) pump() {
+	g.blocked = roomEnough
+	for g.waiting.count > 0 {
+		if g.nothingFree() {
+			return
+		}
+		a := g.nextWaiting()
+		if a == nil {
+			return
+		}
+		if g.blocked = g.noRoom(a); g.blocked != roomEnough {
+			if g.protectFirstTier(a) {
+				continue
+			}
+			return
+		}
+		if !g.give(a) {
+			return
+		}
+	}
+}
+
+// nothingFree is a cheap test that spares ordering the waiting ones when nothing could come of it.
+func (g *Gate) nothingFree() bool {
+	if g.closed() != roomEnough {
+		g.blocked = g.closed()
+		return true
+	}
+	if len(g.held) < g.limit.slots() || g.firstTierWaits() {
+		return false
+	}
+	g.blocked = whySlots
+	return true
+}
+
+func (g *Gate) firstTierWaits() bool {
+	return len(g.waiting.tiers) > 0 && g.waiting.tiers[0].tier <= firstTier && g.waiting.tiers[0].count > 0
+}
+
+func (g *Gate) nextWaiting() *attempt {
+	if g.server.state == serverSuspect {
+		return g.probes.candidate(g)
+	}
+	return g.best()
+}
+
+// give starts an attempt whose body is here, and offers room to one whose body is at its entry.
+func (g *Gate) give(a *attempt) bool {
+	if g.server.state == serverSuspect {
+		g.probes.begin(g)
+	}
+	if a.state == admitted {
+		if !a.owner.valid() {
+			g.refuseWaiting(a, refuseExpired)
+			return true
+		}
+		return g.fire(a, onStart, occasion{})
+	}
+	return g.fire(a, onOffer, occasion{})
+}
+
+// sendOffer asks the entry for the body and keeps the room for a while.
+func (g *Gate) sendOffer(a *attempt) {
+	a.wait.offerUntil = g.now.Add(g.config.OfferTimeout)
+	g.send(a.owner.id, &wire.AgentMessage{Kind: &wire.AgentMessage_Offer{
+		Offer: &wire.Offer{Attempt: a.id(), Server: a.server},
+	}})
+}
+
+// lapseOffers takes the room back from offers that were not answered. Without it an entry that dies between its
+// reservation and the dispatch would keep the slot empty for a whole lease.
+func (g *Gate) lapseOffers() {
+	for _, a := range slices.Clone(g.held) {
+		if a.state == offered && !g.now.Before(a.wait.offerUntil) {
+			g.lapse(a)
+		}
+	}
+}
+
+func (g *Gate) lapse(a *attempt) {
+	a.wait.lapses++
+	a.wait.late = true
+	if a.wait.lapses >= maxLapses {
+		g.refuseWaiting(a, refuseLapsed)
+		return
+	}
+	g.fire(a, onLapse, occasion{})
+}
+
+// roomForDispatch tells whether a body that came without a kept offer may start: not past others that wait.
+func (g *Gate) roomForDispatch(a *attempt) bool {
+	if g.noRoom(a) != roomEnough {
+		return false
+	}
+	others := g.waiting.count
+	if a.wait.heap != nil {
+		others--
+	}
+	if others == 0 {
+		return true
+	}
+	return a.tier() == firstTier && g.waiting.tier(firstTier).count == 1
+}
--- /dev/null
+++ b/gate/order.go
@@ -0,0 +1,248 @@
+package gate
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/fair"
+)
+
+// firstTier is the tier that is never refused for want of room while lower-tier work runs or waits.
+const firstTier = 1
+
+// waiting holds the attempts that wait, in the order of design section 5: tier; work that can meet its deadline
+// before work that can't; urgency of the class; organisation by start-time fair queueing; deadline. Nothing in it
+// depends on the entry, the availability zone or the server.
+type waiting struct {
+	tiers []*tierQueues // by tier, the highest first
+	count int
+}
+
+// tierQueues holds one tier. Virtual time is kept by tier: what an organisation gets in one tier is not held
+// against it in another.
+type tierQueues struct {
+	tier    uint32
+	queues  []*queue // in order of creation
+	classes map[string]*classState
+	clock   *fair.Clock
+	count   int
+}
+
+// queue holds the waiting attempts of one class and organisation.
+type queue struct {
+	tier         *tierQueues
+	class        *classState
+	organisation string
+	timely, late attemptHeap
+}
+
+func (q *queue) len() int { return len(q.timely) + len(q.late) }
+
+func newWaiting() waiting { return waiting{} }
+
+func (w *waiting) tier(tier uint32) *tierQueues {
+	at, found := slices.BinarySearchFunc(w.tiers, tier, func(t *tierQueues, tier uint32) int {
+		return int(t.tier) - int(tier)
+	})
+	if !found {
+		t := &tierQueues{tier: tier, classes: map[string]*classState{}, clock: fair.New()}
+		w.tiers = slices.Insert(w.tiers, at, t)
+	}
+	return w.tiers[at]
+}
+
+// pruneQueues is the number of queues of a tier beyond which empty ones are dropped.
+const pruneQueues = 64
+
+func (t *tierQueues) queue(class, organisation string) *queue {
+	for _, q := range t.queues {
+		if q.class.name == class && q.organisation == organisation {
+			return q
+		}
+	}
+	if len(t.queues) >= pruneQueues {
+		t.queues = slices.DeleteFunc(t.queues, func(q *queue) bool { return q.len() == 0 })
+	}
+	q := &queue{tier: t, class: t.class(class), organisation: organisation}
+	t.queues = append(t.queues, q)
+	return q
+}
+
+func (t *tierQueues) class(name string) *classState {
+	c := t.classes[name]
+	if c == nil {
+		c = &classState{name: name}
+		t.classes[name] = c
+	}
+	return c
+}
+
+// enqueue puts an attempt among the waiting ones.
+func (g *Gate) enqueue(a *attempt) {
+	t := g.waiting.tier(a.tier())
+	q := t.queue(a.work.GetClass(), a.work.GetOrganisation())
+	q.class.observe(a.work.GetUrgency())
+	a.wait.queue = q
+	a.wait.late = a.wait.late || a.work.GetMayBeLate() && a.work.GetRemainingMs() == 0
+	q.push(a)
+	t.clock.Enter(q.organisation)
+	t.count++
+	g.waiting.count++
+	g.room.dirty = true
+}
+
+// dequeue takes an attempt out, if it is there.
+func (g *Gate) dequeue(a *attempt) {
+	if a.wait.heap == nil {
+		return
+	}
+	heap.Remove(a.wait.heap, a.wait.index)
+	a.wait.heap = nil
+	t := a.wait.queue.tier
+	t.clock.Leave(a.wait.queue.organisation)
+	t.count--
+	g.waiting.count--
+	g.room.dirty = true
+}
+
+func (q *queue) push(a *attempt) {
+	a.wait.heap = &q.timely
+	if a.wait.late {
+		a.wait.heap = &q.late
+	}
+	heap.Push(a.wait.heap, a)
+}
+
+// makeLate moves an attempt behind all that can still be in time.
+func (a *attempt) makeLate() {
+	if a.wait.heap != nil {
+		heap.Remove(a.wait.heap, a.wait.index)
+	}
+	a.wait.late = true
+	a.wait.queue.push(a)
+}
+
+// best returns the waiting attempt that goes next, or nil.
+func (g *Gate) best() *attempt {
+	for _, t := range g.waiting.tiers {
+		if a := g.bestOf(t); a != nil {
+			return a
+		}
+	}
+	return nil
+}
+
+func (g *Gate) bestOf(t *tierQueues) *attempt {
+	if t.count == 0 {
+		return nil
+	}
+	g.sortOut(t)
+	g.weighClasses(t)
+	if a := t.pick(func(q *queue) attemptHeap { return q.timely }); a != nil {
+		return a
+	}
+	return t.pick(func(q *queue) attemptHeap { return q.late })
+}
+
+// pick compares the heads of all queues.
+func (t *tierQueues) pick(of func(*queue) attemptHeap) *attempt {
+	var best *attempt
+	var bestTag int64
+	for _, q := range t.queues {
+		heads := of(q)
+		if len(heads) == 0 {
+			continue
+		}
+		tag := t.clock.Tag(q.organisation)
+		if best == nil || before(heads[0], tag, best, bestTag) {
+			best, bestTag = heads[0], tag
+		}
+	}
+	return best
+}
+
+func before(a *attempt, tag int64, b *attempt, otherTag int64) bool {
+	if x, y := a.wait.queue.class.band, b.wait.queue.class.band; x != y {
+		return x > y
+	}
+	if tag != otherTag {
+		return tag < otherTag
+	}
+	return earlier(a, b)
+}
+
+// earlier orders by deadline, then by arrival. An attempt without a deadline comes last.
+func earlier(a, b *attempt) bool {
+	if a.deadline.Equal(b.deadline) {
+		return a.sequence < b.sequence
+	}
+	if a.deadline.IsZero() || b.deadline.IsZero() {
+		return b.deadline.IsZero()
+	}
+	return a.deadline.Before(b.deadline)
+}
+
+// sortOut moves heads that can't meet their deadline any more out of the way. Classes that must not be late lose
+// them here, before any prefill is spent; the first tier is never refused for want of room, only once its deadline
+// has passed.
+func (g *Gate) sortOut(t *tierQueues) {
+	for _, q := range t.queues {
+		for len(q.timely) > 0 && g.misses(q.timely[0], 0) {
+			a := q.timely[0]
+			a.wait.queue.class.noteLate(true)
+			if a.work.GetMayBeLate() || a.tier() == firstTier && !g.passed(a) {
+				a.makeLate()
+				continue
+			}
+			g.refuseWaiting(a, g.lateRefusal(a))
+		}
+	}
+}
+
+func (g *Gate) lateRefusal(a *attempt) refusal {
+	if g.passed(a) {
+		return refuseDeadline
+	}
+	return refuseTooLate(g.backlog())
+}
+
+func (g *Gate) passed(a *attempt) bool {
+	return !a.deadline.IsZero() && !g.now.Before(a.deadline)
+}
+
+// misses tells whether an attempt that starts after a wait is predicted to end after its deadline.
+func (g *Gate) misses(a *attempt, wait time.Duration) bool {
+	if a.deadline.IsZero() {
+		return false
+	}
+	return g.now.Add(wait + g.predict(a.work)).After(a.deadline)
+}
+
+// attemptHeap orders attempts by deadline and arrival, for container/heap.
+type attemptHeap []*attempt
+
+func (h attemptHeap) Len() int           { return len(h) }
+func (h attemptHeap) Less(i, j int) bool { return earlier(h[i], h[j]) }
+
+func (h attemptHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].wait.index = i
+	h[j].wait.index = j
+}
+
+// Push implements heap.Interface.
+func (h *attemptHeap) Push(x any) {
+	a := x.(*attempt)
+	a.wait.index = len(*h)
+	*h = append(*h, a)
+}
+
+// Pop implements heap.Interface.
+func (h *attemptHeap) Pop() any {
+	old := *h
+	a := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return a
+}
--- /dev/null
+++ b/gate/pace.go
@@ -0,0 +1,342 @@
+package gate
+
+import (
+	"math/bits"
+	"time"
+)
+
+// Constants of the learnt pace.
+const (
+	paceBins   = 12 // batch sizes 1, 2, 3-4, 5-8, ... up to 2048
+	paceWindow = 100 * time.Millisecond
+	paceWarmup = 16 // windows that form a first baseline
+
+	paceGain   = 0.02   // weight of a window like the past in the baseline
+	driftGain  = 0.0005 // weight of one that is slower: hardware may get slow for good, but a straggler is no new past
+	recentGain = 0.3    // weight of a window in the present ratio
+	rateGain   = 0.2    // weight of a prompt in the prefill rate
+	gapGain    = 0.3    // weight of a window in the present gap
+
+	// slowRatio and fineRatio are how many times the baseline the present pace is when the server becomes suspect,
+	// and when it no longer is.
+	slowRatio   = 3.0
+	fineRatio   = 1.5
+	slowWindows = 3 // windows in a row
+	ratioMost   = 20.0
+
+	// leastPrompt and leastJudged are the shortest prompts in flight, in tokens, that tell the prefill rate, and that
+	// may raise suspicion: of shorter ones most of the time goes into waiting for the engine's next step.
+	leastPrompt = 256
+	leastJudged = 2048
+	// guessedRate is the prefill rate assumed before any is learnt, tokens a second.
+	guessedRate = 4000.0
+	// prefillWindow is how long the prompts in flight may take together.
+	prefillWindow = 250 * time.Millisecond
+	// prefillLeast is the bound on prompt tokens in flight at any rate.
+	prefillLeast = 1024
+
+	stallLeast = time.Second // shortest silence that counts as a stall
+	stallRatio = 10.0        // in expected waits
+	gapFresh   = 2 * time.Second
+)
+
+// pace is what is learnt of the server's speed. Its own past is the measure: a straggler shows as a ratio, whatever
+// the speed of its hardware.
+type pace struct {
+	baseline    [paceBins]average // seconds between two tokens of a stream, by batch size, while no prompt is computed
+	services    []*serviceTime    // in order of first use
+	prefillRate float64           // prompt tokens a second at present, 0 if not learnt
+	prefillBase average           // its past
+	gap         float64           // seconds between two tokens of a stream at present, prompts or not
+	gapAt       time.Time         // when it was seen last
+	ratio       float64           // present pace in units of the past; 1 is as ever
+	slowRun     int               // windows in a row beyond slowRatio
+	quietSince  time.Time         // since when no prompt is computed
+	window      window
+}
+
+// serviceTime is the time of the calls of one service.
+type serviceTime struct {
+	target string
+	past   average // seconds
+	sum    float64 // of this window
+	calls  int
+}
+
+// window collects the samples of a short time, so that one late packet to many streams counts once.
+type window struct {
+	began      time.Time
+	gaps       float64 // seconds, by token
+	tokens     int
+	quiet      float64 // the part of gaps while no prompt was computed
+	quietBatch float64
+	quietN     int
+	ratios     float64 // of calls and prompts to their past
+	samples    int
+}
+
+// average is an average that forms quickly and then moves slowly.
+type average struct {
+	value float64
+	count int
+}
+
+func (m *average) formed() bool { return m.count >= paceWarmup && m.value > 0 }
+
+// learn takes a sample and returns how it stands to the past, 0 if there is too little of that.
+func (m *average) learn(x float64) float64 {
+	if !m.formed() {
+		m.count++
+		m.value += (x - m.value) / float64(m.count)
+		return 0
+	}
+	ratio := x / m.value
+	gain := paceGain
+	if ratio >= fineRatio {
+		gain = driftGain
+	}
+	m.value += gain * (x - m.value)
+	return ratio
+}
+
+func newPace() pace { return pace{ratio: 1} }
+
+func bin(batch int) int {
+	return min(bits.Len(uint(max(batch, 1)-1)), paceBins-1)
+}
+
+// noteProgress takes the time of tokens.
+func (g *Gate) noteProgress(a *attempt, tokens uint32) {
+	if tokens == 0 || a.work.GetService() {
+		return
+	}
+	if a.run.firstToken.IsZero() {
+		g.noteFirstToken(a)
+		tokens--
+		a.run.tokens++
+	}
+	if tokens > 0 {
+		g.noteGap(a, int(tokens))
+	}
+	a.run.tokens += tokens
+	a.run.lastToken = g.now
+}
+
+// noteFirstToken ends a prefill.
+func (g *Gate) noteFirstToken(a *attempt) {
+	a.run.firstToken = g.now
+	a.run.lastToken = g.now
+	g.prefillDone(a)
+	g.room.dirty = true
+	took := g.now.Sub(a.run.started).Seconds()
+	if a.run.prefillAhead >= leastPrompt && took > 0 {
+		g.pace.notePrefill(a.run.prefillAhead, took)
+	}
+}
+
+func (p *pace) notePrefill(tokens int64, took float64) {
+	rate := float64(tokens) / took
+	if p.prefillRate == 0 {
+		p.prefillRate = rate
+	}
+	p.prefillRate += rateGain * (rate - p.prefillRate)
+	if tokens < leastJudged {
+		return
+	}
+	// The time for one token stands to its past as the pace does.
+	if ratio := p.prefillBase.learn(1 / rate); ratio > 0 {
+		p.window.add(ratio)
+	}
+}
+
+// noteGap takes the time since the last token of a stream. While a prompt is computed it tells of that, and not of
+// the pace.
+func (g *Gate) noteGap(a *attempt, tokens int) {
+	gap := g.now.Sub(a.run.lastToken).Seconds()
+	w := &g.pace.window
+	w.gaps += gap
+	w.tokens += tokens
+	if g.use.prefill > 0 || a.run.lastToken.Before(g.pace.quietSince) {
+		return
+	}
+	w.quiet += gap
+	w.quietN += tokens
+	w.quietBatch += float64(len(g.runs) * tokens)
+}
+
+func (w *window) add(ratio float64) {
+	w.ratios += min(ratio, ratioMost)
+	w.samples++
+}
+
+// roll closes a window.
+func (p *pace) roll(g *Gate) {
+	if p.window.began.IsZero() {
+		p.window.began = g.now
+	}
+	if g.now.Sub(p.window.began) < paceWindow {
+		return
+	}
+	p.rollTokens(g)
+	p.rollServices(g)
+	if p.window.samples == 0 && p.window.tokens == 0 {
+		p.noteStall(g)
+	}
+	if p.window.samples > 0 {
+		p.judge(p.window.ratios / float64(p.window.samples))
+	}
+	p.window = window{began: g.now}
+	g.judgePace()
+}
+
+func (p *pace) rollTokens(g *Gate) {
+	w := &p.window
+	if w.tokens > 0 {
+		gap := w.gaps / float64(w.tokens)
+		if p.gap == 0 || g.now.Sub(p.gapAt) > gapFresh {
+			p.gap = gap
+		}
+		p.gap += gapGain * (gap - p.gap)
+		p.gapAt = g.now
+	}
+	if w.quietN == 0 {
+		return
+	}
+	gap := w.quiet / float64(w.quietN)
+	batch := w.quietBatch / float64(w.quietN)
+	g.limit.observe(gap, batch)
+	if ratio := p.baseline[bin(int(batch+0.5))].learn(gap); ratio > 0 {
+		w.add(ratio)
+	}
+}
+
+func (p *pace) rollServices(g *Gate) {
+	for _, s := range p.services {
+		if s.calls == 0 {
+			continue
+		}
+		took := s.sum / float64(s.calls)
+		s.sum, s.calls = 0, 0
+		g.limit.observe(took, float64(len(g.held)+1))
+		if ratio := s.past.learn(took); ratio > 0 {
+			p.window.add(ratio)
+		}
+	}
+}
+
+func (p *pace) judge(ratio float64) {
+	p.ratio += recentGain * (ratio - p.ratio)
+	if ratio < slowRatio {
+		p.slowRun = 0
+		return
+	}
+	p.slowRun++
+}
+
+// noteStall takes silence for a slow token: a server that stops altogether sends no sample at all.
+func (p *pace) noteStall(g *Gate) {
+	if len(g.runs) == 0 {
+		return
+	}
+	last, wait := g.lastSign()
+	expected := max(stallRatio*wait, stallLeast.Seconds())
+	if silence := g.now.Sub(last).Seconds(); silence > expected {
+		p.window.add(max(silence/expected*slowRatio, slowRatio))
+	}
+}
+
+// lastSign is when the engine last gave a sign of life to any run, and how long the next may take, in seconds.
+func (g *Gate) lastSign() (last time.Time, wait float64) {
+	wait = g.pace.baseline[bin(len(g.runs))].value
+	for _, a := range g.runs {
+		if a.run.lastToken.After(last) {
+			last = a.run.lastToken
+		}
+		if a.run.started.After(last) {
+			last = a.run.started
+		}
+		if a.work.GetService() {
+			wait = max(wait, g.predict(a.work).Seconds())
+		}
+	}
+	return last, wait + float64(g.use.prefill)/g.pace.prefillRateOrGuess()
+}
+
+// judgePace makes the server suspect, or clears it.
+func (g *Gate) judgePace() {
+	p := &g.pace
+	if p.ratio >= slowRatio && p.slowRun >= slowWindows {
+		g.doubt(doubtPace, onSlow)
+		return
+	}
+	if p.ratio < fineRatio {
+		g.trust(doubtPace, onRecovered)
+	}
+}
+
+// noteService takes the time of a service call.
+func (g *Gate) noteService(a *attempt) {
+	s := g.pace.service(a.work.GetTarget())
+	if s == nil {
+		s = &serviceTime{target: a.work.GetTarget()}
+		g.pace.services = append(g.pace.services, s)
+	}
+	took := g.now.Sub(a.run.started).Seconds()
+	if s.past.count == 0 {
+		s.past.learn(took)
+	}
+	s.sum += took
+	s.calls++
+}
+
+func (p *pace) service(target string) *serviceTime {
+	for _, s := range p.services {
+		if s.target == target {
+			return s
+		}
+	}
+	return nil
+}
+
+func (p *pace) prefillRateOrGuess() float64 {
+	if p.prefillRate > 0 {
+		return p.prefillRate
+	}
+	return guessedRate
+}
+
+// prefillBound is how many uncached prompt tokens may be in flight.
+func (p *pace) prefillBound() int64 {
+	return max(int64(p.prefillRateOrGuess()*prefillWindow.Seconds()), prefillLeast)
+}
+
+// prefillTime is how long so many prompt tokens take; 0 before the rate is learnt.
+func (p *pace) prefillTime(tokens int64) time.Duration {
+	if p.prefillRate <= 0 || tokens <= 0 {
+		return 0
+	}
+	return seconds(float64(tokens) / p.prefillRate)
+}
+
+// tokenTime is the time between two tokens of a stream at a batch size; 0 before any is learnt. What was seen just
+// now counts if it is more: prompts that are computed in between slow the others down.
+func (p *pace) tokenTime(batch int, now time.Time) time.Duration {
+	learnt := 0.0
+	for b := bin(batch); b >= 0 && learnt == 0; b-- {
+		learnt = p.baseline[b].value
+	}
+	if now.Sub(p.gapAt) <= gapFresh {
+		learnt = max(learnt, p.gap)
+	}
+	return seconds(learnt)
+}
+
+// decodeRate is the pace of one stream at present, in tokens a second, 0 if not learnt.
+func (p *pace) decodeRate() float64 {
+	if p.gap <= 0 {
+		return 0
+	}
+	return 1 / p.gap
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/gate/receive.go
@@ -0,0 +1,238 @@
+package gate
+
+import (
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+func (g *Gate) received(from EntryID, message *wire.EntryMessage) {
+	owner := g.entries.get(from, g.now)
+	switch m := message.GetKind().(type) {
+	case *wire.EntryMessage_Hello:
+		// The link has read it.
+	case *wire.EntryMessage_Heartbeat:
+		g.heartbeat(owner)
+	case *wire.EntryMessage_Reserve:
+		g.reserve(owner, m.Reserve)
+	case *wire.EntryMessage_Dispatch:
+		g.dispatch(owner, m.Dispatch)
+	case *wire.EntryMessage_Withdraw:
+		g.takeBack(owner, m.Withdraw.GetAttempt(), onWithdraw)
+	case *wire.EntryMessage_Decline:
+		g.takeBack(owner, m.Decline.GetAttempt(), onDecline)
+	case *wire.EntryMessage_Cancel:
+		g.cancelUpTo(owner, m.Cancel)
+	default:
+		g.chartError("message of an unknown kind")
+	}
+}
+
+// arrival is a Reserve or Dispatch that wants to become an attempt.
+type arrival struct {
+	owner  *entryState
+	id     *wire.AttemptID
+	server string
+	work   *wire.Work
+}
+
+func (g *Gate) reserve(owner *entryState, m *wire.Reserve) {
+	in := arrival{owner, m.GetAttempt(), m.GetServer(), m.GetWork()}
+	r := g.records.get(in.id.GetRequest())
+	if a := g.currentOf(r, in); a != nil {
+		g.fire(a, onReserve, occasion{})
+		return
+	}
+	a := g.admissible(in, r)
+	if a == nil {
+		return
+	}
+	if no, refused := g.tooLate(a); refused {
+		g.fire(a, onRefuse, occasion{refusal: no})
+		return
+	}
+	if !g.makePlace(a) {
+		return
+	}
+	g.accept(a)
+	g.fire(a, onReserve, occasion{})
+}
+
+// dispatch takes a body: of an offer, of an offer that lapsed, or without any.
+func (g *Gate) dispatch(owner *entryState, m *wire.Dispatch) {
+	in := arrival{owner, m.GetAttempt(), m.GetServer(), m.GetWork()}
+	r := g.records.get(in.id.GetRequest())
+	a := g.currentOf(r, in)
+	if a == nil {
+		if a = g.admissible(in, r); a == nil {
+			return
+		}
+		g.accept(a)
+	}
+	before := a.state
+	if !g.fire(a, onDispatch, occasion{}) || a.state != admitted || before == admitted {
+		return
+	}
+	a.dispatch = m
+	g.admit(a, before, m.GetOffered())
+}
+
+// admit starts a dispatched attempt, refuses it, or lets it wait with its body.
+func (g *Gate) admit(a *attempt, before attemptState, withOffer bool) {
+	if before == offered {
+		g.fire(a, onStart, occasion{})
+		return
+	}
+	if no, refused := g.tooLate(a); refused && before == absent {
+		g.fire(a, onRefuse, occasion{refusal: no})
+		return
+	}
+	if g.roomForDispatch(a) {
+		g.fire(a, onStart, occasion{})
+		return
+	}
+	if a.tier() == firstTier && g.lowerWork(a) {
+		return
+	}
+	if withOffer || before == reserved {
+		g.fire(a, onRefuse, occasion{refusal: refuseLateOffer})
+		return
+	}
+	g.fire(a, onRefuse, occasion{refusal: refuseNoOffer})
+}
+
+// currentOf returns the attempt under way that a repeated message speaks of.
+func (g *Gate) currentOf(r *record, in arrival) *attempt {
+	if r == nil || r.current == nil || r.current.number != in.id.GetNumber() || r.current.owner != in.owner {
+		return nil
+	}
+	if !in.owner.mayAsk() {
+		return nil
+	}
+	return r.current
+}
+
+// admissible makes an attempt of an arrival, or answers why not.
+func (g *Gate) admissible(in arrival, r *record) *attempt {
+	number := in.id.GetNumber()
+	if r != nil && number <= r.over {
+		g.answerArrival(r, asker{entry: in.owner.id, number: number, server: in.server})
+		return nil
+	}
+	r = g.recordFor(in, r)
+	if r == nil {
+		return nil
+	}
+	a := g.newAttempt(r, in.owner, in.id, in.server, in.work)
+	if no, refused := g.refuses(a); refused {
+		g.fire(a, onRefuse, occasion{refusal: no})
+		return nil
+	}
+	return a
+}
+
+// recordFor finds or makes the record of a request. Without a place for a tombstone nothing can be promised, so the
+// answer then is that nothing is proved.
+func (g *Gate) recordFor(in arrival, r *record) *record {
+	if r != nil {
+		return r
+	}
+	r = g.records.add(in.id.GetRequest(), 2*g.config.MaxRecords)
+	if r == nil {
+		g.unprovable(asker{entry: in.owner.id, number: in.id.GetNumber(), server: in.server}, in.id.GetRequest())
+	}
+	return r
+}
+
+// refuses says why an arrival can't become an attempt now, whatever the room.
+func (g *Gate) refuses(a *attempt) (refusal, bool) {
+	switch {
+	case !a.owner.mayAsk():
+		return refuseEnded, true
+	case !a.owner.valid():
+		return refuseExpired, true
+	case g.server.state == serverAnnounced:
+		return refuseStarting, true
+	case g.server.state != serverReady && g.server.state != serverSuspect:
+		return refuseLeaving, true
+	case !g.serves(a.work):
+		return refuseTarget, true
+	case g.records.len() > g.config.MaxRecords:
+		return refuseTable, true
+	case a.record.current != nil:
+		return g.refusesBeside(a)
+	}
+	return refusal{}, false
+}
+
+// refusesBeside decides between two attempts of one request. One that runs, or may run, keeps all others out; of
+// two that only wait the later one stays.
+func (g *Gate) refusesBeside(a *attempt) (refusal, bool) {
+	other := a.record.current
+	if other.begun() || other.number >= a.number {
+		return refuseOtherOne, true
+	}
+	g.fire(other, onRefuse, occasion{refusal: refuseSuperseded})
+	return refusal{}, false
+}
+
+// accept makes an attempt the current one of its request.
+func (g *Gate) accept(a *attempt) {
+	a.record.current = a
+	g.records.retain(a.record)
+}
+
+// takeBack handles Withdraw and Decline. Nothing is promised by them, so no tombstone is left; for an attempt that
+// is not known, or over, they mean nothing.
+func (g *Gate) takeBack(owner *entryState, id *wire.AttemptID, e attemptEvent) {
+	r := g.records.get(id.GetRequest())
+	if r == nil || r.current == nil || r.current.number != id.GetNumber() || r.current.owner != owner {
+		return
+	}
+	if !g.fire(r.current, e, occasion{}) {
+		return
+	}
+	r.current = nil
+	g.records.release(r, g.now.Add(g.config.TombstoneLife))
+}
+
+// cancelUpTo ends all attempts of a request up to a number. One that was never heard of gets its tombstone too.
+func (g *Gate) cancelUpTo(owner *entryState, m *wire.Cancel) {
+	who := asker{owner.id, m.GetAttempt().GetNumber(), m.GetServer(), m.GetCause()}
+	request := m.GetAttempt().GetRequest()
+	if !owner.mayAsk() {
+		g.unprovable(who, request)
+		return
+	}
+	r := g.records.get(request)
+	if r == nil {
+		r = g.records.add(request, 2*g.config.MaxRecords)
+	}
+	if r == nil {
+		g.unprovable(who, request)
+		return
+	}
+	o := occasion{refusal: refuseCancelled, cause: cancelCauses[who.cause], asker: who}
+	if a := r.current; a != nil && a.number <= who.number {
+		g.fire(a, onCancel, o)
+		return
+	}
+	if who.number <= r.over {
+		g.answerCancel(r, who)
+		return
+	}
+	a := g.newAttempt(r, owner, m.GetAttempt(), who.server, nil)
+	a.unheard = true
+	g.fire(a, onCancel, o)
+}
+
+// mayPredate tells whether a cancel for an attempt that the gate never heard of may speak of one that an earlier
+// incarnation of this agent ran.
+func (g *Gate) mayPredate(cause wire.CancelCause) bool {
+	if g.config.NoPredecessor {
+		return false
+	}
+	horizon := g.config.RequestLife
+	if cause == wire.CancelCause_CANCEL_CAUSE_TAKEOVER {
+		horizon = g.config.OperationLife
+	}
+	return g.now.Sub(g.begun) < horizon
+}
--- /dev/null
+++ b/gate/records.go
@@ -0,0 +1,122 @@
+package gate
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// record is what is remembered of one request. It is the tombstone of all its attempts up to over.
+//
+// A cancel may overtake the dispatch that it cancels, since bodies travel on their own stream. Without the
+// tombstone the dispatch would start after its entry was told "never started" and had sent the request elsewhere:
+// two engines would run it, and one would notice by a doubled pass.
+type record struct {
+	request string
+	over    uint64   // highest number that is over here, 0 for none
+	current *attempt // not over yet, nil for none
+	last    *attempt // ended last, for late events of its run
+	answer  *wire.Over
+
+	// ran is the highest number that ran here, proof how strong an end that was. A proof for later numbers must
+	// cover it: a new owner asks about all attempts at once.
+	ran   uint64
+	proof wire.Proof
+	// unsure: an earlier incarnation may have run attempts of it.
+	unsure bool
+
+	expires time.Time
+	index   int // in the expiry heap, -1 if not there
+}
+
+// recordTable holds the records by request and by the time at which they may be forgotten.
+type recordTable struct {
+	byRequest map[string]*record
+	expiry    expiryHeap
+}
+
+func newRecordTable() recordTable {
+	return recordTable{byRequest: map[string]*record{}}
+}
+
+func (t *recordTable) get(request string) *record { return t.byRequest[request] }
+
+func (t *recordTable) len() int { return len(t.byRequest) }
+
+// add makes a record, or returns nil if there are limit already.
+func (t *recordTable) add(request string, limit int) *record {
+	if len(t.byRequest) >= limit {
+		return nil
+	}
+	r := &record{request: request, index: -1}
+	t.byRequest[request] = r
+	return r
+}
+
+// release forgets a record that holds nothing, and lets any other expire at a time.
+func (t *recordTable) release(r *record, at time.Time) {
+	if r.current != nil {
+		return
+	}
+	if r.over == 0 {
+		t.remove(r)
+		return
+	}
+	if at.After(r.expires) {
+		r.expires = at
+	}
+	if r.index >= 0 {
+		heap.Fix(&t.expiry, r.index)
+		return
+	}
+	heap.Push(&t.expiry, r)
+}
+
+// retain takes a record out of expiry while an attempt of it is under way.
+func (t *recordTable) retain(r *record) {
+	if r.index >= 0 {
+		heap.Remove(&t.expiry, r.index)
+	}
+}
+
+func (t *recordTable) remove(r *record) {
+	t.retain(r)
+	delete(t.byRequest, r.request)
+}
+
+// expire forgets what may be forgotten.
+func (t *recordTable) expire(now time.Time) {
+	for len(t.expiry) > 0 && t.expiry[0].expires.Before(now) {
+		t.remove(t.expiry[0])
+	}
+}
+
+// expiryHeap orders records by their time of expiry, for container/heap.
+type expiryHeap []*record
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].expires.Before(h[j].expires) }
+
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(x any) {
+	r := x.(*record)
+	r.index = len(*h)
+	*h = append(*h, r)
+}
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	old := *h
+	r := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	r.index = -1
+	return r
+}
--- /dev/null
+++ b/gate/runs.go
@@ -0,0 +1,209 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// Bounds of repeated cancels.
+const (
+	firstBackoff  = 50 * time.Millisecond
+	longestWait   = 5 * time.Second
+	answerTimeout = 10 * time.Second // after which an unanswered cancel is repeated
+
+	// unprovenHold is how long an attempt holds its room after its run returned without a proof. It may be running,
+	// so the room isn't free at once; an engine that never tells must not lose its rooms one by one either.
+	unprovenHold = 30 * time.Second
+)
+
+// find returns the attempt that an engine event speaks of. It may be over.
+func (g *Gate) find(id *wire.AttemptID) *attempt {
+	r := g.records.get(id.GetRequest())
+	if r == nil {
+		return nil
+	}
+	if r.current != nil && r.current.number == id.GetNumber() {
+		return r.current
+	}
+	if r.last != nil && r.last.number == id.GetNumber() {
+		return r.last
+	}
+	return nil
+}
+
+// startEngine is the only place that lets an attempt begin.
+func (g *Gate) startEngine(a *attempt) {
+	a.run.started = g.now
+	a.run.open = true
+	a.run.prefillAhead = g.use.prefill
+	a.run.busy = len(g.held)
+	a.frames.begin(a.dispatch)
+	g.runs = append(g.runs, a)
+	if a.dispatch.GetOperation() != "" || a.dispatch.GetIdempotencyKey() != "" {
+		g.memory.add(a.record.request, g.now)
+	}
+	g.emit(StartEngine{Dispatch: a.dispatch})
+	g.send(a.owner.id, &wire.AgentMessage{Kind: &wire.AgentMessage_Started{
+		Started: &wire.Started{Attempt: a.id(), Server: a.server},
+	}})
+}
+
+func (g *Gate) engineProgress(e EngineProgress) {
+	a := g.find(e.Attempt)
+	if a == nil {
+		g.chartError("progress of an unknown attempt")
+		return
+	}
+	if !a.run.open {
+		g.chartError("progress after the end of the run")
+		return
+	}
+	tokens := e.Tokens
+	if tokens == 0 {
+		tokens = uint32(len(e.Events))
+	}
+	if a.state != tombstoned {
+		g.noteProgress(a, tokens)
+	}
+	g.fire(a, onProgress, occasion{events: e.Events, tokens: tokens})
+}
+
+func (g *Gate) engineEnded(e EngineEnded) {
+	a := g.find(e.Attempt)
+	if a == nil {
+		g.chartError("end of an unknown attempt")
+		return
+	}
+	if !a.run.open {
+		g.chartError("second end of a run")
+		return
+	}
+	a.run.open = false
+	if a.cancel.cause == "" {
+		a.cancel.cause = endCause(e)
+	}
+	g.fire(a, endEvent(a, e), occasion{end: &e, cause: a.cancel.cause, refusal: refusal{
+		code:       refuseNoOffer.code,
+		message:    "the call never left the agent",
+		retryAfter: retrySoon,
+	}})
+}
+
+// endCause is the cause of waste if the run ended other than whole.
+func endCause(e EngineEnded) string {
+	if e.Err != nil || e.Outcome.End == engine.EndUnproved {
+		return CauseEngineLost
+	}
+	if e.Outcome.End == engine.EndFailed {
+		return CauseEngineFailed
+	}
+	return CauseCancelled
+}
+
+// endEvent reads what the end of a run proves. Only the engine's own word, or that no byte was sent, proves an end:
+// after a lost connection the engine may go on. Taking that for an end would start the request elsewhere as well.
+func endEvent(a *attempt, e EngineEnded) attemptEvent {
+	if e.Err != nil {
+		sent := a.frames.count > 0 || errors.Is(e.Err, engine.ErrUnknown) || errors.Is(e.Err, engine.ErrDuplicate)
+		if errors.Is(e.Err, engine.ErrNeverSent) && !sent {
+			return onNeverSent
+		}
+		return onEngineGone
+	}
+	switch e.Outcome.End {
+	case engine.EndCompleted:
+		return onFinish
+	case engine.EndFailed:
+		return onEngineFailed
+	case engine.EndCancelled:
+		return onEngineCancelled
+	default:
+		return onEngineGone
+	}
+}
+
+func (g *Gate) engineCancelled(e EngineCancelled) {
+	if g.clearing.answered(g, e) {
+		return
+	}
+	a := g.find(e.Attempt)
+	if a == nil {
+		g.chartError("cancel answer for an unknown attempt")
+		return
+	}
+	if e.Try == a.cancel.try {
+		a.cancel.pending = false
+	}
+	knows := e.Err == nil && e.Result == engine.CancelConfirmed
+	unknown := e.Err == nil && e.Result == engine.CancelUnknownID
+	if !knows && !unknown {
+		g.fire(a, onNoAnswer, occasion{})
+		return
+	}
+	after := a.cancel.firstAfter != 0 && e.Try >= a.cancel.firstAfter
+	g.fire(a, onConfirm, occasion{knows: knows, runOver: unknown && after, cause: a.cancel.cause})
+}
+
+// beginCancel notes why the end is asked for, and asks the engine.
+func (g *Gate) beginCancel(a *attempt, o *occasion) {
+	if a.cancel.cause == "" {
+		a.cancel.cause = o.cause
+	}
+	a.addAsker(o.asker)
+	if a.cancel.unsureSince.IsZero() && !a.run.open {
+		a.cancel.unsureSince = g.now
+	}
+	if a.cancel.pending && (a.run.open || a.cancel.firstAfter != 0) {
+		return
+	}
+	g.issueCancel(a)
+}
+
+// issueCancel asks the engine to end an attempt. The try tells whether the run had ended before: only then does an
+// unknown id prove that nothing runs and nothing will.
+func (g *Gate) issueCancel(a *attempt) {
+	a.cancel.try++
+	if !a.run.open && a.cancel.firstAfter == 0 {
+		a.cancel.firstAfter = a.cancel.try
+	}
+	a.cancel.pending = true
+	a.cancel.issued = g.now
+	g.emit(CancelEngine{Attempt: a.id(), Stream: a.stream(), Try: a.cancel.try})
+}
+
+// backOff plans the next try.
+func (g *Gate) backOff(a *attempt) {
+	a.cancel.backoff = min(max(2*a.cancel.backoff, firstBackoff), longestWait)
+	a.cancel.again = g.now.Add(a.cancel.backoff)
+}
+
+// retryCancels asks the engine again about all attempts whose end isn't proved.
+func (g *Gate) retryCancels() {
+	for _, a := range g.runs {
+		if a.state != cancelling {
+			continue
+		}
+		if g.cancelDue(a) {
+			g.issueCancel(a)
+		}
+		if g.unsureTooLong(a) {
+			g.giveSlotBack(a)
+		}
+	}
+}
+
+func (g *Gate) cancelDue(a *attempt) bool {
+	if a.cancel.pending {
+		return g.now.Sub(a.cancel.issued) >= answerTimeout
+	}
+	return !g.now.Before(a.cancel.again)
+}
+
+func (g *Gate) unsureTooLong(a *attempt) bool {
+	since := a.cancel.unsureSince
+	return a.run.holds && !since.IsZero() && g.now.Sub(since) >= unprovenHold
+}
