--- /dev/null
+++ b/control/cluster_test.go
@@ -0,0 +1,279 @@
+package control_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/control"
+	"github.com/carawaypitch/carawaypitch/network/memory"
+	"github.com/carawaypitch/carawaypitch/quorum/journal/journaltest"
+	"github.com/carawaypitch/carawaypitch/session"
+	"github.com/carawaypitch/carawaypitch/settings"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+const operatorKey = "operator-key-of-the-tests"
+
+// cluster is a number of control instances on an in-memory network, to be used in a synctest bubble. Instance i has
+// the host 10.0.0.i.
+type cluster struct {
+	t       *testing.T
+	net     *memory.Network
+	classes []settings.Class
+	nodes   []*node
+	ctx     context.Context
+}
+
+type node struct {
+	settings settings.Control
+	host     string
+	fs       *journaltest.FS
+	control  *control.Control
+	cancel   context.CancelFunc
+	done     chan error
+}
+
+func newCluster(t *testing.T, size int, classes ...settings.Class) *cluster {
+	c := &cluster{t: t, net: memory.New(), classes: classes, ctx: t.Context()}
+	for i := 1; i <= size; i++ {
+		c.nodes = append(c.nodes, c.newNode(i, size))
+	}
+	return c
+}
+
+func (c *cluster) newNode(i, size int) *node {
+	host := fmt.Sprintf("10.0.0.%d", i)
+	s := settings.DefaultControl()
+	s.Instance = "control-" + strconv.Itoa(i)
+	s.AvailabilityZone = "zone-" + strconv.Itoa(i)
+	s.Listen = settings.ControlListen{Operators: host + ":8090", Links: host + ":7000"}
+	s.Advertise = s.Listen.Links
+	s.Bootstrap = true
+	s.DataDir = "/data"
+	s.InitialClasses = c.classes
+	s.Organisations = []settings.Organisation{{Name: "union", DefaultClass: "kept"}}
+	s.Operators = []settings.OperatorAccount{{
+		Name:       "olga",
+		KeyDigests: []string{settings.NewDigest(operatorKey, bytes.Repeat([]byte{1}, settings.SaltBytes))},
+	}}
+	for j := 1; j <= size; j++ {
+		s.Replicas = append(s.Replicas, settings.Replica{
+			Instance: "control-" + strconv.Itoa(j),
+			Address:  fmt.Sprintf("10.0.0.%d:7000", j),
+		})
+	}
+	return &node{settings: s, host: host, fs: journaltest.New()}
+}
+
+// start runs an instance on its disk.
+func (c *cluster) start(n *node) {
+	var err error
+	n.control, err = control.New(n.settings, control.Options{Network: c.net.Host(n.host), FS: n.fs, Seed: 1})
+	require.NoError(c.t, err)
+	ctx, cancel := context.WithCancel(c.ctx)
+	n.cancel = cancel
+	n.done = make(chan error, 1)
+	go func() { n.done <- n.control.Run(ctx) }()
+}
+
+func (c *cluster) startAll() {
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+}
+
+// stop ends an instance in order.
+func (c *cluster) stop(n *node) {
+	n.cancel()
+	require.NoError(c.t, <-n.done)
+	n.control = nil
+}
+
+func (c *cluster) stopAll() {
+	for _, n := range c.nodes {
+		if n.control != nil {
+			c.stop(n)
+		}
+	}
+}
+
+// leader waits until exactly one running instance leads and all of them are ready.
+func (c *cluster) leader() *node {
+	var leader *node
+	require.Eventually(c.t, func() bool {
+		leader = nil
+		for _, n := range c.nodes {
+			if n.control == nil || n.control.Ready() != nil {
+				continue
+			}
+			if status := c.status(n); status.Role == "leader" && status.Confirmed && status.Fence != 0 {
+				leader = n
+			}
+		}
+		return leader != nil
+	}, time.Minute, 50*time.Millisecond)
+	return leader
+}
+
+func (c *cluster) follower() *node {
+	leader := c.leader()
+	for _, n := range c.nodes {
+		if n != leader && n.control != nil {
+			return n
+		}
+	}
+	c.t.Fatal("no follower")
+	return nil
+}
+
+// links returns the link addresses of all instances.
+func (c *cluster) links() []string {
+	var out []string
+	for _, n := range c.nodes {
+		out = append(out, n.settings.Listen.Links)
+	}
+	return out
+}
+
+// client starts a session of an entry or agent, and returns it with its stop.
+func (c *cluster) client(name, host string, role wire.Role, incarnation uint64) (*session.Session, func()) {
+	s := session.New(session.Config{
+		Instance:    name,
+		Role:        role,
+		Incarnation: incarnation,
+		Zone:        "zone-1",
+		LinkAddress: host + ":7100",
+		Controls:    c.links(),
+		Network:     c.net.Host(host),
+	})
+	ctx, cancel := context.WithCancel(c.ctx)
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	return s, func() {
+		cancel()
+		<-done
+	}
+}
+
+func (c *cluster) eventually(what string, ok func() bool) {
+	require.Eventually(c.t, ok, time.Minute, 20*time.Millisecond, what)
+}
+
+// answer is what an operator got.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (a answer) decode(t *testing.T, into any) {
+	require.NoError(t, json.Unmarshal(a.body, into), string(a.body))
+}
+
+// code returns the result code of a refusal, 0 for none.
+func (a answer) code(t *testing.T) int {
+	var body struct {
+		Error struct {
+			Code int `json:"code"`
+		} `json:"error"`
+	}
+	a.decode(t, &body)
+	return body.Error.Code
+}
+
+// call makes an operator's call from a host of its own. A failed connection gives status 0.
+func (c *cluster) call(n *node, method, path, body string, headers map[string]string) answer {
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return c.net.Host("10.0.9.1").Dial(ctx, address)
+	}}
+	defer transport.CloseIdleConnections()
+	request, err := http.NewRequestWithContext(c.ctx, method, "http://"+n.settings.Listen.Operators+path, bytes.NewReader([]byte(body)))
+	require.NoError(c.t, err)
+	request.Header.Set("Authorization", "Bearer "+operatorKey)
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := (&http.Client{Transport: transport, Timeout: 20 * time.Second}).Do(request)
+	if err != nil {
+		return answer{}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer{}
+	}
+	return answer{response.StatusCode, response.Header, data}
+}
+
+func (c *cluster) get(n *node, path string) answer {
+	return c.call(n, http.MethodGet, path, "", nil)
+}
+
+func (c *cluster) put(n *node, name, body string, version uint64, change string) answer {
+	return c.call(n, http.MethodPut, "/v1/classes/"+name, body, changeHeaders(version, change))
+}
+
+func changeHeaders(version uint64, change string) map[string]string {
+	return map[string]string{"If-Match": strconv.FormatUint(version, 10), "Change-Id": change}
+}
+
+type classAnswer struct {
+	Name       string `json:"name"`
+	DeadlineMS int    `json:"deadline_ms"`
+	Version    uint64 `json:"version"`
+}
+
+type statusAnswer struct {
+	Role          string           `json:"role"`
+	Leader        string           `json:"leader"`
+	Confirmed     bool             `json:"confirmed"`
+	Term          uint64           `json:"term"`
+	Fence         uint64           `json:"fence"`
+	ConfigVersion uint64           `json:"config_version"`
+	Orders        int              `json:"orders"`
+	Replicas      []replicaAnswer  `json:"replicas"`
+	Controls      []instanceAnswer `json:"controls"`
+	Entries       []instanceAnswer `json:"entries"`
+	Agents        []instanceAnswer `json:"agents"`
+}
+
+type replicaAnswer struct {
+	ID       string `json:"id"`
+	Instance string `json:"instance"`
+	Voter    bool   `json:"voter"`
+}
+
+type instanceAnswer struct {
+	Instance      string `json:"instance"`
+	Registered    bool   `json:"registered"`
+	Connected     bool   `json:"connected"`
+	ConfigVersion uint64 `json:"config_version"`
+}
+
+func (c *cluster) status(n *node) statusAnswer {
+	var out statusAnswer
+	a := c.get(n, "/v1/status")
+	if a.status == http.StatusOK {
+		a.decode(c.t, &out)
+	}
+	return out
+}
+
+// classBody is the body of a valid class.
+func classBody(deadlineMS int) string {
+	return fmt.Sprintf(`{"tier": 1, "deadline_ms": %d, "late_max": 0.01, "lost_max": 0, "repeatable": true, "kind": "service", "preempt": "never"}`, deadlineMS)
+}
+
+func gateCheck() settings.Class {
+	return settings.Class{Name: "gate-check", Tier: 1, DeadlineMS: 800, LateMax: 0.01, Repeatable: true, Kind: "service"}
+}
--- a/control/http.go
+++ b/control/http.go
@@ -35,15 +35,14 @@
 	e.GET("/healthz", c.getHealth)
 	e.GET("/readyz", c.getReady)
 	e.GET("/metrics", c.getMetrics)
-	g := e.Group("/v1", c.authenticate)
-	g.GET("/classes", c.getClasses)
-	g.GET("/classes/:name", c.getClass)
-	g.PUT("/classes/:name", c.putClass)
-	g.DELETE("/classes/:name", c.deleteClass)
-	g.GET("/status", c.getStatus)
-	g.GET("/servers", c.getServers)
-	g.POST("/servers/:name/drain", c.drainServer)
-	g.GET("/organisations", c.getOrganisations)
+	e.GET("/v1/classes", c.getClasses, c.authenticate)
+	e.GET("/v1/classes/:name", c.getClass, c.authenticate)
+	e.PUT("/v1/classes/:name", c.putClass, c.authenticate)
+	e.DELETE("/v1/classes/:name", c.deleteClass, c.authenticate)
+	e.GET("/v1/status", c.getStatus, c.authenticate)
+	e.GET("/v1/servers", c.getServers, c.authenticate)
+	e.POST("/v1/servers/:name/drain", c.drainServer, c.authenticate)
+	e.GET("/v1/organisations", c.getOrganisations, c.authenticate)
 	return e
 }
 
--- a/control/leader.go
+++ b/control/leader.go
@@ -20,13 +20,15 @@
 	expiryInterval = 10 * time.Second
 	orderInterval  = 2 * time.Second
 	orderResults   = 256
+	placements     = 16
 )
 
 // leader does what only the leader does.
 type leader struct {
-	control *Control
-	signal  chan struct{}
-	results *ring.Ring[*wire.OrderResult]
+	control    *Control
+	signal     chan struct{}
+	results    *ring.Ring[*wire.OrderResult]
+	placements *ring.Ring[placement]
 
 	// The fields below belong to the duty's goroutine.
 	term      uint64    // in which fence was raised here; 0 while this instance doesn't lead
@@ -42,6 +44,8 @@
 		control: c,
 		signal:  make(chan struct{}, 1),
 		results: ring.New[*wire.OrderResult]("order_results", orderResults),
+
+		placements: ring.New[placement]("placements", placements),
 	}
 }
 
@@ -67,6 +71,8 @@
 			l.round(ctx)
 		case r := <-l.results.C():
 			l.endOrder(ctx, r)
+		case p := <-l.placements.C():
+			l.place(ctx, p)
 		}
 	}
 }
--- a/control/machine.go
+++ b/control/machine.go
@@ -48,7 +48,10 @@
 	snapshot := m.state.Snapshot()
 	m.mu.RUnlock()
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
-	return data, errors.Wrap(err, "control: snapshot")
+	if err != nil {
+		return nil, errors.Wrap(err, "control: snapshot")
+	}
+	return data, nil
 }
 
 // Restore replaces the state.
--- a/control/orders.go
+++ b/control/orders.go
@@ -4,21 +4,47 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/state"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
-// placeOrder commits an order and sends it. Only the leader's duty calls it. A refusal by the state is an error with
-// the state's code.
-func (l *leader) placeOrder(ctx context.Context, order *wire.Order) error {
-	order.Fence = l.fence
-	_, err := l.propose(ctx, &wire.Command{Kind: &wire.Command_PutOrder{PutOrder: &wire.PutOrder{Order: order}}})
-	if err != nil {
+// placement is an order to be placed by the leader's duty.
+type placement struct {
+	order *wire.Order
+	done  chan error
+}
+
+// PlaceOrder has an order committed by the leader's duty, which sends it to the agent and closes it by its result. It
+// returns once the order is committed. Errors have code result.NotLeader at another instance, result.ServerBusy or
+// another code of the state, or that of a failed proposal.
+func (c *Control) PlaceOrder(ctx context.Context, order *wire.Order) error {
+	p := placement{order: proto.CloneOf(order), done: make(chan error, 1)}
+	if !c.leader.placements.TryPush(p) {
+		return result.New(result.ProposalQueueFull, "").WithRan(result.RanNo)
+	}
+	select {
+	case err := <-p.done:
 		return err
+	case <-ctx.Done():
+		return result.Wrap(context.Cause(ctx), result.ProposalUnknown, "")
 	}
-	l.sendOrders()
-	return nil
+}
+
+// place commits an order with this leader's fence, and only then sends it.
+func (l *leader) place(ctx context.Context, p placement) {
+	if l.term == 0 {
+		p.done <- result.New(result.NotLeader, "").WithRan(result.RanNo)
+		return
+	}
+	p.order.Fence = l.fence
+	_, err := l.propose(ctx, &wire.Command{Kind: &wire.Command_PutOrder{PutOrder: &wire.PutOrder{Order: p.order}}})
+	if err == nil {
+		l.sendOrders()
+	}
+	p.done <- err
 }
 
 // resend sends the open orders again: one may have been lost with a session, or with the leader that placed it.
--- a/control/replication.go
+++ b/control/replication.go
@@ -65,7 +65,7 @@
 		}
 		if decided {
 			err := c.replica.Bootstrap(voters)
-			if errors.Is(err, replica.ErrNotEmpty) {
+			if err == nil || errors.Is(err, replica.ErrNotEmpty) {
 				return nil
 			}
 			return errors.Wrap(err, "control: bootstrap")
