--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,229 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/network"
+	"github.com/carawaypitch/carawaypitch/session"
+	"github.com/carawaypitch/carawaypitch/settings"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// ErrSuperseded ends an agent whose instance name is in use by a newer incarnation: another process with the same
+// settings, or this one after its clock was set back. Were both to go on, each would take the other's streams for its
+// own at the next restart.
+var ErrSuperseded = errors.New("agent: a newer incarnation of this instance is registered")
+
+// ErrDrainTimeout ends a stopping agent whose servers were not drained within timing.drain. What still ran is left to
+// the next incarnation, which cancels it.
+var ErrDrainTimeout = errors.New("agent: attempts were in flight at the end of the drain timeout")
+
+// Options are what an agent takes from the program around it. Zero values mean the defaults.
+type Options struct {
+	// Network is how other processes and engines are reached. Default: network.TCP.
+	Network network.Network
+	// Log receives one entry for each event. Default: none.
+	Log log.Interface
+	// NewEngine makes the client of an announced backend server, whose address is a base URL. Default: engine.HTTP.
+	NewEngine func(record *wire.ServerRecord) (engine.Client, error)
+
+	// newSession makes the session with control. Default: session.New.
+	newSession func(session.Config) controlSession
+}
+
+// Agent is the daemon beside a backend server. Make it with New and run it once.
+type Agent struct {
+	settings    settings.Agent
+	network     network.Network
+	log         log.Interface
+	incarnation uint64
+
+	httpListener net.Listener
+	linkListener net.Listener
+	linkTLS      *tls.Config
+
+	meter   *meter
+	ready   *readiness
+	fence   *fence
+	session controlSession
+	links   *link.EntryServer
+	servers *servers
+	orders  *orders
+	reports *reporter
+
+	// base ends when the agent is to let go of everything, after the drain. It is set by Run.
+	base  context.Context
+	end   context.CancelFunc
+	tasks sync.WaitGroup // goroutines that are no duties of the group
+
+	released       chan struct{} // closed when this incarnation may show itself
+	serversChanged chan struct{} // holds one note
+	viewChanged    chan struct{} // holds one note
+
+	directory []*wire.ServerRecord // what control was told last; the directory duty's own
+}
+
+// New makes an agent and listens at both of its addresses, but serves nothing yet. Errors are those of listening and
+// of the TLS files.
+func New(s settings.Agent, options Options) (*Agent, error) {
+	a := &Agent{
+		settings:       s,
+		network:        options.Network,
+		log:            options.Log,
+		incarnation:    uint64(time.Now().UnixNano()),
+		meter:          newMeter(),
+		fence:          new(fence),
+		released:       make(chan struct{}),
+		serversChanged: make(chan struct{}, 1),
+		viewChanged:    make(chan struct{}, 1),
+	}
+	if a.network == nil {
+		a.network = network.TCP{}
+	}
+	if a.log == nil {
+		a.log = noLog()
+	}
+	newEngine := options.NewEngine
+	if newEngine == nil {
+		newEngine = a.newHTTPEngine
+	}
+	clientTLS, err := a.loadTLS()
+	if err != nil {
+		return nil, err
+	}
+	if err := a.listen(); err != nil {
+		return nil, err
+	}
+	if options.newSession == nil {
+		options.newSession = func(c session.Config) controlSession { return session.New(c) }
+	}
+	a.session = options.newSession(a.sessionConfig(clientTLS))
+	a.assemble(newEngine)
+	return a, nil
+}
+
+func noLog() log.Interface {
+	silent := log.HandlerFunc(func(*log.Entry) error { return nil })
+	return &log.Logger{Handler: silent, Level: log.FatalLevel}
+}
+
+func (a *Agent) loadTLS() (*tls.Config, error) {
+	server, err := a.settings.TLS.ServerConfig()
+	if err != nil {
+		return nil, err
+	}
+	a.linkTLS = server
+	return a.settings.TLS.ClientConfig()
+}
+
+func (a *Agent) listen() error {
+	var err error
+	if a.httpListener, err = a.network.Listen(a.settings.Listen.HTTP); err != nil {
+		return errors.Wrap(err, "agent: listen.http")
+	}
+	if a.linkListener, err = a.network.Listen(a.settings.Listen.Links); err != nil {
+		_ = a.httpListener.Close()
+		return errors.Wrap(err, "agent: listen.links")
+	}
+	return nil
+}
+
+// HTTPAddr returns the address, IP:port, at which backend servers announce themselves.
+func (a *Agent) HTTPAddr() string {
+	return a.httpListener.Addr().String()
+}
+
+// LinkAddr returns the address, IP:port, at which entries connect.
+func (a *Agent) LinkAddr() string {
+	return a.linkListener.Addr().String()
+}
+
+// assemble makes the parts and joins them.
+func (a *Agent) assemble(newEngine func(*wire.ServerRecord) (engine.Client, error)) {
+	a.ready = &readiness{control: a.session.Ready}
+	a.links = a.entryServer()
+	a.reports = newReporter(a.log, a.meter, a.session.Propose)
+	a.servers = newServers(serverDeps{
+		log:       a.log,
+		meter:     a.meter,
+		timing:    a.settings.Timing,
+		ready:     a.ready,
+		links:     linkSender{a.links},
+		newEngine: newEngine,
+		newGate:   a.newGate,
+		spawn:     a.spawn,
+		changed:   a.serverChanged,
+		report:    a.reports.put,
+	}, a.beginServer)
+	a.orders = newOrders(orderDeps{
+		log:     a.log,
+		meter:   a.meter,
+		fence:   a.fence,
+		ready:   a.ready,
+		servers: a.servers,
+		spawn:   a.spawn,
+		report:  a.session.Report,
+	})
+}
+
+func (a *Agent) newGate() admission {
+	timing, limits := a.settings.Timing, a.settings.Limits
+	return gate.New(gate.Config{
+		OfferTimeout:  timing.Offer,
+		TombstoneLife: timing.Tombstone,
+		SilentAfter:   timing.Silent,
+		MaxRecords:    limits.MaxTombstones,
+		MaxWaiting:    limits.MaxReservations,
+	})
+}
+
+// newHTTPEngine makes the client of an engine that speaks the protocol of engine.HTTP.
+func (a *Agent) newHTTPEngine(record *wire.ServerRecord) (engine.Client, error) {
+	return engine.NewHTTP(record.GetAddress(), engine.HTTPOptions{
+		MaxAnswerBytes: int64(a.settings.Limits.MaxAnswer),
+		Network:        a.network,
+	})
+}
+
+func (a *Agent) sessionConfig(clientTLS *tls.Config) session.Config {
+	return session.Config{
+		Instance:     a.settings.Instance,
+		Role:         wire.Role_ROLE_AGENT,
+		Incarnation:  a.incarnation,
+		Zone:         a.settings.AvailabilityZone,
+		LinkAddress:  a.advertised(),
+		Controls:     a.settings.Controls,
+		Network:      a.network,
+		TLS:          clientTLS,
+		PollInterval: a.settings.Timing.CutOff / pollsPerCutOff,
+		SilenceBound: a.settings.Timing.CutOff,
+		Log:          a.log,
+		Metrics:      a.meter.set,
+	}
+}
+
+// advertised returns the address that entries dial. One with port 0 gets the port that the listener took.
+func (a *Agent) advertised() string {
+	host, port, err := net.SplitHostPort(a.settings.Advertise)
+	if err != nil {
+		return a.LinkAddr()
+	}
+	if port != "0" {
+		return a.settings.Advertise
+	}
+	_, taken, err := net.SplitHostPort(a.LinkAddr())
+	if err != nil {
+		return a.LinkAddr()
+	}
+	return net.JoinHostPort(host, taken)
+}
--- /dev/null
+++ b/agent/control.go
@@ -0,0 +1,132 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/session"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// controlSession is what the agent needs of its session with control.
+type controlSession interface {
+	Run(ctx context.Context) error
+	SetServers(servers []*wire.ServerRecord)
+	Propose(ctx context.Context, command *wire.Command) (*wire.CommandResult, error)
+	Orders() <-chan *wire.Order
+	Report(outcome *wire.OrderResult)
+	Ready() error
+	View() *session.View
+	Subscribe(fn func(*session.View))
+	ObserveVersion(version uint64) bool
+}
+
+var _ controlSession = (*session.Session)(nil)
+
+// controlDuty keeps the session with control. The session registers this incarnation at once, so it waits for the
+// release.
+func (a *Agent) controlDuty(ctx context.Context) error {
+	if !a.awaitRelease(ctx) {
+		return nil
+	}
+	err := a.session.Run(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// serverChanged says that the directory record may have changed. It is called by gate duties.
+func (a *Agent) serverChanged(*server) {
+	select {
+	case a.serversChanged <- struct{}{}:
+	default:
+	}
+}
+
+// directoryDuty keeps the directory record as the servers are. Announcements that change nothing lead to no commit.
+func (a *Agent) directoryDuty(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.serversChanged:
+		}
+		a.updateDirectory()
+	}
+}
+
+func (a *Agent) updateDirectory() {
+	records := a.servers.records()
+	if sameRecords(records, a.directory) {
+		return
+	}
+	a.directory = records
+	a.session.SetServers(records)
+}
+
+// viewDuty takes what control committed.
+func (a *Agent) viewDuty(ctx context.Context) error {
+	a.session.Subscribe(func(*session.View) {
+		select {
+		case a.viewChanged <- struct{}{}:
+		default:
+		}
+	})
+	incarnations := entryIncarnations{}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.viewChanged:
+		}
+		view := a.session.View()
+		if view.Agents[a.settings.Instance].GetIncarnation() > a.incarnation {
+			return ErrSuperseded
+		}
+		if view.ConfigVersion > 0 {
+			a.fence.committed(view.Fence)
+		}
+		a.endEntries(ctx, incarnations.update(view.Entries))
+	}
+}
+
+func (a *Agent) endEntries(ctx context.Context, ended []gate.EntryID) {
+	for _, id := range ended {
+		a.log.WithField("entry", id.Name).WithField("incarnation", id.Incarnation).Info("entry_ended")
+		a.servers.tellAll(ctx, gateEvent{gate.EntryEnded{Entry: id}})
+	}
+}
+
+// entryIncarnations remembers which entry incarnations control has in its directory.
+type entryIncarnations struct {
+	known map[gate.EntryID]bool
+}
+
+// update takes all entries and returns the incarnations that are there no longer.
+func (e *entryIncarnations) update(entries map[string]*wire.EntryRecord) []gate.EntryID {
+	known := make(map[gate.EntryID]bool, len(entries))
+	for _, entry := range entries {
+		known[gate.EntryID{Name: entry.GetEntry(), Incarnation: entry.GetIncarnation()}] = true
+	}
+	var ended []gate.EntryID
+	for id := range e.known {
+		if !known[id] {
+			ended = append(ended, id)
+		}
+	}
+	e.known = known
+	return ended
+}
+
+// orderDuty takes orders.
+func (a *Agent) orderDuty(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case order := <-a.session.Orders():
+			a.orders.take(ctx, order)
+		}
+	}
+}
--- /dev/null
+++ b/agent/entries.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// entryServer makes the link server whose messages go to the gate duties.
+func (a *Agent) entryServer() *link.EntryServer {
+	return &link.EntryServer{
+		Hello:   a.hello,
+		Up:      a.entryUp,
+		Down:    a.entryDown,
+		Receive: a.receive,
+		Timing:  link.Timing{Heartbeat: a.settings.Timing.Heartbeat},
+	}
+}
+
+func (a *Agent) hello() *wire.AgentHello {
+	return &wire.AgentHello{
+		Agent:            a.settings.Instance,
+		Incarnation:      a.incarnation,
+		AvailabilityZone: a.settings.AvailabilityZone,
+		ConfigVersion:    a.session.View().ConfigVersion,
+	}
+}
+
+func (a *Agent) entryUp(ctx context.Context, hello *wire.EntryHello) {
+	id := gate.EntryID{Name: hello.GetEntry(), Incarnation: hello.GetIncarnation()}
+	a.log.WithField("entry", id.Name).WithField("incarnation", id.Incarnation).Info("entry_up")
+	a.session.ObserveVersion(hello.GetConfigVersion())
+	a.servers.entryUp(ctx, id)
+}
+
+func (a *Agent) entryDown(id link.EntryID, cause error) {
+	a.log.WithField("entry", id.Name).WithField("incarnation", id.Incarnation).WithError(cause).Warn("entry_down")
+	a.servers.entryDown(a.base, gate.EntryID(id))
+}
+
+// receive passes a message of an entry to the gate of its server, a heartbeat to all gates.
+func (a *Agent) receive(ctx context.Context, id link.EntryID, message *wire.EntryMessage) error {
+	entry := gate.EntryID(id)
+	if beat := message.GetHeartbeat(); beat != nil {
+		a.session.ObserveVersion(beat.GetConfigVersion())
+		a.servers.tellAll(ctx, gateEvent{gate.Received{Entry: entry, Message: message}})
+		return nil
+	}
+	name, attempt := addressee(message)
+	if attempt == nil {
+		return nil
+	}
+	s := a.servers.expect(name)
+	if s == nil {
+		a.unknownServer(entry, name, attempt, message)
+		return nil
+	}
+	return s.push(ctx, received{entry: entry, message: message})
+}
+
+// addressee returns the server and the attempt that a message is about; no attempt if it is about none.
+func addressee(message *wire.EntryMessage) (string, *wire.AttemptID) {
+	switch kind := message.GetKind().(type) {
+	case *wire.EntryMessage_Reserve:
+		return kind.Reserve.GetServer(), kind.Reserve.GetAttempt()
+	case *wire.EntryMessage_Withdraw:
+		return kind.Withdraw.GetServer(), kind.Withdraw.GetAttempt()
+	case *wire.EntryMessage_Decline:
+		return kind.Decline.GetServer(), kind.Decline.GetAttempt()
+	case *wire.EntryMessage_Dispatch:
+		return kind.Dispatch.GetServer(), kind.Dispatch.GetAttempt()
+	case *wire.EntryMessage_Cancel:
+		return kind.Cancel.GetServer(), kind.Cancel.GetAttempt()
+	default:
+		return "", nil
+	}
+}
+
+// unknownServer answers for a server that the agent has no gate for and no room to make one. Without a gate there is
+// no tombstone, so the answer is no proof.
+func (a *Agent) unknownServer(entry gate.EntryID, name string, id *wire.AttemptID, message *wire.EntryMessage) {
+	if message.GetDispatch() == nil && message.GetCancel() == nil {
+		return
+	}
+	a.meter.refused(result.UnknownServer, message.GetDispatch().GetWork().GetTier())
+	over := &wire.Over{
+		Attempt: id,
+		Server:  name,
+		Proof:   wire.Proof_PROOF_UNPROVEN,
+		Code:    uint32(result.UnknownServer),
+		Message: result.UnknownServer.Info().Message,
+	}
+	a.links.Send(link.EntryID(entry), &wire.AgentMessage{Kind: &wire.AgentMessage_Over{Over: over}})
+}
+
+// received is a message of an entry for one server.
+type received struct {
+	entry   gate.EntryID
+	message *wire.EntryMessage
+}
+
+func (in received) apply(s *server, now time.Time) {
+	reserve := in.message.GetReserve()
+	code := s.ready.closed()
+	if reserve == nil || code == 0 {
+		s.step(now, gate.Received{Entry: in.entry, Message: in.message})
+		return
+	}
+	s.stepRefusing(now, gate.Received{Entry: in.entry, Message: unservable(reserve)}, refusal{
+		key:  keyOf(reserve.GetAttempt()),
+		code: code,
+	})
+}
+
+// unservable returns a reservation of something that no server has. The gate refuses it with a tombstone, which is
+// how an agent without admission answers at once; a dispatch is refused where it would start.
+func unservable(reserve *wire.Reserve) *wire.EntryMessage {
+	reserve = proto.CloneOf(reserve)
+	if reserve.Work == nil {
+		reserve.Work = new(wire.Work)
+	}
+	reserve.Work.Target = ""
+	return &wire.EntryMessage{Kind: &wire.EntryMessage_Reserve{Reserve: reserve}}
+}
+
+// linkSender is the link server as gates see it.
+type linkSender struct{ server *link.EntryServer }
+
+// Send implements entryLinks.
+func (l linkSender) Send(id gate.EntryID, message *wire.AgentMessage) bool {
+	return l.server.Send(link.EntryID(id), message)
+}
+
+// Broadcast implements entryLinks.
+func (l linkSender) Broadcast(message *wire.AgentMessage) {
+	l.server.Broadcast(message)
+}
--- /dev/null
+++ b/agent/entry_test.go
@@ -0,0 +1,226 @@
+package agent
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// fakeEntry is an entry that does what the test says, over a real link.
+type fakeEntry struct {
+	w           *world
+	name        string
+	incarnation uint64
+	dialer      *link.AgentDialer
+	stop        context.CancelFunc
+	done        chan struct{}
+
+	mu     sync.Mutex
+	hellos []*wire.AgentHello // of links that came up
+	rooms  []*wire.Room
+	overs  map[attemptKey][]*wire.Over
+	events map[attemptKey][]string
+	starts map[attemptKey]int
+}
+
+// startEntry starts an entry that links itself to the agent.
+func (w *world) startEntry(host, name string) *fakeEntry {
+	e := &fakeEntry{
+		w:           w,
+		name:        name,
+		incarnation: 1,
+		done:        make(chan struct{}),
+		overs:       make(map[attemptKey][]*wire.Over),
+		events:      make(map[attemptKey][]string),
+		starts:      make(map[attemptKey]int),
+	}
+	e.dialer = &link.AgentDialer{
+		Network: w.network.Host(host),
+		Address: agentHost + ":9101",
+		Hello: func() *wire.EntryHello {
+			return &wire.EntryHello{Entry: name, Incarnation: e.incarnation}
+		},
+		Up:      e.up,
+		Down:    func(*wire.AgentHello, error) {},
+		Receive: e.receive,
+		Jitter:  func() float64 { return 0 },
+	}
+	ctx, stop := context.WithCancel(w.t.Context())
+	e.stop = stop
+	go func() {
+		defer close(e.done)
+		_ = e.dialer.Run(ctx)
+	}()
+	w.t.Cleanup(e.die)
+	return e
+}
+
+// die ends the entry as a crash does.
+func (e *fakeEntry) die() {
+	e.stop()
+	<-e.done
+}
+
+func (e *fakeEntry) up(_ context.Context, hello *wire.AgentHello) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hellos = append(e.hellos, hello)
+}
+
+func (e *fakeEntry) receive(_ context.Context, _ *wire.AgentHello, message *wire.AgentMessage) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch kind := message.GetKind().(type) {
+	case *wire.AgentMessage_Room:
+		e.rooms = append(e.rooms, kind.Room)
+	case *wire.AgentMessage_Started:
+		e.starts[keyOf(kind.Started.GetAttempt())]++
+	case *wire.AgentMessage_Over:
+		key := keyOf(kind.Over.GetAttempt())
+		e.overs[key] = append(e.overs[key], kind.Over)
+	case *wire.AgentMessage_Frame:
+		key := keyOf(kind.Frame.GetAttempt())
+		for _, event := range kind.Frame.GetEvents() {
+			e.events[key] = append(e.events[key], string(event))
+		}
+	}
+	return nil
+}
+
+// links returns how often a link came up, and the hello of the last one.
+func (e *fakeEntry) links() (int, *wire.AgentHello) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.hellos) == 0 {
+		return 0, nil
+	}
+	return len(e.hellos), e.hellos[len(e.hellos)-1]
+}
+
+func (e *fakeEntry) send(message *wire.EntryMessage) {
+	_, hello := e.links()
+	e.dialer.Send(hello.GetIncarnation(), message)
+}
+
+// room returns the latest room of a server.
+func (e *fakeEntry) room(server string) *wire.Room {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := len(e.rooms) - 1; i >= 0; i-- {
+		if e.rooms[i].GetServer() == server {
+			return e.rooms[i]
+		}
+	}
+	return nil
+}
+
+func (e *fakeEntry) over(request string, number uint64) *wire.Over {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	overs := e.overs[attemptKey{request, number}]
+	if len(overs) == 0 {
+		return nil
+	}
+	return overs[len(overs)-1]
+}
+
+// awaitOver waits for a proof that an attempt is over.
+func (e *fakeEntry) awaitOver(request string, number uint64) *wire.Over {
+	e.w.t.Helper()
+	e.w.until("proof for "+request, func() bool {
+		over := e.over(request, number)
+		return over != nil && over.GetProof() != wire.Proof_PROOF_UNPROVEN
+	})
+	return e.over(request, number)
+}
+
+func (e *fakeEntry) text(request string, number uint64) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return strings.Join(e.events[attemptKey{request, number}], "\n")
+}
+
+func (e *fakeEntry) eventCount(request string, number uint64) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.events[attemptKey{request, number}])
+}
+
+func (e *fakeEntry) startCount(request string, number uint64) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.starts[attemptKey{request, number}]
+}
+
+// awaitRoom waits until the server takes work straight away.
+func (e *fakeEntry) awaitRoom(server string) {
+	e.w.t.Helper()
+	e.w.until("room at "+server, func() bool { return e.room(server).GetFree() > 0 })
+}
+
+const chatBody = `{"model":"sample","messages":[{"role":"user","content":"May I appeal the refusal of my permit?"}],"max_tokens":20}`
+
+// completion is a dispatch of a repeatable model request.
+func completion(request string, number uint64) *wire.Dispatch {
+	return withBody(&wire.Dispatch{
+		Attempt: &wire.AttemptID{Request: request, Number: number},
+		Server:  "server-1",
+		Work: &wire.Work{
+			Organisation: "org-1",
+			Class:        "summary",
+			Tier:         2,
+			Target:       "sample",
+			Repeatable:   true,
+			Preemptible:  true,
+			PromptTokens: 10,
+			OutputTokens: 20,
+			RemainingMs:  600_000,
+		},
+		Path:        "/v1/chat/completions",
+		ContentType: "application/json",
+	}, chatBody)
+}
+
+// issue is a dispatch of a service call that may not be repeated.
+func issue(request string, number uint64) *wire.Dispatch {
+	return withBody(&wire.Dispatch{
+		Attempt: &wire.AttemptID{Request: request, Number: number},
+		Server:  "server-1",
+		Work: &wire.Work{
+			Organisation: "org-1",
+			Class:        "pass-issue",
+			Tier:         1,
+			Service:      true,
+			Target:       "registry",
+			RemainingMs:  600_000,
+		},
+		Method:          "POST",
+		Path:            "/v1/passes",
+		ContentType:     "application/json",
+		IdempotencyKey:  "key-" + request,
+		Operation:       "operation-" + request,
+		ReportToControl: true,
+	}, `{"pass":1}`)
+}
+
+func withBody(d *wire.Dispatch, body string) *wire.Dispatch {
+	d.Body = []byte(body)
+	d.BodySize = uint64(len(body))
+	d.BodyDigest = link.BodyDigest(d.Body)
+	return d
+}
+
+func (e *fakeEntry) dispatch(d *wire.Dispatch) {
+	e.send(&wire.EntryMessage{Kind: &wire.EntryMessage_Dispatch{Dispatch: d}})
+}
+
+func (e *fakeEntry) cancel(request string, number uint64) {
+	e.send(&wire.EntryMessage{Kind: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{
+		Attempt: &wire.AttemptID{Request: request, Number: number},
+		Server:  "server-1",
+		Cause:   wire.CancelCause_CANCEL_CAUSE_CALLER_LEFT,
+	}}})
+}
--- /dev/null
+++ b/agent/harness_test.go
@@ -0,0 +1,361 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/engine/standin"
+	"github.com/carawaypitch/carawaypitch/network/memory"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/session"
+	"github.com/carawaypitch/carawaypitch/settings"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// Hosts of the test network.
+const (
+	agentHost  = "10.0.0.1"
+	engineHost = "10.0.0.2"
+	entryHost  = "10.0.0.3"
+	entryHost2 = "10.0.0.4"
+)
+
+// longWait bounds waits in bubble time; a test that reaches it has failed.
+const longWait = 2 * time.Minute
+
+// world is an agent with stand-in engines, entries and a fake of control. It lives in a synctest bubble.
+type world struct {
+	t       *testing.T
+	network *memory.Network
+	ledger  *standin.Ledger
+	control *fakeControl
+	agent   *Agent
+	stop    context.CancelFunc
+	ended   chan error
+	http    *http.Client
+}
+
+// inWorld runs a test in a bubble.
+func inWorld(t *testing.T, test func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{
+			t:       t,
+			network: memory.New(),
+			ledger:  standin.NewLedger(1000),
+			control: newFakeControl(),
+		}
+		transport := &http.Transport{
+			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+				return w.network.Host(agentHost).Dial(ctx, address)
+			},
+		}
+		w.http = &http.Client{Transport: transport}
+		test(w)
+		w.stopAgent()
+		transport.CloseIdleConnections()
+	})
+}
+
+func (w *world) settings() settings.Agent {
+	s := settings.DefaultAgent()
+	s.Instance = "agent-1"
+	s.AvailabilityZone = "zone-1"
+	s.Listen.HTTP = agentHost + ":9100"
+	s.Listen.Links = agentHost + ":9101"
+	s.Advertise = s.Listen.Links
+	s.Controls = []string{"10.0.9.1:9200"}
+	return s
+}
+
+// startAgent starts an incarnation of the agent. The one before must have ended.
+func (w *world) startAgent(change ...func(*settings.Agent)) {
+	w.t.Helper()
+	s := w.settings()
+	for _, f := range change {
+		f(&s)
+	}
+	time.Sleep(time.Millisecond) // so that the incarnations differ
+	w.control.begin()
+	agent, err := New(s, Options{
+		Network:    w.network.Host(agentHost),
+		newSession: func(session.Config) controlSession { return w.control },
+	})
+	require.NoError(w.t, err)
+	ctx, stop := context.WithCancel(w.t.Context())
+	w.agent = agent
+	w.stop = stop
+	w.ended = make(chan error, 1)
+	go func() { w.ended <- agent.Run(ctx) }()
+}
+
+// stopAgent stops the agent gracefully.
+func (w *world) stopAgent() error {
+	if w.stop == nil {
+		return nil
+	}
+	w.stop()
+	w.stop = nil
+	return <-w.ended
+}
+
+// killAgent ends the agent as a crash does: nobody hears of it but by its closed connections.
+func (w *world) killAgent() {
+	w.t.Helper()
+	w.agent.end()
+	<-w.ended
+	w.stop()
+	w.stop = nil
+}
+
+// startEngine starts a stand-in that announces itself to the agent.
+func (w *world) startEngine(options standin.Options) *standin.Server {
+	options.Network = w.network.Host(engineHost)
+	options.Listen = engineHost + ":0"
+	options.Agent = "http://" + agentHost + ":9100"
+	options.Ledger = w.ledger
+	if options.LeaveTimeout == 0 {
+		options.LeaveTimeout = time.Second
+	}
+	server := standin.New(options)
+	ctx, stop := context.WithCancel(w.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Run(ctx)
+	}()
+	<-server.Ready()
+	w.t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	return server
+}
+
+// until waits until the condition holds.
+func (w *world) until(what string, holds func() bool) {
+	w.t.Helper()
+	end := time.Now().Add(longWait)
+	for {
+		synctest.Wait()
+		if holds() {
+			return
+		}
+		if time.Now().After(end) {
+			w.t.Fatalf("never: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (w *world) ready() {
+	w.t.Helper()
+	w.until("agent is ready", func() bool { return w.agent.notReady() == nil })
+}
+
+// call makes an HTTP call to the agent and returns status and body.
+func (w *world) call(method, path string, body any) (int, string) {
+	w.t.Helper()
+	var text []byte
+	switch b := body.(type) {
+	case nil:
+	case string:
+		text = []byte(b)
+	default:
+		encoded, err := json.Marshal(b)
+		require.NoError(w.t, err)
+		text = encoded
+	}
+	request, err := http.NewRequestWithContext(w.t.Context(), method, "http://"+w.agent.HTTPAddr()+path, bytes.NewReader(text))
+	require.NoError(w.t, err)
+	response, err := w.http.Do(request)
+	require.NoError(w.t, err)
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	require.NoError(w.t, err)
+	return response.StatusCode, string(answer)
+}
+
+// fakeControl is a session whose control does what the test says.
+type fakeControl struct {
+	mu         sync.Mutex
+	running    bool
+	readyErr   error
+	view       *session.View
+	subscriber func(*session.View)
+	sets       [][]*wire.ServerRecord
+	proposed   []*wire.Command
+	failures   int // proposals that fail before one is committed
+	orders     chan *wire.Order
+	results    []*wire.OrderResult
+}
+
+func newFakeControl() *fakeControl {
+	return &fakeControl{
+		view:   &session.View{ConfigVersion: 1, Fence: 5},
+		orders: make(chan *wire.Order, 16),
+	}
+}
+
+// begin prepares the fake for another incarnation of the agent.
+func (c *fakeControl) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running = false
+	c.subscriber = nil
+}
+
+func (c *fakeControl) Run(ctx context.Context) error {
+	c.mu.Lock()
+	c.running = true
+	c.mu.Unlock()
+	<-ctx.Done()
+	return context.Cause(ctx)
+}
+
+func (c *fakeControl) SetServers(servers []*wire.ServerRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sets = append(c.sets, servers)
+}
+
+func (c *fakeControl) Propose(_ context.Context, command *wire.Command) (*wire.CommandResult, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.proposed = append(c.proposed, command)
+	if c.failures > 0 {
+		c.failures--
+		return nil, result.New(result.ControlUnavailable, "")
+	}
+	return new(wire.CommandResult), nil
+}
+
+func (c *fakeControl) Orders() <-chan *wire.Order { return c.orders }
+
+func (c *fakeControl) Report(outcome *wire.OrderResult) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.results = append(c.results, outcome)
+}
+
+func (c *fakeControl) Ready() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.running {
+		return result.New(result.Starting, "")
+	}
+	return c.readyErr
+}
+
+func (c *fakeControl) View() *session.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view
+}
+
+func (c *fakeControl) Subscribe(fn func(*session.View)) {
+	c.mu.Lock()
+	c.subscriber = fn
+	view := c.view
+	c.mu.Unlock()
+	fn(view)
+}
+
+func (c *fakeControl) ObserveVersion(uint64) bool { return true }
+
+// setView commits a new view.
+func (c *fakeControl) setView(view *session.View) {
+	c.mu.Lock()
+	c.view = view
+	fn := c.subscriber
+	c.mu.Unlock()
+	if fn != nil {
+		fn(view)
+	}
+}
+
+func (c *fakeControl) setReady(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readyErr = err
+}
+
+func (c *fakeControl) setFailures(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failures = n
+}
+
+func (c *fakeControl) isRunning() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running
+}
+
+// registered returns the servers that the agent wanted in the directory last.
+func (c *fakeControl) registered() []*wire.ServerRecord {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.sets) == 0 {
+		return nil
+	}
+	return c.sets[len(c.sets)-1]
+}
+
+func (c *fakeControl) setCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.sets)
+}
+
+func (c *fakeControl) commands() []*wire.Command {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*wire.Command(nil), c.proposed...)
+}
+
+func (c *fakeControl) orderResults() []*wire.OrderResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*wire.OrderResult(nil), c.results...)
+}
+
+// completed returns the outcomes that were proposed.
+func (c *fakeControl) completed() []*wire.CompleteOperation {
+	var list []*wire.CompleteOperation
+	for _, command := range c.commands() {
+		if complete := command.GetCompleteOperation(); complete != nil {
+			list = append(list, complete)
+		}
+	}
+	return list
+}
+
+// slowModel is a model engine whose streams take a while: one token each 100 ms.
+func slowModel() standin.Options {
+	options := standin.ModelDefaults()
+	options.Server = "server-1"
+	options.DecodePace = 100 * time.Millisecond
+	options.DecodeSlope = 0
+	return options
+}
+
+func slowService() standin.Options {
+	options := standin.ServiceDefaults()
+	options.Server = "server-1"
+	options.ServiceTime = 5 * time.Second
+	return options
+}
+
+var _ engine.Client = (*engine.HTTP)(nil)
--- /dev/null
+++ b/agent/http.go
@@ -0,0 +1,101 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/carawaypitch/carawaypitch/result"
+)
+
+// Bounds of an HTTP connection.
+const (
+	httpHeaderTimeout = 5 * time.Second
+	httpReadTimeout   = 10 * time.Second
+	httpIdleTimeout   = time.Minute
+	// httpStopTimeout bounds how long calls in progress may take when the agent ends.
+	httpStopTimeout = time.Second
+)
+
+// httpDuty serves HTTP until ctx ends.
+func (a *Agent) httpDuty(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{
+		Handler:           a.routes(),
+		ReadHeaderTimeout: httpHeaderTimeout,
+		ReadTimeout:       httpReadTimeout,
+		IdleTimeout:       httpIdleTimeout,
+	}
+	stop := context.AfterFunc(ctx, func() {
+		ended, cancel := context.WithTimeout(context.WithoutCancel(ctx), httpStopTimeout)
+		defer cancel()
+		_ = server.Shutdown(ended)
+	})
+	defer stop()
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "agent: http")
+}
+
+func (a *Agent) routes() *echo.Echo {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = a.httpError
+	e.POST("/v1/announce", a.postAnnounce)
+	e.POST("/v1/leave", a.postLeave)
+	e.GET("/v1/leave/:server", a.getLeave)
+	e.GET("/healthz", a.getHealth)
+	e.GET("/readyz", a.getReady)
+	e.GET("/metrics", a.getMetrics)
+	return e
+}
+
+// httpError answers with the numbered code of an error.
+func (a *Agent) httpError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	refusal := httpRefusal(err)
+	a.meter.refused(refusal.Code, 0)
+	_ = c.JSON(refusal.Status(), refusal)
+}
+
+func httpRefusal(err error) *result.Error {
+	var routing *echo.HTTPError
+	if !errors.As(err, &routing) {
+		return result.From(err)
+	}
+	switch routing.Code {
+	case http.StatusNotFound:
+		return result.New(result.NotFound, "")
+	case http.StatusMethodNotAllowed:
+		return result.New(result.MethodNotAllowed, "")
+	default:
+		return result.Wrap(err, result.Internal, "")
+	}
+}
+
+// readJSON reads one JSON value of at most maxAnnouncementBytes. Errors have the code malformed_body or
+// body_too_large.
+func readJSON(c echo.Context, into any) error {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnouncementBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return result.Wrap(err, result.BodyTooLarge, "want at most %d bytes", maxAnnouncementBytes)
+	}
+	if err != nil {
+		return result.Wrap(err, result.MalformedBody, "the body can't be read to its end")
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return result.Wrap(err, result.MalformedBody, "the body is not the JSON that is expected: %s", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/agent/metrics.go
@@ -0,0 +1,101 @@
+package agent
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/result"
+)
+
+// Names of the agent's metrics.
+const (
+	metricRefusals    = "carawaypitch_refusals_total"
+	metricRetries     = "carawaypitch_retries_total"
+	metricPreemptions = "carawaypitch_preemptions_total"
+	metricWasted      = "carawaypitch_wasted_prefill_tokens_total"
+	metricServed      = "carawaypitch_served_tokens_total"
+	metricLeases      = "carawaypitch_leases_expired_total"
+	metricChartErrors = "carawaypitch_chart_errors_total"
+	metricRuns        = "carawaypitch_engine_runs_total"
+	metricCancels     = "carawaypitch_engine_cancels_total"
+	metricOrders      = "carawaypitch_orders_total"
+	metricRingRefused = "carawaypitch_ring_refused_total"
+	metricDropped     = "carawaypitch_link_dropped_total"
+)
+
+// Reasons of retries.
+const (
+	retryReport  = "report"
+	retryRemove  = "remove"
+	retryRecover = "recover"
+)
+
+// meter holds one agent's metrics. It has a set of its own, so that several daemons fit in one process.
+type meter struct {
+	set *metrics.Set
+}
+
+func newMeter() *meter {
+	return &meter{set: metrics.NewSet()}
+}
+
+func (m *meter) write(w io.Writer) {
+	m.set.WritePrometheus(w)
+}
+
+func (m *meter) add(name string, n uint64) {
+	m.set.GetOrCreateCounter(name).AddInt64(int64(n))
+}
+
+// count adds what a gate counted.
+func (m *meter) count(c gate.Count) {
+	tier := strconv.FormatUint(uint64(c.Tier), 10)
+	label := strconv.Quote(c.Label)
+	switch c.Counter {
+	case gate.Refusals:
+		m.add(fmt.Sprintf(`%s{code="%d",tier="%s"}`, metricRefusals, c.Code, tier), c.Add)
+	case gate.Preemptions:
+		m.add(fmt.Sprintf(`%s{tier="%s"}`, metricPreemptions, tier), c.Add)
+	case gate.WastedPrefill:
+		m.add(fmt.Sprintf(`%s{cause=%s}`, metricWasted, label), c.Add)
+	case gate.ServedTokens:
+		m.add(fmt.Sprintf(`%s{organisation=%s,tier="%s"}`, metricServed, label, tier), c.Add)
+	case gate.LeasesExpired:
+		m.add(metricLeases, c.Add)
+	case gate.ChartErrors:
+		m.add(fmt.Sprintf(`%s{reason=%s}`, metricChartErrors, label), c.Add)
+	}
+}
+
+// refused counts a refusal of the agent itself.
+func (m *meter) refused(code result.Code, tier uint32) {
+	m.count(gate.Count{Counter: gate.Refusals, Code: uint16(code), Tier: tier, Add: 1})
+}
+
+func (m *meter) retried(reason string) {
+	m.add(fmt.Sprintf(`%s{reason=%q}`, metricRetries, reason), 1)
+}
+
+func (m *meter) ended(end string) {
+	m.add(fmt.Sprintf(`%s{end=%q}`, metricRuns, end), 1)
+}
+
+func (m *meter) cancelled(result string) {
+	m.add(fmt.Sprintf(`%s{result=%q}`, metricCancels, result), 1)
+}
+
+func (m *meter) ordered(code result.Code) {
+	m.add(fmt.Sprintf(`%s{code="%d"}`, metricOrders, code), 1)
+}
+
+func (m *meter) ringRefused(ring string) {
+	m.add(fmt.Sprintf(`%s{ring=%q}`, metricRingRefused, ring), 1)
+}
+
+func (m *meter) dropped() {
+	m.add(metricDropped, 1)
+}
--- /dev/null
+++ b/agent/order_call.go
@@ -0,0 +1,74 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// callOrder makes one call. It returns false without an error while the order goes on, or if the call failed in a way
+// that says nothing.
+func callOrder(ctx context.Context, client engine.Client, order *wire.Order) (bool, error) {
+	kind, err := engineOrder(order.GetKind())
+	if err != nil {
+		return false, err
+	}
+	callCtx, stop := context.WithTimeout(ctx, engineCallTimeout)
+	defer stop()
+	answer, err := client.Order(callCtx, engine.Order{
+		Fence: order.GetFence(),
+		Kind:  kind,
+		Model: order.GetModel(),
+		Role:  order.GetRole(),
+	})
+	if err != nil {
+		return false, orderFailure(err)
+	}
+	return orderState(answer)
+}
+
+func engineOrder(kind wire.OrderKind) (engine.OrderKind, error) {
+	switch kind {
+	case wire.OrderKind_ORDER_KIND_LOAD:
+		return engine.OrderLoad, nil
+	case wire.OrderKind_ORDER_KIND_UNLOAD:
+		return engine.OrderUnload, nil
+	case wire.OrderKind_ORDER_KIND_ROLE:
+		return engine.OrderRole, nil
+	default:
+		return "", result.New(result.OrderRefused, "the order's kind %d is not known", kind)
+	}
+}
+
+// orderState reads the engine's word on an order.
+func orderState(answer engine.OrderResult) (bool, error) {
+	switch answer.State {
+	case engine.OrderDone:
+		return true, nil
+	case engine.OrderRunning:
+		return false, nil
+	case engine.OrderStale:
+		return false, result.New(result.FenceTooOld, "the engine has seen fence number %d", answer.Fence)
+	case engine.OrderBusy:
+		return false, result.New(result.ServerBusy, "")
+	default:
+		return false, result.New(result.OrderRefused, "the engine refused: %s", answer.Message)
+	}
+}
+
+// orderFailure returns the result of a failed order call; nil if the order is to be given again, because the engine
+// may have taken it or may come back. Giving an order twice does no harm: the second one tells how far it is.
+func orderFailure(err error) error {
+	switch {
+	case errors.Is(err, engine.ErrUnsupported):
+		return result.Wrap(err, result.OrderRefused, "the engine takes no orders")
+	case errors.Is(err, engine.ErrRefused), errors.Is(err, engine.ErrInvalid):
+		return result.Wrap(err, result.OrderRefused, "")
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/agent/orders.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"context"
+	"sync"
+
+	"github.com/apex/log"
+
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// orderDeps is what orders needs of its agent.
+type orderDeps struct {
+	log     log.Interface
+	meter   *meter
+	fence   *fence
+	ready   *readiness
+	servers *servers
+	spawn   func(func(ctx context.Context))
+	report  func(*wire.OrderResult)
+}
+
+// orders carries out what the control leader orders, one order at a time for each server.
+type orders struct {
+	orderDeps
+
+	mu      sync.Mutex
+	running map[string]uint64 // order under way, by server
+}
+
+func newOrders(deps orderDeps) *orders {
+	return &orders{
+		orderDeps: deps,
+		running:   make(map[string]uint64),
+	}
+}
+
+// take begins an order, or reports at once why not. An order that comes again while it is under way is not begun
+// twice. The session answers one that comes again after its report.
+func (o *orders) take(ctx context.Context, order *wire.Order) {
+	s, err := o.check(order)
+	if err != nil {
+		o.finish(order, err)
+		return
+	}
+	if order.GetKind() == wire.OrderKind_ORDER_KIND_DRAIN {
+		o.finish(order, s.leave(ctx, "order"))
+		return
+	}
+	if begun, err := o.begin(order); !begun {
+		if err != nil {
+			o.finish(order, err)
+		}
+		return
+	}
+	o.spawn(func(ctx context.Context) {
+		err := o.carryOut(ctx, s, order)
+		o.end(order)
+		o.finish(order, err)
+	})
+}
+
+// check says whether an order may be begun now.
+func (o *orders) check(order *wire.Order) (*server, error) {
+	if code := o.ready.closed(); code != 0 {
+		return nil, result.New(code, "")
+	}
+	if err := o.fence.check(order); err != nil {
+		return nil, err
+	}
+	s := o.servers.get(order.GetServer())
+	if s == nil || !s.view.Load().recovered {
+		return nil, result.New(result.UnknownServer, "")
+	}
+	return s, nil
+}
+
+// begin marks the server as busy. It returns false without an error if this order is under way already.
+func (o *orders) begin(order *wire.Order) (bool, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	running, busy := o.running[order.GetServer()]
+	if busy && running == order.GetId() {
+		return false, nil
+	}
+	if busy {
+		return false, result.New(result.ServerBusy, "order %d is under way", running)
+	}
+	o.running[order.GetServer()] = order.GetId()
+	return true, nil
+}
+
+func (o *orders) end(order *wire.Order) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.running, order.GetServer())
+}
+
+// finish reports what became of an order. A nil err means that it is done.
+func (o *orders) finish(order *wire.Order, err error) {
+	code := result.CodeOf(err)
+	outcome := &wire.OrderResult{
+		Order:  order.GetId(),
+		Server: order.GetServer(),
+		Fence:  order.GetFence(),
+		Code:   uint32(code),
+	}
+	if err != nil {
+		outcome.Message = result.From(err).Message
+	}
+	o.meter.ordered(code)
+	o.log.WithField("order", order.GetId()).
+		WithField("kind", order.GetKind()).
+		WithField("server", order.GetServer()).
+		WithField("fence", order.GetFence()).
+		WithField("code", uint16(code)).
+		Info("order_ended")
+	o.report(outcome)
+}
+
+// carryOut repeats an order at the engine until the engine is as ordered: the same order again tells how far it is.
+// The fence is looked at before each call, since a newer leader may have come meanwhile.
+func (o *orders) carryOut(ctx context.Context, s *server, order *wire.Order) error {
+	ctx, stop := context.WithTimeout(ctx, orderTimeout)
+	defer stop()
+	for {
+		if err := o.fence.check(order); err != nil {
+			return err
+		}
+		view := s.view.Load()
+		if view.client == nil || view.gone() {
+			return result.New(result.OrderFailed, "the backend server is gone")
+		}
+		done, err := callOrder(ctx, view.client, order)
+		if done || err != nil {
+			return err
+		}
+		if !pause(ctx, orderPoll) {
+			return result.New(result.OrderExpired, "")
+		}
+	}
+}
--- /dev/null
+++ b/agent/readiness.go
@@ -0,0 +1,31 @@
+package agent
+
+import (
+	"sync/atomic"
+
+	"github.com/carawaypitch/carawaypitch/result"
+)
+
+// readiness decides whether the agent may take new work, apart from the state of single servers.
+type readiness struct {
+	stopping atomic.Bool
+	// control returns nil once control has confirmed the state and registered this agent, and while the agent isn't
+	// cut off.
+	control func() error
+}
+
+func (r *readiness) stop() {
+	r.stopping.Store(true)
+}
+
+func (r *readiness) isStopping() bool {
+	return r.stopping.Load()
+}
+
+// closed returns the code with which new work and orders are refused, 0 if they may be taken.
+func (r *readiness) closed() result.Code {
+	if r.isStopping() {
+		return result.Stopping
+	}
+	return result.CodeOf(r.control())
+}
--- /dev/null
+++ b/agent/run.go
@@ -0,0 +1,140 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// attemptKey identifies an attempt in maps.
+type attemptKey struct {
+	request string
+	number  uint64
+}
+
+func keyOf(id *wire.AttemptID) attemptKey {
+	return attemptKey{request: id.GetRequest(), number: id.GetNumber()}
+}
+
+// engineID is the identity of an attempt at its engine. Every call for an attempt uses this one, also a resumed one,
+// so that whoever knows the attempt can cancel it at the engine.
+func engineID(id *wire.AttemptID) engine.AttemptID {
+	return engine.AttemptID(id.GetRequest() + "." + strconv.FormatUint(id.GetNumber(), 10))
+}
+
+// engineRun is one attempt at the engine. Its goroutine calls the engine; its gate duty takes the events.
+//
+// The context of a run is the server's and never a link's. Were it tied to the link, the loss of a link would drop
+// the engine's connection: an engine that goes on after that would run an attempt that nobody reads, and one would
+// notice it as an outcome that stays unknown although the engine finished.
+type engineRun struct {
+	dispatch   *wire.Dispatch
+	key        attemptKey
+	client     engine.Client
+	service    bool // a plain service and no model
+	resumes    bool // the engine can resume
+	exports    bool // the engine can export and import KV cache
+	wantsUsage bool
+	stop       context.CancelFunc // drops the engine's connection
+
+	returned time.Time // when the engine call returned, zero while it goes on; the gate duty's own
+
+	mu          sync.Mutex
+	changed     *sync.Cond
+	events      [][]byte
+	tokens      uint32
+	bytes       int
+	announced   bool // the gate duty was told that there are events
+	closed      bool // nobody takes events any more
+	contentType string
+}
+
+func newRun(d *wire.Dispatch, client engine.Client, capabilities *wire.Capabilities) *engineRun {
+	r := &engineRun{
+		dispatch:   d,
+		key:        keyOf(d.GetAttempt()),
+		client:     client,
+		service:    d.GetWork().GetService(),
+		resumes:    capabilities.GetResume(),
+		exports:    capabilities.GetKv(),
+		wantsUsage: wantsUsage(d.GetBody()),
+	}
+	r.changed = sync.NewCond(&r.mu)
+	return r
+}
+
+// wantsUsage says whether the caller asked for the usage event. The adapter always asks the engine for it.
+func wantsUsage(body []byte) bool {
+	var parsed struct {
+		Options struct {
+			IncludeUsage bool `json:"include_usage"`
+		} `json:"stream_options"`
+	}
+	return json.Unmarshal(body, &parsed) == nil && parsed.Options.IncludeUsage
+}
+
+// call runs the attempt at the engine until its end. The errors are those of engine.Client.
+func (r *engineRun) call(ctx context.Context, sink engine.Sink) (engine.Outcome, error) {
+	d := r.dispatch
+	if d.GetResumeFrom() > 0 || d.GetResumeAttempt() != "" {
+		return r.resume(ctx, sink)
+	}
+	request := engine.Request{
+		ID:             engineID(d.GetAttempt()),
+		Kind:           engine.KindModel,
+		Method:         d.GetMethod(),
+		Path:           d.GetPath(),
+		Body:           d.GetBody(),
+		IdempotencyKey: d.GetIdempotencyKey(),
+	}
+	if r.service {
+		request.Kind = engine.KindService
+	}
+	if contentType := d.GetContentType(); contentType != "" {
+		request.Header = map[string][]string{"Content-Type": {contentType}}
+	}
+	return r.client.Run(ctx, request, sink)
+}
+
+// resume goes on with an answer of which earlier attempts delivered the first tokens. Without the engine's support
+// the attempt never starts: a run from the beginning would give other tokens, and the caller a mixture of two answers.
+func (r *engineRun) resume(ctx context.Context, sink engine.Sink) (engine.Outcome, error) {
+	d := r.dispatch
+	id := engineID(d.GetAttempt())
+	if !r.resumes {
+		return engine.Outcome{}, &engine.CallError{
+			Call:  "resume",
+			ID:    id,
+			Class: engine.ErrNeverSent,
+			Err:   engine.ErrUnsupported,
+		}
+	}
+	if d.GetResumeAttempt() != "" && r.exports {
+		r.moveCache(ctx, engine.AttemptID(d.GetResumeAttempt()), id)
+	}
+	return r.client.Resume(ctx, id, int(d.GetResumeFrom()), d.GetBody(), sink)
+}
+
+// moveCache gives the KV cache of an earlier attempt to this one. A failure costs only a second prefill: the engine
+// then begins anew from the body.
+func (r *engineRun) moveCache(ctx context.Context, from, to engine.AttemptID) {
+	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
+	defer cancel()
+	cache, err := r.client.ExportKV(ctx, from)
+	if err != nil {
+		return
+	}
+	_ = r.client.ImportKV(ctx, to, cache)
+}
+
+// proven says whether a returned call proves that the attempt is over.
+func proven(err error) bool {
+	return err == nil || errors.Is(err, engine.ErrNeverSent)
+}
--- /dev/null
+++ b/agent/run_sink.go
@@ -0,0 +1,109 @@
+package agent
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+)
+
+// errNotTaken ends a run whose events nobody takes any more.
+var errNotTaken = errors.New("agent: events are not taken any more")
+
+// runSink receives a run's events and tells the gate duty once for all that are waiting. So a burst of events costs
+// the gate duty one step, and a single event goes on at once.
+type runSink struct {
+	run *engineRun
+	// tell puts a note on the gate duty's ring. It may wait: that is the back-pressure on the engine.
+	tell func(*engineRun) error
+}
+
+var _ engine.Sink = (*runSink)(nil)
+
+// Chunk implements engine.Sink.
+func (s *runSink) Chunk(chunk engine.Chunk) error {
+	if chunk.UsageOnly && !s.run.wantsUsage {
+		return nil
+	}
+	return s.put(slices.Clone(chunk.Data), chunk.Tokens)
+}
+
+// Answer implements engine.Sink. What a model engine says with a status other than 200 is a refusal, and no part of
+// an answer.
+func (s *runSink) Answer(answer engine.Answer) error {
+	s.run.noteType(answer.ContentType)
+	if !s.run.service && answer.Status != http.StatusOK {
+		return nil
+	}
+	for chunk := range slices.Chunk(answer.Body, serviceChunkBytes) {
+		if err := s.put(chunk, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *runSink) put(event []byte, tokens int) error {
+	tell, err := s.run.put(event, tokens)
+	if err != nil || !tell {
+		return err
+	}
+	return s.tell(s.run)
+}
+
+// put adds an event, and waits while too many bytes are waiting. It returns whether the gate duty must be told.
+func (r *engineRun) put(event []byte, tokens int) (bool, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.bytes > 0 && r.bytes+len(event) > runBufferBytes && !r.closed {
+		r.changed.Wait()
+	}
+	if r.closed {
+		return false, errNotTaken
+	}
+	r.events = append(r.events, event)
+	r.bytes += len(event)
+	r.tokens += uint32(tokens)
+	tell := !r.announced
+	r.announced = true
+	return tell, nil
+}
+
+// take returns the events that are waiting, and the tokens in them.
+func (r *engineRun) take() ([][]byte, uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	events, tokens := r.events, r.tokens
+	r.events = nil
+	r.tokens = 0
+	r.bytes = 0
+	r.announced = false
+	r.changed.Broadcast()
+	return events, tokens
+}
+
+// close lets put fail from now on.
+func (r *engineRun) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	r.changed.Broadcast()
+}
+
+func (r *engineRun) noteType(contentType string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.contentType = contentType
+}
+
+// answerType returns the content type that the engine gave, and that of a stream if it gave none.
+func (r *engineRun) answerType() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.contentType == "" {
+		return engine.ContentTypeStream
+	}
+	return r.contentType
+}
--- /dev/null
+++ b/agent/server_actions.go
@@ -0,0 +1,122 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// errNotDispatched is the cause of an attempt that the agent didn't pass to its engine.
+var errNotDispatched = errors.New("agent: not passed to the engine")
+
+// perform carries out an action of the gate. It never waits.
+func (s *server) perform(now time.Time, action gate.Action) {
+	switch a := action.(type) {
+	case gate.Send:
+		s.send(a)
+	case gate.Broadcast:
+		s.links.Broadcast(s.adjust(a.Message))
+	case gate.StartEngine:
+		s.start(a.Dispatch)
+	case gate.CancelEngine:
+		s.cancel(now, a)
+	case gate.ListEngine:
+		s.list()
+	case gate.Report:
+		s.log.WithField("request", a.Complete.GetRequest()).Info("outcome_reported")
+		s.report(a.Complete)
+	case gate.Changed:
+		s.noteCondition(a.Server)
+	case gate.Count:
+		s.meter.count(s.refusing.counted(a))
+	}
+}
+
+func (s *server) send(a gate.Send) {
+	s.refusing.mark(a.Message.GetOver())
+	if !s.links.Send(a.Entry, s.adjust(a.Message)) {
+		s.meter.dropped()
+	}
+}
+
+// adjust takes the free room out of a Room message while the agent takes no new work.
+func (s *server) adjust(message *wire.AgentMessage) *wire.AgentMessage {
+	room := message.GetRoom()
+	if room == nil || s.ready.closed() == 0 {
+		return message
+	}
+	// The gate may compare the message that it made with a later one.
+	room = proto.CloneOf(room)
+	room.Free = 0
+	if room.GetCondition() == wire.ServerCondition_SERVER_CONDITION_READY {
+		room.Condition = wire.ServerCondition_SERVER_CONDITION_SUSPECT
+	}
+	return &wire.AgentMessage{Kind: &wire.AgentMessage_Room{Room: room}}
+}
+
+// start runs an attempt at the engine, or refuses it.
+//
+// An agent that is cut off from control, or stops, takes no new work. Here is the one place where work begins, so a
+// refusal here holds for dispatches of all ways: straight, after an offer, or from the waiting list. The gate leaves a
+// tombstone as for any call that was never sent.
+func (s *server) start(d *wire.Dispatch) {
+	key := keyOf(d.GetAttempt())
+	why := refusal{key: key, code: s.ready.closed()}
+	if why.code != 0 || s.client == nil || len(s.runs) >= maxRuns || s.runs[key] != nil {
+		s.then(notDispatched(d.GetAttempt()), why)
+		return
+	}
+	r := newRun(d, s.client, s.record.GetCapabilities())
+	callCtx, stop := context.WithCancel(s.base)
+	r.stop = stop
+	s.runs[key] = r
+	s.spawn(func(ctx context.Context) { s.execute(ctx, callCtx, r) })
+}
+
+func notDispatched(id *wire.AttemptID) gate.EngineEnded {
+	return gate.EngineEnded{
+		Attempt: id,
+		Err: &engine.CallError{
+			Call:  "run",
+			ID:    engineID(id),
+			Class: engine.ErrNeverSent,
+			Err:   errNotDispatched,
+		},
+	}
+}
+
+// noteCondition takes what the gate wants in the directory.
+func (s *server) noteCondition(record *wire.ServerRecord) {
+	if !s.recovered() {
+		s.log.Info("engine_recovered")
+	}
+	if record.GetCondition() != s.published.GetCondition() {
+		s.log.WithField("condition", conditionName(record.GetCondition())).Info("server_condition")
+	}
+	s.published = record
+	s.leaving.drained = record.GetCondition() == wire.ServerCondition_SERVER_CONDITION_DRAINED
+	s.publish()
+}
+
+// mark puts the agent's reason in the gate's answer to an attempt that the agent refuses.
+func (r refusal) mark(over *wire.Over) {
+	if r.code == 0 || keyOf(over.GetAttempt()) != r.key || over.GetProof() != wire.Proof_PROOF_NEVER_STARTED {
+		return
+	}
+	over.Code = uint32(r.code)
+	over.Message = r.code.Info().Message
+}
+
+// counted puts the agent's reason in the gate's count of the refusal.
+func (r refusal) counted(c gate.Count) gate.Count {
+	if r.code != 0 && c.Counter == gate.Refusals {
+		c.Code = uint16(r.code)
+	}
+	return c
+}
--- /dev/null
+++ b/agent/server_announce.go
@@ -0,0 +1,104 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// errOtherEngine says that an answer came from an engine that isn't in use any more.
+var errOtherEngine = errors.New("agent: the backend server has another address now")
+
+// announce hands a checked announcement to the gate duty and waits for its word. Errors have the code server_busy (the
+// address or kind changed while the earlier engine may still run something) or malformed_body.
+func (s *server) announce(ctx context.Context, record *wire.ServerRecord) error {
+	reply := make(chan error, 1)
+	if err := s.push(ctx, announcement{record: record, reply: reply}); err != nil {
+		return err
+	}
+	select {
+	case err := <-reply:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+type announcement struct {
+	record *wire.ServerRecord
+	reply  chan<- error
+}
+
+func (in announcement) apply(s *server, now time.Time) {
+	in.reply <- s.takeAnnouncement(now, in.record)
+}
+
+func (s *server) takeAnnouncement(now time.Time, record *wire.ServerRecord) error {
+	if s.moved(record) {
+		if err := s.letGo(); err != nil {
+			return err
+		}
+	}
+	if err := s.connect(record); err != nil {
+		return err
+	}
+	known := proto.Equal(s.record, record)
+	s.noteSilence(now)
+	s.record = record
+	s.announced = now
+	if s.comesBack(now) {
+		s.comeBack(now)
+	}
+	s.step(now, gate.Announced{Server: record})
+	if !known {
+		s.log.WithField("address", record.GetAddress()).WithField("slots", record.GetSlots()).Info("server_announced")
+		s.publish()
+	}
+	return nil
+}
+
+// moved says whether the announcement is of another engine than the one in use.
+func (s *server) moved(record *wire.ServerRecord) bool {
+	if s.record == nil {
+		return false
+	}
+	return s.record.GetAddress() != record.GetAddress() || s.record.GetKind() != record.GetKind()
+}
+
+// letGo gives up the engine in use for another address.
+//
+// Attempts at the old address can be ended only there. The engine at the new one has never heard of them, and its "no
+// such stream" would pass for a proof while the old one goes on. So a move has to wait until the old engine is drained,
+// or is gone without an attempt of which nothing is proved. Announcements that are refused don't count as signs of
+// life, so an engine that really moved is gone soon.
+func (s *server) letGo() error {
+	condition := s.published.GetCondition()
+	over := condition == wire.ServerCondition_SERVER_CONDITION_GONE ||
+		condition == wire.ServerCondition_SERVER_CONDITION_DRAINED
+	if !over && s.recovered() || len(s.runs) > 0 {
+		return result.New(result.ServerBusy, "another address is in use, with %d attempts that are not over", len(s.runs))
+	}
+	s.client = nil
+	return nil
+}
+
+// connect makes the engine's client if there is none.
+func (s *server) connect(record *wire.ServerRecord) error {
+	if s.client != nil {
+		return nil
+	}
+	client, err := s.newEngine(record)
+	if err != nil {
+		return result.Wrap(err, result.MalformedBody, "address: no engine can be reached at %q", record.GetAddress())
+	}
+	s.client = client
+	s.publish()
+	s.spawn(func(ctx context.Context) { s.probeLoop(ctx, client) })
+	return nil
+}
--- /dev/null
+++ b/agent/server_leave.go
@@ -0,0 +1,89 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/gate"
+)
+
+// leaving says where a graceful leave stands.
+type leaving struct {
+	asked   bool
+	drained bool
+	silent  bool      // the server stopped announcing for a while since it was asked to leave
+	heard   time.Time // when the server was first told that it is drained, zero before
+
+	departed bool // drained, and silent for departedAfter
+}
+
+// leave hands the wish to leave to the gate duty. It has an error only if ctx ends.
+func (s *server) leave(ctx context.Context, reason string) error {
+	return s.push(ctx, leaveAsked{reason: reason})
+}
+
+type leaveAsked struct{ reason string }
+
+func (in leaveAsked) apply(s *server, now time.Time) {
+	if !s.leaving.asked {
+		s.leaving.asked = true
+		s.log.WithField("reason", in.reason).Info("server_leaving")
+	}
+	s.step(now, gate.Leaving{})
+	s.publish()
+}
+
+// drainHeard says that the server was told that it is drained.
+type drainHeard struct{}
+
+func (drainHeard) apply(s *server, now time.Time) {
+	if s.leaving.drained && s.leaving.heard.IsZero() {
+		s.leaving.heard = now
+	}
+}
+
+// noteSilence looks at an announcement for a silence before it.
+func (s *server) noteSilence(now time.Time) {
+	if s.leaving.asked && now.Sub(s.announced) >= s.timing.Silent {
+		s.leaving.silent = true
+	}
+}
+
+// comesBack says whether an announcement of a leaving server means that it is back.
+//
+// A server goes on announcing while it drains, and for a moment after. Were that taken for a return, it would get new
+// work and stop under it. So it is back only if it is drained and either was told so a while ago or was silent in
+// between. A server that an operator drained asks nothing and is never silent, and stays drained.
+func (s *server) comesBack(now time.Time) bool {
+	if !s.leaving.drained {
+		return false
+	}
+	told := !s.leaving.heard.IsZero() && now.Sub(s.leaving.heard) >= comeBackAfter
+	return told || s.leaving.silent
+}
+
+// comeBack lets a drained server begin anew, with a new gate: for the old one, drained is the end.
+//
+// The new gate knows none of the old one's tombstones. What they refuse can't come any more: nothing is dispatched to
+// a drained server, links keep their order, and comeBackAfter or the silence has passed.
+func (s *server) comeBack(now time.Time) {
+	s.log.Info("server_back")
+	s.leaving = leaving{}
+	s.published = nil
+	s.gate = s.newGate()
+	for _, id := range s.linked() {
+		s.step(now, gate.EntryUp{Entry: id})
+	}
+	s.publish()
+}
+
+// noteDeparture takes a drained server out of the directory once it stopped announcing itself. For the gate drained is
+// the end, so it says nothing any more.
+func (s *server) noteDeparture(now time.Time) {
+	departed := s.leaving.drained && now.Sub(s.announced) >= departedAfter
+	if departed != s.leaving.departed {
+		s.leaving.departed = departed
+		s.log.WithField("departed", departed).Info("server_departed")
+		s.publish()
+	}
+}
--- /dev/null
+++ b/agent/server_list.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/gate"
+)
+
+// list asks the engine for its streams. The gate wants it when the server announces itself first: an engine may go on
+// with what a dead incarnation of this agent started, and the gate cancels that before it admits anything.
+func (s *server) list() {
+	client := s.client
+	if client == nil {
+		s.then(gate.EngineListed{Err: errNotDispatched}, refusal{})
+		return
+	}
+	s.spawn(func(ctx context.Context) {
+		streams, err := settledList(ctx, client)
+		_ = s.push(ctx, listed{client: client, streams: streams, err: err})
+	})
+}
+
+// settledList lists the engine's streams, and lists them again after settleTime if none runs.
+//
+// The last dispatch of a dead process may still be on its way when the first list is made, and the engine would start
+// it after it was taken for free. One would notice it as a stream on the engine that no gate knows, and as a request
+// that runs on two engines.
+func settledList(ctx context.Context, client engine.Client) ([]engine.StreamInfo, error) {
+	streams, err := listOnce(ctx, client)
+	if err != nil || anyRunning(streams) {
+		return streams, err
+	}
+	if !pause(ctx, settleTime) {
+		return nil, context.Cause(ctx)
+	}
+	return listOnce(ctx, client)
+}
+
+func listOnce(ctx context.Context, client engine.Client) ([]engine.StreamInfo, error) {
+	ctx, stop := context.WithTimeout(ctx, engineCallTimeout)
+	defer stop()
+	return client.Streams(ctx)
+}
+
+func anyRunning(streams []engine.StreamInfo) bool {
+	for _, stream := range streams {
+		if stream.State.Running() {
+			return true
+		}
+	}
+	return false
+}
+
+// listed carries an engine's list of streams.
+type listed struct {
+	client  engine.Client
+	streams []engine.StreamInfo
+	err     error
+}
+
+func (in listed) apply(s *server, now time.Time) {
+	if in.client != s.client {
+		in.streams, in.err = nil, errOtherEngine
+	}
+	entry := s.log.WithField("streams", len(in.streams)).WithField("running", anyRunning(in.streams))
+	if in.err != nil {
+		entry = entry.WithError(in.err)
+	}
+	entry.Info("engine_listed")
+	s.step(now, gate.EngineListed{Streams: in.streams, Err: in.err})
+}
+
+// pause waits for d. It returns false if ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/agent/stop.go
@@ -0,0 +1,82 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// stopDuty waits for the end of ctx and stops the agent gracefully. base ends only when this returns.
+func (a *Agent) stopDuty(ctx, base context.Context) error {
+	<-ctx.Done()
+	if base.Err() != nil {
+		return nil
+	}
+	a.log.Info("agent_stopping")
+	a.ready.stop()
+	for _, s := range a.servers.all() {
+		if err := s.leave(base, "stop"); err != nil {
+			return nil
+		}
+	}
+	drained := a.awaitDrained(base)
+	a.remove(base)
+	if !drained {
+		return ErrDrainTimeout
+	}
+	return nil
+}
+
+// awaitDrained waits until nothing is in flight and all outcomes are committed. It returns false at the end of
+// timing.drain or of ctx.
+func (a *Agent) awaitDrained(ctx context.Context) bool {
+	end := time.Now().Add(a.settings.Timing.Drain)
+	for !a.isDrained() {
+		if time.Now().After(end) || !pause(ctx, drainPoll) {
+			return false
+		}
+	}
+	return true
+}
+
+func (a *Agent) isDrained() bool {
+	for _, s := range a.servers.all() {
+		view := s.view.Load()
+		if view.recovered && !view.drained && !view.gone() {
+			return false
+		}
+	}
+	return a.reports.open.Load() == 0
+}
+
+// remove has control commit that this incarnation left. Without an answer the directory keeps it until control
+// notices the silence; entries notice the closed links at once.
+func (a *Agent) remove(ctx context.Context) {
+	if !a.isReleased() {
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, removeTimeout)
+	defer stop()
+	answer, err := a.session.Propose(ctx, &wire.Command{
+		Kind: &wire.Command_RemoveAgent{RemoveAgent: &wire.RemoveAgent{
+			Agent:       a.settings.Instance,
+			Incarnation: a.incarnation,
+		}},
+	})
+	if err == nil {
+		err = commandError(answer)
+	}
+	if err != nil {
+		a.log.WithError(err).Warn("removal_not_committed")
+	}
+}
+
+// commandError returns the refusal of a committed command, nil if the state took it.
+func commandError(answer *wire.CommandResult) error {
+	if answer.GetCode() == 0 {
+		return nil
+	}
+	return result.New(result.Code(answer.GetCode()), "%s", answer.GetMessage())
+}
