--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -21,6 +21,7 @@
 	cost        int64         // tokens charged to the organisation
 	plain       time.Duration // predicted run by the rates that the gate reports
 
+	started     bool      // the agent says that the engine was asked to begin
 	acked       bool      // the agent has answered something since the link was opened last
 	quietSince  time.Time // sent, or link opened again
 	downSince   time.Time // link lost; zero while it is open
@@ -102,7 +103,7 @@
 // dispatch sends the body to one server. Reservations elsewhere are withdrawn first: an offer that crosses the
 // withdrawal is declined, since the request has an attempt then.
 func (s *Scheduler) dispatch(r *request, to *server, offered bool) {
-	if r.attempt != nil || !to.ready {
+	if r.attempt != nil || !to.ready || !r.pool.has(to) || !r.allows(to) {
 		s.countStray(strayAttempt)
 		return
 	}
@@ -210,10 +211,11 @@
 // started notes a sign of life of an attempt.
 func (s *Scheduler) started(a *agent, m *wire.Started) {
 	r := s.requests[m.GetAttempt().GetRequest()]
-	if r == nil || !r.present(a, m.GetAttempt()) {
+	if r == nil || !r.present(a, m.GetAttempt()) || m.GetServer() != r.attempt.server.name {
 		s.countStray(strayAttempt)
 		return
 	}
+	r.attempt.started = true
 	s.acknowledge(r)
 }
 
--- a/sched/links.go
+++ b/sched/links.go
@@ -18,7 +18,6 @@
 		s.linkLost(a)
 	}
 	newer := hello.GetIncarnation() > a.incarnation
-	s.seen(a, hello.GetIncarnation())
 	a.incarnation = hello.GetIncarnation()
 	a.zone = hello.GetAvailabilityZone()
 	a.up = true
@@ -31,14 +30,6 @@
 	s.askEarlier(a)
 }
 
-// seen notes since when this entry has known the agent's incarnation.
-func (s *Scheduler) seen(a *agent, incarnation uint64) {
-	if incarnation > a.known || a.since.IsZero() {
-		a.known = max(a.known, incarnation)
-		a.since = s.now
-	}
-}
-
 // agentDown notes that the link is lost. The agent's attempts are not over: nobody knows.
 func (s *Scheduler) agentDown(name string, incarnation uint64) {
 	a := s.agents[name]
--- a/sched/options.go
+++ b/sched/options.go
@@ -56,8 +56,6 @@
 	LeaseDuration time.Duration
 	// EvidenceAge is how old a Room may be to count as fresh.
 	EvidenceAge time.Duration
-	// ClockSkew bounds the difference between the clocks of this entry and of control's leader.
-	ClockSkew time.Duration
 }
 
 // Defaults of Options.
@@ -71,9 +69,8 @@
 	DefaultMaxAnswer             = 16 << 20
 	DefaultHistory               = 1024
 	DefaultPrefixEntries         = 1 << 16
-	DefaultLeaseDuration         = time.Second
+	DefaultLeaseDuration         = 3 * time.Second
 	DefaultEvidenceAge           = 2 * time.Second
-	DefaultClockSkew             = 5 * time.Second
 )
 
 func (o Options) withDefaults() Options {
@@ -88,7 +85,6 @@
 	o.PrefixEntries = orDefault(o.PrefixEntries, DefaultPrefixEntries)
 	o.LeaseDuration = orDefault(o.LeaseDuration, DefaultLeaseDuration)
 	o.EvidenceAge = orDefault(o.EvidenceAge, DefaultEvidenceAge)
-	o.ClockSkew = orDefault(o.ClockSkew, DefaultClockSkew)
 	return o
 }
 
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -169,7 +169,7 @@
 		case to == nil:
 			r.mark = s.mark
 			passed++
-			s.widenIfGone(r)
+			s.stuck(r)
 		case s.giveUp(r, to):
 		default:
 			s.dispatch(r, to, false)
@@ -180,7 +180,7 @@
 // pumpReserve places reservations for the requests that are next. How many requests have some is bounded, so that
 // the messages and the gates' queues don't grow with a backlog; tier 1 isn't held back by the bound.
 func (s *Scheduler) pumpReserve(p *pool, tier int) {
-	if p.ready == 0 && tier > 0 {
+	if p.ready == 0 {
 		return
 	}
 	s.mark++
@@ -193,7 +193,7 @@
 		r.mark = s.mark
 		if !s.reserve(r) {
 			passed++
-			s.widenIfGone(r)
+			s.stuck(r)
 		}
 	}
 }
--- a/sched/proofs.go
+++ b/sched/proofs.go
@@ -13,7 +13,7 @@
 	cancelRepeat = time.Second
 	// quietBound is how long a dispatch may stay without any answer of its agent on an open link. Then the dispatch,
 	// or the answer, was lost, and a Cancel asks what became of it.
-	quietBound = time.Second
+	quietBound = 2 * time.Second
 	// proveRepeat is how often the engine itself is asked again.
 	proveRepeat = 2 * time.Second
 )
@@ -30,14 +30,21 @@
 		return
 	}
 	if r.state == awaitingEarlier {
-		s.earlierOver(r, a, m)
+		s.earlierOver(r, m)
 		return
 	}
-	if !r.present(a, id) {
+	if r.attempt == nil {
+		s.reservationRefused(r, m)
+		return
+	}
+	if !r.present(a, id) || m.GetServer() != r.attempt.server.name {
 		s.countStray(strayAttempt)
 		return
 	}
 	s.acknowledge(r)
+	if provesBegun(r, m) {
+		r.record().began = true
+	}
 	s.overPresent(r, m)
 	s.setWake(r)
 }
@@ -112,16 +119,14 @@
 	}
 	rec := r.record()
 	rec.over, rec.proof, rec.proved, rec.reason = s.now, proof, true, reason
-	rec.began = rec.began || began(proof)
 	if proof != wire.Proof_PROOF_NEVER_STARTED {
 		r.starts++
 	}
 	r.lastErr = err
 	if !r.abandoned() {
-		r.err = s.endError(r, e, err)
+		r.err = endError(r, err)
 	}
 	s.trueUp(r, proof)
-	old := r.attempt
 	if s.fire(r, e) != nil {
 		return
 	}
@@ -130,17 +135,27 @@
 	}
 	s.release(r)
 	s.countRetry(r, reason)
-	s.requeue(r, old)
+	s.requeue(r)
 }
 
-// began tells whether the proof says that an engine began the attempt.
-func began(p wire.Proof) bool {
-	return p == wire.Proof_PROOF_CANCELLED || p == wire.Proof_PROOF_FAILED || p == wire.Proof_PROOF_COMPLETED
+// provesBegun tells whether the word says that an engine began the present attempt. CANCELLED alone doesn't: an agent
+// also says it of an attempt that it has never heard of and that an incarnation before it may have run, and of one
+// that the engine says it didn't begin.
+func provesBegun(r *request, m *wire.Over) bool {
+	switch m.GetProof() {
+	case wire.Proof_PROOF_COMPLETED, wire.Proof_PROOF_FAILED:
+		return true
+	case wire.Proof_PROOF_CANCELLED:
+		notBegun := result.Code(m.GetCode()) == result.EngineFailed
+		return m.GetWastedPrefillTokens() > 0 || (r.attempt.started && !notBegun)
+	default:
+		return false
+	}
 }
 
 // endError is what the caller hears if the request isn't tried again.
-func (s *Scheduler) endError(r *request, e event, err *result.Error) *result.Error {
-	if e == evProvedOver && !r.Class.GetRepeatable() {
+func endError(r *request, err *result.Error) *result.Error {
+	if r.ran() == result.RanUnknown && !r.Class.GetRepeatable() {
 		return result.New(result.OutcomeUnknown, "")
 	}
 	return err
@@ -162,7 +177,7 @@
 }
 
 // requeue puts a request whose attempt is proved over back into the queue.
-func (s *Scheduler) requeue(r *request, old *attempt) {
+func (s *Scheduler) requeue(r *request) {
 	if r.state != queued {
 		return
 	}
@@ -171,7 +186,7 @@
 		return
 	}
 	s.prepareRetry(r)
-	s.backOff(r, old)
+	s.backOff(r)
 	s.enqueue(r)
 }
 
@@ -193,7 +208,7 @@
 	if r == nil || r.attempt == nil || r.attempt.id.GetNumber() != e.Attempt.GetNumber() || r.attempt.server.name != e.Server {
 		return
 	}
-	if began(e.Proof) {
+	if e.Proof == wire.Proof_PROOF_COMPLETED || e.Proof == wire.Proof_PROOF_FAILED {
 		r.record().began = true
 	}
 	s.provedOver(r, retryProved)
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -171,20 +171,39 @@
 }
 
 // backOff has a refused request wait a little if no server has room for it. With room elsewhere it goes there at
-// once.
-func (s *Scheduler) backOff(r *request, old *attempt) {
-	r.notBefore = time.Time{}
-	if r.record().proof != wire.Proof_PROOF_NEVER_STARTED || s.options.Policy != PolicyTargets && s.chooseBaseline(r) != nil {
+// once; without, its reservations wait at gates that haven't refused it.
+func (s *Scheduler) backOff(r *request) {
+	if r.record().proof != wire.Proof_PROOF_NEVER_STARTED {
+		r.avoid = r.avoid[:0]
 		return
 	}
-	if s.options.Policy == PolicyTargets {
-		if r.pool.roomy > 0 && s.choose(r) != nil {
-			return
-		}
-		r.avoid = r.avoid[:0]
+	if !s.anySuits(r) {
+		s.rest(r)
+	}
+}
+
+// rest keeps a request that every server has refused out of the queue for a moment, and then lets it try them all
+// again, under a number that none of them has a tombstone for.
+func (s *Scheduler) rest(r *request) {
+	s.pull(r)
+	r.avoid = r.avoid[:0]
+	r.number++
+	r.notBefore = s.now.Add(s.jitter(min(backOffFirst<<min(r.refusals, maxRefusals), backOffMost)))
+	s.setWake(r)
+}
+
+// stuck looks at a queued request that no server can take now: its operation record may need more servers, or every
+// server may have refused it.
+func (s *Scheduler) stuck(r *request) {
+	s.widenIfGone(r)
+	refused := len(r.avoid) > 0 && len(r.reservations) == 0 && !r.widen.asked
+	if refused && !s.anySuits(r) {
+		s.rest(r)
 	}
-	d := min(backOffFirst<<min(r.refusals, maxRefusals), backOffMost)
-	r.notBefore = s.now.Add(s.jitter(d))
+}
+
+func (s *Scheduler) anySuits(r *request) bool {
+	return slices.ContainsFunc(r.pool.servers, func(v *server) bool { return s.canReserve(r, v) })
 }
 
 // avoidServer keeps a request away from a server that has just refused it.
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -83,9 +84,12 @@
 	s.setReservations(r, nil)
 }
 
-// dropReservations takes the reservations at a server back that may have no new work any more.
-func (s *Scheduler) dropReservations(v *server) {
+// dropReservations takes reservations back at a server that may have no new work of their kind any more.
+func (s *Scheduler) dropReservations(v *server, which func(*request) bool) {
 	for _, r := range sortedRequests(v.waiting) {
+		if !which(r) {
+			continue
+		}
 		m := &wire.Withdraw{Attempt: r.nextID(), Server: v.name}
 		s.send(v.agent, &wire.EntryMessage{Kind: &wire.EntryMessage_Withdraw{Withdraw: m}})
 		s.forgetReservation(r, v)
@@ -113,6 +117,30 @@
 	return slices.ContainsFunc(r.reservations, func(res reservation) bool { return res.server == v })
 }
 
+// reservationRefused takes a gate's refusal of a reservation. The gate has left a tombstone for the number, so the
+// request needs another one before it may come back there.
+func (s *Scheduler) reservationRefused(r *request, m *wire.Over) {
+	v := s.servers[m.GetServer()]
+	fits := r.state == reserved && m.GetProof() == wire.Proof_PROOF_NEVER_STARTED &&
+		m.GetAttempt().GetNumber() == r.nextID().GetNumber()
+	if !fits || v == nil || !r.reservedAtServer(v) {
+		s.countStray(strayAttempt)
+		return
+	}
+	r.refusals++
+	r.avoidServer(v.name)
+	r.lastErr = s.overError(m, result.RefusedNeverStarted)
+	s.countRetry(r, retryReservation)
+	s.forgetReservation(r, v)
+	s.afterLosing(r)
+	if len(r.reservations) > 0 {
+		return
+	}
+	if err := s.refuseRetry(r); err != nil {
+		s.refuse(r, err)
+	}
+}
+
 // offer takes a gate's word that it holds a slot. The body goes to the first offer only, and only while the request
 // has no attempt; any other is declined, since two engines would run the request.
 func (s *Scheduler) offer(a *agent, m *wire.Offer) {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -161,6 +161,7 @@
 // Labels of Count with Retries.
 const (
 	retryNeverStarted = "never_started"
+	retryReservation  = "reservation_refused"
 	retryFailed       = "engine_failed"
 	retryCancelled    = "cancelled"
 	retryPreempted    = "preempted"
--- a/sched/servers.go
+++ b/sched/servers.go
@@ -12,8 +12,6 @@
 type agent struct {
 	name        string
 	incarnation uint64 // highest seen on a link
-	known       uint64 // highest seen on a link or in the directory
-	since       time.Time
 	zone        string
 	up          bool
 	downSince   time.Time
@@ -59,7 +57,6 @@
 	for _, record := range records {
 		a := s.agentNamed(record.GetAgent())
 		a.zone = record.GetAvailabilityZone()
-		s.seen(a, record.GetIncarnation())
 		for _, server := range record.GetServers() {
 			listed[server.GetServer()] = true
 			s.list(a, server)
@@ -96,7 +93,7 @@
 	v.record = nil
 	s.refresh(v)
 	s.place(v)
-	if v.inflight == 0 {
+	if v.inflight == 0 && v.room == nil {
 		delete(v.agent.servers, v.name)
 		delete(s.servers, v.name)
 	}
@@ -168,20 +165,21 @@
 	for _, p := range v.pools {
 		s.touch(p)
 	}
+	s.dropReservations(v, func(r *request) bool { return !r.pool.has(v) })
 }
 
-// offers says what the server has: by its last Room, else by the directory.
+// offers says what a listed server has: by its last Room, else by the directory.
 func (v *server) offers() (kind string, targets []string) {
-	switch {
-	case v.room != nil:
-		kind, targets = v.room.GetAddressKind(), v.room.GetTargets()
-	case v.record != nil:
-		kind, targets = v.record.GetKind(), v.record.GetModels()
+	if v.record == nil {
+		return "", nil
 	}
-	if kind == "" {
-		kind = v.kind
+	if v.room == nil {
+		return v.kind, v.record.GetModels()
 	}
-	return kind, targets
+	if v.room.GetAddressKind() == "" {
+		return v.kind, v.room.GetTargets()
+	}
+	return v.room.GetAddressKind(), v.room.GetTargets()
 }
 
 func (p *pool) put(v *server) {
@@ -233,7 +231,7 @@
 		s.touch(p)
 	}
 	if gone {
-		s.dropReservations(v)
+		s.dropReservations(v, func(*request) bool { return true })
 	}
 }
 
--- a/sched/takeover.go
+++ b/sched/takeover.go
@@ -67,39 +67,30 @@
 }
 
 // earlierOver takes one server's proof for all attempts up to the number asked about.
-func (s *Scheduler) earlierOver(r *request, a *agent, m *wire.Over) {
+func (s *Scheduler) earlierOver(r *request, m *wire.Over) {
 	at := slices.Index(r.earlier.waiting, m.GetServer())
 	if at < 0 || m.GetAttempt().GetNumber() < r.earlier.id.GetNumber() || !isProof(m.GetProof()) {
 		s.countStray(strayAttempt)
 		return
 	}
 	r.earlier.waiting = slices.Delete(r.earlier.waiting, at, at+1)
-	r.earlier.ran = worse(r.earlier.ran, s.earlierRan(r, a, m.GetProof()))
+	r.earlier.ran = worse(r.earlier.ran, ranEarlier(m.GetProof()))
 	if len(r.earlier.waiting) > 0 {
 		return
 	}
 	s.earlierDone(r)
 }
 
-// earlierRan is what a proof says of the earlier attempts. An agent that started after the record was begun has
-// forgotten what its engine ran before, and its "never started" is only its own.
+// ranEarlier is what a proof says of the earlier attempts. An agent that may have forgotten what an incarnation
+// before it ran says CANCELLED: over, and nobody knows whether it began.
 //
 // Otherwise: an entry dispatches a pass, its agent dies with the pass issued, the agent's successor is asked by the
 // next owner, has never heard of it, says so, and the pass is issued again.
-func (s *Scheduler) earlierRan(r *request, a *agent, proof wire.Proof) result.Ran {
-	switch {
-	case began(proof):
-		return result.RanYes
-	case s.olderThan(a, r.EarlierBegun):
+func ranEarlier(proof wire.Proof) result.Ran {
+	if proof == wire.Proof_PROOF_NEVER_STARTED {
 		return result.RanNo
-	default:
-		return result.RanUnknown
 	}
-}
-
-// olderThan tells whether the agent's incarnation certainly ran before the time, which is another clock's.
-func (s *Scheduler) olderThan(a *agent, begun time.Time) bool {
-	return !begun.IsZero() && a.since.Add(s.options.ClockSkew).Before(begun)
+	return result.RanUnknown
 }
 
 func (s *Scheduler) earlierDone(r *request) {
--- a/sched/types.go
+++ b/sched/types.go
@@ -35,11 +35,6 @@
 	Epoch      uint64
 	Candidates []string // servers that the record allows; empty: any
 	Earlier    []string // servers whose proofs are needed first, after a takeover
-
-	// EarlierBegun is when the record of a request that was taken over was begun, by the clock of control's leader.
-	// An agent that started later than that has forgotten what its engine ran for the request, so its word that
-	// nothing was started isn't taken. Zero: no such word is taken.
-	EarlierBegun time.Time
 }
 
 // Event is something that happened outside the scheduler.
--- a/sched/wake.go
+++ b/sched/wake.go
@@ -110,6 +110,9 @@
 		s.repeatEarlier(r)
 	case r.lane == nil:
 		s.push(r)
+	case s.isDue(r.widen.before):
+		r.widen.before = time.Time{}
+		s.touch(r.pool)
 	case s.isDue(r.reservationDue()):
 		s.renewReservations(r)
 	}
@@ -142,7 +145,7 @@
 	if a := r.attempt; a != nil {
 		at = earliest(at, a.gapDue(), a.quietDue(r), a.cancelDue(), s.proveDue(a))
 	} else {
-		at = earliest(at, r.backOffDue(s.now), r.reservationDue(), r.earlierDue())
+		at = earliest(at, r.backOffDue(s.now), r.widen.before, r.reservationDue(), r.earlierDue())
 	}
 	s.wakes.set(r, at)
 }
@@ -172,14 +175,15 @@
 	return a.gapSince.Add(gapBound)
 }
 
-// quietDue is when an attempt of which the agent has said nothing is asked after by a Cancel. For work that may not
-// be repeated a Cancel could destroy the outcome, so half of the time that is left is waited.
+// quietDue is when an attempt of which the agent has said nothing is asked after by a Cancel. Where a Cancel could
+// destroy something, the outcome of work that may not be repeated or a prompt already computed, half of the time that
+// is left is waited.
 func (a *attempt) quietDue(r *request) time.Time {
 	if a.acked || a.cancelAsked || !a.downSince.IsZero() {
 		return time.Time{}
 	}
 	bound := quietBound
-	if !r.Class.GetRepeatable() {
+	if !r.Class.GetRepeatable() || a.started {
 		bound = max(bound, r.Deadline.Sub(a.quietSince)/2)
 	}
 	return a.quietSince.Add(bound)
