--- a/cmd/carawaypitch/check.go
+++ b/cmd/carawaypitch/check.go
@@ -15,8 +15,9 @@
 // checkCommand reads settings files and prints every mistake.
 type checkCommand struct{ settings string }
 
-func (*checkCommand) Name() string     { return "check" }
+func (*checkCommand) Name() string { return "check" }
 func (*checkCommand) Synopsis() string { return "print every mistake in settings files; start nothing" }
+
 func (*checkCommand) Usage() string {
 	return `check [-settings FILE] [FILE ...]
   Prints each mistake with its file, line, path in the file and result code. Exits with 1 if there is any.
--- /dev/null
+++ b/cmd/carawaypitch/daemons.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/apex/log"
+	"github.com/google/subcommands"
+
+	"github.com/carawaypitch/carawaypitch/logging"
+	"github.com/carawaypitch/carawaypitch/settings"
+)
+
+// settingsFlag is the flag that all daemons have.
+type settingsFlag struct{ file string }
+
+func (f *settingsFlag) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&f.file, "settings", "", "settings file")
+}
+
+// daemon is a thing to run until its context ends.
+type daemon interface {
+	Run(ctx context.Context) error
+}
+
+// runDaemon loads the settings, makes the daemon with a log at the settings' level and runs it. Mistakes in the
+// settings are printed all at once, and nothing is started.
+func runDaemon[T any, D daemon](ctx context.Context, file string, level func(*T) log.Level, make func(*T, log.Interface) (D, error)) subcommands.ExitStatus {
+	if file == "" {
+		return usage("give -settings FILE")
+	}
+	read, err := settings.Load[T](file)
+	if err != nil {
+		return exit(err)
+	}
+	d, err := make(read, logging.New(level(read), os.Stderr))
+	if err != nil {
+		return exit(err)
+	}
+	return exit(d.Run(ctx))
+}
--- /dev/null
+++ b/cmd/carawaypitch/dev.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"os"
+
+	"github.com/apex/log"
+	"github.com/go-faster/errors"
+	"github.com/google/subcommands"
+
+	"github.com/carawaypitch/carawaypitch/dev"
+	"github.com/carawaypitch/carawaypitch/logging"
+)
+
+// devCommand runs everything in one process.
+type devCommand struct {
+	options dev.Options
+	json    bool
+	verbose bool
+}
+
+func (*devCommand) Name() string { return "dev" }
+func (*devCommand) Synopsis() string {
+	return "run everything in one process on loopback, for a first try"
+}
+
+func (*devCommand) Usage() string {
+	return `dev [flags]
+  One control replica, entry instances, agents, stand-in model engines of two speeds and stand-in registry services.
+  Prints addresses, one key for each sample organisation, an operator key and calls to try. It reads no settings file:
+  the daemons get the same settings from the program.
+
+  Examples:
+    carawaypitch dev
+    carawaypitch dev -entry 127.0.0.1:0 -control 127.0.0.1:0 -servers 6 -services 2 -json
+`
+}
+
+func (c *devCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&c.options.Entry, "entry", "127.0.0.1:8080", "address of the first entry; port 0 takes any free one")
+	flags.StringVar(&c.options.Control, "control", "127.0.0.1:8090", "address of the control instance for operators")
+	flags.StringVar(&c.options.DataDir, "data", "", "data folder (default: a temporary one, removed at exit)")
+	flags.IntVar(&c.options.Entries, "entries", 2, "number of entry instances")
+	flags.IntVar(&c.options.Servers, "servers", 4, "number of stand-in model engines")
+	flags.IntVar(&c.options.Services, "services", 2, "number of stand-in registry services")
+	flags.BoolVar(&c.json, "json", false, "print one line of JSON once ready, and nothing else on standard output")
+	flags.BoolVar(&c.verbose, "v", false, "log every event instead of warnings and errors")
+}
+
+func (c *devCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if flags.NArg() > 0 {
+		return usage("dev: takes flags only")
+	}
+	if err := c.options.Validate(); err != nil {
+		return usage("dev: %v", err)
+	}
+	return exit(c.run(ctx))
+}
+
+func (c *devCommand) run(ctx context.Context) (err error) {
+	if c.options.DataDir == "" {
+		folder, err := os.MkdirTemp("", "carawaypitch-dev-")
+		if err != nil {
+			return errors.Wrap(err, "data folder")
+		}
+		defer func() { _ = os.RemoveAll(folder) }()
+		c.options.DataDir = folder
+	}
+	level := log.WarnLevel
+	if c.verbose {
+		level = log.DebugLevel
+	}
+	c.options.Log = logging.New(level, os.Stderr)
+	d, err := dev.Start(ctx, c.options)
+	if err != nil {
+		return err
+	}
+	if err := c.print(d.Info()); err != nil {
+		return errors.Join(err, d.Stop())
+	}
+	select {
+	case <-ctx.Done():
+	case <-d.Failed():
+	}
+	return d.Stop()
+}
+
+func (c *devCommand) print(info dev.Info) error {
+	if c.json {
+		return json.NewEncoder(os.Stdout).Encode(info)
+	}
+	return info.Print(os.Stdout)
+}
--- /dev/null
+++ b/cmd/carawaypitch/digest.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/google/subcommands"
+
+	"github.com/carawaypitch/carawaypitch/settings"
+)
+
+// digestCommand makes the salted digest of a key for a settings file.
+type digestCommand struct{}
+
+func (*digestCommand) Name() string { return "digest" }
+func (*digestCommand) Synopsis() string {
+	return "print the salted digest of a key for a settings file"
+}
+
+func (*digestCommand) Usage() string {
+	return `digest < KEYFILE
+  Reads a key from standard input, so that it stays out of the shell's history, and prints what goes into key_digests.
+
+  Example:
+    printf %s "$KEY" | carawaypitch digest
+`
+}
+func (*digestCommand) SetFlags(*flag.FlagSet) {}
+
+func (*digestCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	line, err := bufio.NewReader(os.Stdin).ReadString('\n')
+	key := strings.TrimSpace(line)
+	if key == "" {
+		return exit(errors.Wrap(err, "no key on standard input"))
+	}
+	fmt.Println(settings.NewDigest(key, settings.NewSalt()))
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/cmd/carawaypitch/requests.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/carawaypitch/carawaypitch/operator"
+)
+
+// Environment variables of the requests command.
+const (
+	entryEnv     = "CARAWAYPITCH_ENTRY"
+	callerKeyEnv = "CARAWAYPITCH_KEY"
+)
+
+const defaultEntry = "http://127.0.0.1:8080"
+
+// requestsCommand explains requests at an entry.
+type requestsCommand struct {
+	operatorFlags
+	entry string
+}
+
+func (*requestsCommand) Name() string { return "requests" }
+func (*requestsCommand) Synopsis() string {
+	return "explain requests: where they wait, why there, attempts and proofs"
+}
+
+func (*requestsCommand) Usage() string {
+	return `requests [flags] [REQUEST]
+  Asks one entry. Without REQUEST it lists those in progress; with one (Carawaypitch-Request-Id of the reply) it shows
+  the servers passed over and why, the attempts and how each is known to have ended. With an organisation's key it
+  shows that organisation's requests, with an operator key those of all.
+
+  Examples:
+    carawaypitch requests -entry http://127.0.0.1:8080 -key "$KEY"
+    carawaypitch requests -json 0190b8e2-6c5e-7c7e-9d38-0f6a4c1c7f11
+`
+}
+
+func (c *requestsCommand) SetFlags(flags *flag.FlagSet) {
+	c.set(flags)
+	flags.StringVar(&c.entry, "entry", os.Getenv(entryEnv), "URL of the entry (default "+defaultEntry+")")
+	if c.key == "" {
+		c.key = os.Getenv(callerKeyEnv)
+	}
+}
+
+func (c *requestsCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if flags.NArg() > 1 {
+		return usage("requests: one REQUEST at most; flags come first")
+	}
+	c.control = orDefault(c.entry, defaultEntry)
+	client, err := c.client()
+	if err != nil {
+		return usage("%v", err)
+	}
+	if flags.NArg() == 1 {
+		return exit(c.explain(ctx, client, flags.Arg(0)))
+	}
+	return exit(c.list(ctx, client))
+}
+
+func orDefault(text, fallback string) string {
+	if text == "" {
+		return fallback
+	}
+	return text
+}
+
+func (c *requestsCommand) list(ctx context.Context, client *operator.Client) error {
+	list, err := client.Requests(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(list, func(w io.Writer) {
+		fmt.Fprintln(w, "REQUEST\tORGANISATION\tCLASS\tTIER\tSTATE\tAGE\tTARGET\tWAITS AT")
+		for _, r := range list.Requests {
+			age := time.Since(r.Arrived).Round(time.Millisecond)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\n",
+				r.Request, r.Organisation, r.Class, r.Tier, r.State, age, r.Target, strings.Join(r.Reservations, ","))
+		}
+	})
+}
+
+func (c *requestsCommand) explain(ctx context.Context, client *operator.Client, id string) error {
+	r, err := client.Request(ctx, id)
+	if err != nil {
+		return err
+	}
+	return c.print(r, func(w io.Writer) { requestTable(w, r) })
+}
+
+func requestTable(w io.Writer, r operator.Request) {
+	fmt.Fprintf(w, "request\t%s of %s\n", r.Request, r.Organisation)
+	fmt.Fprintf(w, "class\t%s, tier %d, %s %s\n", r.Class, r.Tier, r.Kind, r.Target)
+	fmt.Fprintf(w, "state\t%s, ran: %s, code %d\n", r.State, r.Ran, r.Code)
+	fmt.Fprintf(w, "time\tarrived %s, deadline after %s\n", r.Arrived.Format(time.RFC3339Nano), r.Deadline.Sub(r.Arrived))
+	if r.Queued {
+		fmt.Fprintf(w, "queued\tabout %d ahead, waits at %s\n", r.Ahead, orNone(strings.Join(r.Reservations, ", ")))
+	}
+	for _, p := range r.PassedOver {
+		fmt.Fprintf(w, "passed over\t%s: %s\n", p.Server, p.Reason)
+	}
+	for _, a := range r.Attempts {
+		fmt.Fprintf(w, "attempt %d\t%s by %s, began %t, %d frames, proof: %s %s\n",
+			a.Number, a.Server, a.Agent, a.Began, a.Frames, a.Proof, a.Outcome)
+	}
+}
--- /dev/null
+++ b/cmd/carawaypitch/servers.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"github.com/carawaypitch/carawaypitch/operator"
+)
+
+// serversCommand lists the backend servers.
+type serversCommand struct{ operatorFlags }
+
+func (*serversCommand) Name() string { return "servers" }
+func (*serversCommand) Synopsis() string {
+	return "list the backend servers by what they serve and their condition"
+}
+
+func (*serversCommand) Usage() string {
+	return `servers [flags]
+  Example:
+    carawaypitch servers -json
+`
+}
+
+func (c *serversCommand) SetFlags(flags *flag.FlagSet) { c.set(flags) }
+
+func (c *serversCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	client, err := c.client()
+	if err != nil {
+		return usage("%v", err)
+	}
+	servers, err := client.Servers(ctx)
+	if err != nil {
+		return exit(err)
+	}
+	return exit(c.print(servers, func(w io.Writer) {
+		fmt.Fprintln(w, "SERVER\tKIND\tCONDITION\tSERVES\tSLOTS\tZONE\tAGENT\tORDER")
+		for _, s := range servers.Servers {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", s.Server, s.Kind, s.Condition,
+				strings.Join(s.Models, ","), s.Slots, s.AvailabilityZone, s.Agent, orderText(s.Order))
+		}
+	}))
+}
+
+func orderText(o *operator.Order) string {
+	if o == nil {
+		return "-"
+	}
+	return strings.TrimSpace(o.Kind + " " + o.Model + o.Role)
+}
--- /dev/null
+++ b/cmd/carawaypitch/status.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/carawaypitch/carawaypitch/operator"
+)
+
+// statusCommand shows the state of the deployment.
+type statusCommand struct{ operatorFlags }
+
+func (*statusCommand) Name() string { return "status" }
+func (*statusCommand) Synopsis() string {
+	return "show leader, replicas and the version in force at each instance"
+}
+
+func (*statusCommand) Usage() string {
+	return `status [flags]
+  Example:
+    carawaypitch status -control http://127.0.0.1:8090 -key "$KEY"
+`
+}
+
+func (c *statusCommand) SetFlags(flags *flag.FlagSet) { c.set(flags) }
+
+func (c *statusCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	client, err := c.client()
+	if err != nil {
+		return usage("%v", err)
+	}
+	status, err := client.Status(ctx)
+	if err != nil {
+		return exit(err)
+	}
+	return exit(c.print(status, func(w io.Writer) { statusTable(w, status) }))
+}
+
+func statusTable(w io.Writer, s operator.Status) {
+	confirmed := "confirmed by a quorum"
+	if !s.Confirmed {
+		confirmed = "NOT confirmed: no quorum answered"
+	}
+	fmt.Fprintf(w, "configuration\tversion %d, %s\n", s.ConfigVersion, confirmed)
+	fmt.Fprintf(w, "leader\t%s (term %d)\n", orNone(s.Leader), s.Term)
+	fmt.Fprintf(w, "directory\tversion %d\n", s.DirectoryVersion)
+	fmt.Fprintf(w, "operations\t%d records, %d bytes of answers, %d expired keys\n",
+		s.Operations.Records, s.Operations.AnswerBytes, s.Operations.ExpiredKeys)
+	fmt.Fprintf(w, "orders\t%d open\n", s.Orders)
+	fmt.Fprintln(w, "\nINSTANCE\tROLE\tZONE\tVERSION\tSTATE")
+	for _, i := range s.Controls {
+		instanceRow(w, "control", i, s.ConfigVersion)
+	}
+	for _, i := range s.Entries {
+		instanceRow(w, "entry", i, s.ConfigVersion)
+	}
+	for _, i := range s.Agents {
+		instanceRow(w, "agent", i, s.ConfigVersion)
+	}
+}
+
+func instanceRow(w io.Writer, role string, i operator.Instance, version uint64) {
+	fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", i.Instance, role, orNone(i.AvailabilityZone), i.ConfigVersion, instanceState(i, version))
+}
+
+func instanceState(i operator.Instance, version uint64) string {
+	switch {
+	case !i.Connected && i.SilentMS < 0:
+		return "never heard"
+	case !i.Connected:
+		return "silent for " + (time.Duration(i.SilentMS) * time.Millisecond).String()
+	case !i.Registered:
+		return "not a member"
+	case i.ConfigVersion < version:
+		return "behind"
+	}
+	return "ok"
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
--- a/cmd/carawaypitch/target.go
+++ b/cmd/carawaypitch/target.go
@@ -19,8 +19,9 @@
 	lostMax  float64
 }
 
-func (*targetCommand) Name() string     { return "target" }
+func (*targetCommand) Name() string { return "target" }
 func (*targetCommand) Synopsis() string { return "change how much late or lost work a class tolerates" }
+
 func (*targetCommand) Usage() string {
 	return `target [flags] CLASS
   Changes only what is given; the change is based on the class as it is now and is refused if somebody else's change
--- /dev/null
+++ b/dev/dev.go
@@ -0,0 +1,270 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/carawaypitch/carawaypitch/agent"
+	"github.com/carawaypitch/carawaypitch/control"
+	"github.com/carawaypitch/carawaypitch/engine/standin"
+	"github.com/carawaypitch/carawaypitch/entry"
+	"github.com/carawaypitch/carawaypitch/settings"
+)
+
+const (
+	loopback   = "127.0.0.1:0"
+	operator   = "operator"
+	readyPoll  = 20 * time.Millisecond
+	readyBound = 20 * time.Second
+)
+
+// Dev is a running sample deployment.
+type Dev struct {
+	options       Options
+	log           log.Interface
+	organisations []settings.Organisation
+	info          Info
+	ledger        *standin.Ledger
+	stages        []*stage
+	client        *http.Client
+}
+
+// Start starts everything and returns once callers can be served. Stop must follow.
+func Start(ctx context.Context, options Options) (*Dev, error) {
+	if err := options.Validate(); err != nil {
+		return nil, err
+	}
+	d := &Dev{
+		options: options,
+		log:     options.Log,
+		ledger:  standin.NewLedger(1 << 20),
+		client:  &http.Client{Transport: &http.Transport{}, Timeout: time.Second},
+	}
+	if d.log == nil {
+		d.log = &log.Logger{Handler: discard.New()}
+	}
+	d.makeKeys()
+	if err := d.startAll(ctx); err != nil {
+		return nil, errors.Join(err, d.Stop())
+	}
+	return d, nil
+}
+
+// Info tells how to reach what runs.
+func (d *Dev) Info() Info { return d.info }
+
+// Stop stops everything gracefully, entries first.
+func (d *Dev) Stop() error { return stopAll(d.stages) }
+
+// Failed returns a channel that gets the error of a stage that ended by itself.
+func (d *Dev) Failed() <-chan error {
+	failed := make(chan error, len(d.stages))
+	for _, s := range d.stages {
+		go func() {
+			err := <-s.done
+			s.done <- err
+			failed <- err
+		}()
+	}
+	return failed
+}
+
+// makeKeys gives each sample organisation a caller key and makes the operator key.
+func (d *Dev) makeKeys() {
+	d.organisations = sampleOrganisations()
+	for i := range d.organisations {
+		key := newKey()
+		d.organisations[i].KeyDigests = []string{settings.NewDigest(key, settings.NewSalt())}
+		d.info.Organisations = append(d.info.Organisations, OrganisationInfo{Name: d.organisations[i].Name, Key: key})
+	}
+	d.info.OperatorKey = newKey()
+}
+
+func newKey() string {
+	return "cwp-" + uuid.NewString()
+}
+
+func (d *Dev) startAll(ctx context.Context) error {
+	links, err := d.startControl()
+	if err != nil {
+		return err
+	}
+	if err := d.startServers(ctx, links); err != nil {
+		return err
+	}
+	if err := d.startEntries(links); err != nil {
+		return err
+	}
+	return d.waitReady(ctx)
+}
+
+// startControl starts the control replica and returns its link address.
+func (d *Dev) startControl() (string, error) {
+	s := settings.DefaultControl()
+	s.Instance = "control-1"
+	s.AvailabilityZone = zone(0)
+	s.Listen = settings.ControlListen{Operators: d.options.Control, Links: loopback}
+	s.Bootstrap = true
+	s.DataDir = d.options.DataDir
+	s.Operators = []settings.OperatorAccount{{
+		Name:       operator,
+		KeyDigests: []string{settings.NewDigest(d.info.OperatorKey, settings.NewSalt())},
+	}}
+	s.Organisations = d.organisations
+	s.InitialClasses = SampleClasses()
+	c, err := control.New(s, control.Options{Log: d.log})
+	if err != nil {
+		return "", errors.Wrap(err, "control")
+	}
+	d.stages = append(d.stages, start([]runner{c.Run}))
+	d.info.Controls = append(d.info.Controls, "http://"+c.OperatorsAddr())
+	return c.LinkAddr(), nil
+}
+
+// startServers starts an agent and a stand-in for each backend server.
+func (d *Dev) startServers(ctx context.Context, controls string) error {
+	var agents, engines []runner
+	var waits []*standin.Server
+	add := func(options standin.Options, n int) error {
+		a, err := d.newAgent(options.Server, n, controls)
+		if err != nil {
+			return err
+		}
+		options.Agent = "http://" + a.HTTPAddr()
+		options.Ledger = d.ledger
+		server := standin.New(options)
+		agents = append(agents, a.Run)
+		engines = append(engines, server.Run)
+		waits = append(waits, server)
+		d.info.Agents = append(d.info.Agents, options.Agent)
+		return nil
+	}
+	for i := range d.options.Servers {
+		options := modelOptions(i)
+		options.Server = fmt.Sprintf("model-%02d", i+1)
+		if err := add(options, i); err != nil {
+			return err
+		}
+	}
+	for i := range d.options.Services {
+		options := serviceOptions(i)
+		options.Server = fmt.Sprintf("registry-%02d", i+1)
+		if err := add(options, i); err != nil {
+			return err
+		}
+	}
+	d.stages = append(d.stages, start(agents), start(engines))
+	return d.engineURLs(ctx, waits)
+}
+
+// engineURLs waits until the stand-ins listen.
+func (d *Dev) engineURLs(ctx context.Context, servers []*standin.Server) error {
+	for _, s := range servers {
+		select {
+		case <-s.Ready():
+			d.info.Engines = append(d.info.Engines, s.URL())
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if d.options.Servers > 0 {
+		d.info.Models = []string{SampleModel}
+	}
+	if d.options.Services > 0 {
+		d.info.Services = []string{SampleService}
+	}
+	return nil
+}
+
+func (d *Dev) newAgent(server string, n int, controls string) (*agent.Agent, error) {
+	s := settings.DefaultAgent()
+	s.Instance = "agent-" + server
+	s.AvailabilityZone = zone(n)
+	s.Listen = settings.AgentListen{HTTP: loopback, Links: loopback}
+	s.Advertise = loopback
+	s.Controls = []string{controls}
+	a, err := agent.New(s, agent.Options{Log: d.log})
+	return a, errors.Wrap(err, "agent")
+}
+
+func (d *Dev) startEntries(controls string) error {
+	var runners []runner
+	for i := range d.options.Entries {
+		s := settings.DefaultEntry()
+		s.Instance = fmt.Sprintf("entry-%d", i+1)
+		s.AvailabilityZone = zone(i)
+		s.Listen.Callers = loopback
+		if i == 0 {
+			s.Listen.Callers = d.options.Entry
+		}
+		s.Controls = []string{controls}
+		s.Organisations = d.organisations
+		e, err := entry.New(s, entry.Options{Log: d.log})
+		if err != nil {
+			return errors.Wrap(err, "entry")
+		}
+		runners = append(runners, e.Run)
+		d.info.Entries = append(d.info.Entries, "http://"+e.CallersAddr())
+	}
+	d.stages = append(d.stages, start(runners))
+	return nil
+}
+
+// zone spreads the sample instances over three availability zones.
+func zone(i int) string {
+	const zones = 3
+	return fmt.Sprintf("zone-%d", i%zones+1)
+}
+
+// waitReady polls the entries until each may receive work and has room at every backend server.
+func (d *Dev) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyBound)
+	defer cancel()
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	var last error
+	for {
+		if last = d.ready(ctx); last == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(last, "not ready in time")
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Dev) ready(ctx context.Context) error {
+	for _, url := range append(d.info.Entries, d.info.Agents...) {
+		if err := d.probe(ctx, url+"/readyz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Dev) probe(ctx context.Context, url string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return err
+	}
+	reply, err := d.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if reply.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(reply.Body, 1<<10))
+		return errors.Errorf("%s: %s", url, text)
+	}
+	return nil
+}
--- /dev/null
+++ b/operator/requests.go
@@ -0,0 +1,71 @@
+package operator
+
+import (
+	"context"
+	"net/url"
+	"time"
+)
+
+// Requests are the requests in progress at one entry.
+type Requests struct {
+	Entry    string    `json:"entry"`
+	Requests []Request `json:"requests"`
+}
+
+// Request explains one request: where it waits, which servers were passed over and why, its attempts and proofs.
+type Request struct {
+	Request      string       `json:"request"`
+	Organisation string       `json:"organisation"`
+	Class        string       `json:"class"`
+	Tier         uint32       `json:"tier"`
+	Kind         string       `json:"kind"`
+	Target       string       `json:"target"`
+	State        string       `json:"state"`
+	Arrived      time.Time    `json:"arrived"`
+	Deadline     time.Time    `json:"deadline"`
+	Urgency      uint32       `json:"urgency"` // 0 to 1000
+	Queued       bool         `json:"queued"`
+	Ahead        int          `json:"ahead"`
+	Reservations []string     `json:"reservations"`
+	PassedOver   []PassedOver `json:"passed_over"`
+	Attempts     []Attempt    `json:"attempts"`
+	Candidates   []string     `json:"candidates"`
+	Delivered    uint64       `json:"delivered"` // events
+	Code         uint16       `json:"code"`
+	Ran          string       `json:"ran"`
+	Ended        time.Time    `json:"ended,omitzero"`
+}
+
+// PassedOver is a backend server that a request didn't go to.
+type PassedOver struct {
+	Server string `json:"server"`
+	Reason string `json:"reason"`
+}
+
+// Attempt is one attempt of a request and how it is known to have ended.
+type Attempt struct {
+	Number  uint64    `json:"number"`
+	Server  string    `json:"server"`
+	Agent   string    `json:"agent"`
+	Sent    time.Time `json:"sent"`
+	Over    time.Time `json:"over,omitzero"`
+	Proof   string    `json:"proof"`
+	Proved  bool      `json:"proved"`
+	Began   bool      `json:"began"`
+	Frames  uint64    `json:"frames"`
+	Outcome string    `json:"outcome"`
+}
+
+// Requests lists the requests in progress at the entry that the client was made for.
+func (c *Client) Requests(ctx context.Context) (Requests, error) {
+	var out Requests
+	err := c.Get(ctx, "/v1/requests", &out)
+	return out, err
+}
+
+// Request explains one request of that entry, also for a while after its end.
+func (c *Client) Request(ctx context.Context, id string) (Request, error) {
+	var out Request
+	err := c.Get(ctx, "/v1/requests/"+url.PathEscape(id), &out)
+	return out, err
+}
--- /dev/null
+++ b/operator/status.go
@@ -0,0 +1,135 @@
+package operator
+
+import (
+	"context"
+	"time"
+)
+
+// Status is what a control instance knows of the deployment.
+type Status struct {
+	Instance         string     `json:"instance"`
+	AvailabilityZone string     `json:"availability_zone"`
+	Confirmed        bool       `json:"confirmed"` // by a quorum
+	Role             string     `json:"role"`
+	Leader           string     `json:"leader"`
+	Term             uint64     `json:"term"`
+	Index            uint64     `json:"index"`
+	Fence            uint64     `json:"fence"`
+	ConfigVersion    uint64     `json:"config_version"`
+	DirectoryVersion uint64     `json:"directory_version"`
+	Replicas         []Replica  `json:"replicas"`
+	Controls         []Instance `json:"controls"`
+	Entries          []Instance `json:"entries"`
+	Agents           []Instance `json:"agents"`
+	Operations       Operations `json:"operations"`
+	Orders           int        `json:"orders"`
+}
+
+// Replica is a member of the quorum.
+type Replica struct {
+	ID       string `json:"id"`
+	Instance string `json:"instance"`
+	Address  string `json:"address"`
+	Voter    bool   `json:"voter"`
+}
+
+// Instance is a process and what it last said.
+type Instance struct {
+	Instance         string `json:"instance"`
+	AvailabilityZone string `json:"availability_zone"`
+	Registered       bool   `json:"registered"`
+	Connected        bool   `json:"connected"`
+	ConfigVersion    uint64 `json:"config_version"`
+	SilentMS         int64  `json:"silent_ms"` // -1: never heard
+}
+
+// Operations counts the operation records.
+type Operations struct {
+	Records     int `json:"records"`
+	AnswerBytes int `json:"answer_bytes"`
+	ExpiredKeys int `json:"expired_keys"`
+}
+
+// Servers is the directory of backend servers.
+type Servers struct {
+	Version uint64   `json:"version"`
+	Servers []Server `json:"servers"`
+}
+
+// Server is a backend server as its agent committed it.
+type Server struct {
+	Server           string       `json:"server"`
+	Kind             string       `json:"kind"`
+	Address          string       `json:"address"`
+	Models           []string     `json:"models"`
+	Slots            uint32       `json:"slots"`
+	Condition        string       `json:"condition"`
+	Capabilities     Capabilities `json:"capabilities"`
+	Agent            string       `json:"agent"`
+	AvailabilityZone string       `json:"availability_zone"`
+	Order            *Order       `json:"order,omitempty"`
+}
+
+// Capabilities are what a backend server said it can do.
+type Capabilities struct {
+	Fencing      string `json:"fencing"`
+	KV           bool   `json:"kv"`
+	Resume       bool   `json:"resume"`
+	OnDisconnect string `json:"on_disconnect"`
+}
+
+// Order is an order under way at a backend server.
+type Order struct {
+	ID    uint64 `json:"id"`
+	Kind  string `json:"order"`
+	Model string `json:"model,omitempty"`
+	Role  string `json:"role,omitempty"`
+}
+
+// Status reads the status from the first control instance that answers.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var out Status
+	err := c.Get(ctx, "/v1/status", &out)
+	return out, err
+}
+
+// Servers reads the directory.
+func (c *Client) Servers(ctx context.Context) (Servers, error) {
+	var out Servers
+	err := c.Get(ctx, "/v1/servers", &out)
+	return out, err
+}
+
+// waitPoll is the pause between two looks of WaitInForce.
+const waitPoll = 100 * time.Millisecond
+
+// WaitInForce returns once every connected instance has applied the configuration version or a later one. An
+// instance that isn't connected admits nothing before it has fetched the version in force.
+func (c *Client) WaitInForce(ctx context.Context, version uint64) error {
+	for {
+		status, err := c.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if inForce(status, version) {
+			return nil
+		}
+		if err := pause(ctx, waitPoll); err != nil {
+			return err
+		}
+	}
+}
+
+func inForce(status Status, version uint64) bool {
+	if !status.Confirmed {
+		return false
+	}
+	for _, group := range [][]Instance{status.Controls, status.Entries, status.Agents} {
+		for _, instance := range group {
+			if instance.Connected && instance.ConfigVersion < version {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -29,6 +29,7 @@
 	RoleAgent    Role = "agent"
 	RoleControl  Role = "control"
 	RoleOperator Role = "operator"
+	RoleEngine   Role = "engine"
 )
 
 // document is what each settings type does. Its methods have pointer receivers.
@@ -46,7 +47,7 @@
 // readFile reads a file that settings name. Tests and fuzzing give their own.
 type readFile func(path string) ([]byte, error)
 
-// Load reads a settings file into T, which is Entry, Agent, Control or Operator. The error is a *Mistakes.
+// Load reads a settings file into T, which is Entry, Agent, Control, Operator or Engine. The error is a *Mistakes.
 func Load[T any](path string) (*T, error) {
 	path = absolute(path)
 	data, err := readRegular(path)
@@ -81,6 +82,8 @@
 		_, err = parse[Control](data, path, readRegular)
 	case RoleOperator:
 		_, err = parse[Operator](data, path, readRegular)
+	case RoleEngine:
+		_, err = parse[Engine](data, path, readRegular)
 	}
 	return err
 }
@@ -123,12 +126,12 @@
 	c := newChecker(text, path, nil)
 	role := Role(c.topLevelString("role"))
 	switch role {
-	case RoleEntry, RoleAgent, RoleControl, RoleOperator:
+	case RoleEntry, RoleAgent, RoleControl, RoleOperator, RoleEngine:
 		return role, nil
 	case "":
-		c.add(result.SettingsMissingKey, "role", "want one of entry, agent, control, operator")
+		c.add(result.SettingsMissingKey, "role", "want one of entry, agent, control, operator, engine")
 	default:
-		c.add(result.SettingsOutOfRange, "role", "want one of entry, agent, control, operator, got %q", string(role))
+		c.add(result.SettingsOutOfRange, "role", "want one of entry, agent, control, operator, engine, got %q", string(role))
 	}
 	return "", c.sorted()
 }
