--- /dev/null
+++ b/cmd/carawaypitch/binary_test.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"debug/elf"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "carawaypitch-test-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	binary = filepath.Join(folder, "carawaypitch")
+	build := exec.Command("go", "build", "-o", binary, ".")
+	build.Env = append(os.Environ(), "CGO_ENABLED=1")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s\n%v\n", out, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// Symptom: on the users' machines the binary resolves nothing, or doesn't start. Sequence: it was built without cgo.
+// Cause: such a binary is static, while their programs are linked to the C library as usual.
+func TestBinaryIsLinkedToLibc(t *testing.T) {
+	file, err := elf.Open(binary)
+	require.NoError(t, err)
+	defer func() { _ = file.Close() }()
+	libraries, err := file.ImportedLibraries()
+	require.NoError(t, err)
+	require.Contains(t, strings.Join(libraries, " "), "libc.so")
+	var interpreter bool
+	for _, program := range file.Progs {
+		interpreter = interpreter || program.Type == elf.PT_INTERP
+	}
+	require.True(t, interpreter, "no dynamic linker in the ELF header")
+}
+
+// Symptom: CI and a person run different tests. Sequence: one of the two commands was changed. Cause: the README's
+// test command stands in both.
+func TestCIRunsTheCommandOfTheReadme(t *testing.T) {
+	const command = "go test ./..."
+	readme, err := os.ReadFile("../../README.md")
+	require.NoError(t, err)
+	ci, err := os.ReadFile("../../.ci/run")
+	require.NoError(t, err)
+	require.Contains(t, string(readme), "\n"+command+"\n")
+	require.Contains(t, string(ci), "\n"+command)
+}
+
+// Symptom: a first start from the samples fails. Sequence: a settings type changed. Cause: the samples weren't.
+func TestExamplesAreValid(t *testing.T) {
+	for _, deployment := range []string{"compost", "festival"} {
+		files, err := filepath.Glob("../../examples/" + deployment + "/*.jsonc")
+		require.NoError(t, err)
+		require.Greater(t, len(files), 40)
+		var withRole []string
+		for _, file := range files {
+			if filepath.Base(file) != "organisations.jsonc" {
+				withRole = append(withRole, file)
+			}
+		}
+		out, err := exec.Command(binary, append([]string{"check"}, withRole...)...).CombinedOutput()
+		require.NoError(t, err, "%s", out)
+	}
+}
--- /dev/null
+++ b/cmd/carawaypitch/cluster_control_test.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/operator"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/settings"
+)
+
+func class(name string, deadlineMS uint32) operator.Class {
+	return operator.Class{
+		Name: name, Tier: 2, DeadlineMS: deadlineMS, LateMax: 0.1, LostMax: 0.1, Repeatable: true, Kind: settings.KindModel,
+	}
+}
+
+// Symptom: a change that was accepted is gone, or the version falls. Sequence: changes are made one after another
+// while the leader is killed again and again; each killed instance restarts from its folder. Cause: a change was
+// answered before a quorum had synced it, or a restarted instance served what it had before it caught up.
+func TestAcceptedChangesSurviveKilledLeaders(t *testing.T) {
+	c := startCluster(t)
+	client := c.operatorOf()
+	var last uint64
+	const rounds, changes = 3, 10
+	for round := range rounds {
+		victim := c.waitLeader(round % clusterControls)
+		for i := range changes {
+			if i == changes/2 {
+				c.controls[victim].kill()
+			}
+			last = c.putEventually(client, fmt.Sprintf("class-%d-%d", round, i), last)
+		}
+		c.controls[victim].start()
+		c.eventually(func() bool { return c.leader(victim) >= 0 }, "the restarted instance doesn't catch up")
+	}
+	for i := range c.controls {
+		got, err := c.operatorOf(i).Classes(t.Context())
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, got.Version, last)
+		names := map[string]bool{}
+		for _, class := range got.Classes {
+			names[class.Name] = true
+		}
+		for round := range rounds {
+			for n := range changes {
+				require.True(t, names[fmt.Sprintf("class-%d-%d", round, n)], "class-%d-%d is lost at control-%d", round, n, i+1)
+			}
+		}
+	}
+	require.NoError(t, client.WaitInForce(t.Context(), last))
+}
+
+// putEventually creates a class, resending the same change while there is no leader, and returns its version, which
+// must be above the last one.
+func (c *cluster) putEventually(client *operator.Client, name string, last uint64) uint64 {
+	c.t.Helper()
+	id := operator.NewChangeID()
+	var version uint64
+	c.eventually(func() bool {
+		change, err := client.PutClass(c.t.Context(), class(name, 1000), 0, id)
+		version = change.Version
+		return err == nil
+	}, "class %s isn't accepted", name)
+	require.Greater(c.t, version, last, "the version fell")
+	return version
+}
+
+// Symptom: two operators both hear that their change was accepted, and one is gone. Sequence: several change one
+// class at the same version, at different instances. Cause: the version was compared before the log's order was known.
+func TestOfRacingChangesOneWins(t *testing.T) {
+	c := startCluster(t)
+	created, err := c.operatorOf().PutClass(t.Context(), class("raced", 1000), 0, operator.NewChangeID())
+	require.NoError(t, err)
+	const racers = 9
+	errs := make([]error, racers)
+	var wait sync.WaitGroup
+	for i := range racers {
+		wait.Go(func() {
+			one := c.operatorOf(i % clusterControls)
+			_, errs[i] = one.PutClass(t.Context(), class("raced", uint32(2000+i)), created.Version, operator.NewChangeID())
+		})
+	}
+	wait.Wait()
+	winner := -1
+	for i, err := range errs {
+		if err == nil {
+			require.Negative(t, winner, "racers %d and %d both won", winner, i)
+			winner = i
+			continue
+		}
+		require.True(t, result.Is(err, result.VersionConflict), "%v", err)
+	}
+	require.GreaterOrEqual(t, winner, 0, "nobody won")
+	got, err := c.operatorOf().Class(t.Context(), "raced")
+	require.NoError(t, err)
+	require.Equal(t, uint32(2000+winner), got.DeadlineMS)
+}
+
+// Symptom: a resent change is refused, or made twice. Sequence: its answer is lost; all control instances are killed
+// and restart; the operator resends it. Cause: change ids were remembered in memory only.
+func TestResentChangeGetsItsFirstAnswerAfterRestart(t *testing.T) {
+	c := startCluster(t)
+	id := operator.NewChangeID()
+	first, err := c.operatorOf().PutClass(t.Context(), class("resent", 1000), 0, id)
+	require.NoError(t, err)
+	for _, p := range c.controls {
+		p.kill()
+	}
+	for _, p := range c.controls {
+		p.start()
+	}
+	c.waitLeader(0)
+	again, err := c.operatorOf().PutClass(t.Context(), class("resent", 1000), 0, id)
+	require.NoError(t, err)
+	require.Equal(t, first, again)
+	_, err = c.operatorOf().PutClass(t.Context(), class("resent", 2000), 0, id)
+	require.True(t, result.Is(err, result.ChangeIDReused), "%v", err)
+}
+
+// Symptom: accepted changes are gone after a second loss. Sequence: an instance loses its disk and comes back empty;
+// right after its repair another one is lost. Cause: the empty instance voted, or counted towards a quorum, before it
+// held the log.
+func TestSecondLossAfterWipedDiskLosesNothing(t *testing.T) {
+	c := startCluster(t)
+	leader := c.waitLeader(0)
+	wiped := (leader + 1) % clusterControls
+	c.controls[wiped].kill()
+	last := c.putEventually(c.operatorOf(), "before-repair", 0)
+	require.NoError(t, os.RemoveAll(filepath.Join(c.folder, fmt.Sprintf("control-%d", wiped+1))))
+	c.replaceControl(wiped)
+	c.eventually(func() bool { return c.isVoter(leader, wiped) }, "the replacement doesn't become a voter")
+	c.controls[leader].kill()
+	third := (leader + 2) % clusterControls
+	c.waitLeader(third)
+	got, err := c.operatorOf(third).Class(t.Context(), "before-repair")
+	require.NoError(t, err)
+	require.Equal(t, last, got.Version)
+	c.putEventually(c.operatorOf(third, wiped), "after-loss", last)
+}
+
+// replaceControl starts instance i with an empty folder, which must not bootstrap a quorum of its own.
+func (c *cluster) replaceControl(i int) {
+	c.t.Helper()
+	s, err := settings.Load[settings.Control](c.controls[i].file)
+	require.NoError(c.t, err)
+	s.Bootstrap = false
+	require.NoError(c.t, os.MkdirAll(s.DataDir, 0o700))
+	data, err := settings.Marshal(*s)
+	require.NoError(c.t, err)
+	require.NoError(c.t, os.WriteFile(c.controls[i].file, data, 0o600))
+	c.controls[i].start()
+}
+
+// isVoter tells whether instance i votes, and is the only replica of that name, as another instance sees it.
+func (c *cluster) isVoter(seenBy, i int) bool {
+	status, err := c.operatorOf(seenBy).Status(context.Background())
+	if err != nil || !status.Confirmed {
+		return false
+	}
+	found := 0
+	voter := false
+	for _, r := range status.Replicas {
+		if r.Instance == fmt.Sprintf("control-%d", i+1) {
+			found++
+			voter = r.Voter
+		}
+	}
+	return found == 1 && voter
+}
+
+// Symptom: operators read an old configuration from a leader that has been cut off. Sequence: the leader freezes, so
+// that it neither answers nor closes its connections; a new one accepts a change; the old one thaws and is asked.
+// Cause: it answered from its own memory without asking a quorum.
+func TestThawedLeaderServesNothingOld(t *testing.T) {
+	c := startCluster(t)
+	frozen := c.waitLeader(0)
+	c.controls[frozen].signal(syscall.SIGSTOP)
+	other := (frozen + 1) % clusterControls
+	c.eventually(func() bool { l := c.leader(other); return l >= 0 && l != frozen }, "no new leader")
+	version := c.putEventually(c.operatorOf(other), "while-frozen", 0)
+	c.controls[frozen].signal(syscall.SIGCONT)
+	got, err := c.operatorOf(frozen).Class(t.Context(), "while-frozen")
+	require.NoError(t, err)
+	require.Equal(t, version, got.Version)
+}
--- /dev/null
+++ b/cmd/carawaypitch/cluster_request_test.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/result"
+)
+
+// registries are the engines of the cluster that are registry services.
+var registries = []int{1, 2}
+
+func (c *cluster) runs(key string) int {
+	c.t.Helper()
+	total := 0
+	for _, i := range registries {
+		total += totalRuns(c.t, []string{c.engineURLs[i]}, key)
+	}
+	return total
+}
+
+func (c *cluster) registryFaults(faults any) {
+	for _, i := range registries {
+		c.faults(i, faults)
+	}
+}
+
+// requireTruth checks what a caller heard of a pass issuance against how often it ran.
+func requireTruth(t *testing.T, got reply, runs int) {
+	t.Helper()
+	require.LessOrEqual(t, runs, 1, "a pass was issued %d times", runs)
+	if got.Status == http.StatusOK {
+		require.Equal(t, 1, runs, "an answer without a run")
+		return
+	}
+	coded := got.coded(t)
+	if coded.Ran == result.RanNo {
+		require.Zero(t, runs, "told that it did not run: %s", got.Body)
+	}
+}
+
+// Symptom: a pass is issued twice. Sequence: the entry is killed while the call runs at the registry; the caller sends
+// it again, with the same key, at the other entry. Cause: what the first entry had dispatched was known to it alone.
+func TestEntryKilledWhileIssuing(t *testing.T) {
+	c := startCluster(t)
+	c.registryFaults(map[string]any{"slow": 300}) // about 1.5 s a call
+	lost := make(chan error, 1)
+	go func() {
+		_, err := c.caller(0).issue("pass-1")
+		lost <- err
+	}()
+	c.eventually(func() bool { return c.runs("pass-1") == 1 }, "the call doesn't reach a registry")
+	c.entries[0].kill()
+	require.Error(t, <-lost)
+	got, err := c.caller(1).issue("pass-1")
+	require.NoError(t, err)
+	requireTruth(t, got, c.runs("pass-1"))
+	require.Equal(t, 1, c.runs("pass-1"))
+}
+
+// Symptom: a pass is issued twice, or its caller hears that it was not. Sequence: the registry runs the call and loses
+// the answer; the caller sends it again at both entries. Cause: a lost answer was taken for a call that never ran.
+func TestRegistryLosesTheAnswer(t *testing.T) {
+	c := startCluster(t)
+	c.registryFaults(map[string]any{"lose_answer": 1.0})
+	first, err := c.caller(0).issue("pass-2")
+	require.NoError(t, err)
+	require.Equal(t, result.RanUnknown, first.coded(t).Ran, "%s", first.Body)
+	c.registryFaults(map[string]any{})
+	for entry := range c.entries {
+		again, err := c.caller(entry).issue("pass-2")
+		require.NoError(t, err)
+		require.Equal(t, result.RanUnknown, again.coded(t).Ran, "%s", again.Body)
+	}
+	require.Equal(t, 1, c.runs("pass-2"))
+}
+
+// Symptom: a caller waits for ever, or is told a lie. Sequence: the agent of each registry is killed while calls run
+// there, and restarts. Cause: the loss of an agent was taken for the end of its attempts.
+func TestAgentKilledWhileIssuing(t *testing.T) {
+	c := startCluster(t)
+	c.registryFaults(map[string]any{"slow": 200}) // about 1 s a call
+	const calls = 4
+	keys := []string{"pass-a", "pass-b", "pass-c", "pass-d"}
+	replies := make([]reply, calls)
+	var wait sync.WaitGroup
+	for i := range calls {
+		wait.Go(func() {
+			got, err := c.caller(i % 2).issue(keys[i])
+			if err == nil {
+				replies[i] = got
+			}
+		})
+	}
+	c.eventually(func() bool {
+		total := 0
+		for _, key := range keys {
+			total += c.runs(key)
+		}
+		return total > 0
+	}, "no call reaches a registry")
+	for _, i := range registries {
+		c.agents[i].kill()
+		c.agents[i].start()
+	}
+	wait.Wait()
+	for i, got := range replies {
+		require.NotZero(t, got.Status, "no reply for %s", keys[i])
+		requireTruth(t, got, c.runs(keys[i]))
+	}
+}
+
+// Symptom: a stream stops in the middle when its backend server leaves. Sequence: the server gets SIGTERM while it
+// streams a long answer. Cause: the leave did not wait for what was in flight.
+func TestGracefulLeaveCutsNoStream(t *testing.T) {
+	c := startCluster(t)
+	body := `{"model": "sample", "stream": true, "max_tokens": 150, "messages": [{"role": "user", "content": "Long."}]}`
+	done := make(chan reply, 1)
+	go func() {
+		got, err := c.caller(0).try("/v1/chat/completions", map[string]string{"Carawaypitch-Class": "summary"}, body)
+		if err != nil {
+			got.Body = append(got.Body, err.Error()...)
+		}
+		done <- got
+	}()
+	c.eventually(func() bool { return c.streams(0) > 0 }, "the stream doesn't start")
+	c.engines[0].stop()
+	got := <-done
+	require.Equal(t, http.StatusOK, got.Status)
+	require.True(t, strings.HasSuffix(strings.TrimSpace(string(got.Body)), "data: [DONE]"), "cut: %s", tail(string(got.Body)))
+	after := c.caller(0).call(t, "/v1/chat/completions", map[string]string{"Carawaypitch-Class": "summary"}, `{`+prompt+`}`)
+	require.NotEqual(t, http.StatusOK, after.Status)
+	require.Equal(t, result.RanNo, after.coded(t).Ran)
+}
+
+// streams counts what runs at a stand-in.
+func (c *cluster) streams(engine int) int {
+	var list struct {
+		Streams []struct{} `json:"streams"`
+	}
+	getJSON(c.t, c.engineURLs[engine]+"/v1/streams", &list)
+	return len(list.Streams)
+}
+
+// Symptom: an entry that is cut off goes on by an old configuration without an end. Sequence: all control instances
+// freeze, which is silence and not a refusal. Cause: silence was taken for "nothing has changed".
+func TestEntryCutOffStopsAdmitting(t *testing.T) {
+	c := startCluster(t)
+	for _, p := range c.controls {
+		p.signal(syscall.SIGSTOP)
+	}
+	c.eventually(func() bool { return !answers(c.entryURLs[0] + "/readyz") }, "the entry stays ready")
+	got, err := c.caller(0).check()
+	require.NoError(t, err)
+	require.Equal(t, result.CutOffFromControl, got.coded(t).Code, "%s", got.Body)
+	require.Equal(t, result.RanNo, got.coded(t).Ran)
+	for _, p := range c.controls {
+		p.signal(syscall.SIGCONT)
+	}
+	c.eventually(func() bool { return answers(c.entryURLs[0] + "/readyz") }, "the entry doesn't come back")
+	got, err = c.caller(0).check()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, got.Status, "%s", got.Body)
+}
+
+// Symptom: gate checks fail although only control is gone. Sequence: all control instances are killed: their ports
+// refuse connections. Cause: a refused connection was taken for silence, though nobody can accept a change there.
+func TestEntryServesWhileControlIsDown(t *testing.T) {
+	c := startCluster(t)
+	for _, p := range c.controls {
+		p.kill()
+	}
+	cutOff := 4 * time.Second // above the bound of the settings
+	deadline := time.Now().Add(cutOff)
+	for time.Now().Before(deadline) {
+		got, err := c.caller(0).check()
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, got.Status, "%s", got.Body)
+	}
+}
--- /dev/null
+++ b/cmd/carawaypitch/cluster_test.go
@@ -0,0 +1,297 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/operator"
+	"github.com/carawaypitch/carawaypitch/settings"
+)
+
+// Bounds of waiting in process tests. They only bound a failing test: nothing is concluded from how long it took.
+const (
+	waitBound = 60 * time.Second
+	waitTick  = 20 * time.Millisecond
+)
+
+// process is one daemon as a process of its own, with its settings file.
+type process struct {
+	t    *testing.T
+	role string
+	file string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	log lockedBuffer
+}
+
+// lockedBuffer collects the log of a process, which writes while the test reads.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = exec.Command(binary, p.role, "-settings", p.file)
+	p.cmd.Stderr = &p.log
+	require.NoError(p.t, p.cmd.Start())
+}
+
+// signal sends a signal to the process; it must run.
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	require.NoError(p.t, p.cmd.Process.Signal(s))
+}
+
+// kill ends the process at once, as a crash does, and waits until it is gone.
+func (p *process) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+	p.cmd = nil
+}
+
+// stop ends the process gracefully; its exit code must be 0.
+func (p *process) stop() {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	err := p.cmd.Wait()
+	p.cmd = nil
+	require.NoError(p.t, err, "%s", p.log.String())
+}
+
+// cluster is a small deployment as separate processes: three control instances, two entries, one model engine and two
+// registry services, each with its agent.
+type cluster struct {
+	t        *testing.T
+	folder   string
+	controls []*process
+	entries  []*process
+	agents   []*process
+	engines  []*process
+
+	controlURLs, entryURLs, agentURLs, engineURLs []string
+	controlLinks                                  []string
+	operatorKey, callerKey                        string
+}
+
+const clusterControls = 3
+
+func startCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{t: t, folder: t.TempDir(), operatorKey: "operator-key", callerKey: "caller-key"}
+	t.Cleanup(c.killAll)
+	for range clusterControls {
+		c.controlLinks = append(c.controlLinks, freeAddress(t))
+	}
+	for i := range clusterControls {
+		c.addControl(i)
+	}
+	c.addServer("model-1", settings.KindModel, []string{"sample"})
+	c.addServer("registry-1", settings.KindService, []string{"registry"})
+	c.addServer("registry-2", settings.KindService, []string{"registry"})
+	c.addEntry(0)
+	c.addEntry(1)
+	for _, group := range [][]*process{c.controls, c.agents, c.engines, c.entries} {
+		for _, p := range group {
+			p.start()
+		}
+	}
+	for _, url := range append(append([]string{}, c.entryURLs...), c.agentURLs...) {
+		c.eventually(func() bool { return answers(url + "/readyz") }, "%s is not ready", url)
+	}
+	return c
+}
+
+func (c *cluster) killAll() {
+	for _, group := range [][]*process{c.entries, c.engines, c.agents, c.controls} {
+		for _, p := range group {
+			p.kill()
+		}
+	}
+	if c.t.Failed() {
+		for _, p := range append(append([]*process{}, c.controls...), c.entries...) {
+			c.t.Logf("---- %s\n%s", filepath.Base(p.file), tail(p.log.String()))
+		}
+	}
+}
+
+func tail(text string) string {
+	const keep = 6000
+	if len(text) > keep {
+		return text[len(text)-keep:]
+	}
+	return text
+}
+
+func (c *cluster) eventually(condition func() bool, format string, args ...any) {
+	c.t.Helper()
+	require.Eventually(c.t, condition, waitBound, waitTick, append([]any{format}, args...)...)
+}
+
+// freeAddress finds a free port. Another process might take it before it is used; then the test fails at its start.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// write puts a settings file into the folder and makes the process for it.
+func (c *cluster) write(role, name string, value any) *process {
+	c.t.Helper()
+	data, err := settings.Marshal(value)
+	require.NoError(c.t, err)
+	file := filepath.Join(c.folder, name+".jsonc")
+	require.NoError(c.t, os.WriteFile(file, data, 0o600))
+	return &process{t: c.t, role: role, file: file}
+}
+
+func digestOf(key string) []string {
+	return []string{settings.NewDigest(key, settings.NewSalt())}
+}
+
+func (c *cluster) organisations() []settings.Organisation {
+	return []settings.Organisation{{Name: "zagreb", KeyDigests: digestOf(c.callerKey), DefaultClass: "summary"}}
+}
+
+func (c *cluster) controlSettings(i int) settings.Control {
+	s := settings.DefaultControl()
+	s.Instance = fmt.Sprintf("control-%d", i+1)
+	s.AvailabilityZone = fmt.Sprintf("zone-%d", i+1)
+	s.Listen = settings.ControlListen{Operators: freeAddress(c.t), Links: c.controlLinks[i]}
+	s.Advertise = c.controlLinks[i]
+	for j, link := range c.controlLinks {
+		s.Replicas = append(s.Replicas, settings.Replica{Instance: fmt.Sprintf("control-%d", j+1), Address: link})
+	}
+	s.Bootstrap = true
+	s.DataDir = filepath.Join(c.folder, s.Instance)
+	s.Operators = []settings.OperatorAccount{{Name: "operator", KeyDigests: digestOf(c.operatorKey)}}
+	s.Organisations = c.organisations()
+	s.InitialClasses = []settings.Class{
+		{Name: "gate-check", Tier: 1, DeadlineMS: 5000, LateMax: 0.01, LostMax: 0.01, Repeatable: true, Kind: settings.KindService},
+		{Name: "pass-issue", Tier: 1, DeadlineMS: 20_000, LateMax: 0.05, Kind: settings.KindService, Preempt: settings.PreemptNever},
+		{Name: "summary", Tier: 2, DeadlineMS: 25_000, LateMax: 0.05, LostMax: 0.02, Repeatable: true, Kind: settings.KindModel},
+	}
+	return s
+}
+
+func (c *cluster) addControl(i int) {
+	s := c.controlSettings(i)
+	require.NoError(c.t, os.MkdirAll(s.DataDir, 0o700))
+	c.controls = append(c.controls, c.write("control", s.Instance, s))
+	c.controlURLs = append(c.controlURLs, "http://"+s.Listen.Operators)
+}
+
+func (c *cluster) addEntry(i int) {
+	s := settings.DefaultEntry()
+	s.Instance = fmt.Sprintf("entry-%d", i+1)
+	s.AvailabilityZone = fmt.Sprintf("zone-%d", i+1)
+	s.Listen.Callers = freeAddress(c.t)
+	s.Controls = c.controlLinks
+	s.Organisations = c.organisations()
+	c.entries = append(c.entries, c.write("entry", s.Instance, s))
+	c.entryURLs = append(c.entryURLs, "http://"+s.Listen.Callers)
+}
+
+// addServer adds a stand-in with its agent.
+func (c *cluster) addServer(name, kind string, models []string) {
+	a := settings.DefaultAgent()
+	a.Instance = "agent-" + name
+	a.AvailabilityZone = "zone-1"
+	a.Listen = settings.AgentListen{HTTP: freeAddress(c.t), Links: freeAddress(c.t)}
+	a.Advertise = a.Listen.Links
+	a.Controls = c.controlLinks
+	c.agents = append(c.agents, c.write("agent", a.Instance, a))
+	c.agentURLs = append(c.agentURLs, "http://"+a.Listen.HTTP)
+
+	e := settings.DefaultEngine()
+	e.Server = name
+	e.Kind = kind
+	e.Listen = freeAddress(c.t)
+	e.Agent = a.Listen.HTTP
+	e.Models = models
+	c.engines = append(c.engines, c.write("engine", "engine-"+name, e))
+	c.engineURLs = append(c.engineURLs, "http://"+e.Listen)
+}
+
+// faults switches the faults of a stand-in while it runs.
+func (c *cluster) faults(engine int, faults any) {
+	c.t.Helper()
+	body, err := json.Marshal(faults)
+	require.NoError(c.t, err)
+	got := caller{entry: c.engineURLs[engine]}.call(c.t, "/v1/faults", nil, string(body))
+	require.Less(c.t, got.Status, 300, "%s", got.Body)
+}
+
+func (c *cluster) caller(entry int) caller {
+	return caller{c.entryURLs[entry], c.callerKey}
+}
+
+// operatorOf gives an operator's client of the given control instances, or of all.
+func (c *cluster) operatorOf(controls ...int) *operator.Client {
+	urls := c.controlURLs
+	if len(controls) > 0 {
+		urls = nil
+		for _, i := range controls {
+			urls = append(urls, c.controlURLs[i])
+		}
+	}
+	return operator.New(urls, c.operatorKey, nil)
+}
+
+// leader gives the index of the leading control instance as instance i sees it, or -1.
+func (c *cluster) leader(seenBy int) int {
+	status, err := c.operatorOf(seenBy).Status(c.t.Context())
+	if err != nil || !status.Confirmed {
+		return -1
+	}
+	for i := range c.controls {
+		if status.Leader == fmt.Sprintf("control-%d", i+1) {
+			return i
+		}
+	}
+	return -1
+}
+
+// waitLeader waits until one of the given control instances knows a leader, confirmed by a quorum.
+func (c *cluster) waitLeader(seenBy int) int {
+	c.t.Helper()
+	leader := -1
+	c.eventually(func() bool {
+		leader = c.leader(seenBy)
+		return leader >= 0
+	}, "no leader")
+	return leader
+}
