--- a/agent/agent.go
+++ b/agent/agent.go
@@ -54,7 +54,6 @@
 
 	meter   *meter
 	ready   *readiness
-	fence   *fence
 	session controlSession
 	links   *link.EntryServer
 	servers *servers
@@ -82,7 +81,6 @@
 		log:            options.Log,
 		incarnation:    uint64(time.Now().UnixNano()),
 		meter:          newMeter(),
-		fence:          new(fence),
 		released:       make(chan struct{}),
 		serversChanged: make(chan struct{}, 1),
 		viewChanged:    make(chan struct{}, 1),
@@ -168,7 +166,7 @@
 	a.orders = newOrders(orderDeps{
 		log:     a.log,
 		meter:   a.meter,
-		fence:   a.fence,
+		fence:   &fence{view: a.session.View},
 		ready:   a.ready,
 		servers: a.servers,
 		spawn:   a.spawn,
--- a/agent/control.go
+++ b/agent/control.go
@@ -84,9 +84,6 @@
 		if view.Agents[a.settings.Instance].GetIncarnation() > a.incarnation {
 			return ErrSuperseded
 		}
-		if view.ConfigVersion > 0 {
-			a.fence.committed(view.Fence)
-		}
 		a.endEntries(ctx, incarnations.update(view.Entries))
 	}
 }
--- a/agent/fence.go
+++ b/agent/fence.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -13,30 +14,27 @@
 // ignores fence numbers would carry them out; one would notice it as a model that the present leader loaded and that
 // is gone again. So the agent is the guard, for engines of both kinds.
 type fence struct {
-	mu      sync.Mutex
-	known   bool // a committed number was seen by this incarnation
-	highest uint64
-}
+	// view returns what control committed. It is read at each check, so that an order can't pass between a newer
+	// leader's number and the duty that would hear of it.
+	view func() *session.View
 
-// committed notes a number from control's committed state.
-func (f *fence) committed(number uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.known = true
-	f.highest = max(f.highest, number)
+	mu      sync.Mutex
+	highest uint64 // of committed orders
 }
 
-// check says whether an order may be carried out now. Errors have the code starting (no committed number was seen, so
+// check says whether an order may be carried out now. Errors have the code starting (no committed state was seen, so
 // that an old order can't be told from a new one), order_refused (the order isn't committed) or fence_too_old.
 func (f *fence) check(order *wire.Order) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.known {
+	view := f.view()
+	if view.ConfigVersion == 0 {
 		return result.New(result.Starting, "no committed fence number is known yet")
 	}
 	if !order.GetCommitted() {
 		return result.New(result.OrderRefused, "the order is not committed")
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.highest = max(f.highest, view.Fence)
 	if order.GetFence() < f.highest {
 		return result.New(result.FenceTooOld, "the order's fence number is %d, the highest committed is %d",
 			order.GetFence(), f.highest)
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -34,6 +34,9 @@
 // longWait bounds waits in bubble time; a test that reaches it has failed.
 const longWait = 2 * time.Minute
 
+// settleDown is longer than net/http goes on dialling for a call that was given up.
+const settleDown = 5 * time.Second
+
 // world is an agent with stand-in engines, entries and a fake of control. It lives in a synctest bubble.
 type world struct {
 	t       *testing.T
@@ -63,7 +66,8 @@
 		}
 		w.http = &http.Client{Transport: transport}
 		test(w)
-		w.stopAgent()
+		_ = w.stopAgent()
+		time.Sleep(settleDown)
 		transport.CloseIdleConnections()
 	})
 }
--- /dev/null
+++ b/agent/leave_test.go
@@ -0,0 +1,116 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/engine/standin"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// leaveState asks where the leave of server-1 stands.
+func (w *world) leaveState() string {
+	w.t.Helper()
+	_, body := w.call("GET", "/v1/leave/server-1", nil)
+	return body
+}
+
+func (w *world) askToLeave() {
+	w.t.Helper()
+	status, body := w.call("POST", "/v1/leave", engine.Leave{Server: "server-1"})
+	assert.Equal(w.t, 200, status)
+	assert.Contains(w.t, body, "draining")
+}
+
+// Symptom: a stream is cut when its server leaves, or the server gets new work after it asked to leave.
+// Sequence: a server with a long stream asks to leave, and goes on announcing itself; another request comes.
+// Cause: the leave ended what was in flight, or an announcement ended the leave.
+func TestGracefulLeaveCutsNothing(t *testing.T) {
+	modelWorld(t, func(w *world, _ *standin.Server, entry *fakeEntry) {
+		entry.dispatch(withBody(completion("r1", 1), `{"model":"sample","prompt":"a","max_tokens":150}`))
+		w.until("the stream runs", func() bool { return entry.eventCount("r1", 1) > 3 })
+		w.askToLeave()
+		entry.dispatch(completion("r2", 1))
+		over := entry.awaitOver("r2", 1)
+		assert.Equal(t, wire.Proof_PROOF_NEVER_STARTED, over.GetProof())
+		time.Sleep(5 * time.Second)
+		assert.Contains(t, w.leaveState(), `"draining"`)
+		assert.Equal(t, wire.ServerCondition_SERVER_CONDITION_DRAINING, w.control.registered()[0].GetCondition())
+		assert.Zero(t, entry.room("server-1").GetFree())
+
+		over = entry.awaitOver("r1", 1)
+		assert.Equal(t, wire.Proof_PROOF_COMPLETED, over.GetProof())
+		assert.Equal(t, uint32(150), over.GetAnswer().GetOutputTokens())
+		w.until("drained", func() bool { return w.agent.servers.get("server-1").view.Load().drained })
+		assert.Contains(t, w.leaveState(), `"drained"`)
+		assert.Zero(t, w.ledger.Starts()["r2.1"])
+		assert.Equal(t, wire.ServerCondition_SERVER_CONDITION_DRAINED, w.control.registered()[0].GetCondition())
+	})
+}
+
+// Symptom: a server that an operator drained, or one that is about to stop, gets new work.
+// Sequence: it goes on announcing itself after it is drained.
+// Cause: an announcement was taken for a return.
+func TestDrainedServerStaysDrainedWhileItGoesOnAnnouncing(t *testing.T) {
+	modelWorld(t, func(w *world, _ *standin.Server, entry *fakeEntry) {
+		w.control.orders <- &wire.Order{
+			Id:        1,
+			Fence:     5,
+			Server:    "server-1",
+			Kind:      wire.OrderKind_ORDER_KIND_DRAIN,
+			Committed: true,
+		}
+		w.until("drained", func() bool { return w.agent.servers.get("server-1").view.Load().drained })
+		assert.Zero(t, w.control.orderResults()[0].GetCode())
+		time.Sleep(30 * time.Second)
+		assert.True(t, w.agent.servers.get("server-1").view.Load().drained)
+		entry.dispatch(completion("r1", 1))
+		assert.Equal(t, wire.Proof_PROOF_NEVER_STARTED, entry.awaitOver("r1", 1).GetProof())
+	})
+}
+
+func TestDrainedServerComesBack(t *testing.T) {
+	modelWorld(t, func(w *world, _ *standin.Server, entry *fakeEntry) {
+		w.askToLeave()
+		w.until("drained", func() bool { return w.agent.servers.get("server-1").view.Load().drained })
+		assert.Contains(t, w.leaveState(), `"drained"`)
+		time.Sleep(comeBackAfter / 2)
+		assert.True(t, w.agent.servers.get("server-1").view.Load().drained, "the last announcement of a stopping server")
+		w.ready()
+		entry.awaitRoom("server-1")
+		entry.dispatch(completion("r1", 1))
+		assert.Equal(t, wire.Proof_PROOF_COMPLETED, entry.awaitOver("r1", 1).GetProof())
+		status, _ := w.call("GET", "/v1/leave/server-1", nil)
+		assert.Equal(t, 404, status)
+	})
+}
+
+// Symptom: a dead server stays in the directory and gets work.
+// Sequence: a server stops announcing itself without a word; later it is back.
+// Cause: nobody noticed the silence, or only a part of the directory heard of it.
+func TestSilentServerLeavesTheDirectory(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.startAgent()
+		options := slowModel()
+		options.LeaveTimeout = time.Nanosecond
+		w.startEngine(options)
+		w.ready()
+		before := w.control.setCount()
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, before, w.control.setCount(), "announcements that say nothing new are not committed")
+
+		w.network.Cut(engineHost, agentHost)
+		w.until("suspect", func() bool {
+			return w.control.registered()[0].GetCondition() == wire.ServerCondition_SERVER_CONDITION_SUSPECT
+		})
+		w.until("gone", func() bool { return len(w.control.registered()) == 0 })
+		w.network.Heal(engineHost, agentHost)
+		w.until("back", func() bool {
+			servers := w.control.registered()
+			return len(servers) == 1 && servers[0].GetCondition() == wire.ServerCondition_SERVER_CONDITION_READY
+		})
+	})
+}
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -57,6 +57,10 @@
 	o.spawn(func(ctx context.Context) {
 		err := o.carryOut(ctx, s, order)
 		o.end(order)
+		if ctx.Err() != nil {
+			// The engine goes on without this agent; the leader asks the next incarnation.
+			return
+		}
 		o.finish(order, err)
 	})
 }
--- a/agent/server_announce.go
+++ b/agent/server_announce.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/gate"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -41,7 +42,7 @@
 
 func (s *server) takeAnnouncement(now time.Time, record *wire.ServerRecord) error {
 	if s.moved(record) {
-		if err := s.letGo(); err != nil {
+		if err := s.letGo(now); err != nil {
 			return err
 		}
 	}
@@ -74,20 +75,27 @@
 // letGo gives up the engine in use for another address.
 //
 // Attempts at the old address can be ended only there. The engine at the new one has never heard of them, and its "no
-// such stream" would pass for a proof while the old one goes on. So a move has to wait until the old engine is drained,
-// or is gone without an attempt of which nothing is proved. Announcements that are refused don't count as signs of
-// life, so an engine that really moved is gone soon.
-func (s *server) letGo() error {
-	condition := s.published.GetCondition()
-	over := condition == wire.ServerCondition_SERVER_CONDITION_GONE ||
-		condition == wire.ServerCondition_SERVER_CONDITION_DRAINED
-	if !over && s.recovered() || len(s.runs) > 0 {
+// such stream" would pass for a proof while the old one goes on. So a move has to wait until the old engine was proved
+// free, and is now gone or drained without an attempt of which nothing is proved. Announcements that are refused don't
+// count as signs of life, so an engine that really moved is gone soon.
+func (s *server) letGo(now time.Time) error {
+	gone := s.published.GetCondition() == wire.ServerCondition_SERVER_CONDITION_GONE
+	if !gone && !s.comesBack(now) || len(s.runs) > 0 {
 		return result.New(result.ServerBusy, "another address is in use, with %d attempts that are not over", len(s.runs))
 	}
+	closeClient(s.client)
 	s.client = nil
+	s.published = nil
 	return nil
 }
 
+// closeClient lets go of a client's idle connections, if it keeps any.
+func closeClient(client engine.Client) {
+	if closer, ok := client.(interface{ Close() }); ok {
+		closer.Close()
+	}
+}
+
 // connect makes the engine's client if there is none.
 func (s *server) connect(record *wire.ServerRecord) error {
 	if s.client != nil {
--- a/agent/server_loop.go
+++ b/agent/server_loop.go
@@ -95,4 +95,5 @@
 		r.close()
 		r.stop()
 	}
+	closeClient(s.client)
 }
--- /dev/null
+++ b/agent/stop_test.go
@@ -0,0 +1,66 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/carawaypitch/carawaypitch/engine/standin"
+	"github.com/carawaypitch/carawaypitch/settings"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// Symptom: SIGTERM of an agent cuts streams.
+// Sequence: the platform replaces the agent while a stream runs.
+// Cause: the process ended with the signal instead of after the drain.
+func TestStopFinishesWhatIsInFlight(t *testing.T) {
+	modelWorld(t, func(w *world, _ *standin.Server, entry *fakeEntry) {
+		entry.dispatch(withBody(completion("r1", 1), `{"model":"sample","prompt":"a","max_tokens":100}`))
+		w.until("the stream runs", func() bool { return entry.eventCount("r1", 1) > 3 })
+		w.stop()
+		time.Sleep(time.Second)
+		status, body := w.call("GET", "/readyz", nil)
+		assert.Equal(t, 503, status)
+		assert.Contains(t, body, `"name":"stopping"`)
+		entry.dispatch(completion("r2", 1))
+		assert.Equal(t, wire.Proof_PROOF_NEVER_STARTED, entry.awaitOver("r2", 1).GetProof())
+
+		assert.NoError(t, <-w.ended)
+		w.stop = nil
+		time.Sleep(time.Second)
+		assert.Equal(t, wire.Proof_PROOF_COMPLETED, entry.over("r1", 1).GetProof())
+		commands := w.control.commands()
+		removal := commands[len(commands)-1].GetRemoveAgent()
+		assert.Equal(t, "agent-1", removal.GetAgent())
+		assert.Equal(t, w.agent.incarnation, removal.GetIncarnation())
+	})
+}
+
+// Symptom: an agent never ends.
+// Sequence: SIGTERM comes while a stream runs that doesn't end.
+// Cause: the wait for what is in flight had no bound.
+func TestStopEndsAtTheDrainTimeout(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.startAgent(func(s *settings.Agent) { s.Timing.Drain = 10 * time.Second })
+		w.startEngine(slowModel())
+		w.ready()
+		entry := w.startEntry(entryHost, "entry-1")
+		entry.awaitRoom("server-1")
+		entry.dispatch(longCompletion("r1", 1))
+		w.until("the stream runs", func() bool { return entry.eventCount("r1", 1) > 3 })
+		assert.ErrorIs(t, w.stopAgent(), ErrDrainTimeout)
+	})
+}
+
+func TestStopWithoutServers(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.startAgent()
+		time.Sleep(5 * time.Second)
+		status, body := w.call("GET", "/readyz", nil)
+		assert.Equal(t, 503, status)
+		assert.Contains(t, body, `"name":"no_server"`)
+		assert.NoError(t, w.stopAgent())
+		assert.Empty(t, w.control.commands(), "this incarnation was never registered")
+	})
+}
