--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -80,14 +80,16 @@
 	cause       string
 	tier        uint32 // that took the slot, 0 for none
 	askers      []asker
-	try         uint32 // of the last CancelEngine
-	firstAfter  uint32 // first try that was issued after the run's end, 0 for none
-	pending     bool   // a CancelEngine has no answer yet
+	try         uint32    // of the last CancelEngine
+	firstAfter  uint32    // first try that was issued after the run's end, 0 for none
+	pending     bool      // a CancelEngine has no answer yet
+	since       time.Time // when the end was first asked for
 	issued      time.Time
 	again       time.Time
 	backoff     time.Duration
 	toldUnsure  bool
-	unsureSince time.Time
+	unsureSince time.Time // when the run returned without a proof
+	unsupported bool      // the server has no cancel call
 }
 
 // asker is an entry that waits for the proof that attempts up to a number are over.
--- a/gate/charts.go
+++ b/gate/charts.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/carawaypitch/carawaypitch/chart"
+	"github.com/carawaypitch/carawaypitch/wire"
 )
 
 // attemptState is a state of charts/attempt.jsonc.
@@ -105,6 +106,7 @@
 	refusal refusal
 	cause   string // of waste, see the Cause constants
 	asker   asker
+	work    *wire.Work // of a repeated reservation
 	end     *EngineEnded
 	events  [][]byte
 	tokens  uint32
@@ -151,6 +153,8 @@
 	switch name {
 	case "queue":
 		g.enqueue(a)
+	case "renew":
+		a.wait.queue.class.observe(o.work.GetUrgency())
 	case "unqueue":
 		g.dequeue(a)
 	case "hold_room":
@@ -201,7 +205,7 @@
 	case "healthy":
 		return g.server.doubts == 0
 	case "none_in_flight":
-		return len(g.runs) == 0
+		return g.inFlight() == 0
 	}
 	g.chartError("guard " + name)
 	return false
@@ -213,6 +217,8 @@
 		g.refuseAllWaiting(refuseLeaving)
 	case "allow_new_work":
 		g.room.dirty = true
+	case "lapse_offers":
+		g.lapseAllOffers()
 	case "clear_engine":
 		g.clearing.restart()
 	case "tell":
--- /dev/null
+++ b/gate/charts_test.go
@@ -0,0 +1,75 @@
+package gate
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+func TestEveryGuardAndActionOfTheChartsIsKnown(t *testing.T) {
+	b := openBench(t)
+	for _, guard := range attemptTable.Chart().Guards {
+		a := b.gate.newAttempt(&record{index: -1}, &entryState{}, id("r", 1), "", work())
+		b.gate.attemptGuard(a, guard.Name, &occasion{})
+	}
+	for _, guard := range serverTable.Chart().Guards {
+		b.gate.serverGuard(guard.Name)
+	}
+	for _, action := range attemptTable.Chart().Actions {
+		require.NotPanics(t, func() { b.actionKnown(action.Name) })
+	}
+	for _, action := range serverTable.Chart().Actions {
+		b.gate.serverAction(action.Name)
+	}
+	require.Zero(t, b.gate.chartErrors)
+	b.gate.serverAction("not an action")
+	require.EqualValues(t, 1, b.gate.chartErrors)
+}
+
+// actionKnown carries out one action of an attempt that is far enough to allow any.
+func (b *bench) actionKnown(name string) {
+	r := b.gate.records.add("chart-"+name, 100)
+	owner := b.gate.entries.get(entryA, b.now)
+	a := b.gate.newAttempt(r, owner, id(r.request, 1), "", work())
+	a.dispatch = &wire.Dispatch{Attempt: id(r.request, 1), Work: work()}
+	a.frames.begin(a.dispatch)
+	a.wait.queue = b.gate.waiting.tier(2).queue("summary", "org")
+	b.gate.attemptAction(a, name, &occasion{end: &EngineEnded{}})
+}
+
+func TestEventThatTheChartDoesNotAllowIsCounted(t *testing.T) {
+	// Symptom: an attempt stays in a state for ever, and nobody knows why.
+	// Sequence: the agent reports the end of a run that was never started, of one that has ended, and an answer to
+	// a cancel that was never sent.
+	// Cause: an event that nothing expects was ignored.
+	cases := map[string]func(*bench) []Action{
+		"end of an unknown run": func(b *bench) []Action { return b.finish(id("unknown", 1)) },
+		"second end": func(b *bench) []Action {
+			b.finish(id("r", 1))
+			return b.finish(id("r", 1))
+		},
+		"progress after the end": func(b *bench) []Action {
+			b.finish(id("r", 1))
+			return b.progress(id("r", 1), "x")
+		},
+		"answer without a cancel": func(b *bench) []Action {
+			return b.step(EngineCancelled{Attempt: id("r", 1), Result: engine.CancelConfirmed})
+		},
+		"message of an unknown kind": func(b *bench) []Action { return b.receive(entryA, &wire.EntryMessage{}) },
+	}
+	for name, act := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := openBench(t)
+			b.start(entryA, id("r", 1), work())
+			counts := of[Count](act(b))
+			require.NotEmpty(t, counts)
+			last := counts[len(counts)-1]
+			require.Equal(t, ChartErrors, last.Counter)
+			require.NotEmpty(t, last.Label)
+			require.EqualValues(t, 1, b.gate.Status().ChartErrors)
+		})
+	}
+}
--- /dev/null
+++ b/gate/harness_test.go
@@ -0,0 +1,278 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+var (
+	entryA = EntryID{Name: "entry-a", Incarnation: 1}
+	entryB = EntryID{Name: "entry-b", Incarnation: 1}
+)
+
+const (
+	sampleServer = "engine-1"
+	sampleModel  = "sample"
+	sampleSlots  = 2
+)
+
+// bench drives a gate with fake time and remembers what it wanted since the last look.
+type bench struct {
+	t       testing.TB
+	gate    *Gate
+	now     time.Time
+	actions []Action
+	beat    time.Time // of the next heartbeats and announcement
+}
+
+// newBench makes a gate whose server has not announced itself.
+func newBench(t testing.TB, config Config) *bench {
+	return &bench{t: t, gate: New(config), now: time.Unix(1000, 0)}
+}
+
+// openBench makes a gate with a cleared server of two slots and no predecessor.
+func openBench(t testing.TB) *bench {
+	return openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(sampleSlots))
+}
+
+func openBenchWith(t testing.TB, config Config, record *wire.ServerRecord) *bench {
+	b := newBench(t, config)
+	b.step(Announced{Server: record})
+	b.step(EngineListed{})
+	b.step(EntryUp{Entry: entryA})
+	b.step(EntryUp{Entry: entryB})
+	b.actions = nil
+	return b
+}
+
+func sampleRecord(slots uint32) *wire.ServerRecord {
+	return &wire.ServerRecord{
+		Server: sampleServer,
+		Kind:   "model",
+		Models: []string{sampleModel},
+		Slots:  slots,
+		Capabilities: &wire.Capabilities{
+			Fencing: "refuses", Kv: true, Resume: true, OnDisconnect: "continues",
+		},
+	}
+}
+
+// work is repeatable, preemptible work of tier 2 with ample time.
+func work() *wire.Work {
+	return &wire.Work{
+		Organisation: "org",
+		Class:        "summary",
+		Tier:         2,
+		Target:       sampleModel,
+		Repeatable:   true,
+		PromptTokens: 100,
+		OutputTokens: 20,
+		RemainingMs:  60_000,
+		Preemptible:  true,
+	}
+}
+
+func workOf(change func(*wire.Work)) *wire.Work {
+	w := work()
+	change(w)
+	return w
+}
+
+func firstTierWork() *wire.Work {
+	return workOf(func(w *wire.Work) { w.Tier, w.Preemptible = 1, false })
+}
+
+func id(request string, number uint64) *wire.AttemptID {
+	return &wire.AttemptID{Request: request, Number: number}
+}
+
+func (b *bench) step(e Event) []Action {
+	actions := b.gate.Step(b.now, e)
+	b.actions = append(b.actions, actions...)
+	return actions
+}
+
+// pass lets time pass tick by tick, with heartbeats and announcements.
+func (b *bench) pass(d time.Duration) {
+	b.passWith(d, func() {
+		b.receive(entryA, heartbeat())
+		b.receive(entryB, heartbeat())
+		if r := b.gate.server.record; r != nil {
+			b.step(Announced{Server: r})
+		}
+	})
+}
+
+// passWith lets time pass tick by tick and calls each about each half second.
+func (b *bench) passWith(d time.Duration, each func()) {
+	until := b.now.Add(d)
+	for b.now.Before(until) {
+		b.now = b.now.Add(TickInterval)
+		b.step(Tick{})
+		if !b.now.Before(b.beat) {
+			each()
+			b.beat = b.now.Add(500 * time.Millisecond)
+		}
+	}
+}
+
+func heartbeat() *wire.EntryMessage {
+	return &wire.EntryMessage{Kind: &wire.EntryMessage_Heartbeat{Heartbeat: &wire.EntryHeartbeat{}}}
+}
+
+func (b *bench) receive(from EntryID, m *wire.EntryMessage) []Action {
+	return b.step(Received{Entry: from, Message: m})
+}
+
+func (b *bench) reserve(from EntryID, attempt *wire.AttemptID, w *wire.Work) []Action {
+	m := &wire.Reserve{Attempt: attempt, Server: sampleServer, Work: w}
+	return b.receive(from, &wire.EntryMessage{Kind: &wire.EntryMessage_Reserve{Reserve: m}})
+}
+
+func (b *bench) dispatch(from EntryID, attempt *wire.AttemptID, w *wire.Work) []Action {
+	return b.dispatchOf(from, &wire.Dispatch{Attempt: attempt, Work: w})
+}
+
+func (b *bench) dispatchOffered(from EntryID, attempt *wire.AttemptID, w *wire.Work) []Action {
+	return b.dispatchOf(from, &wire.Dispatch{Attempt: attempt, Work: w, Offered: true})
+}
+
+func (b *bench) dispatchOf(from EntryID, m *wire.Dispatch) []Action {
+	m.Server = sampleServer
+	return b.receive(from, &wire.EntryMessage{Kind: &wire.EntryMessage_Dispatch{Dispatch: m}})
+}
+
+func (b *bench) cancelAttempt(from EntryID, attempt *wire.AttemptID, cause wire.CancelCause) []Action {
+	m := &wire.Cancel{Attempt: attempt, Server: sampleServer, Cause: cause}
+	return b.receive(from, &wire.EntryMessage{Kind: &wire.EntryMessage_Cancel{Cancel: m}})
+}
+
+func (b *bench) callerLeft(from EntryID, attempt *wire.AttemptID) []Action {
+	return b.cancelAttempt(from, attempt, wire.CancelCause_CANCEL_CAUSE_CALLER_LEFT)
+}
+
+func (b *bench) progress(attempt *wire.AttemptID, events ...string) []Action {
+	var data [][]byte
+	for _, event := range events {
+		data = append(data, []byte(event))
+	}
+	return b.step(EngineProgress{Attempt: attempt, Events: data})
+}
+
+func (b *bench) finish(attempt *wire.AttemptID) []Action {
+	return b.ends(attempt, engine.Outcome{End: engine.EndCompleted, Status: 200}, nil)
+}
+
+func (b *bench) ends(attempt *wire.AttemptID, o engine.Outcome, err error) []Action {
+	return b.step(EngineEnded{Attempt: attempt, Outcome: o, Err: err, ContentType: "text/event-stream"})
+}
+
+// lost ends a run whose connection broke.
+func (b *bench) lost(attempt *wire.AttemptID) []Action {
+	return b.ends(attempt, engine.Outcome{}, &engine.CallError{Call: "run", Class: engine.ErrUnknown})
+}
+
+// answer answers the last CancelEngine of an attempt.
+func (b *bench) answer(attempt *wire.AttemptID, r engine.CancelResult) []Action {
+	try := uint32(0)
+	for _, a := range b.actions {
+		if c, ok := a.(CancelEngine); ok && sameAttempt(c.Attempt, attempt) {
+			try = c.Try
+		}
+	}
+	require.NotZero(b.t, try, "no cancel of %v was asked for", attempt)
+	return b.step(EngineCancelled{Attempt: attempt, Try: try, Result: r})
+}
+
+func sameAttempt(a, b *wire.AttemptID) bool {
+	return a.GetRequest() == b.GetRequest() && a.GetNumber() == b.GetNumber()
+}
+
+// of returns the actions of one type.
+func of[T Action](actions []Action) []T {
+	var out []T
+	for _, a := range actions {
+		if wanted, ok := a.(T); ok {
+			out = append(out, wanted)
+		}
+	}
+	return out
+}
+
+// overs returns the Over messages sent, by entry.
+func overs(actions []Action, to EntryID) []*wire.Over {
+	var out []*wire.Over
+	for _, s := range of[Send](actions) {
+		if o := s.Message.GetOver(); o != nil && s.Entry == to {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// onlyOver requires one Over with that proof.
+func onlyOver(t testing.TB, actions []Action, to EntryID, proof wire.Proof) *wire.Over {
+	t.Helper()
+	list := overs(actions, to)
+	require.Len(t, list, 1, "%v", list)
+	require.Equal(t, proof, list[0].Proof, "%v", list[0])
+	return list[0]
+}
+
+func refusedWith(t testing.TB, actions []Action, code result.Code) *wire.Over {
+	t.Helper()
+	over := onlyOver(t, actions, entryA, wire.Proof_PROOF_NEVER_STARTED)
+	require.Equal(t, code, result.Code(over.Code), over.Message)
+	require.Empty(t, of[StartEngine](actions))
+	return over
+}
+
+func startedIDs(actions []Action) []string {
+	var out []string
+	for _, s := range of[StartEngine](actions) {
+		out = append(out, string(streamID(s.Dispatch.Attempt.Request, s.Dispatch.Attempt.Number)))
+	}
+	return out
+}
+
+func offeredIDs(actions []Action) []string {
+	var out []string
+	for _, s := range of[Send](actions) {
+		if o := s.Message.GetOffer(); o != nil {
+			out = append(out, string(streamID(o.Attempt.Request, o.Attempt.Number)))
+		}
+	}
+	return out
+}
+
+// start dispatches an attempt straight away and requires that it runs.
+func (b *bench) start(from EntryID, attempt *wire.AttemptID, w *wire.Work) {
+	b.t.Helper()
+	actions := b.dispatch(from, attempt, w)
+	require.Len(b.t, of[StartEngine](actions), 1, "%v", actions)
+}
+
+// fill takes all slots with tier-2 work of entry A.
+func (b *bench) fill() []*wire.AttemptID {
+	b.t.Helper()
+	var all []*wire.AttemptID
+	for i := range b.gate.limit.announced {
+		attempt := id(fmt.Sprintf("fill-%d", i), 1)
+		b.start(entryA, attempt, work())
+		all = append(all, attempt)
+	}
+	return all
+}
+
+func noChartErrors(t testing.TB, b *bench) {
+	t.Helper()
+	assert.Zero(t, b.gate.chartErrors, "%v", of[Count](b.actions))
+}
--- a/gate/headroom.go
+++ b/gate/headroom.go
@@ -24,10 +24,10 @@
 
 func (h *headroom) wasted(tokens float64) {
 	h.waste += tokens
-	h.perEvent = headroomKeep*h.perEvent + (1-headroomKeep)*tokens
 	if h.perEvent == 0 {
 		h.perEvent = tokens
 	}
+	h.perEvent = headroomKeep*h.perEvent + (1-headroomKeep)*tokens
 }
 
 // took notes that a first-tier attempt used a slot that was kept for it.
--- a/gate/keep.go
+++ b/gate/keep.go
@@ -37,9 +37,13 @@
 	g.kept[0] = keptOver{}
 	g.kept = g.kept[1:]
 	k.attempt.frames.drop()
-	if r := k.attempt.record; r.last == k.attempt && r.answer == k.over {
+	r := k.attempt.record
+	if r.answer == k.over {
 		r.answer = stripped(k.over)
 	}
+	if r.refused == k.over {
+		r.refused = stripped(k.over)
+	}
 }
 
 // stripped is an Over without the texts and figures that nobody asks for again.
--- /dev/null
+++ b/gate/leases_test.go
@@ -0,0 +1,181 @@
+package gate
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// silentA lets time pass in which entry A says nothing.
+func (b *bench) silentA(d time.Duration) {
+	b.passWith(d, func() {
+		b.receive(entryB, heartbeat())
+		b.step(Announced{Server: b.gate.server.record})
+	})
+}
+
+// keyedCall is a call that may not be repeated, whose outcome control needs.
+func keyedCall(attempt *wire.AttemptID) *wire.Dispatch {
+	w := workOf(func(w *wire.Work) { w.Repeatable, w.Preemptible, w.Service = false, false, true })
+	return &wire.Dispatch{
+		Attempt: attempt, Work: w, IdempotencyKey: "key", Operation: "operation", ReportToControl: true,
+	}
+}
+
+func TestExpiryOfALease(t *testing.T) {
+	// Symptom: an engine works for nobody, and the caller who comes back through another entry meets his own request
+	// still running.
+	// Sequence: an entry dies, or control ends it, with work waiting and running here.
+	// Cause: work was tied to nothing that ends with its entry.
+	expiries := map[string]func(*bench){
+		"silent": func(b *bench) { b.silentA(DefaultLeaseDuration + time.Second) },
+		"ended":  func(b *bench) { b.step(EntryEnded{Entry: entryA}) },
+	}
+	for name, expire := range expiries {
+		t.Run(name, func(t *testing.T) {
+			b := openBench(t)
+			b.start(entryA, id("run", 1), work())
+			b.start(entryB, id("other", 1), work())
+			b.reserve(entryA, id("wait", 1), work())
+			b.reserve(entryB, id("other-wait", 1), work())
+			b.actions = nil
+			expire(b)
+			cancels := of[CancelEngine](b.actions)
+			require.NotEmpty(t, cancels)
+			require.Equal(t, "run", cancels[0].Attempt.Request)
+			over := onlyOver(t, b.actions, entryA, neverStartedProof)
+			require.Equal(t, "wait", over.Attempt.Request)
+			require.EqualValues(t, result.LeaseExpired, over.Code)
+			proved := b.answer(id("run", 1), engine.CancelConfirmed)
+			require.EqualValues(t, result.LeaseExpired, onlyOver(t, proved, entryA, cancelledProof).Code)
+			require.Equal(t, []string{"other-wait.1"}, offeredIDs(proved))
+			noChartErrors(t, b)
+		})
+	}
+}
+
+func TestHeartbeatsRenewLeases(t *testing.T) {
+	b := openBench(t)
+	b.start(entryA, id("run", 1), work())
+	b.pass(5 * DefaultLeaseDuration)
+	require.Empty(t, of[CancelEngine](b.actions))
+}
+
+func TestLostLinkAloneEndsNoLease(t *testing.T) {
+	b := openBench(t)
+	b.start(entryA, id("run", 1), work())
+	b.step(EntryDown{Entry: entryA})
+	b.silentA(DefaultLeaseDuration - time.Second)
+	require.Empty(t, of[CancelEngine](b.actions))
+}
+
+func TestUnrepeatableCallIsLeftToFinishAndReported(t *testing.T) {
+	// Symptom: a resident is charged and never learns it; or charged twice.
+	// Sequence: an entry dies while a pass is being issued. The caller comes back with the same key.
+	// Cause: the call was cancelled halfway, or its outcome went to the dead entry only.
+	b := openBench(t)
+	b.dispatchOf(entryA, keyedCall(id("r", 3<<epochShift+1)))
+	b.silentA(DefaultLeaseDuration + time.Second)
+	require.Empty(t, of[CancelEngine](b.actions))
+	b.progress(id("r", 3<<epochShift+1), `{"pass":`, `1}`)
+	reports := of[Report](b.finish(id("r", 3<<epochShift+1)))
+	require.Len(t, reports, 1)
+	c := reports[0].Complete
+	require.Equal(t, "org", c.Organisation)
+	require.Equal(t, "key", c.Key)
+	require.Equal(t, "r", c.Request)
+	require.EqualValues(t, 3, c.Epoch)
+	require.Equal(t, `{"pass":1}`, string(c.Answer.Body))
+	require.EqualValues(t, 200, c.Answer.Status)
+}
+
+func TestOutcomeThatItsEntryMayHaveLostIsReported(t *testing.T) {
+	// Symptom: the record of an operation stays without an outcome although the agent had told its entry.
+	// Sequence: a call ends; its entry dies before it commits the outcome.
+	// Cause: only outcomes after the lease's end were reported.
+	b := openBench(t)
+	b.dispatchOf(entryA, keyedCall(id("r", 1)))
+	b.progress(id("r", 1), "done")
+	require.Empty(t, of[Report](b.finish(id("r", 1))))
+	b.silentA(DefaultLeaseDuration + time.Second)
+	require.Len(t, of[Report](b.actions), 1)
+}
+
+func TestReports(t *testing.T) {
+	cases := map[string]struct {
+		end     func(*bench) []Action
+		reports int
+		check   func(*testing.T, *wire.Answer)
+	}{
+		"too large": {
+			end: func(b *bench) []Action {
+				b.progress(id("r", 1), strings.Repeat("x", DefaultAnswerBound), "x")
+				return b.finish(id("r", 1))
+			},
+			reports: 1,
+			check: func(t *testing.T, a *wire.Answer) {
+				require.True(t, a.Dropped)
+				require.Empty(t, a.Body)
+			},
+		},
+		"failed": {
+			end: func(b *bench) []Action {
+				return b.ends(id("r", 1), engine.Outcome{End: engine.EndFailed}, nil)
+			},
+			reports: 1,
+			check:   func(t *testing.T, a *wire.Answer) { require.EqualValues(t, result.EngineFailed, a.Code) },
+		},
+		"lost":       {end: func(b *bench) []Action { return b.lost(id("r", 1)) }},
+		"never sent": {end: func(b *bench) []Action { return b.ends(id("r", 1), engine.Outcome{}, engine.ErrNeverSent) }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := openBench(t)
+			b.dispatchOf(entryA, keyedCall(id("r", 1)))
+			b.step(EntryEnded{Entry: entryA})
+			reports := of[Report](c.end(b))
+			require.Len(t, reports, c.reports)
+			if c.check != nil {
+				c.check(t, reports[0].Complete.Answer)
+			}
+		})
+	}
+}
+
+func TestWhatALostLinkDroppedIsRepeated(t *testing.T) {
+	// Symptom: a stream that was nearly whole is cut, and its prefill wasted.
+	// Sequence: a link is lost for less than a lease; events, an offer and an end are dropped with it.
+	// Cause: the gate sends each message once, and nobody repeats it.
+	b := openBench(t)
+	b.start(entryA, id("run", 1), work())
+	b.progress(id("run", 1), "a", "b")
+	b.start(entryA, id("done", 1), work())
+	b.step(EntryDown{Entry: entryA})
+	b.progress(id("run", 1), "c")
+	b.finish(id("done", 1))
+	b.reserve(entryA, id("wait", 1), work())
+	up := b.step(EntryUp{Entry: entryA})
+	require.Equal(t, []string{"wait.1"}, offeredIDs(up))
+	require.Equal(t, "done", onlyOver(t, up, entryA, completedProof).Attempt.Request)
+	frames := framesOf(up, "run")
+	require.Len(t, frames, 1)
+	require.Zero(t, frames[0].Offset)
+	require.Equal(t, [][]byte{[]byte("a"), []byte("b"), []byte("c")}, frames[0].Events)
+}
+
+func TestEntriesThatAreLongGoneAreForgotten(t *testing.T) {
+	b := openBench(t)
+	for i := range 10 {
+		b.receive(EntryID{Name: fmt.Sprint("old-", i), Incarnation: 1}, heartbeat())
+	}
+	b.step(EntryDown{Entry: entryA})
+	b.pass(forgetEntryAfter + 2*DefaultLeaseDuration)
+	require.Len(t, b.gate.entries.order, 2)
+}
--- a/gate/offers.go
+++ b/gate/offers.go
@@ -63,10 +63,6 @@
 		g.probes.begin(g)
 	}
 	if a.state == admitted {
-		if !a.owner.valid() {
-			g.refuseWaiting(a, refuseExpired)
-			return true
-		}
 		return g.fire(a, onStart, occasion{})
 	}
 	return g.fire(a, onOffer, occasion{})
@@ -100,6 +96,15 @@
 	g.fire(a, onLapse, occasion{})
 }
 
+// lapseAllOffers takes all offers back: the server is suspect and gets no new work.
+func (g *Gate) lapseAllOffers() {
+	for _, a := range slices.Clone(g.held) {
+		if a.state == offered {
+			g.fire(a, onLapse, occasion{})
+		}
+	}
+}
+
 // roomForDispatch tells whether a body that came without a kept offer may start: not past others that wait.
 func (g *Gate) roomForDispatch(a *attempt) bool {
 	if g.noRoom(a) != roomEnough {
--- a/gate/over.go
+++ b/gate/over.go
@@ -28,13 +28,12 @@
 // keepTombstone makes sure that nothing up to the attempt, or up to what its cancel names, starts any more.
 func (g *Gate) keepTombstone(a *attempt, o *occasion) {
 	r := a.record
-	r.over = max(r.over, a.number, o.asker.number)
+	r.raise(max(a.number, o.asker.number))
 	if r.current == a {
 		r.current = nil
 	}
-	if r.last == nil || !r.last.run.open || a.begun() {
+	if a.begun() {
 		r.last = a
-		r.answer = nil
 	}
 	from := g.now
 	if a.deadline.After(from) {
@@ -120,19 +119,24 @@
 
 // remember notes the end in the record.
 func (g *Gate) remember(a *attempt, over *wire.Over) {
+	if a.unheard {
+		return
+	}
 	r := a.record
-	if r.last == a && !a.unheard {
-		r.answer = over
+	g.keepOver(a, over)
+	if !a.begun() {
+		r.refused = over
+		r.refusedBy = a.owner.id
+		return
 	}
+	r.answer = over
 	if over.Proof == wire.Proof_PROOF_NEVER_STARTED {
-		g.keepOver(a, over)
 		return
 	}
 	r.ran = max(r.ran, a.number)
-	if strength(over.Proof) >= strength(r.proof) {
+	if strength(over.Proof) > strength(r.proof) {
 		r.proof = over.Proof
 	}
-	g.keepOver(a, over)
 }
 
 // addAsker notes who else waits for the proof. The owner gets the Over of its attempt without that.
@@ -190,7 +194,7 @@
 		g.reply(who, r.request, proto.CloneOf(over))
 		return
 	}
-	if who.number <= r.ran {
+	if r.hasRun() && who.number <= r.ran {
 		g.reply(who, r.request, r.ranOver(who.number))
 		return
 	}
@@ -206,11 +210,11 @@
 		g.unprovable(who, r.request)
 		return
 	}
-	if over := r.kept(who.number); over != nil && r.last.owner.id == who.entry {
+	if over := r.keptFor(who); over != nil {
 		g.reply(who, r.request, proto.CloneOf(over))
 		return
 	}
-	if r.ran > 0 {
+	if r.hasRun() {
 		g.reply(who, r.request, r.ranOver(who.number))
 		return
 	}
@@ -222,12 +226,29 @@
 	g.reply(who, r.request, neverStarted(refuseCancelled))
 }
 
-// kept returns the Over of the attempt that ended last, if it has that number and is still kept.
+// kept returns the Over of the attempt that ran last or was refused last, if it has that number.
 func (r *record) kept(number uint64) *wire.Over {
-	if r.last == nil || r.last.number != number {
+	if r.last != nil && r.last.number == number {
+		return r.answer
+	}
+	if r.refused != nil && r.refused.GetAttempt().GetNumber() == number {
+		return r.refused
+	}
+	return nil
+}
+
+// keptFor returns the Over that the asker got before, as the owner of the attempt.
+func (r *record) keptFor(who asker) *wire.Over {
+	over := r.kept(who.number)
+	switch {
+	case over == nil:
 		return nil
+	case over == r.refused && r.refusedBy == who.entry:
+		return over
+	case over == r.answer && r.last.owner.id == who.entry:
+		return over
 	}
-	return r.answer
+	return nil
 }
 
 // ranOver is the proof for attempts up to number of a request of which one ran here. Of those before the one that
@@ -236,7 +257,7 @@
 	if number < r.ran {
 		return overEarlier()
 	}
-	if over := r.kept(r.ran); over != nil && over.Proof == r.proof {
+	if over := r.kept(r.ran); over != nil && over.GetProof() == r.proof {
 		return proto.CloneOf(over)
 	}
 	return &wire.Over{Proof: r.proof, Code: uint32(result.Cancelled), Message: "an attempt of the request ran here"}
--- a/gate/pace.go
+++ b/gate/pace.go
@@ -233,12 +233,16 @@
 	p.slowRun++
 }
 
-// noteStall takes silence for a slow token: a server that stops altogether sends no sample at all.
+// noteStall takes silence for a slow token: a server that stops altogether sends no sample at all. How long it may be
+// silent has to be learnt first.
 func (p *pace) noteStall(g *Gate) {
 	if len(g.runs) == 0 {
 		return
 	}
-	last, wait := g.lastSign()
+	last, wait, known := g.lastSign()
+	if !known {
+		return
+	}
 	expected := max(stallRatio*wait, stallLeast.Seconds())
 	if silence := g.now.Sub(last).Seconds(); silence > expected {
 		p.window.add(max(silence/expected*slowRatio, slowRatio))
@@ -246,8 +250,8 @@
 }
 
 // lastSign is when the engine last gave a sign of life to any run, and how long the next may take, in seconds.
-func (g *Gate) lastSign() (last time.Time, wait float64) {
-	wait = g.pace.baseline[bin(len(g.runs))].value
+func (g *Gate) lastSign() (last time.Time, wait float64, known bool) {
+	wait = g.pace.tokenTime(len(g.runs), g.now).Seconds()
 	for _, a := range g.runs {
 		if a.run.lastToken.After(last) {
 			last = a.run.lastToken
@@ -259,7 +263,8 @@
 			wait = max(wait, g.predict(a.work).Seconds())
 		}
 	}
-	return last, wait + float64(g.use.prefill)/g.pace.prefillRateOrGuess()
+	known = wait > 0 && (g.use.prefill == 0 || g.pace.prefillRate > 0)
+	return last, wait + g.pace.prefillTime(g.use.prefill).Seconds(), known
 }
 
 // judgePace makes the server suspect, or clears it.
--- /dev/null
+++ b/gate/policy_test.go
@@ -0,0 +1,451 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// teach lets the gate learn a pace from one stream of so many tokens, and a prefill rate.
+func (b *bench) teach(gap time.Duration, tokens int) {
+	b.t.Helper()
+	attempt := id(fmt.Sprint("teach-", b.now.UnixNano()), 1)
+	b.start(entryA, attempt, workOf(func(w *wire.Work) { w.PromptTokens, w.OutputTokens = 4096, 100 }))
+	b.pass(512 * time.Millisecond) // 8,000 tokens a second
+	b.stream(attempt, gap, tokens)
+	b.finish(attempt)
+}
+
+// stream lets a run produce tokens at a pace.
+func (b *bench) stream(attempt *wire.AttemptID, gap time.Duration, tokens int) {
+	b.progress(attempt, "x")
+	for range tokens {
+		b.pass(gap)
+		b.progress(attempt, "x")
+	}
+}
+
+func TestOfferKeepsTheSlotUntilItsTimeout(t *testing.T) {
+	// Symptom: a slot stays empty while requests wait.
+	// Sequence: an entry dies, or is slow, between its reservation and the dispatch.
+	// Cause: an offered slot was kept for as long as the entry's lease.
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(1))
+	require.Equal(t, []string{"r1.1"}, offeredIDs(b.reserve(entryA, id("r1", 1), work())))
+	require.Empty(t, offeredIDs(b.reserve(entryB, id("r2", 1), work())), "the slot is kept")
+	b.actions = nil
+	b.pass(DefaultOfferTimeout + TickInterval)
+	require.Equal(t, []string{"r2.1"}, offeredIDs(b.actions))
+	refusedWith(t, b.dispatchOffered(entryA, id("r1", 1), work()), result.RefusedNeverStarted)
+	require.Len(t, of[StartEngine](b.dispatchOffered(entryB, id("r2", 1), work())), 1)
+	noChartErrors(t, b)
+}
+
+func TestLateDispatchStartsIfThereIsRoom(t *testing.T) {
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(1))
+	b.reserve(entryA, id("r", 1), work())
+	b.gate.now = b.gate.now.Add(DefaultOfferTimeout)
+	b.gate.lapseOffers() // without the offer that follows in Step
+	require.Equal(t, reserved, b.gate.records.get("r").current.state)
+	require.Len(t, of[StartEngine](b.dispatchOffered(entryA, id("r", 1), work())), 1)
+	require.Zero(t, b.gate.waiting.count)
+}
+
+func TestOffersThatAreNeverAnsweredEnd(t *testing.T) {
+	b := openBench(t)
+	b.reserve(entryA, id("r", 1), work())
+	b.pass(maxLapses * (DefaultOfferTimeout + 2*TickInterval))
+	require.Len(t, offeredIDs(b.actions), maxLapses)
+	require.EqualValues(t, result.RefusedNeverStarted, onlyOver(t, b.actions, entryA, neverStartedProof).Code)
+}
+
+func TestDeclineAndWithdrawFreeTheSlot(t *testing.T) {
+	for name, give := range map[string]func(*bench){
+		"decline": func(b *bench) {
+			m := &wire.Decline{Attempt: id("r1", 1), Server: sampleServer}
+			b.receive(entryA, &wire.EntryMessage{Kind: &wire.EntryMessage_Decline{Decline: m}})
+		},
+		"withdraw": func(b *bench) {
+			m := &wire.Withdraw{Attempt: id("r1", 1), Server: sampleServer}
+			b.receive(entryA, &wire.EntryMessage{Kind: &wire.EntryMessage_Withdraw{Withdraw: m}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(1))
+			b.reserve(entryA, id("r1", 1), work())
+			b.reserve(entryB, id("r2", 1), work())
+			b.actions = nil
+			give(b)
+			give(b) // again: means nothing
+			require.Equal(t, []string{"r2.1"}, offeredIDs(b.actions))
+			require.Empty(t, overs(b.actions, entryA))
+			require.Len(t, b.gate.records.byRequest, 1, "nothing was promised, nothing is kept")
+			noChartErrors(t, b)
+		})
+	}
+}
+
+func TestDirectDispatchOnlyWithinTheFreeRoom(t *testing.T) {
+	b := openBench(t)
+	b.fill()
+	refusedWith(t, b.dispatch(entryA, id("r", 1), work()), result.RefusedNeverStarted)
+	b.finish(id("fill-0", 1))
+	b.reserve(entryB, id("offered", 1), work())
+	b.reserve(entryB, id("wait", 1), work())
+	b.finish(id("fill-1", 1))
+	require.Zero(t, b.gate.free())
+	refusedWith(t, b.dispatch(entryA, id("r", 2), work()), result.RefusedNeverStarted)
+}
+
+// drainOrder frees the only slot again and again and returns the order in which waiting attempts are offered it.
+func (b *bench) drainOrder(n int) []string {
+	var order []string
+	for range n {
+		for _, o := range of[Send](b.actions) {
+			offer := o.Message.GetOffer()
+			if offer == nil {
+				continue
+			}
+			order = append(order, offer.Attempt.Request)
+			b.actions = nil
+			b.dispatchOffered(o.Entry, offer.Attempt, work())
+			b.now = b.now.Add(time.Second)
+			b.actions = nil
+			b.finish(offer.Attempt)
+			break
+		}
+	}
+	return order
+}
+
+func TestOrder(t *testing.T) {
+	cases := map[string]struct {
+		reserve []*wire.Work // r0, r1, ...
+		want    []string
+	}{
+		"tier first": {
+			[]*wire.Work{
+				workOf(func(w *wire.Work) { w.Tier, w.Urgency = 3, 1000 }),
+				work(),
+				workOf(func(w *wire.Work) { w.Tier, w.RemainingMs = 1, 500_000 }),
+			},
+			[]string{"r2", "r1", "r0"},
+		},
+		"urgent class first": {
+			[]*wire.Work{work(), workOf(func(w *wire.Work) { w.Class, w.Urgency, w.RemainingMs = "b", 900, 500_000 })},
+			[]string{"r1", "r0"},
+		},
+		"earlier deadline within an organisation": {
+			[]*wire.Work{work(), workOf(func(w *wire.Work) { w.RemainingMs = 50_000 })},
+			[]string{"r1", "r0"},
+		},
+		"late work after timely work": {
+			[]*wire.Work{
+				workOf(func(w *wire.Work) { w.RemainingMs, w.MayBeLate = 0, true }),
+				workOf(func(w *wire.Work) { w.RemainingMs = 500_000 }),
+			},
+			[]string{"r1", "r0"},
+		},
+		"organisations in turn": {
+			[]*wire.Work{
+				work(), work(), work(),
+				workOf(func(w *wire.Work) { w.Organisation, w.RemainingMs = "small", 500_000 }),
+			},
+			[]string{"r0", "r3", "r1", "r2"},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(1))
+			b.start(entryA, id("first", 1), workOf(func(w *wire.Work) { w.Tier = 9 }))
+			for i, w := range c.reserve {
+				from := []EntryID{entryA, entryB}[i%2]
+				b.reserve(from, id(fmt.Sprint("r", i), 1), w)
+			}
+			b.actions = nil
+			b.finish(id("first", 1))
+			require.Equal(t, c.want, b.drainOrder(len(c.want)))
+		})
+	}
+}
+
+func TestChargesAreTruedUp(t *testing.T) {
+	// Symptom: an organisation whose answers are longer than estimated gets more than its share, for ever.
+	// Sequence: both are charged the estimate; one produces ten times as much.
+	// Cause: the charge was not corrected at the end.
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(1))
+	b.start(entryA, id("long", 1), workOf(func(w *wire.Work) { w.Organisation = "long" }))
+	b.reserve(entryA, id("long-next", 1), workOf(func(w *wire.Work) { w.Organisation, w.RemainingMs = "long", 1000 }))
+	b.reserve(entryA, id("short-next", 1), workOf(func(w *wire.Work) { w.Organisation = "short" }))
+	b.progress(id("long", 1), make([]string, 200)...)
+	counts := of[Count](b.finish(id("long", 1)))
+	require.Contains(t, counts, Count{Counter: ServedTokens, Tier: 2, Label: "long", Add: 300})
+	clock := b.gate.waiting.tier(2).clock
+	require.EqualValues(t, 300, clock.Tag("long"))
+	require.Equal(t, []string{"short-next.1"}, offeredIDs(b.actions))
+}
+
+func TestWorkThatMissesItsDeadlineIsRefusedBeforePrefill(t *testing.T) {
+	// Symptom: prompts are computed for answers that nobody waits for any more.
+	// Sequence: a request comes whose answer takes longer than its time left.
+	// Cause: the deadline was looked at only once it had passed.
+	b := openBench(t)
+	b.teach(20*time.Millisecond, 100)
+	long := func(change func(*wire.Work)) *wire.Work {
+		return workOf(func(w *wire.Work) {
+			w.OutputTokens, w.RemainingMs = 200, 1000
+			change(w)
+		})
+	}
+	late := refusedWith(t, b.reserve(entryA, id("r", 1), long(func(*wire.Work) {})), result.CannotFinishInTime)
+	require.Positive(t, late.RetryAfterMs)
+	refusedWith(t, b.dispatch(entryA, id("r", 2), long(func(*wire.Work) {})), result.CannotFinishInTime)
+	b.fill()
+	require.Empty(t, overs(b.reserve(entryA, id("appeal", 1), long(func(w *wire.Work) { w.MayBeLate = true })), entryA))
+	require.Empty(t, overs(b.reserve(entryA, id("gate-check", 1), long(func(w *wire.Work) { w.Tier = 1 })), entryA))
+	b.pass(5 * time.Second)
+	require.Empty(t, b.gate.records.get("appeal").current.record.refused, "a class that may be late waits")
+	require.EqualValues(t, result.DeadlinePassedInQueue, b.gate.records.get("gate-check").refused.Code)
+}
+
+func TestFullWaitingListShedsTheLast(t *testing.T) {
+	// Symptom: a gate check is shed while summaries wait.
+	// Sequence: the list is full of lower-tier work when the check comes.
+	// Cause: who came last was refused.
+	b := openBenchWith(t, Config{NoPredecessor: true, MaxWaiting: 2}, sampleRecord(1))
+	b.fill()
+	third := func(w *wire.Work) { w.Tier = 3 }
+	b.reserve(entryA, id("third-1", 1), workOf(third))
+	b.reserve(entryA, id("third-2", 1), workOf(func(w *wire.Work) { w.Tier, w.RemainingMs = 3, 70_000 }))
+	refusedWith(t, b.reserve(entryA, id("third-3", 1), workOf(func(w *wire.Work) { w.Tier, w.RemainingMs = 3, 80_000 })), result.QueueFull)
+	shed := b.reserve(entryB, id("second", 1), work())
+	require.Equal(t, "third-2", refusedWith(t, shed, result.ShedForHigherTier).Attempt.Request)
+	shed = b.reserve(entryB, id("first", 1), firstTierWork())
+	require.Equal(t, "third-1", refusedWith(t, shed, result.ShedForHigherTier).Attempt.Request)
+	shed = b.reserve(entryB, id("first-2", 1), firstTierWork())
+	require.Equal(t, "second", overs(shed, entryB)[0].Attempt.Request)
+}
+
+func TestFirstTierPreemptsTheRunThatWastesLeast(t *testing.T) {
+	// Symptom: a trailer waits at the weighbridge while a long packet is written.
+	// Sequence: all slots run lower-tier work when a first-tier request comes.
+	// Cause: running work was left alone, or the one with the longest prompt was thrown away.
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(4))
+	b.start(entryA, id("long", 1), workOf(func(w *wire.Work) { w.PromptTokens = 900 }))
+	b.start(entryA, id("cached", 1), workOf(func(w *wire.Work) { w.PromptTokens, w.CachedTokens, w.Tier = 900, 880, 3 }))
+	b.start(entryA, id("never", 1), workOf(func(w *wire.Work) { w.PromptTokens, w.Preemptible = 1, false }))
+	b.start(entryA, id("once", 1), workOf(func(w *wire.Work) { w.PromptTokens, w.Repeatable = 1, false }))
+	for _, r := range []string{"long", "cached", "never", "once"} {
+		b.progress(id(r, 1), "x")
+	}
+	asked := b.reserve(entryB, id("check", 1), firstTierWork())
+	cancels := of[CancelEngine](asked)
+	require.Len(t, cancels, 1)
+	require.Equal(t, "cached", cancels[0].Attempt.Request)
+	require.Contains(t, of[Count](asked), Count{Counter: Preemptions, Tier: 3, Add: 1})
+	require.Empty(t, offeredIDs(asked), "the slot is free only with the proof")
+	require.Len(t, framesOf(b.progress(id("cached", 1), "y"), "cached"), 1, "it goes on from here elsewhere")
+	proved := b.answer(id("cached", 1), engine.CancelConfirmed)
+	over := onlyOver(t, proved, entryA, cancelledProof)
+	require.EqualValues(t, 1, over.PreemptedByTier)
+	require.EqualValues(t, 20, over.WastedPrefillTokens)
+	require.True(t, over.Resumable)
+	require.Equal(t, []string{"check.1"}, offeredIDs(proved))
+	require.Contains(t, of[Count](proved), Count{Counter: WastedPrefill, Tier: 3, Label: CausePreempted, Add: 20})
+	b.reserve(entryB, id("check-2", 1), firstTierWork())
+	b.reserve(entryB, id("check-3", 1), firstTierWork())
+	require.Len(t, b.gate.runs, 3)
+	require.Equal(t, running, b.gate.records.get("never").current.state)
+	require.Equal(t, running, b.gate.records.get("once").current.state)
+	noChartErrors(t, b)
+}
+
+func TestFirstTierIsNeverRefusedForRoomWhileLowerTiersRun(t *testing.T) {
+	b := openBench(t)
+	for i := range sampleSlots {
+		b.start(entryA, id(fmt.Sprint("never-", i), 1), workOf(func(w *wire.Work) { w.Preemptible = false }))
+	}
+	held := b.dispatch(entryB, id("direct", 1), firstTierWork())
+	require.Empty(t, overs(held, entryB))
+	require.Empty(t, of[StartEngine](held))
+	require.Equal(t, []string{"direct.1"}, startedIDs(b.finish(id("never-0", 1))))
+	b.finish(id("never-1", 1))
+	b.start(entryB, id("second", 1), firstTierWork())
+	over := onlyOver(t, b.dispatch(entryB, id("third", 1), firstTierWork()), entryB, neverStartedProof)
+	require.EqualValues(t, result.RefusedNeverStarted, over.Code, "only its own tier runs")
+}
+
+func TestFirstTierTakesAnUnansweredOffer(t *testing.T) {
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(1))
+	b.reserve(entryA, id("lower", 1), work())
+	require.Equal(t, []string{"check.1"}, offeredIDs(b.reserve(entryB, id("check", 1), firstTierWork())))
+	refusedWith(t, b.dispatchOffered(entryA, id("lower", 1), work()), result.RefusedNeverStarted)
+}
+
+func TestFirstTierWaitsForASlotThatIsSoonFree(t *testing.T) {
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(1))
+	b.teach(20*time.Millisecond, 100)
+	b.start(entryA, id("ending", 1), workOf(func(w *wire.Work) { w.OutputTokens = 32 }))
+	b.stream(id("ending", 1), 20*time.Millisecond, 29)
+	require.Empty(t, of[CancelEngine](b.reserve(entryB, id("check", 1), firstTierWork())))
+	hurry := workOf(func(w *wire.Work) { w.Tier, w.RemainingMs, w.OutputTokens = 1, 300, 1 })
+	require.NotEmpty(t, of[CancelEngine](b.reserve(entryB, id("hurry", 1), hurry)))
+}
+
+func TestHeadroomIsLearntFromWaste(t *testing.T) {
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(8))
+	b.gate.pace.gap = 0.02 // a slot makes 50 tokens a second
+	for i := range 30 {
+		b.gate.headroom.wasted(2000)
+		b.reserve(entryA, id(fmt.Sprint("wait-", i), 1), work())
+		b.pass(time.Second)
+	}
+	kept := b.gate.headroom.slots()
+	require.Positive(t, kept)
+	require.LessOrEqual(t, kept, 8/headroomShare)
+	b.pass(3 * time.Minute)
+	require.LessOrEqual(t, b.gate.headroom.slots(), kept)
+}
+
+func TestPromptTokensInFlightAreBounded(t *testing.T) {
+	// Symptom: a short request of the first tier waits for seconds although slots are free.
+	// Sequence: several long prompts are handed to the engine at once; it computes them in order of arrival.
+	// Cause: only slots were counted.
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(8))
+	long := workOf(func(w *wire.Work) { w.PromptTokens = 20_000 })
+	b.start(entryA, id("long-1", 1), long)
+	require.Zero(t, b.gate.free())
+	require.Empty(t, offeredIDs(b.reserve(entryA, id("long-2", 1), long)))
+	require.Equal(t, string(whyPrefill), b.gate.Status().Blocked)
+	require.Equal(t, []string{"check.1"}, offeredIDs(b.reserve(entryB, id("check", 1), firstTierWork())))
+	require.Equal(t, []string{"long-2.1"}, offeredIDs(b.progress(id("long-1", 1), "x")))
+}
+
+func TestCacheMemoryIsBounded(t *testing.T) {
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(8))
+	b.step(EngineLoad{Load: engine.Load{KVCapacity: 1000}})
+	big := workOf(func(w *wire.Work) { w.PromptTokens, w.OutputTokens = 100, 500 })
+	b.start(entryA, id("r1", 1), big)
+	require.Empty(t, offeredIDs(b.reserve(entryA, id("r2", 1), big)))
+	require.Equal(t, string(whyMemory), b.gate.Status().Blocked)
+	require.Equal(t, []string{"r2.1"}, offeredIDs(b.finish(id("r1", 1))))
+}
+
+func TestLimitFollowsThePace(t *testing.T) {
+	var l limiter
+	l.announce(16)
+	require.Equal(t, 16, l.slots())
+	for range 50 {
+		l.observe(0.010, 1)
+	}
+	for range 50 {
+		l.observe(0.020, 16)
+	}
+	require.Equal(t, 16, l.slots(), "twice the best pace is worth the larger batch")
+	for range 50 {
+		l.observe(0.060, float64(l.slots()))
+	}
+	require.Equal(t, 16/limitFloor, l.slots())
+	for range 50 {
+		l.observe(0.012, float64(l.slots()))
+	}
+	require.Equal(t, 16, l.slots())
+	l.announce(4)
+	require.Equal(t, 4, l.slots())
+}
+
+func TestStragglerLosesNewWorkAndGetsItBack(t *testing.T) {
+	// Symptom: requests keep going to a server that has become five times slower.
+	// Sequence: the pace drops without a warning, later it is back.
+	// Cause: load reports lag, and the server still announces itself.
+	b := openBench(t)
+	b.start(entryA, id("r", 1), workOf(func(w *wire.Work) { w.OutputTokens = 10_000 }))
+	b.stream(id("r", 1), 20*time.Millisecond, 200)
+	require.Equal(t, ready, b.gate.Status().Condition)
+	b.stream(id("r", 1), 100*time.Millisecond, 12)
+	s := b.gate.Status()
+	require.Equal(t, suspect, s.Condition)
+	require.Equal(t, []string{"slower than its own past"}, s.Doubts)
+	require.Zero(t, s.Free)
+	require.Empty(t, offeredIDs(b.reserve(entryA, id("wait", 1), work())))
+	refusedWith(t, b.dispatch(entryA, id("direct", 1), work()), result.RefusedNeverStarted)
+	require.Equal(t, []string{"wait.1"}, offeredIDs(b.finish(id("r", 1))), "probe work")
+	b.dispatchOffered(entryA, id("wait", 1), work())
+	require.Empty(t, offeredIDs(b.reserve(entryA, id("wait-2", 1), work())), "one at a time")
+	b.stream(id("wait", 1), 20*time.Millisecond, 200)
+	require.Equal(t, ready, b.gate.Status().Condition)
+}
+
+func TestStalledEngineIsSuspect(t *testing.T) {
+	b := openBench(t)
+	b.start(entryA, id("r", 1), work())
+	b.stream(id("r", 1), 20*time.Millisecond, 100)
+	b.pass(4 * time.Second)
+	require.Equal(t, suspect, b.gate.Status().Condition)
+}
+
+func TestSlowServerIsTriedAgain(t *testing.T) {
+	// Symptom: a server that recovered long ago gets no work.
+	// Sequence: a slow server gets no reservation, since entries avoid it; nothing tells its pace.
+	// Cause: only tokens could clear it.
+	b := openBench(t)
+	b.gate.doubt(doubtPace, onSlow)
+	b.gate.pace.ratio = slowRatio
+	b.pass(probeIdle / 2)
+	require.Equal(t, suspect, b.gate.Status().Condition)
+	b.pass(probeIdle)
+	require.Equal(t, ready, b.gate.Status().Condition)
+}
+
+func TestLongPromptIsNoProbe(t *testing.T) {
+	b := openBench(t)
+	b.gate.doubt(doubtPace, onSlow)
+	b.gate.pace.ratio = slowRatio
+	long := workOf(func(w *wire.Work) { w.PromptTokens = probePrompt + 1 })
+	require.Empty(t, offeredIDs(b.reserve(entryA, id("long", 1), long)))
+	refusedWith(t, b.dispatch(entryA, id("long-2", 1), long), result.RefusedNeverStarted)
+	require.Len(t, offeredIDs(b.reserve(entryA, id("short", 1), work())), 1)
+}
+
+func TestRoomIsToldOnChangeAndNotTooOften(t *testing.T) {
+	b := openBench(t)
+	b.pass(roomInterval)
+	b.actions = nil
+	first := b.dispatch(entryA, id("r1", 1), work())
+	require.Len(t, rooms(first), 1)
+	require.EqualValues(t, 1, rooms(first)[0].Free)
+	require.EqualValues(t, 2, rooms(first)[0].LowestRunningTier)
+	require.Empty(t, rooms(b.finish(id("r1", 1))), "too soon")
+	b.pass(roomInterval)
+	told := rooms(b.actions)
+	require.EqualValues(t, 2, told[len(told)-1].Free)
+	b.actions = nil
+	b.passWith(2*time.Second, func() {})
+	require.Empty(t, rooms(b.actions), "nothing changed")
+	answer := of[Send](b.receive(entryA, heartbeat()))
+	require.Len(t, answer, 1)
+	require.NotNil(t, answer[0].Message.GetRoom())
+}
+
+func TestUrgencyAndLatenessMoveAClass(t *testing.T) {
+	c := &classState{slack: amplePredicts}
+	c.weigh()
+	assert.Zero(t, c.band)
+	c.observe(600)
+	c.weigh()
+	assert.Equal(t, 2, c.band)
+	for range 100 {
+		c.noteLate(true)
+	}
+	c.weigh()
+	assert.Equal(t, 3, c.band)
+	c.slack = 0
+	c.weigh()
+	assert.Equal(t, urgencyBands-1, c.band)
+}
--- a/gate/preempt.go
+++ b/gate/preempt.go
@@ -69,11 +69,15 @@
 	return slack >= slackSafe*max(wait, time.Millisecond)
 }
 
-// preempting is how many runs are being cancelled for the first tier.
+// preemptPatience is how long a cancelled run counts as a slot that will be free. An engine that doesn't confirm
+// must not keep the first tier waiting while there are other runs to preempt.
+const preemptPatience = time.Second
+
+// preempting is how many runs are being cancelled and will give their slots back.
 func (g *Gate) preempting() int {
 	n := 0
 	for _, a := range g.held {
-		if a.cancel.tier > 0 {
+		if a.state == cancelling && g.now.Sub(a.cancel.since) < preemptPatience {
 			n++
 		}
 	}
--- a/gate/probework.go
+++ b/gate/probework.go
@@ -65,7 +65,7 @@
 
 // retryIdle tries a slow server again that got no work at all for some time.
 func (p *probeWork) retryIdle(g *Gate) {
-	if g.server.doubts != doubtPace || len(g.held) > 0 {
+	if g.server.doubts != doubtPace || len(g.held) > 0 || p.idle.IsZero() {
 		p.idle = g.now
 		return
 	}
--- a/gate/receive.go
+++ b/gate/receive.go
@@ -38,7 +38,7 @@
 	in := arrival{owner, m.GetAttempt(), m.GetServer(), m.GetWork()}
 	r := g.records.get(in.id.GetRequest())
 	if a := g.currentOf(r, in); a != nil {
-		g.fire(a, onReserve, occasion{})
+		g.fire(a, onReserve, occasion{work: m.GetWork()})
 		return
 	}
 	a := g.admissible(in, r)
@@ -113,7 +113,7 @@
 // admissible makes an attempt of an arrival, or answers why not.
 func (g *Gate) admissible(in arrival, r *record) *attempt {
 	number := in.id.GetNumber()
-	if r != nil && number <= r.over {
+	if r != nil && r.over(number) {
 		g.answerArrival(r, asker{entry: in.owner.id, number: number, server: in.server})
 		return nil
 	}
@@ -212,10 +212,11 @@
 	}
 	o := occasion{refusal: refuseCancelled, cause: cancelCauses[who.cause], asker: who}
 	if a := r.current; a != nil && a.number <= who.number {
+		r.raise(who.number)
 		g.fire(a, onCancel, o)
 		return
 	}
-	if who.number <= r.over {
+	if r.over(who.number) {
 		g.answerCancel(r, who)
 		return
 	}
--- a/gate/records.go
+++ b/gate/records.go
@@ -7,20 +7,24 @@
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
-// record is what is remembered of one request. It is the tombstone of all its attempts up to over.
+// record is what is remembered of one request. It is the tombstone of all its attempts below floor.
 //
 // A cancel may overtake the dispatch that it cancels, since bodies travel on their own stream. Without the
 // tombstone the dispatch would start after its entry was told "never started" and had sent the request elsewhere:
 // two engines would run it, and one would notice by a doubled pass.
 type record struct {
 	request string
-	over    uint64   // highest number that is over here, 0 for none
+	floor   uint64   // all attempts with lower numbers are over here
 	current *attempt // not over yet, nil for none
-	last    *attempt // ended last, for late events of its run
+	last    *attempt // whose run ended last, for late events of it
 	answer  *wire.Over
 
-	// ran is the highest number that ran here, proof how strong an end that was. A proof for later numbers must
-	// cover it: a new owner asks about all attempts at once.
+	// refused is the Over of the attempt that was refused last, refusedBy its owner.
+	refused   *wire.Over
+	refusedBy EntryID
+
+	// ran is the highest number that ran here, proof the strongest end of those that did, unspecified if none. A proof
+	// for later numbers must cover it: a new owner asks about all attempts at once.
 	ran   uint64
 	proof wire.Proof
 	// unsure: an earlier incarnation may have run attempts of it.
@@ -30,6 +34,21 @@
 	index   int // in the expiry heap, -1 if not there
 }
 
+// over tells whether the attempt of that number is over here, whether it ever came or not.
+func (r *record) over(number uint64) bool { return number < r.floor }
+
+// raise makes all attempts up to a number be over.
+func (r *record) raise(number uint64) {
+	floor := number + 1
+	if floor == 0 {
+		floor = number
+	}
+	r.floor = max(r.floor, floor)
+}
+
+// hasRun tells whether an attempt of the request is known to have run here.
+func (r *record) hasRun() bool { return r.proof != wire.Proof_PROOF_UNSPECIFIED }
+
 // recordTable holds the records by request and by the time at which they may be forgotten.
 type recordTable struct {
 	byRequest map[string]*record
@@ -59,7 +78,7 @@
 	if r.current != nil {
 		return
 	}
-	if r.over == 0 {
+	if r.floor == 0 {
 		t.remove(r)
 		return
 	}
--- a/gate/room.go
+++ b/gate/room.go
@@ -80,13 +80,11 @@
 	return roomEnough
 }
 
-// noPrefill bounds the prompt tokens in flight. Engines compute prompts in order of arrival: beyond the bound more
-// of them only wait inside the engine, where no tier counts. The first tier is let in if it still ends in time.
+// noPrefill bounds the prompt tokens in flight that the next prompt would wait for. Engines compute prompts in order
+// of arrival: beyond the bound more of them only wait inside the engine, where no tier counts. The first tier is let
+// in if it still ends in time.
 func (g *Gate) noPrefill(a *attempt) why {
-	if g.use.prefill == 0 || a.work.GetService() {
-		return roomEnough
-	}
-	if g.use.prefill+a.uncached() <= g.pace.prefillBound() {
+	if a.work.GetService() || g.use.prefill < g.pace.prefillBound() {
 		return roomEnough
 	}
 	if a.tier() == firstTier && !g.misses(a, g.pace.prefillTime(g.use.prefill)) {
@@ -219,7 +217,7 @@
 	if g.server.state == serverSuspect {
 		return g.probes.free(g)
 	}
-	if g.use.prefill > 0 && g.use.prefill >= g.pace.prefillBound() {
+	if g.use.prefill >= g.pace.prefillBound() {
 		return 0
 	}
 	return max(g.limit.slots()-g.headroom.slots()-len(g.held), 0)
--- a/gate/runs.go
+++ b/gate/runs.go
@@ -20,6 +20,18 @@
 	unprovenHold = 30 * time.Second
 )
 
+// inFlight counts the attempts that a drain has to wait for. One whose connection is lost, at a server that can't be
+// asked about it, could never be proved over: after a while nobody could get its answer any more, so it isn't waited for.
+func (g *Gate) inFlight() int {
+	n := 0
+	for _, a := range g.runs {
+		if a.run.holds || !a.cancel.unsupported {
+			n++
+		}
+	}
+	return n
+}
+
 // find returns the attempt that an engine event speaks of. It may be over.
 func (g *Gate) find(id *wire.AttemptID) *attempt {
 	r := g.records.get(id.GetRequest())
@@ -138,6 +150,7 @@
 	if e.Try == a.cancel.try {
 		a.cancel.pending = false
 	}
+	a.cancel.unsupported = errors.Is(e.Err, engine.ErrUnsupported)
 	knows := e.Err == nil && e.Result == engine.CancelConfirmed
 	unknown := e.Err == nil && e.Result == engine.CancelUnknownID
 	if !knows && !unknown {
@@ -153,6 +166,9 @@
 	if a.cancel.cause == "" {
 		a.cancel.cause = o.cause
 	}
+	if a.cancel.since.IsZero() {
+		a.cancel.since = g.now
+	}
 	a.addAsker(o.asker)
 	if a.cancel.unsureSince.IsZero() && !a.run.open {
 		a.cancel.unsureSince = g.now
--- a/gate/server.go
+++ b/gate/server.go
@@ -110,7 +110,7 @@
 
 // checkEmptied ends a drain once nothing is in flight, streams and unproven attempts included.
 func (g *Gate) checkEmptied() {
-	if g.server.state == serverDraining && len(g.runs) == 0 {
+	if g.server.state == serverDraining && g.inFlight() == 0 {
 		g.fireServer(onEmptied)
 	}
 }
--- /dev/null
+++ b/gate/server_test.go
@@ -0,0 +1,206 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+const (
+	ready    = wire.ServerCondition_SERVER_CONDITION_READY
+	suspect  = wire.ServerCondition_SERVER_CONDITION_SUSPECT
+	draining = wire.ServerCondition_SERVER_CONDITION_DRAINING
+	drained  = wire.ServerCondition_SERVER_CONDITION_DRAINED
+	gone     = wire.ServerCondition_SERVER_CONDITION_GONE
+)
+
+func streams(ids ...engine.AttemptID) []engine.StreamInfo {
+	var out []engine.StreamInfo
+	for _, s := range ids {
+		out = append(out, engine.StreamInfo{ID: s, State: engine.StreamDecode})
+	}
+	return out
+}
+
+// rooms returns the rooms told to all.
+func rooms(actions []Action) []*wire.Room {
+	var out []*wire.Room
+	for _, s := range of[Broadcast](actions) {
+		if r := s.Message.GetRoom(); r != nil {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func TestNothingBeforeTheEngineIsCleared(t *testing.T) {
+	// Symptom: two engines run one request.
+	// Sequence: an agent dies while its engine runs an attempt; its successor announces itself; the entry takes that
+	// for the proof that the attempt is over and sends it elsewhere.
+	// Cause: the successor announced itself before it had cancelled what the engine ran on.
+	b := newBench(t, Config{NoPredecessor: true})
+	require.Len(t, of[ListEngine](b.step(Announced{Server: sampleRecord(2)})), 1)
+	b.step(EntryUp{Entry: entryA})
+	b.receive(entryA, heartbeat())
+	refusedWith(t, b.reserve(entryA, id("new", 1), work()), result.Starting)
+	onlyOver(t, b.cancelAttempt(entryA, id("old", 1), retryCause), entryA, unprovenProof)
+	b.step(EngineListed{Err: engine.ErrUnknown})
+	b.pass(time.Second)
+	require.Len(t, of[ListEngine](b.actions), 2)
+	listed := b.step(EngineListed{Streams: streams("old.1", "strange", "old.7")})
+	require.Len(t, of[CancelEngine](listed), 3)
+	b.answer(id("old", 1), engine.CancelConfirmed)
+	b.answer(id("strange", 0), engine.CancelUnknownID)
+	b.answer(id("old", 7), engine.CancelNone)
+	refusedWith(t, b.dispatch(entryA, id("new", 2), work()), result.Starting)
+	b.pass(time.Second)
+	require.Empty(t, of[Changed](b.actions))
+	require.Empty(t, rooms(b.actions))
+	b.answer(id("old", 7), engine.CancelConfirmed)
+	require.Len(t, of[ListEngine](b.actions), 3, "what was on its way at the first listing shows now")
+	require.Len(t, of[CancelEngine](b.step(EngineListed{Streams: streams("old.8")})), 1)
+	b.answer(id("old", 8), engine.CancelConfirmed)
+	require.Empty(t, of[Changed](b.actions))
+	open := b.step(EngineListed{})
+	require.Equal(t, ready, of[Changed](open)[0].Server.Condition)
+	require.Len(t, rooms(open), 1)
+	require.Equal(t, neverStartedProof, overs(open, entryA)[0].Proof)
+	require.Len(t, of[StartEngine](b.dispatch(entryA, id("new", 3), work())), 1)
+	noChartErrors(t, b)
+}
+
+func TestServerWithoutAListGetsTimeToEnd(t *testing.T) {
+	b := newBench(t, Config{})
+	b.step(Announced{Server: sampleRecord(2)})
+	b.step(EngineListed{Err: &engine.CallError{Call: "streams", Class: engine.ErrUnsupported}})
+	b.pass(DefaultUnlistedSettle / 2)
+	require.False(t, b.gate.Status().Cleared)
+	b.pass(DefaultUnlistedSettle)
+	require.True(t, b.gate.Status().Cleared)
+	require.True(t, b.gate.Status().Unlisted)
+}
+
+func TestDrain(t *testing.T) {
+	// Symptom: a stream is cut by a graceful shutdown, or a server that leaves gets new work.
+	// Sequence: a server with work running, waiting, offered and unproven asks to leave; the entry's dispatch crosses.
+	// Cause: drained was said while something was in flight, or the offer was still honoured.
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(3))
+	b.start(entryA, id("run", 1), work())
+	b.start(entryA, id("lost", 1), work())
+	b.lost(id("lost", 1))
+	b.reserve(entryA, id("offered", 1), work())
+	b.reserve(entryA, id("wait", 1), work())
+	left := b.step(Leaving{})
+	require.Len(t, overs(left, entryA), 2)
+	require.Equal(t, draining, rooms(left)[0].Condition)
+	require.Zero(t, rooms(left)[0].Free)
+	require.Equal(t, draining, of[Changed](left)[0].Server.Condition)
+	refusedWith(t, b.dispatchOffered(entryA, id("offered", 1), work()), result.NoServer)
+	refusedWith(t, b.dispatch(entryA, id("new", 1), work()), result.NoServer)
+	refusedWith(t, b.reserve(entryA, id("new", 2), firstTierWork()), result.NoServer)
+	require.Len(t, framesOf(b.progress(id("run", 1), "x"), "run"), 1)
+	b.pass(10 * time.Second)
+	b.step(Leaving{})
+	onlyOver(t, b.finish(id("run", 1)), entryA, completedProof)
+	require.NotEqual(t, drained, b.gate.Status().Condition, "one attempt is not proved over")
+	over := b.answer(id("lost", 1), engine.CancelConfirmed)
+	require.Equal(t, drained, of[Changed](over)[0].Server.Condition)
+	require.Equal(t, drained, rooms(over)[0].Condition)
+	b.pass(time.Minute)
+	refusedWith(t, b.dispatch(entryA, id("new", 3), work()), result.NoServer)
+	require.Equal(t, drained, b.gate.Status().Condition)
+	noChartErrors(t, b)
+}
+
+func TestDrainBeforeTheEngineIsCleared(t *testing.T) {
+	b := newBench(t, Config{})
+	b.step(Announced{Server: sampleRecord(2)})
+	b.step(Leaving{})
+	require.Empty(t, of[Changed](b.actions))
+	b.step(EngineListed{Streams: streams("old.1")})
+	b.answer(id("old", 1), engine.CancelConfirmed)
+	require.Empty(t, of[Changed](b.actions))
+	changed := of[Changed](b.step(EngineListed{}))
+	require.Equal(t, drained, changed[len(changed)-1].Server.Condition)
+}
+
+func TestLostCallAtAServerWithoutCancelEndsADrainInTime(t *testing.T) {
+	// Symptom: a server's shutdown never ends.
+	// Sequence: the connection of a service call is lost; the service has no cancel call; then it is to leave.
+	// Cause: an attempt that can never be proved over was waited for.
+	b := openBench(t)
+	b.start(entryA, id("r", 1), workOf(func(w *wire.Work) { w.Service = true }))
+	b.lost(id("r", 1))
+	b.step(Leaving{})
+	unsupported := EngineCancelled{Attempt: id("r", 1), Try: 1, Err: engine.ErrUnsupported}
+	b.step(unsupported)
+	b.pass(unprovenHold - time.Second)
+	require.Equal(t, draining, b.gate.Status().Condition)
+	b.pass(2 * time.Second)
+	require.Equal(t, drained, b.gate.Status().Condition)
+	refusedWith(t, b.dispatch(entryA, id("r", 2), work()), result.NoServer)
+}
+
+func TestSilentServerGetsNoNewWork(t *testing.T) {
+	// Symptom: requests go to a server that died minutes ago.
+	// Sequence: a server dies without a word, with one slot offered, one free, and one request waiting.
+	// Cause: only a leave notice stopped new work.
+	b := openBench(t)
+	b.start(entryA, id("run", 1), work())
+	silent := func() {
+		b.receive(entryA, heartbeat())
+		b.receive(entryB, heartbeat())
+	}
+	b.passWith(DefaultSilentAfter+200*time.Millisecond, silent)
+	require.Equal(t, suspect, b.gate.Status().Condition)
+	require.Equal(t, []string{"no announcement"}, b.gate.Status().Doubts)
+	b.reserve(entryA, id("wait", 1), work())
+	refusedWith(t, b.dispatch(entryA, id("new", 1), work()), result.RefusedNeverStarted)
+	require.Empty(t, offeredIDs(b.actions))
+	b.passWith(DefaultGoneAfter-DefaultSilentAfter, silent)
+	require.Equal(t, gone, b.gate.Status().Condition)
+	require.Equal(t, "wait", overs(b.actions, entryA)[1].Attempt.Request)
+	refusedWith(t, b.reserve(entryA, id("new", 2), work()), result.NoServer)
+	require.Len(t, b.gate.runs, 1, "what runs is left alone")
+	back := b.step(Announced{Server: sampleRecord(2)})
+	require.Len(t, of[ListEngine](back), 1, "it may have run anything meanwhile")
+	refusedWith(t, b.reserve(entryA, id("new", 3), work()), result.Starting)
+	cleared := b.step(EngineListed{Streams: streams("run.1")})
+	require.Empty(t, of[CancelEngine](cleared), "its own run is not an old one")
+	require.Equal(t, ready, b.gate.Status().Condition)
+	noChartErrors(t, b)
+}
+
+func TestFailingProbe(t *testing.T) {
+	b := openBench(t)
+	b.reserve(entryA, id("r", 1), work())
+	b.step(Probed{})
+	require.Equal(t, ready, b.gate.Status().Condition)
+	b.step(Probed{})
+	require.Equal(t, suspect, b.gate.Status().Condition)
+	refusedWith(t, b.dispatchOffered(entryA, id("r", 1), work()), result.RefusedNeverStarted)
+	b.step(Announced{Server: sampleRecord(2)})
+	require.Equal(t, suspect, b.gate.Status().Condition, "an announcement doesn't answer for the probe")
+	b.step(Probed{OK: true})
+	require.Equal(t, ready, b.gate.Status().Condition)
+}
+
+func TestStatusExplains(t *testing.T) {
+	b := openBench(t)
+	b.fill()
+	b.reserve(entryB, id("wait", 1), work())
+	s := b.gate.Status()
+	require.Equal(t, string(whySlots), s.Blocked)
+	require.Len(t, s.Running, 2)
+	require.Equal(t, "running", s.Running[0].State)
+	require.Len(t, s.Waiting, 1)
+	require.Equal(t, entryB, s.Waiting[0].Entry)
+	require.Equal(t, 2, s.Held)
+	require.Zero(t, s.Free)
+	require.Equal(t, 2, s.Entries)
+}
