entry: callers' HTTP, scheduler duty, links to agents, keyed requests

A keyed call whose record can't be read is told that it isn't known whether it ran, since it may be the resend of one that did.

--- /dev/null
+++ b/entry/admit.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/sched"
+	"github.com/carawaypitch/carawaypitch/settings"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// tierOne is the highest tier.
+const tierOne = 1
+
+// admit checks what all calls have in common, and returns the request without its target. The body is read whole, and
+// counted until release.
+func (e *Entry) admit(c echo.Context, organisation, kind string) (*sched.Request, *result.Error) {
+	arrived := e.now()
+	if err := e.notReady(); err != nil {
+		return nil, err
+	}
+	if err := e.waitForVersion(c.Request().Context()); err != nil {
+		return nil, err
+	}
+	class, err := e.chooseClass(c, organisation, kind)
+	if err != nil {
+		return nil, err
+	}
+	key, err := idempotencyKey(c, class)
+	if err != nil {
+		return nil, err
+	}
+	deadline, err := chooseDeadline(c, class)
+	if err != nil {
+		return nil, err
+	}
+	body, err := e.readBody(c, class)
+	if err != nil {
+		return nil, err
+	}
+	return &sched.Request{
+		ID:           requestID(c),
+		Organisation: organisation,
+		Class:        class,
+		Method:       http.MethodPost,
+		ContentType:  c.Request().Header.Get(echo.HeaderContentType),
+		Body:         body,
+		BodyDigest:   link.BodyDigest(body),
+		Arrived:      arrived,
+		Deadline:     arrived.Add(deadline),
+		Key:          key,
+	}, nil
+}
+
+// chooseClass takes the class that the header names, else the organisation's default.
+func (e *Entry) chooseClass(c echo.Context, organisation, kind string) (*wire.Class, *result.Error) {
+	name := c.Request().Header.Get(headerClass)
+	if name == "" {
+		name = e.defaults[organisation]
+	}
+	if name == "" {
+		return nil, result.New(result.UnknownClass, "name a class in %s: the organisation has no default", headerClass)
+	}
+	class := e.view.Load().classes[name]
+	if class == nil {
+		return nil, result.New(result.UnknownClass, "no class %q", name)
+	}
+	if class.GetKind() != kind {
+		return nil, result.New(result.ClassKindMismatch, "class %q is for %s calls", name, class.GetKind())
+	}
+	return class, nil
+}
+
+func idempotencyKey(c echo.Context, class *wire.Class) (string, *result.Error) {
+	key := c.Request().Header.Get(headerIdempotencyKey)
+	switch {
+	case key == "" && !class.GetRepeatable():
+		return "", result.New(result.KeyRequired, "")
+	case len(key) > maxKeyBytes:
+		return "", result.New(result.BadHeader, "%s is longer than %d bytes", headerIdempotencyKey, maxKeyBytes)
+	case strings.ContainsFunc(key, notPrintable):
+		return "", result.New(result.BadHeader, "%s holds other than printable ASCII", headerIdempotencyKey)
+	}
+	return key, nil
+}
+
+func notPrintable(r rune) bool {
+	return r < ' ' || r > '~'
+}
+
+// chooseDeadline takes the class's deadline, or a shorter one that the caller asks for.
+func chooseDeadline(c echo.Context, class *wire.Class) (time.Duration, *result.Error) {
+	deadline := time.Duration(class.GetDeadlineMs()) * time.Millisecond
+	header := c.Request().Header.Get(headerDeadline)
+	if header == "" {
+		return deadline, nil
+	}
+	ms, err := strconv.ParseUint(header, 10, 32)
+	if err != nil || ms == 0 {
+		return 0, result.New(result.BadDeadline, "")
+	}
+	return min(deadline, time.Duration(ms)*time.Millisecond), nil
+}
+
+// readBody reads the body whole. Bodies of all requests together are bounded, for the tiers below the first by less.
+func (e *Entry) readBody(c echo.Context, class *wire.Class) ([]byte, *result.Error) {
+	bound := int64(e.settings.Limits.MaxBody)
+	if c.Request().ContentLength > bound {
+		return nil, result.New(result.BodyTooLarge, "want at most %d bytes", bound)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, bound))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, result.New(result.BodyTooLarge, "want at most %d bytes", bound)
+	}
+	if err != nil {
+		return nil, result.Wrap(err, result.MalformedBody, "the body can't be read to its end")
+	}
+	total := e.bodyBytes.Add(int64(len(body)))
+	if float64(total) > float64(e.settings.Limits.MaxQueuedBytes)*tierShare(class) {
+		e.bodyBytes.Add(-int64(len(body)))
+		return nil, result.New(result.QueueFull, "the bodies of waiting requests fill their bound").WithRetryAfter(controlRetryAfter)
+	}
+	return body, nil
+}
+
+// release takes a request's body off the count.
+func (e *Entry) release(r *sched.Request) {
+	e.bodyBytes.Add(-int64(len(r.Body)))
+}
+
+func tierShare(class *wire.Class) float64 {
+	if class.GetTier() <= tierOne {
+		return 1
+	}
+	return lowerTierShare
+}
+
+// arrive hands a request to the scheduler. With an error the scheduler never heard of it.
+func (e *Entry) arrive(r *sched.Request) (*call, *result.Error) {
+	call := newCall(r, int(e.settings.Limits.MaxAnswer))
+	if !e.calls.open(call) {
+		return nil, result.New(result.Internal, "the request's identity is in use").WithRan(result.RanUnknown)
+	}
+	full := float64(e.inputs.Len()) > float64(e.inputs.Cap())*tierShare(r.Class)
+	if full || !e.inputs.TryPush(input{event: sched.Arrive{Request: r}}) {
+		e.calls.close(r.ID)
+		return nil, result.New(result.RingFull, "").WithRetryAfter(controlRetryAfter)
+	}
+	e.log.WithField("request", r.ID).
+		WithField("organisation", r.Organisation).
+		WithField("class", r.Class.GetName()).
+		WithField("target", r.Target).
+		Debug("request_arrived")
+	return call, nil
+}
+
+// beforeRecord corrects a refusal of a keyed call whose operation record wasn't read. It may be the resend of one that
+// ran, or runs, at another entry, so only mistakes of form leave "ran" as it is.
+//
+// Otherwise: an entry dispatches a pass and dies; the caller sends again with the same key, to an entry that is cut off;
+// it hears that its request was not run, while the pass was issued.
+func beforeRecord(c echo.Context, err *result.Error) *result.Error {
+	if c.Request().Header.Get(headerIdempotencyKey) == "" {
+		return err
+	}
+	switch err.Code {
+	case result.MalformedBody, result.BodyTooLarge, result.KeyRequired, result.ClassKindMismatch, result.BadHeader, result.BadDeadline:
+		return err
+	default:
+		return err.WithRan(result.RanUnknown)
+	}
+}
+
+func isModel(class *wire.Class) bool {
+	return class.GetKind() == settings.KindModel
+}
+
+func cutPrefixFold(s, prefix string) (string, bool) {
+	if len(s) < len(prefix) || !strings.EqualFold(s[:len(prefix)], prefix) {
+		return "", false
+	}
+	return s[len(prefix):], true
+}
--- /dev/null
+++ b/entry/assemble.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// Objects of the completion format.
+const (
+	objectChat       = "chat.completion"
+	objectCompletion = "text_completion"
+	chatPathSuffix   = "/chat/completions"
+)
+
+// chunk is one event of an engine's stream, for both kinds of completion.
+type chunk struct {
+	ID                string              `json:"id"`
+	Created           int64               `json:"created"`
+	Model             string              `json:"model"`
+	SystemFingerprint string              `json:"system_fingerprint"`
+	Choices           []chunkChoice       `json:"choices"`
+	Usage             *engine.Usage       `json:"usage"`
+	Error             *engine.ErrorDetail `json:"error"`
+}
+
+type chunkChoice struct {
+	Index        int        `json:"index"`
+	Text         string     `json:"text"`
+	Delta        chunkDelta `json:"delta"`
+	FinishReason *string    `json:"finish_reason"`
+}
+
+type chunkDelta struct {
+	Role      string            `json:"role"`
+	Content   string            `json:"content"`
+	ToolCalls []json.RawMessage `json:"tool_calls"`
+}
+
+// completion is the whole answer.
+type completion struct {
+	ID                string       `json:"id"`
+	Object            string       `json:"object"`
+	Created           int64        `json:"created"`
+	Model             string       `json:"model"`
+	SystemFingerprint string       `json:"system_fingerprint,omitempty"`
+	Choices           []choice     `json:"choices"`
+	Usage             engine.Usage `json:"usage"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Message      *message `json:"message,omitempty"`
+	Text         *string  `json:"text,omitempty"`
+	LogProbs     *string  `json:"logprobs"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// assembler puts the events of one answer together.
+type assembler struct {
+	chat    bool
+	first   chunk
+	seen    bool
+	choices []*choiceText
+	usage   *engine.Usage
+}
+
+type choiceText struct {
+	role   string
+	text   strings.Builder
+	finish *string
+}
+
+// maxChoices bounds the choices of one answer.
+const maxChoices = 128
+
+// assemble makes the completion object from the events of a whole answer. It fails on an event that isn't of the
+// completion format, or that has parts which can't be joined, rather than leave something out.
+func assemble(path string, events [][]byte, end *wire.AnswerEnd) ([]byte, error) {
+	a := &assembler{chat: strings.HasSuffix(path, chatPathSuffix)}
+	for _, event := range events {
+		if err := a.add(event); err != nil {
+			return nil, err
+		}
+	}
+	if !a.seen {
+		return nil, errors.New("no event")
+	}
+	return json.Marshal(a.completion(end))
+}
+
+func (a *assembler) add(event []byte) error {
+	var c chunk
+	if err := json.Unmarshal(event, &c); err != nil {
+		return errors.Wrap(err, "event")
+	}
+	if c.Error != nil {
+		return errors.Errorf("error event: %s", c.Error.Type)
+	}
+	if !a.seen {
+		a.first, a.seen = c, true
+	}
+	if c.Usage != nil {
+		a.usage = c.Usage
+	}
+	for i := range c.Choices {
+		if err := a.addChoice(&c.Choices[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *assembler) addChoice(c *chunkChoice) error {
+	if c.Index < 0 || c.Index >= maxChoices {
+		return errors.Errorf("choice %d", c.Index)
+	}
+	if len(c.Delta.ToolCalls) > 0 {
+		return errors.New("tool calls are passed on in streams only")
+	}
+	for len(a.choices) <= c.Index {
+		a.choices = append(a.choices, &choiceText{})
+	}
+	to := a.choices[c.Index]
+	if c.Delta.Role != "" {
+		to.role = c.Delta.Role
+	}
+	to.text.WriteString(c.Text)
+	to.text.WriteString(c.Delta.Content)
+	if c.FinishReason != nil {
+		to.finish = c.FinishReason
+	}
+	return nil
+}
+
+func (a *assembler) completion(end *wire.AnswerEnd) *completion {
+	done := &completion{
+		ID:                a.first.ID,
+		Object:            objectCompletion,
+		Created:           a.first.Created,
+		Model:             a.first.Model,
+		SystemFingerprint: a.first.SystemFingerprint,
+		Choices:           make([]choice, 0, len(a.choices)),
+		Usage:             a.tokens(end),
+	}
+	if a.chat {
+		done.Object = objectChat
+	}
+	for i, c := range a.choices {
+		done.Choices = append(done.Choices, a.choice(i, c))
+	}
+	return done
+}
+
+func (a *assembler) choice(index int, c *choiceText) choice {
+	text := c.text.String()
+	made := choice{Index: index, FinishReason: c.finish}
+	if !a.chat {
+		made.Text = &text
+		return made
+	}
+	role := c.role
+	if role == "" {
+		role = "assistant"
+	}
+	made.Message = &message{Role: role, Content: text}
+	return made
+}
+
+// tokens returns the engine's own usage if an event carried it, else what the agent counted.
+func (a *assembler) tokens(end *wire.AnswerEnd) engine.Usage {
+	if a.usage != nil {
+		return *a.usage
+	}
+	prompt, output := int(end.GetPromptTokens()), int(end.GetOutputTokens())
+	return engine.Usage{
+		PromptTokens:     prompt,
+		CompletionTokens: output,
+		TotalTokens:      prompt + output,
+		PromptDetails:    engine.PromptDetails{CachedTokens: int(end.GetCachedTokens())},
+	}
+}
--- /dev/null
+++ b/entry/catalogue.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/carawaypitch/carawaypitch/session"
+	"github.com/carawaypitch/carawaypitch/settings"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// catalogue is what callers may ask for, as of one view. It is never changed.
+type catalogue struct {
+	version  uint64
+	classes  map[string]*wire.Class
+	models   map[string]bool
+	services map[string]bool
+}
+
+func newCatalogue(view *session.View) *catalogue {
+	c := &catalogue{
+		version:  view.ConfigVersion,
+		classes:  view.Classes,
+		models:   make(map[string]bool),
+		services: make(map[string]bool),
+	}
+	for _, agent := range view.Agents {
+		for _, server := range agent.GetServers() {
+			c.addServer(server)
+		}
+	}
+	return c
+}
+
+func (c *catalogue) addServer(server *wire.ServerRecord) {
+	offered := c.models
+	if server.GetKind() == settings.KindService {
+		offered = c.services
+	}
+	for _, name := range server.GetModels() {
+		offered[name] = true
+	}
+}
+
+func (c *catalogue) sortedModels() []string {
+	return slices.Sorted(maps.Keys(c.models))
+}
--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/session"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+func sortedClasses(view *session.View) []*wire.Class {
+	classes := make([]*wire.Class, 0, len(view.Classes))
+	for _, name := range slices.Sorted(maps.Keys(view.Classes)) {
+		classes = append(classes, view.Classes[name])
+	}
+	return classes
+}
+
+func sortedAgents(view *session.View) []*wire.AgentRecord {
+	agents := make([]*wire.AgentRecord, 0, len(view.Agents))
+	for _, name := range slices.Sorted(maps.Keys(view.Agents)) {
+		agents = append(agents, view.Agents[name])
+	}
+	return agents
+}
+
+// observe notes a configuration version that another process has shown. The session fetches it if it is news.
+func (e *Entry) observe(version uint64) {
+	e.control.ObserveVersion(version)
+	for {
+		old := e.wanted.Load()
+		if version <= old || e.wanted.CompareAndSwap(old, version) {
+			return
+		}
+	}
+}
+
+// waitForVersion returns once the newest configuration that any process has shown is in force here.
+//
+// Without it a request that comes just after a change would be judged by the class as it was, although this process
+// could know better; one would notice it as a deadline or tier that goes back for a moment.
+func (e *Entry) waitForVersion(ctx context.Context) *result.Error {
+	if e.view.Load().version >= e.wanted.Load() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, versionWait)
+	defer cancel()
+	for pause(ctx, drainPoll) {
+		if e.view.Load().version >= e.wanted.Load() {
+			return nil
+		}
+	}
+	return result.New(result.ConfigurationOlder, "")
+}
+
+// notReady returns why no request may be admitted, nil if they may.
+func (e *Entry) notReady() *result.Error {
+	if e.stopping.Load() {
+		return result.New(result.Stopping, "")
+	}
+	if err := e.control.Ready(); err != nil {
+		return result.From(err)
+	}
+	if err := e.control.CutOff(); err != nil {
+		return result.From(err)
+	}
+	if e.view.Load().version == 0 {
+		return result.New(result.Starting, "no configuration is in force yet")
+	}
+	return nil
+}
+
+// pause waits for d or the end of ctx. It returns false in the second case.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+
+	"github.com/carawaypitch/carawaypitch/result"
+)
+
+// Bounds of an HTTP connection.
+const (
+	httpHeaderTimeout = 5 * time.Second
+	httpReadTimeout   = time.Minute
+	httpIdleTimeout   = 2 * time.Minute
+	// httpStopTimeout bounds how long answers that are being written may take when the entry ends.
+	httpStopTimeout = time.Second
+	maxHeaderBytes  = 64 << 10
+)
+
+// Headers.
+const (
+	headerRequestID      = "Carawaypitch-Request-Id"
+	headerClass          = "Carawaypitch-Class"
+	headerDeadline       = "Carawaypitch-Deadline-Ms"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerAuthorization  = "Authorization"
+	bearerPrefix         = "Bearer "
+)
+
+func (e *Entry) listen() (net.Listener, error) {
+	config, err := e.settings.CallerTLS.ServerConfig()
+	if err != nil {
+		return nil, errors.Wrap(err, "entry")
+	}
+	listener, err := e.network.Listen(e.settings.Listen.Callers)
+	if err != nil {
+		return nil, errors.Wrap(err, "entry: listen")
+	}
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	return listener, nil
+}
+
+// httpDuty serves callers until ctx ends.
+func (e *Entry) httpDuty(ctx context.Context) error {
+	server := &http.Server{
+		Handler:           e.routes(),
+		ReadHeaderTimeout: httpHeaderTimeout,
+		ReadTimeout:       httpReadTimeout,
+		IdleTimeout:       httpIdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), httpStopTimeout)
+		defer cancel()
+		if server.Shutdown(bounded) != nil {
+			server.Close()
+		}
+	})
+	err := server.Serve(e.listener)
+	if !stop() {
+		<-stopped
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	server.Close()
+	return errors.Wrap(err, "entry: http")
+}
+
+func (e *Entry) routes() *echo.Echo {
+	r := echo.New()
+	r.HideBanner = true
+	r.HidePort = true
+	r.HTTPErrorHandler = e.httpError
+	r.Use(nameRequest)
+	r.POST("/v1/chat/completions", e.postCompletion)
+	r.POST("/v1/completions", e.postCompletion)
+	r.POST("/v1/services/:service/*", e.postService)
+	r.GET("/v1/models", e.getModels)
+	r.GET("/v1/requests", e.getRequests)
+	r.GET("/v1/requests/:id", e.getRequest)
+	r.GET("/healthz", e.getHealth)
+	r.GET("/readyz", e.getReady)
+	r.GET("/metrics", e.getMetrics)
+	return r
+}
+
+// nameRequest gives each reply its identity before anything can fail.
+func nameRequest(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Header().Set(headerRequestID, uuid.NewString())
+		return next(c)
+	}
+}
+
+func requestID(c echo.Context) string {
+	return c.Response().Header().Get(headerRequestID)
+}
+
+// httpError answers with the numbered code of an error.
+func (e *Entry) httpError(err error, c echo.Context) {
+	refusal := httpRefusal(err)
+	e.meter.refused(refusal.Code, 0)
+	e.replyError(c, refusal)
+}
+
+func httpRefusal(err error) *result.Error {
+	var routing *echo.HTTPError
+	if !errors.As(err, &routing) {
+		return result.From(err)
+	}
+	switch routing.Code {
+	case http.StatusNotFound:
+		return result.New(result.NotFound, "")
+	case http.StatusMethodNotAllowed:
+		return result.New(result.MethodNotAllowed, "")
+	default:
+		return result.Wrap(err, result.Internal, "")
+	}
+}
+
+// authenticate returns the organisation whose key was sent.
+func (e *Entry) authenticate(c echo.Context) (string, *result.Error) {
+	header := c.Request().Header.Get(headerAuthorization)
+	if header == "" {
+		return "", result.New(result.MissingKey, "")
+	}
+	key, ok := cutPrefixFold(header, bearerPrefix)
+	if !ok {
+		return "", result.New(result.MissingKey, "")
+	}
+	name, ok := e.keys.Find(key)
+	if !ok {
+		return "", result.New(result.WrongKey, "")
+	}
+	return name, nil
+}
