--- a/agent/duties.go
+++ b/agent/duties.go
@@ -64,8 +64,11 @@
 	return errors.Wrap(err, "agent: links")
 }
 
-// spawn runs a task that ends with the agent.
+// spawn runs a task that ends with the agent. Once the agent has ended it runs none.
 func (a *Agent) spawn(task func(ctx context.Context)) {
+	if a.base.Err() != nil {
+		return
+	}
 	a.tasks.Go(func() { task(a.base) })
 }
 
--- a/agent/http.go
+++ b/agent/http.go
@@ -65,6 +65,10 @@
 	}
 	refusal := httpRefusal(err)
 	a.meter.refused(refusal.Code, 0)
+	a.log.WithField("path", c.Request().URL.Path).
+		WithField("code", uint16(refusal.Code)).
+		WithField("reason", refusal.Message).
+		Warn("call_refused")
 	_ = c.JSON(refusal.Status(), refusal)
 }
 
--- /dev/null
+++ b/agent/servers_test.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/engine/standin"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// Symptom: a server gets no work from entries that were there before it.
+// Sequence: an entry is linked; then another server announces itself.
+// Cause: the new server's gate didn't know of the links that were open already.
+func TestLaterServerMeetsLinkedEntries(t *testing.T) {
+	modelWorld(t, func(w *world, _ *standin.Server, entry *fakeEntry) {
+		second := standin.ServiceDefaults()
+		second.Server = "server-2"
+		w.startEngine(second)
+		entry.awaitRoom("server-2")
+		assert.Len(t, w.control.registered(), 2)
+		dispatch := issue("r1", 1)
+		dispatch.Server = "server-2"
+		entry.dispatch(dispatch)
+		assert.Equal(t, wire.Proof_PROOF_COMPLETED, entry.awaitOver("r1", 1).GetProof())
+	})
+}
+
+// Symptom: an attempt that was refused as never started runs.
+// Sequence: an entry dispatches for a server that has not announced itself to this incarnation yet; the refused
+// dispatch comes a second time after the announcement.
+// Cause: there was no gate to remember the refusal.
+func TestDispatchForAServerThatIsNotThereYet(t *testing.T) {
+	modelWorld(t, func(w *world, _ *standin.Server, entry *fakeEntry) {
+		early := issue("r1", 1)
+		early.Server = "server-2"
+		entry.dispatch(early)
+		over := entry.awaitOver("r1", 1)
+		assert.Equal(t, wire.Proof_PROOF_NEVER_STARTED, over.GetProof())
+
+		second := standin.ServiceDefaults()
+		second.Server = "server-2"
+		service := w.startEngine(second)
+		entry.awaitRoom("server-2")
+		entry.dispatch(early)
+		time.Sleep(5 * time.Second)
+		assert.Empty(t, service.Runs())
+	})
+}
+
+// Symptom: "never started" is said of an attempt that may run.
+// Sequence: entries name more servers than an agent takes.
+// Cause: a refusal without a place for its tombstone was given as a proof.
+func TestNoProofWithoutAGate(t *testing.T) {
+	modelWorld(t, func(w *world, _ *standin.Server, entry *fakeEntry) {
+		for i := range maxServers {
+			require.Equal(t, i < maxServers-1, w.agent.servers.expect(fmt.Sprint("s", i)) != nil)
+		}
+		dispatch := completion("r1", 1)
+		dispatch.Server = "one-more"
+		entry.dispatch(dispatch)
+		w.until("an answer", func() bool { return entry.over("r1", 1) != nil })
+		assert.Equal(t, wire.Proof_PROOF_UNPROVEN, entry.over("r1", 1).GetProof())
+	})
+}
+
+// Symptom: a server that was drained and stopped stays in the directory for ever.
+// Sequence: a server is drained, then stops announcing itself.
+// Cause: nothing looked for the silence of a drained server.
+func TestStoppedServerLeavesTheDirectory(t *testing.T) {
+	modelWorld(t, func(w *world, _ *standin.Server, _ *fakeEntry) {
+		w.askToLeave()
+		w.until("drained", func() bool { return w.agent.servers.get("server-1").view.Load().drained })
+		w.network.Cut(engineHost, agentHost)
+		w.until("it left the directory", func() bool { return len(w.control.registered()) == 0 })
+		assert.Contains(t, w.leaveState(), `"drained"`)
+	})
+}
--- /dev/null
+++ b/agent/sink_test.go
@@ -0,0 +1,95 @@
+package agent
+
+import (
+	"bytes"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+)
+
+func newSink(service bool) (*runSink, *engineRun, *int) {
+	dispatch := completion("r1", 1)
+	dispatch.Work.Service = service
+	r := newRun(dispatch, nil, nil)
+	told := 0
+	return &runSink{run: r, tell: func(*engineRun) error {
+		told++
+		return nil
+	}}, r, &told
+}
+
+func TestSinkBatchesEvents(t *testing.T) {
+	sink, r, told := newSink(false)
+	data := []byte("a")
+	require.NoError(t, sink.Chunk(engine.Chunk{Data: data, Tokens: 1}))
+	data[0] = 'x' // the adapter uses its buffer again
+	require.NoError(t, sink.Chunk(engine.Chunk{Data: []byte("b"), Tokens: 1}))
+	require.NoError(t, sink.Chunk(engine.Chunk{Data: []byte("usage"), UsageOnly: true}))
+	assert.Equal(t, 1, *told, "one note for all that waits")
+	events, tokens := r.take()
+	assert.Equal(t, [][]byte{[]byte("a"), []byte("b")}, events)
+	assert.Equal(t, uint32(2), tokens)
+	require.NoError(t, sink.Chunk(engine.Chunk{Data: []byte("c"), Tokens: 1}))
+	assert.Equal(t, 2, *told)
+}
+
+func TestSinkPassesTheUsageThatTheCallerAskedFor(t *testing.T) {
+	dispatch := withBody(completion("r1", 1), `{"stream_options":{"include_usage":true}}`)
+	r := newRun(dispatch, nil, nil)
+	sink := &runSink{run: r, tell: func(*engineRun) error { return nil }}
+	require.NoError(t, sink.Chunk(engine.Chunk{Data: []byte("usage"), UsageOnly: true}))
+	events, _ := r.take()
+	assert.Len(t, events, 1)
+}
+
+// Symptom: a caller gets an engine's error text as its answer.
+// Sequence: a model engine refuses an attempt with a status other than 200.
+// Cause: the refusal's body was passed on like a part of an answer.
+func TestSinkDropsAModelsRefusal(t *testing.T) {
+	refusal := engine.Answer{Status: 503, Body: []byte("busy")}
+	sink, r, _ := newSink(false)
+	require.NoError(t, sink.Answer(refusal))
+	events, _ := r.take()
+	assert.Empty(t, events)
+
+	sink, r, _ = newSink(true)
+	require.NoError(t, sink.Answer(refusal))
+	events, _ = r.take()
+	assert.Len(t, events, 1, "a service's status of any value is its answer")
+}
+
+func TestSinkSplitsAServicesAnswer(t *testing.T) {
+	sink, r, _ := newSink(true)
+	body := bytes.Repeat([]byte("x"), serviceChunkBytes+1)
+	require.NoError(t, sink.Answer(engine.Answer{Status: 200, ContentType: "text/plain", Body: body}))
+	events, _ := r.take()
+	assert.Len(t, events, 2)
+	assert.Equal(t, body, bytes.Join(events, nil))
+	assert.Equal(t, "text/plain", r.answerType())
+}
+
+// Symptom: an agent's memory grows until the process dies.
+// Sequence: an engine sends faster than the gate duty takes the events.
+// Cause: the events that wait had no bound.
+func TestSinkHoldsAFastEngineBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sink, r, _ := newSink(false)
+		big := make([]byte, runBufferBytes/2+1)
+		require.NoError(t, sink.Chunk(engine.Chunk{Data: big}))
+		done := make(chan error, 1)
+		put := func() { done <- sink.Chunk(engine.Chunk{Data: big}) }
+		go put()
+		synctest.Wait()
+		assert.Empty(t, done, "the buffer is full")
+		r.take()
+		require.NoError(t, <-done)
+		go put()
+		synctest.Wait()
+		r.close()
+		assert.ErrorIs(t, <-done, errNotTaken)
+	})
+}
