--- a/sched/frames.go
+++ b/sched/frames.go
@@ -107,12 +107,11 @@
 	s.passOn(r, events)
 }
 
-// passOn delivers events of a stream, and holds those of a whole answer until it is checked.
+// passOn delivers events of a stream, and holds those of a whole answer until it is checked. A caller who left makes
+// no difference: the key's record may need the whole answer.
 func (s *Scheduler) passOn(r *request, events [][]byte) {
 	if r.Stream {
-		if !r.callerGone {
-			s.act(Deliver{Request: r.ID, Events: events})
-		}
+		s.act(Deliver{Request: r.ID, Events: events})
 		return
 	}
 	r.buffer = append(r.buffer, events...)
