--- a/agent/attempts_test.go
+++ b/agent/attempts_test.go
@@ -248,7 +248,10 @@
 // Cause: it was run from its beginning, and only the tokens after the third were passed on.
 func TestResumeIsRefusedWithoutTheEnginesSupport(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, recorder := bareServer(t.Context(), &scriptedEngine{})
+		client := &scriptedEngine{run: func(context.Context) (engine.Outcome, error) {
+			return engine.Outcome{End: engine.EndCompleted}, nil
+		}}
+		s, recorder := bareServer(t.Context(), client)
 		s.record.Capabilities = &wire.Capabilities{}
 		dispatch := completion("r1", 2)
 		dispatch.ResumeFrom = 3
--- a/agent/restart_test.go
+++ b/agent/restart_test.go
@@ -88,6 +88,7 @@
 			"agent-1": {Agent: "agent-1", Incarnation: w.agent.incarnation + 1},
 		}
 		w.control.setView(&view)
+		w.until("the agent ends", func() bool { return len(w.ended) == 1 })
 		assert.ErrorIs(t, <-w.ended, ErrSuperseded)
 		w.stop()
 		w.stop = nil
--- a/agent/servers_test.go
+++ b/agent/servers_test.go
@@ -9,12 +9,32 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carawaypitch/carawaypitch/engine/standin"
+	"github.com/carawaypitch/carawaypitch/gate"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
-// Symptom: a server gets no work from entries that were there before it.
-// Sequence: an entry is linked; then another server announces itself.
-// Cause: the new server's gate didn't know of the links that were open already.
+// Symptom: an entry waits for a proof that its server's gate gave long ago.
+// Sequence: an entry is linked and asks after an attempt at a server that announces itself later; the gate answers once
+// the engine is proved free, but only entries that it knows to be linked.
+// Cause: a gate heard of links that came after it, and not of those that were open already.
+func TestGateHearsOfLinksThatAreOpenAlready(t *testing.T) {
+	linked := gate.EntryID{Name: "entry-1", Incarnation: 1}
+	left := gate.EntryID{Name: "entry-2", Incarnation: 1}
+	recorder := new(stepRecorder)
+	l := newServers(serverDeps{
+		log:     noLog(),
+		newGate: func() admission { return recorder },
+	}, func(*server) {})
+	l.entryUp(t.Context(), linked)
+	l.entryUp(t.Context(), left)
+	l.entryDown(t.Context(), left)
+	s := l.expect("server-1")
+	for s.inputs.Len() > 0 {
+		s.take(<-s.inputs.C())
+	}
+	assert.Equal(t, []gate.Event{gate.EntryUp{Entry: linked}}, recorder.events)
+}
+
 func TestLaterServerMeetsLinkedEntries(t *testing.T) {
 	modelWorld(t, func(w *world, _ *standin.Server, entry *fakeEntry) {
 		second := standin.ServiceDefaults()
--- a/agent/stop_test.go
+++ b/agent/stop_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/carawaypitch/carawaypitch/engine/standin"
 	"github.com/carawaypitch/carawaypitch/settings"
@@ -31,6 +32,7 @@
 		time.Sleep(time.Second)
 		assert.Equal(t, wire.Proof_PROOF_COMPLETED, entry.over("r1", 1).GetProof())
 		commands := w.control.commands()
+		require.NotEmpty(t, commands)
 		removal := commands[len(commands)-1].GetRemoveAgent()
 		assert.Equal(t, "agent-1", removal.GetAgent())
 		assert.Equal(t, w.agent.incarnation, removal.GetIncarnation())
