--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -82,7 +82,8 @@
 	askers      []asker
 	try         uint32    // of the last CancelEngine
 	firstAfter  uint32    // first try that was issued after the run's end, 0 for none
-	pending     bool      // a CancelEngine has no answer yet
+	unanswered  int       // CancelEngines without an answer
+	pending     bool      // the last of them has none
 	since       time.Time // when the end was first asked for
 	issued      time.Time
 	again       time.Time
@@ -116,6 +117,9 @@
 // begun tells whether StartEngine was issued.
 func (a *attempt) begun() bool { return !a.run.started.IsZero() }
 
+// isAwaited tells whether the agent still has something to tell about the attempt.
+func (a *attempt) isAwaited() bool { return a.run.open || a.cancel.unanswered > 0 }
+
 // uncached is the number of prompt tokens that the engine is expected to compute.
 func (a *attempt) uncached() int64 {
 	return max(int64(a.work.GetPromptTokens())-int64(a.work.GetCachedTokens()), 0)
--- a/gate/harness_test.go
+++ b/gate/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -24,9 +23,15 @@
 	sampleSlots  = 2
 )
 
+// tester is what testing.T, testing.B and rapid.T have in common.
+type tester interface {
+	require.TestingT
+	Helper()
+}
+
 // bench drives a gate with fake time and remembers what it wanted since the last look.
 type bench struct {
-	t       testing.TB
+	t       tester
 	gate    *Gate
 	now     time.Time
 	actions []Action
@@ -34,16 +39,16 @@
 }
 
 // newBench makes a gate whose server has not announced itself.
-func newBench(t testing.TB, config Config) *bench {
+func newBench(t tester, config Config) *bench {
 	return &bench{t: t, gate: New(config), now: time.Unix(1000, 0)}
 }
 
 // openBench makes a gate with a cleared server of two slots and no predecessor.
-func openBench(t testing.TB) *bench {
+func openBench(t tester) *bench {
 	return openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(sampleSlots))
 }
 
-func openBenchWith(t testing.TB, config Config, record *wire.ServerRecord) *bench {
+func openBenchWith(t tester, config Config, record *wire.ServerRecord) *bench {
 	b := newBench(t, config)
 	b.step(Announced{Server: record})
 	b.step(EngineListed{})
@@ -219,7 +224,7 @@
 }
 
 // onlyOver requires one Over with that proof.
-func onlyOver(t testing.TB, actions []Action, to EntryID, proof wire.Proof) *wire.Over {
+func onlyOver(t tester, actions []Action, to EntryID, proof wire.Proof) *wire.Over {
 	t.Helper()
 	list := overs(actions, to)
 	require.Len(t, list, 1, "%v", list)
@@ -227,7 +232,7 @@
 	return list[0]
 }
 
-func refusedWith(t testing.TB, actions []Action, code result.Code) *wire.Over {
+func refusedWith(t tester, actions []Action, code result.Code) *wire.Over {
 	t.Helper()
 	over := onlyOver(t, actions, entryA, wire.Proof_PROOF_NEVER_STARTED)
 	require.Equal(t, code, result.Code(over.Code), over.Message)
@@ -272,7 +277,7 @@
 	return all
 }
 
-func noChartErrors(t testing.TB, b *bench) {
+func noChartErrors(t tester, b *bench) {
 	t.Helper()
 	assert.Zero(t, b.gate.chartErrors, "%v", of[Count](b.actions))
 }
--- a/gate/list.go
+++ b/gate/list.go
@@ -75,11 +75,11 @@
 		return true
 	}
 	last := g.lastWaiting()
-	if last != nil && g.goesAfter(last, a) {
-		g.refuseWaiting(last, refuseShed(g.backlog()))
-		return true
+	if a.tier() == firstTier && last.tier() == firstTier && g.lowerWork(a) {
+		return true // lower tiers run: neither of the two is refused for want of room
 	}
-	if a.tier() == firstTier && g.lowerWork(a) {
+	if g.goesAfter(last, a) {
+		g.refuseWaiting(last, refuseShed(g.backlog()))
 		return true
 	}
 	g.fire(a, onRefuse, occasion{refusal: refuseFull(g.backlog())})
--- /dev/null
+++ b/gate/machine_test.go
@@ -0,0 +1,472 @@
+package gate
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// modelStream is a run as the model engine sees it.
+type modelStream struct {
+	attempt  *wire.AttemptID
+	onTheWay bool // its dispatch has not reached the engine
+	running  bool // at the engine
+	open     bool // the agent's call has not returned
+}
+
+// modelCancel is a cancel call under way.
+type modelCancel struct {
+	cancel   CancelEngine
+	answered bool // by the engine; the answer is on its way
+	result   engine.CancelResult
+}
+
+// modelRequest is a request as its entry sees it. An entry starts the next attempt only with a proof.
+type modelRequest struct {
+	name    string
+	owner   EntryID
+	number  uint64
+	tier    uint32
+	pending bool // an attempt is not proved over
+	asked   uint64
+}
+
+// machine is a gate between entries and an engine whose messages are late, lost and out of order.
+type machine struct {
+	*bench
+	rt       *rapid.T
+	streams  []*modelStream
+	cancels  []*modelCancel
+	requests []*modelRequest
+	bodies   []*wire.Dispatch // on their way from entries to the gate
+	bodyFrom []EntryID
+	started  map[engine.AttemptID]bool
+	unsent   map[engine.AttemptID]bool // started, and the call never left the agent
+	never    map[engine.AttemptID]bool // promised never to start
+	lower    bool                      // lower-tier work ran or waited before the step
+	ended    map[EntryID]bool
+}
+
+const machineSlots = 2
+
+func newMachine(rt *rapid.T) *machine {
+	config := Config{
+		NoPredecessor: true, TombstoneLife: 4 * time.Second, MaxWaiting: 4, MaxRecords: 200,
+		KeepOver: time.Second, LeaseDuration: 2 * time.Second,
+	}
+	m := &machine{
+		bench:   openBenchWith(rt, config, sampleRecord(machineSlots)),
+		rt:      rt,
+		started: map[engine.AttemptID]bool{},
+		unsent:  map[engine.AttemptID]bool{},
+		never:   map[engine.AttemptID]bool{},
+		ended:   map[EntryID]bool{},
+	}
+	return m
+}
+
+// do steps the gate and lets the model take what it wants.
+func (m *machine) do(e Event) {
+	m.lower = m.lowerWorkHere()
+	for _, action := range m.gate.Step(m.now, e) {
+		m.take(action)
+	}
+	m.checkGate()
+}
+
+func (m *machine) lowerWorkHere() bool {
+	lower := func(a *attempt) bool { return a.tier() > firstTier }
+	return slices.ContainsFunc(m.gate.held, lower) || m.gate.waiting.contains(lower)
+}
+
+func (m *machine) take(action Action) {
+	switch a := action.(type) {
+	case StartEngine:
+		m.takeStart(a.Dispatch.Attempt)
+	case CancelEngine:
+		m.cancels = append(m.cancels, &modelCancel{cancel: a})
+	case ListEngine:
+		m.rt.Fatalf("the engine was cleared before")
+	case Send:
+		m.takeMessage(a.Entry, a.Message)
+	}
+}
+
+func (m *machine) takeStart(attempt *wire.AttemptID) {
+	name := streamID(attempt.Request, attempt.Number)
+	require.False(m.rt, m.started[name], "%s started twice", name)
+	require.False(m.rt, m.never[name], "%s started after the promise", name)
+	m.started[name] = true
+	m.streams = append(m.streams, &modelStream{attempt: attempt, onTheWay: true, open: true})
+}
+
+func (m *machine) takeMessage(to EntryID, message *wire.AgentMessage) {
+	if offer := message.GetOffer(); offer != nil {
+		m.takeOffer(to, offer)
+	}
+	if over := message.GetOver(); over != nil {
+		m.checkOver(over)
+		m.takeOver(to, over)
+	}
+}
+
+func (m *machine) takeOffer(to EntryID, offer *wire.Offer) {
+	r := m.request(offer.Attempt.Request)
+	if r.owner != to || r.number != offer.Attempt.Number {
+		return
+	}
+	m.bodies = append(m.bodies, &wire.Dispatch{
+		Attempt: offer.Attempt, Server: sampleServer, Work: r.work(), Offered: true, IdempotencyKey: r.name,
+	})
+	m.bodyFrom = append(m.bodyFrom, to)
+}
+
+// checkOver compares a proof with what the model engine did.
+func (m *machine) checkOver(over *wire.Over) {
+	if over.Proof == unprovenProof {
+		return
+	}
+	name := streamID(over.Attempt.Request, over.Attempt.Number)
+	for _, s := range m.streams {
+		same := s.attempt.Request == over.Attempt.Request && s.attempt.Number == over.Attempt.Number
+		require.False(m.rt, same && (s.running || s.onTheWay), "%s is proved over and isn't: %v", name, over)
+	}
+	if over.Proof != neverStartedProof {
+		return
+	}
+	require.False(m.rt, m.started[name] && !m.unsent[name], "%s was started: %v", name, over)
+	repeated := m.never[name]
+	m.never[name] = true
+	r := m.request(over.Attempt.Request)
+	if r.tier == firstTier && m.lower && !repeated {
+		for _, no := range []refusal{refuseNoOffer, refuseLateOffer, refuseFull(0), refuseShed(0), refuseTooLate(0)} {
+			require.NotEqual(m.rt, no.message, over.Message, "%s is of the first tier", name)
+		}
+	}
+}
+
+func (m *machine) takeOver(to EntryID, over *wire.Over) {
+	r := m.request(over.Attempt.Request)
+	if r.owner == to && over.Attempt.Number >= r.asked && over.Attempt.Number == r.number && over.Proof != unprovenProof {
+		r.pending = false
+	}
+}
+
+// checkGate holds after every step.
+func (m *machine) checkGate() {
+	running := map[string]int{}
+	busy := 0
+	for _, s := range m.streams {
+		if s.running {
+			running[s.attempt.Request]++
+			require.Equal(m.rt, 1, running[s.attempt.Request], "two runs of %s", s.attempt.Request)
+		}
+		if s.running || s.onTheWay {
+			busy++
+		}
+	}
+	require.LessOrEqual(m.rt, len(m.gate.held), machineSlots)
+	if m.gate.condition() == drained {
+		require.Zero(m.rt, busy, "drained with runs")
+	}
+	require.Zero(m.rt, m.gate.chartErrors)
+	m.checkSums()
+}
+
+// checkSums compares what the gate keeps by counting with what it would count anew.
+func (m *machine) checkSums() {
+	var prefill, memory int64
+	for _, a := range m.gate.held {
+		prefill += a.run.prefill
+		memory += a.run.memory
+	}
+	waiting := 0
+	m.gate.waiting.each(func(*attempt) { waiting++ })
+	require.Equal(m.rt, prefill, m.gate.use.prefill)
+	require.Equal(m.rt, memory, m.gate.use.memory)
+	require.Equal(m.rt, waiting, m.gate.waiting.count)
+}
+
+func (m *machine) request(name string) *modelRequest {
+	at := slices.IndexFunc(m.requests, func(r *modelRequest) bool { return r.name == name })
+	require.GreaterOrEqual(m.rt, at, 0)
+	return m.requests[at]
+}
+
+func (r *modelRequest) id() *wire.AttemptID { return id(r.name, r.number) }
+
+func (r *modelRequest) work() *wire.Work {
+	return workOf(func(w *wire.Work) {
+		w.Tier = r.tier
+		w.Preemptible = r.tier > firstTier
+		w.Repeatable = r.name[0] != '1'
+		w.MayBeLate = r.tier > 2
+		w.RemainingMs = 5000
+	})
+}
+
+// pickRequest chooses a request that fits, or skips the action.
+func (m *machine) pickRequest(rt *rapid.T, fits func(*modelRequest) bool) *modelRequest {
+	var all []*modelRequest
+	for _, r := range m.requests {
+		if !m.ended[r.owner] && fits(r) {
+			all = append(all, r)
+		}
+	}
+	if len(all) == 0 {
+		rt.Skip("none fits")
+	}
+	return rapid.SampledFrom(all).Draw(rt, "request")
+}
+
+func isPending(r *modelRequest) bool { return r.pending }
+
+func (m *machine) arrive(rt *rapid.T) {
+	name := fmt.Sprintf("%d-request", len(m.requests))
+	owner := rapid.SampledFrom([]EntryID{entryA, entryB}).Draw(rt, "entry")
+	if m.ended[owner] || len(m.requests) >= 12 {
+		rt.Skip("no more")
+	}
+	tier := rapid.Uint32Range(1, 3).Draw(rt, "tier")
+	m.requests = append(m.requests, &modelRequest{name: name, owner: owner, tier: tier})
+}
+
+// attempt begins the next attempt of a request whose earlier ones are proved over.
+func (m *machine) attempt(rt *rapid.T) {
+	r := m.pickRequest(rt, func(r *modelRequest) bool { return !r.pending && r.number < 6 })
+	r.number++
+	r.pending = true
+	if rapid.Bool().Draw(rt, "direct") {
+		m.bodies = append(m.bodies, &wire.Dispatch{Attempt: r.id(), Server: sampleServer, Work: r.work(), IdempotencyKey: r.name})
+		m.bodyFrom = append(m.bodyFrom, r.owner)
+		return
+	}
+	message := &wire.Reserve{Attempt: r.id(), Server: sampleServer, Work: r.work()}
+	m.do(Received{r.owner, &wire.EntryMessage{Kind: &wire.EntryMessage_Reserve{Reserve: message}}})
+}
+
+// bodyArrives delivers a body, in any order, perhaps long after its entry gave it up.
+func (m *machine) bodyArrives(rt *rapid.T) {
+	if len(m.bodies) == 0 {
+		rt.Skip("none")
+	}
+	at := rapid.IntRange(0, len(m.bodies)-1).Draw(rt, "body")
+	body, from := m.bodies[at], m.bodyFrom[at]
+	if rapid.Bool().Draw(rt, "once") {
+		m.bodies = slices.Delete(m.bodies, at, at+1)
+		m.bodyFrom = slices.Delete(m.bodyFrom, at, at+1)
+	}
+	m.do(Received{from, &wire.EntryMessage{Kind: &wire.EntryMessage_Dispatch{Dispatch: body}}})
+}
+
+func (m *machine) cancelIt(rt *rapid.T) {
+	r := m.pickRequest(rt, isPending)
+	message := &wire.Cancel{Attempt: r.id(), Server: sampleServer, Cause: retryCause}
+	m.do(Received{r.owner, &wire.EntryMessage{Kind: &wire.EntryMessage_Cancel{Cancel: message}}})
+}
+
+// endEntry ends an entry; the other one takes its requests over and asks about all earlier attempts.
+func (m *machine) endEntry(rt *rapid.T) {
+	if m.ended[entryA] || rapid.IntRange(0, 5).Draw(rt, "seldom") > 0 {
+		rt.Skip("not now")
+	}
+	m.ended[entryA] = true
+	m.do(EntryEnded{Entry: entryA})
+	for _, r := range m.requests {
+		if r.owner != entryA {
+			continue
+		}
+		r.owner, r.pending = entryB, true
+		r.number = 1 << epochShift
+		r.asked = r.number
+		message := &wire.Cancel{Attempt: r.id(), Server: sampleServer, Cause: takeoverCause}
+		m.do(Received{entryB, &wire.EntryMessage{Kind: &wire.EntryMessage_Cancel{Cancel: message}}})
+	}
+}
+
+func (m *machine) pickStream(rt *rapid.T, fits func(*modelStream) bool) *modelStream {
+	var all []*modelStream
+	for _, s := range m.streams {
+		if fits(s) {
+			all = append(all, s)
+		}
+	}
+	if len(all) == 0 {
+		rt.Skip("none fits")
+	}
+	return rapid.SampledFrom(all).Draw(rt, "stream")
+}
+
+func (m *machine) reachesEngine(rt *rapid.T) {
+	s := m.pickStream(rt, func(s *modelStream) bool { return s.onTheWay })
+	s.onTheWay, s.running = false, true
+	m.checkGate()
+}
+
+func (m *machine) token(rt *rapid.T) {
+	s := m.pickStream(rt, func(s *modelStream) bool { return s.running && s.open })
+	m.do(EngineProgress{Attempt: s.attempt, Events: [][]byte{[]byte("x")}})
+}
+
+// runEnds ends a run by itself, by an error, by its connection, or before it was sent.
+func (m *machine) runEnds(rt *rapid.T) {
+	s := m.pickStream(rt, func(s *modelStream) bool { return s.open })
+	s.open = false
+	e := EngineEnded{Attempt: s.attempt}
+	switch {
+	case s.onTheWay && rapid.Bool().Draw(rt, "never sent"):
+		e.Err = engine.ErrNeverSent
+		m.unsent[streamID(s.attempt.Request, s.attempt.Number)] = true
+		s.onTheWay = false
+	case s.onTheWay || s.running && rapid.Bool().Draw(rt, "lost"):
+		// What has not arrived by then never does; what runs goes on.
+		e.Err = engine.ErrUnknown
+		s.onTheWay = false
+	case s.running:
+		e.Outcome.End = rapid.SampledFrom([]engine.End{engine.EndCompleted, engine.EndFailed}).Draw(rt, "end")
+		s.running = false
+	default:
+		e.Outcome.End = engine.EndCancelled
+	}
+	m.do(e)
+}
+
+func (m *machine) cancelArrives(rt *rapid.T) {
+	c := m.pickCancel(rt, false)
+	c.answered = true
+	c.result = engine.CancelUnknownID
+	for _, s := range m.streams {
+		if sameAttempt(s.attempt, c.cancel.Attempt) && !s.onTheWay && m.reached(s) {
+			s.running = false
+			c.result = engine.CancelConfirmed
+		}
+	}
+}
+
+// reached tells whether the engine knows a stream: it forgets ended ones now and then.
+func (m *machine) reached(s *modelStream) bool { return s.running }
+
+func (m *machine) cancelAnswered(rt *rapid.T) {
+	c := m.pickCancel(rt, true)
+	m.cancels = slices.DeleteFunc(m.cancels, func(other *modelCancel) bool { return other == c })
+	e := EngineCancelled{Attempt: c.cancel.Attempt, Try: c.cancel.Try, Result: c.result}
+	if rapid.IntRange(0, 3).Draw(rt, "fails") == 0 {
+		e.Result, e.Err = engine.CancelNone, engine.ErrUnknown
+	}
+	m.do(e)
+}
+
+func (m *machine) pickCancel(rt *rapid.T, answered bool) *modelCancel {
+	var all []*modelCancel
+	for _, c := range m.cancels {
+		if c.answered == answered {
+			all = append(all, c)
+		}
+	}
+	if len(all) == 0 {
+		rt.Skip("none")
+	}
+	return rapid.SampledFrom(all).Draw(rt, "cancel")
+}
+
+func (m *machine) time(rt *rapid.T) {
+	for range rapid.IntRange(1, 30).Draw(rt, "ticks") {
+		m.now = m.now.Add(TickInterval)
+		m.do(Tick{})
+	}
+	m.do(Announced{Server: sampleRecord(machineSlots)})
+	for _, e := range []EntryID{entryA, entryB} {
+		if rapid.IntRange(0, 9).Draw(rt, "silent") > 0 {
+			m.do(Received{e, heartbeat()})
+		}
+	}
+}
+
+func (m *machine) leave(rt *rapid.T) {
+	if rapid.IntRange(0, 20).Draw(rt, "seldom") > 0 {
+		rt.Skip("not now")
+	}
+	m.do(Leaving{})
+}
+
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newMachine(rt)
+		rt.Repeat(map[string]func(*rapid.T){
+			"arrive":          m.arrive,
+			"attempt":         m.attempt,
+			"attempt again":   m.attempt,
+			"body arrives":    m.bodyArrives,
+			"cancel":          m.cancelIt,
+			"end entry":       m.endEntry,
+			"reaches engine":  m.reachesEngine,
+			"token":           m.token,
+			"run ends":        m.runEnds,
+			"cancel arrives":  m.cancelArrives,
+			"cancel answered": m.cancelAnswered,
+			"time":            m.time,
+			"leave":           m.leave,
+		})
+	})
+}
+
+func TestBackloggedOrganisationsGetEqualShares(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := openBenchWith(rt, Config{NoPredecessor: true}, sampleRecord(1))
+		b.start(entryA, id("first", 1), work())
+		costs := map[string]int64{}
+		served := map[string]int64{}
+		names := []string{"a", "b", "c"}
+		works := map[string]*wire.Work{}
+		most := int64(0)
+		for _, name := range names {
+			w := workOf(func(w *wire.Work) {
+				w.Organisation, w.RemainingMs = name, 0
+				w.Urgency = uint32(rapid.IntRange(0, 199).Draw(rt, "urgency"))
+				w.PromptTokens = uint32(rapid.IntRange(1, 500).Draw(rt, "prompt"))
+			})
+			works[name] = w
+			costs[name] = int64(w.PromptTokens) + int64(rapid.IntRange(1, 500).Draw(rt, "output"))
+			most = max(most, costs[name], b.gate.estimate(w))
+		}
+		number := uint64(0)
+		refill := func(name string) {
+			number++
+			from := []EntryID{entryA, entryB}[number%2]
+			b.reserve(from, id(fmt.Sprint(name, number), 1), works[name])
+		}
+		for _, name := range names {
+			for range rapid.IntRange(2, 10).Draw(rt, "backlog") {
+				refill(name)
+			}
+		}
+		next := b.finish(id("first", 1))
+		for range 300 {
+			offers := of[Send](next)
+			at := slices.IndexFunc(offers, func(s Send) bool { return s.Message.GetOffer() != nil })
+			require.GreaterOrEqual(rt, at, 0)
+			attempt := offers[at].Message.GetOffer().Attempt
+			w := b.gate.records.get(attempt.Request).current.work
+			refill(w.Organisation)
+			b.dispatchOffered(offers[at].Entry, attempt, w)
+			b.step(EngineProgress{
+				Attempt: attempt, Events: [][]byte{nil},
+				Tokens: uint32(costs[w.Organisation] - int64(w.PromptTokens)),
+			})
+			served[w.Organisation] += costs[w.Organisation]
+			b.now = b.now.Add(time.Millisecond)
+			b.actions = nil
+			next = b.finish(attempt)
+		}
+		for _, name := range names[1:] {
+			require.InDelta(rt, served[names[0]], served[name], float64(2*most), "%v of %v", served, costs)
+		}
+	})
+}
--- a/gate/over.go
+++ b/gate/over.go
@@ -34,6 +34,7 @@
 	}
 	if a.begun() {
 		r.last = a
+		r.await(a)
 	}
 	from := g.now
 	if a.deadline.After(from) {
--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -449,3 +449,18 @@
 	c.weigh()
 	assert.Equal(t, urgencyBands-1, c.band)
 }
+
+func TestFullListOfTheFirstTierWhileLowerTiersRun(t *testing.T) {
+	// Symptom: a slot confirmation is shed while a summary that can't be preempted runs.
+	// Sequence: the list is full of first-tier work when one more comes with an earlier deadline.
+	// Cause: shedding looked at the waiting list alone. Found by TestMachine.
+	b := openBenchWith(t, Config{NoPredecessor: true, MaxWaiting: 1}, sampleRecord(1))
+	b.start(entryA, id("never", 1), workOf(func(w *wire.Work) { w.Preemptible = false }))
+	b.reserve(entryA, id("first", 1), firstTierWork())
+	b.reserve(entryA, id("hurry", 1), workOf(func(w *wire.Work) { w.Tier, w.RemainingMs = 1, 1000 }))
+	require.Empty(t, overs(b.actions, entryA))
+	require.Equal(t, 2, b.gate.waiting.count)
+	b.finish(id("never", 1))
+	b.dispatchOffered(entryA, id("hurry", 1), firstTierWork())
+	refusedWith(t, b.reserve(entryA, id("last", 1), firstTierWork()), result.QueueFull)
+}
--- a/gate/proofs_test.go
+++ b/gate/proofs_test.go
@@ -182,3 +182,18 @@
 	require.Empty(t, overs(b.lost(id("r", 1)), entryA))
 	noChartErrors(t, b)
 }
+
+func TestCopyOfARunningAttemptFromAnEndedEntry(t *testing.T) {
+	// Symptom: "never started" is said of an attempt that runs.
+	// Sequence: an entry dispatches and is ended by control; its dispatch arrives a second time, before or after the
+	// new owner's cancel.
+	// Cause: messages of ended entries were refused without a look at what runs. Found by TestMachine.
+	b := openBench(t)
+	b.dispatchOf(entryA, keyedCall(id("r", 1)))
+	b.step(EntryEnded{Entry: entryA})
+	onlyOver(t, b.dispatch(entryA, id("r", 1), work()), entryA, unprovenProof)
+	b.cancelAttempt(entryB, id("r", 9), takeoverCause)
+	onlyOver(t, b.dispatch(entryA, id("r", 1), work()), entryA, unprovenProof)
+	b.answer(id("r", 1), engine.CancelConfirmed)
+	onlyOver(t, b.dispatch(entryA, id("r", 1), work()), entryA, cancelledProof)
+}
--- a/gate/receive.go
+++ b/gate/receive.go
@@ -112,9 +112,14 @@
 
 // admissible makes an attempt of an arrival, or answers why not.
 func (g *Gate) admissible(in arrival, r *record) *attempt {
-	number := in.id.GetNumber()
-	if r != nil && r.over(number) {
-		g.answerArrival(r, asker{entry: in.owner.id, number: number, server: in.server})
+	who := asker{entry: in.owner.id, number: in.id.GetNumber(), server: in.server}
+	if r != nil && r.current != nil && r.current.number == who.number {
+		// A copy, from an entry whose word doesn't count any more: the attempt itself may be running.
+		g.unprovable(who, r.request)
+		return nil
+	}
+	if r != nil && r.over(who.number) {
+		g.answerArrival(r, who)
 		return nil
 	}
 	r = g.recordFor(in, r)
--- a/gate/records.go
+++ b/gate/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -16,8 +17,9 @@
 	request string
 	floor   uint64   // all attempts with lower numbers are over here
 	current *attempt // not over yet, nil for none
-	last    *attempt // whose run ended last, for late events of it
+	last    *attempt // whose run ended last
 	answer  *wire.Over
+	awaited []*attempt // over, with a run or cancel of which the agent hasn't told the end
 
 	// refused is the Over of the attempt that was refused last, refusedBy its owner.
 	refused   *wire.Over
@@ -49,6 +51,33 @@
 // hasRun tells whether an attempt of the request is known to have run here.
 func (r *record) hasRun() bool { return r.proof != wire.Proof_PROOF_UNSPECIFIED }
 
+// await keeps an attempt that is over for the late events of its run and cancels, and drops those that have had all.
+func (r *record) await(a *attempt) {
+	r.awaited = slices.DeleteFunc(r.awaited, func(other *attempt) bool { return other == a || !other.isAwaited() })
+	if a.isAwaited() && len(r.awaited) < mostAwaited {
+		r.awaited = append(r.awaited, a)
+	}
+}
+
+// mostAwaited bounds the attempts of one request whose late events are expected.
+const mostAwaited = 16
+
+// find returns the attempt that an engine event speaks of, or nil. It may be over.
+func (r *record) find(number uint64) *attempt {
+	if r.current != nil && r.current.number == number {
+		return r.current
+	}
+	for _, a := range r.awaited {
+		if a.number == number {
+			return a
+		}
+	}
+	if r.last != nil && r.last.number == number {
+		return r.last
+	}
+	return nil
+}
+
 // recordTable holds the records by request and by the time at which they may be forgotten.
 type recordTable struct {
 	byRequest map[string]*record
--- a/gate/runs.go
+++ b/gate/runs.go
@@ -38,13 +38,7 @@
 	if r == nil {
 		return nil
 	}
-	if r.current != nil && r.current.number == id.GetNumber() {
-		return r.current
-	}
-	if r.last != nil && r.last.number == id.GetNumber() {
-		return r.last
-	}
-	return nil
+	return r.find(id.GetNumber())
 }
 
 // startEngine is the only place that lets an attempt begin.
@@ -147,6 +141,7 @@
 		g.chartError("cancel answer for an unknown attempt")
 		return
 	}
+	a.cancel.unanswered--
 	if e.Try == a.cancel.try {
 		a.cancel.pending = false
 	}
@@ -183,6 +178,7 @@
 // unknown id prove that nothing runs and nothing will.
 func (g *Gate) issueCancel(a *attempt) {
 	a.cancel.try++
+	a.cancel.unanswered++
 	if !a.run.open && a.cancel.firstAfter == 0 {
 		a.cancel.firstAfter = a.cancel.try
 	}
