--- a/session/propose.go
+++ b/session/propose.go
@@ -23,7 +23,7 @@
 func (s *Session) Propose(ctx context.Context, cmd *wire.Command) (*wire.CommandResult, error) {
 	lost := false
 	for ctx.Err() == nil {
-		reply, sent := s.tryAll(ctx, cmd, &lost)
+		reply := s.tryAll(ctx, cmd, &lost)
 		switch {
 		case reply != nil && reply.GetCode() == 0:
 			return reply.GetResult(), nil
@@ -33,9 +33,8 @@
 		case lost && !isIdempotent(cmd):
 			s.counters.unknown.Inc()
 			return nil, result.New(result.ProposalUnknown, "")
-		case !sent || !lost || reply != nil:
-			pause(ctx, retryPause)
 		}
+		pause(ctx, retryPause)
 	}
 	if lost {
 		s.counters.unknown.Inc()
@@ -47,26 +46,25 @@
 
 // tryAll tries each control instance once, the leader first, until one gives a reply that settles the matter. It sets
 // lost when an outcome got lost; a command that isn't idempotent goes nowhere else then.
-func (s *Session) tryAll(ctx context.Context, cmd *wire.Command, lost *bool) (settled *wire.ProposeReply, sent bool) {
+func (s *Session) tryAll(ctx context.Context, cmd *wire.Command, lost *bool) *wire.ProposeReply {
 	tried := make([]bool, len(s.peers))
 	for p := s.next(tried); p != nil && ctx.Err() == nil; p = s.next(tried) {
 		tried[p.number] = true
-		reply, wasSent := p.try(ctx, cmd)
-		sent = sent || wasSent
+		reply, sent := p.try(ctx, cmd)
 		switch {
-		case !wasSent:
+		case !sent:
 		case reply == nil || result.Code(reply.GetCode()) == result.ProposalUnknown:
 			*lost = true
 			if !isIdempotent(cmd) {
-				return nil, sent
+				return nil
 			}
 		case result.Code(reply.GetCode()) == result.NotLeader:
 			s.setLeader(reply.GetLeader())
 		default:
-			return reply, sent
+			return reply
 		}
 	}
-	return nil, sent
+	return nil
 }
 
 // next returns the untried peer that leads as far as known, else any untried one with a link, else nil.
--- /dev/null
+++ b/session/view_test.go
@@ -0,0 +1,72 @@
+package session
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+func config(version, base uint64, full bool, names ...string) *wire.ConfigUpdate {
+	u := &wire.ConfigUpdate{Version: version, Base: base, Full: full}
+	for _, name := range names {
+		u.Classes = append(u.Classes, &wire.Class{Name: name, Version: version})
+	}
+	return u
+}
+
+// Symptom: a class is back as it was before an accepted change.
+// Sequence: a control instance that was cut off sends what was in force then, after a newer update came from another.
+// Cause: taking the last update that came for the newest.
+func TestConfigNeverGoesBack(t *testing.T) {
+	v, err := newView().withConfig(config(10, 0, true, "a"))
+	require.NoError(t, err)
+	older, err := v.withConfig(config(9, 0, true, "b"))
+	require.NoError(t, err)
+	require.Same(t, v, older)
+	same, err := v.withConfig(&wire.ConfigUpdate{Version: 10, Base: 10, Fence: 12})
+	require.NoError(t, err)
+	require.Equal(t, uint64(12), same.Fence)
+	require.Contains(t, same.Classes, "a")
+	lowerFence, err := same.withConfig(&wire.ConfigUpdate{Version: 10, Base: 10, Fence: 3})
+	require.NoError(t, err)
+	require.Equal(t, uint64(12), lowerFence.Fence)
+}
+
+// Symptom: two processes at the same version hold different classes.
+// Sequence: an update is lost with a link; the next one begins after it.
+// Cause: a delta that is put on the wrong base.
+func TestDeltas(t *testing.T) {
+	v, _ := newView().withConfig(config(10, 0, true, "a", "b"))
+	_, err := v.withConfig(config(14, 12, false, "c"))
+	require.ErrorIs(t, err, errGap)
+	removed := config(14, 8, false, "c")
+	removed.Removed = []string{"b"}
+	next, err := v.withConfig(removed)
+	require.NoError(t, err)
+	require.Len(t, next.Classes, 2)
+	require.Contains(t, next.Classes, "c")
+	require.Contains(t, v.Classes, "b", "views aren't changed")
+
+	d, err := newView().withDirectory(&wire.DirectoryUpdate{
+		Version: 5, Full: true,
+		Agents:  []*wire.AgentRecord{{Agent: "x"}, {Agent: "y"}},
+		Entries: []*wire.EntryRecord{{Entry: "e"}},
+	})
+	require.NoError(t, err)
+	_, err = d.withDirectory(&wire.DirectoryUpdate{Version: 9, Base: 6})
+	require.ErrorIs(t, err, errGap)
+	d2, err := d.withDirectory(&wire.DirectoryUpdate{
+		Version: 9, Base: 5, Removed: []string{"x"}, RemovedEntries: []string{"e"},
+	})
+	require.NoError(t, err)
+	require.Len(t, d2.Agents, 1)
+	require.Empty(t, d2.Entries)
+	same, err := d2.withDirectory(&wire.DirectoryUpdate{Version: 8, Full: true})
+	require.NoError(t, err)
+	require.Same(t, d2, same)
+	full, err := d2.withDirectory(&wire.DirectoryUpdate{Version: 10, Full: true})
+	require.NoError(t, err)
+	require.Empty(t, full.Agents, "a full update replaces everything")
+}
