dev: the whole path in one process, thin

Cause: a bare go-faster Wrap(nil) is an error, so dev refused to start; a control instance without replicas in its settings never bootstraps.

--- a/cmd/carawaypitch/class.go
+++ b/cmd/carawaypitch/class.go
@@ -176,7 +176,10 @@
 func (c *classCommand) version(ctx context.Context, client *operator.Client) (uint64, error) {
 	if c.ifMatch != "" {
 		version, err := strconv.ParseUint(c.ifMatch, 10, 64)
-		return version, errors.Wrap(err, "-if-match")
+		if err != nil {
+			return 0, errors.Wrap(err, "-if-match")
+		}
+		return version, nil
 	}
 	classes, err := client.Classes(ctx)
 	return classes.Version, err
--- a/cmd/carawaypitch/digest.go
+++ b/cmd/carawaypitch/digest.go
@@ -33,10 +33,11 @@
 func (*digestCommand) SetFlags(*flag.FlagSet) {}
 
 func (*digestCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	line, err := bufio.NewReader(os.Stdin).ReadString('\n')
+	// A key without a newline behind it is whole too, so the end of the input is no error of its own.
+	line, _ := bufio.NewReader(os.Stdin).ReadString('\n')
 	key := strings.TrimSpace(line)
 	if key == "" {
-		return exit(errors.Wrap(err, "no key on standard input"))
+		return exit(errors.New("no key on standard input"))
 	}
 	fmt.Println(settings.NewDigest(key, settings.NewSalt()))
 	return subcommands.ExitSuccess
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -112,6 +112,7 @@
 	s.Instance = "control-1"
 	s.AvailabilityZone = zone(0)
 	s.Listen = settings.ControlListen{Operators: d.options.Control, Links: loopback}
+	s.Replicas = []settings.Replica{{Instance: s.Instance, Address: loopback}}
 	s.Bootstrap = true
 	s.DataDir = d.options.DataDir
 	s.Operators = []settings.OperatorAccount{{
@@ -192,7 +193,10 @@
 	s.Advertise = loopback
 	s.Controls = []string{controls}
 	a, err := agent.New(s, agent.Options{Log: d.log})
-	return a, errors.Wrap(err, "agent")
+	if err != nil {
+		return nil, errors.Wrap(err, "agent")
+	}
+	return a, nil
 }
 
 func (d *Dev) startEntries(controls string) error {
