--- a/control/leader.go
+++ b/control/leader.go
@@ -18,6 +18,7 @@
 	// platform. It then has heard nobody, whoever was alive.
 	leaderPause    = 3 * time.Second
 	expiryInterval = 10 * time.Second
+	expiryBatches  = 16
 	orderInterval  = 2 * time.Second
 	orderResults   = 256
 	placements     = 16
@@ -36,7 +37,9 @@
 	since     time.Time // from when on silence counts
 	lastRound time.Time
 	expired   time.Time
-	ordered   time.Time
+	// leftRecords is how many records there were before the last expiry.
+	leftRecords int
+	ordered     time.Time
 }
 
 func newLeader(c *Control) *leader {
@@ -195,25 +198,40 @@
 	return time.Since(heard) > bound
 }
 
-// expire forgets old records of keyed requests, and younger ones when there are many.
+// expire forgets old records of keyed requests, and younger ones when there are many. One round ends a bounded number
+// of batches, so that the duty's other steps come to their turn.
 func (l *leader) expire(ctx context.Context) error {
-	if time.Since(l.expired) < expiryInterval {
-		return nil
+	for range expiryBatches {
+		before, due := l.expiryDue()
+		if !due {
+			return nil
+		}
+		_, err := l.propose(ctx, &wire.Command{Kind: &wire.Command_ExpireOperations{ExpireOperations: &wire.ExpireOperations{
+			BeforeUnixMs: before,
+			Limit:        state.MaxExpiryBatch,
+		}}})
+		if err != nil {
+			return err
+		}
 	}
-	l.expired = time.Now()
-	before := uint64(time.Now().Add(-l.control.settings.Timing.KeyRecords).UnixMilli())
-	due := false
+	return nil
+}
+
+// expiryDue returns the time before which records should expire, and whether there are such records. Records that may
+// not expire yet stay due; they are looked at again after the interval only.
+func (l *leader) expiryDue() (before uint64, due bool) {
+	before = uint64(time.Now().Add(-l.control.settings.Timing.KeyRecords).UnixMilli())
+	var counts state.Counts
 	l.control.machine.read(func(s *state.State) {
 		before = max(before, s.CrowdedBefore())
-		oldest := s.Counts().OldestUnixMS
-		due = oldest != 0 && oldest < before
+		counts = s.Counts()
 	})
-	if !due {
-		return nil
+	if counts.OldestUnixMS == 0 || counts.OldestUnixMS >= before {
+		return before, false
 	}
-	_, err := l.propose(ctx, &wire.Command{Kind: &wire.Command_ExpireOperations{ExpireOperations: &wire.ExpireOperations{
-		BeforeUnixMs: before,
-		Limit:        state.MaxExpiryBatch,
-	}}})
-	return err
+	if counts.Operations == l.leftRecords && time.Since(l.expired) < expiryInterval {
+		return before, false
+	}
+	l.leftRecords, l.expired = counts.Operations, time.Now()
+	return before, true
 }
--- a/control/sessions_test.go
+++ b/control/sessions_test.go
@@ -255,3 +255,30 @@
 		require.Equal(t, wire.BeginOutcome_BEGIN_OUTCOME_UNKNOWN, begin(other, "entry-2", "r3").GetBegin())
 	})
 }
+
+func TestOldRecordsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, gateCheck())
+		c.nodes[0].settings.Timing.KeyRecords = time.Minute
+		c.startAll()
+		defer c.stopAll()
+		entry, _, stop := c.clients()
+		defer stop()
+		propose := func(cmd *wire.Command) *wire.CommandResult {
+			res, err := entry.Propose(t.Context(), cmd)
+			require.NoError(t, err)
+			return res
+		}
+		begin := &wire.Command{Kind: &wire.Command_BeginOperation{BeginOperation: &wire.BeginOperation{
+			Organisation: "union", Key: "k", Digest: []byte("d"), Entry: "entry-1", EntryIncarnation: 1, Request: "r",
+		}}}
+		require.Equal(t, wire.BeginOutcome_BEGIN_OUTCOME_BEGUN, propose(begin).GetBegin())
+		propose(&wire.Command{Kind: &wire.Command_CompleteOperation{CompleteOperation: &wire.CompleteOperation{
+			Organisation: "union", Key: "k", Request: "r", Epoch: 1, Answer: &wire.Answer{Status: 200},
+		}}})
+		time.Sleep(30 * time.Second)
+		require.Equal(t, wire.BeginOutcome_BEGIN_OUTCOME_DONE, propose(begin).GetBegin())
+		time.Sleep(time.Minute)
+		require.Equal(t, uint32(result.KeyTooOld), propose(begin).GetCode())
+	})
+}
--- a/state/begin.go
+++ b/state/begin.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"bytes"
+
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -21,7 +23,7 @@
 	if op == nil {
 		return s.newOperation(cmd)
 	}
-	if op.digest != string(cmd.GetDigest()) {
+	if !bytes.Equal(op.digest, cmd.GetDigest()) {
 		return refuse(result.KeyReusedWithOtherBody, "")
 	}
 	return s.joinOperation(op, cmd)
@@ -63,7 +65,7 @@
 	}
 	op := &operation{
 		key:        operationKey{intern(cmd.GetOrganisation()), cmd.GetKey()},
-		digest:     string(cmd.GetDigest()),
+		digest:     bytes.Clone(cmd.GetDigest()),
 		class:      intern(cmd.GetClass()),
 		repeatable: cmd.GetRepeatable(),
 		state:      wire.OperationState_OPERATION_STATE_OPEN,
--- a/state/expire.go
+++ b/state/expire.go
@@ -82,14 +82,27 @@
 	return op.begunMS + 1
 }
 
-// addDigests merges digests into the sorted ones.
-func (o *operationSet) addDigests(digests []uint64) {
-	if len(digests) == 0 {
-		return
+// addDigests merges new digests into the sorted ones, from the back, so that each of the many old ones moves once.
+func (o *operationSet) addDigests(added []uint64) {
+	slices.Sort(added)
+	added = slices.Compact(added)
+	added = slices.DeleteFunc(added, o.isExpired)
+	i := len(o.expired) - 1
+	o.expired = append(o.expired, added...)
+	for to, j := len(o.expired)-1, len(added)-1; j >= 0; to-- {
+		if i >= 0 && o.expired[i] > added[j] {
+			o.expired[to] = o.expired[i]
+			i--
+		} else {
+			o.expired[to] = added[j]
+			j--
+		}
 	}
-	o.expired = append(o.expired, digests...)
-	slices.Sort(o.expired)
-	o.expired = slices.Compact(o.expired)
+}
+
+func (o *operationSet) isExpired(digest uint64) bool {
+	_, found := slices.BinarySearch(o.expired, digest)
+	return found
 }
 
 // mayHaveExpired tells whether a key without a record may have had one that mattered. It may be wrong about a key
@@ -99,8 +112,7 @@
 	if ms, ok := keyTime(key); ok && ms < o.expiredBefore {
 		return true
 	}
-	_, found := slices.BinarySearch(o.expired, keyDigest(organisation, key))
-	return found
+	return o.isExpired(keyDigest(organisation, key))
 }
 
 // keyDigest is the digest of an expired key. The length in front keeps ("a", "bc") apart from ("ab", "c").
--- a/state/operations.go
+++ b/state/operations.go
@@ -12,7 +12,7 @@
 	prev, next *operation // by the time of begin
 
 	key        operationKey
-	digest     string
+	digest     []byte
 	class      string
 	repeatable bool
 
@@ -75,29 +75,34 @@
 
 // record returns the record as it goes over the wire.
 func (op *operation) record() *wire.Operation {
-	return &wire.Operation{
-		Organisation:     op.key.organisation,
-		Key:              op.key.key,
-		Digest:           []byte(op.digest),
-		Class:            op.class,
-		Repeatable:       op.repeatable,
-		State:            op.state,
-		Owner:            op.entry,
-		OwnerIncarnation: op.inc,
-		Request:          op.request,
-		Epoch:            op.epoch,
-		Candidates:       op.candidates,
-		Earlier:          op.earlier,
-		Answer:           op.answer,
-		BegunUnixMs:      op.begunMS,
-		EndedUnixMs:      op.endedMS,
-	}
+	r := new(wire.Operation)
+	op.fill(r)
+	return r
+}
+
+// fill sets the fields of an empty record.
+func (op *operation) fill(r *wire.Operation) {
+	r.Organisation = op.key.organisation
+	r.Key = op.key.key
+	r.Digest = op.digest
+	r.Class = op.class
+	r.Repeatable = op.repeatable
+	r.State = op.state
+	r.Owner = op.entry
+	r.OwnerIncarnation = op.inc
+	r.Request = op.request
+	r.Epoch = op.epoch
+	r.Candidates = op.candidates
+	r.Earlier = op.earlier
+	r.Answer = op.answer
+	r.BegunUnixMs = op.begunMS
+	r.EndedUnixMs = op.endedMS
 }
 
 func operationOf(r *wire.Operation) *operation {
 	return &operation{
 		key:        operationKey{r.GetOrganisation(), r.GetKey()},
-		digest:     string(r.GetDigest()),
+		digest:     r.GetDigest(),
 		class:      intern(r.GetClass()),
 		repeatable: r.GetRepeatable(),
 		state:      r.GetState(),
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -70,9 +70,12 @@
 }
 
 func (o *operationSet) records() []*wire.Operation {
+	slab := make([]wire.Operation, len(o.byKey)) // one allocation: there may be hundreds of thousands
 	list := make([]*wire.Operation, 0, len(o.byKey))
 	for op := o.first; op != nil; op = op.next {
-		list = append(list, op.record())
+		r := &slab[len(list)]
+		op.fill(r)
+		list = append(list, r)
 	}
 	return list
 }
