experiment: bench runs policies side by side on the same requests

Experiment files with their checks, a seeded open-loop generator, a fabric of delays, deaths and cuts over loopback TCP, a fresh deployment for each run, capacity and the full-knowledge bound, report as table, JSON and page.

--- /dev/null
+++ b/experiment/plan/plan.go
@@ -0,0 +1,230 @@
+// Package plan reads and checks experiment files: the deployment, the mix of requests, the scenarios with their load
+// and faults, and the policies to compare.
+package plan
+
+import (
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/settings"
+)
+
+// Plan is a checked experiment file.
+type Plan struct {
+	// Name of the experiment.
+	Name string `json:"name"`
+	// Seed decides arrivals, bodies, faults and gaps.
+	Seed uint64 `json:"seed"`
+	// WarmUp is the time at the start of each run that is left out of the report.
+	WarmUp Duration `json:"warm_up"`
+	// Measured is the time after it; requests that arrive in it are reported.
+	Measured Duration `json:"measured"`
+	// CoolDown is how long arrivals go on after it, so that its last requests meet the same load.
+	CoolDown Duration `json:"cool_down"`
+	// Drain bounds the wait for answers after the last arrival.
+	Drain Duration `json:"drain"`
+	// MaxLateness is the 99th percentile of the generator's own lateness above which a run is invalid.
+	MaxLateness Duration `json:"max_lateness"`
+	// ShareWindow is the length of the windows over which organisations are compared.
+	ShareWindow Duration `json:"share_window"`
+	// MaxRequests bounds the requests of one run.
+	MaxRequests int `json:"max_requests"`
+
+	Zones         []string         `json:"zones"`
+	Delays        Delays           `json:"delays"`
+	Controls      int              `json:"controls"` // control instances, one for each zone in turn
+	Entries       []Entry          `json:"entries"`
+	Servers       []Servers        `json:"servers"`
+	Classes       []settings.Class `json:"classes"`
+	Organisations []Organisation   `json:"organisations"`
+	Mix           []Work           `json:"mix"`
+	Scenarios     []Scenario       `json:"scenarios"`
+	Policies      []Policy         `json:"policies"`
+	// TuneScenario is the scenario under which the policies' values in Tried are compared.
+	TuneScenario string `json:"tune_scenario"`
+	// Goals are what scenarios with goals are judged by.
+	Goals Goals `json:"goals"`
+}
+
+// Goals are the figures that ours is to reach. Zero values take the defaults.
+type Goals struct {
+	// FirstTierGood is the least share of first-tier requests answered in time.
+	FirstTierGood float64 `json:"first_tier_good"`
+	// OfBound is the least total goodput as a part of the full-knowledge bound.
+	OfBound float64 `json:"of_bound"`
+	// Wasted is the largest share of computed prompt tokens that is wasted, WastedOfBest the largest part of the best
+	// baseline's share.
+	Wasted       float64 `json:"wasted"`
+	WastedOfBest float64 `json:"wasted_of_best"`
+	// Spread is the largest difference of organisations with the same demand.
+	Spread float64 `json:"spread"`
+}
+
+// GoalKind says which goals a scenario is judged by.
+type GoalKind string
+
+// The kinds.
+const (
+	GoalsOverload  GoalKind = "overload"
+	GoalsUnderload GoalKind = "underload"
+)
+
+// Delays are one-way network delays.
+type Delays struct {
+	WithinZone   Duration `json:"within_zone"`
+	BetweenZones Duration `json:"between_zones"`
+	Clients      Duration `json:"clients"` // between callers and entries
+}
+
+// Entry is an entry instance.
+type Entry struct {
+	Zone string `json:"zone"`
+}
+
+// Servers are backend servers of one kind and speed, spread over the zones in turn.
+type Servers struct {
+	// Name is the prefix of their names, a number follows.
+	Name  string `json:"name"`
+	Count int    `json:"count"`
+	// Kind is "model" or "service"; Serves is the model or service.
+	Kind   string `json:"kind"`
+	Serves string `json:"serves"`
+	Slots  int    `json:"slots"`
+
+	PrefillTokensPerS float64  `json:"prefill_tokens_per_s"`
+	DecodePace        Duration `json:"decode_pace"`
+	DecodeSlope       Duration `json:"decode_slope"`
+	KVTokens          int      `json:"kv_tokens"`
+	CacheBlocks       int      `json:"cache_blocks"`
+
+	ServiceTime   Duration `json:"service_time"`
+	ServiceJitter float64  `json:"service_jitter"`
+
+	// LoadLag and CacheLag are the ages of load reports and cache events, CacheGap the share of events that is lost.
+	LoadLag  Duration `json:"load_lag"`
+	CacheLag Duration `json:"cache_lag"`
+	CacheGap float64  `json:"cache_gap"`
+	// IgnoresFence makes them obey orders that carry an old fence number.
+	IgnoresFence bool `json:"ignores_fence"`
+}
+
+// Organisation is a member of the consortium.
+type Organisation struct {
+	Name string `json:"name"`
+	// Demand is its part of all requests, relative to the others. Organisations with the same demand ask for exactly the
+	// same lengths and classes, at times of their own.
+	Demand float64 `json:"demand"`
+	// Entries are the numbers, from 1, of the entries that its callers use in turn.
+	Entries []int `json:"entries"`
+}
+
+// Work is one kind of request.
+type Work struct {
+	Class string `json:"class"`
+	// Path is what is called: "/v1/chat/completions", "/v1/completions" or "/v1/services/{service}/{path}".
+	Path string `json:"path"`
+	// Share is its part of the requests of its pool, relative to the others.
+	Share float64 `json:"share"`
+	// PromptTokens and OutputTokens are the lengths; of a service call PromptTokens is the length of its body.
+	PromptTokens Range `json:"prompt_tokens"`
+	OutputTokens Range `json:"output_tokens"`
+	// Prefixes is the number of different prompt beginnings, PrefixTokens their length; 0 for none.
+	Prefixes     int `json:"prefixes"`
+	PrefixTokens int `json:"prefix_tokens"`
+	// Streaming and Keyed are the shares of requests that stream and that carry an Idempotency-Key.
+	Streaming float64 `json:"streaming"`
+	Keyed     float64 `json:"keyed"`
+}
+
+// Range is a log-uniform distribution of whole numbers, so that lengths a hundredfold apart are equally likely per
+// doubling.
+type Range struct {
+	Min int `json:"min"`
+	Max int `json:"max"`
+}
+
+// Scenario is one load with its faults.
+type Scenario struct {
+	Name string `json:"name"`
+	// Load is the arrival rate as a multiple of each pool's capacity.
+	Load float64 `json:"load"`
+	// Burst multiplies the load for a while.
+	Burst *Burst `json:"burst"`
+	// Faults come at times after the end of the warm-up.
+	Faults []Fault `json:"faults"`
+	// Goals is "overload", "underload" or empty.
+	Goals GoalKind `json:"goals"`
+}
+
+// Burst multiplies the load between At and At+For after the end of the warm-up.
+type Burst struct {
+	At    Duration `json:"at"`
+	For   Duration `json:"for"`
+	Times float64  `json:"times"`
+}
+
+// FaultKind names a fault.
+type FaultKind string
+
+// The faults.
+const (
+	// Straggler makes backend server Target slower by Factor.
+	Straggler FaultKind = "straggler"
+	// EngineCrash kills backend server Target, which comes back after For.
+	EngineCrash FaultKind = "engine_crash"
+	// AgentDeath kills the agent of backend server Target; another is started after For.
+	AgentDeath FaultKind = "agent_death"
+	// EntryDeath kills entry number Entry; another is started after For.
+	EntryDeath FaultKind = "entry_death"
+	// ServerLeave lets backend server Target leave gracefully and stay away.
+	ServerLeave FaultKind = "server_leave"
+	// CacheEvents loses the share Factor of all cache events.
+	CacheEvents FaultKind = "cache_events"
+	// ControlCut cuts the control leader off from all others, silently.
+	ControlCut FaultKind = "control_cut"
+)
+
+// Fault is something that fails at a time.
+type Fault struct {
+	Kind FaultKind `json:"kind"`
+	At   Duration  `json:"at"`
+	// For is how long it lasts; zero until the end of the run.
+	For    Duration `json:"for"`
+	Target string   `json:"target"`
+	Entry  int      `json:"entry"`
+	Factor float64  `json:"factor"`
+}
+
+// Policy is one policy to run.
+type Policy struct {
+	// Policy is "targets", "round_robin", "least_load" or "random_fifo".
+	Policy string `json:"policy"`
+	// MaxOutstanding is a baseline's one knob: the attempts of one entry at one server; 0 for the default.
+	MaxOutstanding int `json:"max_outstanding"`
+	// Tried are the values that -tune compares.
+	Tried []int `json:"tried"`
+}
+
+// Length is how long a run takes requests.
+func (p *Plan) Length() time.Duration {
+	return p.WarmUp.Std() + p.Measured.Std() + p.CoolDown.Std()
+}
+
+// Class returns the class of that name, nil for none.
+func (p *Plan) Class(name string) *settings.Class {
+	for i := range p.Classes {
+		if p.Classes[i].Name == name {
+			return &p.Classes[i]
+		}
+	}
+	return nil
+}
+
+// Scenario returns the scenario of that name, nil for none.
+func (p *Plan) Scenario(name string) *Scenario {
+	for i := range p.Scenarios {
+		if p.Scenarios[i].Name == name {
+			return &p.Scenarios[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/experiment/violations.go
@@ -0,0 +1,49 @@
+package experiment
+
+import (
+	"fmt"
+
+	"github.com/carawaypitch/carawaypitch/experiment/load"
+)
+
+// maxNamed bounds how many violations of a kind are named.
+const maxNamed = 5
+
+// violations looks for broken promises that single answers don't show.
+func (o *one) violations(outcomes []*load.Outcome) []string {
+	var found []string
+	if count, names := o.deployment.Ledger().Overlaps(); count > 0 {
+		found = append(found, fmt.Sprintf("%d overlaps: a request ran on two engines at a time: %v", count, names))
+	}
+	found = append(found, o.doubleRuns(outcomes)...)
+	return append(found, o.falseRefusals(outcomes)...)
+}
+
+// doubleRuns looks for work that may not be repeated and ran more than once.
+func (o *one) doubleRuns(outcomes []*load.Outcome) []string {
+	var found []string
+	runs := o.deployment.Runs()
+	for _, outcome := range outcomes {
+		a := outcome.Arrival
+		if count := runs[a.Key]; a.Key != "" && !a.Class.Repeatable && count > 1 && len(found) < maxNamed {
+			found = append(found, fmt.Sprintf("request %d (%s) ran %d times", a.Number, a.Class.Name, count))
+		}
+	}
+	return found
+}
+
+// falseRefusals looks for requests that ran though their callers were told that they didn't.
+func (o *one) falseRefusals(outcomes []*load.Outcome) []string {
+	started := map[string]bool{}
+	for id := range o.deployment.Ledger().Starts() {
+		started[id.Request()] = true
+	}
+	var found []string
+	for _, outcome := range outcomes {
+		if outcome.Fate == load.Refused && started[outcome.RequestID] && len(found) < maxNamed {
+			found = append(found, fmt.Sprintf("request %d (%s, %s): the caller heard %s, ran \"no\", but it was started",
+				outcome.Arrival.Number, outcome.Arrival.Class.Name, outcome.RequestID, outcome.Name))
+		}
+	}
+	return found
+}
