--- a/agent/doc.go
+++ b/agent/doc.go
@@ -7,18 +7,21 @@
 //   - HTTP: announcements, leaves and what the platform asks (http*.go);
 //   - links: messages of entries (entries.go);
 //   - for each backend server a gate duty, which alone touches that server's gate.Gate (server*.go), a prober
-//     (probe.go), and one goroutine for each attempt that runs on the engine (run.go);
-//   - the session with control and what follows from it: the directory record (directory.go), orders (orders.go),
-//     outcomes of operations whose entry is gone (report.go).
+//     (probe.go), and one goroutine for each attempt that runs on the engine (run*.go);
+//   - the session with control and what follows from it: the directory record (control.go), orders (orders.go,
+//     order_call.go, fence.go), outcomes of operations whose entry is gone (report.go);
+//   - release and stop (release.go, stop.go).
 //
 // A gate duty never waits: what it has to do elsewhere goes to a goroutine or a bounded ring, and what comes back
 // arrives on its own ring.
 //
 // # Restart
 //
-// A new incarnation first lists and cancels every stream on the engine of an announced server, and repeats it until
-// the engine confirms. Only then it registers the server, says hello to entries and admits work. So a directory
-// record or a Room of a model server, under a newer incarnation of its agent, proves that all attempts of earlier
-// incarnations on that server are over. For a plain service it proves nothing: a service has no list of its calls and
-// can't cancel them.
+// A new incarnation first lets the gates of all announced servers list and cancel what their engines run, until the
+// engines confirm that nothing is left. Only then it registers with control, says hello to entries and admits work, so
+// that entries may take a newer incarnation for the proof that the attempts of older ones are over. Two limits:
+//
+//   - A server that runs attempts of an earlier incarnation and doesn't announce itself within announceWindow is not
+//     waited for. Where one agent serves one server there is no such case: without an announcement nothing is shown.
+//   - A plain service has no list of its calls and can't cancel them. Its gate only waits for a while.
 package agent
