control: a first voter with an empty disk begins the group that a peer began

Cause: at a first start of three, the instance that first knew all disks to be empty began the group; the others heard has_group before they heard of each other and waited to be added, by a leader whom nobody could elect. Found by the process tests: 2 of 4 starts of three processes never had a leader. Before: TestFirstVotersBeginTheGroupThatAPeerBegan fails (no leader in a minute of fake time). After: passes. Ruled out: lost hellos, election timers. Conclusion: hellos carry the first voters; a replica among them with its present disk has promised nothing, so beginning the same group is safe. A wiped disk has another identity and still waits.

--- a/control/replication.go
+++ b/control/replication.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -79,17 +80,21 @@
 }
 
 // firstVoters returns the voters of a new group once all peers are known to be empty; nil, and true, once one of them
-// is known to have a group.
+// is known to have a group that this replica isn't a first voter of.
+//
+// The peers don't hear of each other's empty disks at the same moment. One that began the group shows it at once; were
+// the others to take that for a group of which they know nothing, they would wait to be added, by a leader whom it
+// can't elect without them. A first voter whose disk is empty has promised nothing, so it begins the same group.
 func (c *Control) firstVoters() (voters []replica.Member, decided bool) {
 	missing := false
 	for _, r := range c.settings.Replicas {
 		if r.Instance == c.settings.Instance {
-			voters = append(voters, replica.Member{ID: c.replica.ID(), Address: c.advertise(), Voter: true})
+			voters = append(voters, replica.Member{ID: c.replica.ID(), Address: c.firstAddress(r.Address), Voter: true})
 			continue
 		}
 		hello := c.peers.hello(r.Instance)
 		if hello.GetHasGroup() {
-			return nil, true
+			return c.begunWith(hello), true
 		}
 		missing = missing || hello == nil
 		voters = append(voters, replica.Member{ID: quorum.ID(hello.GetReplica()), Address: r.Address, Voter: true})
@@ -97,6 +102,31 @@
 	return voters, !missing
 }
 
+// firstAddress is this replica's address in the group's first entry, which must be the same at all voters: the one
+// that all settings list. Port 0 is a group of one on a free port.
+func (c *Control) firstAddress(listed string) string {
+	_, port, err := net.SplitHostPort(listed)
+	if err != nil || port == "0" {
+		return c.advertise()
+	}
+	return listed
+}
+
+// begunWith returns the first voters of a peer's group if this replica, with its present disk, is one of them.
+func (c *Control) begunWith(hello *wire.ReplicaHello) []replica.Member {
+	var voters []replica.Member
+	included := false
+	for _, v := range hello.GetFirstVoters() {
+		id := quorum.ID(v.GetReplica())
+		included = included || id == c.replica.ID()
+		voters = append(voters, replica.Member{ID: id, Address: v.GetAddress(), Voter: true})
+	}
+	if !included {
+		return nil
+	}
+	return voters
+}
+
 func (c *Control) hasGroup() bool {
 	return len(c.replica.Status().Members) > 0
 }
@@ -111,10 +141,14 @@
 }
 
 func (c *Control) replicaHello() *wire.ReplicaHello {
-	return &wire.ReplicaHello{
+	hello := &wire.ReplicaHello{
 		Instance:    c.settings.Instance,
 		Replica:     string(c.replica.ID()),
 		LinkAddress: c.advertise(),
 		HasGroup:    c.hasGroup(),
 	}
+	for _, v := range c.replica.FirstVoters() {
+		hello.FirstVoters = append(hello.FirstVoters, &wire.FirstVoter{Replica: string(v.ID), Address: v.Address})
+	}
+	return hello
 }
--- a/quorum/replica/replica.go
+++ b/quorum/replica/replica.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 	"github.com/oklog/run"
+	"google.golang.org/protobuf/proto"
 )
 
 // Replica is one member of a group.
@@ -23,8 +24,9 @@
 
 	// mu guards node. The core holds it for one step at a time and never
 	// while it waits; Status takes it in between.
-	mu   sync.Mutex
-	node *quorum.Node
+	mu    sync.Mutex
+	node  *quorum.Node
+	first []Member // see FirstVoters
 
 	inbox     chan *quorumpb.Message
 	proposals chan *request
@@ -130,7 +132,33 @@
 	}
 	r.node = node
 	r.core = newCore(r)
-	return nil
+	r.first, err = firstVoters(state.Entries)
+	return err
+}
+
+// firstVoters reads the voters of the group's first entry, or returns nil if
+// the log doesn't reach back to it.
+func firstVoters(entries []*quorumpb.Entry) ([]Member, error) {
+	if len(entries) == 0 || entries[0].GetIndex() != 1 {
+		return nil, nil
+	}
+	var m quorumpb.Membership
+	if err := proto.Unmarshal(entries[0].GetData(), &m); err != nil {
+		return nil, errors.Wrap(err, "replica: first entry")
+	}
+	var voters []Member
+	for _, member := range m.GetMembers() {
+		voters = append(voters, Member{ID: quorum.ID(member.GetId()), Address: member.GetAddress(), Voter: true})
+	}
+	return voters, nil
+}
+
+// FirstVoters returns the voters that the group began with, or nil if the log
+// held none or was compacted when the replica was opened.
+func (r *Replica) FirstVoters() []Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.first
 }
 
 // idSeed makes the election timeouts of replicas with equal seeds differ.
