agent: an operator's drain comes with the directory; not ready while all servers leave

Cause: control marks a server that an operator drained in the directory and gives no order for it, so its agent never drained it. A server that came back must not be taken for one that was drained because the directory is late.

--- a/agent/control.go
+++ b/agent/control.go
@@ -74,6 +74,7 @@
 		}
 	})
 	incarnations := entryIncarnations{}
+	drains := drainWatch{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -81,9 +82,14 @@
 		case <-a.viewChanged:
 		}
 		view := a.session.View()
-		if view.Agents[a.settings.Instance].GetIncarnation() > a.incarnation {
+		own := view.Agents[a.settings.Instance]
+		if own.GetIncarnation() > a.incarnation {
 			return ErrSuperseded
 		}
+		if own.GetIncarnation() < a.incarnation {
+			own = nil
+		}
+		a.drainServers(ctx, drains.update(own))
 		a.endEntries(ctx, incarnations.update(view.Entries))
 	}
 }
--- /dev/null
+++ b/agent/drain.go
@@ -0,0 +1,41 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// drainWatch finds in the committed directory which servers of this agent an operator drained. Control marks such a
+// server as draining although its agent registered it as ready.
+//
+// Only a change to draining counts. A server that left and came back is still draining in the directory until its new
+// registration is committed; taken by itself that would drain it again.
+type drainWatch struct {
+	conditions map[string]wire.ServerCondition // of the last directory, by server
+}
+
+// update takes this agent's record, nil if the directory has none of this incarnation, and returns the servers that
+// are draining in it and weren't before.
+func (d *drainWatch) update(record *wire.AgentRecord) []string {
+	conditions := make(map[string]wire.ServerCondition, len(record.GetServers()))
+	var drained []string
+	for _, server := range record.GetServers() {
+		name, condition := server.GetServer(), server.GetCondition()
+		conditions[name] = condition
+		if condition == wire.ServerCondition_SERVER_CONDITION_DRAINING && d.conditions[name] != condition {
+			drained = append(drained, name)
+		}
+	}
+	d.conditions = conditions
+	return drained
+}
+
+// drainServers lets servers leave that don't already.
+func (a *Agent) drainServers(ctx context.Context, names []string) {
+	for _, name := range names {
+		if s := a.servers.get(name); s != nil && !s.view.Load().leaving {
+			_ = s.leave(ctx, "operator")
+		}
+	}
+}
--- a/agent/http_platform.go
+++ b/agent/http_platform.go
@@ -38,7 +38,7 @@
 	for _, s := range a.servers.all() {
 		view := s.view.Load()
 		switch {
-		case !view.announced() || view.gone():
+		case !view.announced() || view.gone() || view.leaving:
 		case !view.recovered:
 			return result.New(result.Starting, "backend server %s: streams of an earlier incarnation are being cancelled", s.name)
 		default:
@@ -46,7 +46,7 @@
 		}
 	}
 	if !working {
-		return result.New(result.NoServer, "no backend server announces itself")
+		return result.New(result.NoServer, "no backend server announces itself, or all are leaving")
 	}
 	if err := a.session.Ready(); err != nil {
 		return result.From(err)
--- a/agent/leave_test.go
+++ b/agent/leave_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/engine/standin"
+	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -37,6 +39,8 @@
 		over := entry.awaitOver("r2", 1)
 		assert.Equal(t, wire.Proof_PROOF_NEVER_STARTED, over.GetProof())
 		time.Sleep(5 * time.Second)
+		status, _ := w.call("GET", "/readyz", nil)
+		assert.Equal(t, 503, status)
 		commits := w.control.setCount()
 		w.askToLeave()
 		time.Sleep(time.Second)
@@ -76,6 +80,49 @@
 	})
 }
 
+// directoryView is a committed directory that has server-1 of this agent in a condition.
+func (w *world) directoryView(condition wire.ServerCondition) *session.View {
+	return &session.View{ConfigVersion: 1, Agents: map[string]*wire.AgentRecord{"agent-1": {
+		Agent:       "agent-1",
+		Incarnation: w.agent.incarnation,
+		Servers:     []*wire.ServerRecord{{Server: "server-1", Condition: condition}},
+	}}}
+}
+
+// Symptom: a server that an operator drained keeps its streams' slots and is never reported as drained; or one that
+// came back is drained again.
+// Sequence: control marks the server as draining in the directory and gives no order; or a server left and came back,
+// and the directory that says so is late.
+// Cause: the agent didn't look at its own record in the directory, or took an old one for the operator's wish.
+func TestOperatorsDrainComesWithTheDirectory(t *testing.T) {
+	modelWorld(t, func(w *world, _ *standin.Server, _ *fakeEntry) {
+		view := func() *serverView { return w.agent.servers.get("server-1").view.Load() }
+		draining := w.directoryView(wire.ServerCondition_SERVER_CONDITION_DRAINING)
+		w.askToLeave()
+		w.control.setView(draining)
+		w.until("drained", func() bool { return view().drained })
+		w.leaveState()
+		w.ready()
+		w.until("back", func() bool { return !view().leaving })
+		w.control.setView(draining)
+		time.Sleep(time.Second)
+		assert.False(t, view().leaving, "that was the server's own leave")
+		earlier := w.directoryView(wire.ServerCondition_SERVER_CONDITION_READY)
+		w.control.setView(earlier)
+		synctest.Wait()
+		earlier = w.directoryView(wire.ServerCondition_SERVER_CONDITION_DRAINING)
+		earlier.Agents["agent-1"].Incarnation--
+		w.control.setView(earlier)
+		time.Sleep(time.Second)
+		assert.False(t, view().leaving, "that is what an earlier incarnation registered")
+
+		w.control.setView(w.directoryView(wire.ServerCondition_SERVER_CONDITION_READY))
+		synctest.Wait()
+		w.control.setView(draining)
+		w.until("drained by the operator", func() bool { return view().drained })
+	})
+}
+
 func TestDrainedServerComesBack(t *testing.T) {
 	modelWorld(t, func(w *world, _ *standin.Server, entry *fakeEntry) {
 		w.askToLeave()
