quorum: table tests of every message type

Also cases that removing a guard showed to be untested: rollback of a membership, removal that leaves no quorum, a leader that removes itself, and acknowledgements of entries written in parts.

--- a/quorum/fault_test.go
+++ b/quorum/fault_test.go
@@ -220,6 +220,54 @@
 	require.Equal(t, l.state, wiped.state)
 }
 
+// Symptom, sequence and cause as above, but the identity file came back from a
+// backup without the log, so c answers to its old name.
+func TestEmptyLogDoesNotVote(t *testing.T) {
+	c := newCluster(t, 3, 7)
+	a, b, old := c.replicas[0], c.replicas[1], c.replicas[2]
+	c.lead(a)
+	c.isolate(b.id)
+	c.propose(a, 3)
+	c.heal()
+	old.disk = disk{}
+	c.restart(old)
+	c.crash(a)
+	for range 10 * quorum.DefaultElectionTicks {
+		c.tick()
+	}
+	require.Nil(t, c.leader(), "%s leads with the vote of an empty disk", b.id)
+}
+
+// Symptom: two leaders in one term.
+// Sequence: a candidate's vote for itself is not on disk yet when a majority
+// has elected it; it loses power, forgets the term and votes for another.
+// Cause: the request for votes left, or the own vote counted, too early.
+func TestCandidateAsksAfterItsVoteIsOnDisk(t *testing.T) {
+	c := newCluster(t, 3, 16)
+	a := c.replicas[0]
+	a.slow = true
+	for range 2 * quorum.DefaultElectionTicks {
+		if a.writing == nil {
+			a.node.Tick()
+		}
+		c.settle()
+	}
+	require.NotNil(t, a.writing)
+	require.Equal(t, quorum.RoleCandidate, a.node.Status().Role)
+	require.Equal(t, uint64(1), c.replicas[1].node.Status().Term, "a request left before the vote was on disk")
+	single := newCluster(t, 1, 16)
+	s := single.replicas[0]
+	s.slow = true
+	for range 3 * quorum.DefaultElectionTicks {
+		s.node.Tick()
+		single.settle()
+	}
+	require.Equal(t, quorum.RoleCandidate, s.node.Status().Role, "elected by a vote that is not on disk")
+	single.finish(s, *s.writing)
+	single.settle()
+	require.Equal(t, quorum.RoleLeader, s.node.Status().Role)
+}
+
 // repair replaces a lost replica by a new one on the same instance.
 func (c *cluster) repair(l, old, fresh *replica) {
 	c.change(l, quorum.Change{Kind: quorum.AddLearner, ID: fresh.id})
@@ -299,6 +347,13 @@
 	}
 	l := c.elect()
 	require.NotEqual(t, a.id, l.id)
+	require.Len(t, a.node.Status().Membership.GetMembers(), 3)
+	c.heal()
+	for range quorum.DefaultElectionTicks {
+		c.tick()
+	}
+	require.Len(t, a.node.Status().Membership.GetMembers(), 4, "the overwritten change is still in force")
+	c.isolate(a.id)
 	c.change(l, quorum.Change{Kind: quorum.Remove, ID: a.id})
 	c.propose(l, 3)
 	c.heal()
@@ -400,6 +455,61 @@
 	require.Equal(t, "new", string(f.disk.entries[1].GetData()))
 }
 
+// Symptom: an entry counts as replicated that a power cut takes away.
+// Sequence: a message's entries are written in several parts; power is lost
+// after the first.
+// Cause: the acknowledgement, which names the last entry, left too early.
+func TestAcknowledgedAfterLastPart(t *testing.T) {
+	c := newCluster(t, 3, 17)
+	c.cfg.MaxBatchBytes = 1
+	f := c.replicas[2]
+	c.restart(f)
+	f.slow = true
+	require.NoError(t, f.node.Step(message(appendEntries, 2, &quorumpb.Message{
+		To: string(f.id), Index: 1, IndexTerm: 1, Entries: entries(2, 2, 2, 2),
+	})))
+	c.process(f)
+	for part := range 3 {
+		require.Empty(t, c.network, "acknowledged after %d of 3 parts", part)
+		c.finish(f, *f.writing)
+		c.process(f)
+	}
+	require.Len(t, c.network, 1)
+	require.Equal(t, uint64(4), c.network[0].GetIndex())
+}
+
+// Symptom: a group stands still after an operator removed the wrong replica.
+// Sequence: one of three is down; another one is removed.
+// Cause: the two that are left need each other, and one of them is down.
+func TestRemovalKeepsAQuorum(t *testing.T) {
+	c := newCluster(t, 3, 18)
+	l := c.elect()
+	down := c.replicas[(slices.Index(c.replicas, l)+1)%3]
+	alive := c.replicas[(slices.Index(c.replicas, l)+2)%3]
+	c.crash(down)
+	for range quorum.DefaultElectionTicks {
+		c.tick()
+	}
+	_, err := l.node.ProposeMembership(quorum.Change{Kind: quorum.Remove, ID: alive.id})
+	require.ErrorIs(t, err, quorum.ErrInvalidChange)
+	c.change(l, quorum.Change{Kind: quorum.Remove, ID: down.id})
+	c.propose(l, 1)
+}
+
+// Symptom: a replica that was removed goes on leading.
+// Sequence: the leader is removed from the group.
+// Cause: it does not step down once its removal is committed.
+func TestRemovedLeaderStepsDown(t *testing.T) {
+	c := newCluster(t, 3, 19)
+	l := c.elect()
+	c.change(l, quorum.Change{Kind: quorum.Remove, ID: l.id})
+	require.Equal(t, quorum.RoleFollower, l.node.Status().Role)
+	next := c.elect()
+	require.NotEqual(t, l.id, next.id)
+	c.propose(next, 1)
+	require.Len(t, next.node.Status().Membership.GetMembers(), 2)
+}
+
 func TestTransferLeader(t *testing.T) {
 	c := newCluster(t, 3, 14)
 	l := c.elect()
--- /dev/null
+++ b/quorum/message_test.go
@@ -0,0 +1,209 @@
+package quorum_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaypitch/carawaypitch/quorum"
+	"github.com/carawaypitch/carawaypitch/quorum/quorumpb"
+)
+
+const (
+	preVote        = quorumpb.MessageType_MESSAGE_TYPE_PRE_VOTE
+	preVoteReply   = quorumpb.MessageType_MESSAGE_TYPE_PRE_VOTE_REPLY
+	vote           = quorumpb.MessageType_MESSAGE_TYPE_VOTE
+	voteReply      = quorumpb.MessageType_MESSAGE_TYPE_VOTE_REPLY
+	appendEntries  = quorumpb.MessageType_MESSAGE_TYPE_APPEND
+	appendReply    = quorumpb.MessageType_MESSAGE_TYPE_APPEND_REPLY
+	heartbeat      = quorumpb.MessageType_MESSAGE_TYPE_HEARTBEAT
+	heartbeatReply = quorumpb.MessageType_MESSAGE_TYPE_HEARTBEAT_REPLY
+	snapshot       = quorumpb.MessageType_MESSAGE_TYPE_SNAPSHOT
+	timeoutNow     = quorumpb.MessageType_MESSAGE_TYPE_TIMEOUT_NOW
+)
+
+func entries(first uint64, terms ...uint64) []*quorumpb.Entry {
+	var es []*quorumpb.Entry
+	for i, term := range terms {
+		es = append(es, &quorumpb.Entry{Index: first + uint64(i), Term: term, Data: []byte("x")})
+	}
+	return es
+}
+
+// follower returns replica a of a group of three in term 5 with a log of the
+// terms 1 (the membership), 2, 3, 5. Its leader is b if heard.
+func follower(t *testing.T, heard bool) *quorum.Node {
+	c := newCluster(t, 3, 1)
+	first := c.replicas[0].disk.entries[0]
+	log := append([]*quorumpb.Entry{first}, entries(2, 2, 3, 5)...)
+	n, err := quorum.New(quorum.Config{ID: name(0), Rand: rand.New(rand.NewPCG(1, 1))},
+		&quorumpb.HardState{Term: 5, Commit: 2}, nil, log)
+	require.NoError(t, err)
+	if heard {
+		require.NoError(t, n.Step(message(heartbeat, 5, &quorumpb.Message{})))
+		drain(n)
+	}
+	return n
+}
+
+// message is from b to a unless m says otherwise.
+func message(kind quorumpb.MessageType, term uint64, m *quorumpb.Message) *quorumpb.Message {
+	m = proto.CloneOf(m)
+	m.Type, m.Term = kind, term
+	if m.From == "" {
+		m.From = string(name(1))
+	}
+	if m.To == "" {
+		m.To = string(name(0))
+	}
+	return m
+}
+
+// drain persists and applies everything and returns the messages.
+func drain(n *quorum.Node) []*quorumpb.Message {
+	var out []*quorumpb.Message
+	for b, ok := n.Ready(); ok; b, ok = n.Ready() {
+		out = append(append(out, b.Early...), b.Messages...)
+		n.Advance(b)
+		if len(b.Committed) > 0 {
+			n.AppliedTo(b.Committed[len(b.Committed)-1].GetIndex())
+		}
+	}
+	return out
+}
+
+func TestFollowerAnswers(t *testing.T) {
+	meta := &quorumpb.SnapshotMeta{Index: 9, Term: 5, Membership: &quorumpb.Membership{Group: "group"}}
+	cases := []struct {
+		name string
+		// unheard followers know of no leader.
+		unheard bool
+		in      *quorumpb.Message
+		// want is nil where no answer may come.
+		want       *quorumpb.Message
+		term, last uint64
+	}{
+		{"pre-vote, newer log", true, message(preVote, 6, &quorumpb.Message{Index: 4, IndexTerm: 5}), message(preVoteReply, 6, &quorumpb.Message{}), 5, 4},
+		{"pre-vote, shorter log", true, message(preVote, 6, &quorumpb.Message{Index: 3, IndexTerm: 5}), message(preVoteReply, 5, &quorumpb.Message{Reject: true}), 5, 4},
+		{"pre-vote, longer log of an older term", true, message(preVote, 6, &quorumpb.Message{Index: 9, IndexTerm: 4}), message(preVoteReply, 5, &quorumpb.Message{Reject: true}), 5, 4},
+		{"pre-vote, own term", true, message(preVote, 5, &quorumpb.Message{Index: 4, IndexTerm: 5}), message(preVoteReply, 5, &quorumpb.Message{Reject: true}), 5, 4},
+		{"pre-vote while a leader is heard", false, message(preVote, 6, &quorumpb.Message{Index: 4, IndexTerm: 5}), message(preVoteReply, 5, &quorumpb.Message{Reject: true}), 5, 4},
+		{"pre-vote of an older term", true, message(preVote, 4, &quorumpb.Message{Index: 4, IndexTerm: 5}), message(preVoteReply, 5, &quorumpb.Message{Reject: true}), 5, 4},
+		{"vote", true, message(vote, 6, &quorumpb.Message{Index: 4, IndexTerm: 5}), message(voteReply, 6, &quorumpb.Message{}), 6, 4},
+		{"vote, shorter log", true, message(vote, 6, &quorumpb.Message{Index: 3, IndexTerm: 5}), message(voteReply, 6, &quorumpb.Message{Reject: true}), 6, 4},
+		{"vote, longer log of an older term", true, message(vote, 6, &quorumpb.Message{Index: 9, IndexTerm: 3}), message(voteReply, 6, &quorumpb.Message{Reject: true}), 6, 4},
+		{"vote while a leader is heard", false, message(vote, 6, &quorumpb.Message{Index: 4, IndexTerm: 5}), nil, 5, 4},
+		{"vote that the leader asked for", false, message(vote, 6, &quorumpb.Message{Index: 4, IndexTerm: 5, Transfer: true}), message(voteReply, 6, &quorumpb.Message{}), 6, 4},
+		{"vote of an older term", true, message(vote, 4, &quorumpb.Message{Index: 4, IndexTerm: 5}), message(voteReply, 5, &quorumpb.Message{Reject: true}), 5, 4},
+		{"append", false, message(appendEntries, 5, &quorumpb.Message{Index: 4, IndexTerm: 5, Entries: entries(5, 5, 5)}), message(appendReply, 5, &quorumpb.Message{Index: 6}), 5, 6},
+		{"append that is known", false, message(appendEntries, 5, &quorumpb.Message{Index: 2, IndexTerm: 2, Entries: entries(3, 3)}), message(appendReply, 5, &quorumpb.Message{Index: 3}), 5, 4},
+		{"append that replaces the end", false, message(appendEntries, 5, &quorumpb.Message{Index: 2, IndexTerm: 2, Entries: entries(3, 4)}), message(appendReply, 5, &quorumpb.Message{Index: 3}), 5, 3},
+		{"append before the commit index", false, message(appendEntries, 5, &quorumpb.Message{Index: 1, IndexTerm: 1, Entries: entries(2, 2)}), message(appendReply, 5, &quorumpb.Message{Index: 2}), 5, 4},
+		{"append after a gap", false, message(appendEntries, 5, &quorumpb.Message{Index: 8, IndexTerm: 5, Entries: entries(9, 5)}), message(appendReply, 5, &quorumpb.Message{Index: 8, Reject: true, HintIndex: 4, HintTerm: 5}), 5, 4},
+		{"append after another term", false, message(appendEntries, 5, &quorumpb.Message{Index: 4, IndexTerm: 4}), message(appendReply, 5, &quorumpb.Message{Index: 4, Reject: true, HintIndex: 3, HintTerm: 3}), 5, 4},
+		{"append of a newer term", false, message(appendEntries, 7, &quorumpb.Message{Index: 4, IndexTerm: 5}), message(appendReply, 7, &quorumpb.Message{Index: 4}), 7, 4},
+		{"append of an older term", false, message(appendEntries, 4, &quorumpb.Message{Index: 4, IndexTerm: 5}), message(heartbeatReply, 5, &quorumpb.Message{Reject: true}), 5, 4},
+		{"heartbeat", false, message(heartbeat, 5, &quorumpb.Message{ReadRound: 3}), message(heartbeatReply, 5, &quorumpb.Message{ReadRound: 3}), 5, 4},
+		{"heartbeat of an older term", false, message(heartbeat, 4, &quorumpb.Message{ReadRound: 3}), message(heartbeatReply, 5, &quorumpb.Message{Reject: true}), 5, 4},
+		{"snapshot", false, message(snapshot, 5, &quorumpb.Message{Snapshot: &quorumpb.Snapshot{Meta: meta}}), message(appendReply, 5, &quorumpb.Message{Index: 9}), 5, 9},
+		{"snapshot that is known", false, message(snapshot, 5, &quorumpb.Message{Snapshot: &quorumpb.Snapshot{Meta: &quorumpb.SnapshotMeta{Index: 4, Term: 5}}}), message(appendReply, 5, &quorumpb.Message{Index: 4}), 5, 4},
+		{"reply to nobody", false, message(appendReply, 5, &quorumpb.Message{Index: 4}), nil, 5, 4},
+		{"timeout now from another than the leader", true, message(timeoutNow, 5, &quorumpb.Message{}), nil, 5, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := follower(t, !c.unheard)
+			require.NoError(t, n.Step(c.in))
+			out := drain(n)
+			require.Equal(t, c.term, n.Status().Term)
+			require.Equal(t, c.last, n.Status().Last)
+			if c.want == nil {
+				require.Empty(t, out)
+				return
+			}
+			require.Len(t, out, 1)
+			want := proto.CloneOf(c.want)
+			want.From, want.To, want.Group = c.in.GetTo(), c.in.GetFrom(), "group"
+			if out[0].GetIndex() == meta.GetIndex() {
+				want.Group = out[0].GetGroup()
+			}
+			require.True(t, proto.Equal(want, out[0]), "want %v\ngot  %v", want, out[0])
+		})
+	}
+}
+
+func TestStepRefuses(t *testing.T) {
+	cases := []struct {
+		name string
+		in   *quorumpb.Message
+		want error
+	}{
+		{"another replica", message(heartbeat, 5, &quorumpb.Message{To: "c/disk1"}), quorum.ErrMisaddressed},
+		{"an earlier disk", message(heartbeat, 5, &quorumpb.Message{To: "a/disk0"}), quorum.ErrMisaddressed},
+		{"another group", message(heartbeat, 5, &quorumpb.Message{Group: "other"}), quorum.ErrMisaddressed},
+		{"from itself", message(heartbeat, 5, &quorumpb.Message{From: "a/disk1"}), quorum.ErrMalformed},
+		{"no term", message(heartbeat, 0, &quorumpb.Message{}), quorum.ErrMalformed},
+		{"no type", message(0, 5, &quorumpb.Message{}), quorum.ErrMalformed},
+		{"second leader of a term", message(heartbeat, 5, &quorumpb.Message{From: "c/disk1"}), quorum.ErrMalformed},
+		{"gap in the entries", message(appendEntries, 5, &quorumpb.Message{Index: 4, IndexTerm: 5, Entries: entries(6, 5)}), quorum.ErrMalformed},
+		{"terms fall", message(appendEntries, 5, &quorumpb.Message{Index: 4, IndexTerm: 5, Entries: entries(5, 4)}), quorum.ErrMalformed},
+		{"entry of a later term", message(appendEntries, 5, &quorumpb.Message{Index: 4, IndexTerm: 5, Entries: entries(5, 6)}), quorum.ErrMalformed},
+		{"broken membership", message(appendEntries, 5, &quorumpb.Message{Index: 4, IndexTerm: 5, Entries: []*quorumpb.Entry{
+			{Index: 5, Term: 5, Type: quorumpb.EntryType_ENTRY_TYPE_MEMBERSHIP, Data: []byte{0xff}},
+		}}), quorum.ErrMalformed},
+		{"snapshot of nothing", message(snapshot, 5, &quorumpb.Message{}), quorum.ErrMalformed},
+		{"commit index beyond the log", message(heartbeat, 5, &quorumpb.Message{Commit: 5}), quorum.ErrLostLog},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := follower(t, true)
+			require.ErrorIs(t, n.Step(c.in), c.want)
+		})
+	}
+}
+
+func TestLeaderHandles(t *testing.T) {
+	cases := []struct {
+		name string
+		in   *quorumpb.Message
+		// commit and role after the message; the leader's own entry is 2.
+		commit uint64
+		role   quorum.Role
+	}{
+		{"acknowledgement", &quorumpb.Message{Type: appendReply, Index: 2}, 2, quorum.RoleLeader},
+		{"acknowledgement of an older entry", &quorumpb.Message{Type: appendReply, Index: 1}, 1, quorum.RoleLeader},
+		{"acknowledgement beyond the log", &quorumpb.Message{Type: appendReply, Index: 9}, 1, quorum.RoleLeader},
+		{"rejection", &quorumpb.Message{Type: appendReply, Index: 1, Reject: true}, 1, quorum.RoleLeader},
+		{"heartbeat's answer", &quorumpb.Message{Type: heartbeatReply}, 1, quorum.RoleLeader},
+		{"old vote", &quorumpb.Message{Type: voteReply}, 1, quorum.RoleLeader},
+		{"old pre-vote", &quorumpb.Message{Type: preVoteReply}, 1, quorum.RoleLeader},
+		{"old term", &quorumpb.Message{Type: appendReply, Index: 2, Term: 1}, 1, quorum.RoleLeader},
+		{"newer term", &quorumpb.Message{Type: heartbeatReply, Term: 9, Reject: true}, 1, quorum.RoleFollower},
+		{"newer leader", &quorumpb.Message{Type: heartbeat, Term: 9}, 1, quorum.RoleFollower},
+		{"another's vote", &quorumpb.Message{Type: vote, Term: 9, Index: 9, IndexTerm: 8}, 1, quorum.RoleLeader},
+		{"another's pre-vote", &quorumpb.Message{Type: preVote, Term: 9, Index: 9, IndexTerm: 8}, 1, quorum.RoleLeader},
+		{"reply of a stranger", &quorumpb.Message{Type: appendReply, Index: 2, From: "x/disk1"}, 1, quorum.RoleLeader},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(t, 3, 1)
+			l := c.replicas[0]
+			for l.node.Status().Role != quorum.RoleLeader {
+				l.node.Tick()
+				c.process(l)
+				for len(c.network) > 0 && l.node.Status().Role != quorum.RoleLeader {
+					c.deliver(0)
+				}
+			}
+			term := tc.in.GetTerm()
+			if term == 0 {
+				term = l.node.Status().Term
+			}
+			require.NoError(t, l.node.Step(message(tc.in.GetType(), term, tc.in)))
+			require.Equal(t, tc.commit, l.node.Status().Commit)
+			require.Equal(t, tc.role, l.node.Status().Role)
+		})
+	}
+}
