--- a/quorum/journal/journal.go
+++ b/quorum/journal/journal.go
@@ -215,11 +215,7 @@
 		return j.stop(fail(err, "create segment"))
 	}
 	j.file, j.seed, j.size = file, seed(j.disk, name), 0
-	header := &quorumpb.Record{
-		Header:    &quorumpb.SegmentHeader{Version: formatVersion, Disk: j.disk, Sequence: sequence},
-		HardState: j.hard,
-	}
-	if err := j.append(header); err != nil {
+	if err := j.append(segmentHeader(j.disk, sequence, j.hard)); err != nil {
 		return err
 	}
 	if err := j.syncDir(); err != nil {
@@ -230,6 +226,13 @@
 	return nil
 }
 
+func segmentHeader(disk string, sequence uint64, hard *quorumpb.HardState) *quorumpb.Record {
+	return &quorumpb.Record{
+		Header:    &quorumpb.SegmentHeader{Version: formatVersion, Disk: disk, Sequence: sequence},
+		HardState: hard,
+	}
+}
+
 func (j *Journal) syncDir() error {
 	if err := j.fs.SyncDir(j.dir); err != nil {
 		return j.stop(fail(err, "sync folder"))
--- /dev/null
+++ b/quorum/journal/journal_test.go
@@ -0,0 +1,402 @@
+package journal_test
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaypitch/carawaypitch/quorum/journal"
+	"github.com/carawaypitch/carawaypitch/quorum/journal/journaltest"
+	"github.com/carawaypitch/carawaypitch/quorum/quorumpb"
+	"github.com/carawaypitch/carawaypitch/result"
+)
+
+const dir = "/data"
+
+func open(t *testing.T, fs journal.FS) (*journal.Journal, journal.State) {
+	t.Helper()
+	j, state, err := journal.Open(dir, journal.Options{FS: fs, SegmentBytes: 512})
+	require.NoError(t, err)
+	return j, state
+}
+
+func requireCode(t *testing.T, code result.Code, err error) {
+	t.Helper()
+	var r *result.Error
+	require.ErrorAs(t, err, &r)
+	require.Equal(t, code, r.Code, "%v", err)
+}
+
+func entry(index, term uint64) *quorumpb.Entry {
+	return &quorumpb.Entry{Index: index, Term: term, Data: fmt.Appendf(nil, "entry %d of term %d", index, term)}
+}
+
+func log(first, last, term uint64) []*quorumpb.Entry {
+	var es []*quorumpb.Entry
+	for i := first; i <= last; i++ {
+		es = append(es, entry(i, term))
+	}
+	return es
+}
+
+func hard(term uint64) *quorumpb.HardState { return &quorumpb.HardState{Term: term, Vote: "a/1"} }
+
+func snapshotAt(index, term uint64) *quorumpb.Snapshot {
+	return &quorumpb.Snapshot{
+		Meta: &quorumpb.SnapshotMeta{Index: index, Term: term, Membership: &quorumpb.Membership{Group: "g"}},
+		Data: fmt.Appendf(nil, "state at %d", index),
+	}
+}
+
+func requireLog(t *testing.T, want, got []*quorumpb.Entry) {
+	t.Helper()
+	require.Len(t, got, len(want))
+	for i := range want {
+		require.True(t, proto.Equal(want[i], got[i]), "want %v, got %v", want[i], got[i])
+	}
+}
+
+// newestSegment returns the path of the segment that is written to.
+func newestSegment(t *testing.T, fs *journaltest.FS) string {
+	t.Helper()
+	names, err := fs.ReadDir(dir)
+	require.NoError(t, err)
+	newest := ""
+	for _, name := range names {
+		if strings.HasSuffix(name, ".seg") {
+			newest = max(newest, name)
+		}
+	}
+	return filepath.Join(dir, newest)
+}
+
+func TestReopen(t *testing.T) {
+	cases := []struct {
+		name  string
+		write func(t *testing.T, j *journal.Journal)
+		want  journal.State
+	}{
+		{"empty", func(*testing.T, *journal.Journal) {}, journal.State{}},
+		{"entries", func(t *testing.T, j *journal.Journal) {
+			require.NoError(t, j.Save(hard(1), log(1, 3, 1)))
+			require.NoError(t, j.Save(nil, log(4, 4, 1)))
+		}, journal.State{HardState: hard(1), Entries: log(1, 4, 1)}},
+		{"end replaced", func(t *testing.T, j *journal.Journal) {
+			require.NoError(t, j.Save(hard(1), log(1, 9, 1)))
+			require.NoError(t, j.Save(hard(2), log(4, 5, 2)))
+		}, journal.State{HardState: hard(2), Entries: append(log(1, 3, 1), log(4, 5, 2)...)}},
+		{"all replaced", func(t *testing.T, j *journal.Journal) {
+			require.NoError(t, j.Save(hard(1), log(1, 9, 1)))
+			require.NoError(t, j.Save(hard(2), log(1, 2, 2)))
+		}, journal.State{HardState: hard(2), Entries: log(1, 2, 2)}},
+		{"many segments", func(t *testing.T, j *journal.Journal) {
+			for i := range uint64(50) {
+				require.NoError(t, j.Save(hard(i+1), log(i+1, i+1, i+1)))
+			}
+			require.Greater(t, j.Stats().Segments, uint64(3))
+		}, journal.State{HardState: hard(50), Entries: func() (es []*quorumpb.Entry) {
+			for i := range uint64(50) {
+				es = append(es, entry(i+1, i+1))
+			}
+			return es
+		}()}},
+		{"own snapshot", func(t *testing.T, j *journal.Journal) {
+			for i := range uint64(50) {
+				require.NoError(t, j.Save(hard(1), log(i+1, i+1, 1)))
+			}
+			before := j.Stats().Segments
+			require.NoError(t, j.SaveSnapshot(snapshotAt(20, 1)))
+			require.NoError(t, j.SaveSnapshot(snapshotAt(40, 1)))
+			require.NoError(t, j.SaveSnapshot(snapshotAt(30, 1)))
+			require.NoError(t, j.Release(40))
+			require.Less(t, j.Stats().Segments, before)
+		}, journal.State{HardState: hard(1), Snapshot: snapshotAt(40, 1), Entries: log(41, 50, 1)}},
+		{"received snapshot", func(t *testing.T, j *journal.Journal) {
+			require.NoError(t, j.Save(hard(1), log(1, 5, 1)))
+			require.NoError(t, j.SaveSnapshot(snapshotAt(40, 2)))
+			require.NoError(t, j.Reset(snapshotAt(40, 2).GetMeta()))
+			require.NoError(t, j.Save(hard(3), log(41, 42, 3)))
+		}, journal.State{HardState: hard(3), Snapshot: snapshotAt(40, 2), Entries: log(41, 42, 3)}},
+		{"received snapshot, crash before the reset", func(t *testing.T, j *journal.Journal) {
+			require.NoError(t, j.Save(hard(1), log(1, 5, 1)))
+			require.NoError(t, j.SaveSnapshot(snapshotAt(40, 2)))
+		}, journal.State{HardState: hard(1), Snapshot: snapshotAt(40, 2)}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fs := journaltest.New()
+			j, _ := open(t, fs)
+			disk := j.Disk()
+			c.write(t, j)
+			// Twice: the second start reads what the first one wrote.
+			for range 2 {
+				fs.Crash(func(int) int { return 0 })
+				next, state := open(t, fs)
+				require.Equal(t, disk, next.Disk())
+				require.True(t, proto.Equal(c.want.HardState, state.HardState), "%v", state.HardState)
+				require.True(t, proto.Equal(c.want.Snapshot, state.Snapshot), "%v", state.Snapshot)
+				requireLog(t, c.want.Entries, state.Entries)
+			}
+			// The log goes on after a start.
+			fs.Kill()
+			next, state := open(t, fs)
+			last := state.Snapshot.GetMeta().GetIndex() + uint64(len(state.Entries))
+			require.NoError(t, next.Save(hard(60), log(last+1, last+1, 60)))
+			require.NoError(t, next.Close())
+			_, state = open(t, fs)
+			require.Len(t, state.Entries, len(c.want.Entries)+1)
+		})
+	}
+}
+
+// Symptom: a replica does not start after a power cut, or starts without
+// entries that it had acknowledged.
+// Sequence: power is lost while a record is written; any number of its bytes
+// reached the disk.
+// Cause: the end of the newest segment is a part of a record.
+func TestTornTailAtEveryByte(t *testing.T) {
+	fs := journaltest.New()
+	j, _ := open(t, fs)
+	require.NoError(t, j.Save(hard(1), log(1, 2, 1)))
+	synced := len(fs.Content(newestSegment(t, fs)))
+	require.NoError(t, j.Save(hard(2), log(3, 3, 2)))
+	path := newestSegment(t, fs)
+	whole := fs.Content(path)
+	for size := synced; size <= len(whole); size++ {
+		for _, garbled := range []bool{false, true} {
+			data := append([]byte(nil), whole[:size]...)
+			if garbled && size > synced {
+				data[size-1] ^= 0x40
+			}
+			torn := journaltest.New()
+			for _, name := range []string{"identity"} {
+				torn.SetContent(filepath.Join(dir, name), fs.Content(filepath.Join(dir, name)))
+			}
+			torn.SetContent(path, data)
+			_, state := open(t, torn)
+			if size == len(whole) && !garbled {
+				requireLog(t, append(log(1, 2, 1), log(3, 3, 2)...), state.Entries)
+				require.Zero(t, state.TornBytes)
+				continue
+			}
+			requireLog(t, log(1, 2, 1), state.Entries)
+			require.True(t, proto.Equal(hard(1), state.HardState))
+			require.Equal(t, int64(size-synced), state.TornBytes)
+			// The cut is durable, and the journal goes on.
+			torn.Crash(func(int) int { return 0 })
+			again, state := open(t, torn)
+			require.Zero(t, state.TornBytes)
+			require.NoError(t, again.Save(hard(2), log(3, 3, 2)))
+		}
+	}
+}
+
+// Symptom: a replica votes twice or lacks entries that it had acknowledged.
+// Sequence: a byte of a synced record changes on disk.
+// Cause: it is taken for a torn write, and the log is cut there.
+func TestDamageStops(t *testing.T) {
+	fs := journaltest.New()
+	j, _ := open(t, fs)
+	for i := range uint64(30) {
+		require.NoError(t, j.Save(hard(1), log(i+1, i+1, 1)))
+	}
+	require.NoError(t, j.SaveSnapshot(snapshotAt(2, 1)))
+	require.NoError(t, j.Close())
+	names, err := fs.ReadDir(dir)
+	require.NoError(t, err)
+	for _, name := range names {
+		path := filepath.Join(dir, name)
+		whole := fs.Content(path)
+		end := len(whole)
+		if path == newestSegment(t, fs) {
+			// The last record only says that the journal was closed.
+			end -= closedRecord
+		}
+		for at := range end {
+			data := append([]byte(nil), whole...)
+			data[at] ^= 0x10
+			fs.SetContent(path, data)
+			_, _, err := journal.Open(dir, journal.Options{FS: fs})
+			code := result.JournalDamaged
+			if strings.HasSuffix(name, ".snap") {
+				code = result.SnapshotDamaged
+			}
+			requireCode(t, code, err)
+			require.Equal(t, data, fs.Content(path), "a damaged file was changed")
+		}
+		fs.SetContent(path, whole)
+	}
+	_, state := open(t, fs)
+	require.Len(t, state.Entries, 28)
+}
+
+// closedRecord is the size of the record that Close leaves, in bytes.
+const closedRecord = 12 + 2
+
+func TestMissingFileStops(t *testing.T) {
+	for _, missing := range []string{"identity", "log-0000000000000001.seg", "log-0000000000000003.seg"} {
+		fs := journaltest.New()
+		j, _ := open(t, fs)
+		for i := range uint64(40) {
+			require.NoError(t, j.Save(hard(1), log(i+1, i+1, 1)))
+		}
+		require.NoError(t, j.Close())
+		fs.SetContent(filepath.Join(dir, missing), nil)
+		_, _, err := journal.Open(dir, journal.Options{FS: fs})
+		requireCode(t, result.JournalDamaged, err)
+	}
+}
+
+func TestForeignSegmentStops(t *testing.T) {
+	fs, other := journaltest.New(), journaltest.New()
+	for _, f := range []*journaltest.FS{fs, other} {
+		j, _ := open(t, f)
+		require.NoError(t, j.Save(hard(1), log(1, 3, 1)))
+		require.NoError(t, j.Close())
+	}
+	path := newestSegment(t, fs)
+	fs.SetContent(path, other.Content(path))
+	_, _, err := journal.Open(dir, journal.Options{FS: fs})
+	requireCode(t, result.WrongDisk, err)
+	// Without a readable header it is damage, not a segment that was never
+	// begun: it is longer than a header.
+	data := fs.Content(path)
+	for i := range data {
+		data[i] ^= 0x55
+	}
+	fs.SetContent(path, data)
+	_, _, err = journal.Open(dir, journal.Options{FS: fs})
+	requireCode(t, result.JournalDamaged, err)
+}
+
+// Symptom: after a crash the journal does not open, or forgets what it had
+// synced, or holds a part of a batch.
+// Sequence: the process loses power at any step of writing; the folder and the
+// unsynced bytes survive in part.
+// Cause: a file under its final name is not whole, or the order of syncs,
+// renames and removals is wrong.
+func TestCrashAtEveryStep(t *testing.T) {
+	steps := scenarioSteps(t)
+	require.Greater(t, steps, 40)
+	for step := 1; step <= steps; step++ {
+		for _, keep := range []int{0, 1, 13, 1 << 20} {
+			for seed := range uint64(3) {
+				crashAt(t, step, keep, seed)
+			}
+		}
+	}
+}
+
+// Symptom: a vote or an entry is lost although it was read back after a
+// restart.
+// Sequence: the process is killed between write and sync; it starts again and
+// acknowledges what it reads; then power is lost.
+// Cause: what was read from the page cache was never synced.
+func TestReadBackIsSynced(t *testing.T) {
+	fs := journaltest.New()
+	j, _ := open(t, fs)
+	require.NoError(t, j.Save(hard(1), log(1, 1, 1)))
+	fs.Fault(func(op, _ string) error {
+		if op == "sync" {
+			return journaltest.ErrCrashed
+		}
+		return nil
+	})
+	require.Error(t, j.Save(hard(2), log(2, 2, 2)))
+	fs.Fault(nil)
+	fs.Kill()
+	_, state := open(t, fs)
+	require.Len(t, state.Entries, 2)
+	fs.Crash(func(int) int { return 0 })
+	_, state = open(t, fs)
+	require.Len(t, state.Entries, 2)
+}
+
+// Symptom: entries are acknowledged that the disk does not hold.
+// Sequence: a sync or write fails once; the next one succeeds.
+// Cause: after a failed sync the kernel may have dropped the pages.
+func TestErrorIsFinal(t *testing.T) {
+	cases := []struct {
+		op   string
+		err  error
+		code result.Code
+	}{
+		{"write", syscall.ENOSPC, result.DiskFull},
+		{"write", syscall.EDQUOT, result.DiskFull},
+		{"write", syscall.EIO, result.SyncFailed},
+		{"sync", syscall.EIO, result.SyncFailed},
+		{"sync", syscall.ENOSPC, result.DiskFull},
+		{"create", syscall.ENOSPC, result.DiskFull},
+		{"syncdir", syscall.EIO, result.SyncFailed},
+		{"rename", syscall.EIO, result.SyncFailed},
+	}
+	for _, c := range cases {
+		t.Run(c.op+" "+c.err.Error(), func(t *testing.T) {
+			fs := journaltest.New()
+			j, _ := open(t, fs)
+			require.NoError(t, j.Save(hard(1), log(1, 1, 1)))
+			fs.Fault(func(op, name string) error {
+				if op == c.op {
+					return errors.Wrap(c.err, name)
+				}
+				return nil
+			})
+			var err error
+			if c.op == "rename" || c.op == "syncdir" {
+				err = j.SaveSnapshot(snapshotAt(1, 1))
+			}
+			for i := uint64(2); err == nil && i < 50; i++ {
+				err = j.Save(nil, log(i, i, 1))
+			}
+			requireCode(t, c.code, err)
+			fs.Fault(nil)
+			require.Equal(t, err, j.Save(nil, log(2, 2, 1)), "the journal went on after an error")
+			require.Equal(t, err, j.SaveSnapshot(snapshotAt(1, 1)))
+			require.Equal(t, err, j.Release(1))
+		})
+	}
+}
+
+func TestLockAndClose(t *testing.T) {
+	fs := journaltest.New()
+	j, _ := open(t, fs)
+	_, _, err := journal.Open(dir, journal.Options{FS: fs})
+	requireCode(t, result.JournalLocked, err)
+	require.NoError(t, j.Close())
+	require.ErrorIs(t, j.Save(hard(1), nil), journal.ErrClosed)
+	open(t, fs)
+}
+
+func TestWipedDiskGetsNewIdentity(t *testing.T) {
+	fs := journaltest.New()
+	j, _ := open(t, fs)
+	fs.Wipe()
+	next, state := open(t, fs)
+	require.NotEqual(t, j.Disk(), next.Disk())
+	require.Equal(t, journal.State{}, state)
+}
+
+func TestMachineFileSystem(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "a", "b")
+	j, _, err := journal.Open(folder, journal.Options{SegmentBytes: 256})
+	require.NoError(t, err)
+	_, _, err = journal.Open(folder, journal.Options{})
+	requireCode(t, result.JournalLocked, err)
+	for i := range uint64(20) {
+		require.NoError(t, j.Save(hard(1), log(i+1, i+1, 1)))
+	}
+	require.NoError(t, j.SaveSnapshot(snapshotAt(10, 1)))
+	require.NoError(t, j.Release(10))
+	require.NoError(t, j.Close())
+	next, state, err := journal.Open(folder, journal.Options{})
+	require.NoError(t, err)
+	require.Equal(t, j.Disk(), next.Disk())
+	requireLog(t, log(11, 20, 1), state.Entries)
+	require.NoError(t, next.Close())
+}
--- a/quorum/journal/open.go
+++ b/quorum/journal/open.go
@@ -186,6 +186,9 @@
 	if err != nil {
 		return fail(err, "read "+name)
 	}
+	if disk := diskOf(data, name); disk != "" && disk != j.disk {
+		return result.New(result.WrongDisk, "journal: %s is of disk %s, this one is %s", name, disk, j.disk)
+	}
 	records, end, bad := readRecords(data, seed(j.disk, name))
 	torn := int64(len(data)) - end
 	// Only the newest segment can have a torn end: the others were complete
@@ -198,6 +201,13 @@
 		if !newest {
 			return damaged("%s is empty", name)
 		}
+		header, err := headerRecord(j.disk, sequence, p.state.HardState)
+		if err != nil {
+			return err
+		}
+		if len(data) > len(header) {
+			return damaged("%s at offset 0", name)
+		}
 		// The crash came while the segment was begun. Nothing was saved in it.
 		return j.removeUnfinished(path)
 	}
@@ -232,8 +242,6 @@
 		return 0, damaged("segment %d has no header", sequence)
 	case header.GetVersion() > formatVersion:
 		return 0, result.New(result.JournalVersion, "journal: version %d", header.GetVersion())
-	case header.GetDisk() != j.disk:
-		return 0, result.New(result.WrongDisk, "journal: segment %d is of disk %s", sequence, header.GetDisk())
 	}
 	for _, r := range records {
 		if err := p.add(r); err != nil {
--- a/quorum/journal/record.go
+++ b/quorum/journal/record.go
@@ -109,3 +109,30 @@
 	}
 	return records, end, false
 }
+
+// headerRecord returns the bytes that a segment begins with.
+func headerRecord(disk string, sequence uint64, hard *quorumpb.HardState) ([]byte, error) {
+	return appendRecord(nil, seed(disk, segmentName(sequence)), 0, segmentHeader(disk, sequence, hard))
+}
+
+// diskOf returns the identity of the disk that a segment was written on; empty
+// where its first record is not whole. Without it a log copied from another
+// disk would look like damage, or like a segment that was never begun.
+func diskOf(data []byte, name string) string {
+	if len(data) < headerSize {
+		return ""
+	}
+	length := binary.LittleEndian.Uint32(data[lengthOffset:])
+	if int64(length) > int64(len(data)-headerSize) {
+		return ""
+	}
+	r := &quorumpb.Record{}
+	if err := proto.Unmarshal(data[headerSize:headerSize+int64(length)], r); err != nil {
+		return ""
+	}
+	disk := r.GetHeader().GetDisk()
+	if _, ok := payloadAt(data, seed(disk, name), 0); !ok {
+		return ""
+	}
+	return disk
+}
