--- /dev/null
+++ b/quorum/replica/linear_test.go
@@ -0,0 +1,176 @@
+package replica_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/quorum"
+	"github.com/carawaypitch/carawaypitch/quorum/replica"
+)
+
+const (
+	clients    = 5
+	operations = 60
+	faults     = 25
+)
+
+// operation on a register: a write, which returns the value before it, or a
+// read.
+type operation struct {
+	write string
+	// known is false for the output of a write whose outcome is unknown.
+	value string
+	known bool
+}
+
+// registerModel is a register whose writes return the value before.
+var registerModel = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		in, out := input.(operation), output.(operation)
+		fits := !out.known || out.value == state.(string)
+		if in.write == "" {
+			return fits, state
+		}
+		return fits, in.write
+	},
+}
+
+// history records operations. Its clock counts events.
+type history struct {
+	clock      atomic.Int64
+	mu         sync.Mutex
+	operations []porcupine.Operation
+}
+
+// never is the end of an operation that may still take effect.
+const never = int64(1) << 60
+
+func (h *history) add(client int, call, end int64, in, out operation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.operations = append(h.operations, porcupine.Operation{
+		ClientId: client, Input: in, Call: call, Output: out, Return: end,
+	})
+}
+
+// client does operations at whichever replica leads.
+func (g *group) client(h *history, id int) {
+	for i := range operations {
+		g.mu.Lock()
+		var nodes []*node
+		for _, n := range g.nodes {
+			nodes = append(nodes, n)
+		}
+		n := nodes[g.rng.IntN(len(nodes))]
+		r, words := n.r, n.store
+		write := g.rng.IntN(2) == 0
+		g.mu.Unlock()
+		time.Sleep(7 * time.Millisecond)
+		if r == nil {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		if write {
+			h.write(ctx, id, r, fmt.Sprintf("%d.%d", id, i))
+		} else {
+			h.read(ctx, id, r, words)
+		}
+		cancel()
+	}
+}
+
+func (h *history) write(ctx context.Context, id int, r *replica.Replica, word string) {
+	call := h.clock.Add(1)
+	applied, err := r.Propose(ctx, []byte(word))
+	in := operation{write: word}
+	switch {
+	case err == nil:
+		h.add(id, call, h.clock.Add(1), in, operation{value: string(applied.Result), known: true})
+	case errors.Is(err, replica.ErrUnknownOutcome):
+		h.add(id, call, never, in, operation{})
+	}
+	// A refusal promises that there is no effect: the checker finds out.
+}
+
+func (h *history) read(ctx context.Context, id int, r *replica.Replica, s *store) {
+	call := h.clock.Add(1)
+	if _, err := r.Read(ctx); err != nil {
+		return
+	}
+	value := s.last()
+	h.add(id, call, h.clock.Add(1), operation{}, operation{value: value, known: true})
+}
+
+// fault does something bad, or mends it.
+func (g *group) fault(i int) {
+	var nodes []*node
+	for _, name := range []string{"a", "b", "c"} {
+		nodes = append(nodes, g.nodes[name])
+	}
+	g.mu.Lock()
+	n := nodes[g.rng.IntN(len(nodes))]
+	kind := g.rng.IntN(4)
+	g.mu.Unlock()
+	leads := n.r != nil && n.r.Status().Role == quorum.RoleLeader
+	switch {
+	case kind == 0 || leads && kind == 1:
+		g.isolate(n.instance)
+	case kind == 1:
+		g.isolate()
+	case kind == 2 && n.r != nil:
+		g.crash(n)
+	default:
+		for _, n := range nodes {
+			if n.r == nil {
+				g.start(n.instance)
+			}
+		}
+	}
+	if i == faults/2 {
+		g.isolate()
+	}
+}
+
+// Symptom: a read returns old state, an acknowledged write is gone, or a
+// refused one took effect.
+// Sequence: clients write and read at any replica while messages are lost and
+// reordered, leaders are cut off and replicas lose power.
+// Cause: see the history; the seed repeats the faults.
+func TestLinearizable(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			h := &history{}
+			bubble(t, seed, func(t *testing.T, g *group) {
+				g.loss, g.jitter = 3, 4*time.Millisecond
+				g.bootstrap("a", "b", "c")
+				g.leader()
+				var wait sync.WaitGroup
+				for id := range clients {
+					wait.Go(func() { g.client(h, id) })
+				}
+				for i := range faults {
+					time.Sleep(150 * time.Millisecond)
+					g.fault(i)
+				}
+				wait.Wait()
+			})
+			written := 0
+			for _, o := range h.operations {
+				if o.Return != never {
+					written++
+				}
+			}
+			require.Greater(t, written, 20, "too little happened")
+			require.True(t, porcupine.CheckOperations(registerModel, h.operations), "not linearizable")
+		})
+	}
+}
--- a/quorum/replica/replica_test.go
+++ b/quorum/replica/replica_test.go
@@ -2,42 +2,264 @@
 
 import (
 	"context"
+	"fmt"
+	"syscall"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/carawaypitch/carawaypitch/quorum/journal/journaltest"
+	"github.com/carawaypitch/carawaypitch/quorum"
+	"github.com/carawaypitch/carawaypitch/quorum/quorumpb"
 	"github.com/carawaypitch/carawaypitch/quorum/replica"
+	"github.com/carawaypitch/carawaypitch/result"
 )
 
-type register struct{ value []byte }
-
-func (m *register) Apply(_ uint64, data []byte) []byte {
-	old := m.value
-	m.value = append([]byte(nil), data...)
-	return old
+// bubble runs a test in simulated time and stops the group at its end.
+func bubble(t *testing.T, seed uint64, test func(t *testing.T, g *group)) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, seed)
+		defer g.stopAll()
+		test(t, g)
+	})
 }
-func (m *register) Snapshot() ([]byte, error)           { return m.value, nil }
-func (m *register) Restore(_ uint64, data []byte) error { m.value = data; return nil }
 
-func TestSingle(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		fs := journaltest.New()
-		r, err := replica.New(replica.Config{Instance: "a", Dir: "/data", FS: fs, StateMachine: &register{}})
+func TestSingleReplica(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, g *group) {
+		g.bootstrap("a")
+		n := g.leader()
+		g.propose("one", "two")
+		applied, err := n.r.Propose(t.Context(), []byte("three"))
 		require.NoError(t, err)
-		require.NoError(t, r.Bootstrap([]replica.Member{{ID: r.ID(), Voter: true}}))
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan error, 1)
-		go func() { ended <- r.Run(ctx) }()
-		require.Eventually(t, func() bool { return r.Status().Leader == r.ID() }, 1e10, 1e7)
-		a, err := r.Propose(ctx, []byte("x"))
+		require.Equal(t, "two", string(applied.Result))
+		index, err := n.r.Read(t.Context())
 		require.NoError(t, err)
-		require.Equal(t, uint64(3), a.Index)
-		index, err := r.Read(ctx)
+		require.Equal(t, applied.Index, index)
+		g.crash(n)
+		n = g.start("a")
+		g.leader()
+		require.Equal(t, []string{"one", "two", "three"}, n.store.all())
+		require.ErrorIs(t, n.r.Bootstrap(nil), replica.ErrRunTwice)
+		require.ErrorIs(t, n.r.Run(t.Context()), replica.ErrRunTwice)
+	})
+}
+
+func TestBootstrapRefuses(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, g *group) {
+		n := g.open("a")
+		self := replica.Member{ID: n.r.ID(), Voter: true}
+		require.Error(t, n.r.Bootstrap(nil))
+		require.Error(t, n.r.Bootstrap([]replica.Member{{ID: "b/1", Voter: true}}))
+		require.Error(t, n.r.Bootstrap([]replica.Member{self, self}))
+		require.NoError(t, n.r.Bootstrap([]replica.Member{self}))
+		require.ErrorIs(t, n.r.Bootstrap([]replica.Member{self}), replica.ErrNotEmpty)
+		require.NoError(t, n.r.Close())
+		_, err := n.r.Propose(t.Context(), []byte("x"))
+		require.ErrorIs(t, err, quorum.ErrStopped)
+		n.r = nil
+	})
+}
+
+// Symptom: callers of a leader that is cut off wait for ever, are told "not
+// proposed" of what is committed later, or read old state.
+// Sequence: a leader is cut off with a proposal and a read under way.
+// Cause: lost leadership must end both, the proposal with an unknown outcome.
+func TestCutOffLeader(t *testing.T) {
+	bubble(t, 3, func(t *testing.T, g *group) {
+		g.bootstrap("a", "b", "c")
+		g.propose("before")
+		old := g.leader()
+		g.isolate(old.instance)
+		proposed, read := make(chan error, 1), make(chan error, 1)
+		go func() {
+			_, err := old.r.Propose(t.Context(), []byte("lost"))
+			proposed <- err
+		}()
+		go func() {
+			_, err := old.r.Read(t.Context())
+			read <- err
+		}()
+		cut := time.Now()
+		require.ErrorIs(t, <-read, replica.ErrLeadershipLost)
+		err := <-proposed
+		require.ErrorIs(t, err, replica.ErrUnknownOutcome)
+		require.ErrorIs(t, err, replica.ErrLeadershipLost)
+		timeout := replica.DefaultElectionTicks * replica.DefaultTickInterval
+		require.LessOrEqual(t, time.Since(cut), timeout, "simulated time")
+		_, err = old.r.Propose(t.Context(), []byte("more"))
+		require.ErrorIs(t, err, quorum.ErrNotLeader)
+		_, err = old.r.Read(t.Context())
+		require.ErrorIs(t, err, quorum.ErrNotLeader)
+		g.propose("after")
+		g.isolate()
+		settle()
+		require.Equal(t, []string{"before", "after"}, old.store.all())
+		c := old.r.Status().Counters
+		require.Equal(t, uint64(1), c.SteppedDown)
+		require.Equal(t, uint64(1), c.UnknownOutcomes)
+		require.Equal(t, uint64(2), c.Refused[quorum.ReasonNotLeader])
+	})
+}
+
+// Symptom: a replica that was away for hundreds of changes has other state
+// than the rest.
+// Sequence: a follower is down while the others take snapshots; it starts, and
+// parts of the snapshot that it needs are lost on the way.
+// Cause: the log that it lacks is gone.
+func TestRestartAfterHundredsOfChanges(t *testing.T) {
+	bubble(t, 4, func(t *testing.T, g *group) {
+		g.bootstrap("a", "b", "c")
+		g.propose("first")
+		l := g.leader()
+		down := g.nodes["a"]
+		if down == l {
+			down = g.nodes["b"]
+		}
+		g.crash(down)
+		for i := range 300 {
+			g.propose(fmt.Sprint("word ", i))
+		}
+		g.mu.Lock()
+		g.loss, g.jitter = 20, 10*time.Millisecond
+		g.mu.Unlock()
+		g.start(down.instance)
+		for range 20 {
+			settle()
+		}
+		require.Equal(t, l.store.all(), down.store.all())
+		require.NotZero(t, down.r.Status().Counters.SnapshotsRestored)
+		require.NotZero(t, l.r.Status().Counters.SnapshotsTaken)
+		g.crash(down)
+		g.start(down.instance)
+		settle()
+		require.Equal(t, l.store.all(), down.store.all())
+	})
+}
+
+// Symptom: committed state is gone after the loss of a second instance right
+// after a repair.
+// Sequence: c's disk is replaced; c's new replica joins; at once the leader's
+// instance is lost.
+// Cause: the new replica voted before it held the log.
+func TestWipedDiskAndSecondLoss(t *testing.T) {
+	bubble(t, 5, func(t *testing.T, g *group) {
+		g.bootstrap("a", "b", "c")
+		for i := range 120 {
+			g.propose(fmt.Sprint(i))
+		}
+		l := g.leader()
+		lost := g.nodes["c"]
+		if lost == l {
+			lost = g.nodes["b"]
+		}
+		oldID := lost.r.ID()
+		g.crash(lost)
+		lost.fs.Wipe()
+		g.start(lost.instance)
+		settle()
+		require.NotEqual(t, oldID, lost.r.ID())
+		require.Empty(t, lost.r.Status().Members)
+		require.NotZero(t, lost.r.Status().Counters.MessagesMisaddressed, "messages for the old disk")
+		_, err := l.r.Remove(t.Context(), oldID)
 		require.NoError(t, err)
-		require.Equal(t, uint64(3), index)
+		g.join(lost)
+		want := l.store.all()
+		g.crash(l)
+		next := g.leader()
+		require.Equal(t, want, next.store.all())
+		g.propose("goes on")
+	})
+}
+
+// Symptom: a replica goes on with a disk that does not hold what it promised.
+// Sequence: the disk is full, or a sync fails once.
+// Cause: the replica must stop, and its caller must hear that the outcome is
+// unknown.
+func TestDiskErrorStopsReplica(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		code result.Code
+	}{{syscall.ENOSPC, result.DiskFull}, {syscall.EIO, result.SyncFailed}} {
+		bubble(t, 6, func(t *testing.T, g *group) {
+			g.bootstrap("a")
+			n := g.leader()
+			n.fs.Fault(func(op, _ string) error {
+				if op == "sync" {
+					return c.err
+				}
+				return nil
+			})
+			_, err := n.r.Propose(t.Context(), []byte("x"))
+			require.ErrorIs(t, err, replica.ErrUnknownOutcome)
+			var failed *result.Error
+			require.ErrorAs(t, <-n.ended, &failed)
+			require.Equal(t, c.code, failed.Code)
+			_, err = n.r.Propose(t.Context(), []byte("y"))
+			require.ErrorIs(t, err, quorum.ErrStopped)
+			n.r = nil
+		})
+	}
+}
+
+func TestMembershipAndTransfer(t *testing.T) {
+	bubble(t, 7, func(t *testing.T, g *group) {
+		g.bootstrap("a")
+		g.propose("one")
+		for _, instance := range []string{"b", "c"} {
+			g.join(g.start(instance))
+		}
+		l := g.leader()
+		require.Len(t, l.r.Status().Members, 3)
+		require.Equal(t, "b:1", l.r.Status().Members[1].Address)
+		require.NoError(t, l.r.TransferLeader(t.Context(), quorum.NoID))
+		next := g.leader()
+		require.NotEqual(t, l.instance, next.instance)
+		require.Equal(t, next.r.ID(), l.r.Status().Leader)
+		g.stop(l)
+		g.propose("two")
+		require.Equal(t, []string{"one", "two"}, next.store.all())
+	})
+}
+
+// Symptom: a caller is told "not proposed", but the proposal is committed; or
+// a full queue stops the core.
+// Sequence: more proposals, reads and messages than the queues hold; callers
+// that give up before the core has taken their proposal.
+// Cause: only a request that the core can no longer take up was refused.
+func TestRefusalsAreTrue(t *testing.T) {
+	bubble(t, 8, func(t *testing.T, g *group) {
+		g.config.QueueLength = 4
+		n := g.open("a")
+		require.NoError(t, n.r.Bootstrap([]replica.Member{{ID: n.r.ID(), Voter: true}}))
+		canceled, cancel := context.WithCancel(t.Context())
+		results := make(chan error, 6)
+		for i := range 6 {
+			go func() {
+				_, err := n.r.Propose(canceled, fmt.Append(nil, "early ", i))
+				results <- err
+			}()
+		}
+		synctest.Wait()
+		require.ErrorIs(t, <-results, quorum.ErrQueueFull)
+		require.ErrorIs(t, <-results, quorum.ErrQueueFull)
 		cancel()
-		require.NoError(t, <-ended)
+		for range 4 {
+			require.ErrorIs(t, <-results, quorum.ErrCanceled)
+		}
+		for range 6 {
+			n.r.Deliver(&quorumpb.Message{})
+		}
+		require.Equal(t, uint64(2), n.r.Status().Counters.MessagesDropped)
+		g.run(n)
+		g.leader()
+		_, err := n.r.Propose(t.Context(), nil)
+		require.ErrorIs(t, err, quorum.ErrEmpty)
+		g.propose("late")
+		require.Equal(t, []string{"late"}, n.store.all())
+		c := n.r.Status().Counters
+		require.Equal(t, uint64(2), c.Refused[quorum.ReasonQueueFull])
+		require.Equal(t, uint64(4), c.Refused[quorum.ReasonCanceled])
+		require.Equal(t, uint64(1), c.Refused[quorum.ReasonEmpty])
 	})
 }
