--- a/spec/attempts.go
+++ b/spec/attempts.go
@@ -18,6 +18,9 @@
 	Leaves uint8
 	// Losses bounds connections to engines that are lost while the agent lives, and calls that never left it.
 	Losses uint8
+	// Whole leaves out what makes answers other than whole, and broken links: engines don't fail, frames come with the
+	// end of the run, and entries lose no link. It makes room for more of the rest.
+	Whole bool
 	// Reservations lets requests wait at the agents, instead of being dispatched straight away.
 	Reservations bool
 }
@@ -27,6 +30,10 @@
 	bounds AttemptBounds
 	guards Guards
 	charts *charts
+	// want is the only invariant looked at, "" for all.
+	want Invariant
+	// told counts the outcomes that callers heard, on all ways.
+	told [callLost + 1]int
 }
 
 // Kinds of steps of the model of attempts.
@@ -196,5 +203,12 @@
 	}
 }
 
+// violated notes the first violation.
+func (t *turn) violated(v violation) {
+	if t.s.violate == violateNone && (t.want == "" || t.want == violations[v]) {
+		t.s.violate = v
+	}
+}
+
 // attempt makes a step if change reports that it is possible.
 type attempt func(step Step, change func(t *turn) bool)
