quorum: no split votes from equal timeouts

Two replicas whose timeouts end at the same tick granted each other's pre-vote, began the term and split the votes. A replica that asks for pre-votes itself now refuses one from an equally good log with a lesser ID.

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -69,7 +69,7 @@
 // handlePreVote answers without a change of state.
 func (n *Node) handlePreVote(m *quorumpb.Message) {
 	grant := m.GetTerm() > n.term && !n.hearsLeader() && n.mayVote() &&
-		n.log.upToDate(m.GetIndex(), m.GetIndexTerm())
+		n.log.upToDate(m.GetIndex(), m.GetIndexTerm()) && !n.competes(m)
 	reply := &quorumpb.Message{
 		Type:   quorumpb.MessageType_MESSAGE_TYPE_PRE_VOTE_REPLY,
 		To:     m.GetFrom(),
@@ -86,6 +86,15 @@
 	n.sendAfterPersist(reply)
 }
 
+// competes tells whether this replica asks for pre-votes itself with an equally
+// good log and the greater ID. Were two such replicas to encourage each other,
+// both would begin the term, vote for themselves and lose an election timeout.
+// Only the pre-vote may be refused for that: it is about progress, not safety.
+func (n *Node) competes(m *quorumpb.Message) bool {
+	return n.role == RolePreCandidate && compareIDs(n.cfg.ID, ID(m.GetFrom())) > 0 &&
+		m.GetIndex() == n.log.last() && m.GetIndexTerm() == n.log.lastTerm()
+}
+
 func (n *Node) handlePreVoteReply(m *quorumpb.Message) {
 	if n.role != RolePreCandidate {
 		return
--- a/quorum/fault_test.go
+++ b/quorum/fault_test.go
@@ -510,6 +510,25 @@
 	require.Len(t, next.node.Status().Membership.GetMembers(), 2)
 }
 
+// Symptom: an election takes several timeouts.
+// Sequence: the timeouts of two replicas end at the same tick.
+// Cause: each grants the other's pre-vote, both begin the term and split the
+// votes.
+func TestEqualTimeouts(t *testing.T) {
+	c := newCluster(t, 3, 20)
+	c.crash(c.replicas[2])
+	for _, r := range c.replicas[:2] {
+		for range 2 * quorum.DefaultElectionTicks {
+			if r.node.Status().Role == quorum.RoleFollower {
+				r.node.Tick()
+			}
+		}
+		require.Equal(t, quorum.RolePreCandidate, r.node.Status().Role)
+	}
+	c.settle()
+	require.NotNil(t, c.leader())
+}
+
 func TestTransferLeader(t *testing.T) {
 	c := newCluster(t, 3, 14)
 	l := c.elect()
--- /dev/null
+++ b/quorum/replica/bench_test.go
@@ -0,0 +1,163 @@
+package replica_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/quorum"
+	"github.com/carawaypitch/carawaypitch/quorum/quorumpb"
+	"github.com/carawaypitch/carawaypitch/quorum/replica"
+)
+
+// direct is a transport without a network. Its map is fixed before the start.
+type direct map[string]*replica.Replica
+
+// Send implements replica.Transport.
+func (d direct) Send(to quorum.ID, msgs []*quorumpb.Message) {
+	for _, m := range msgs {
+		d[to.Instance()].Deliver(m)
+	}
+}
+
+// counter is a state machine of constant size.
+type counter struct{ n int }
+
+func (c *counter) Apply(uint64, []byte) []byte  { c.n++; return nil }
+func (c *counter) Snapshot() ([]byte, error)    { return bytes.Repeat([]byte{1}, 1<<16), nil }
+func (c *counter) Restore(uint64, []byte) error { return nil }
+
+// runGroup runs replicas on real disks until the benchmark ends and returns
+// the leader.
+func runGroup(b *testing.B, size int) (leader *replica.Replica, dirs []string) {
+	transport := direct{}
+	var members []replica.Member
+	for i := range size {
+		instance := fmt.Sprint("i", i)
+		dir := filepath.Join(b.TempDir(), instance)
+		r, err := replica.New(replica.Config{
+			Instance: instance, Dir: dir, Transport: transport, StateMachine: &counter{},
+		})
+		require.NoError(b, err)
+		transport[instance] = r
+		dirs = append(dirs, dir)
+		members = append(members, replica.Member{ID: r.ID(), Voter: true})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	b.Cleanup(func() {
+		cancel()
+		wait.Wait()
+	})
+	for _, r := range transport {
+		require.NoError(b, r.Bootstrap(members))
+		wait.Go(func() { _ = r.Run(ctx) })
+	}
+	for {
+		for _, r := range transport {
+			if _, err := r.Read(ctx); err == nil {
+				return r, dirs
+			}
+		}
+		time.Sleep(replica.DefaultTickInterval)
+	}
+}
+
+// payload has the size of an operation record.
+var payload = bytes.Repeat([]byte{7}, 200)
+
+// BenchmarkCommit commits with a sync on a real disk for each write.
+func BenchmarkCommit(b *testing.B) {
+	for _, size := range []int{1, 3} {
+		for _, proposers := range []int{1, 16, 256} {
+			b.Run(fmt.Sprintf("replicas=%d/proposers=%d", size, proposers), func(b *testing.B) {
+				leader, _ := runGroup(b, size)
+				before := leader.Status().Counters.Syncs
+				b.ResetTimer()
+				var next atomic.Int64
+				var wait sync.WaitGroup
+				for range proposers {
+					wait.Go(func() {
+						for next.Add(1) <= int64(b.N) {
+							if _, err := leader.Propose(context.Background(), payload); err != nil {
+								b.Error(err)
+								return
+							}
+						}
+					})
+				}
+				wait.Wait()
+				b.StopTimer()
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+				b.ReportMetric(float64(b.N)/float64(leader.Status().Counters.Syncs-before), "commits/sync")
+			})
+		}
+	}
+}
+
+// BenchmarkRead confirms reads at the leader of three.
+func BenchmarkRead(b *testing.B) {
+	leader, _ := runGroup(b, 3)
+	b.SetParallelism(16)
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			if _, err := leader.Read(context.Background()); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
+
+// BenchmarkTenThousandChanges reports what one of three replicas keeps after
+// 10,000 changes, with a state of 64 KiB.
+func BenchmarkTenThousandChanges(b *testing.B) {
+	const changes = 10_000
+	for range b.N {
+		leader, dirs := runGroup(b, 3)
+		heap := heapBytes()
+		var next atomic.Int64
+		var wait sync.WaitGroup
+		for range 64 {
+			wait.Go(func() {
+				for next.Add(1) <= changes {
+					if _, err := leader.Propose(context.Background(), payload); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+		}
+		wait.Wait()
+		b.ReportMetric(float64(heapBytes()-heap)/3/changes, "heap-B/change")
+		b.ReportMetric(float64(diskBytes(b, dirs[0]))/changes, "disk-B/change")
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+func diskBytes(b *testing.B, dir string) int64 {
+	var size int64
+	files, err := os.ReadDir(dir)
+	require.NoError(b, err)
+	for _, f := range files {
+		info, err := f.Info()
+		require.NoError(b, err)
+		size += info.Size()
+	}
+	return size
+}
