process tests: kills, lost disks, cuts, freezes and races of operators over real processes

Ruled out: a port found free at 127.0.0.1 was taken by an outgoing connection before the daemon listened, so each process has a loopback IP number of its own. The wiped-disk test took the lost replica for its replacement.

--- a/cmd/carawaypitch/cluster_control_test.go
+++ b/cmd/carawaypitch/cluster_control_test.go
@@ -132,11 +132,15 @@
 	c := startCluster(t)
 	leader := c.waitLeader(0)
 	wiped := (leader + 1) % clusterControls
+	lost := c.replicaID(leader, wiped)
 	c.controls[wiped].kill()
 	last := c.putEventually(c.operatorOf(), "before-repair", 0)
 	require.NoError(t, os.RemoveAll(filepath.Join(c.folder, fmt.Sprintf("control-%d", wiped+1))))
 	c.replaceControl(wiped)
-	c.eventually(func() bool { return c.isVoter(leader, wiped) }, "the replacement doesn't become a voter")
+	c.eventually(func() bool {
+		id := c.replicaID(leader, wiped)
+		return id != "" && id != lost
+	}, "the replacement doesn't become the one voter of its instance")
 	c.controls[leader].kill()
 	third := (leader + 2) % clusterControls
 	c.waitLeader(third)
@@ -159,21 +163,23 @@
 	c.controls[i].start()
 }
 
-// isVoter tells whether instance i votes, and is the only replica of that name, as another instance sees it.
-func (c *cluster) isVoter(seenBy, i int) bool {
+// replicaID gives the identity of instance i's replica if it is its only one and votes, as another instance sees it.
+func (c *cluster) replicaID(seenBy, i int) string {
 	status, err := c.operatorOf(seenBy).Status(context.Background())
 	if err != nil || !status.Confirmed {
-		return false
+		return ""
 	}
-	found := 0
-	voter := false
+	id := ""
 	for _, r := range status.Replicas {
-		if r.Instance == fmt.Sprintf("control-%d", i+1) {
-			found++
-			voter = r.Voter
+		if r.Instance != fmt.Sprintf("control-%d", i+1) {
+			continue
+		}
+		if id != "" || !r.Voter {
+			return ""
 		}
+		id = r.ID
 	}
-	return found == 1 && voter
+	return id
 }
 
 // Symptom: operators read an old configuration from a leader that has been cut off. Sequence: the leader freezes, so
--- a/cmd/carawaypitch/cluster_test.go
+++ b/cmd/carawaypitch/cluster_test.go
@@ -3,12 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -140,8 +141,10 @@
 		}
 	}
 	if c.t.Failed() {
-		for _, p := range append(append([]*process{}, c.controls...), c.entries...) {
-			c.t.Logf("---- %s\n%s", filepath.Base(p.file), tail(p.log.String()))
+		for _, group := range [][]*process{c.controls, c.agents, c.entries} {
+			for _, p := range group {
+				c.t.Logf("---- %s\n%s", filepath.Base(p.file), tail(p.log.String()))
+			}
 		}
 	}
 }
@@ -159,13 +162,22 @@
 	require.Eventually(c.t, condition, waitBound, waitTick, append([]any{format}, args...)...)
 }
 
-// freeAddress finds a free port. Another process might take it before it is used; then the test fails at its start.
+// addresses counts the loopback addresses handed out to the processes of this test run.
+var addresses atomic.Uint32
+
+// freeAddress gives an IP number in 127.0.0.0/8 that no other process of this machine's tests uses, with a port below
+// the ephemeral ones.
+//
+// A port found free at 127.0.0.1 may be taken by an outgoing connection before the daemon listens there; the daemon
+// then fails at its start, now and then.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	const port = 7000
+	n := addresses.Add(1)
+	pid := uint32(os.Getpid())
+	require.Less(t, n, uint32(1<<10), "too many addresses in one run")
+	ip := 127<<24 | 1<<23 | (pid&(1<<13-1))<<10 | n
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{byte(ip >> 24), byte(ip >> 16), byte(ip >> 8), byte(ip)}), port).String()
 }
 
 // write puts a settings file into the folder and makes the process for it.
