sched: rounds of one event are bounded

Cause: removing guards on a scratch copy showed that a dispatch which the chart refuses was put back into the queue and tried again without end, so that one mistake elsewhere would stop the entry for good. A refused dispatch stays out of the queue, pump has at most 16 rounds for an event and a request is woken at most once for it. Also: one guard in place of two for a newer incarnation, an end without a length is said to be incomplete, and tests for what survived the removal.

--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -100,10 +100,11 @@
 		r.attempt.incarnation == a.incarnation
 }
 
-// dispatch sends the body to one server. Reservations elsewhere are withdrawn first: an offer that crosses the
+// dispatch sends the body to one server. That the request has no attempt is the chart's to say: it allows a dispatch in
+// queued and reserved only, and the ways back to them are proofs. Reservations elsewhere are withdrawn first: an offer that crosses the
 // withdrawal is declined, since the request has an attempt then.
 func (s *Scheduler) dispatch(r *request, to *server, offered bool) {
-	if r.attempt != nil || !to.ready || !r.pool.has(to) || !r.allows(to) {
+	if !to.ready || !r.pool.has(to) || !r.allows(to) {
 		s.countStray(strayAttempt)
 		return
 	}
@@ -114,7 +115,6 @@
 	}
 	s.pull(r)
 	if s.fire(r, e) != nil {
-		s.push(r)
 		return
 	}
 	s.sendBody(r, to, offered)
--- a/sched/attempts_test.go
+++ b/sched/attempts_test.go
@@ -154,6 +154,49 @@
 	assert.Len(t, w.proves, 1)
 }
 
+func TestDispatchOfADispatchedRequestSendsNothing(t *testing.T) {
+	// Symptom: one request runs on two engines at a time.
+	// Sequence: whatever leads some code to dispatch a request that has an attempt.
+	// Cause: a chart that allows it.
+	for _, lost := range []bool{false, true} {
+		w, d := twoServers(t, summary)
+		if lost {
+			w.down(d.server)
+		}
+		w.s.dispatch(w.s.requests["r"], w.s.servers[d.other()], false)
+		w.step(Tick{})
+		assert.Len(t, w.dispatches("r"), 1)
+		assert.Equal(t, uint64(1), w.s.table.Refused())
+	}
+}
+
+func TestOlderIncarnationChangesNothing(t *testing.T) {
+	// Symptom: answers are dropped although their agent is linked.
+	// Sequence: word of an older incarnation's link comes after that of the present one.
+	// Cause: the last word taken for the newest.
+	w, d := twoServers(t, summary)
+	w.up(d.server, 0)
+	w.step(AgentDown{Agent: agentOf(d.server), Incarnation: 0})
+	w.step(Received{Agent: agentOf(d.server), Incarnation: 1, Message: &wire.AgentMessage{Kind: &wire.AgentMessage_Over{
+		Over: &wire.Over{Attempt: d.id, Server: d.server, Proof: wire.Proof_PROOF_COMPLETED, Answer: endOf(0)},
+	}}})
+	assert.Contains(t, w.answers, "r")
+}
+
+func TestContradictingProofIsNone(t *testing.T) {
+	// Symptom: an engine works on for nobody, and nobody tells it to stop.
+	// Sequence: frames of an attempt arrive, then its agent says that it never started.
+	// Cause: the contradiction believed.
+	w, d := twoServers(t, summary)
+	w.frame(d.server, d.id, 0, "a")
+	w.prove(d.server, d.id, wire.Proof_PROOF_NEVER_STARTED)
+	w.down(d.server)
+	w.pass(15 * time.Second)
+	require.Contains(t, w.failures, "r")
+	assert.Equal(t, result.RanYes, w.failures["r"].Ran)
+	assert.Equal(t, 1, w.s.Status().Lingering)
+}
+
 func TestDispatchCarriesTheIncarnation(t *testing.T) {
 	// Symptom: one request runs on two engines at a time.
 	// Sequence: an agent restarts; the entry's daemon links the new incarnation while a dispatch meant for the old one is
--- a/sched/frames.go
+++ b/sched/frames.go
@@ -126,11 +126,11 @@
 func (s *Scheduler) completed(r *request, m *wire.Over) {
 	rec := r.record()
 	rec.began = true
-	r.attempt.end = m.GetAnswer()
-	if r.attempt.end == nil {
-		r.attempt.end = &wire.AnswerEnd{}
-		r.attempt.broken = true
+	if m.GetAnswer() == nil {
+		s.incomplete(r, result.New(result.AnswerIncomplete, "the agent gave no length"), retryIncomplete)
+		return
 	}
+	r.attempt.end = m.GetAnswer()
 	if r.attempt.gapSince.IsZero() {
 		r.attempt.gapSince = s.now
 	}
--- a/sched/frames_test.go
+++ b/sched/frames_test.go
@@ -93,7 +93,8 @@
 	t.Run("no end at all", func(t *testing.T) {
 		w, d := twoServers(t, order)
 		w.prove(d.server, d.id, wire.Proof_PROOF_COMPLETED)
-		assert.Contains(t, w.failures, "r")
+		require.Contains(t, w.failures, "r")
+		assert.Equal(t, result.AnswerIncomplete, w.failures["r"].Code)
 	})
 }
 
@@ -185,6 +186,21 @@
 	assert.Contains(t, w.failures, "r")
 }
 
+func TestStreamGoesOnOnlyWhereItCanBeResumed(t *testing.T) {
+	// Symptom: the same, where another server could resume but has no room just now.
+	w, d := streamed(t, summary)
+	w.frame(d.server, d.id, 0, "a", "b")
+	w.serve("s3", kindModel, testModel, 0)
+	room := readyRoom(d.other(), kindModel, testModel, 4)
+	room.Resume = false
+	w.say(d.other(), &wire.AgentMessage{Kind: &wire.AgentMessage_Room{Room: room}})
+	w.up(d.server, 2)
+	assert.Len(t, w.dispatches("r"), 1)
+	require.Len(t, w.reserves("r"), 1)
+	w.offer("s3", w.reserves("r")[0].id)
+	assert.Equal(t, "s3", w.last("r", 2).server)
+}
+
 func TestAnswerOverTheBound(t *testing.T) {
 	w := newWorld(t, Options{MaxAnswer: 3})
 	w.serve("s1", kindModel, testModel, 4)
--- a/sched/links.go
+++ b/sched/links.go
@@ -17,14 +17,11 @@
 	if a.up {
 		s.linkLost(a)
 	}
-	newer := hello.GetIncarnation() > a.incarnation
 	a.incarnation = hello.GetIncarnation()
 	a.zone = hello.GetAvailabilityZone()
 	a.up = true
 	a.downSince = time.Time{}
-	if newer {
-		s.incarnationEnded(a)
-	}
+	s.incarnationEnded(a)
 	s.linkBack(a)
 	s.lingers.up(s, a)
 	s.askEarlier(a)
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -14,6 +14,9 @@
 // maxPassed bounds how many queued requests one walk passes over because no server with room suits them.
 const maxPassed = 32
 
+// maxRounds bounds how often one event has pools looked at.
+const maxRounds = 16
+
 // poolKey names what requests are for.
 type poolKey struct {
 	kind   string
@@ -124,10 +127,10 @@
 }
 
 // pump gives out what can be given out now in the pools that changed, the highest tier first over all pools, since
-// one server may belong to several. What it gives out changes pools again; each round takes at least one request out
-// of a queue, so that it ends.
+// one server may belong to several. What it gives out changes pools again. The rounds are bounded, so that a mistake
+// here costs a little time with each event and doesn't stop the entry for good; what is left waits for the next event.
 func (s *Scheduler) pump() {
-	for len(s.dirty) > 0 {
+	for round := 0; len(s.dirty) > 0 && round < maxRounds; round++ {
 		s.dirty, s.pumping = s.pumping[:0], s.dirty
 		for _, p := range s.pumping {
 			p.dirty = false
@@ -172,6 +175,7 @@
 			s.stuck(r)
 		case s.giveUp(r, to):
 		default:
+			r.mark = s.mark
 			s.dispatch(r, to, false)
 		}
 	}
--- a/sched/wake.go
+++ b/sched/wake.go
@@ -79,13 +79,15 @@
 	return h.items[0]
 }
 
-// wakeDue looks at every request whose time has come.
+// wakeDue looks at every request whose time has come, each at most once for an event: what else is due for it waits
+// for the next tick.
 func (s *Scheduler) wakeDue() {
 	for r := s.wakes.due(s.now); r != nil; r = s.wakes.due(s.now) {
 		s.wakes.remove(r)
 		s.wake(r)
-		if s.requests[r.ID] == r {
-			s.setWake(r)
+		s.setWake(r)
+		if r.wakeIndex >= 0 && !s.now.Before(r.wakeAt) {
+			s.wakes.set(r, s.now.Add(TickInterval))
 		}
 	}
 	s.lingers.expire(s.now)
