--- a/entry/agent_test.go
+++ b/entry/agent_test.go
@@ -206,9 +206,20 @@
 
 // hold keeps every attempt unanswered.
 func (a *fakeAgent) hold() {
+	a.script(func(*dispatched) {}, a.onCancel)
+}
+
+// deaf keeps every attempt and every Cancel unanswered.
+func (a *fakeAgent) deaf() {
+	a.script(func(*dispatched) {}, func(link.EntryID, *wire.Cancel) {})
+}
+
+// script says how the agent answers from now on; nil is the default.
+func (a *fakeAgent) script(onDispatch func(*dispatched), onCancel func(link.EntryID, *wire.Cancel)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.onDispatch = func(*dispatched) {}
+	a.onDispatch = onDispatch
+	a.onCancel = onCancel
 }
 
 // echo answers a service call with its own body, a completion with two tokens.
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -109,11 +109,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 1)
 		agent := r.addModel(1)
-		agent.onDispatch = func(d *dispatched) {
+		agent.script(func(d *dispatched) {
 			d.frame(0, chatEvent("Hel"))
-			synctest.Wait()
 			d.over(failedProof())
-		}
+		}, nil)
 		a := r.call(1, http.MethodPost, chatPath, chatSSE)
 		require.Equal(t, 200, a.status)
 		require.NotContains(t, a.body, "[DONE]")
