--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -172,18 +172,23 @@
 func newRig(t *testing.T, entries int) *rig {
 	t.Helper()
 	r := &rig{t: t, net: memory.New(), control: newFakeControl()}
-	caller := r.net.Host(callerHost)
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return caller.Dial(ctx, address) },
-	}
-	r.client = &http.Client{Transport: transport}
-	t.Cleanup(transport.CloseIdleConnections)
+	r.callFrom(callerHost)
 	for range entries {
 		r.addEntry(nil)
 	}
 	return r
 }
 
+// callFrom lets calls come from a host.
+func (r *rig) callFrom(ip string) {
+	caller := r.net.Host(ip)
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return caller.Dial(ctx, address) },
+	}
+	r.client = &http.Client{Transport: transport}
+	r.t.Cleanup(transport.CloseIdleConnections)
+}
+
 // addEntry starts an entry at a host of its own.
 func (r *rig) addEntry(change func(*settings.Entry)) *Entry {
 	r.t.Helper()
