--- /dev/null
+++ b/experiment/experiment_test.go
@@ -0,0 +1,76 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/experiment/plan"
+	"github.com/carawaypitch/carawaypitch/experiment/report"
+)
+
+// tiny is quick.jsonc with the least of everything.
+func tiny(t *testing.T) *plan.Plan {
+	t.Helper()
+	text, err := os.ReadFile("../examples/experiments/quick.jsonc")
+	require.NoError(t, err)
+	p, err := plan.Parse("quick.jsonc", text)
+	require.NoError(t, err)
+	p.WarmUp = plan.Duration(100 * time.Millisecond)
+	p.Measured = plan.Duration(500 * time.Millisecond)
+	p.CoolDown = 0
+	p.MaxLateness = plan.Duration(time.Minute)
+	p.Policies = p.Policies[:1]
+	p.Scenarios[0].Load = 0.5
+	for i := range p.Servers {
+		p.Servers[i].Count = 1
+	}
+	return p
+}
+
+func TestTinyExperiment(t *testing.T) {
+	p := tiny(t)
+	p.Scenarios[0].Faults = []plan.Fault{{
+		Kind: plan.Straggler, At: plan.Duration(100 * time.Millisecond), For: plan.Duration(200 * time.Millisecond), Target: "fast-01", Factor: 2,
+	}}
+	var progress bytes.Buffer
+	r, err := Run(context.Background(), p, Options{Progress: &progress})
+	require.NoError(t, err)
+	require.Len(t, r.Scenarios, 1)
+	require.Len(t, r.Scenarios[0].Runs, 1)
+	run := r.Scenarios[0].Runs[0]
+	assert.Positive(t, run.Requests)
+	assert.Positive(t, run.Good)
+	assert.Equal(t, run.Requests, r.Scenarios[0].Bound.Requests)
+	assert.LessOrEqual(t, float64(run.Good), r.Scenarios[0].Bound.Total)
+	assert.Empty(t, run.Violations)
+	assert.NotEmpty(t, run.Metrics)
+	assert.NotEmpty(t, progress.String())
+	_, err = json.Marshal(r)
+	require.NoError(t, err)
+}
+
+func TestUnknownNamesAreRefused(t *testing.T) {
+	_, err := Run(context.Background(), tiny(t), Options{Scenarios: []string{"none"}})
+	require.ErrorContains(t, err, `no scenario "none"`)
+	_, err = Run(context.Background(), tiny(t), Options{Policies: []string{"none"}})
+	require.ErrorContains(t, err, `no policy "none"`)
+}
+
+func TestTuningNamesTheBest(t *testing.T) {
+	run := func(policy string, knob, good int) report.Run {
+		return report.Run{Policy: policy, Knob: knob, Good: good, Requests: 10}
+	}
+	runs := []report.Run{run("round_robin", 2, 5), run("round_robin", 4, 7), run("least_load", 2, 6), run("round_robin", 8, 3)}
+	notes := tuningNotes(&report.Report{Scenarios: []report.Group{{Runs: runs}}})
+	assert.Equal(t, []string{
+		"best max_outstanding of round_robin: 4 (7 of 10 requests good)",
+		"best max_outstanding of least_load: 2 (6 of 10 requests good)",
+	}, notes)
+}
--- a/experiment/load/answer.go
+++ b/experiment/load/answer.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -119,10 +120,20 @@
 		return
 	}
 	if text != want && (whole || !strings.HasPrefix(want, text)) {
-		o.Fate, o.Detail = Wrong, "the text is not the answer to this request"
+		same := commonPrefix(text, want)
+		o.Fate, o.Detail = Wrong, fmt.Sprintf("the text is not the answer to this request: %d bytes, want %d, the same up to %d",
+			len(text), len(want), same)
 	}
 }
 
+func commonPrefix(a, b string) int {
+	n := 0
+	for n < min(len(a), len(b)) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
+
 // judgeStream reads a stream to its end. Only the end mark makes it an answer.
 func judgeStream(o *Outcome, body io.Reader, check bool) {
 	var text strings.Builder
