--- a/entry/keyed_test.go
+++ b/entry/keyed_test.go
@@ -337,3 +337,24 @@
 		require.Equal(t, []string{"begin", "release"}, r.control.commands())
 	})
 }
+
+// Symptom: a request runs twice. Sequence: an attempt is proved never started, its record is released, the same key
+// begins a new record whose attempts have the same numbers; a late repetition of the old proof arrives. Cause: it is taken
+// for one about the new attempt.
+func TestFreedKeyRestsInItsEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		agent := r.addService(1)
+		agent.script(func(d *dispatched) { d.over(&wire.Over{Proof: wire.Proof_PROOF_NEVER_STARTED}) }, nil)
+		r.issue(1, "k", `{}`)
+		agent.script(nil, nil)
+		before := agent.ran("")
+		e := r.issue(1, "k", `{}`).code(t)
+		require.Equal(t, result.RefusedNeverStarted, e.Code)
+		require.Equal(t, result.RanNo, e.Ran)
+		require.Equal(t, releaseHold, e.RetryAfter)
+		require.Equal(t, before, agent.ran(""))
+		time.Sleep(e.RetryAfter)
+		require.Equal(t, 200, r.issue(1, "k", `{}`).status)
+	})
+}
