--- a/spec/attempts.go
+++ b/spec/attempts.go
@@ -32,8 +32,11 @@
 	charts *charts
 	// want is the only invariant looked at, "" for all.
 	want Invariant
-	// told counts the outcomes that callers heard, on all ways.
-	told [callLost + 1]int
+	// told counts the outcomes that callers heard, on all ways; the others how often a state of a chart was entered.
+	told            [callLost + 1]int
+	requestsEntered [requestUnknown + 1]int
+	attemptsEntered [attemptTombstoned + 1]int
+	serversEntered  [serverGone + 1]int
 }
 
 // Kinds of steps of the model of attempts.
@@ -101,8 +104,8 @@
 }
 
 // newAttempts returns the model within the bounds, with the guards given.
-func newAttempts(c *charts, bounds AttemptBounds, guards Guards) *attempts {
-	return &attempts{bounds: bounds, guards: guards, charts: c}
+func newAttempts(c *charts, bounds AttemptBounds, guards Guards, want Invariant) *attempts {
+	return &attempts{bounds: bounds, guards: guards, charts: c, want: want}
 }
 
 // Initial has both entries registered and both agents ready.
@@ -142,6 +145,24 @@
 // Progress is that every call can end.
 func (m *attempts) Progress() Invariant { return CallEnds }
 
+// Reached counts outcomes and states of charts.
+func (m *attempts) Reached() map[string]int {
+	names := map[string]int{}
+	for o, n := range m.told {
+		names["outcome "+outcomeNames[o]] = n
+	}
+	for s, n := range m.requestsEntered {
+		names["request "+requestStates[s]] = n
+	}
+	for s, n := range m.attemptsEntered {
+		names["attempt "+attemptStates[s]] = n
+	}
+	for s, n := range m.serversEntered {
+		names["server "+serverStates[s]] = n
+	}
+	return names
+}
+
 // Kinds returns the names of the kinds of steps.
 func (m *attempts) Kinds() []string { return attemptSteps[:] }
 
--- a/spec/attempts_agent.go
+++ b/spec/attempts_agent.go
@@ -150,6 +150,7 @@
 		return false
 	}
 	a.server = next.To
+	t.serversEntered[a.server]++
 	for _, action := range next.Actions {
 		waits := a.state == attemptReserved || a.state == attemptAdmitted || a.state == attemptOffered
 		if action == "stop_new_work" && waits {
--- a/spec/attempts_attempt.go
+++ b/spec/attempts_attempt.go
@@ -19,6 +19,7 @@
 		return false
 	}
 	a.state = next.To
+	t.attemptsEntered[a.state]++
 	for _, action := range next.Actions {
 		t.attemptAction(at, action, &o)
 	}
--- a/spec/attempts_request.go
+++ b/spec/attempts_request.go
@@ -9,6 +9,7 @@
 		return false
 	}
 	e.state = next.To
+	t.requestsEntered[e.state]++
 	for _, action := range next.Actions {
 		t.requestAction(at, action)
 	}
--- a/spec/attempts_state.go
+++ b/spec/attempts_state.go
@@ -31,6 +31,8 @@
 	callLost    // the entry died or the caller gave up
 )
 
+var outcomeNames = [...]string{"idle", "open", "answered", "not_run", "ran", "unknown", "lost"}
+
 // ran is what is proved about the attempts of a request.
 type ran uint8
 
--- /dev/null
+++ b/spec/cases.go
@@ -0,0 +1,153 @@
+package spec
+
+import "github.com/go-faster/errors"
+
+// Names of the models.
+const (
+	modelAttempts = "attempts"
+	modelLog      = "log"
+	modelOrders   = "orders"
+)
+
+// maxStates bounds one exploration, and so its memory. A case with more of them fails.
+const maxStates = 3_000_000
+
+// Case is a model within bounds. Each case gives room to some of the faults: all of them at once have too many states.
+type Case struct {
+	// Model and Name identify the case.
+	Model, Name string
+	// floor is the least number of states that an exploration with all guards has to find: fewer mean that the model
+	// has come to a stop somewhere.
+	floor int
+	// explore runs the case with a set of guards, looking at one invariant, or at all for "".
+	explore func(c *charts, guards Guards, want Invariant) (*Result, error)
+}
+
+func attemptCase(name string, floor int, bounds AttemptBounds) Case {
+	return Case{modelAttempts, name, floor, func(c *charts, guards Guards, want Invariant) (*Result, error) {
+		return Explore(newAttempts(c, bounds, guards, want), maxStates, want)
+	}}
+}
+
+func logCase(name string, floor int, bounds LogBounds) Case {
+	return Case{modelLog, name, floor, func(_ *charts, guards Guards, want Invariant) (*Result, error) {
+		return Explore(&logModel{bounds: bounds, guards: guards, want: want}, maxStates, want)
+	}}
+}
+
+func orderCase(name string, floor int, bounds OrderBounds) Case {
+	return Case{modelOrders, name, floor, func(c *charts, guards Guards, want Invariant) (*Result, error) {
+		return Explore(&orders{bounds: bounds, guards: guards, want: want, charts: c}, maxStates, want)
+	}}
+}
+
+// Names of the cases.
+const (
+	caseQuiet          = "no fault"
+	caseQuietOnce      = "no fault, not repeatable"
+	caseEntryCrash     = "entry crash"
+	caseEntryCrashOnce = "entry crash, not repeatable"
+	caseAgentCrash     = "agent crash"
+	caseAgentCrashOnce = "agent crash, not repeatable"
+	caseTwoEntries     = "agent crash, two entries"
+	caseBothCrash      = "both crash"
+	caseBothCrashOnce  = "both crash, not repeatable"
+	caseCutOff         = "entry cut off, agent crash"
+	caseLeave          = "connection lost, leave"
+	caseLost           = "connection lost, agent crash"
+	caseReservations   = "reservations, agent crash"
+
+	caseTerms   = "four terms"
+	caseSync    = "crash without sync"
+	caseReads   = "reads"
+	caseReplace = "living replica replaced"
+	caseRepair  = "wiped disk, second loss"
+
+	caseIgnores = "engine ignores fences"
+	caseRefuses = "engine refuses"
+)
+
+// Cases returns all cases, the largest ones first.
+func Cases() []Case {
+	return []Case{
+		attemptCase(caseCutOff, 1_000_000, AttemptBounds{Repeatable: true, Calls: 2, Attempts: 1, WrongEnds: 1, AgentCrashes: 1, Whole: true}),
+		logCase(caseReplace, 600_000, LogBounds{Terms: 2, Entries: 4, Changes: true}),
+		logCase(caseTerms, 400_000, LogBounds{Terms: 4, Entries: 2}),
+		attemptCase(caseReservations, 300_000, AttemptBounds{Repeatable: true, Calls: 1, Attempts: 2, Reservations: true, AgentCrashes: 1}),
+		logCase(caseSync, 300_000, LogBounds{Terms: 2, Entries: 2, Crashes: 1}),
+		attemptCase(caseBothCrash, 300_000, AttemptBounds{Repeatable: true, Calls: 2, Attempts: 1, EntryCrashes: 1, AgentCrashes: 1, Whole: true}),
+		attemptCase(caseBothCrashOnce, 250_000, AttemptBounds{Calls: 2, Attempts: 1, EntryCrashes: 1, AgentCrashes: 1}),
+		attemptCase(caseEntryCrashOnce, 150_000, AttemptBounds{Calls: 2, Attempts: 2, EntryCrashes: 1}),
+		attemptCase(caseAgentCrashOnce, 80_000, AttemptBounds{Calls: 2, Attempts: 2, AgentCrashes: 1}),
+		attemptCase(caseEntryCrash, 70_000, AttemptBounds{Repeatable: true, Calls: 2, Attempts: 1, EntryCrashes: 1}),
+		attemptCase(caseTwoEntries, 10_000, AttemptBounds{Repeatable: true, Calls: 2, Attempts: 1, AgentCrashes: 1, Whole: true}),
+		attemptCase(caseLost, 30_000, AttemptBounds{Repeatable: true, Calls: 1, Attempts: 2, Losses: 1, AgentCrashes: 1}),
+		attemptCase(caseQuiet, 30_000, AttemptBounds{Repeatable: true, Calls: 2, Attempts: 2}),
+		attemptCase(caseAgentCrash, 14_000, AttemptBounds{Repeatable: true, Calls: 1, Attempts: 2, AgentCrashes: 1}),
+		attemptCase(caseLeave, 13_000, AttemptBounds{Repeatable: true, Calls: 1, Attempts: 2, Losses: 1, Leaves: 1}),
+		attemptCase(caseQuietOnce, 6_000, AttemptBounds{Calls: 2, Attempts: 2}),
+		logCase(caseRepair, 20_000, LogBounds{Terms: 3, Entries: 5, Changes: true, Wipe: true, Loss: true, PreVote: true}),
+		logCase(caseReads, 15_000, LogBounds{Terms: 2, Entries: 2, Reads: true}),
+		orderCase(caseIgnores, 30_000, OrderBounds{Fences: 3, Crashes: 1}),
+		orderCase(caseRefuses, 30_000, OrderBounds{Fences: 3, Crashes: 1, EngineRefuses: true}),
+	}
+}
+
+// Removal is a guard, and what goes wrong without it.
+type Removal struct {
+	Guard Guard
+	// Case is the name of the case in which it is removed, Invariant what is violated then.
+	Case      string
+	Invariant Invariant
+}
+
+// Removals returns one removal for each guard, those that take longest first.
+func Removals() []Removal {
+	return []Removal{
+		{GuardEndedStaysEnded, caseCutOff, OneEngine},
+		{GuardOwnTermCommit, caseTerms, LeaderCompleteness},
+		{GuardEndedAtRestart, caseCutOff, OneEngine},
+		{GuardKnownAttempt, caseCutOff, OneEngine},
+		{GuardOwnerGone, caseTwoEntries, OneEngine},
+		{GuardPredecessor, caseBothCrash, NotRunTrue},
+		{GuardTombstone, caseQuiet, OneEngine},
+		{GuardProofBeforeRetry, caseQuiet, OneEngine},
+		{GuardFirstTaker, caseReservations, OneEngine},
+		{GuardCancelAllAtStart, caseAgentCrash, OneEngine},
+		{GuardSettledCalls, caseAgentCrash, OneEngine},
+		{GuardSameIncarnation, caseAgentCrashOnce, Once},
+		{GuardBeganIsProved, caseAgentCrashOnce, RanTrue},
+		{GuardCommitBeforeDispatch, caseQuietOnce, Once},
+		{GuardEpochTakeover, caseEntryCrash, OneEngine},
+		{GuardEarlierProofs, caseEntryCrash, OneEngine},
+		{GuardUnknownForever, caseEntryCrashOnce, Once},
+		{GuardSpentRequest, caseQuietOnce, AfterAnswer},
+		{GuardWholeAnswer, caseQuiet, WholeAnswer},
+		{GuardPresentFrames, caseQuiet, WholeAnswer},
+		{GuardNoneInFlight, caseLeave, DrainedIdle},
+		{GuardPersistVote, caseSync, ElectionSafety},
+		{GuardSyncBeforeAcknowledge, caseSync, StateMachineSafety},
+		{GuardUpToDateVote, caseTerms, LeaderCompleteness},
+		{GuardOneVote, caseTerms, ElectionSafety},
+		{GuardNewIdentityForWipedDisk, caseRepair, LeaderCompleteness},
+		{GuardOneChangeAtATime, caseReplace, LeaderCompleteness},
+		{GuardLearnerCaughtUp, caseRepair, GroupRecovers},
+		{GuardHighestVersion, caseReads, NoRevert},
+		{GuardFence, caseIgnores, FenceHolds},
+		{GuardFenceAtStart, caseIgnores, FenceHolds},
+		{GuardFenceAtCall, caseIgnores, NoStale},
+		{GuardSettledOrders, caseIgnores, FenceHolds},
+	}
+}
+
+// ErrNoCase says that a removal names a case that there isn't.
+var ErrNoCase = errors.New("spec: no such case")
+
+func findCase(name string) (Case, error) {
+	for _, c := range Cases() {
+		if c.Name == name {
+			return c, nil
+		}
+	}
+	return Case{}, errors.Wrap(ErrNoCase, name)
+}
--- a/spec/explore.go
+++ b/spec/explore.go
@@ -32,6 +32,8 @@
 	Progress() Invariant
 	// Kinds returns the names of the kinds of steps.
 	Kinds() []string
+	// Reached counts what was reached besides steps, such as the states of charts, by name.
+	Reached() map[string]int
 	// Describe returns a step as a line of a trace.
 	Describe(s Step) string
 }
@@ -48,7 +50,7 @@
 	// Broken is the violated invariant, "" if there is none, and Trace a shortest way there.
 	Broken Invariant
 	Trace  []string
-	// Taken counts the transitions of each kind.
+	// Taken counts the transitions of each kind, and what else was reached.
 	Taken map[string]int
 }
 
@@ -57,27 +59,32 @@
 	store  *store[S]
 	parent []uint32
 	step   []Step
-	// first[i] is where the successors of state i begin in to.
-	first []uint32
-	to    []uint32
+	// first[i] is where the successors of state i begin in to. They are kept if progress is looked at.
+	progress bool
+	first    []uint32
+	to       []uint32
 }
 
-// Explore visits every reachable state. It stops at the first violation. The error is ErrTooLarge or nil.
-func Explore[S comparable](m Model[S], limit int) (*Result, error) {
+// Explore visits every reachable state. It stops at the first violation of the wanted invariant, of any if none is
+// named. The error is ErrTooLarge or nil.
+func Explore[S comparable](m Model[S], limit int, want Invariant) (*Result, error) {
 	begun := time.Now()
-	v := &visited[S]{store: newStore(m.Encode)}
+	v := &visited[S]{store: newStore(m.Encode), progress: want == "" || want == m.Progress()}
 	r := &Result{Taken: map[string]int{}}
 	taken := make([]int, len(m.Kinds()))
 	initial := m.Initial()
 	v.add(&initial, 0, Step{})
 	err := v.search(m, r, taken, limit)
-	if err == nil && r.Broken == "" {
+	if err == nil && r.Broken == "" && v.progress {
 		v.checkProgress(m, r)
 	}
 	r.States = len(v.parent)
 	for kind, n := range taken {
 		r.Taken[m.Kinds()[kind]] = n
 	}
+	for name, n := range m.Reached() {
+		r.Taken[name] = n
+	}
 	r.Seconds = time.Since(begun).Seconds()
 	return r, err
 }
@@ -113,7 +120,9 @@
 			taken[step.Kind]++
 			r.Transitions++
 			id, _ := v.add(next, at, step)
-			v.to = append(v.to, id)
+			if v.progress {
+				v.to = append(v.to, id)
+			}
 		})
 	}
 	v.first = append(v.first, uint32(len(v.to)))
--- a/spec/log.go
+++ b/spec/log.go
@@ -89,6 +89,9 @@
 // Progress is that the group recovers.
 func (m *logModel) Progress() Invariant { return GroupRecovers }
 
+// Reached has nothing besides steps.
+func (m *logModel) Reached() map[string]int { return nil }
+
 // Kinds returns the names of the kinds of steps.
 func (m *logModel) Kinds() []string { return logSteps[:] }
 
