sched: last look before a dispatch is tested; EarlierUnproved in Explain

Cause: removing the check in dispatch left the tests green, and the entry can't see from Explain that a taken-over key still lacks proofs. PolicyLeastLoad takes a random one of equally loaded servers, so that the baseline isn't weaker than its name.

--- a/sched/baseline.go
+++ b/sched/baseline.go
@@ -19,16 +19,17 @@
 		s.turn++
 		return fit[s.turn%len(fit)]
 	case PolicyLeastLoad:
-		return leastLoaded(fit)
+		return leastLoaded(fit, s.random.IntN(len(fit)))
 	default:
 		return fit[s.random.IntN(len(fit))]
 	}
 }
 
-// leastLoaded believes the last report, however old it is.
-func leastLoaded(servers []*server) *server {
-	best := servers[0]
-	for _, v := range servers[1:] {
+// leastLoaded believes the last report, however old it is. Of equals it takes the first from start on.
+func leastLoaded(servers []*server, start int) *server {
+	best := servers[start]
+	for i := range servers {
+		v := servers[(start+i)%len(servers)]
 		if v.room.GetRunning() < best.room.GetRunning() {
 			best = v
 		}
--- a/sched/explain.go
+++ b/sched/explain.go
@@ -63,10 +63,12 @@
 	PassedOver   []PassedOver         `json:"passed_over,omitempty"`
 	Attempts     []AttemptExplanation `json:"attempts,omitempty"`
 	Candidates   []string             `json:"candidates,omitempty"`
-	Delivered    uint64               `json:"delivered"` // events
-	Code         result.Code          `json:"code,omitempty"`
-	Ran          string               `json:"ran"`
-	Ended        time.Time            `json:"ended,omitzero"`
+	// EarlierUnproved are the servers of earlier owners of the key whose proof is missing.
+	EarlierUnproved []string    `json:"earlier_unproved,omitempty"`
+	Delivered       uint64      `json:"delivered"` // events
+	Code            result.Code `json:"code,omitempty"`
+	Ran             string      `json:"ran"`
+	Ended           time.Time   `json:"ended,omitzero"`
 }
 
 // maxPassedKept bounds the servers passed over that are remembered with a request.
@@ -100,6 +102,9 @@
 		Deadline: r.Deadline, Urgency: s.urgency(r), Queued: r.lane != nil, Candidates: slices.Clone(r.Candidates),
 		Delivered: r.delivered, Ran: r.ran().String(), Ended: s.now, PassedOver: slices.Clone(r.passed),
 	}
+	if r.earlier != nil {
+		e.EarlierUnproved = slices.Clone(r.earlier.waiting)
+	}
 	if err != nil {
 		e.Code = err.Code
 		e.Ran = err.Ran.String()
--- a/sched/keyed_test.go
+++ b/sched/keyed_test.go
@@ -213,6 +213,8 @@
 	require.Contains(t, w.failures, "r")
 	assert.Equal(t, result.RanUnknown, w.failures["r"].Ran)
 	assert.Empty(t, w.dispatches("r"))
+	e, _ := w.s.Explain("r")
+	assert.Equal(t, []string{"s2"}, e.EarlierUnproved)
 }
 
 func TestCandidatesReadyFirstAndBounded(t *testing.T) {
--- a/sched/prefix.go
+++ b/sched/prefix.go
@@ -2,13 +2,15 @@
 
 import "slices"
 
+// PrefixBlockTokens is how many tokens of a prompt one digest of Request.Prefix stands for. A CacheHint counts only if
+// its digest is of blocks of the same size.
+const PrefixBlockTokens = 64
+
 const (
 	// longPrompt is from how many tokens on the prefix cache decides where a request goes.
 	longPrompt = 256
 	// serversPerPrefix bounds the servers remembered for one digest.
 	serversPerPrefix = 4
-	// blockTokens is how many tokens of a prompt one digest stands for.
-	blockTokens = 64
 )
 
 // prefixTable remembers to which servers prompts with a prefix were sent: those servers probably have it cached. It
@@ -157,5 +159,5 @@
 	if len(r.Prefix) == 0 {
 		return 0
 	}
-	return min(uint32(s.prefixes.cached(v.name, r.Prefix)*blockTokens), r.PromptTokens)
+	return min(uint32(s.prefixes.cached(v.name, r.Prefix)*PrefixBlockTokens), r.PromptTokens)
 }
--- a/sched/servers_test.go
+++ b/sched/servers_test.go
@@ -60,6 +60,24 @@
 	w.say(server, &wire.AgentMessage{Kind: &wire.AgentMessage_Room{Room: room}})
 }
 
+func TestDispatchLooksAtTheServerOnceMore(t *testing.T) {
+	// Symptom: a server that leaves, or that a key's record doesn't name, gets work.
+	// Sequence: whatever leads some code to dispatch to it.
+	// Cause: the last look before the body is sent left out.
+	w := newWorld(t, Options{})
+	w.serve("s1", kindModel, testModel, 0)
+	w.serve("other", kindModel, "another", 4)
+	w.serve("down", kindModel, testModel, 4)
+	w.down("down")
+	w.arriveKeyed("r", appeal, "s1")
+	w.serve("unnamed", kindModel, testModel, 4)
+	for _, name := range []string{"other", "down", "unnamed"} {
+		w.s.dispatch(w.s.requests["r"], w.s.servers[name], false)
+		w.step(Tick{})
+		assert.Empty(t, w.dispatches("r"), name)
+	}
+}
+
 func TestAttemptInFlightAtLeavingServerGoesOn(t *testing.T) {
 	w, d := twoServers(t, summary)
 	w.condition(d.server, wire.ServerCondition_SERVER_CONDITION_DRAINING)
