gate: tests that fail without each guard; limit of services by their own calls

What is left is the chart's guard of drained, which repeats the gate's own condition; a test now asks it alone. The limit of a service used the runs at the window's end in place of those at the starts of its calls.

--- a/gate/leases_test.go
+++ b/gate/leases_test.go
@@ -149,6 +149,17 @@
 	}
 }
 
+func TestCancelledCallHasNoOutcomeToReport(t *testing.T) {
+	// Symptom: an operation is recorded as failed, or as an empty answer, although nobody knows what it did.
+	// Sequence: a keyed call is cancelled with the engine's confirmation; its entry dies.
+	// Cause: every end was taken for an outcome.
+	b := openBench(t)
+	b.dispatchOf(entryA, keyedCall(id("r", 1)))
+	b.callerLeft(entryA, id("r", 1))
+	onlyOver(t, b.answer(id("r", 1), engine.CancelConfirmed), entryA, cancelledProof)
+	require.Empty(t, of[Report](b.step(EntryEnded{Entry: entryA})))
+}
+
 func TestWhatALostLinkDroppedIsRepeated(t *testing.T) {
 	// Symptom: a stream that was nearly whole is cut, and its prefill wasted.
 	// Sequence: a link is lost for less than a lease; events, an offer and an end are dropped with it.
--- a/gate/pace.go
+++ b/gate/pace.go
@@ -60,6 +60,7 @@
 	target string
 	past   average // seconds
 	sum    float64 // of this window
+	busy   int     // runs at the starts of its calls, added up
 	calls  int
 }
 
@@ -216,8 +217,9 @@
 			continue
 		}
 		took := s.sum / float64(s.calls)
-		s.sum, s.calls = 0, 0
-		g.limit.observe(took, float64(len(g.held)+1))
+		busy := float64(s.busy) / float64(s.calls)
+		s.sum, s.busy, s.calls = 0, 0, 0
+		g.limit.observe(took, busy)
 		if ratio := s.past.learn(took); ratio > 0 {
 			p.window.add(ratio)
 		}
@@ -291,6 +293,7 @@
 		s.past.learn(took)
 	}
 	s.sum += took
+	s.busy += a.run.busy
 	s.calls++
 }
 
--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -147,7 +147,7 @@
 		},
 		"late work after timely work": {
 			[]*wire.Work{
-				workOf(func(w *wire.Work) { w.RemainingMs, w.MayBeLate = 0, true }),
+				workOf(func(w *wire.Work) { w.Class, w.Urgency, w.RemainingMs, w.MayBeLate = "b", 900, 0, true }),
 				workOf(func(w *wire.Work) { w.RemainingMs = 500_000 }),
 			},
 			[]string{"r1", "r0"},
@@ -209,9 +209,10 @@
 	b.fill()
 	require.Empty(t, overs(b.reserve(entryA, id("appeal", 1), long(func(w *wire.Work) { w.MayBeLate = true })), entryA))
 	require.Empty(t, overs(b.reserve(entryA, id("gate-check", 1), long(func(w *wire.Work) { w.Tier = 1 })), entryA))
-	b.pass(5 * time.Second)
+	b.pass(1200 * time.Millisecond)
 	require.Empty(t, b.gate.records.get("appeal").current.record.refused, "a class that may be late waits")
 	require.EqualValues(t, result.DeadlinePassedInQueue, b.gate.records.get("gate-check").refused.Code)
+	require.Equal(t, []string{"appeal.1"}, offeredIDs(b.finish(id("fill-0", 1))))
 }
 
 func TestFullWaitingListShedsTheLast(t *testing.T) {
@@ -334,6 +335,7 @@
 	b.start(entryA, id("r1", 1), big)
 	require.Empty(t, offeredIDs(b.reserve(entryA, id("r2", 1), big)))
 	require.Equal(t, string(whyMemory), b.gate.Status().Blocked)
+	refusedWith(t, b.dispatch(entryA, id("small", 1), work()), result.RefusedNeverStarted) // not past the waiting one
 	require.Equal(t, []string{"r2.1"}, offeredIDs(b.finish(id("r1", 1))))
 }
 
@@ -408,8 +410,8 @@
 	b.gate.doubt(doubtPace, onSlow)
 	b.gate.pace.ratio = slowRatio
 	long := workOf(func(w *wire.Work) { w.PromptTokens = probePrompt + 1 })
-	require.Empty(t, offeredIDs(b.reserve(entryA, id("long", 1), long)))
 	refusedWith(t, b.dispatch(entryA, id("long-2", 1), long), result.RefusedNeverStarted)
+	require.Empty(t, offeredIDs(b.reserve(entryA, id("long", 1), long)))
 	require.Len(t, offeredIDs(b.reserve(entryA, id("short", 1), work())), 1)
 }
 
@@ -464,3 +466,31 @@
 	b.dispatchOffered(entryA, id("hurry", 1), firstTierWork())
 	refusedWith(t, b.reserve(entryA, id("last", 1), firstTierWork()), result.QueueFull)
 }
+
+func TestServiceCallsTeachLimitAndPace(t *testing.T) {
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(8))
+	call := workOf(func(w *wire.Work) { w.Service, w.PromptTokens, w.OutputTokens = true, 0, 0 })
+	n := 0
+	burst := func(parallel int, took time.Duration) {
+		var all []*wire.AttemptID
+		for range min(parallel, b.gate.free()) {
+			n++
+			all = append(all, id(fmt.Sprint("call-", n), 1))
+			b.start(entryA, all[len(all)-1], call)
+		}
+		b.pass(took)
+		for _, attempt := range all {
+			b.finish(attempt)
+		}
+	}
+	for range 200 {
+		burst(1, 20*time.Millisecond)
+	}
+	require.Equal(t, 8, b.gate.Status().Slots)
+	require.InDelta(t, 20, b.gate.predict(call).Milliseconds(), 2)
+	require.EqualValues(t, 20, b.gate.estimate(call))
+	for range 10 {
+		burst(8, 80*time.Millisecond)
+	}
+	require.Less(t, b.gate.Status().Slots, 8, "together they take four times as long")
+}
--- a/gate/server_test.go
+++ b/gate/server_test.go
@@ -108,6 +108,8 @@
 	b.step(Leaving{})
 	onlyOver(t, b.finish(id("run", 1)), entryA, completedProof)
 	require.NotEqual(t, drained, b.gate.Status().Condition, "one attempt is not proved over")
+	require.False(t, b.gate.fireServer(onEmptied), "the chart refuses it too")
+	b.gate.chartErrors = 0
 	over := b.answer(id("lost", 1), engine.CancelConfirmed)
 	require.Equal(t, drained, of[Changed](over)[0].Server.Condition)
 	require.Equal(t, drained, rooms(over)[0].Condition)
--- a/gate/tombstones_test.go
+++ b/gate/tombstones_test.go
@@ -114,6 +114,7 @@
 	// Cause: ended incarnations were forgotten with their tombstones.
 	b := openBench(t)
 	b.step(EntryEnded{Entry: EntryID{Name: entryA.Name, Incarnation: 5}})
+	b.step(EntryDown{Entry: entryA})
 	b.pass(DefaultTombstoneLife + forgetEntryAfter)
 	b.step(EntryUp{Entry: entryA})
 	refusedWith(t, b.dispatch(entryA, id("r", 1), work()), result.LeaseExpired)
@@ -165,6 +166,19 @@
 	onlyOver(t, b.cancelAttempt(entryB, id("other", 1), takeoverCause), entryB, neverStartedProof)
 }
 
+func TestAnswerOfAYoungIncarnationStays(t *testing.T) {
+	// Symptom: an entry hears "over", and a moment later "never started", of one attempt.
+	// Sequence: it asks twice, just before and just after the incarnation is old enough to be sure.
+	// Cause: the second answer looked at the age alone, though the record was made when nothing was sure.
+	b := openBenchWith(t, Config{}, sampleRecord(1))
+	b.now = b.now.Add(DefaultRequestLife - time.Second)
+	b.step(Announced{Server: sampleRecord(1)})
+	b.receive(entryA, heartbeat())
+	onlyOver(t, b.cancelAttempt(entryA, id("r", 1), retryCause), entryA, cancelledProof)
+	b.pass(2 * time.Second)
+	onlyOver(t, b.cancelAttempt(entryA, id("r", 1), retryCause), entryA, cancelledProof)
+}
+
 func TestMemoryThatIsFullIsUnsureRatherThanWrong(t *testing.T) {
 	now := time.Unix(0, 0)
 	m := newMemory(2, time.Hour)
