--- a/quorum/journal/doc.go
+++ b/quorum/journal/doc.go
@@ -19,6 +19,10 @@
 // votes or acknowledged entries may be gone, and Open refuses with
 // result.JournalDamaged.
 //
+// Limit: where the journal was not closed in order, damage to its very last
+// record cannot be told from a torn write and is cut off. The leader of the
+// same term notices, see quorum.ErrLostLog; another leader does not.
+//
 // After any error of a write or sync the journal stops for good. After a
 // failed fsync the kernel may have dropped the dirty pages and marked them
 // clean, so a later sync would succeed without the data (Rebello et al., "Can
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/carawaypitch/carawaypitch/quorum/quorumpb"
+	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 )
@@ -18,7 +19,7 @@
 	// ErrLostLog: a leader says that this replica acknowledged or committed
 	// entries that its log does not hold. Its disk lost synced data, so its
 	// votes and acknowledgements are worth nothing: stop it and wipe it.
-	ErrLostLog = errors.New("quorum: log lost entries that it had acknowledged")
+	ErrLostLog error = result.New(result.JournalDamaged, "quorum: log lost entries that it had acknowledged")
 )
 
 // Counters count events since the Node was made.
--- a/quorum/replica/replica.go
+++ b/quorum/replica/replica.go
@@ -240,15 +240,15 @@
 	if !r.started.CompareAndSwap(false, true) {
 		return ErrRunTwice
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	dutyCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var g run.Group
 	for _, duty := range []func(context.Context) error{r.runCore, r.runJournal, r.runApply, r.runSnapshots} {
-		g.Add(func() error { return duty(ctx) }, func(error) { cancel() })
+		g.Add(func() error { return duty(dutyCtx) }, func(error) { cancel() })
 	}
 	err := g.Run()
 	r.stop()
-	if errors.Is(err, context.Canceled) {
+	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
 		err = nil
 	}
 	return errors.Join(err, r.journal.Close())
--- a/quorum/replica/request.go
+++ b/quorum/replica/request.go
@@ -80,7 +80,9 @@
 	return r.changeMembership(ctx, quorum.Change{Kind: quorum.Promote, ID: id})
 }
 
-// Remove removes a replica from the group. Errors are those of Propose.
+// Remove removes a replica from the group. The removed replica is not told: it
+// goes on asking for pre-votes, which the others refuse, until it is stopped.
+// Errors are those of Propose.
 func (r *Replica) Remove(ctx context.Context, id quorum.ID) (Applied, error) {
 	return r.changeMembership(ctx, quorum.Change{Kind: quorum.Remove, ID: id})
 }
