--- a/gate/types.go
+++ b/gate/types.go
@@ -1,5 +1,21 @@
 // Package gate decides what an agent lets into its backend server: admission order over all entries, attempts and
 // their leases, preemption, tombstones and proofs. It is pure: events and the time go in, actions come out.
+//
+// What the agent has to keep to:
+//
+//   - Exactly one EngineEnded follows each StartEngine, one EngineCancelled with the same Try each CancelEngine, and one
+//     EngineListed each ListEngine. Errors are passed on as they are: a proof is made of them.
+//   - The first ListEngine comes with the first Announced. Nothing is admitted, broadcast or passed to control before
+//     the engine is cleared; the first Changed says that it is.
+//   - Room is sent by the gate, also in answer to a heartbeat; AgentHello and AgentHeartbeat are the agent's.
+//
+// What an entry may rely on:
+//
+//   - Every PROOF_NEVER_STARTED leaves a tombstone: the request needs a higher attempt number to come back here.
+//   - Over for a Cancel speaks of all attempts up to the number that it names. CANCELLED says that they are over and
+//     claims nothing about what they did; it is also the answer for an attempt that is not known and that an earlier
+//     incarnation of the agent may have run.
+//   - PROOF_UNPROVEN is no answer: the gate goes on asking the engine and sends the proof once it has one.
 package gate
 
 import (
