--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -249,6 +249,34 @@
 	return n
 }
 
+func TestPreemptedWorkIsNotLost(t *testing.T) {
+	// Symptom: appeals, which may be late but never lost, are lost under load.
+	// Sequence: one is preempted by gate checks again and again.
+	// Cause: preemptions counted as if the work itself failed.
+	w, _ := twoServers(t, appeal)
+	for range 3 * maxStarts {
+		all := w.dispatches("r")
+		d := all[len(all)-1]
+		w.say(d.server, started(d))
+		w.over(d.server, &wire.Over{Attempt: d.id, Proof: wire.Proof_PROOF_CANCELLED, PreemptedByTier: 1})
+		w.room(d.server, kindModel, testModel, 4)
+	}
+	assert.Empty(t, w.failures)
+	assert.Len(t, w.dispatches("r"), 3*maxStarts+1)
+}
+
+func TestBrokenWorkIsNotTriedForEver(t *testing.T) {
+	w, _ := twoServers(t, appeal)
+	for i := range maxStarts {
+		d := w.last("r", i+1)
+		w.prove(d.server, d.id, wire.Proof_PROOF_FAILED)
+		w.room(d.server, kindModel, testModel, 4)
+	}
+	require.Contains(t, w.failures, "r")
+	assert.Equal(t, result.EngineFailed, w.failures["r"].Code)
+	assert.Equal(t, result.RanYes, w.failures["r"].Ran)
+}
+
 func TestNoServerIsSaidAtOnce(t *testing.T) {
 	w := newWorld(t, Options{})
 	w.serve("s1", kindModel, "other", 1)
--- a/sched/proofs.go
+++ b/sched/proofs.go
@@ -13,7 +13,11 @@
 	cancelRepeat = time.Second
 	// quietBound is how long a dispatch may stay without any answer of its agent on an open link. Then the dispatch,
 	// or the answer, was lost, and a Cancel asks what became of it.
+	// For a short deadline it is a share of that, since a gate may also keep a dispatch of tier 1 waiting for a slot
+	// while another server has one. Nothing is lost by a Cancel of an attempt that hasn't started.
 	quietBound = 2 * time.Second
+	quietShare = 4
+	quietLeast = 100 * time.Millisecond
 	// proveRepeat is how often the engine itself is asked again.
 	proveRepeat = 2 * time.Second
 )
@@ -119,7 +123,7 @@
 	}
 	rec := r.record()
 	rec.over, rec.proof, rec.proved, rec.reason = s.now, proof, true, reason
-	if proof != wire.Proof_PROOF_NEVER_STARTED {
+	if proof != wire.Proof_PROOF_NEVER_STARTED && reason != retryPreempted {
 		r.starts++
 	}
 	r.lastErr = err
--- a/sched/request.go
+++ b/sched/request.go
@@ -9,7 +9,9 @@
 
 // Bounds of what is done for one request.
 const (
-	// maxStarts bounds the attempts that may have begun. An engine that fails on a request will often fail again.
+	// maxStarts bounds the attempts that may have begun and ended badly. An engine that fails on a request will often
+	// fail again. Attempts that made room for a higher tier don't count: a class that may be late but not lost would
+	// lose its work to them.
 	maxStarts = 4
 	// lateFactor is how many times its deadline a request of a class that tolerates lateness rather than loss may
 	// take before it is given up. It is counted late from the deadline on.
@@ -43,7 +45,7 @@
 	attempts []attemptRecord
 	number   uint64 // of the last attempt sent, without the epoch
 	refusals int    // attempts proved never started
-	starts   int    // attempts that may have begun
+	starts   int    // attempts that may have begun, see maxStarts
 	avoid    []string
 	earlier  *earlierProofs
 	widen    widenState
--- a/sched/wake.go
+++ b/sched/wake.go
@@ -184,7 +184,7 @@
 	if a.acked || a.cancelAsked || !a.downSince.IsZero() {
 		return time.Time{}
 	}
-	bound := quietBound
+	bound := max(min(quietBound, r.Deadline.Sub(r.Arrived)/quietShare), quietLeast)
 	if !r.Class.GetRepeatable() || a.started {
 		bound = max(bound, r.Deadline.Sub(a.quietSince)/2)
 	}
