gate: ended attempts let go of their bodies

Cause: a record lives for minutes after its attempt and held the dispatch, and with it the prompt: 65,536 records of long prompts are gigabytes. Conclusion: a record keeps the key and the wish for a report; go test ./gate ./agent passes, and TestTombstonesHoldNoBodies fails without it.

--- a/gate/over.go
+++ b/gate/over.go
@@ -32,6 +32,7 @@
 	if r.current == a {
 		r.current = nil
 	}
+	a.dropBody()
 	if a.begun() {
 		r.last = a
 		r.await(a)
@@ -43,6 +44,18 @@
 	g.records.release(r, from.Add(g.config.TombstoneLife))
 }
 
+// dropBody lets go of the prompt. The record outlives the attempt by minutes, and with the bodies of all of them the
+// agent would run out of memory.
+func (a *attempt) dropBody() {
+	if a.dispatch == nil {
+		return
+	}
+	a.dispatch = &wire.Dispatch{
+		IdempotencyKey:  a.dispatch.GetIdempotencyKey(),
+		ReportToControl: a.dispatch.GetReportToControl(),
+	}
+}
+
 func (g *Gate) replyNeverStarted(a *attempt, o *occasion) {
 	over := &wire.Over{
 		Proof:        wire.Proof_PROOF_NEVER_STARTED,
--- a/gate/tombstones_test.go
+++ b/gate/tombstones_test.go
@@ -222,3 +222,18 @@
 		})
 	}
 }
+
+func TestTombstonesHoldNoBodies(t *testing.T) {
+	// Symptom: an agent runs out of memory under long prompts.
+	// Sequence: attempts end; their records stay for minutes.
+	// Cause: a record held its attempt, and that the prompt.
+	b := openBench(t)
+	b.dispatchOf(entryA, &wire.Dispatch{Attempt: id("r", 1), Work: work(), Body: []byte("prompt")})
+	b.progress(id("r", 1), "answer")
+	b.finish(id("r", 1))
+	last := b.gate.records.get("r").last
+	require.Empty(t, last.dispatch.Body)
+	b.pass(DefaultKeepOver + time.Second)
+	require.Empty(t, last.frames.kept)
+	require.Empty(t, b.gate.kept)
+}
