control, session: who may propose what; batches bounded in bytes

An entry or agent could propose any command over its session, an operator's change or a fence among them: now only its own registration and the work on operations. 200 answers of 64 KiB at once made a batch over what the receiver takes, and the link broke (TestManyLargeAnswersAtOnce fails without the bound). A process that proposed its own end isn't registered again by its session.

--- a/control/peer_server.go
+++ b/control/peer_server.go
@@ -102,6 +102,9 @@
 
 // Forward proposes a command that an operator gave to a follower. It implements wire.DRPCReplicaLinkServer.
 func (p *peers) Forward(ctx context.Context, in *wire.Propose) (*wire.ProposeReply, error) {
+	if !mayForward(in.GetCommand()) {
+		return notAllowed(in.GetId()), nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	return p.control.proposeHere(ctx, in.GetId(), in.GetCommand()), nil
--- a/control/rules_test.go
+++ b/control/rules_test.go
@@ -117,3 +117,58 @@
 		require.Equal(t, test.want, nextStep(status, test.hello), test.name)
 	}
 }
+
+// Symptom: a class changes without an operator.
+// Sequence: an entry or agent, or who took its place, proposes what isn't its business.
+// Cause: a session that proposes whatever comes.
+func TestWhoMayProposeWhat(t *testing.T) {
+	entry := &wire.ClientHello{Instance: "x", Role: wire.Role_ROLE_ENTRY, Incarnation: 2}
+	agent := &wire.ClientHello{Instance: "x", Role: wire.Role_ROLE_AGENT, Incarnation: 2}
+	endEntry := func(name string, incarnation uint64) *wire.Command {
+		return &wire.Command{Kind: &wire.Command_EndEntry{EndEntry: &wire.EndEntry{Entry: name, Incarnation: incarnation}}}
+	}
+	removeAgent := func(name string, incarnation uint64) *wire.Command {
+		return &wire.Command{Kind: &wire.Command_RemoveAgent{RemoveAgent: &wire.RemoveAgent{Agent: name, Incarnation: incarnation}}}
+	}
+	registerEntry := func(name string) *wire.Command {
+		r := &wire.RegisterEntry{Entry: &wire.EntryRecord{Entry: name}}
+		return &wire.Command{Kind: &wire.Command_RegisterEntry{RegisterEntry: r}}
+	}
+	registerAgent := func(name string) *wire.Command {
+		r := &wire.RegisterAgent{Agent: &wire.AgentRecord{Agent: name}}
+		return &wire.Command{Kind: &wire.Command_RegisterAgent{RegisterAgent: r}}
+	}
+	cases := []struct {
+		cmd                      *wire.Command
+		byEntry, byAgent, byPeer bool
+	}{
+		{registerEntry("x"), true, false, false},
+		{registerEntry("y"), false, false, false},
+		{registerAgent("x"), false, true, false},
+		{registerAgent("y"), false, false, false},
+		{&wire.Command{Kind: &wire.Command_BeginOperation{}}, true, false, false},
+		{&wire.Command{Kind: &wire.Command_WidenOperation{}}, true, false, false},
+		{&wire.Command{Kind: &wire.Command_ReleaseOperation{}}, true, false, false},
+		{&wire.Command{Kind: &wire.Command_CompleteOperation{}}, true, true, false},
+		{&wire.Command{Kind: &wire.Command_PutClass{}}, false, false, true},
+		{&wire.Command{Kind: &wire.Command_DeleteClass{}}, false, false, true},
+		{&wire.Command{Kind: &wire.Command_DrainServer{}}, false, false, true},
+		{&wire.Command{Kind: &wire.Command_InitializeClasses{}}, false, false, false},
+		{endEntry("x", 2), true, false, false},
+		{endEntry("x", 3), false, false, false},
+		{endEntry("y", 2), false, false, false},
+		{removeAgent("x", 2), false, true, false},
+		{removeAgent("x", 1), false, false, false},
+		{removeAgent("y", 2), false, false, false},
+		{&wire.Command{Kind: &wire.Command_ExpireOperations{}}, false, false, false},
+		{&wire.Command{Kind: &wire.Command_RaiseFence{}}, false, false, false},
+		{&wire.Command{Kind: &wire.Command_PutOrder{}}, false, false, false},
+		{&wire.Command{Kind: &wire.Command_EndOrder{}}, false, false, false},
+		{&wire.Command{}, false, false, false},
+	}
+	for _, test := range cases {
+		require.Equal(t, test.byEntry, mayPropose(entry, test.cmd), "%T by an entry", test.cmd.GetKind())
+		require.Equal(t, test.byAgent, mayPropose(agent, test.cmd), "%T by an agent", test.cmd.GetKind())
+		require.Equal(t, test.byPeer, mayForward(test.cmd), "%T forwarded", test.cmd.GetKind())
+	}
+}
--- a/control/session.go
+++ b/control/session.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/ring"
@@ -49,6 +51,7 @@
 		Recv:    stream.Recv,
 		Abort:   func() { link.Abort(stream.Context()) },
 		Ring:    s.out,
+		Size:    func(m *wire.ControlMessage) int { return proto.Size(m) },
 		Receive: s.receive,
 		Silence: sessionSilence,
 	}
@@ -129,6 +132,11 @@
 
 // propose starts a proposal; its reply comes in any order.
 func (s *session) propose(ctx context.Context, p *wire.Propose) {
+	if !mayPropose(s.hello, p.GetCommand()) {
+		s.control.counters.proposalFailed(result.BadMessage).Inc()
+		s.reply(notAllowed(p.GetId()))
+		return
+	}
 	if !s.slots.take() {
 		s.reply(&wire.ProposeReply{
 			Id:      p.GetId(),
--- a/control/sessions_test.go
+++ b/control/sessions_test.go
@@ -9,9 +9,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/settings"
+	"github.com/carawaypitch/carawaypitch/state"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -285,3 +287,73 @@
 		require.Equal(t, uint32(result.KeyTooOld), propose(begin).GetCode())
 	})
 }
+
+func TestSessionMayNotChangeClasses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, gateCheck())
+		c.startAll()
+		defer c.stopAll()
+		entry, _, stop := c.clients()
+		defer stop()
+		version := c.status(c.leader()).ConfigVersion
+		_, err := entry.Propose(t.Context(), &wire.Command{Kind: &wire.Command_PutClass{PutClass: &wire.PutClass{
+			Change: &wire.OperatorChange{Operator: "olga", ChangeId: "x", IfMatch: version},
+			Class:  &wire.Class{Name: "gate-check", Tier: 3, DeadlineMs: 1, Kind: "model", Preempt: "never"},
+		}}})
+		require.True(t, result.Is(err, result.BadMessage), "%v", err)
+		require.Equal(t, version, c.status(c.leader()).ConfigVersion)
+	})
+}
+
+func TestPeersForwardOnlyChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, gateCheck())
+		c.startAll()
+		defer c.stopAll()
+		n := c.leader()
+		fence := c.status(n).Fence
+		conn, err := link.Dial(t.Context(), c.net.Host("10.0.9.2"), n.settings.Listen.Links, nil)
+		require.NoError(t, err)
+		defer conn.Close()
+		raise := &wire.Command{Kind: &wire.Command_RaiseFence{RaiseFence: &wire.RaiseFence{}}}
+		reply, err := wire.NewDRPCReplicaLinkClient(conn).Forward(t.Context(), &wire.Propose{Command: raise})
+		require.NoError(t, err)
+		require.Equal(t, uint32(result.BadMessage), reply.GetCode())
+		require.Equal(t, fence, c.status(n).Fence)
+	})
+}
+
+// Symptom: the links of a busy entry break again and again.
+// Sequence: many answers of the largest size that is kept are proposed at the same moment.
+// Cause: a batch that is bounded by its number of messages only, and is over what the receiver takes.
+func TestManyLargeAnswersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, gateCheck())
+		c.startAll()
+		defer c.stopAll()
+		entry, _, stop := c.clients()
+		defer stop()
+		const many = 200
+		codes := make(chan result.Code, many)
+		for range many {
+			go func() {
+				res, err := entry.Propose(t.Context(), &wire.Command{Kind: &wire.Command_CompleteOperation{
+					CompleteOperation: &wire.CompleteOperation{
+						Organisation: "union", Key: "k", Epoch: 1,
+						Answer: &wire.Answer{Body: make([]byte, state.DefaultLimits.AnswerBytes)},
+					},
+				}})
+				if err != nil {
+					codes <- result.CodeOf(err)
+					return
+				}
+				codes <- result.Code(res.GetCode())
+			}()
+		}
+		for range many {
+			require.Equal(t, result.NotFound, <-codes)
+		}
+		require.Contains(t, entry.Contacts(), session.Answering)
+		require.Zero(t, entry.LinksLost())
+	})
+}
--- a/session/counters.go
+++ b/session/counters.go
@@ -41,3 +41,8 @@
 		ordersCutOff: c(`orders_refused_total{reason="cut_off"}`),
 	}
 }
+
+// LinksLost returns how many links to control instances have ended after they were open.
+func (s *Session) LinksLost() uint64 {
+	return s.counters.linksLost.Get()
+}
--- a/session/peer.go
+++ b/session/peer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/ring"
@@ -76,6 +77,7 @@
 		Recv:         stream.Recv,
 		Abort:        func() { conn.Close() },
 		Ring:         out,
+		Size:         func(m *wire.ClientMessage) int { return proto.Size(m) },
 		Beat:         p.pollMessage,
 		BeatInterval: p.session.cfg.PollInterval,
 		Receive:      p.receive,
--- a/session/propose.go
+++ b/session/propose.go
@@ -21,6 +21,7 @@
 //
 // A command is sent a second time after its outcome got lost only if a second commit changes nothing more.
 func (s *Session) Propose(ctx context.Context, cmd *wire.Command) (*wire.CommandResult, error) {
+	s.noteEnd(cmd)
 	lost := false
 	for ctx.Err() == nil {
 		reply := s.tryAll(ctx, cmd, &lost)
--- a/session/registration.go
+++ b/session/registration.go
@@ -17,6 +17,7 @@
 // registration keeps this instance in the directory.
 type registration struct {
 	done   atomic.Bool // registered at least once
+	ended  atomic.Bool // this process proposed its own end
 	signal chan struct{}
 
 	mu       sync.Mutex
@@ -73,6 +74,9 @@
 // needsRegistration compares what was accepted with what is wanted, and with a directory confirmed after that. An
 // instance that was silent too long is removed by the leader, and comes back by this.
 func (s *Session) needsRegistration() bool {
+	if s.registration.ended.Load() {
+		return false
+	}
 	s.mu.Lock()
 	confirmed, isConfirmed := s.freshness.LastConfirmed(), s.freshness.IsConfirmed()
 	s.mu.Unlock()
@@ -85,6 +89,14 @@
 	return isConfirmed && confirmed.After(r.at) && s.listed() != s.cfg.Incarnation
 }
 
+// noteEnd ends the registration when this process proposes its own end, at its stop. Otherwise the session would see
+// itself missing and come back, and the directory would hold a process that is gone.
+func (s *Session) noteEnd(cmd *wire.Command) {
+	if cmd.GetEndEntry() != nil || cmd.GetRemoveAgent() != nil {
+		s.registration.ended.Store(true)
+	}
+}
+
 // listed returns the incarnation of this instance in the directory, 0 if it isn't there.
 func (s *Session) listed() uint64 {
 	if s.cfg.Role == wire.Role_ROLE_AGENT {
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -253,6 +253,23 @@
 	})
 }
 
+// Symptom: a stopped agent is in the directory until its silence is noticed.
+// Sequence: the agent proposes its own removal at its stop; its session sees it missing, and registers it again.
+// Cause: a registration that is kept against the process's own will.
+func TestOwnEndIsKept(t *testing.T) {
+	isRegistration := func(cmd *wire.Command) bool { return cmd.GetRegisterAgent() != nil }
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakes(t, 1, asAgent)
+		f.ready()
+		end := &wire.RemoveAgent{Agent: "me", Incarnation: 7}
+		_, err := f.session.Propose(t.Context(), &wire.Command{Kind: &wire.Command_RemoveAgent{RemoveAgent: end}})
+		require.NoError(t, err)
+		before := f.controls[0].count(isRegistration)
+		time.Sleep(time.Minute)
+		require.Equal(t, before, f.controls[0].count(isRegistration))
+	})
+}
+
 // Symptom: an engine obeys a leader that was replaced, or does one order twice.
 // Sequence: orders come again, from older leaders, after their result, and while the agent is cut off.
 // Cause: an agent that obeys whatever arrives.
