--- a/cmd/carawaypitch/check.go
+++ b/cmd/carawaypitch/check.go
@@ -15,7 +15,7 @@
 // checkCommand reads settings files and prints every mistake.
 type checkCommand struct{ settings string }
 
-func (*checkCommand) Name() string { return "check" }
+func (*checkCommand) Name() string     { return "check" }
 func (*checkCommand) Synopsis() string { return "print every mistake in settings files; start nothing" }
 
 func (*checkCommand) Usage() string {
--- a/cmd/carawaypitch/target.go
+++ b/cmd/carawaypitch/target.go
@@ -19,7 +19,7 @@
 	lostMax  float64
 }
 
-func (*targetCommand) Name() string { return "target" }
+func (*targetCommand) Name() string     { return "target" }
 func (*targetCommand) Synopsis() string { return "change how much late or lost work a class tolerates" }
 
 func (*targetCommand) Usage() string {
