entry, link: tests for guards that a removal showed untested

TestSilentCutIsNoticedByBothSides failed in some runs (seen 4 times in the first of 60): when only the way to the agent is cut, both sides notice at the same moment and the agent's closing may reach the entry first. It asks for the time of the loss in all cases now, and for the cause where it is certain.

--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -233,6 +233,9 @@
 			agent.all()[0].frame(uint64(i+1), long)
 			synctest.Wait()
 		}
+		slow := r.entries[0].calls.get(agent.all()[0].d.GetAttempt().GetRequest())
+		require.True(t, slow.overflowed())
+		require.Empty(t, slow.events)
 		r.callFrom("10.0.9.8")
 		require.Equal(t, 200, r.call(1, http.MethodPost, checkPath, `{}`, gateCheck).status)
 		require.Equal(t, 1, service.ran(""))
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -60,8 +60,7 @@
 	r := op.request
 	call, err := e.arrive(r)
 	if err != nil {
-		out := &outcome{err: err.WithRan(op.ranWithout()), fate: fate{over: true}}
-		op.close(c.Request().Context(), out)
+		out := op.refuse(c.Request().Context(), err)
 		op.end()
 		e.replay(w, r, out)
 		return nil
--- a/entry/operation.go
+++ b/entry/operation.go
@@ -146,8 +146,12 @@
 	default:
 		return nil
 	}
-	out := &outcome{err: refusal.WithRan(op.ranWithout()), fate: fate{over: true}}
-	return op.close(ctx, out)
+	return op.refuse(ctx, refusal)
+}
+
+// refuse closes the record of a request that the scheduler never got.
+func (op *operation) refuse(ctx context.Context, err *result.Error) *outcome {
+	return op.close(ctx, &outcome{err: err.WithRan(op.ranWithout()), fate: fate{over: true}})
 }
 
 // ranWithout is what is known of the operation before this epoch dispatched anything.
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -42,8 +42,9 @@
 	index  uint64
 	view   *session.View
 	subs   []func(*session.View)
-	fail   func(*wire.Command) error // before a command is applied
-	lose   func(*wire.Command) error // after it
+	delay  func(*wire.Command) time.Duration // before a command is applied
+	fail   func(*wire.Command) error         // before a command is applied
+	lose   func(*wire.Command) error         // after it
 	ready  error
 	cutOff error
 	log    []string // kinds of commands, in order
@@ -65,6 +66,12 @@
 }
 
 func (f *fakeControl) Propose(_ context.Context, command *wire.Command) (*wire.CommandResult, error) {
+	f.mu.Lock()
+	delay := f.delay
+	f.mu.Unlock()
+	if delay != nil {
+		time.Sleep(delay(command))
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.fail != nil {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -32,7 +32,8 @@
 	events  []string // of both sides, in order
 	toAgent []*wire.EntryMessage
 	toEntry []*wire.AgentMessage
-	causes  []error // of the dialer's Down
+	causes  []error     // of the dialer's Down
+	downs   []time.Time // of the dialer's Down
 
 	stopDialer func()
 }
@@ -76,6 +77,7 @@
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.causes = append(r.causes, cause)
+			r.downs = append(r.downs, time.Now())
 		},
 		Receive: func(_ context.Context, _ *wire.AgentHello, m *wire.AgentMessage) error {
 			r.mu.Lock()
@@ -229,11 +231,16 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r := newRig(t)
+				start := time.Now()
 				cut(r.net)
 				// The entry gives up after a silence, then the agent at the latest after its own.
 				time.Sleep(r.dialer.Timing.Silence()*3 + r.dialer.Timing.Heartbeat)
 				require.Contains(t, r.log(), "entry: down")
-				require.ErrorIs(t, r.causes[0], ErrSilent)
+				require.LessOrEqual(t, r.downs[0].Sub(start), r.dialer.Timing.Silence())
+				if name != "entry to agent" {
+					// There the agent may notice at the same moment, and its closing still reaches the entry.
+					require.ErrorIs(t, r.causes[0], ErrSilent)
+				}
 				require.False(t, r.dialer.Send(agentIncarnation, cancelOf("r1")))
 				require.EqualValues(t, 1, r.dialer.Refused())
 				if name != "agent to entry" {
