--- a/spec/attempts.go
+++ b/spec/attempts.go
@@ -19,7 +19,7 @@
 	// Losses bounds connections to engines that are lost while the agent lives, and calls that never left it.
 	Losses uint8
 	// Whole leaves out what makes answers other than whole, and broken links: engines don't fail, frames come with the
-	// end of the run, and entries lose no link. It makes room for more of the rest.
+	// end of the run, entries lose no link, and leases end only with their entry. It makes room for more of the rest.
 	Whole bool
 	// Reservations lets requests wait at the agents, instead of being dispatched straight away.
 	Reservations bool
--- a/spec/attempts_entry.go
+++ b/spec/attempts_entry.go
@@ -196,7 +196,9 @@
 func (t *turn) dispatch(at, a int, event requestEvent) bool {
 	e := &t.s.entries[at]
 	if e.hasAttempt() {
-		// Only without GuardFirstTaker: a second agent gets the same attempt.
+		if t.guards.has(GuardFirstTaker) {
+			return false
+		}
 		t.send(at, a, e.number)
 		return true
 	}
--- a/spec/log.go
+++ b/spec/log.go
@@ -11,6 +11,8 @@
 	Terms, Entries uint8
 	// Crashes bounds restarts that lose what wasn't synced.
 	Crashes uint8
+	// Data lets a leader append entries besides the first of its term.
+	Data bool
 	// Changes lets the last replica be replaced: a learner is added, the old replica removed, the learner promoted.
 	Changes bool
 	// Wipe lets the replaced replica lose its disk. Only then its instance comes back, with an empty disk.
--- a/spec/log_election.go
+++ b/spec/log_election.go
@@ -105,18 +105,19 @@
 	t.s.votes[r.term][candidate] |= 1 << at
 }
 
-// vote answers a candidate's request.
+// vote answers a candidate's request. Who refuses takes the higher term over all the same.
 func (t *logTurn) vote(at, candidate int, term uint8) bool {
 	r := &t.s.members[at]
 	q := &t.s.requests[term][candidate]
+	entered := term > r.term
 	t.enter(r, term)
 	free := r.vote == nobody || r.vote == uint8(candidate)
 	allowed := free || !t.guards.has(GuardOneVote)
 	if !allowed || r.role == roleLeader || !t.mayVote(r, at) {
-		return false
+		return entered
 	}
 	if t.guards.has(GuardUpToDateVote) && !upToDate(q.lastTerm, q.index, &r.log) {
-		return false
+		return entered
 	}
 	r.role = roleFollower
 	t.grant(at, candidate)
