resume: an engine goes on at a token, an answer at an event

The next attempt was told to go on after as many tokens as events had been delivered, but a chat's first event, which names the role, has no token. Ruled out: frames lost or out of order (digests held). Conclusion: frames say how many tokens are in each event; a dispatch carries both positions.

--- a/agent/attempts_test.go
+++ b/agent/attempts_test.go
@@ -233,7 +233,8 @@
 		}}
 		s, recorder := bareServer(t.Context(), client)
 		dispatch := completion("r1", 2)
-		dispatch.ResumeFrom = 3
+		dispatch.ResumeFrom = 4 // the role event and 3 tokens
+		dispatch.ResumeTokens = 3
 		dispatch.ResumeAttempt = "r1.1"
 		recorder.actions = []gate.Action{gate.StartEngine{Dispatch: dispatch}}
 		s.step(time.Now(), gate.Tick{})
@@ -254,7 +255,8 @@
 		s, recorder := bareServer(t.Context(), client)
 		s.record.Capabilities = &wire.Capabilities{}
 		dispatch := completion("r1", 2)
-		dispatch.ResumeFrom = 3
+		dispatch.ResumeFrom = 4 // the role event and 3 tokens
+		dispatch.ResumeTokens = 3
 		recorder.actions = []gate.Action{gate.StartEngine{Dispatch: dispatch}}
 		s.step(time.Now(), gate.Tick{})
 		s.drain()
--- a/agent/run.go
+++ b/agent/run.go
@@ -49,7 +49,7 @@
 	mu          sync.Mutex
 	changed     *sync.Cond
 	events      [][]byte
-	tokens      uint32
+	tokens      []uint32 // in each of events
 	bytes       int
 	announced   bool // the gate duty was told that there are events
 	closed      bool // nobody takes events any more
@@ -83,7 +83,7 @@
 // call runs the attempt at the engine until its end. The errors are those of engine.Client.
 func (r *engineRun) call(ctx context.Context, sink engine.Sink) (engine.Outcome, error) {
 	d := r.dispatch
-	if d.GetResumeFrom() > 0 || d.GetResumeAttempt() != "" {
+	if d.GetResumeTokens() > 0 || d.GetResumeAttempt() != "" {
 		return r.resume(ctx, sink)
 	}
 	request := engine.Request{
@@ -119,7 +119,7 @@
 	if d.GetResumeAttempt() != "" && r.exports {
 		r.moveCache(ctx, engine.AttemptID(d.GetResumeAttempt()), id)
 	}
-	return r.client.Resume(ctx, id, int(d.GetResumeFrom()), d.GetBody(), sink)
+	return r.client.Resume(ctx, id, int(d.GetResumeTokens()), d.GetBody(), sink)
 }
 
 // moveCache gives the KV cache of an earlier attempt to this one. A failure costs only a second prefill: the engine
--- a/agent/run_sink.go
+++ b/agent/run_sink.go
@@ -65,19 +65,19 @@
 	}
 	r.events = append(r.events, event)
 	r.bytes += len(event)
-	r.tokens += uint32(tokens)
+	r.tokens = append(r.tokens, uint32(tokens))
 	tell := !r.announced
 	r.announced = true
 	return tell, nil
 }
 
-// take returns the events that are waiting, and the tokens in them.
-func (r *engineRun) take() ([][]byte, uint32) {
+// take returns the events that are waiting, and the tokens in each.
+func (r *engineRun) take() ([][]byte, []uint32) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	events, tokens := r.events, r.tokens
 	r.events = nil
-	r.tokens = 0
+	r.tokens = nil
 	r.bytes = 0
 	r.announced = false
 	r.changed.Broadcast()
--- a/agent/sink_test.go
+++ b/agent/sink_test.go
@@ -32,7 +32,7 @@
 	assert.Equal(t, 1, *told, "one note for all that waits")
 	events, tokens := r.take()
 	assert.Equal(t, [][]byte{[]byte("a"), []byte("b")}, events)
-	assert.Equal(t, uint32(2), tokens)
+	assert.Equal(t, []uint32{1, 1}, tokens)
 	require.NoError(t, sink.Chunk(engine.Chunk{Data: []byte("c"), Tokens: 1}))
 	assert.Equal(t, 2, *told)
 }
--- a/cmd/carawaypitch/cluster_request_test.go
+++ b/cmd/carawaypitch/cluster_request_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carawaypitch/carawaypitch/engine/standin"
 	"github.com/carawaypitch/carawaypitch/result"
 )
 
@@ -116,6 +119,59 @@
 	}
 }
 
+// Symptom: a token is missing from an answer, or a part of it comes twice. Sequence: an engine dies in the middle of
+// streams and whole answers; they go on at another engine. Cause: the other engine was told to go on after as many
+// tokens as events had been delivered, but a chat's first event has none. Found by the checks of bench.
+func TestAnswersGoOnAtAnotherEngine(t *testing.T) {
+	c := startCluster(t, "model-2")
+	c.faults(0, map[string]any{"die_after_tokens": 5, "down_ms": 500})
+	const calls, tokens = 6, 40
+	body := func(i int) string {
+		return fmt.Sprintf(`{"model": "sample", "stream": %t, "max_tokens": %d, "messages": [{"role": "user", "content": "Question %d."}]}`,
+			i%2 == 0, tokens, i)
+	}
+	replies := make([]reply, calls)
+	var wait sync.WaitGroup
+	for i := range calls {
+		wait.Go(func() {
+			got, err := c.caller(i%2).try("/v1/chat/completions", map[string]string{"Carawaypitch-Class": "summary"}, body(i))
+			if err == nil {
+				replies[i] = got
+			}
+		})
+	}
+	wait.Wait()
+	for i, got := range replies {
+		require.Equal(t, http.StatusOK, got.Status, "%s", got.Body)
+		want, err := standin.Text([]byte(body(i)), "sample", tokens)
+		require.NoError(t, err)
+		require.Equal(t, want, textOf(t, got), "call %d", i)
+	}
+}
+
+// textOf puts together the text of a completion, streamed or whole.
+func textOf(t *testing.T, got reply) string {
+	t.Helper()
+	var text strings.Builder
+	for line := range strings.Lines(string(got.Body)) {
+		line = strings.TrimSpace(strings.TrimPrefix(line, "data: "))
+		if line == "" || line == "[DONE]" {
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta   struct{ Content string }
+				Message struct{ Content string }
+			}
+		}
+		require.NoError(t, json.Unmarshal([]byte(line), &chunk), "%s", line)
+		for _, choice := range chunk.Choices {
+			text.WriteString(choice.Delta.Content + choice.Message.Content)
+		}
+	}
+	return text.String()
+}
+
 // Symptom: a stream stops in the middle when its backend server leaves. Sequence: the server gets SIGTERM while it
 // streams a long answer. Cause: the leave did not wait for what was in flight.
 func TestGracefulLeaveCutsNoStream(t *testing.T) {
--- a/cmd/carawaypitch/cluster_test.go
+++ b/cmd/carawaypitch/cluster_test.go
@@ -91,8 +91,8 @@
 	require.NoError(p.t, err, "%s", p.log.String())
 }
 
-// cluster is a small deployment as separate processes: three control instances, two entries, one model engine and two
-// registry services, each with its agent.
+// cluster is a small deployment as separate processes: three control instances, two entries, two registry services and
+// one model engine, or as many as a test asks for, each with its agent.
 type cluster struct {
 	t        *testing.T
 	folder   string
@@ -108,7 +108,7 @@
 
 const clusterControls = 3
 
-func startCluster(t *testing.T) *cluster {
+func startCluster(t *testing.T, moreModels ...string) *cluster {
 	t.Helper()
 	c := &cluster{t: t, folder: t.TempDir(), operatorKey: "operator-key", callerKey: "caller-key"}
 	t.Cleanup(c.killAll)
@@ -121,6 +121,9 @@
 	c.addServer("model-1", settings.KindModel, []string{"sample"})
 	c.addServer("registry-1", settings.KindService, []string{"registry"})
 	c.addServer("registry-2", settings.KindService, []string{"registry"})
+	for _, name := range moreModels {
+		c.addServer(name, settings.KindModel, []string{"sample"})
+	}
 	c.addEntry(0)
 	c.addEntry(1)
 	for _, group := range [][]*process{c.controls, c.agents, c.engines, c.entries} {
--- a/gate/charts.go
+++ b/gate/charts.go
@@ -110,8 +110,10 @@
 	end     *EngineEnded
 	events  [][]byte
 	tokens  uint32
-	knows   bool // the engine knew the attempt
-	runOver bool // the engine was asked after the run's end
+	// eventTokens is the number of tokens in each of events, where the engine says so.
+	eventTokens []uint32
+	knows       bool // the engine knew the attempt
+	runOver     bool // the engine was asked after the run's end
 }
 
 // fire lets an event happen to an attempt and reports whether the chart allows it. One that it doesn't allow is
@@ -166,7 +168,7 @@
 	case "start_engine":
 		g.startEngine(a)
 	case "forward":
-		g.forward(a, o.events)
+		g.forward(a, o.events, o.eventTokens)
 	case "cancel_engine":
 		g.beginCancel(a, o)
 	case "back_off":
--- a/gate/frames.go
+++ b/gate/frames.go
@@ -13,9 +13,10 @@
 	bytes  uint64 // their total length
 	digest *xxhash.Digest
 
-	kept      [][]byte // for control, and for an entry that lost its link
-	keptBytes int
-	dropped   bool // more came than may be kept
+	kept       [][]byte // for control, and for an entry that lost its link
+	keptTokens []uint32 // in each of kept, where known
+	keptBytes  int
+	dropped    bool // more came than may be kept
 }
 
 func (f *frameState) begin(d *wire.Dispatch) {
@@ -26,45 +27,54 @@
 func (f *frameState) next() uint64 { return f.base + f.count }
 
 // add counts events and keeps them as long as the bound allows.
-func (f *frameState) add(events [][]byte, bound int) {
-	for _, event := range events {
+func (f *frameState) add(events [][]byte, tokens []uint32, bound int) {
+	for i, event := range events {
 		f.count++
 		f.bytes += uint64(len(event))
 		_, _ = f.digest.Write(event) // never fails
-		f.keep(event, bound)
+		f.keep(event, tokens[min(i, len(tokens)):], bound)
 	}
 }
 
-func (f *frameState) keep(event []byte, bound int) {
+// keep keeps one event. The first of tokens, if there is one, is its own.
+func (f *frameState) keep(event []byte, tokens []uint32, bound int) {
 	if f.dropped {
 		return
 	}
 	f.keptBytes += len(event)
 	if f.keptBytes > bound {
 		f.dropped = true
-		f.kept = nil
+		f.forget()
 		return
 	}
 	f.kept = append(f.kept, event)
+	if len(tokens) > 0 {
+		f.keptTokens = append(f.keptTokens, tokens[0])
+	}
 }
 
-func (f *frameState) drop() {
+func (f *frameState) forget() {
 	f.kept = nil
+	f.keptTokens = nil
+}
+
+func (f *frameState) drop() {
+	f.forget()
 	f.dropped = true
 }
 
 // forward passes events on to the entry. After a cancel nobody wants them, but a preempted attempt goes on elsewhere
 // from the last event that the entry has.
-func (g *Gate) forward(a *attempt, events [][]byte) {
+func (g *Gate) forward(a *attempt, events [][]byte, tokens []uint32) {
 	if len(events) == 0 {
 		return
 	}
 	offset := a.frames.next()
-	a.frames.add(events, g.keepBound(a))
+	a.frames.add(events, tokens, g.keepBound(a))
 	if a.state == cancelling && a.cancel.tier == 0 {
 		return
 	}
-	g.sendFrame(a, offset, events)
+	g.sendFrame(a, offset, events, tokens)
 }
 
 func (g *Gate) keepBound(a *attempt) int {
@@ -74,17 +84,18 @@
 	return g.config.ResendBound
 }
 
-func (g *Gate) sendFrame(a *attempt, offset uint64, events [][]byte) {
+func (g *Gate) sendFrame(a *attempt, offset uint64, events [][]byte, tokens []uint32) {
 	g.send(a.owner.id, &wire.AgentMessage{Kind: &wire.AgentMessage_Frame{Frame: &wire.Frame{
 		Attempt: a.id(),
 		Offset:  offset,
 		Events:  events,
+		Tokens:  tokens,
 	}}})
 }
 
 func (g *Gate) resendFrames(a *attempt) {
 	if len(a.frames.kept) > 0 {
-		g.sendFrame(a, a.frames.base, a.frames.kept)
+		g.sendFrame(a, a.frames.base, a.frames.kept, a.frames.keptTokens)
 	}
 }
 
--- a/gate/machine_test.go
+++ b/gate/machine_test.go
@@ -485,7 +485,7 @@
 			b.dispatchOffered(offers[at].Entry, attempt, w)
 			b.step(EngineProgress{
 				Attempt: attempt, Events: [][]byte{nil},
-				Tokens: uint32(costs[w.Organisation] - int64(w.PromptTokens)),
+				Tokens: []uint32{uint32(costs[w.Organisation] - int64(w.PromptTokens))},
 			})
 			served[w.Organisation] += costs[w.Organisation]
 			b.now = b.now.Add(time.Millisecond)
--- a/gate/runs.go
+++ b/gate/runs.go
@@ -68,14 +68,23 @@
 		g.chartError("progress after the end of the run")
 		return
 	}
-	tokens := e.Tokens
-	if tokens == 0 {
-		tokens = uint32(len(e.Events))
-	}
+	tokens := e.count()
 	if a.state != tombstoned {
 		g.noteProgress(a, tokens)
 	}
-	g.fire(a, onProgress, occasion{events: e.Events, tokens: tokens})
+	g.fire(a, onProgress, occasion{events: e.Events, eventTokens: e.Tokens, tokens: tokens})
+}
+
+// count is the number of tokens that arrived. An engine that names none has one in each event.
+func (e EngineProgress) count() uint32 {
+	var total uint32
+	for _, tokens := range e.Tokens {
+		total += tokens
+	}
+	if total == 0 {
+		return uint32(len(e.Events))
+	}
+	return total
 }
 
 func (g *Gate) engineEnded(e EngineEnded) {
--- a/gate/types.go
+++ b/gate/types.go
@@ -79,7 +79,7 @@
 	EngineProgress struct {
 		Attempt *wire.AttemptID
 		Events  [][]byte
-		Tokens  uint32 // in these events; 0: one in each event
+		Tokens  []uint32 // in each event; empty: the engine doesn't say, or a service's answer
 	}
 
 	// EngineEnded says how a run ended. Err is nil only with a complete outcome. Exactly one follows each StartEngine,
--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -158,6 +158,7 @@
 		ResumeAttempt:   r.resumeAttempt(a.server),
 		ReportToControl: r.Key != "" && !r.Class.GetRepeatable(),
 		Operation:       r.operation(),
+		ResumeTokens:    r.tokens,
 	}
 	return &wire.EntryMessage{Kind: &wire.EntryMessage_Dispatch{Dispatch: d}}
 }
--- a/sched/frames.go
+++ b/sched/frames.go
@@ -49,7 +49,9 @@
 	case end <= r.delivered:
 		s.countStray(strayFrame)
 	default:
-		s.keep(r, f.GetEvents()[r.delivered-f.GetOffset():])
+		skip := r.delivered - f.GetOffset()
+		tokens := f.GetTokens()
+		s.keep(r, f.GetEvents()[skip:], tokens[min(skip, uint64(len(tokens))):])
 	}
 }
 
@@ -86,8 +88,8 @@
 	}
 }
 
-// keep appends events to the answer. All events of a frame after the end are refused.
-func (s *Scheduler) keep(r *request, events [][]byte) {
+// keep appends events, with the tokens in each, to the answer. All events of a frame after the end are refused.
+func (s *Scheduler) keep(r *request, events [][]byte, tokens []uint32) {
 	a := r.attempt
 	e := evFrame
 	if !a.framesSeen {
@@ -103,6 +105,9 @@
 		a.bytes += uint64(len(event))
 	}
 	r.delivered += uint64(len(events))
+	for _, n := range tokens {
+		r.tokens += n
+	}
 	r.record().frames++
 	s.passOn(r, events)
 }
--- a/sched/frames_test.go
+++ b/sched/frames_test.go
@@ -172,6 +172,25 @@
 	}
 }
 
+func TestStreamGoesOnAtTheRightToken(t *testing.T) {
+	// Symptom: one token is missing from the middle of an answer.
+	// Sequence: a chat's first event, which names the role and has no token, and one token are delivered; a frame comes
+	// twice; the agent restarts and the stream goes on elsewhere.
+	// Cause: the next engine was told to go on after as many tokens as events had been delivered.
+	w, d := streamed(t, summary)
+	f := frameOf(d.id, 0, "role", "a")
+	f.Tokens = []uint32{0, 1}
+	w.say(d.server, &wire.AgentMessage{Kind: &wire.AgentMessage_Frame{Frame: f}})
+	again := frameOf(d.id, 1, "a", "b")
+	again.Tokens = []uint32{1, 1}
+	w.say(d.server, &wire.AgentMessage{Kind: &wire.AgentMessage_Frame{Frame: again}})
+	w.up(d.server, 2)
+	w.last("r", 2)
+	m := w.sent[len(w.sent)-1].Message.GetDispatch()
+	assert.Equal(t, uint32(3), m.GetResumeFrom())
+	assert.Equal(t, uint32(2), m.GetResumeTokens())
+}
+
 func TestStreamIsNotPatchedFromTwoRuns(t *testing.T) {
 	// Symptom: a reader gets the first half of one answer and the second half of another.
 	// Sequence: two events are delivered, the agent restarts, and no server can resume.
--- a/sched/request.go
+++ b/sched/request.go
@@ -52,6 +52,7 @@
 
 	// Answer.
 	delivered  uint64 // events kept so far
+	tokens     uint32 // in those events
 	buffer     [][]byte
 	bufferSize int
 	resume     *resumePoint
--- a/sched/resume.go
+++ b/sched/resume.go
@@ -79,6 +79,7 @@
 		return
 	}
 	r.delivered = 0
+	r.tokens = 0
 	r.buffer = nil
 	r.bufferSize = 0
 	r.resume = nil
