quorum/replica: steady size of linearizability histories

With -race -count=15 one history had 77 operations where 100 are asked for: clients spent their operations on refusals while nobody led, and a seed could leave replicas down for most of a run.

--- a/quorum/replica/linear_test.go
+++ b/quorum/replica/linear_test.go
@@ -22,6 +22,15 @@
 	faults     = 25
 )
 
+// mendEvery is after how many faults everything is mended, so that a seed
+// cannot leave the group without a quorum for most of its run.
+const mendEvery = 4
+
+// backOff is how long a client waits after a refusal.
+const backOff = 40 * time.Millisecond
+
+var instances = []string{"a", "b", "c"}
+
 // operation on a register: a write, which returns the value before it, or a
 // read.
 type operation struct {
@@ -67,11 +76,7 @@
 	leader := ""
 	for i := range operations {
 		g.mu.Lock()
-		var nodes []*node
-		for _, n := range g.nodes {
-			nodes = append(nodes, n)
-		}
-		n := nodes[g.rng.IntN(len(nodes))]
+		n := g.nodes[instances[g.rng.IntN(len(instances))]]
 		if hint := g.nodes[leader]; hint != nil && g.rng.IntN(5) > 0 {
 			n = hint
 		}
@@ -81,20 +86,26 @@
 		time.Sleep(7 * time.Millisecond)
 		if r == nil {
 			leader = ""
+			time.Sleep(backOff)
 			continue
 		}
 		leader = r.Status().Leader.Instance()
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		done := false
 		if write {
-			h.write(ctx, id, r, fmt.Sprintf("%d.%d", id, i))
+			done = h.write(ctx, id, r, fmt.Sprintf("%d.%d", id, i))
 		} else {
-			h.read(ctx, id, r, words)
+			done = h.read(ctx, id, r, words)
 		}
 		cancel()
+		if !done {
+			// Otherwise all operations could be spent while nobody leads.
+			time.Sleep(backOff)
+		}
 	}
 }
 
-func (h *history) write(ctx context.Context, id int, r *replica.Replica, word string) {
+func (h *history) write(ctx context.Context, id int, r *replica.Replica, word string) (done bool) {
 	call := h.clock.Add(1)
 	applied, err := r.Propose(ctx, []byte(word))
 	in := operation{write: word}
@@ -105,21 +116,23 @@
 		h.add(id, call, never, in, operation{})
 	}
 	// A refusal promises that there is no effect: the checker finds out.
+	return err == nil
 }
 
-func (h *history) read(ctx context.Context, id int, r *replica.Replica, s *store) {
+func (h *history) read(ctx context.Context, id int, r *replica.Replica, s *store) (done bool) {
 	call := h.clock.Add(1)
 	if _, err := r.Read(ctx); err != nil {
-		return
+		return false
 	}
 	value := s.last()
 	h.add(id, call, h.clock.Add(1), operation{}, operation{value: value, known: true})
+	return true
 }
 
 // fault does something bad, or mends it.
 func (g *group) fault() {
 	var nodes []*node
-	for _, name := range []string{"a", "b", "c"} {
+	for _, name := range instances {
 		nodes = append(nodes, g.nodes[name])
 	}
 	g.mu.Lock()
@@ -135,10 +148,14 @@
 	case kind == 2 && n.r != nil:
 		g.crash(n)
 	default:
-		for _, n := range nodes {
-			if n.r == nil {
-				g.start(n.instance)
-			}
+		g.restartAll()
+	}
+}
+
+func (g *group) restartAll() {
+	for _, name := range instances {
+		if g.nodes[name].r == nil {
+			g.start(name)
 		}
 	}
 }
@@ -154,15 +171,19 @@
 			h := &history{}
 			bubble(t, seed, func(t *testing.T, g *group) {
 				g.loss, g.jitter = 3, 4*time.Millisecond
-				g.bootstrap("a", "b", "c")
+				g.bootstrap(instances...)
 				g.leader()
 				var wait sync.WaitGroup
 				for id := range clients {
 					wait.Go(func() { g.client(h, id) })
 				}
-				for range faults {
+				for i := range faults {
 					time.Sleep(150 * time.Millisecond)
 					g.fault()
+					if i%mendEvery == 0 {
+						g.isolate()
+						g.restartAll()
+					}
 				}
 				wait.Wait()
 			})
@@ -172,7 +193,7 @@
 					written++
 				}
 			}
-			require.Greater(t, written, 100, "too little happened")
+			require.Greater(t, written, 500, "too little happened")
 			require.True(t, porcupine.CheckOperations(registerModel, h.operations), "not linearizable")
 		})
 	}
