attempts at plain services: what can't be proved is told at once, and never taken for a proof

Cause: a service can neither list nor cancel what it runs. (1) A call whose answer was lost left its caller waiting for a proof until its deadline, or four times that for a class that may be late. (2) A newer incarnation of its agent counted as proof, though it ended nothing: the call could be sent to another service while the first was still at it. Conclusion: Over says when no proof can come any more.

--- a/agent/duties.go
+++ b/agent/duties.go
@@ -60,8 +60,10 @@
 	if !a.awaitRelease(ctx) {
 		return a.linkListener.Close()
 	}
-	err := link.Serve(ctx, a.linkListener, a.linkTLS, a.links.Register)
-	return errors.Wrap(err, "agent: links")
+	if err := link.Serve(ctx, a.linkListener, a.linkTLS, a.links.Register); err != nil {
+		return errors.Wrap(err, "agent: links")
+	}
+	return nil
 }
 
 // spawn runs a task that ends with the agent. Once the agent has ended it runs none.
--- a/cmd/carawaypitch/bench.go
+++ b/cmd/carawaypitch/bench.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/go-faster/errors"
@@ -25,7 +26,8 @@
 	verbose             bool
 	caller, key         string
 	metrics             string
-	load                float64
+	rate                float64
+	warmUp, measured    time.Duration
 }
 
 func (*benchCommand) Name() string { return "bench" }
@@ -55,10 +57,12 @@
 	flags.BoolVar(&c.quiet, "quiet", false, "no progress on standard error")
 	flags.BoolVar(&c.verbose, "v", false, "log the daemons' warnings to standard error")
 	flags.BoolVar(&c.tune, "tune", false, "compare the values in tried of each baseline's knob instead")
+	flags.DurationVar(&c.warmUp, "warm-up", 0, "warm-up instead of the file's")
+	flags.DurationVar(&c.measured, "measured", 0, "measured time instead of the file's; faults after it don't come")
 	flags.StringVar(&c.caller, "caller", "", "URL of an entry that runs already; one scenario is sent there")
 	flags.StringVar(&c.key, "key", "", "caller key for -caller")
 	flags.StringVar(&c.metrics, "metrics", "", "URLs whose /metrics are reported with -caller, separated by commas")
-	flags.Float64Var(&c.load, "rate", 0, "requests a second with -caller (default: the scenario's load of the file's pool)")
+	flags.Float64Var(&c.rate, "rate", 0, "requests a second with -caller (default: the scenario's load of the file's pool)")
 }
 
 func (c *benchCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -72,6 +76,7 @@
 	if err != nil {
 		return exit(err)
 	}
+	c.shorten(p)
 	r, err := c.run(ctx, p)
 	if r != nil {
 		err = errors.Join(err, c.write(r))
@@ -79,6 +84,16 @@
 	return exit(err)
 }
 
+// shorten takes the times of the command line for those of the file.
+func (c *benchCommand) shorten(p *plan.Plan) {
+	if c.warmUp > 0 {
+		p.WarmUp = plan.Duration(c.warmUp)
+	}
+	if c.measured > 0 {
+		p.Measured = plan.Duration(c.measured)
+	}
+}
+
 func (c *benchCommand) run(ctx context.Context, p *plan.Plan) (*report.Report, error) {
 	options := experiment.Options{Scenarios: list(c.scenarios), Policies: list(c.policies)}
 	if !c.quiet {
@@ -90,7 +105,7 @@
 	switch {
 	case c.caller != "":
 		return experiment.Drive(ctx, p, options, experiment.Target{
-			Caller: c.caller, Key: c.key, Metrics: list(c.metrics), Rate: c.load,
+			Caller: c.caller, Key: c.key, Metrics: list(c.metrics), Rate: c.rate,
 		})
 	case c.tune:
 		return experiment.Tune(ctx, p, options)
--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -91,6 +91,7 @@
 	toldUnsure  bool
 	unsureSince time.Time // when the run returned without a proof
 	unsupported bool      // the server has no cancel call
+	toldFinal   bool      // the owner was told that no proof will come
 }
 
 // asker is an entry that waits for the proof that attempts up to a number are over.
--- a/gate/over.go
+++ b/gate/over.go
@@ -169,26 +169,42 @@
 // replyUnproven tells the owner once, and whoever asks each time, that the attempt may be going on.
 func (g *Gate) replyUnproven(a *attempt, o *occasion) {
 	a.addAsker(o.asker)
+	final := a.unprovable()
 	if o.asker.entry != (EntryID{}) {
-		g.unprovable(o.asker, a.record.request)
+		g.unproven(o.asker, a.record.request, final)
 		return
 	}
-	if a.cancel.toldUnsure {
+	if a.cancel.toldUnsure && (!final || a.cancel.toldFinal) {
 		return
 	}
 	a.cancel.toldUnsure = true
-	g.unprovable(asker{entry: a.owner.id, number: a.number, server: a.server}, a.record.request)
+	a.cancel.toldFinal = final
+	g.unproven(asker{entry: a.owner.id, number: a.number, server: a.server}, a.record.request, final)
 	for _, who := range a.cancel.askers {
-		g.unprovable(who, a.record.request)
+		g.unproven(who, a.record.request, final)
 	}
 }
 
-func (g *Gate) unprovable(who asker, request string) {
-	g.reply(who, request, &wire.Over{
-		Proof:   wire.Proof_PROOF_UNPROVEN,
-		Code:    uint32(result.OutcomeUnknown),
-		Message: "nothing proves yet that it is over",
-	})
+// unprovable tells whether no proof can come any more: the run's connection is lost, and the server has no call to ask
+// or to cancel by.
+//
+// Without this a caller of a plain service that lost its answer would wait until its deadline, or beyond, for a proof
+// that nobody can give.
+func (a *attempt) unprovable() bool {
+	return a.cancel.unsupported && !a.run.open
+}
+
+func (g *Gate) unproven(who asker, request string, final bool) {
+	over := &wire.Over{
+		Proof:      wire.Proof_PROOF_UNPROVEN,
+		Code:       uint32(result.OutcomeUnknown),
+		Message:    "nothing proves yet that it is over",
+		Unprovable: final,
+	}
+	if final {
+		over.Message = "the answer was lost, and the server can't be asked what became of it"
+	}
+	g.reply(who, request, over)
 }
 
 // reply sends an Over for the number that was asked about.
@@ -221,7 +237,7 @@
 func (g *Gate) answerCancel(r *record, who asker) {
 	if !g.cleared() {
 		g.clearing.ask(r.request, who)
-		g.unprovable(who, r.request)
+		g.unproven(who, r.request, false)
 		return
 	}
 	if over := r.keptFor(who); over != nil {
@@ -232,6 +248,10 @@
 		g.reply(who, r.request, r.ranOver(who.number))
 		return
 	}
+	if g.mayRunUnseen(who.cause) {
+		g.unproven(who, r.request, true)
+		return
+	}
 	if r.unsure || g.mayPredate(who.cause) || g.memory.may(r.request, g.now) {
 		r.unsure = true
 		g.reply(who, r.request, overEarlier())
--- a/gate/receive.go
+++ b/gate/receive.go
@@ -115,7 +115,7 @@
 	who := asker{entry: in.owner.id, number: in.id.GetNumber(), server: in.server}
 	if r != nil && r.current != nil && r.current.number == who.number {
 		// A copy, from an entry whose word doesn't count any more: the attempt itself may be running.
-		g.unprovable(who, r.request)
+		g.unproven(who, r.request, false)
 		return nil
 	}
 	if r != nil && r.over(who.number) {
@@ -142,7 +142,7 @@
 	}
 	r = g.records.add(in.id.GetRequest(), 2*g.config.MaxRecords)
 	if r == nil {
-		g.unprovable(asker{entry: in.owner.id, number: in.id.GetNumber(), server: in.server}, in.id.GetRequest())
+		g.unproven(asker{entry: in.owner.id, number: in.id.GetNumber(), server: in.server}, in.id.GetRequest(), false)
 	}
 	return r
 }
@@ -204,7 +204,7 @@
 	who := asker{owner.id, m.GetAttempt().GetNumber(), m.GetServer(), m.GetCause()}
 	request := m.GetAttempt().GetRequest()
 	if !owner.mayAsk() {
-		g.unprovable(who, request)
+		g.unproven(who, request, false)
 		return
 	}
 	r := g.records.get(request)
@@ -212,7 +212,7 @@
 		r = g.records.add(request, 2*g.config.MaxRecords)
 	}
 	if r == nil {
-		g.unprovable(who, request)
+		g.unproven(who, request, false)
 		return
 	}
 	o := occasion{refusal: refuseCancelled, cause: cancelCauses[who.cause], asker: who}
@@ -230,6 +230,15 @@
 	g.fire(a, onCancel, o)
 }
 
+// mayRunUnseen tells whether an attempt that a takeover asks about may be running, started by an earlier incarnation: at
+// a server that keeps no list of what it runs, nothing that this incarnation did ended it.
+//
+// Otherwise: an entry and the agent of a plain service die while the service is at a call; the next owner asks, hears
+// that all is over, and the call runs a second time beside the first.
+func (g *Gate) mayRunUnseen(cause wire.CancelCause) bool {
+	return g.clearing.unlisted && cause == wire.CancelCause_CANCEL_CAUSE_TAKEOVER && g.mayPredate(cause)
+}
+
 // mayPredate tells whether a cancel for an attempt that the gate never heard of may speak of one that an earlier
 // incarnation of this agent ran.
 func (g *Gate) mayPredate(cause wire.CancelCause) bool {
--- a/gate/server_test.go
+++ b/gate/server_test.go
@@ -148,6 +148,40 @@
 	refusedWith(t, b.dispatch(entryA, id("r", 2), work()), result.NoServer)
 }
 
+func TestLostCallAtAServerWithoutCancelIsToldAtOnce(t *testing.T) {
+	// Symptom: the caller of a plain service hears nothing until its deadline, or long after.
+	// Sequence: a cancel finds that the service has no such call; later the service loses the answer.
+	// Cause: the entry was told once that nothing was proved yet, and went on waiting for a proof that can't come.
+	b := openBench(t)
+	b.start(entryA, id("r", 1), workOf(func(w *wire.Work) { w.Service = true }))
+	b.cancelAttempt(entryA, id("r", 1), wire.CancelCause_CANCEL_CAUSE_RETRY)
+	unsupported := EngineCancelled{Attempt: id("r", 1), Try: 1, Err: engine.ErrUnsupported}
+	for _, over := range overs(b.step(unsupported), entryA) {
+		require.False(t, over.Unprovable, "its answer may still come")
+	}
+	actions := append(b.lost(id("r", 1)), b.step(EngineCancelled{Attempt: id("r", 1), Try: 2, Err: engine.ErrUnsupported})...)
+	var told bool
+	for _, over := range overs(actions, entryA) {
+		require.Equal(t, wire.Proof_PROOF_UNPROVEN, over.Proof)
+		told = told || over.Unprovable
+	}
+	require.True(t, told)
+}
+
+func TestTakeoverOfAServiceCallIsNotProvedByAForgetfulAgent(t *testing.T) {
+	// Symptom: a service call runs twice at a time.
+	// Sequence: an entry and the agent of a service die while the service is at a call; the agent's successor, whose
+	// service keeps no list, is asked by the next owner about a request that it never heard of.
+	// Cause: "all is over" was said by an incarnation that ended nothing, since it could not.
+	b := newBench(t, Config{})
+	b.step(Announced{Server: sampleRecord(2)})
+	b.step(EngineListed{Err: &engine.CallError{Call: "streams", Class: engine.ErrUnsupported}})
+	b.pass(DefaultUnlistedSettle + time.Second)
+	actions := b.cancelAttempt(entryA, id("r", 1<<16-1), wire.CancelCause_CANCEL_CAUSE_TAKEOVER)
+	over := onlyOver(t, actions, entryA, wire.Proof_PROOF_UNPROVEN)
+	require.True(t, over.Unprovable)
+}
+
 func TestSilentServerGetsNoNewWork(t *testing.T) {
 	// Symptom: requests go to a server that died minutes ago.
 	// Sequence: a server dies without a word, with one slot offered, one free, and one request waiting.
--- a/sched/links.go
+++ b/sched/links.go
@@ -53,10 +53,19 @@
 	}
 }
 
-// incarnationEnded takes the newer incarnation as proof for all attempts of the older ones.
+// incarnationEnded takes the newer incarnation as proof for all attempts of the older ones at model engines, since it
+// has cancelled all that its engine ran. A plain service can neither list nor cancel what it runs, so of an attempt
+// there nothing more can be learnt.
+//
+// Otherwise: an agent dies while its service is at a call; its successor comes up; the call is sent to another service
+// while the first is still at it.
 func (s *Scheduler) incarnationEnded(a *agent) {
 	for _, r := range sortedRequests(a.attempts) {
-		if r.attempt.incarnation < a.incarnation {
+		switch {
+		case r.attempt.incarnation >= a.incarnation:
+		case r.pool.key.kind == kindService:
+			s.outcomeLost(r)
+		default:
 			s.provedOver(r, retryLost)
 		}
 	}
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -249,6 +249,27 @@
 	return n
 }
 
+func TestTierOneIsNotGivenUpWhileLowerWorkIsQueued(t *testing.T) {
+	// Symptom: a gate check is refused as hopeless while an appeal of the same queue is served next.
+	// Sequence: all servers say that only tier 1 runs; an appeal is queued here; a slot is offered to a tier-1 request
+	// that can't end in time.
+	// Cause: the entry's own queue not looked at.
+	for _, lower := range []bool{true, false} {
+		w := newWorld(t, Options{})
+		w.serve("s1", kindModel, testModel, 0)
+		if lower {
+			w.arrive("low", appeal)
+		}
+		for range learnSamples {
+			w.s.classFor(urgentModel).outputs.add(50)
+		}
+		w.arriveAs("top", "org", urgentModel, 60_000)
+		w.offer("s1", w.reserves("top")[0].id)
+		assert.Equal(t, lower, len(w.dispatches("top")) == 1)
+		assert.Equal(t, !lower, w.failures["top"] != nil)
+	}
+}
+
 func TestPreemptedWorkIsNotLost(t *testing.T) {
 	// Symptom: appeals, which may be late but never lost, are lost under load.
 	// Sequence: one is preempted by gate checks again and again.
--- a/sched/proofs.go
+++ b/sched/proofs.go
@@ -76,10 +76,21 @@
 		r.setResume(m)
 		s.ended(r, evAttemptFailed, m.GetProof(), retryFailed, s.overError(m, result.EngineFailed))
 	default:
+		if m.GetUnprovable() {
+			s.outcomeLost(r)
+			return
+		}
 		s.askCancel(r, wire.CancelCause_CANCEL_CAUSE_RETRY)
 	}
 }
 
+// outcomeLost answers a request of whose attempt nothing more can be learnt. Waiting longer would tell its caller
+// nothing else, so it takes the way of the deadline now.
+func (s *Scheduler) outcomeLost(r *request) {
+	r.err = result.New(result.OutcomeUnknown, "the backend server's answer was lost")
+	_ = s.fire(r, evDeadline)
+}
+
 // neverStarted takes the promise that the attempt never began and never will. After a frame of the same attempt it
 // is a contradiction, and isn't believed.
 func (s *Scheduler) neverStarted(r *request, m *wire.Over) {
--- a/sched/takeover.go
+++ b/sched/takeover.go
@@ -69,6 +69,10 @@
 // earlierOver takes one server's proof for all attempts up to the number asked about.
 func (s *Scheduler) earlierOver(r *request, m *wire.Over) {
 	at := slices.Index(r.earlier.waiting, m.GetServer())
+	if at >= 0 && m.GetUnprovable() {
+		s.outcomeLost(r)
+		return
+	}
 	if at < 0 || m.GetAttempt().GetNumber() < r.earlier.id.GetNumber() || !isProof(m.GetProof()) {
 		s.countStray(strayAttempt)
 		return
