--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -273,4 +273,3 @@
 	a.up = false
 	a.toAgent, a.toEntry = nil, nil
 }
-
