--- a/spec/attempts_encode.go
+++ b/spec/attempts_encode.go
@@ -78,6 +78,9 @@
 func (t *turn) forgetAnswers(a, at int) {
 	from := &t.s.agents[a]
 	e := &t.s.entries[at]
+	if e.phase != phaseLive {
+		from.offer[at] = 0
+	}
 	wanted := t.interest(a, at)
 	for i := range incarnationCount {
 		numbers := wanted
@@ -91,9 +94,6 @@
 			from.frames[i][at] &= numbers
 		}
 	}
-	if e.phase != phaseLive {
-		from.offer[at] = 0
-	}
 }
 
 // forgetOrders drops dispatches and cancels that meet the tombstone and whose answer nobody wants.
--- a/spec/cases_test.go
+++ b/spec/cases_test.go
@@ -46,6 +46,7 @@
 // Every invariant holds in every state of every case, and from each of them the promised progress can be made. The
 // explorations aren't vacuous: together they take every kind of step and reach every outcome.
 func TestInvariantsHold(t *testing.T) {
+	t.Parallel()
 	c, err := openCharts()
 	require.NoError(t, err)
 	all := &coverage{taken: map[string]map[string]int{}}
@@ -88,6 +89,7 @@
 // Without any one of the guards, the checker finds a violation of the invariant that the guard protects. An invariant
 // that nothing can violate would say nothing.
 func TestEachGuardIsNeeded(t *testing.T) {
+	t.Parallel()
 	c, err := openCharts()
 	require.NoError(t, err)
 	for _, removal := range Removals() {
