capacity: keyed requests are recorded by one entry's session

Cause: control refuses commands about records from sessions of agents, and of entries that aren't the owner; the benchmark failed with bad_message (1903) for 400 of 400 requests.

--- a/capacity/commit_test.go
+++ b/capacity/commit_test.go
@@ -12,7 +12,7 @@
 )
 
 // BenchmarkLeaderRecords measures the leader of three control instances by keyed requests a second, each of which is
-// two commits. The sessions that bring them come over the far side, as do the followers.
+// two commits. The entry that has them recorded is on the far side, as are the followers.
 func BenchmarkLeaderRecords(b *testing.B) {
 	benchmarkRecords(b, settings.DefaultControl().Timing.Election)
 }
@@ -41,8 +41,6 @@
 		far.Leads = election == slowElection
 		_, err = rig.Far.Do(far)
 		t.must(err)
-		_, err = rig.Far.Do(Order{Do: doSessions, Count: 4, Controls: group})
-		t.must(err)
 		time.Sleep(settle)
 		for n, rate := range []float64{100, 200, 400, 800} {
 			measureCommits(t, rig, group, n, rate, own.DataDir)
--- a/capacity/sessions.go
+++ b/capacity/sessions.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/settings"
@@ -92,7 +94,15 @@
 	}
 	run := newPacer(o.Rate, o.Seconds)
 	run.each(func(n int) bool { return s.recordOne(o.First + n) })
-	return Reply{Count: run.done(), Failed: run.failed()}, nil
+	return Reply{Count: run.done(), Failed: run.failed()}, s.firstFailure(run)
+}
+
+// firstFailure returns an error if not all was recorded.
+func (s *side) firstFailure(run *pacer) error {
+	if run.failed() == 0 {
+		return nil
+	}
+	return errors.Wrapf(*s.failure.Load(), "%d of %d", run.failed(), run.failed()+run.done())
 }
 
 const (
@@ -122,10 +132,13 @@
 func (s *side) recordOne(n int) bool {
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
-	one := s.sessions[n%len(s.sessions)]
 	for _, command := range recordCommands(n) {
-		reply, err := one.Propose(ctx, command)
-		if err != nil || reply.GetCode() != 0 {
+		reply, err := s.proposer.Propose(ctx, command)
+		if err == nil && reply.GetCode() != 0 {
+			err = errors.New(reply.GetMessage())
+		}
+		if err != nil {
+			s.failure.Store(&err)
 			return false
 		}
 	}
--- a/capacity/side.go
+++ b/capacity/side.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,7 +24,7 @@
 	doServers  = "servers"  // start Count agents with a stand-in backend server each
 	doEngine   = "engine"   // start a stand-in backend server that announces itself at an agent's HTTP address
 	doLoad     = "load"     // call the entry at Addresses for Seconds
-	doPropose  = "propose"  // have keyed requests recorded through the sessions, Rate a second for Seconds
+	doPropose  = "propose"  // have keyed requests recorded as an entry does, Rate a second for Seconds
 	doUsage    = "usage"    // tell what the far side has used
 )
 
@@ -38,6 +39,7 @@
 	ctx      context.Context
 	sessions []*session.Session
 	proposer *session.Session
+	failure  atomic.Pointer[error] // of a proposal
 	agents   []*link.EntryServer
 	stopRoom context.CancelFunc
 }
