agent: what an entry's full ring refuses is sent when there is room

Cause: an attempt's sign of life, events and end that met the full ring of an open link were counted and lost; the gate repeats them only when a link opens. The entry, which had heard that the attempt started, waited until the deadline and answered unknown to a caller whose answer was there. Before: TestEndOfAnAttemptOutlastsAFullRing fails without the guard (1 of 4 messages arrives). After: they wait, in order, at most 4096 messages and 8 MiB for each server, and go at the next tick with room; carawaypitch_link_delayed_total counts them. A lost link ends the wait, since the gate repeats all then. Conclusion: an answer outlasts a full ring; what is over the bounds is still dropped and counted.

--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -25,6 +25,7 @@
 	metricOrders      = "carawaypitch_orders_total"
 	metricRingRefused = "carawaypitch_ring_refused_total"
 	metricDropped     = "carawaypitch_link_dropped_total"
+	metricDelayed     = "carawaypitch_link_delayed_total"
 )
 
 // Reasons of retries.
@@ -99,3 +100,7 @@
 func (m *meter) dropped() {
 	m.add(metricDropped, 1)
 }
+
+func (m *meter) delayed() {
+	m.add(metricDelayed, 1)
+}
--- a/agent/server.go
+++ b/agent/server.go
@@ -54,6 +54,7 @@
 	// ring were full.
 	follow   []followUp
 	refusing refusal
+	unsent   unsent
 
 	record    *wire.ServerRecord // latest announcement, nil before the first
 	client    engine.Client      // nil before the first announcement
--- a/agent/server_actions.go
+++ b/agent/server_actions.go
@@ -40,7 +40,12 @@
 
 func (s *server) send(a gate.Send) {
 	s.refusing.mark(a.Message.GetOver())
-	if !s.links.Send(a.Entry, s.adjust(a.Message)) {
+	message := s.adjust(a.Message)
+	inTurn := !mustArrive(message) || !s.unsent.waits(a.Entry)
+	if inTurn && s.links.Send(a.Entry, message) {
+		return
+	}
+	if !s.keepUnsent(a.Entry, message) {
 		s.meter.dropped()
 	}
 }
--- a/agent/server_loop.go
+++ b/agent/server_loop.go
@@ -39,6 +39,7 @@
 		case in := <-s.inputs.C():
 			s.take(in)
 		case now := <-ticker.C:
+			s.sendUnsent()
 			s.noteDeparture(now)
 			s.step(now, gate.Tick{})
 		}
--- /dev/null
+++ b/agent/unsent_test.go
@@ -0,0 +1,119 @@
+package agent
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// narrowLinks take as many messages as there is room.
+type narrowLinks struct {
+	room int
+	sent []*wire.AgentMessage
+}
+
+func (l *narrowLinks) Send(_ gate.EntryID, message *wire.AgentMessage) bool {
+	if l.room == 0 {
+		return false
+	}
+	l.room--
+	l.sent = append(l.sent, message)
+	return true
+}
+
+func (l *narrowLinks) Broadcast(*wire.AgentMessage) {}
+
+// narrowServer is a server whose entry is linked by a ring with so much room.
+func narrowServer(t *testing.T, room int) (*server, *narrowLinks, *[]gate.EntryID) {
+	t.Helper()
+	s, _ := bareServer(t.Context(), nil)
+	links := &narrowLinks{room: room}
+	open := []gate.EntryID{linkedEntry}
+	s.links = links
+	s.linked = func() []gate.EntryID { return open }
+	return s, links, &open
+}
+
+var linkedEntry = gate.EntryID{Name: "entry-1", Incarnation: 1}
+
+func (s *server) sendAll(messages ...*wire.AgentMessage) {
+	for _, message := range messages {
+		s.perform(time.Time{}, gate.Send{Entry: linkedEntry, Message: message})
+	}
+}
+
+func frameMessage(offset uint64, event []byte) *wire.AgentMessage {
+	frame := &wire.Frame{Attempt: &wire.AttemptID{Request: "r1", Number: 1}, Offset: offset, Events: [][]byte{event}}
+	return &wire.AgentMessage{Kind: &wire.AgentMessage_Frame{Frame: frame}}
+}
+
+func overMessage(request string) *wire.AgentMessage {
+	over := &wire.Over{Attempt: &wire.AttemptID{Request: request, Number: 1}, Proof: wire.Proof_PROOF_COMPLETED}
+	return &wire.AgentMessage{Kind: &wire.AgentMessage_Over{Over: over}}
+}
+
+// Symptom: a caller hears "unknown" at the deadline of a request whose answer was there in time.
+// Sequence: an entry reads slowly for a moment, so that the ring of its link is full; an attempt's last events and its
+// end meet the full ring; the link stays open.
+// Cause: what a full ring refused was only counted, and the gate repeats it only when a link opens.
+func TestEndOfAnAttemptOutlastsAFullRing(t *testing.T) {
+	s, links, _ := narrowServer(t, 1)
+	messages := []*wire.AgentMessage{
+		frameMessage(0, []byte("a")),
+		frameMessage(1, []byte("b")),
+		frameMessage(2, []byte("c")),
+		overMessage("r1"),
+	}
+	s.sendAll(messages[:3]...)
+	links.room = 1
+	s.sendAll(messages[3])
+	assert.Equal(t, messages[:1], links.sent, "an end doesn't pass events that wait")
+	s.sendUnsent()
+	assert.Equal(t, messages[:2], links.sent)
+	links.room = 10
+	s.sendUnsent()
+	assert.Equal(t, messages, links.sent)
+	s.sendUnsent()
+	s.sendAll(overMessage("r2"))
+	assert.Len(t, links.sent, len(messages)+1, "nothing is sent twice")
+	assert.Zero(t, s.unsent.bytes+s.unsent.messages)
+	assert.Equal(t, uint64(3), s.meter.set.GetOrCreateCounter(metricDelayed).Get())
+	assert.Zero(t, s.meter.set.GetOrCreateCounter(metricDropped).Get())
+}
+
+// Symptom: an agent's memory grows without bound, or an entry gets what was meant for its last link.
+// Sequence: an entry doesn't read; or its link is lost while messages wait for its ring.
+// Cause: messages that wait without a bound, or that outlive their link, after which the gate repeats them anyway.
+func TestUnsentMessagesAreBounded(t *testing.T) {
+	s, links, open := narrowServer(t, 0)
+	room := &wire.AgentMessage{Kind: &wire.AgentMessage_Room{Room: new(wire.Room)}}
+	s.sendAll(room, frameMessage(0, bytes.Repeat([]byte("a"), link.MaxMessage)))
+	assert.Zero(t, s.unsent.messages, "room is told again; a message over the bound never goes")
+	for range maxUnsent + 1 {
+		s.sendAll(overMessage("r1"))
+	}
+	assert.Equal(t, maxUnsent, s.unsent.messages)
+	*open = nil
+	links.room = 10
+	s.sendUnsent()
+	assert.Empty(t, links.sent)
+	assert.Zero(t, s.unsent.bytes+s.unsent.messages)
+	s.sendAll(overMessage("r1"))
+	assert.Len(t, links.sent, 1)
+
+	links.room = 0
+	s.sendAll(overMessage("r1"))
+	assert.Zero(t, s.unsent.messages, "without a link nothing waits")
+	*open = []gate.EntryID{linkedEntry}
+	event := bytes.Repeat([]byte("a"), maxUnsentBytes/8)
+	for range 10 {
+		s.sendAll(frameMessage(0, event))
+	}
+	assert.Equal(t, 7, s.unsent.messages)
+}
