state: an epoch is the log index of its begin or takeover; freed keys rest no more

Cause: epochs were counted within a record, 1 at the begin and one more for each takeover. A key that was released and begun again therefore used its attempt numbers a second time: a late "never started" about an attempt of the released record was taken for one about the new record's attempt, and the agent's tombstones refused the new record's first attempts.

After: an epoch is the index of the command in control's log, above all that any owner of any key had. The rest of a released key is gone: a late word names a lower number and counts as stray. 48 bits of index last for 89 years at 100,000 commands a second.

Whether a record counts as taken over depends on its earlier servers, no longer on an epoch above 1.

Run: go test ./state ./entry ./sched ./gate ./control.

--- a/entry/flight.go
+++ b/entry/flight.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"sync"
-	"time"
 
 	"github.com/carawaypitch/carawaypitch/sched"
 )
@@ -26,24 +25,12 @@
 type flights struct {
 	entry *Entry
 
-	mu       sync.Mutex
-	all      map[string]*flight
-	released map[string]release
-}
-
-// release remembers that a record was released after attempts were sent.
-//
-// A record that is made anew may number its attempts as the released one did. A late word about an attempt of the old
-// one, such as "never started", would then be taken for one about the new. So a key rests for releaseHold, in which
-// such words arrive. Control avoids it where epochs are never used twice; then the new epoch is higher and nothing
-// rests.
-type release struct {
-	epoch uint64
-	until time.Time
+	mu  sync.Mutex
+	all map[string]*flight
 }
 
 func newFlights(e *Entry) *flights {
-	return &flights{entry: e, all: make(map[string]*flight), released: make(map[string]release)}
+	return &flights{entry: e, all: make(map[string]*flight)}
 }
 
 // keyedID derives the identity that all requests of a key share, at all entries.
@@ -101,26 +88,3 @@
 		return nil, context.Cause(ctx)
 	}
 }
-
-// rest notes a release, and forgets those that are over.
-func (f *flights) rest(id string, epoch uint64, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for other, r := range f.released {
-		if !now.Before(r.until) {
-			delete(f.released, other)
-		}
-	}
-	f.released[id] = release{epoch: epoch, until: now.Add(releaseHold)}
-}
-
-// restsFor returns how long a new record with this epoch has to rest, 0 if it may be used.
-func (f *flights) restsFor(id string, epoch uint64, now time.Time) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	r, ok := f.released[id]
-	if !ok || epoch > r.epoch {
-		return 0
-	}
-	return max(r.until.Sub(now), 0)
-}
--- a/entry/operation.go
+++ b/entry/operation.go
@@ -134,12 +134,9 @@
 // of the operation can have run.
 func (op *operation) mayRun(ctx context.Context) *outcome {
 	var refusal *result.Error
-	rest := op.entry.flights.restsFor(op.request.ID, op.epoch, op.entry.now())
 	switch {
 	case ctx.Err() != nil:
 		refusal = result.New(result.DeadlinePassedInQueue, "")
-	case rest > 0:
-		refusal = result.New(result.RefusedNeverStarted, "the key was freed just now").WithRetryAfter(rest)
 	case len(op.request.Candidates) == 0:
 		// The scheduler takes no candidates for any server, but the record would then not say where to ask for proof.
 		refusal = result.New(result.NoServer, "").WithRetryAfter(controlRetryAfter)
--- a/entry/operation_close.go
+++ b/entry/operation_close.go
@@ -28,7 +28,6 @@
 		op.settleLater(kind, command)
 		return op.decided(out)
 	}
-	op.closed(out)
 	return op.decided(op.winner(out, res))
 }
 
@@ -93,13 +92,6 @@
 	}}}
 }
 
-// closed notes a release after attempts, see release.
-func (op *operation) closed(out *outcome) {
-	if out.err != nil && out.fate.sent {
-		op.entry.flights.rest(op.request.ID, op.epoch, op.entry.now())
-	}
-}
-
 // winner is the outcome that the record holds. If another owner has committed one, the caller gets that, so that a
 // resend gives the same.
 func (op *operation) winner(out *outcome, res *wire.CommandResult) *outcome {
--- a/entry/timing.go
+++ b/entry/timing.go
@@ -34,8 +34,6 @@
 	commitGrace = 500 * time.Millisecond
 	// commitTry bounds one proposal in the background.
 	commitTry = 5 * time.Second
-	// releaseHold is how long a key rests in this entry after its record was released, see released.
-	releaseHold = 2 * time.Second
 	// controlRetryAfter is the advice to a caller when control didn't answer.
 	controlRetryAfter = time.Second
 	// settleTime is how long bytes of a dead agent may still be under way to its engine.
--- a/sched/types.go
+++ b/sched/types.go
@@ -9,7 +9,8 @@
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
-// EpochShift is the number of low bits of an attempt number that count attempts within an owner's epoch.
+// EpochShift is the number of low bits of an attempt number that count attempts within an owner's epoch. An epoch is
+// an index of control's log: the 48 bits above them last for 89 years at 100,000 commands a second.
 const EpochShift = 16
 
 // Request is what a caller asked for, after its key, class and body were checked.
--- a/state/begin.go
+++ b/state/begin.go
@@ -72,7 +72,7 @@
 		entry:      intern(cmd.GetEntry()),
 		inc:        cmd.GetEntryIncarnation(),
 		request:    cmd.GetRequest(),
-		epoch:      1,
+		epoch:      s.newEpoch(),
 		candidates: candidates,
 		begunMS:    s.unixMS,
 	}
@@ -80,6 +80,15 @@
 	return begun(op, wire.BeginOutcome_BEGIN_OUTCOME_BEGUN)
 }
 
+// newEpoch returns an epoch above all that any owner of any key ever had: the index of the command in the log.
+//
+// Were epochs counted within a record, a key that is released and begun again would use its attempt numbers a second
+// time. A late "never started" of the old record's attempt would then be taken for one about the new record's, and the
+// work would be dispatched again while it runs.
+func (s *State) newEpoch() uint64 {
+	return s.index
+}
+
 func (s *State) joinOperation(op *operation, cmd *wire.BeginOperation) *wire.CommandResult {
 	switch {
 	case op.state == wire.OperationState_OPERATION_STATE_DONE:
@@ -114,7 +123,13 @@
 		return refuse(result.BadMessage, "more than %d servers", s.limits.Servers)
 	}
 	op.candidates = candidates
-	if op.epoch > 1 {
+	return begunByOwner(op)
+}
+
+// begunByOwner answers the owner. Without earlier servers nothing was ever dispatched for the record, whoever owned it
+// before: there is nothing to prove, and what the owner says of its own attempts is all there is to say.
+func begunByOwner(op *operation) *wire.CommandResult {
+	if len(op.earlier) > 0 {
 		return begun(op, wire.BeginOutcome_BEGIN_OUTCOME_TAKEN_OVER)
 	}
 	return begun(op, wire.BeginOutcome_BEGIN_OUTCOME_BEGUN)
@@ -133,8 +148,8 @@
 	op.entry = intern(cmd.GetEntry())
 	op.inc = cmd.GetEntryIncarnation()
 	op.request = cmd.GetRequest()
-	op.epoch++
-	return begun(op, wire.BeginOutcome_BEGIN_OUTCOME_TAKEN_OVER)
+	op.epoch = s.newEpoch()
+	return begunByOwner(op)
 }
 
 // endUnknown closes a record whose work may not be repeated and may have run. Only the agent that ran it can still
--- a/state/model_test.go
+++ b/state/model_test.go
@@ -23,6 +23,7 @@
 	buried   map[[2]string]uint64  // by server and key: cancelled up to this epoch
 	answers  map[string]string     // by key: the answer that a caller heard
 	latest   map[string]uint64     // by entry
+	epochs   map[string]uint64     // by key: the last that was given to an owner
 }
 
 // permit is what a begin allowed an entry to do.
@@ -52,6 +53,7 @@
 		buried:   make(map[[2]string]uint64),
 		answers:  make(map[string]string),
 		latest:   make(map[string]uint64),
+		epochs:   make(map[string]uint64),
 	}
 }
 
@@ -110,6 +112,8 @@
 }
 
 func (w *world) permit(b *wire.BeginOperation, op *wire.Operation) {
+	require.Greater(w.t, op.GetEpoch(), w.epochs[b.GetKey()], "the attempts of a key use numbers twice")
+	w.epochs[b.GetKey()] = op.GetEpoch()
 	w.permits = append(w.permits, &permit{
 		key:         b.GetKey(),
 		entry:       b.GetEntry(),
--- a/state/operations.go
+++ b/state/operations.go
@@ -20,7 +20,7 @@
 	entry      string
 	inc        uint64 // of the entry
 	request    string
-	epoch      uint64
+	epoch      uint64   // see newEpoch
 	candidates []string // sorted
 	earlier    []string // sorted
 	answer     *wire.Answer
