--- a/agent/http.go
+++ b/agent/http.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/carawaypitch/carawaypitch/platform"
 	"github.com/carawaypitch/carawaypitch/result"
 )
 
@@ -45,16 +46,10 @@
 }
 
 func (a *Agent) routes() *echo.Echo {
-	e := echo.New()
-	e.HideBanner = true
-	e.HidePort = true
-	e.HTTPErrorHandler = a.httpError
+	e := platform.NewRouter(platform.Process{Ready: a.readyError, WriteMetrics: a.meter.write}, a.httpError)
 	e.POST("/v1/announce", a.postAnnounce)
 	e.POST("/v1/leave", a.postLeave)
 	e.GET("/v1/leave/:server", a.getLeave)
-	e.GET("/healthz", a.getHealth)
-	e.GET("/readyz", a.getReady)
-	e.GET("/metrics", a.getMetrics)
 	return e
 }
 
@@ -63,7 +58,7 @@
 	if c.Response().Committed {
 		return
 	}
-	refusal := httpRefusal(err)
+	refusal := platform.Refusal(err)
 	a.meter.refused(refusal.Code, 0)
 	a.log.WithField("path", c.Request().URL.Path).
 		WithField("code", uint16(refusal.Code)).
@@ -72,21 +67,6 @@
 	_ = c.JSON(refusal.Status(), refusal)
 }
 
-func httpRefusal(err error) *result.Error {
-	var routing *echo.HTTPError
-	if !errors.As(err, &routing) {
-		return result.From(err)
-	}
-	switch routing.Code {
-	case http.StatusNotFound:
-		return result.New(result.NotFound, "")
-	case http.StatusMethodNotAllowed:
-		return result.New(result.MethodNotAllowed, "")
-	default:
-		return result.Wrap(err, result.Internal, "")
-	}
-}
-
 // readJSON reads one JSON value of at most maxAnnouncementBytes. Errors have the code malformed_body or
 // body_too_large.
 func readJSON(c echo.Context, into any) error {
--- a/control/http.go
+++ b/control/http.go
@@ -3,12 +3,12 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/carawaypitch/carawaypitch/platform"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -18,7 +18,6 @@
 	headerIfMatch  = "If-Match"
 	headerChangeID = "Change-Id"
 	headerETag     = "ETag"
-	bearerPrefix   = "Bearer "
 )
 
 // maxOperatorBody bounds the body of an operator's call, in bytes.
@@ -29,12 +28,7 @@
 
 // routes returns the operators' and the platform's HTTP interface.
 func (c *Control) routes() http.Handler {
-	e := echo.New()
-	e.HideBanner = true
-	e.HTTPErrorHandler = c.writeError
-	e.GET("/healthz", c.getHealth)
-	e.GET("/readyz", c.getReady)
-	e.GET("/metrics", c.getMetrics)
+	e := platform.NewRouter(platform.Process{Ready: c.Ready, WriteMetrics: c.options.Metrics.WritePrometheus}, c.writeError)
 	e.GET("/v1/classes", c.getClasses, c.authenticate)
 	e.GET("/v1/classes/:name", c.getClass, c.authenticate)
 	e.PUT("/v1/classes/:name", c.putClass, c.authenticate)
@@ -49,7 +43,7 @@
 // authenticate lets only operators through.
 func (c *Control) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(call echo.Context) error {
-		key, isBearer := strings.CutPrefix(call.Request().Header.Get(echo.HeaderAuthorization), bearerPrefix)
+		key, isBearer := platform.BearerKey(call.Request())
 		operator, known := c.keys.Find(key)
 		if !isBearer || !known {
 			return result.New(result.OperatorKeyWrong, "")
@@ -92,7 +86,7 @@
 	if call.Response().Committed {
 		return
 	}
-	failure := failureOf(err)
+	failure := platform.Refusal(err)
 	c.counters.refused(failure.Code).Inc()
 	var body errorBody
 	encoded, _ := json.Marshal(failure)
@@ -108,22 +102,6 @@
 	_ = call.JSON(failure.Status(), body)
 }
 
-// failureOf gives an error of the router its code.
-func failureOf(err error) *result.Error {
-	var routed *echo.HTTPError
-	if !errors.As(err, &routed) {
-		return result.From(err)
-	}
-	switch routed.Code {
-	case http.StatusNotFound:
-		return result.New(result.NotFound, "")
-	case http.StatusMethodNotAllowed:
-		return result.New(result.MethodNotAllowed, "")
-	default:
-		return result.Wrap(err, result.Internal, "")
-	}
-}
-
 // resultError returns the error of a refused command, or nil.
 func resultError(res *wire.CommandResult) error {
 	code := result.Code(res.GetCode())
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -183,10 +183,3 @@
 func isModel(class *wire.Class) bool {
 	return class.GetKind() == settings.KindModel
 }
-
-func cutPrefixFold(s, prefix string) (string, bool) {
-	if len(s) < len(prefix) || !strings.EqualFold(s[:len(prefix)], prefix) {
-		return "", false
-	}
-	return s[len(prefix):], true
-}
--- a/entry/http.go
+++ b/entry/http.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
+	"github.com/carawaypitch/carawaypitch/platform"
 	"github.com/carawaypitch/carawaypitch/result"
 )
 
@@ -30,8 +31,6 @@
 	headerClass          = "Carawaypitch-Class"
 	headerDeadline       = "Carawaypitch-Deadline-Ms"
 	headerIdempotencyKey = "Idempotency-Key"
-	headerAuthorization  = "Authorization"
-	bearerPrefix         = "Bearer "
 )
 
 func (e *Entry) listen() (net.Listener, error) {
@@ -79,10 +78,7 @@
 }
 
 func (e *Entry) routes() *echo.Echo {
-	r := echo.New()
-	r.HideBanner = true
-	r.HidePort = true
-	r.HTTPErrorHandler = e.httpError
+	r := platform.NewRouter(platform.Process{Ready: e.ready, WriteMetrics: e.meter.set.WritePrometheus}, e.httpError)
 	r.Use(nameRequest)
 	r.POST("/v1/chat/completions", e.postCompletion)
 	r.POST("/v1/completions", e.postCompletion)
@@ -90,9 +86,6 @@
 	r.GET("/v1/models", e.getModels)
 	r.GET("/v1/requests", e.getRequests)
 	r.GET("/v1/requests/:id", e.getRequest)
-	r.GET("/healthz", e.getHealth)
-	r.GET("/readyz", e.getReady)
-	r.GET("/metrics", e.getMetrics)
 	return r
 }
 
@@ -110,33 +103,14 @@
 
 // httpError answers with the numbered code of an error.
 func (e *Entry) httpError(err error, c echo.Context) {
-	refusal := httpRefusal(err)
+	refusal := platform.Refusal(err)
 	e.meter.refused(refusal.Code, 0)
 	e.replyError(c, refusal)
 }
 
-func httpRefusal(err error) *result.Error {
-	var routing *echo.HTTPError
-	if !errors.As(err, &routing) {
-		return result.From(err)
-	}
-	switch routing.Code {
-	case http.StatusNotFound:
-		return result.New(result.NotFound, "")
-	case http.StatusMethodNotAllowed:
-		return result.New(result.MethodNotAllowed, "")
-	default:
-		return result.Wrap(err, result.Internal, "")
-	}
-}
-
 // authenticate returns the organisation whose key was sent.
 func (e *Entry) authenticate(c echo.Context) (string, *result.Error) {
-	header := c.Request().Header.Get(headerAuthorization)
-	if header == "" {
-		return "", result.New(result.MissingKey, "")
-	}
-	key, ok := cutPrefixFold(header, bearerPrefix)
+	key, ok := platform.BearerKey(c.Request())
 	if !ok {
 		return "", result.New(result.MissingKey, "")
 	}
@@ -146,3 +120,11 @@
 	}
 	return name, nil
 }
+
+// ready returns why the entry may not receive work, nil if it may.
+func (e *Entry) ready() error {
+	if err := e.notReady(); err != nil {
+		return err
+	}
+	return nil
+}
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -265,7 +265,7 @@
 func (r *rig) request(ctx context.Context, n int, method, path, body string, header ...string) *http.Request {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+entryHost(n)+":8080"+path, strings.NewReader(body))
 	require.NoError(r.t, err)
-	request.Header.Set(headerAuthorization, bearerPrefix+ownKey)
+	request.Header.Set("Authorization", "Bearer "+ownKey)
 	for _, line := range header {
 		name, value, _ := strings.Cut(line, ": ")
 		request.Header.Set(name, value)
