status: classes against their targets, and who is short of room and why

Cause: operators set targets but couldn't see whether they are met, nor why a model or service is short of room; they had to add up the metrics of all entries.

An entry now reports with some of its session polls: totals by class since its incarnation, and what waits for each target. Reports come at most each 2 s on a link, and take at most 400 bytes a second over all links: a larger one goes less often (tested). They aren't replicated; each control instance sums what it heard itself over a minute, and GET /v1/status and carawaypitch status show classes and targets, at followers too.

--- a/cmd/carawaypitch/status.go
+++ b/cmd/carawaypitch/status.go
@@ -17,13 +17,20 @@
 
 func (*statusCommand) Name() string { return "status" }
 func (*statusCommand) Synopsis() string {
-	return "show leader, replicas and the version in force at each instance"
+	return "show classes against their targets, who is short of room, and the state of each instance"
 }
 
 func (*statusCommand) Usage() string {
 	return `status [flags]
-  Example:
+  Shows each class against its targets over the last minute, each model and service with its ready servers, what waits
+  for it and why it is short of room, and each instance with the version in force there. The counts are those of the
+  entries that the answering control instance has heard itself.
+
+  Examples:
     carawaypitch status -control http://127.0.0.1:8090 -key "$KEY"
+    carawaypitch status -json -settings examples/compost/operator.jsonc
+
+  Exit codes: 0 a control instance answered, also when no quorum confirmed it; 1 none answered; 2 usage.
 `
 }
 
@@ -52,6 +59,8 @@
 	fmt.Fprintf(w, "operations\t%d records, %d bytes of answers, %d expired keys\n",
 		s.Operations.Records, s.Operations.AnswerBytes, s.Operations.ExpiredKeys)
 	fmt.Fprintf(w, "orders\t%d open\n", s.Orders)
+	classesTable(w, s)
+	targetsTable(w, s)
 	fmt.Fprintln(w, "\nINSTANCE\tROLE\tZONE\tVERSION\tSTATE")
 	for _, i := range s.Controls {
 		instanceRow(w, "control", i, s.ConfigVersion)
--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -147,7 +147,7 @@
 
 // client starts a session of an entry or agent, and returns it with its stop.
 func (c *cluster) client(name, host string, role wire.Role, incarnation uint64) (*session.Session, func()) {
-	s := session.New(session.Config{
+	return c.run(session.Config{
 		Instance:    name,
 		Role:        role,
 		Incarnation: incarnation,
@@ -156,6 +156,10 @@
 		Controls:    c.links(),
 		Network:     c.net.Host(host),
 	})
+}
+
+func (c *cluster) run(config session.Config) (*session.Session, func()) {
+	s := session.New(config)
 	ctx, cancel := context.WithCancel(c.ctx)
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
--- a/control/control.go
+++ b/control/control.go
@@ -48,6 +48,7 @@
 	peers    *peers
 	reads    *reads
 	sessions *sessions
+	reports  *reports
 	leader   *leader
 	keys     *settings.Keyring
 	counters counters
@@ -70,6 +71,7 @@
 	c.peers = newPeers(c)
 	c.reads = newReads(c)
 	c.sessions = newSessions(c)
+	c.reports = newReports()
 	c.leader = newLeader(c)
 	if err := c.open(); err != nil {
 		c.Close()
--- a/control/http_status.go
+++ b/control/http_status.go
@@ -34,6 +34,11 @@
 	Agents           []instanceJSON `json:"agents"`
 	Operations       operationsJSON `json:"operations"`
 	Orders           int            `json:"orders"`
+	// WindowMS is how far back the counts of the classes reach, and EntriesHeard how many entries they cover.
+	WindowMS     int64             `json:"window_ms"`
+	EntriesHeard int               `json:"entries_heard"`
+	Classes      []classStatusJSON `json:"classes"`
+	Targets      []targetJSON      `json:"targets"`
 }
 
 type replicaJSON struct {
@@ -85,8 +90,9 @@
 	}
 	var agents []*wire.AgentRecord
 	var entries []*wire.EntryRecord
+	var classes []*wire.Class
 	c.machine.read(func(s *state.State) {
-		agents, entries = s.Agents(), s.Entries()
+		agents, entries, classes = s.Agents(), s.Entries(), s.Classes()
 		out.Index, out.Fence = s.Index(), s.Fence()
 		out.ConfigVersion, out.DirectoryVersion = s.ConfigVersion(), s.DirectoryVersion()
 		counts := s.Counts()
@@ -104,6 +110,11 @@
 	}
 	out.Entries = c.sessions.instances(wire.Role_ROLE_ENTRY, registered)
 	out.Controls = c.controlInstances(r, out.ConfigVersion)
+	reported := c.reports.sum(time.Now())
+	out.WindowMS = reportWindow.Milliseconds()
+	out.EntriesHeard = reported.entries
+	out.Classes = classesStatus(classes, reported)
+	out.Targets = targetsStatus(agents, reported)
 	return out
 }
 
--- a/control/session.go
+++ b/control/session.go
@@ -90,6 +90,7 @@
 // poll asks for a confirmed read; its answer follows all updates that the read covers.
 func (s *session) poll(poll *wire.Poll) {
 	s.control.sessions.heard(s, poll)
+	s.report(poll.GetReport())
 	asked := s.control.reads.ask(func(confirmed bool) { s.fresh(poll, confirmed) })
 	if !asked {
 		s.fresh(poll, false)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,7 +74,8 @@
 	links     *links
 	prover    *prover
 	view      atomic.Pointer[catalogue]
-	wanted    atomic.Uint64 // highest configuration version that any process has shown
+	waiting   atomic.Pointer[[]sched.TargetWait] // as of the last look, see report
+	wanted    atomic.Uint64                      // highest configuration version that any process has shown
 
 	stopping   atomic.Bool
 	active     atomic.Int64 // calls and flights in progress
@@ -171,6 +172,7 @@
 		Network:      e.network,
 		TLS:          tls,
 		SilenceBound: e.settings.Timing.CutOff,
+		Report:       e.report,
 		Log:          e.log,
 		Metrics:      e.meter.set,
 	})
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -34,11 +34,12 @@
 
 // meter holds one entry's metrics. It has a set of its own, so that several daemons fit in one process.
 type meter struct {
-	set *metrics.Set
+	set   *metrics.Set
+	tally *tally
 }
 
 func newMeter() *meter {
-	return &meter{set: metrics.NewSet()}
+	return &meter{set: metrics.NewSet(), tally: newTally()}
 }
 
 // watch adds the gauges.
@@ -56,6 +57,7 @@
 
 // count adds what the scheduler counted.
 func (m *meter) count(c sched.Count) {
+	m.tally.add(c)
 	tier := strconv.FormatUint(uint64(c.Tier), 10)
 	label := strconv.Quote(c.Label)
 	class := strconv.Quote(c.Class)
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -18,12 +18,16 @@
 func (e *Entry) schedulerDuty(ctx context.Context) error {
 	ticker := time.NewTicker(sched.TickInterval)
 	defer ticker.Stop()
+	looks := time.NewTicker(lookInterval)
+	defer looks.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 			e.step(sched.Tick{})
+		case <-looks.C:
+			e.look()
 		case in := <-e.inputs.C():
 			e.take(in)
 			e.takeMore()
--- a/operator/status.go
+++ b/operator/status.go
@@ -23,6 +23,47 @@
 	Agents           []Instance `json:"agents"`
 	Operations       Operations `json:"operations"`
 	Orders           int        `json:"orders"`
+	// WindowMS is how far back the counts of the classes reach, and EntriesHeard how many entries they cover: those
+	// that this control instance has heard itself.
+	WindowMS     int64         `json:"window_ms"`
+	EntriesHeard int           `json:"entries_heard"`
+	Classes      []ClassStatus `json:"classes"`
+	Targets      []Target      `json:"targets"`
+}
+
+// ClassStatus is how a class stands against its targets, over the window.
+type ClassStatus struct {
+	Name      string  `json:"name"`
+	Tier      uint32  `json:"tier"`
+	Good      uint64  `json:"good"` // answered in full within the deadline
+	Late      uint64  `json:"late"` // answered in full after it
+	Lost      uint64  `json:"lost"` // not answered
+	LateShare float64 `json:"late_share"`
+	LateMax   float64 `json:"late_max"`
+	LostShare float64 `json:"lost_share"`
+	LostMax   float64 `json:"lost_max"`
+	Meets     bool    `json:"meets"`
+	// RefusedByGroup counts refusals by group of result codes, such as "12xx".
+	RefusedByGroup map[string]uint64 `json:"refused_by_group"`
+	Total          ClassTotal        `json:"total"`
+}
+
+// ClassTotal counts since the entries started.
+type ClassTotal struct {
+	Good uint64 `json:"good"`
+	Late uint64 `json:"late"`
+	Lost uint64 `json:"lost"`
+}
+
+// Target is a model or service, its backend servers and what waits for it.
+type Target struct {
+	Name               string         `json:"name"`
+	Kind               string         `json:"kind"`
+	ReadyServers       int            `json:"ready_servers"`
+	ServersByCondition map[string]int `json:"servers_by_condition"`
+	QueuedByTier       []uint32       `json:"queued_by_tier"` // tier 1 first
+	OldestWaitMS       uint64         `json:"oldest_wait_ms"`
+	ShortBecause       string         `json:"short_because"` // empty when it isn't short of room
 }
 
 // Replica is a member of the quorum.
--- a/session/peer.go
+++ b/session/peer.go
@@ -25,6 +25,7 @@
 	instance string                          // as of its hello
 	sent     map[uint64]time.Time            // polls without an answer
 	waiting  map[uint64]chan *wire.ProposeReply
+	reports  reporter
 }
 
 func newPeer(s *Session, number int, address string) *peer {
@@ -117,6 +118,7 @@
 	p.ring = out
 	p.sent = make(map[uint64]time.Time)
 	p.waiting = make(map[uint64]chan *wire.ProposeReply)
+	p.reports = reporter{source: p.session.cfg.Report, links: len(p.session.peers)}
 }
 
 // close ends the link. Who waits for a reply learns that none will come.
@@ -147,13 +149,15 @@
 	id := p.session.ids.Add(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	if p.sent != nil {
-		p.sent[id] = time.Now()
+		p.sent[id] = now
 	}
 	return &wire.ClientMessage{Kind: &wire.ClientMessage_Poll{Poll: &wire.Poll{
 		Sequence:         id,
 		ConfigVersion:    view.ConfigVersion,
 		DirectoryVersion: view.DirectoryVersion,
+		Report:           p.reports.next(now),
 	}}}
 }
 
--- a/session/session.go
+++ b/session/session.go
@@ -55,6 +55,8 @@
 	SilenceBound time.Duration
 	// Try is how long a proposal waits at one control instance before it goes to another.
 	Try time.Duration
+	// Report gives what goes to control with some of the polls, see reporter. It must not block. Nil for none.
+	Report func() *wire.EntryReport
 	// Log and Metrics may be nil.
 	Log     log.Interface
 	Metrics *metrics.Set
