entry: a refusal reads a bounded rest of the body first

Cause: a body that is too large, or a call refused before its body was read, was answered while the caller still sent. net/http reads 256 KiB of an unread body by itself, then closes; the connection is reset and takes the refusal with it. The caller saw a broken connection and couldn't know that its request was not run (cmd/carawaypitch TestDevServesEachKindOfCall/too_large, seldom).

--- a/entry/reply.go
+++ b/entry/reply.go
@@ -110,6 +110,7 @@
 }
 
 func (e *Entry) replyError(c echo.Context, err *result.Error) {
+	e.discardBody(c)
 	replyError(c, err)
 }
 
