sched: a newer incarnation of an agent proves only servers that it speaks of

Cause: the hello of an agent's newer incarnation counted as the proof that all attempts at its model servers were over. An agent of several servers waits 1.2 s for announcements and then only for those that came: the engine of a late server may still run what the dead incarnation gave it, while the request runs elsewhere. agent/doc.go named the limit. After: the new incarnation's first word on a server (its room, which a gate says only of an engine proved free) is the proof for the attempts there; until then they count as those of an agent that is away, and the engine itself is asked. The tests that took the bare hello for the proof now hear the room as well, as real agents send it; the bare hello joined the rows of what is no proof. Two tests name the restarted server as one that can't resume, which they had left open. Conclusion: at most one engine holds also where one agent serves several servers.

--- a/agent/doc.go
+++ b/agent/doc.go
@@ -18,10 +18,9 @@
 // # Restart
 //
 // A new incarnation first lets the gates of all announced servers list and cancel what their engines run, until the
-// engines confirm that nothing is left. Only then it registers with control, says hello to entries and admits work, so
-// that entries may take a newer incarnation for the proof that the attempts of older ones are over. Two limits:
-//
-//   - A server that runs attempts of an earlier incarnation and doesn't announce itself within announceWindow is not
-//     waited for. Where one agent serves one server there is no such case: without an announcement nothing is shown.
-//   - A plain service has no list of its calls and can't cancel them. Its gate only waits for a while.
+// engines confirm that nothing is left. Only then it registers with control, says hello to entries and admits work. A
+// server that doesn't announce itself within announceWindow is not waited for. So entries take a newer incarnation for
+// the proof that the attempts of older ones are over only at the servers that it speaks of: a gate says nothing of its
+// server before the engine is proved free. A plain service has no list of its calls and can't cancel them; its gate only
+// waits for a while, and that is no proof.
 package agent
--- a/sched/attempts_test.go
+++ b/sched/attempts_test.go
@@ -69,7 +69,9 @@
 			}})
 		}},
 		{"older incarnation up", func(w *world, d sentTo) { w.up(d.server, 0) }},
-		{"newer incarnation of another agent", func(w *world, d sentTo) { w.up(d.other(), 2) }},
+		{"newer incarnation of another agent", func(w *world, d sentTo) { w.restart(d.other()) }},
+		{"newer incarnation, no word on the server", func(w *world, d sentTo) { w.up(d.server, 2) }},
+		{"lost, then newer incarnation, no word on the server", func(w *world, d sentTo) { w.down(d.server); w.up(d.server, 2) }},
 		{"never started after a frame", func(w *world, d sentTo) {
 			w.frame(d.server, d.id, 0, "a")
 			w.prove(d.server, d.id, wire.Proof_PROOF_NEVER_STARTED)
@@ -106,8 +108,8 @@
 		{"never started", func(w *world, d sentTo) { w.prove(d.server, d.id, wire.Proof_PROOF_NEVER_STARTED) }},
 		{"cancelled", func(w *world, d sentTo) { w.prove(d.server, d.id, wire.Proof_PROOF_CANCELLED) }},
 		{"failed", func(w *world, d sentTo) { w.prove(d.server, d.id, wire.Proof_PROOF_FAILED) }},
-		{"newer incarnation", func(w *world, d sentTo) { w.up(d.server, 2) }},
-		{"lost, then newer incarnation", func(w *world, d sentTo) { w.down(d.server); w.up(d.server, 2) }},
+		{"newer incarnation", func(w *world, d sentTo) { w.restart(d.server) }},
+		{"lost, then newer incarnation", func(w *world, d sentTo) { w.down(d.server); w.restart(d.server) }},
 		{"lost, then the engine says so", func(w *world, d sentTo) {
 			w.down(d.server)
 			w.pass(leaseMargin * DefaultLeaseDuration)
@@ -285,7 +287,7 @@
 			w.prove(d.server, d.id, cancelled)
 		}, result.RanYes, result.Cancelled},
 		{"failed", func(w *world, d sentTo) { w.prove(d.server, d.id, failed) }, result.RanYes, result.EngineFailed},
-		{"agent restarted", func(w *world, d sentTo) { w.up(d.server, 2) }, result.RanUnknown, result.EngineLost},
+		{"agent restarted", func(w *world, d sentTo) { w.restart(d.server) }, result.RanUnknown, result.EngineLost},
 		{"complete but never delivered", func(w *world, d sentTo) {
 			w.complete(d.server, d.id, 0, "a", "b")
 		}, result.RanYes, result.AnswerIncomplete},
--- a/sched/frames_test.go
+++ b/sched/frames_test.go
@@ -146,7 +146,7 @@
 		do     func(w *world, d sentTo)
 		resume string
 	}{
-		{"agent restarted", func(w *world, d sentTo) { w.up(d.server, 2) }, ""},
+		{"agent restarted", func(w *world, d sentTo) { w.restart(d.server) }, ""},
 		{"engine failed", func(w *world, d sentTo) { w.prove(d.server, d.id, wire.Proof_PROOF_FAILED) }, ""},
 		{"preempted, cache kept", func(w *world, d sentTo) {
 			w.over(d.server, &wire.Over{Attempt: d.id, Proof: wire.Proof_PROOF_CANCELLED, PreemptedByTier: 1, Resumable: true})
@@ -184,7 +184,7 @@
 	again := frameOf(d.id, 1, "a", "b")
 	again.Tokens = []uint32{1, 1}
 	w.say(d.server, &wire.AgentMessage{Kind: &wire.AgentMessage_Frame{Frame: again}})
-	w.up(d.server, 2)
+	w.restart(d.server)
 	w.last("r", 2)
 	m := w.sent[len(w.sent)-1].Message.GetDispatch()
 	assert.Equal(t, uint32(3), m.GetResumeFrom())
@@ -197,23 +197,29 @@
 	// Cause: a server that computes the answer anew taken for one that continues it.
 	w, d := streamed(t, summary)
 	w.frame(d.server, d.id, 0, "a", "b")
-	room := readyRoom(d.other(), kindModel, testModel, 4)
-	room.Resume = false
-	w.say(d.other(), &wire.AgentMessage{Kind: &wire.AgentMessage_Room{Room: room}})
+	w.roomToBeginAnew(d.other(), 4)
 	w.up(d.server, 2)
+	w.roomToBeginAnew(d.server, 0)
 	assert.Len(t, w.dispatches("r"), 1)
 	assert.Contains(t, w.failures, "r")
 }
 
+// roomToBeginAnew is the room of a server that can't resume.
+func (w *world) roomToBeginAnew(server string, free uint32) {
+	w.t.Helper()
+	room := readyRoom(server, kindModel, testModel, free)
+	room.Resume = false
+	w.say(server, &wire.AgentMessage{Kind: &wire.AgentMessage_Room{Room: room}})
+}
+
 func TestStreamGoesOnOnlyWhereItCanBeResumed(t *testing.T) {
 	// Symptom: the same, where another server could resume but has no room just now.
 	w, d := streamed(t, summary)
 	w.frame(d.server, d.id, 0, "a", "b")
 	w.serve("s3", kindModel, testModel, 0)
-	room := readyRoom(d.other(), kindModel, testModel, 4)
-	room.Resume = false
-	w.say(d.other(), &wire.AgentMessage{Kind: &wire.AgentMessage_Room{Room: room}})
+	w.roomToBeginAnew(d.other(), 4)
 	w.up(d.server, 2)
+	w.roomToBeginAnew(d.server, 0)
 	assert.Len(t, w.dispatches("r"), 1)
 	require.Len(t, w.reserves("r"), 1)
 	w.offer("s3", w.reserves("r")[0].id)
--- a/sched/harness_test.go
+++ b/sched/harness_test.go
@@ -128,6 +128,13 @@
 	w.step(AgentUp{Hello: &wire.AgentHello{Agent: agentOf(server), Incarnation: incarnation}})
 }
 
+// restart brings up the agent's next incarnation, which has proved the engine free and says so with its room.
+func (w *world) restart(server string) {
+	w.t.Helper()
+	w.up(server, 2)
+	w.room(server, kindModel, testModel, 0)
+}
+
 func (w *world) down(server string) {
 	w.t.Helper()
 	w.step(AgentDown{Agent: agentOf(server), Incarnation: w.s.agents[agentOf(server)].incarnation})
--- a/sched/servers.go
+++ b/sched/servers.go
@@ -143,6 +143,7 @@
 		s.place(v)
 	}
 	s.refresh(v)
+	s.serverCleared(v)
 }
 
 // place puts the server into the pools of what it has ready.
