--- a/spec/report.go
+++ b/spec/report.go
@@ -12,7 +12,7 @@
 )
 
 // maxParallel bounds how many explorations run at a time, and so the memory.
-const maxParallel = 4
+const maxParallel = 3
 
 // outcomeOf is what an exploration gave.
 type outcomeOf struct {
