--- a/capacity/agent_test.go
+++ b/capacity/agent_test.go
@@ -30,9 +30,14 @@
 	_, err = rig.Far.Do(Order{Do: doEntries, Count: entries, Name: agentName(0), Addresses: []string{a.LinkAddr()}})
 	t.must(err)
 	time.Sleep(settle)
+	first, err := rig.Far.Do(Order{Do: doUsage})
+	t.must(err)
 	rate, err := rig.Idle(window)
 	t.must(err)
+	last, err := rig.Far.Do(Order{Do: doUsage})
+	t.must(err)
 	t.addRate(float64(entries), "idle-", rate)
+	t.add(float64(entries), "idle-rooms/s", float64(last.Count-first.Count)/window.Seconds())
 	t.add(float64(entries), "memory-B", Memory()-before)
 }
 
--- a/capacity/farside.go
+++ b/capacity/farside.go
@@ -38,7 +38,7 @@
 	Addresses []string
 	Operators []string // base URLs for operators
 	UnixNano  int64    // moment
-	Count     int
+	Count     int      // of what the order is about; messages about room for doUsage
 	Failed    int
 	CPU       int64   // nanoseconds of processor time of the far side so far
 	Memory    float64 // bytes
--- a/capacity/links.go
+++ b/capacity/links.go
@@ -110,9 +110,16 @@
 			Hello:   func() *wire.EntryHello { return hello },
 			Up:      func(context.Context, *wire.AgentHello) { up.Add(1) },
 			Down:    func(*wire.AgentHello, error) { up.Add(-1) },
-			Receive: func(context.Context, *wire.AgentHello, *wire.AgentMessage) error { return nil },
+			Receive: s.countRoom,
 		}
 		s.run(dialer.Run)
 	}
 	return Reply{}, until("all entries are linked", func() bool { return up.Load() == int64(o.Count) })
 }
+
+func (s *side) countRoom(_ context.Context, _ *wire.AgentHello, message *wire.AgentMessage) error {
+	if message.GetRoom() != nil {
+		s.rooms.Add(1)
+	}
+	return nil
+}
--- a/capacity/side.go
+++ b/capacity/side.go
@@ -41,6 +41,7 @@
 	proposer *session.Session
 	failure  atomic.Pointer[error] // of a proposal
 	agents   []*link.EntryServer
+	rooms    atomic.Int64 // messages about room that entries' links got
 	stopRoom context.CancelFunc
 }
 
@@ -83,7 +84,7 @@
 
 func (s *side) usage() (Reply, error) {
 	cpu, err := CPUTime()
-	return Reply{CPU: int64(cpu), Memory: Memory(), UnixNano: time.Now().UnixNano()}, err
+	return Reply{Count: int(s.rooms.Load()), CPU: int64(cpu), Memory: Memory(), UnixNano: time.Now().UnixNano()}, err
 }
 
 // run runs a daemon until the far side ends.
