entry: a record whose begin was committed late is freed or given back

Cause: when the reply to a begin got lost, the entry asked the scheduler for servers to make the begin again; if that failed, nobody settled the record. A record that the begin had taken over stayed this entry's, as did one whose call ended before the proofs of the earlier servers were there. The entry lives, so begins at other entries heard "open", and their callers waited until their deadlines for a request that nobody had.

After: the same begin is sent again, which needs nothing that may fail. What it made is released; what it took over is given back: ReleaseOperation has give_back, which keeps the earlier servers and leaves the record without an owner, so that the next begin takes it over. TestRefusalAfterTakeOver expects the give-back besides what it checked before.

Left: a begin that reaches a leader only after the same begin was sent again, committed and released. Entries in the log keep their order, so only a proposal held up before the log can do that; a resend at its own entry is served, one at another entry waits until its deadline.

--- a/entry/keyed_end_test.go
+++ b/entry/keyed_end_test.go
@@ -215,8 +215,10 @@
 		e.view.Store(known)
 		refusal := r.call(2, http.MethodPost, chatPath, chatBody, key("k")).code(t)
 		require.Equal(t, result.RanUnknown, refusal.Ran)
-		require.Equal(t, []string{"begin", "begin"}, r.control.commands())
-		require.Equal(t, []string{agent.server}, r.control.state.Operation("compost", "k").GetEarlier())
+		require.Equal(t, []string{"begin", "begin", "release"}, r.control.commands())
+		record := r.control.state.Operation("compost", "k")
+		require.Equal(t, []string{agent.server}, record.GetEarlier())
+		require.Empty(t, record.GetOwner(), "the next owner needn't wait for this one")
 	})
 }
 
--- a/entry/operation.go
+++ b/entry/operation.go
@@ -14,9 +14,9 @@
 	flight  *flight
 	request *sched.Request
 	epoch   uint64
-	taken   bool // taken over from an earlier owner
-	unclear bool // a begin was sent whose outcome isn't known
-	settles bool // a goroutine goes on after the call, and ends the flight
+	taken   bool          // taken over from an earlier owner
+	unclear *wire.Command // a begin that was sent and whose outcome isn't known
+	settles bool          // a goroutine goes on after the call, and ends the flight
 }
 
 // open makes or joins the record. It returns nil when the request may go to the scheduler, else the outcome to answer
@@ -57,7 +57,9 @@
 	defer cancel()
 	res, proposeErr := op.entry.propose(bounded, "begin", command)
 	if proposeErr != nil {
-		op.unclear = result.Is(proposeErr, result.ProposalUnknown)
+		if result.Is(proposeErr, result.ProposalUnknown) {
+			op.unclear = command
+		}
 		failure := result.Wrap(proposeErr, result.ControlUnavailable, "the operation's record could not be read; send it again with the same key")
 		return nil, &outcome{err: failure.WithRan(result.RanUnknown).WithRetryAfter(controlRetryAfter)}
 	}
--- a/entry/operation_close.go
+++ b/entry/operation_close.go
@@ -18,9 +18,6 @@
 // hear another one, or that nothing is known.
 func (op *operation) close(ctx context.Context, out *outcome) *outcome {
 	command, kind := op.closing(out)
-	if command == nil {
-		return op.decided(out)
-	}
 	bounded, cancel := context.WithDeadline(context.WithoutCancel(ctx), closeBy(op.request, op.entry.now()))
 	defer cancel()
 	res, err := op.entry.propose(bounded, kind, command)
@@ -32,8 +29,8 @@
 }
 
 // closing chooses the command: an answer and a failure that may have run are kept, and the key is freed when nothing
-// ran, or when the work may be repeated and is proved over. A record that was taken over without the proofs is left as
-// it is: the next owner needs the same ones.
+// ran, or when the work may be repeated and is proved over. A record that was taken over without the proofs is given
+// back: the next owner needs the same ones.
 func (op *operation) closing(out *outcome) (*wire.Command, string) {
 	switch {
 	case out.err == nil:
@@ -41,7 +38,7 @@
 	case out.err.Ran == result.RanNo:
 		return op.release(), "release"
 	case !out.fate.sent && op.taken:
-		return nil, ""
+		return op.giveBack(), "release"
 	case op.request.Class.GetRepeatable() && out.fate.over:
 		return op.release(), "release"
 	default:
@@ -92,6 +89,13 @@
 	}}}
 }
 
+// giveBack leaves the record to whoever asks next, with its earlier servers.
+func (op *operation) giveBack() *wire.Command {
+	command := op.release()
+	command.GetReleaseOperation().GiveBack = true
+	return command
+}
+
 // winner is the outcome that the record holds. If another owner has committed one, the caller gets that, so that a
 // resend gives the same.
 func (op *operation) winner(out *outcome, res *wire.CommandResult) *outcome {
@@ -130,7 +134,7 @@
 func (op *operation) end() {
 	op.flight.decide(&outcome{err: result.New(result.OutcomeUnknown, "")})
 	op.entry.release(op.request)
-	if op.unclear {
+	if op.unclear != nil {
 		op.settleBegin()
 	}
 	if !op.settles {
@@ -138,22 +142,24 @@
 	}
 }
 
-// settleBegin finds out what became of a begin whose outcome got lost, and frees the key if it made a record: nothing
-// was dispatched under it. A record that was taken over stays this entry's, for the next call with the key.
+// settleBegin finds out what became of a begin whose outcome got lost, and frees the key if it made a record, or gives a
+// record back that it took over: nothing was dispatched under it.
+//
+// Otherwise: control commits the begin after its caller heard that control is unavailable. The entry lives and has no
+// request for the record, so a resend at another entry would wait there until its deadline. The same begin is sent
+// again, since it needs nothing of the entry that may fail.
 func (op *operation) settleBegin() {
-	command, err := op.beginCommand(op.entry.base)
-	if err != nil {
-		return
-	}
 	op.settles = true
 	op.entry.background.Go(func() {
 		defer op.entry.flights.land(op.flight)
-		res := op.repeat("begin", command)
-		if res.GetBegin() != wire.BeginOutcome_BEGIN_OUTCOME_BEGUN {
-			return
-		}
+		res := op.repeat("begin", op.unclear)
 		op.epoch = res.GetOperation().GetEpoch()
-		op.repeat("release", op.release())
+		switch res.GetBegin() {
+		case wire.BeginOutcome_BEGIN_OUTCOME_BEGUN:
+			op.repeat("release", op.release())
+		case wire.BeginOutcome_BEGIN_OUTCOME_TAKEN_OVER:
+			op.repeat("release", op.giveBack())
+		}
 	})
 }
 
--- a/state/complete.go
+++ b/state/complete.go
@@ -113,10 +113,25 @@
 	if !op.isHeldBy(cmd.GetEntry(), cmd.GetEntryIncarnation(), cmd.GetEpoch()) {
 		return superseded(op)
 	}
+	if cmd.GetGiveBack() && len(op.earlier) > 0 {
+		op.giveBack()
+		return accepted()
+	}
 	s.operations.remove(op)
 	return accepted()
 }
 
+// giveBack leaves the record without an owner, so that the next begin takes it over. Its owner dispatched nothing, so
+// the servers of its epoch have nothing to prove.
+//
+// Otherwise: an entry takes a record over, and its call ends before the proofs are there. The entry lives, so every
+// begin at another entry would hear "open", and callers would wait there until their deadlines.
+func (op *operation) giveBack() {
+	op.entry = ""
+	op.inc = 0
+	op.candidates = nil
+}
+
 func superseded(op *operation) *wire.CommandResult {
 	res := refuse(result.AttemptSuperseded, "the record has another owner, epoch or outcome")
 	res.Operation = op.record()
--- a/state/model_test.go
+++ b/state/model_test.go
@@ -185,6 +185,17 @@
 	}
 }
 
+// giveBack gives a record back instead. Nothing is dispatched by the permit any more.
+func (w *world) giveBack(t *rapid.T) {
+	p := w.drawPermit(t)
+	if !p.ran {
+		p.ran = true
+		cmd := release(p.key, p.entry, p.incarnation, p.epoch)
+		cmd.GetReleaseOperation().GiveBack = true
+		w.apply(cmd)
+	}
+}
+
 func (w *world) expire(t *rapid.T) {
 	w.now += uint64(rapid.IntRange(0, 2_000_000).Draw(t, "ms"))
 	w.accept(expire(w.now))
@@ -223,6 +234,7 @@
 			"dispatch":  w.dispatch,
 			"complete":  w.complete,
 			"release":   w.release,
+			"give back": w.giveBack,
 			"expire":    w.expire,
 			"restart":   func(*rapid.T) { w.restart() },
 		})
--- a/state/operation_test.go
+++ b/state/operation_test.go
@@ -209,6 +209,28 @@
 	l.refuse(result.AttemptSuperseded, release("k", "f", 1, anew.GetEpoch()))
 }
 
+// Symptom: callers wait for a key until their deadlines though nobody works on it, or two engines work on one request.
+// Sequence: an entry takes a record over and ends its call without the proofs; it gives the record back; another entry
+// begins. Cause: the record stays with an owner that lives, or its earlier servers are forgotten with the owner.
+func TestGiveBack(t *testing.T) {
+	l := operations(t)
+	giveBack := func(epoch uint64) *wire.Command {
+		cmd := release("k", "f", 1, epoch)
+		cmd.GetReleaseOperation().GiveBack = true
+		return cmd
+	}
+	l.begin(isBegun, begin("k", "e", 1, "r1", repeatable))
+	takeOver(l)
+	l.refuse(result.AttemptSuperseded, giveBack(firstEpoch))
+	l.accept(giveBack(secondEpoch))
+	l.refuse(result.AttemptSuperseded, giveBack(secondEpoch))
+	l.refuse(result.AttemptSuperseded, widen("k", "f", 1, secondEpoch, "s"))
+	l.restart()
+	op := l.begin(isTakenOver, begin("k", "f", 1, "r3", repeatable))
+	require.Equal(t, []string{"server-e"}, op.GetEarlier(), "nothing was dispatched in the epoch given back")
+	require.Greater(t, op.GetEpoch(), uint64(secondEpoch))
+}
+
 func TestBoundsOfOperations(t *testing.T) {
 	limits := DefaultLimits
 	limits.Operations, limits.AnswerBytes, limits.AnswersBytes, limits.Servers = 4, 10, 15, 2
