entry: an operator key shows the requests of all organisations

Cause: GET /v1/requests and /v1/requests/{id} knew organisations' keys only, though the help of the requests command speaks of an operator key; who runs the system couldn't see why a request waits without every member's key.

After: an entry's settings take operators, in the form of control's, optional. Such a key reads both pages for all organisations, and does nothing else: it sends no request and lists no models. A key that is also an organisation's stays that organisation's, so a mistake in the settings shows no rival's work.

--- a/dev/dev.go
+++ b/dev/dev.go
@@ -115,10 +115,7 @@
 	s.Replicas = []settings.Replica{{Instance: s.Instance, Address: loopback}}
 	s.Bootstrap = true
 	s.DataDir = d.options.DataDir
-	s.Operators = []settings.OperatorAccount{{
-		Name:       operator,
-		KeyDigests: []string{settings.NewDigest(d.info.OperatorKey, settings.NewSalt())},
-	}}
+	s.Operators = d.operators()
 	s.Organisations = d.organisations
 	s.InitialClasses = SampleClasses()
 	c, err := control.New(s, control.Options{Log: d.log})
@@ -130,6 +127,13 @@
 	return c.LinkAddr(), nil
 }
 
+func (d *Dev) operators() []settings.OperatorAccount {
+	return []settings.OperatorAccount{{
+		Name:       operator,
+		KeyDigests: []string{settings.NewDigest(d.info.OperatorKey, settings.NewSalt())},
+	}}
+}
+
 // startServers starts an agent and a stand-in for each backend server.
 func (d *Dev) startServers(ctx context.Context, controls string) error {
 	var agents, engines []runner
@@ -211,6 +215,7 @@
 		}
 		s.Controls = []string{controls}
 		s.Organisations = d.organisations
+		s.Operators = d.operators()
 		e, err := entry.New(s, entry.Options{Log: d.log})
 		if err != nil {
 			return errors.Wrap(err, "entry")
--- a/entry/call.go
+++ b/entry/call.go
@@ -136,13 +136,13 @@
 	return c.all[id]
 }
 
-// list returns up to maxListed requests of an organisation.
-func (c *calls) list(organisation string) []*sched.Request {
+// list returns up to maxListed of the requests that a reader may see.
+func (c *calls) list(who reader) []*sched.Request {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var found []*sched.Request
 	for _, call := range c.all {
-		if call.request.Organisation == organisation && len(found) < maxListed {
+		if who.sees(call.request.Organisation) && len(found) < maxListed {
 			found = append(found, call.request)
 		}
 	}
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -175,6 +175,7 @@
 		other := "Authorization: Bearer " + otherKey
 		require.Equal(t, 404, r.call(1, http.MethodGet, "/v1/requests/"+id, "", other).status)
 		require.NotContains(t, r.call(1, http.MethodGet, "/v1/requests", "", other).body, id)
+		require.Equal(t, 401, r.call(1, http.MethodGet, "/v1/requests", "", "Authorization: Bearer "+operatorKey).status)
 		agent.all()[0].echo()
 		a := <-done
 		require.Equal(t, id, a.header.Get(headerRequestID))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,6 +63,7 @@
 	incarnation uint64
 	listener    net.Listener
 	keys        *settings.Keyring
+	operators   *settings.Keyring
 	defaults    map[string]string // default class by organisation
 	control     Control
 	meter       *meter
@@ -108,6 +109,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "entry")
 	}
+	operators, err := settings.NewOperatorKeyring(s.Operators)
+	if err != nil {
+		return nil, errors.Wrap(err, "entry")
+	}
 	e := &Entry{
 		settings:    s,
 		log:         options.Log,
@@ -115,6 +120,7 @@
 		network:     options.Network,
 		incarnation: uint64(options.Now().UnixNano()),
 		keys:        keys,
+		operators:   operators,
 		defaults:    make(map[string]string),
 		meter:       newMeter(),
 		inputs:      ring.New[input]("scheduler", inputRing),
--- a/entry/http_requests.go
+++ b/entry/http_requests.go
@@ -7,6 +7,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/carawaypitch/carawaypitch/platform"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/sched"
 )
@@ -17,14 +18,43 @@
 	Requests []sched.Explanation `json:"requests"`
 }
 
-// getRequests serves GET /v1/requests: where the organisation's requests at this entry stand, the oldest first.
-func (e *Entry) getRequests(c echo.Context) error {
+// reader is who asks about requests: an organisation, about its own, or an operator, about all.
+type reader struct {
+	organisation string
+	isOperator   bool
+}
+
+func (r reader) sees(organisation string) bool {
+	return r.isOperator || r.organisation == organisation
+}
+
+// authenticateReader returns whose key was sent. A key that is also an organisation's is that organisation's only: by a
+// mistake in the settings it must not show the work of its rivals.
+func (e *Entry) authenticateReader(c echo.Context) (reader, *result.Error) {
 	organisation, err := e.authenticate(c)
+	if err == nil {
+		return reader{organisation: organisation}, nil
+	}
+	key, ok := platform.BearerKey(c.Request())
+	if !ok {
+		return reader{}, err
+	}
+	operator, ok := e.operators.Find(key)
+	if !ok {
+		return reader{}, err
+	}
+	e.log.WithField("operator", operator).WithField("path", c.Request().URL.Path).Info("requests_read")
+	return reader{isOperator: true}, nil
+}
+
+// getRequests serves GET /v1/requests: where the requests at this entry that the reader may see stand, the oldest first.
+func (e *Entry) getRequests(c echo.Context) error {
+	who, err := e.authenticateReader(c)
 	if err != nil {
 		return e.refuse(c, nil, err)
 	}
 	list := requestList{Entry: e.settings.Instance, Requests: []sched.Explanation{}}
-	live := e.calls.list(organisation)
+	live := e.calls.list(who)
 	askErr := e.ask(c.Request().Context(), func(s *sched.Scheduler) {
 		for _, r := range live {
 			if explanation, ok := s.Explain(r.ID); ok {
@@ -47,7 +77,7 @@
 // getRequest serves GET /v1/requests/{id}: where a request stands and how it came there. Another organisation's is as
 // unknown as none: that it exists is nobody else's business.
 func (e *Entry) getRequest(c echo.Context) error {
-	organisation, err := e.authenticate(c)
+	who, err := e.authenticateReader(c)
 	if err != nil {
 		return e.refuse(c, nil, err)
 	}
@@ -59,7 +89,7 @@
 	switch {
 	case askErr != nil:
 		return e.refuse(c, nil, result.From(askErr))
-	case !known || explanation.Organisation != organisation:
+	case !known || !who.sees(explanation.Organisation):
 		return e.refuse(c, nil, result.New(result.NotFound, "no such request at this entry"))
 	}
 	return c.JSON(http.StatusOK, explanation)
--- a/settings/control.go
+++ b/settings/control.go
@@ -129,7 +129,7 @@
 	c.portClash(listener{"listen.operators", s.Listen.Operators}, listener{"listen.links", s.Listen.Links})
 	c.advertised(s.Advertise, s.Listen.Links)
 	s.validateReplicas(c)
-	s.validateOperators(c)
+	c.operators(s.Operators)
 	c.organisations(&s.Organisations, &s.OrganisationsFile)
 	c.classes(s.InitialClasses)
 	c.tlsFiles("tls", s.TLS)
@@ -163,9 +163,10 @@
 	}
 }
 
-func (s *Control) validateOperators(c *checker) {
+// operators checks that names and digests differ.
+func (c *checker) operators(operators []OperatorAccount) {
 	var names, digests, paths []string
-	for i, operator := range s.Operators {
+	for i, operator := range operators {
 		names = append(names, operator.Name)
 		for j, digest := range operator.KeyDigests {
 			digests = append(digests, digest)
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -24,6 +24,9 @@
 	// OrganisationsFile is a file {"organisations": [...]} in place of Organisations. Load reads it into them and
 	// leaves this empty.
 	OrganisationsFile string `json:"organisations_file" settings:"path"`
+	// Operators are the people and machines that may see the requests of all organisations here. Without them each
+	// organisation sees its own, and nobody else's are shown.
+	Operators []OperatorAccount `json:"operators"`
 	// Limits bounds what the process holds.
 	Limits EntryLimits `json:"limits"`
 	// TLS is for the links to other processes. Without it links are plain TCP.
@@ -100,6 +103,7 @@
 
 func (e *Entry) validate(c *checker) {
 	c.organisations(&e.Organisations, &e.OrganisationsFile)
+	c.operators(e.Operators)
 	c.unique("address", e.Controls, controlPath)
 	c.tlsFiles("tls", e.TLS)
 	c.tlsFiles("caller_tls", e.CallerTLS)
