--- a/cmd/carawaypitch/agent.go
+++ b/cmd/carawaypitch/agent.go
@@ -23,6 +23,8 @@
 
   Example:
     carawaypitch agent -settings examples/compost/agent-model-01.jsonc
+
+  Exit codes: 0 stopped by SIGTERM or Ctrl-C; 1 the settings are wrong, or a duty failed; 2 usage.
 `
 }
 
--- a/cmd/carawaypitch/check.go
+++ b/cmd/carawaypitch/check.go
@@ -24,6 +24,8 @@
 
   Example:
     carawaypitch check examples/compost/entry-1.jsonc
+
+  Exit codes: 0 all files are right; 1 there is a mistake; 2 usage.
 `
 }
 
--- a/cmd/carawaypitch/class.go
+++ b/cmd/carawaypitch/class.go
@@ -31,6 +31,8 @@
 	return `class [flags] list | get NAME | put FILE | delete NAME
   put reads one class from FILE (JSON with comments; - is standard input). Without -if-match it changes the version
   that is in force when it starts; somebody else's change in between is then refused with the version in force.
+  A change whose answer was lost is resent with the -if-match and -change-id that the error names: if the first one was
+  accepted, its answer comes again. Flags come before list, get, put or delete.
   A class says what its work tolerates. Weights and server names are no part of it and are refused by name.
 
   Examples:
@@ -40,6 +42,8 @@
     echo '{"name": "appeal", "tier": 3, "deadline_ms": 60000, "late_max": 0.2, "lost_max": 0,
            "repeatable": true, "kind": "model"}' | carawaypitch class put -
     carawaypitch class delete appeal
+
+  Exit codes: 0 accepted, and with -wait in force everywhere; 1 refused, or no control instance answered; 2 usage.
 `
 }
 
@@ -161,7 +165,7 @@
 	}
 	change, err := do(ifMatch, c.changeID)
 	if err != nil {
-		return errors.Wrapf(err, "change %s", c.changeID)
+		return errors.Wrapf(err, "change (-if-match %d -change-id %s)", ifMatch, c.changeID)
 	}
 	if c.wait {
 		if err := client.WaitInForce(ctx, change.Version); err != nil {
--- a/cmd/carawaypitch/codes.go
+++ b/cmd/carawaypitch/codes.go
@@ -21,6 +21,8 @@
 
   Example:
     carawaypitch codes | grep queue_full
+
+  Exit codes: 0 ok; 1 the table could not be written; 2 usage.
 `
 }
 func (*codesCommand) SetFlags(*flag.FlagSet) {}
--- a/cmd/carawaypitch/control.go
+++ b/cmd/carawaypitch/control.go
@@ -25,6 +25,8 @@
 
   Example:
     carawaypitch control -settings examples/compost/control-1.jsonc
+
+  Exit codes: 0 stopped by SIGTERM or Ctrl-C; 1 the settings are wrong, or a duty failed; 2 usage.
 `
 }
 
--- a/cmd/carawaypitch/daemons.go
+++ b/cmd/carawaypitch/daemons.go
@@ -28,7 +28,7 @@
 // settings are printed all at once, and nothing is started.
 func runDaemon[T any, D daemon](ctx context.Context, file string, level func(*T) log.Level, make func(*T, log.Interface) (D, error)) subcommands.ExitStatus {
 	if file == "" {
-		return usage("give -settings FILE")
+		return usage("give -settings FILE; examples/ has one for each daemon")
 	}
 	read, err := settings.Load[T](file)
 	if err != nil {
--- a/cmd/carawaypitch/dev.go
+++ b/cmd/carawaypitch/dev.go
@@ -35,6 +35,8 @@
   Examples:
     carawaypitch dev
     carawaypitch dev -entry 127.0.0.1:0 -control 127.0.0.1:0 -servers 6 -services 2 -json
+
+  Exit codes: 0 stopped by SIGTERM or Ctrl-C; 1 could not start, such as when a port is taken, or a daemon failed; 2 usage.
 `
 }
 
--- /dev/null
+++ b/cmd/carawaypitch/dev_lines_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Symptom: a newcomer copies a line that dev printed, and it fails. Sequence: a path, a flag or a class of the sample
+// changed. Cause: the lines are text that nothing runs.
+func TestLinesThatDevPrintsWork(t *testing.T) {
+	command := exec.Command(binary, "dev", "-entry", "127.0.0.1:0", "-control", "127.0.0.1:0", "-data", t.TempDir())
+	out, err := command.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, command.Start())
+	t.Cleanup(func() {
+		_ = command.Process.Signal(syscall.SIGTERM)
+		require.NoError(t, command.Wait())
+	})
+	tries := 0
+	for lines := bufio.NewScanner(out); lines.Scan() && lines.Text() != "Ctrl-C stops it."; {
+		text, isTry := strings.CutPrefix(lines.Text(), "  ")
+		if !isTry {
+			continue
+		}
+		tries++
+		text = strings.Replace(text, "curl -s", "curl -sf", 1) // so that a refusal fails
+		shell := exec.Command("bash", "-c", text)
+		shell.Env = append(os.Environ(), "PATH="+filepath.Dir(binary)+":"+os.Getenv("PATH"))
+		answer, err := shell.CombinedOutput()
+		require.NoError(t, err, "%s\n%s", text, answer)
+		require.NotEmpty(t, answer, text)
+	}
+	require.Equal(t, 6, tries)
+}
--- a/cmd/carawaypitch/digest.go
+++ b/cmd/carawaypitch/digest.go
@@ -26,8 +26,11 @@
 	return `digest < KEYFILE
   Reads a key from standard input, so that it stays out of the shell's history, and prints what goes into key_digests.
 
-  Example:
+  Examples:
+    carawaypitch digest < key.txt
     printf %s "$KEY" | carawaypitch digest
+
+  Exit codes: 0 ok; 1 no key on standard input; 2 usage.
 `
 }
 func (*digestCommand) SetFlags(*flag.FlagSet) {}
--- a/cmd/carawaypitch/drain.go
+++ b/cmd/carawaypitch/drain.go
@@ -26,6 +26,8 @@
 
   Example:
     carawaypitch drain model-07
+
+  Exit codes: 0 the drain is accepted; 1 refused, or no control instance answered; 2 usage.
 `
 }
 
--- a/cmd/carawaypitch/engine.go
+++ b/cmd/carawaypitch/engine.go
@@ -30,6 +30,8 @@
   Examples:
     carawaypitch engine -settings examples/compost/engine-model-01.jsonc
     curl -s 127.0.0.1:7201/v1/faults -d '{"slow": 4}'
+
+  Exit codes: 0 stopped by SIGTERM or Ctrl-C; 1 the settings are wrong, or a duty failed; 2 usage.
 `
 }
 
--- a/cmd/carawaypitch/entry.go
+++ b/cmd/carawaypitch/entry.go
@@ -23,6 +23,8 @@
 
   Example:
     carawaypitch entry -settings examples/compost/entry-1.jsonc
+
+  Exit codes: 0 stopped by SIGTERM or Ctrl-C; 1 the settings are wrong, or a duty failed; 2 usage.
 `
 }
 
--- a/cmd/carawaypitch/requests.go
+++ b/cmd/carawaypitch/requests.go
@@ -9,9 +9,11 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
 
 	"github.com/carawaypitch/carawaypitch/operator"
+	"github.com/carawaypitch/carawaypitch/settings"
 )
 
 // Environment variables of the requests command.
@@ -37,16 +39,22 @@
 	return `requests [flags] [REQUEST]
   Asks one entry. Without REQUEST it lists those in progress; with one (Carawaypitch-Request-Id of the reply) it shows
   the servers passed over and why, the attempts and how each is known to have ended. With an organisation's key it
-  shows that organisation's requests, with an operator key those of all.
+  shows that organisation's requests, with an operator key those of all. The key
+  comes from -key, CARAWAYPITCH_OPERATOR_KEY, CARAWAYPITCH_KEY or the settings file, in this order; the entry's URL from
+  -entry, CARAWAYPITCH_ENTRY or the settings file.
 
   Examples:
     carawaypitch requests -entry http://127.0.0.1:8080 -key "$KEY"
     carawaypitch requests -json 0190b8e2-6c5e-7c7e-9d38-0f6a4c1c7f11
+
+  Exit codes: 0 ok; 1 the entry doesn't know the key or the request, or didn't answer; 2 usage.
 `
 }
 
 func (c *requestsCommand) SetFlags(flags *flag.FlagSet) {
-	c.set(flags)
+	flags.StringVar(&c.settings, "settings", "", "settings file of role operator: entry and key")
+	flags.StringVar(&c.key, "key", os.Getenv(keyEnv), "key of an organisation or an operator")
+	flags.BoolVar(&c.json, "json", false, "print JSON instead of a table")
 	flags.StringVar(&c.entry, "entry", os.Getenv(entryEnv), "URL of the entry (default "+defaultEntry+")")
 	if c.key == "" {
 		c.key = os.Getenv(callerKeyEnv)
@@ -57,10 +65,9 @@
 	if flags.NArg() > 1 {
 		return usage("requests: one REQUEST at most; flags come first")
 	}
-	c.control = orDefault(c.entry, defaultEntry)
-	client, err := c.client()
+	client, err := c.entryClient()
 	if err != nil {
-		return usage("%v", err)
+		return usage("requests: %v", err)
 	}
 	if flags.NArg() == 1 {
 		return exit(c.explain(ctx, client, flags.Arg(0)))
@@ -68,6 +75,22 @@
 	return exit(c.list(ctx, client))
 }
 
+// entryClient makes the client from the flags and, where they are silent, the settings file.
+func (c *requestsCommand) entryClient() (*operator.Client, error) {
+	if c.settings != "" {
+		read, err := settings.Load[settings.Operator](c.settings)
+		if err != nil {
+			return nil, err
+		}
+		c.entry = orDefault(c.entry, read.Entry)
+		c.key = orDefault(c.key, read.Key)
+	}
+	if c.key == "" {
+		return nil, errors.Errorf("no key: give -key, -settings, %s or %s", keyEnv, callerKeyEnv)
+	}
+	return operator.New([]string{orDefault(c.entry, defaultEntry)}, c.key, nil), nil
+}
+
 func orDefault(text, fallback string) string {
 	if text == "" {
 		return fallback
--- a/cmd/carawaypitch/servers.go
+++ b/cmd/carawaypitch/servers.go
@@ -22,14 +22,23 @@
 
 func (*serversCommand) Usage() string {
 	return `servers [flags]
-  Example:
+  Lists each backend server that announced itself: ready (gets work), suspect (slow or failing probes; gets probes
+  only), draining (finishes its work and gets no more), drained (may be stopped), gone.
+
+  Examples:
+    carawaypitch servers -settings examples/compost/operator.jsonc
     carawaypitch servers -json
+
+  Exit codes: 0 ok; 1 no control instance could confirm the list; 2 usage.
 `
 }
 
 func (c *serversCommand) SetFlags(flags *flag.FlagSet) { c.set(flags) }
 
-func (c *serversCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *serversCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if flags.NArg() > 0 {
+		return usage("servers: takes flags only")
+	}
 	client, err := c.client()
 	if err != nil {
 		return usage("%v", err)
--- a/cmd/carawaypitch/status.go
+++ b/cmd/carawaypitch/status.go
@@ -36,7 +36,10 @@
 
 func (c *statusCommand) SetFlags(flags *flag.FlagSet) { c.set(flags) }
 
-func (c *statusCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *statusCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if flags.NArg() > 0 {
+		return usage("status: takes flags only")
+	}
 	client, err := c.client()
 	if err != nil {
 		return usage("%v", err)
--- a/cmd/carawaypitch/target.go
+++ b/cmd/carawaypitch/target.go
@@ -30,6 +30,8 @@
   Examples:
     carawaypitch target -late-max 0.01 -wait gate-check
     carawaypitch target -deadline 90s -lost-max 0 appeal
+
+  Exit codes: 0 the change is accepted; 1 refused, or no control instance answered; 2 usage.
 `
 }
 
@@ -44,6 +46,9 @@
 	if flags.NArg() != 1 {
 		return usage("target: one CLASS; flags come first")
 	}
+	if !c.given(flags) {
+		return usage("target: give at least one of -deadline, -late-max and -lost-max")
+	}
 	client, err := c.client()
 	if err != nil {
 		return usage("%v", err)
@@ -51,6 +56,16 @@
 	return exit(c.retarget(ctx, client, flags))
 }
 
+// given tells whether a part of the target is to change. Without one a new version would come into force that changes
+// nothing.
+func (*targetCommand) given(flags *flag.FlagSet) bool {
+	given := false
+	flags.Visit(func(f *flag.Flag) {
+		given = given || f.Name == "deadline" || f.Name == "late-max" || f.Name == "lost-max"
+	})
+	return given
+}
+
 func (c *targetCommand) retarget(ctx context.Context, client *operator.Client, flags *flag.FlagSet) error {
 	classes, err := client.Classes(ctx)
 	if err != nil {
--- a/control/counters.go
+++ b/control/counters.go
@@ -53,7 +53,7 @@
 }
 
 func (c *counters) proposalFailed(code result.Code) *metrics.Counter {
-	return c.set.GetOrCreateCounter(fmt.Sprintf("carawaypitch_proposals_failed_total{code=%q}", code))
+	return c.set.GetOrCreateCounter(fmt.Sprintf("carawaypitch_proposals_failed_total{code=\"%d\"}", code))
 }
 
 func (c *counters) orderEnded(code result.Code) *metrics.Counter {
@@ -62,5 +62,5 @@
 
 // refused counts a refusal towards an operator, in the form that callers' refusals have.
 func (c *counters) refused(code result.Code) *metrics.Counter {
-	return c.set.GetOrCreateCounter(fmt.Sprintf("carawaypitch_refusals_total{code=%q,tier=\"\"}", code))
+	return c.set.GetOrCreateCounter(fmt.Sprintf("carawaypitch_refusals_total{code=\"%d\",tier=\"\"}", code))
 }
--- a/dev/info.go
+++ b/dev/info.go
@@ -53,8 +53,10 @@
 		p.line(`  curl -s %s/v1/services/%s/issue -H 'Authorization: Bearer %s' -H 'Carawaypitch-Class: pass-issue' -H 'Idempotency-Key: first' -d '{"pass": "ZG-2"}'`, entry, i.Services[0], key)
 	}
 	if len(i.Controls) > 0 {
-		p.line("The operators' view:")
+		p.line("The operators' view (without the binary: go run ./cmd/carawaypitch status ...):")
 		p.line("  carawaypitch status -control %s -key %s", i.Controls[0], i.OperatorKey)
+		p.line("Where your requests stand, with a caller key:")
+		p.line("  carawaypitch requests -entry %s -key %s", entry, key)
 	}
 	p.line("")
 	p.line("Ctrl-C stops it.")
--- a/settings/operator.go
+++ b/settings/operator.go
@@ -15,6 +15,8 @@
 	Controls []string `json:"controls" settings:"required"`
 	// Key is the operator key. The file should be readable by its owner only.
 	Key string `json:"key" settings:"required"`
+	// Entry is the URL of the entry that "carawaypitch requests" asks. Empty: its flag or default.
+	Entry string `json:"entry"`
 }
 
 func (*Operator) expectedRole() Role { return RoleOperator }
@@ -26,9 +28,16 @@
 func (o *Operator) validate(c *checker) {
 	c.unique("URL", o.Controls, controlPath)
 	for i, text := range o.Controls {
-		parsed, err := url.Parse(text)
-		if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		if !isURL(text) {
 			c.add(result.SettingsBadAddress, fmt.Sprintf("controls[%d]", i), "want a URL such as \"http://10.0.0.7:8090\"")
 		}
 	}
+	if o.Entry != "" && !isURL(o.Entry) {
+		c.add(result.SettingsBadAddress, "entry", "want a URL such as \"http://10.0.0.7:8080\"")
+	}
+}
+
+func isURL(text string) bool {
+	parsed, err := url.Parse(text)
+	return err == nil && parsed.Host != "" && (parsed.Scheme == "http" || parsed.Scheme == "https")
 }
