--- a/cmd/carawaypitch/bench.go
+++ b/cmd/carawaypitch/bench.go
@@ -39,13 +39,15 @@
 	return `bench [flags] FILE
   Runs each scenario of the file under each of its policies, against stand-ins in this process, and reports goodput,
   late and lost requests, wasted prefill, shares by organisation and latencies beside a bound that no scheduler can
-  beat. Exit code 1 if a promise to callers was broken. With -caller it drives a deployment that runs already.
+  beat. With -caller it drives a deployment that runs already.
 
   Examples:
     carawaypitch bench examples/experiments/quick.jsonc
     carawaypitch bench -scenarios 2x-straggler -page report.html examples/experiments/compost.jsonc
     carawaypitch bench -tune examples/experiments/compost.jsonc
     carawaypitch bench -caller http://127.0.0.1:8080 -key "$KEY" -metrics http://127.0.0.1:8080 examples/experiments/quick.jsonc
+
+  Exit codes: 0 ok; 1 the file is wrong, a run failed or a promise to callers was broken; 2 usage.
 `
 }
 
