ended entries stay ended; ran yes needs the engine's word

Cause: three faults that the specification found. 1. An agent that restarted knew of no ended entries, so one that control had ended, and whose request another entry had taken over, could dispatch there beside the new owner. Agents now let in only incarnations of a directory that a quorum confirmed. 2. An ended incarnation could register again: running agents refused it for good while it looked ready. The state refuses it now, and the entry goes on as a new incarnation, in the same process and at the same address. 3. Started, sent before the call, counted as begun when the engine said that it knew no such attempt. Over now says whether the engine had it. After: pass; a frozen entry serves again after its end (TestEntryComesBackAfterItsEnd). Conclusion: the specification's guards ended_at_restart, ended_stays_ended and began_is_proved now stand in the code too.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -65,6 +66,7 @@
 	end   context.CancelFunc
 	tasks sync.WaitGroup // goroutines that are no duties of the group
 
+	confirmed      atomic.Bool   // a quorum has confirmed the directory
 	released       chan struct{} // closed when this incarnation may show itself
 	serversChanged chan struct{} // holds one note
 	viewChanged    chan struct{} // holds one note
--- a/agent/entries.go
+++ b/agent/entries.go
@@ -16,6 +16,7 @@
 func (a *Agent) entryServer() *link.EntryServer {
 	return &link.EntryServer{
 		Hello:   a.hello,
+		Admit:   a.admitEntry,
 		Up:      a.entryUp,
 		Down:    a.entryDown,
 		Receive: a.receive,
@@ -23,6 +24,27 @@
 	}
 }
 
+// admitEntry lets in only entry incarnations that control has in its directory, once a quorum has confirmed that.
+//
+// The leases of an ended entry are void, but an agent that starts knows of no ended entries. Otherwise: an entry is cut
+// off from control but not from the agents; control ends it, another entry takes its request over and has every proof;
+// an agent restarts; the ended entry links to it and dispatches, beside the new owner's attempt. One would notice by two
+// engines at one request.
+func (a *Agent) admitEntry(hello *wire.EntryHello) error {
+	if !a.confirmed.Load() {
+		if err := a.session.Ready(); err != nil {
+			return err
+		}
+		a.confirmed.Store(true)
+	}
+	listed := a.session.View().Entries[hello.GetEntry()]
+	if listed.GetIncarnation() != hello.GetIncarnation() {
+		return result.New(result.UnlistedEntry, "entry %s with incarnation %d is not in the directory",
+			hello.GetEntry(), hello.GetIncarnation())
+	}
+	return nil
+}
+
 func (a *Agent) hello() *wire.AgentHello {
 	return &wire.AgentHello{
 		Agent:            a.settings.Instance,
--- a/agent/entry_test.go
+++ b/agent/entry_test.go
@@ -48,6 +48,7 @@
 		Receive: e.receive,
 		Jitter:  func() float64 { return 0 },
 	}
+	w.control.list(name, e.incarnation)
 	ctx, stop := context.WithCancel(w.t.Context())
 	e.stop = stop
 	go func() {
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -278,6 +279,17 @@
 
 func (c *fakeControl) ObserveVersion(uint64) bool { return true }
 
+// list puts an entry into the directory.
+func (c *fakeControl) list(name string, incarnation uint64) {
+	view := *c.View()
+	view.Entries = maps.Clone(view.Entries)
+	if view.Entries == nil {
+		view.Entries = map[string]*wire.EntryRecord{}
+	}
+	view.Entries[name] = &wire.EntryRecord{Entry: name, Incarnation: incarnation}
+	c.setView(&view)
+}
+
 // setView commits a new view.
 func (c *fakeControl) setView(view *session.View) {
 	c.mu.Lock()
--- a/cmd/carawaypitch/cluster_request_test.go
+++ b/cmd/carawaypitch/cluster_request_test.go
@@ -204,6 +204,32 @@
 	return len(list.Streams)
 }
 
+// Symptom: an entry that came back after a long cut looks ready, and every request at it is refused. Sequence: it freezes
+// until control ends its incarnation, then thaws. Cause: it registered the ended incarnation again, which agents refuse
+// for good. Found by the specification (docs/SPEC.md, ended_stays_ended).
+func TestEntryComesBackAfterItsEnd(t *testing.T) {
+	c := startCluster(t)
+	c.entries[0].signal(syscall.SIGSTOP)
+	c.eventually(func() bool { return !c.isRegistered("entry-1") }, "the silent entry stays in the directory")
+	c.entries[0].signal(syscall.SIGCONT)
+	c.eventually(func() bool {
+		got, err := c.caller(0).check()
+		return err == nil && got.Status == http.StatusOK
+	}, "the entry doesn't serve again")
+}
+
+// isRegistered tells whether an entry is in the directory.
+func (c *cluster) isRegistered(entry string) bool {
+	status, err := c.operatorOf().Status(c.t.Context())
+	require.NoError(c.t, err)
+	for _, e := range status.Entries {
+		if e.Instance == entry {
+			return e.Registered
+		}
+	}
+	return false
+}
+
 // Symptom: an entry that is cut off goes on by an old configuration without an end. Sequence: all control instances
 // freeze, which is silence and not a refusal. Cause: silence was taken for "nothing has changed".
 func TestEntryCutOffStopsAdmitting(t *testing.T) {
--- a/cmd/carawaypitch/cluster_test.go
+++ b/cmd/carawaypitch/cluster_test.go
@@ -211,6 +211,7 @@
 		s.Replicas = append(s.Replicas, settings.Replica{Instance: fmt.Sprintf("control-%d", j+1), Address: link})
 	}
 	s.Bootstrap = true
+	s.Timing.ServerExpire = 3 * time.Second
 	s.DataDir = filepath.Join(c.folder, s.Instance)
 	s.Operators = []settings.OperatorAccount{{Name: "operator", KeyDigests: digestOf(c.operatorKey)}}
 	s.Organisations = c.organisations()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -57,6 +57,7 @@
 // Entry is an entry instance.
 type Entry struct {
 	settings    settings.Entry
+	options     Options
 	log         log.Interface
 	now         func() time.Time
 	network     network.Network
@@ -115,6 +116,7 @@
 	}
 	e := &Entry{
 		settings:    s,
+		options:     options,
 		log:         options.Log,
 		now:         options.Now,
 		network:     options.Network,
@@ -210,6 +212,11 @@
 // Run serves until ctx ends, then lets what is in flight finish, for settings.Timing.Drain at most, and returns nil. It
 // may be called once. An error means that a duty failed.
 func (e *Entry) Run(ctx context.Context) error {
+	return e.runIncarnations(ctx)
+}
+
+// runIncarnation runs this incarnation's duties.
+func (e *Entry) runIncarnation(ctx context.Context) error {
 	defer e.background.Wait()
 	defer e.end()
 	e.log.WithField("instance", e.settings.Instance).WithField("callers", e.CallersAddr()).Info("entry_started")
--- a/gate/over.go
+++ b/gate/over.go
@@ -74,6 +74,7 @@
 		Proof:   wire.Proof_PROOF_CANCELLED,
 		Code:    uint32(cancelCode(a.cancel.cause)),
 		Message: "the engine confirmed its end: " + a.cancel.cause,
+		Began:   o.knows || a.frames.count > 0,
 	}
 	g.conclude(a, o, over)
 }
--- a/link/entry_server.go
+++ b/link/entry_server.go
@@ -27,6 +27,8 @@
 type EntryServer struct {
 	// Hello makes the agent's own hello.
 	Hello func() *wire.AgentHello
+	// Admit refuses an entry by an error; nil admits all. It is asked for each stream, and may be called at any time.
+	Admit func(hello *wire.EntryHello) error
 	// Up and Down say that an entry's link is open or lost.
 	Up   func(ctx context.Context, hello *wire.EntryHello)
 	Down func(id EntryID, cause error)
@@ -191,7 +193,14 @@
 	if len(batch.GetMessages()) != 1 || batch.GetMessages()[0].GetHello().GetEntry() == "" {
 		return nil, errors.Wrap(ErrProtocol, "the first message isn't a hello")
 	}
-	return batch.GetMessages()[0].GetHello(), nil
+	hello := batch.GetMessages()[0].GetHello()
+	if s.Admit == nil {
+		return hello, nil
+	}
+	if err := s.Admit(hello); err != nil {
+		return nil, errors.Wrap(err, "link: entry not admitted")
+	}
+	return hello, nil
 }
 
 func (s *EntryServer) answerHello(stream entryStream) error {
--- a/result/codes.go
+++ b/result/codes.go
@@ -55,6 +55,7 @@
 	NotLeader          Code = 1406
 	ProposalUnknown    Code = 1407
 	ProposalQueueFull  Code = 1408
+	UnlistedEntry      Code = 1409
 )
 
 // 15xx: operators' calls.
--- a/result/table.go
+++ b/result/table.go
@@ -174,6 +174,10 @@
 		ProposalQueueFull, "proposal_queue_full", http.StatusServiceUnavailable, onlyNo, "too many changes wait to be committed",
 		"Retry after the time given.",
 	},
+	{
+		UnlistedEntry, "unlisted_entry", http.StatusServiceUnavailable, onlyNo, "the entry's incarnation is not in the directory",
+		"Nothing for callers; operators: a new entry is listed within a second, one that was ended starts a new incarnation.",
+	},
 
 	{
 		OperatorKeyWrong, "operator_key_wrong", http.StatusUnauthorized, onlyNo, "the operator key is missing or not known",
--- a/sched/proofs.go
+++ b/sched/proofs.go
@@ -153,16 +153,18 @@
 	s.requeue(r)
 }
 
-// provesBegun tells whether the word says that an engine began the present attempt. CANCELLED alone doesn't: an agent
-// also says it of an attempt that it has never heard of and that an incarnation before it may have run, and of one
-// that the engine says it didn't begin.
+// provesBegun tells whether the word says that an engine began the present attempt. CANCELLED alone doesn't, nor does
+// Started, which is sent before the call: an agent also says CANCELLED of an attempt that an incarnation before it may
+// have run, of one that the engine says it didn't begin, and of one that the engine doesn't know.
+//
+// Otherwise: the connection breaks before the engine reads the call, the engine says that it knows no such attempt, and
+// the caller hears that its request ran.
 func provesBegun(r *request, m *wire.Over) bool {
 	switch m.GetProof() {
 	case wire.Proof_PROOF_COMPLETED, wire.Proof_PROOF_FAILED:
 		return true
 	case wire.Proof_PROOF_CANCELLED:
-		notBegun := result.Code(m.GetCode()) == result.EngineFailed
-		return m.GetWastedPrefillTokens() > 0 || (r.attempt.started && !notBegun)
+		return m.GetBegan()
 	default:
 		return false
 	}
--- a/session/registration.go
+++ b/session/registration.go
@@ -115,6 +115,10 @@
 	}
 	if err != nil {
 		s.cfg.Log.WithError(err).Warn("registration_failed")
+		if result.Is(err, result.AttemptSuperseded) {
+			s.supersede(ErrSuperseded)
+			return
+		}
 		pause(ctx, retryPause)
 		return
 	}
--- a/session/session.go
+++ b/session/session.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
@@ -99,6 +101,7 @@
 	registration *registration
 	orders       *orders
 	counters     counters
+	supersede    context.CancelCauseFunc // set by Run
 }
 
 // New returns a session that Run starts.
@@ -115,8 +118,14 @@
 	return s
 }
 
-// Run keeps the links and the registration until ctx ends, and returns the cause.
+// ErrSuperseded ends a session whose incarnation control doesn't take back: it was ended, after a silence, or a newer
+// one of the same instance is registered. Only a new incarnation can go on.
+var ErrSuperseded = errors.New("session: this incarnation was ended or replaced")
+
+// Run keeps the links and the registration until ctx ends, and returns the cause, or ErrSuperseded.
 func (s *Session) Run(ctx context.Context) error {
+	ctx, s.supersede = context.WithCancelCause(ctx)
+	defer s.supersede(nil)
 	s.restart()
 	var wg sync.WaitGroup
 	for _, p := range s.peers {
--- a/state/directory.go
+++ b/state/directory.go
@@ -119,14 +119,17 @@
 
 // registerEntry puts an entry into the directory. Open records of an older incarnation may be taken over from then
 // on, see isGone.
+//
+// An incarnation that was ended doesn't come back: its requests may have been taken over, and agents that know of its
+// end refuse it for good, while those that restarted since would let it run them again.
 func (s *State) registerEntry(entry *wire.EntryRecord) *wire.CommandResult {
 	if problem := checkInstance(entry.GetEntry(), entry.GetIncarnation()); problem != "" {
 		return refuse(result.BadMessage, "%s", problem)
 	}
 	old := s.entries[entry.GetEntry()]
-	newest := max(old.GetIncarnation(), s.ended.newest(wire.Role_ROLE_ENTRY, entry.GetEntry()))
-	if entry.GetIncarnation() < newest {
-		return refuse(result.AttemptSuperseded, "incarnation %d of entry %s came before", newest, entry.GetEntry())
+	ended := s.ended.newest(wire.Role_ROLE_ENTRY, entry.GetEntry())
+	if entry.GetIncarnation() < old.GetIncarnation() || entry.GetIncarnation() <= ended {
+		return refuse(result.AttemptSuperseded, "incarnation %d of entry %s was ended or replaced", entry.GetIncarnation(), entry.GetEntry())
 	}
 	if old == nil && len(s.entries) >= s.limits.Instances {
 		return refuse(result.QueueFull, "there are %d entries already", len(s.entries))
