--- a/cmd/carawaypitch/bench.go
+++ b/cmd/carawaypitch/bench.go
@@ -23,6 +23,7 @@
 	scenarios, policies string
 	page                string
 	json, quiet, tune   bool
+	saturate            bool
 	verbose             bool
 	caller, key         string
 	metrics             string
@@ -61,6 +62,7 @@
 	flags.BoolVar(&c.tune, "tune", false, "compare the values in tried of each baseline's knob instead")
 	flags.DurationVar(&c.warmUp, "warm-up", 0, "warm-up instead of the file's")
 	flags.DurationVar(&c.measured, "measured", 0, "measured time instead of the file's; faults after it don't come")
+	flags.BoolVar(&c.saturate, "saturate", false, "check the capacity instead: keep the servers full without a scheduler")
 	flags.StringVar(&c.caller, "caller", "", "URL of an entry that runs already; one scenario is sent there")
 	flags.StringVar(&c.key, "key", "", "caller key for -caller")
 	flags.StringVar(&c.metrics, "metrics", "", "URLs whose /metrics are reported with -caller, separated by commas")
@@ -109,6 +111,8 @@
 		return experiment.Drive(ctx, p, options, experiment.Target{
 			Caller: c.caller, Key: c.key, Metrics: list(c.metrics), Rate: c.rate,
 		})
+	case c.saturate:
+		return experiment.Saturate(ctx, p, options)
 	case c.tune:
 		return experiment.Tune(ctx, p, options)
 	default:
--- a/experiment/deploy/instances.go
+++ b/experiment/deploy/instances.go
@@ -190,9 +190,7 @@
 // startStandin starts a backend server. It is a host of its own at its agent's IP number, so that the agent can die
 // alone.
 func (d *Deployment) startStandin(number int, s *serverInstance) {
-	options := standinOptions(s.Server.Servers)
-	options.Server = s.Name
-	options.Seed = d.plan.Seed + uint64(number) + 1
+	options := StandinOptions(s.Server, d.plan.Seed+uint64(number)+1)
 	options.Listen = net.JoinHostPort(s.ip, portEngine)
 	host := d.fabric.Host(s.ip, s.Zone)
 	options.Network = host
@@ -202,11 +200,14 @@
 	s.standin = launch(s.Name, host, s.server.Run)
 }
 
-func standinOptions(s plan.Servers) standin.Options {
+// StandinOptions are the settings of the stand-in of a backend server, but for its place in the network.
+func StandinOptions(s plan.Server, seed uint64) standin.Options {
 	options := standin.ModelDefaults()
 	if s.Kind == settings.KindService {
 		options = standin.ServiceDefaults()
 	}
+	options.Server = s.Name
+	options.Seed = seed
 	options.Models = []string{s.Serves}
 	options.Slots = s.Slots
 	options.PrefillRate = s.PrefillTokensPerS
--- a/experiment/path_test.go
+++ b/experiment/path_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/carawaypitch/carawaypitch/dev"
@@ -58,7 +59,7 @@
 	defer func() { _ = reply.Body.Close() }()
 	answer, err := io.ReadAll(reply.Body)
 	if err == nil && reply.StatusCode != http.StatusOK {
-		return &http.ProtocolError{ErrorString: string(answer)}
+		return errors.Errorf("status %d: %s", reply.StatusCode, answer)
 	}
 	return err
 }
