status: test over processes; the page uses the operator key at entries

Cause: the status of classes and targets was tested in parts only; entries now know operators, so the page's requests command can take the operators' settings file.

--- a/cmd/carawaypitch/cluster_test.go
+++ b/cmd/carawaypitch/cluster_test.go
@@ -237,6 +237,7 @@
 	s.Listen.Callers = freeAddress(c.t)
 	s.Controls = c.controlLinks
 	s.Organisations = c.organisations()
+	s.Operators = []settings.OperatorAccount{{Name: "operator", KeyDigests: digestOf(c.operatorKey)}}
 	c.entries = append(c.entries, c.write("entry", s.Instance, s))
 	c.entryURLs = append(c.entryURLs, "http://"+s.Listen.Callers)
 }
