capacity: loss of many instances, all 1,700 links, entries registered before they link

Cause: an agent is to take links only of entries in the directory, and the line of EntryLinks was extended from 400 to 1,700 agents unchecked.

--- a/capacity/agent_test.go
+++ b/capacity/agent_test.go
@@ -23,11 +23,14 @@
 	t.b.Helper()
 	rig, done := newRig(t.b)
 	defer done()
-	a := runAgent(t, rig, farControls(t, rig))
+	controls := farControls(t, rig)
+	a := runAgent(t, rig, controls)
 	_, err := rig.Far.Do(Order{Do: doEngine, First: 0, Addresses: []string{"http://" + a.HTTPAddr()}})
 	t.must(err)
 	before := Memory()
-	_, err = rig.Far.Do(Order{Do: doEntries, Count: entries, Name: agentName(0), Addresses: []string{a.LinkAddr()}})
+	_, err = rig.Far.Do(Order{
+		Do: doEntries, Count: entries, Controls: controls, Name: agentName(0), Addresses: []string{a.LinkAddr()},
+	})
 	t.must(err)
 	time.Sleep(settle)
 	first, err := rig.Far.Do(Order{Do: doUsage})
--- a/capacity/control_test.go
+++ b/capacity/control_test.go
@@ -90,3 +90,42 @@
 	time.Sleep(changePause)
 	return time.Unix(0, reply.UnixNano).Sub(asked)
 }
+
+// BenchmarkControlLoss measures how long beyond the bound on silence it takes until all others know that many instances
+// are lost at once, as with an availability zone. The leader looks once a second.
+func BenchmarkControlLoss(b *testing.B) {
+	for b.Loop() {
+		t := newTable(b, "instance")
+		for _, lost := range []int{10, 20, 40, 80} {
+			measureLoss(t, lost)
+		}
+		t.report()
+	}
+}
+
+// lossSessions is how many sessions are left after a loss, lossExpire the bound on silence.
+const (
+	lossSessions = 120
+	lossExpire   = 3 * time.Second
+)
+
+func measureLoss(t *table, lost int) {
+	t.b.Helper()
+	rig, done := newRig(t.b)
+	defer done()
+	group, err := freeAddresses(1)
+	t.must(err)
+	s := controlSettings(0, group, t.b.TempDir(), settings.DefaultControl().Timing.Election)
+	s.Timing.ServerExpire = lossExpire
+	c, err := newControl(s, rig.Net)
+	t.must(err)
+	rig.Run(c.Run)
+	_, err = rig.Far.Do(Order{Do: doSessions, Count: lossSessions + lost, Controls: group})
+	t.must(err)
+	time.Sleep(settle)
+	start := time.Now()
+	last, err := rig.Far.Do(Order{Do: doLose, Count: lost})
+	t.must(err)
+	took := time.Unix(0, last.UnixNano).Sub(start)
+	t.add(float64(lost), "known-after-ms", float64((took - lossExpire).Milliseconds()))
+}
--- a/capacity/entry_test.go
+++ b/capacity/entry_test.go
@@ -86,6 +86,18 @@
 	t.add(float64(agents), "memory-B", Memory()-before)
 }
 
+// BenchmarkEntryAllLinks measures an entry with a link to each agent of the target, to check where the line of
+// BenchmarkEntryLinks leads.
+func BenchmarkEntryAllLinks(b *testing.B) {
+	for b.Loop() {
+		t := newTable(b, "agent")
+		for _, agents := range []int{400, Beside().Agents} {
+			measureEntryLinks(t, agents)
+		}
+		t.report()
+	}
+}
+
 // BenchmarkEntryRoom measures what an entry spends on the messages by which agents tell their room. The size is
 // messages a second from all of 100 agents.
 func BenchmarkEntryRoom(b *testing.B) {
--- a/capacity/links.go
+++ b/capacity/links.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/network"
+	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/settings"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -93,30 +95,51 @@
 	}}}
 }
 
-// startEntryLinks opens the links of entries that send heartbeats and do nothing else.
+// startEntryLinks registers entries and opens their links, on which they send heartbeats and do nothing else.
 func (s *side) startEntryLinks(o Order) (Reply, error) {
+	if err := s.registerEntries(o.Count, o.Controls); err != nil {
+		return Reply{}, err
+	}
 	var up atomic.Int64
 	for i := range o.Count {
-		hello := &wire.EntryHello{
-			Entry:            fmt.Sprintf("entry-%04d", i),
-			Incarnation:      1,
-			AvailabilityZone: "zone-1",
-			ConfigVersion:    1,
-		}
-		dialer := &link.AgentDialer{
-			Network: network.TCP{},
-			Address: o.Addresses[0],
-			Agent:   o.Name,
-			Hello:   func() *wire.EntryHello { return hello },
-			Up:      func(context.Context, *wire.AgentHello) { up.Add(1) },
-			Down:    func(*wire.AgentHello, error) { up.Add(-1) },
-			Receive: s.countRoom,
-		}
+		dialer := s.entryDialer(i, o)
+		dialer.Up = func(context.Context, *wire.AgentHello) { up.Add(1) }
+		dialer.Down = func(*wire.AgentHello, error) { up.Add(-1) }
 		s.run(dialer.Run)
 	}
 	return Reply{}, until("all entries are linked", func() bool { return up.Load() == int64(o.Count) })
 }
 
+func entryName(i int) string { return fmt.Sprintf("entry-%04d", i) }
+
+// registerEntries starts the sessions of entries: an agent takes links only of those that are in the directory.
+func (s *side) registerEntries(count int, controls []string) error {
+	var sessions []*session.Session
+	for i := range count {
+		sessions = append(sessions, s.entrySession(entryName(i), controls))
+	}
+	return until("all entries are registered", func() bool {
+		return !slices.ContainsFunc(sessions, func(one *session.Session) bool { return one.Ready() != nil })
+	})
+}
+
+// entryDialer is the link of entry i to the agent o.Name.
+func (s *side) entryDialer(i int, o Order) *link.AgentDialer {
+	hello := &wire.EntryHello{
+		Entry:            entryName(i),
+		Incarnation:      entryIncarnation,
+		AvailabilityZone: "zone-1",
+		ConfigVersion:    1,
+	}
+	return &link.AgentDialer{
+		Network: network.TCP{},
+		Address: o.Addresses[0],
+		Agent:   o.Name,
+		Hello:   func() *wire.EntryHello { return hello },
+		Receive: s.countRoom,
+	}
+}
+
 func (s *side) countRoom(_ context.Context, _ *wire.AgentHello, message *wire.AgentMessage) error {
 	if message.GetRoom() != nil {
 		s.rooms.Add(1)
--- a/capacity/sessions.go
+++ b/capacity/sessions.go
@@ -62,8 +62,10 @@
 			SilenceBound: agentSilence,
 		})
 		one.SetServers([]*wire.ServerRecord{serverRecord(o.First + i)})
+		ctx, stop := context.WithCancel(s.ctx)
 		s.sessions = append(s.sessions, one)
-		s.run(one.Run)
+		s.stops = append(s.stops, stop)
+		go func() { _ = one.Run(ctx) }()
 	}
 	return Reply{}, until("all sessions are ready", func() bool { return s.allSessions(isReady) })
 }
@@ -87,6 +89,20 @@
 	return Reply{UnixNano: time.Now().UnixNano()}, err
 }
 
+// lose ends the newest sessions without a word, as the loss of an availability zone does, and tells when the last of
+// the others had a directory without them.
+func (s *side) lose(o Order) (Reply, error) {
+	left := len(s.sessions) - o.Count
+	for _, stop := range s.stops[left:] {
+		stop()
+	}
+	s.sessions, s.stops = s.sessions[:left], s.stops[:left]
+	err := until("the directory lost them", func() bool {
+		return s.allSessions(func(one *session.Session) bool { return len(one.View().Agents) <= left })
+	})
+	return Reply{UnixNano: time.Now().UnixNano()}, err
+}
+
 // propose has keyed requests recorded: one command before the dispatch and one with the answer, as an entry does.
 func (s *side) propose(o Order) (Reply, error) {
 	if err := s.startProposer(o.Controls); err != nil {
@@ -106,26 +122,32 @@
 }
 
 const (
-	proposer            = "entry-of-records"
-	proposerIncarnation = 1
-	recordedAnswer      = 400 // bytes
-	recordedDigest      = 32  // bytes
+	proposer         = "entry-of-records"
+	entryIncarnation = 1
+	recordedAnswer   = 400 // bytes
+	recordedDigest   = 32  // bytes
 )
 
-// startProposer registers the entry in whose name requests are recorded, and keeps it registered.
-func (s *side) startProposer(controls []string) error {
-	if s.proposer != nil {
-		return nil
-	}
-	s.proposer = session.New(session.Config{
-		Instance:    proposer,
+// entrySession starts the session of an entry, which registers it.
+func (s *side) entrySession(name string, controls []string) *session.Session {
+	one := session.New(session.Config{
+		Instance:    name,
 		Role:        wire.Role_ROLE_ENTRY,
-		Incarnation: proposerIncarnation,
+		Incarnation: entryIncarnation,
 		Zone:        "zone-1",
 		Controls:    controls,
 		Network:     network.TCP{},
 	})
-	s.run(s.proposer.Run)
+	s.run(one.Run)
+	return one
+}
+
+// startProposer registers the entry in whose name requests are recorded, and keeps it registered.
+func (s *side) startProposer(controls []string) error {
+	if s.proposer != nil {
+		return nil
+	}
+	s.proposer = s.entrySession(proposer, controls)
 	return until("the proposer is ready", func() bool { return s.proposer.Ready() == nil })
 }
 
@@ -151,7 +173,7 @@
 	request := fmt.Sprintf("request-%012d", n)
 	begin := &wire.BeginOperation{
 		Organisation: "union", Key: key, Request: request, Class: "pass-issue", Digest: make([]byte, recordedDigest),
-		Entry: proposer, EntryIncarnation: proposerIncarnation, Candidates: []string{"server-0001"},
+		Entry: proposer, EntryIncarnation: entryIncarnation, Candidates: []string{"server-0001"},
 	}
 	complete := &wire.CompleteOperation{
 		Organisation: "union", Key: key, Request: request, Epoch: 1,
--- a/capacity/side.go
+++ b/capacity/side.go
@@ -16,6 +16,7 @@
 	doControls = "controls" // start Count control instances, First the number of the first
 	doSessions = "sessions" // start Count sessions of agents with control
 	doAwait    = "await"    // wait until all sessions have a configuration version
+	doLose     = "lose"     // end Count sessions silently and wait until the others know
 	doAgents   = "agents"   // start Count agents' link servers, and nothing behind them
 	doLinked   = "linked"   // wait until all of them are linked
 	doRoom     = "room"     // have each of them send Rate messages about its room a second, until the next order
@@ -38,6 +39,7 @@
 type side struct {
 	ctx      context.Context
 	sessions []*session.Session
+	stops    []context.CancelFunc // of sessions
 	proposer *session.Session
 	failure  atomic.Pointer[error] // of a proposal
 	agents   []*link.EntryServer
@@ -57,6 +59,8 @@
 		return s.startSessions(o)
 	case doAwait:
 		return s.await(o)
+	case doLose:
+		return s.lose(o)
 	case doAgents:
 		return s.startAgents(o)
 	case doLinked:
--- a/capacity/state_test.go
+++ b/capacity/state_test.go
@@ -22,7 +22,7 @@
 func newRecords(t *table) *records {
 	r := &records{t: t, state: state.New()}
 	r.apply(&wire.Command{Kind: &wire.Command_RegisterEntry{RegisterEntry: &wire.RegisterEntry{
-		Entry: &wire.EntryRecord{Entry: proposer, Incarnation: proposerIncarnation},
+		Entry: &wire.EntryRecord{Entry: proposer, Incarnation: entryIncarnation},
 	}}})
 	return r
 }
