link: the table of links is made under its lock

Cause: EntryServer.Register made the table without the lock that Broadcast reads it under; an agent's gate tells its room while the agent begins to serve its links.

--- a/link/entry_server.go
+++ b/link/entry_server.go
@@ -43,10 +43,13 @@
 	refused atomic.Uint64
 }
 
-// Register adds the server to a mux; see Serve.
+// Register adds the server to a mux; see Serve. Send, Broadcast and Entries may be called before and meanwhile: an
+// agent's gates have something to say before its links are served.
 func (s *EntryServer) Register(mux *drpcmux.Mux) error {
 	s.Timing = s.Timing.WithDefaults()
+	s.mu.Lock()
 	s.links = make(map[string]*entryLink)
+	s.mu.Unlock()
 	return wire.DRPCRegisterAgentLink(mux, entryService{s})
 }
 
