--- a/capacity/entry_test.go
+++ b/capacity/entry_test.go
@@ -1,52 +1,12 @@
 package capacity
 
 import (
-	"context"
 	"testing"
 	"time"
 
-	"github.com/carawaypitch/carawaypitch/dev"
 	"github.com/carawaypitch/carawaypitch/entry"
-	"github.com/carawaypitch/carawaypitch/session"
-	"github.com/carawaypitch/carawaypitch/wire"
 )
 
-// fixedControl is an entry's session whose view never changes, so that what is measured is the links.
-type fixedControl struct{ view *session.View }
-
-func (c *fixedControl) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
-}
-
-func (c *fixedControl) Propose(context.Context, *wire.Command) (*wire.CommandResult, error) {
-	return new(wire.CommandResult), nil
-}
-
-func (c *fixedControl) View() *session.View              { return c.view }
-func (c *fixedControl) Subscribe(fn func(*session.View)) { fn(c.view) }
-func (c *fixedControl) Ready() error                     { return nil }
-func (c *fixedControl) CutOff() error                    { return nil }
-func (c *fixedControl) ObserveVersion(uint64) bool       { return true }
-
-func fixedView(addresses []string) *session.View {
-	view := &session.View{
-		ConfigVersion: 1, DirectoryVersion: 1,
-		Classes: make(map[string]*wire.Class),
-		Agents:  make(map[string]*wire.AgentRecord),
-		Entries: make(map[string]*wire.EntryRecord),
-	}
-	for _, class := range dev.SampleClasses() {
-		view.Classes[class.Name] = &wire.Class{
-			Name: class.Name, Tier: uint32(class.Tier), DeadlineMs: uint32(class.DeadlineMS), Kind: class.Kind,
-		}
-	}
-	for i, address := range addresses {
-		view.Agents[agentName(i)] = agentRecord(i, address)
-	}
-	return view
-}
-
 // linkedEntry starts an entry with links to so many agents.
 func linkedEntry(t *table, rig *Rig, agents int) {
 	t.b.Helper()
