agent: what entries count too has a name of its own

Conclusion: the contract's names are the entries'; gates' are gate_*. That the gates' own estimate is still above what engines compute is not mended.

--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -11,13 +11,17 @@
 	"github.com/carawaypitch/carawaypitch/result"
 )
 
-// Names of the agent's metrics.
+// Names of the agent's metrics. What entries count too, for the same requests, has a name of its own here.
+//
+// Otherwise a sum over all processes, which is how such metrics are read, counts each token and each refusal twice: once
+// where the gate decided and once where the caller was answered.
 const (
 	metricRefusals     = "carawaypitch_refusals_total"
 	metricRetries      = "carawaypitch_retries_total"
 	metricPreemptions  = "carawaypitch_preemptions_total"
-	metricWasted       = "carawaypitch_wasted_prefill_tokens_total"
-	metricServed       = "carawaypitch_served_tokens_total"
+	metricGateRefusals = "carawaypitch_gate_refusals_total"
+	metricWasted       = "carawaypitch_gate_wasted_prefill_tokens_total"
+	metricServed       = "carawaypitch_gate_served_tokens_total"
 	metricLeases       = "carawaypitch_leases_expired_total"
 	metricChartErrors  = "carawaypitch_chart_errors_total"
 	metricRuns         = "carawaypitch_engine_runs_total"
@@ -59,7 +63,7 @@
 	label := strconv.Quote(c.Label)
 	switch c.Counter {
 	case gate.Refusals:
-		m.add(fmt.Sprintf(`%s{code="%d",tier="%s"}`, metricRefusals, c.Code, tier), c.Add)
+		m.add(fmt.Sprintf(`%s{code="%d",tier="%s"}`, metricGateRefusals, c.Code, tier), c.Add)
 	case gate.Preemptions:
 		m.add(fmt.Sprintf(`%s{tier="%s"}`, metricPreemptions, tier), c.Add)
 	case gate.WastedPrefill:
@@ -75,7 +79,7 @@
 
 // refused counts a refusal of the agent itself.
 func (m *meter) refused(code result.Code, tier uint32) {
-	m.count(gate.Count{Counter: gate.Refusals, Code: uint16(code), Tier: tier, Add: 1})
+	m.add(fmt.Sprintf(`%s{code="%d",tier="%d"}`, metricRefusals, code, tier), 1)
 }
 
 func (m *meter) retried(reason string) {
