gate: a first-tier reservation is patient before runs are cancelled for it

Cause: a first-tier request reserves at six gates; each full one cancelled a run of a lower tier for it at once, though it uses one slot only. The end of a run was waited for only if a single first-tier request waited.

--- a/gate/estimate.go
+++ b/gate/estimate.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/engine"
@@ -54,6 +55,21 @@
 	return wait, known
 }
 
+// nthFree is the time until n slots are expected to be free. It is not known before anything is learnt.
+func (g *Gate) nthFree(n int) (wait time.Duration, known bool) {
+	var ends []time.Duration
+	for _, a := range g.held {
+		if g.predict(a.work) > 0 {
+			ends = append(ends, g.remaining(a))
+		}
+	}
+	if n < 1 || n > len(ends) {
+		return 0, false
+	}
+	slices.Sort(ends)
+	return ends[n-1], true
+}
+
 // waitOf is the predicted time until a new attempt of a tier would start: what waits before it, spread over the
 // slots, after what runs.
 func (g *Gate) waitOf(tier uint32) time.Duration {
--- a/gate/preempt.go
+++ b/gate/preempt.go
@@ -4,8 +4,12 @@
 
 // Waiting for a slot that is about to be free costs nothing, while a preemption wastes a prefill.
 const (
-	soonFree  = 100 * time.Millisecond
 	slackSafe = 8 // slack has to be so many times the wait
+
+	// patienceShare is the part of its slack that a first-tier reservation waits before anything is preempted for it.
+	patienceShare = 4
+	// patienceLeast is the slack, at least, that it must have left to be patient: a preemption takes time as well.
+	patienceLeast = 500 * time.Millisecond
 )
 
 // lowerWork tells whether work of a lower tier than a's runs or waits here.
@@ -33,7 +37,7 @@
 	if g.blocked == roomEnough {
 		return g.give(a)
 	}
-	if g.soonFree(a) {
+	if g.soonFree(a) || g.patient(a) {
 		return false
 	}
 	for missing := g.waiting.tier(firstTier).count - g.preempting(); missing > 0; missing-- {
@@ -56,17 +60,31 @@
 	return false
 }
 
-// soonFree tells whether a slot is predicted to be free so soon that a's deadline doesn't feel it.
+// soonFree tells whether slots for all of the first tier that waits are predicted to be free so soon that a's deadline
+// doesn't feel it.
 func (g *Gate) soonFree(a *attempt) bool {
-	if g.blocked != whySlots || a.deadline.IsZero() || g.waiting.tier(firstTier).count > 1 {
+	if g.blocked != whySlots || a.deadline.IsZero() {
 		return false
 	}
-	wait, known := g.nextFree()
-	if !known || wait > soonFree {
+	wait, known := g.nthFree(g.waiting.tier(firstTier).count)
+	return known && g.slack(a) >= slackSafe*max(wait, time.Millisecond)
+}
+
+// patient tells whether a reservation leaves running work alone for now. It waits at several gates, each of which
+// would otherwise cancel a run for it although it can use only one slot. One would notice by several preemptions for
+// each first-tier request. It is patient for a part of its slack only, so that a request that is served nowhere else
+// still gets its preemption in time.
+func (g *Gate) patient(a *attempt) bool {
+	if a.state != reserved || a.deadline.IsZero() || g.pace.prefillRate <= 0 {
 		return false
 	}
-	slack := a.deadline.Sub(g.now) - g.predict(a.work)
-	return slack >= slackSafe*max(wait, time.Millisecond)
+	whole := a.deadline.Sub(a.arrived) - g.predict(a.work)
+	return g.slack(a) >= patienceLeast && g.now.Sub(a.arrived) < whole/patienceShare
+}
+
+// slack is the time that an attempt with a deadline may still wait.
+func (g *Gate) slack(a *attempt) time.Duration {
+	return a.deadline.Sub(g.now) - g.predict(a.work)
 }
 
 // preemptPatience is how long a cancelled run counts as a slot that will be free. An engine that doesn't confirm
