--- a/agent/cutoff_test.go
+++ b/agent/cutoff_test.go
@@ -39,7 +39,7 @@
 		assert.Equal(t, 503, status)
 		assert.Contains(t, body, `"code":1403`)
 		_, metrics := w.call("GET", "/metrics", nil)
-		assert.Contains(t, metrics, metricRefusals+`{code="1403",tier="2"} 2`)
+		assert.Contains(t, metrics, metricGateRefusals+`{code="1403",tier="2"} 2`)
 		assert.Equal(t, wire.Proof_PROOF_COMPLETED, entry.awaitOver("r1", 1).GetProof(), "in flight goes on")
 
 		w.control.setReady(nil)
