--- a/capacity/fit.go
+++ b/capacity/fit.go
@@ -1,6 +1,10 @@
 package capacity
 
-import "math"
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
 
 // Point is one measurement: a cost at a size.
 type Point struct{ X, Y float64 }
@@ -18,28 +22,17 @@
 // Fit returns the line with the least sum of squared vertical distances. It needs two sizes at least; with fewer the
 // slope isn't a number.
 func Fit(points []Point) Line {
-	n := float64(len(points))
-	var meanX, meanY float64
-	for _, p := range points {
-		meanX += p.X / n
-		meanY += p.Y / n
+	xs := make([]float64, len(points))
+	ys := make([]float64, len(points))
+	for i, p := range points {
+		xs[i], ys[i] = p.X, p.Y
 	}
-	var xx, xy float64
-	for _, p := range points {
-		xx += (p.X - meanX) * (p.X - meanX)
-		xy += (p.X - meanX) * (p.Y - meanY)
+	intercept, slope := stat.LinearRegression(xs, ys, nil, false)
+	line := Line{Intercept: intercept, Slope: slope}
+	squares := make([]float64, len(points))
+	for i, p := range points {
+		squares[i] = math.Pow(p.Y-line.At(p.X), 2)
 	}
-	line := Line{Slope: xy / xx}
-	line.Intercept = meanY - line.Slope*meanX
-	line.Residual = residual(points, line) / math.Abs(meanY)
+	line.Residual = math.Sqrt(stat.Mean(squares, nil)) / math.Abs(stat.Mean(ys, nil))
 	return line
 }
-
-func residual(points []Point, line Line) float64 {
-	var sum float64
-	for _, p := range points {
-		d := p.Y - line.At(p.X)
-		sum += d * d
-	}
-	return math.Sqrt(sum / float64(len(points)))
-}
