gate, sched: prefill learnt from tokens only, offers ahead, waits by tier

Prompts in flight had no bound, the first tier waited behind them in the engines, and sound servers became suspect for their pace. Only tokens count now, and times are averaged, not rates. - A slot of a plain service was offered only once it was free, and stood empty for the body's way. Offers go out ahead by the learnt delay; a body that comes early waits at the gate, where it can still be refused as never started. - A gate's predicted wait counted reservations that are served elsewhere, and entries took the backlog of the lowest tier for that of every tier.

--- /dev/null
+++ b/gate/ahead_test.go
@@ -0,0 +1,120 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+const (
+	callTime  = 20 * time.Millisecond
+	bodyDelay = 10 * time.Millisecond // from an offer to the body
+)
+
+func callWork(tier uint32) *wire.Work {
+	return workOf(func(w *wire.Work) {
+		w.Service, w.Tier, w.PromptTokens, w.OutputTokens = true, tier, 0, 0
+	})
+}
+
+func (b *bench) after(d time.Duration) { b.now = b.now.Add(d) }
+
+// teachCalls lets the gate learn how long calls take, and how long a body is on its way.
+func (b *bench) teachCalls() {
+	b.t.Helper()
+	for i := range 200 {
+		call := id(fmt.Sprint("teach-", i), 1)
+		b.reserve(entryA, call, callWork(3))
+		b.after(bodyDelay)
+		b.dispatchOffered(entryA, call, callWork(3))
+		b.after(callTime)
+		b.finish(call)
+	}
+	b.pass(time.Second)
+	b.actions = nil
+}
+
+func TestBodiesOfShortCallsAreAskedForAhead(t *testing.T) {
+	// Symptom: a plain service is used to four fifths while requests to it are refused for their deadline.
+	// Sequence: a call ends, the next one is offered the slot, its body comes some milliseconds later.
+	// Cause: the slot was offered only once it was free, and a call takes hardly longer than the body's way.
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(2))
+	b.teachCalls()
+	for i := range 5 {
+		b.reserve(entryA, id(fmt.Sprint("r", i), 1), callWork(3))
+	}
+	require.Equal(t, []string{"r0.1", "r1.1", "r2.1"}, offeredIDs(b.actions), "one for each slot, and one ahead")
+	for i := range 3 {
+		b.dispatchOffered(entryA, id(fmt.Sprint("r", i), 1), callWork(3))
+	}
+	require.Equal(t, []string{"r0.1", "r1.1"}, startedIDs(b.actions), "the third waits here, not in the service")
+	next := b.finish(id("r0", 1))
+	require.Equal(t, []string{"r2.1"}, startedIDs(next), "the slot isn't empty for a moment")
+	require.Equal(t, []string{"r3.1"}, offeredIDs(next))
+	noChartErrors(t, b)
+}
+
+func TestBodyThatCameAheadIsStillRefusedAsNeverStarted(t *testing.T) {
+	// Symptom: a request stays unanswered until its deadline after its backend server left.
+	// Sequence: its body came ahead and waits at the gate; the server leaves, or becomes suspect.
+	// Cause: only reservations and offers were given back then.
+	for name, end := range map[string]func(*bench){
+		"leaving": func(b *bench) { b.step(Leaving{}) },
+		"suspect": func(b *bench) { b.step(Probed{}); b.step(Probed{}) },
+		"cancel":  func(b *bench) { b.callerLeft(entryA, id("ahead", 1)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(1))
+			b.teachCalls()
+			for _, r := range []string{"runs", "ahead"} {
+				b.reserve(entryA, id(r, 1), callWork(3))
+				b.dispatchOffered(entryA, id(r, 1), callWork(3))
+			}
+			require.Equal(t, admitted, b.gate.records.get("ahead").current.state)
+			b.actions = nil
+			end(b)
+			over := onlyOver(t, b.actions, entryA, neverStartedProof)
+			require.Equal(t, "ahead", over.Attempt.Request)
+			require.Empty(t, startedIDs(b.finish(id("runs", 1))))
+			require.Empty(t, b.gate.held)
+			noChartErrors(t, b)
+		})
+	}
+}
+
+func TestFirstTierGoesBeforeBodiesThatCameAhead(t *testing.T) {
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(1))
+	b.teachCalls()
+	for _, r := range []string{"runs", "ahead"} {
+		b.reserve(entryA, id(r, 1), callWork(3))
+		b.dispatchOffered(entryA, id(r, 1), callWork(3))
+	}
+	require.Equal(t, []string{"check.1"}, offeredIDs(b.reserve(entryB, id("check", 1), callWork(1))))
+	b.dispatchOffered(entryB, id("check", 1), callWork(1))
+	require.Equal(t, []string{"check.1"}, startedIDs(b.finish(id("runs", 1))))
+	require.Equal(t, []string{"ahead.1"}, startedIDs(b.finish(id("check", 1))))
+	noChartErrors(t, b)
+}
+
+func TestBodyThatWaitedTooLongIsRefused(t *testing.T) {
+	// Symptom: calls are answered "unproven at the deadline" under overload.
+	// Sequence: a body that came ahead waits for the call before it, and starts with less time left than it takes.
+	// Cause: only reservations were looked at for their deadline, not bodies.
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(1))
+	b.teachCalls()
+	short := func() *wire.Work { w := callWork(3); w.RemainingMs = 50; return w }
+	b.reserve(entryB, id("runs", 1), callWork(3))
+	b.dispatchOffered(entryB, id("runs", 1), callWork(3))
+	b.reserve(entryA, id("ahead", 1), short())
+	b.dispatchOffered(entryA, id("ahead", 1), short())
+	b.after(45 * time.Millisecond)
+	b.actions = nil
+	refusedWith(t, b.finish(id("runs", 1)), result.CannotFinishInTime)
+	require.Empty(t, b.gate.held)
+	noChartErrors(t, b)
+}
--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -57,6 +57,7 @@
 	late       bool // can't meet its deadline any more, or let an offer lapse
 	lapses     int
 	offerUntil time.Time
+	offeredAt  time.Time // when the offer was last sent
 }
 
 // runState is what an attempt holds of the server, and how its run goes.
--- a/gate/estimate.go
+++ b/gate/estimate.go
@@ -70,8 +70,8 @@
 	return ends[n-1], true
 }
 
-// waitOf is the predicted time until a new attempt of a tier would start: what waits before it, spread over the
-// slots, after what runs.
+// waitOf is the predicted time until a new attempt of a tier would start: what waits before it and will be served
+// here, spread over the slots, after what runs.
 func (g *Gate) waitOf(tier uint32) time.Duration {
 	slots := time.Duration(g.limit.slots())
 	ahead := time.Duration(0)
@@ -80,6 +80,7 @@
 			ahead += g.predictAll(t)
 		}
 	}
+	ahead = time.Duration(float64(ahead) * g.waiting.taken.value())
 	if len(g.held) < int(slots) {
 		return ahead / slots
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -29,6 +29,7 @@
 	limit    limiter
 	headroom headroom
 	room     roomState
+	ahead    offerDelay
 	probes   probeWork
 	blocked  why // why the best waiting attempt has no room
 
--- a/gate/offers.go
+++ b/gate/offers.go
@@ -9,9 +9,16 @@
 // maxLapses is how many offers an entry may leave unanswered before its reservation is refused.
 const maxLapses = 3
 
-// pump gives room to waiting attempts, the best first, until the best one has none. It stops there rather than let
-// smaller ones past: a large attempt would otherwise wait for ever for its room.
+// pump starts the attempts whose body was asked for ahead, and gives room to waiting attempts, the best first, until
+// the best one has none. It stops there rather than let smaller ones past: a large attempt would otherwise wait for
+// ever for its room.
 func (g *Gate) pump() {
+	g.startReady(firstTier)
+	g.giveRoom()
+	g.startReady(lowestTier)
+}
+
+func (g *Gate) giveRoom() {
 	g.blocked = roomEnough
 	for g.waiting.count > 0 {
 		if g.nothingFree() {
@@ -39,7 +46,7 @@
 		g.blocked = g.closed()
 		return true
 	}
-	if len(g.held) < g.limit.slots() || g.firstTierWaits() {
+	if len(g.held) < g.limit.slots()+g.mostAhead() || g.firstTierWaits() {
 		return false
 	}
 	g.blocked = whySlots
@@ -71,6 +78,7 @@
 // sendOffer asks the entry for the body and keeps the room for a while.
 func (g *Gate) sendOffer(a *attempt) {
 	a.wait.offerUntil = g.now.Add(g.config.OfferTimeout)
+	a.wait.offeredAt = g.now
 	g.send(a.owner.id, &wire.AgentMessage{Kind: &wire.AgentMessage_Offer{
 		Offer: &wire.Offer{Attempt: a.id(), Server: a.server},
 	}})
@@ -96,11 +104,14 @@
 	g.fire(a, onLapse, occasion{})
 }
 
-// lapseAllOffers takes all offers back: the server is suspect and gets no new work.
+// lapseAllOffers takes all offers back: the server is suspect and gets no new work. Bodies that came ahead go back.
 func (g *Gate) lapseAllOffers() {
 	for _, a := range slices.Clone(g.held) {
-		if a.state == offered {
+		switch a.state {
+		case offered:
 			g.fire(a, onLapse, occasion{})
+		case admitted:
+			g.refuseWaiting(a, refuseLateOffer)
 		}
 	}
 }
--- a/gate/order.go
+++ b/gate/order.go
@@ -17,6 +17,7 @@
 type waiting struct {
 	tiers []*tierQueues // by tier, the highest first
 	count int
+	taken takenShare
 }
 
 // tierQueues holds one tier. Virtual time is kept by tier: what an organisation gets in one tier is not held
--- a/gate/pace.go
+++ b/gate/pace.go
@@ -130,7 +130,7 @@
 	g.prefillDone(a)
 	g.room.dirty = true
 	took := g.now.Sub(a.run.started).Seconds()
-	if a.run.prefillAhead >= leastPrompt && took > 0 {
+	if a.run.prefillAhead >= leastPrompt && a.uncached() > 0 && took > 0 {
 		g.pace.notePrefill(a.run.prefillAhead, took)
 	}
 }
@@ -140,7 +140,9 @@
 	if p.prefillRate == 0 {
 		p.prefillRate = rate
 	}
-	p.prefillRate += rateGain * (rate - p.prefillRate)
+	// The times are averaged, not the rates: one prompt that was in the cache after all, and took no time, would
+	// otherwise raise the rate beyond measure.
+	p.prefillRate = 1 / (1/p.prefillRate + rateGain*(1/rate-1/p.prefillRate))
 	if tokens < leastJudged {
 		return
 	}
@@ -329,13 +331,19 @@
 // tokenTime is the time between two tokens of a stream at a batch size; 0 before any is learnt. What was seen just
 // now counts if it is more: prompts that are computed in between slow the others down.
 func (p *pace) tokenTime(batch int, now time.Time) time.Duration {
+	learnt := p.quietTime(batch)
+	if now.Sub(p.gapAt) <= gapFresh {
+		learnt = max(learnt, seconds(p.gap))
+	}
+	return learnt
+}
+
+// quietTime is the same while no prompt is computed.
+func (p *pace) quietTime(batch int) time.Duration {
 	learnt := 0.0
 	for b := bin(batch); b >= 0 && learnt == 0; b-- {
 		learnt = p.baseline[b].value
 	}
-	if now.Sub(p.gapAt) <= gapFresh {
-		learnt = max(learnt, p.gap)
-	}
 	return seconds(learnt)
 }
 
--- a/gate/receive.go
+++ b/gate/receive.go
@@ -72,13 +72,19 @@
 		return
 	}
 	a.dispatch = m
+	if before != absent {
+		g.waiting.taken.note(true)
+	}
 	g.admit(a, before, m.GetOffered())
 }
 
 // admit starts a dispatched attempt, refuses it, or lets it wait with its body.
 func (g *Gate) admit(a *attempt, before attemptState, withOffer bool) {
 	if before == offered {
-		g.fire(a, onStart, occasion{})
+		g.ahead.note(g.now.Sub(a.wait.offeredAt))
+		if !a.work.GetService() || g.server.state != serverReady || g.slotFree() {
+			g.fire(a, onStart, occasion{})
+		}
 		return
 	}
 	if no, refused := g.tooLate(a); refused && before == absent {
@@ -195,6 +201,7 @@
 	if !g.fire(r.current, e, occasion{}) {
 		return
 	}
+	g.waiting.taken.note(false)
 	r.current = nil
 	g.records.release(r, g.now.Add(g.config.TombstoneLife))
 }
--- a/gate/room.go
+++ b/gate/room.go
@@ -44,10 +44,12 @@
 		return g.probes.room(g, a)
 	}
 	slots := g.limit.slots()
-	if len(g.held) >= slots {
+	slots += g.offersAhead(a)
+	held := g.heldBefore(a)
+	if held >= slots {
 		return whySlots
 	}
-	if a.tier() > firstTier && len(g.held) >= slots-g.headroom.slots() {
+	if a.tier() > firstTier && held >= slots-g.headroom.slots() {
 		return whyHeadroom
 	}
 	if reason := g.noMemory(a); reason != roomEnough {
--- a/gate/runs.go
+++ b/gate/runs.go
@@ -46,7 +46,7 @@
 	a.run.started = g.now
 	a.run.open = true
 	a.run.prefillAhead = g.use.prefill
-	a.run.busy = len(g.held)
+	a.run.busy = g.started()
 	a.frames.begin(a.dispatch)
 	g.runs = append(g.runs, a)
 	if a.dispatch.GetOperation() != "" || a.dispatch.GetIdempotencyKey() != "" {
@@ -75,15 +75,19 @@
 	g.fire(a, onProgress, occasion{events: e.Events, eventTokens: e.Tokens, tokens: tokens})
 }
 
-// count is the number of tokens that arrived. An engine that names none has one in each event.
+// count is the number of tokens that arrived. An engine that doesn't say how many has one in each event; one that says
+// none has sent the opening of an answer, which comes before its prompt is computed.
+//
+// Taking that for the first token makes a prefill look finished at once: one would notice by a learnt prefill rate of
+// millions of tokens a second, long prompts piled up in the engine, and servers that look slow by that rate.
 func (e EngineProgress) count() uint32 {
+	if len(e.Tokens) == 0 {
+		return uint32(len(e.Events))
+	}
 	var total uint32
 	for _, tokens := range e.Tokens {
 		total += tokens
 	}
-	if total == 0 {
-		return uint32(len(e.Events))
-	}
 	return total
 }
 
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -84,11 +84,11 @@
 	}
 	ahead := s.aheadOf(r)
 	if ahead == 0 {
-		return s.leastBacklog(r.pool)
+		return s.leastBacklog(r)
 	}
 	perSecond := r.pool.drain.value(s.now)
 	if perSecond <= 0 {
-		return s.leastBacklog(r.pool)
+		return s.leastBacklog(r)
 	}
 	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
 }
@@ -121,17 +121,28 @@
 	return own, len(seen)
 }
 
-// leastBacklog is the shortest time after which a gate would start new work.
-func (s *Scheduler) leastBacklog(p *pool) time.Duration {
+// leastBacklog is the shortest time after which a gate would probably start a request of r's tier.
+func (s *Scheduler) leastBacklog(r *request) time.Duration {
 	least := time.Duration(-1)
-	for _, v := range p.servers {
-		if d := time.Duration(v.room.GetBacklogMs()) * time.Millisecond; v.ready && (least < 0 || d < least) {
+	for _, v := range r.pool.servers {
+		if d := v.backlogFor(r.tier); v.ready && (least < 0 || d < least) {
 			least = d
 		}
 	}
 	return max(least, 0)
 }
 
+// backlogFor is how long a request of the tier waits at least at the server, as far as its gate's last word tells. A
+// backlog that lower tiers have a part in tells nothing: the request goes before them.
+//
+// Without it requests are refused because they can't finish in time while work of lower tiers is served.
+func (v *server) backlogFor(tier int) time.Duration {
+	if v.room.GetLowestWaitingTier() > 0 && tierIndex(v.room.GetLowestWaitingTier()) > tier {
+		return 0
+	}
+	return time.Duration(v.room.GetBacklogMs()) * time.Millisecond
+}
+
 // bestRun is how long the request takes at the server that is fastest for it.
 func (s *Scheduler) bestRun(r *request) time.Duration {
 	best := time.Duration(-1)
