gate, sched: a tier is not refused at the pace that lower tiers leave it

Cause: prompts of tier 3 slow the answers of tier 2 down; tier 2 was predicted at that pace and refused, while tier 3 was served. A long prompt now waits if it would make a running answer of a higher tier late, and entries leave the decision to the gates while lower tiers are served. An organisation that had nothing waiting at a gate for a moment, because its reservation was taken elsewhere, lost its claim there; it is kept for 5 s.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -116,6 +116,7 @@
 	g.nextSweep = g.now.Add(sweepInterval)
 	g.checkServer()
 	g.expireLeases()
+	g.expirePresence()
 	g.sweepWaiting()
 	g.dropKept()
 	g.records.expire(g.now)
--- a/gate/order.go
+++ b/gate/order.go
@@ -27,6 +27,7 @@
 	queues  []*queue // in order of creation
 	classes map[string]*classState
 	clock   *fair.Clock
+	present presence
 	count   int
 }
 
@@ -101,6 +102,7 @@
 	heap.Remove(a.wait.heap, a.wait.index)
 	a.wait.heap = nil
 	t := a.wait.queue.tier
+	t.present.note(t, a.wait.queue.organisation, g.now)
 	t.clock.Leave(a.wait.queue.organisation)
 	t.count--
 	g.waiting.count--
--- a/gate/room.go
+++ b/gate/room.go
@@ -33,6 +33,7 @@
 	whyHeadroom why = "the last slots are kept for the first tier"
 	whyPrefill  why = "too many prompt tokens are in flight"
 	whyMemory   why = "the cache memory is full"
+	whyPace     why = "its prompt would make running answers of a higher tier late"
 )
 
 // noRoom says why an attempt can't start now.
@@ -55,6 +56,9 @@
 	if reason := g.noMemory(a); reason != roomEnough {
 		return reason
 	}
+	if g.slowsHigher(a) {
+		return whyPace
+	}
 	return g.noPrefill(a)
 }
 
--- /dev/null
+++ b/gate/shield.go
@@ -0,0 +1,49 @@
+package gate
+
+import "time"
+
+// An engine computes prompts between the tokens of the answers that run, so that a long prompt of a low tier slows the
+// answers of higher tiers down. Without the bounds here those tiers are refused, because they can't finish in time at
+// that pace, while the low tier is served. One would notice by refusals of a tier whose lower tiers have goodput.
+
+// slowsHigher tells whether a long prompt would make a running answer of a higher tier late that is in time without it.
+func (g *Gate) slowsHigher(a *attempt) bool {
+	if a.work.GetService() || a.uncached() < leastJudged {
+		return false
+	}
+	prompts := g.pace.prefillTime(g.use.prefill + a.uncached())
+	quiet := g.pace.quietTime(len(g.runs) + 1)
+	for _, run := range g.runs {
+		if run.tier() >= a.tier() || run.deadline.IsZero() || run.state != running {
+			continue
+		}
+		left := max(int64(run.work.GetOutputTokens())-int64(run.run.tokens), 0)
+		slack := run.deadline.Sub(g.now) - time.Duration(left)*quiet
+		if slack > 0 && slack < prompts {
+			return true
+		}
+	}
+	return false
+}
+
+// tokenTimeFor is the time between two tokens that work of a tier can count on: prompts of lower tiers are kept from
+// slowing it down too much, see slowsHigher.
+func (g *Gate) tokenTimeFor(tier uint32) time.Duration {
+	if g.lowerPrompts(tier) {
+		return g.pace.quietTime(len(g.runs) + 1)
+	}
+	return g.pace.tokenTime(len(g.runs)+1, g.now)
+}
+
+// lowerPrompts tells whether a prompt of a lower tier runs or waits.
+func (g *Gate) lowerPrompts(tier uint32) bool {
+	if g.lowestWaiting() > tier {
+		return true
+	}
+	for _, run := range g.runs {
+		if run.tier() > tier && run.run.prefill > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/gate/shield_test.go
@@ -0,0 +1,48 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+func TestLongPromptDoesNotMakeAHigherTierLate(t *testing.T) {
+	// Symptom: drafts end after their deadline although each had a slot in time.
+	// Sequence: a draft runs and has little time to spare; the long prompt of a packet starts beside it.
+	// Cause: only slots, memory and prompt tokens were looked at, not what the prompt does to running answers.
+	packet := workOf(func(w *wire.Work) { w.Tier, w.PromptTokens = 3, 8000 }) // a second
+	draft := func(remaining uint32) *wire.Work {
+		return workOf(func(w *wire.Work) { w.PromptTokens, w.OutputTokens, w.RemainingMs = 100, 50, remaining })
+	}
+	for name, c := range map[string]struct {
+		remaining uint32
+		offered   int
+	}{
+		"little time to spare": {1700, 0}, // the answer alone takes a second
+		"ample time":           {8000, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(8))
+			b.teach(20*time.Millisecond, 100)
+			b.start(entryA, id("draft", 1), draft(c.remaining))
+			b.progress(id("draft", 1), "x")
+			require.Len(t, offeredIDs(b.reserve(entryA, id("packet", 1), packet)), c.offered)
+			if c.offered == 0 {
+				require.Equal(t, string(whyPace), b.gate.Status().Blocked)
+				require.Len(t, offeredIDs(b.finish(id("draft", 1))), 1)
+			}
+		})
+	}
+}
+
+func TestPaceOfLowerPromptsDoesNotRefuseAHigherTier(t *testing.T) {
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(8))
+	b.teach(20*time.Millisecond, 100)
+	b.start(entryA, id("packet", 1), workOf(func(w *wire.Work) { w.Tier, w.PromptTokens = 3, 8000 }))
+	b.gate.pace.gap, b.gate.pace.gapAt = 0.2, b.now // as its prompt makes it
+	draft := workOf(func(w *wire.Work) { w.OutputTokens, w.RemainingMs = 50, 5000 })
+	require.Empty(t, overs(b.reserve(entryB, id("draft", 1), draft), entryB))
+}
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -126,13 +126,18 @@
 
 // plainRun is the same by the rates that the gate reports, without this entry's own correction.
 func (s *Scheduler) plainRun(r *request, v *server) time.Duration {
+	return s.runAt(r, v, v.room.GetDecodeTokensPerS())
+}
+
+// runAt is the same at a pace of its own, in tokens a second.
+func (s *Scheduler) runAt(r *request, v *server, decode float32) time.Duration {
 	if r.pool.key.kind == kindService {
 		return time.Duration(r.class.service.value(defaultService.Microseconds())) * time.Microsecond
 	}
 	prompt := max(float64(r.PromptTokens)-float64(s.cachedTokens(r, v)), 0)
 	output := max(float64(r.outputs)-float64(r.delivered), 1)
 	seconds := prompt/rateOr(v.room.GetPrefillTokensPerS(), defaultPrefillRate) +
-		output/rateOr(v.room.GetDecodeTokensPerS(), defaultDecodeRate)
+		output/rateOr(decode, defaultDecodeRate)
 	return time.Duration(seconds * float64(time.Second))
 }
 
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -68,7 +68,7 @@
 		return nil
 	}
 	wait := s.predictWait(r)
-	if s.now.Add(wait + s.bestRun(r)).Before(r.Deadline) {
+	if s.now.Add(wait+s.bestRun(r)).Before(r.Deadline) || s.lowerGivesWay(r) {
 		return nil
 	}
 	return result.New(result.CannotFinishInTime, "").WithRetryAfter(s.jitter(wait))
@@ -143,6 +143,34 @@
 	return time.Duration(v.room.GetBacklogMs()) * time.Millisecond
 }
 
+// lowerGivesWay tells whether a request that can't finish in time at the present pace could at an idle server, while
+// work of a lower tier is served in its pool. That work gives way to it at the gates, which see more and decide.
+//
+// Without it a tier is shed while a lower one is served: the lower one's prompts slow the engines down, and at that
+// pace the higher one is refused.
+func (s *Scheduler) lowerGivesWay(r *request) bool {
+	return s.lowerServed(r) && s.now.Add(s.idleRun(r)).Before(r.Deadline)
+}
+
+// lowerServed tells whether a server of the pool says that work of a lower tier runs or waits there.
+func (s *Scheduler) lowerServed(r *request) bool {
+	return slices.ContainsFunc(r.pool.servers, func(v *server) bool {
+		lowest := max(v.room.GetLowestRunningTier(), v.room.GetLowestWaitingTier())
+		return v.ready && lowest > 0 && tierIndex(lowest) > r.tier
+	})
+}
+
+// idleRun is how long the request takes at the fastest server if nothing else runs there.
+func (s *Scheduler) idleRun(r *request) time.Duration {
+	best := time.Duration(-1)
+	for _, v := range s.sample(r, s.options.Choices, s.canReserve) {
+		if d := s.runAt(r, v, max(v.room.GetDecodeTokensPerS(), defaultDecodeRate)); best < 0 || d < best {
+			best = d
+		}
+	}
+	return max(best, 0)
+}
+
 // bestRun is how long the request takes at the server that is fastest for it.
 func (s *Scheduler) bestRun(r *request) time.Duration {
 	best := time.Duration(-1)
@@ -160,7 +188,7 @@
 	if s.options.Policy != PolicyTargets || r.mayBeLate || !r.certain() || r.ran() != result.RanNo {
 		return false
 	}
-	if s.now.Add(s.estimateRun(r, v)).Before(r.Deadline) || !s.mayRefuse(r) {
+	if s.now.Add(s.estimateRun(r, v)).Before(r.Deadline) || !s.mayRefuse(r) || s.lowerGivesWay(r) {
 		return false
 	}
 	s.refuse(r, result.New(result.CannotFinishInTime, ""))
