--- a/cmd/carawaypitch/caller_test.go
+++ b/cmd/carawaypitch/caller_test.go
@@ -30,7 +30,7 @@
 }
 
 // coded reads the numbered error of a reply.
-func (r reply) coded(t *testing.T) *result.Error {
+func (r reply) coded(t testing.TB) *result.Error {
 	t.Helper()
 	coded := new(result.Error)
 	require.NoError(t, json.Unmarshal(r.Body, coded), "%s", r.Body)
@@ -62,7 +62,7 @@
 	return reply{Status: got.StatusCode, Header: got.Header, Body: data}, err
 }
 
-func (c caller) call(t *testing.T, path string, headers map[string]string, body string) reply {
+func (c caller) call(t testing.TB, path string, headers map[string]string, body string) reply {
 	t.Helper()
 	got, err := c.try(path, headers, body)
 	require.NoError(t, err)
@@ -83,7 +83,7 @@
 }
 
 // getJSON reads a page of any process.
-func getJSON(t *testing.T, url string, out any) {
+func getJSON(t testing.TB, url string, out any) {
 	t.Helper()
 	got, err := callerClient.Get(url)
 	require.NoError(t, err)
--- a/cmd/carawaypitch/cluster_request_test.go
+++ b/cmd/carawaypitch/cluster_request_test.go
@@ -35,7 +35,7 @@
 }
 
 // requireTruth checks what a caller heard of a pass issuance against how often it ran.
-func requireTruth(t *testing.T, got reply, runs int) {
+func requireTruth(t testing.TB, got reply, runs int) {
 	t.Helper()
 	require.LessOrEqual(t, runs, 1, "a pass was issued %d times", runs)
 	if got.Status == http.StatusOK {
@@ -150,7 +150,7 @@
 }
 
 // textOf puts together the text of a completion, streamed or whole.
-func textOf(t *testing.T, got reply) string {
+func textOf(t testing.TB, got reply) string {
 	t.Helper()
 	var text strings.Builder
 	for line := range strings.Lines(string(got.Body)) {
--- a/cmd/carawaypitch/cluster_rolling_test.go
+++ b/cmd/carawaypitch/cluster_rolling_test.go
@@ -223,7 +223,7 @@
 }
 
 // requireAllTrue checks every call of a stream: issuances against the runs, and that gate checks failed by a code only.
-func requireAllTrue(t *testing.T, all []sent, runs map[string]int) {
+func requireAllTrue(t testing.TB, all []sent, runs map[string]int) {
 	t.Helper()
 	answered := 0
 	for _, s := range all {
--- a/cmd/carawaypitch/cluster_test.go
+++ b/cmd/carawaypitch/cluster_test.go
@@ -28,7 +28,7 @@
 
 // process is one daemon as a process of its own, with its settings file.
 type process struct {
-	t    *testing.T
+	t    testing.TB
 	role string
 	file string
 
@@ -94,7 +94,7 @@
 // cluster is a small deployment as separate processes: three control instances, two entries, two registry services and
 // one model engine, or as many as a test asks for, each with its agent.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	folder   string
 	controls []*process
 	entries  []*process
@@ -110,14 +110,14 @@
 
 const clusterControls = 3
 
-func startCluster(t *testing.T, moreModels ...string) *cluster {
+func startCluster(t testing.TB, moreModels ...string) *cluster {
 	t.Helper()
 	c := newCluster(t)
 	c.startAll(moreModels...)
 	return c
 }
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
 	t.Helper()
 	c := &cluster{t: t, folder: t.TempDir(), operatorKey: "operator-key", callerKey: "caller-key"}
 	t.Cleanup(c.killAll)
@@ -187,7 +187,7 @@
 //
 // A port found free at 127.0.0.1 may be taken by an outgoing connection before the daemon listens there; the daemon
 // then fails at its start, now and then.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	const port = 7000
 	n := addresses.Add(1)
--- a/cmd/carawaypitch/cluster_tls_test.go
+++ b/cmd/carawaypitch/cluster_tls_test.go
@@ -30,13 +30,13 @@
 
 // authority signs the certificates of one deployment.
 type authority struct {
-	t           *testing.T
+	t           testing.TB
 	folder      string
 	key         *ecdsa.PrivateKey
 	certificate *x509.Certificate
 }
 
-func newAuthority(t *testing.T) *authority {
+func newAuthority(t testing.TB) *authority {
 	t.Helper()
 	a := &authority{t: t, folder: t.TempDir(), key: newPrivateKey(t)}
 	template := &x509.Certificate{
@@ -51,7 +51,7 @@
 	return a
 }
 
-func newPrivateKey(t *testing.T) *ecdsa.PrivateKey {
+func newPrivateKey(t testing.TB) *ecdsa.PrivateKey {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	require.NoError(t, err)
@@ -135,7 +135,7 @@
 }
 
 // callForward calls the service of the replicas. A refusal of the command itself is an answer too.
-func callForward(t *testing.T, address string, member settings.TLS) error {
+func callForward(t testing.TB, address string, member settings.TLS) error {
 	return callLink(t, address, member, func(ctx context.Context, conn drpc.Conn) error {
 		_, err := wire.NewDRPCReplicaLinkClient(conn).Forward(ctx, &wire.Propose{Command: &wire.Command{}})
 		return err
@@ -143,7 +143,7 @@
 }
 
 // callSession calls the service of entries and agents and waits for a word.
-func callSession(t *testing.T, address string, member settings.TLS) error {
+func callSession(t testing.TB, address string, member settings.TLS) error {
 	return callLink(t, address, member, func(ctx context.Context, conn drpc.Conn) error {
 		stream, err := wire.NewDRPCControlLinkClient(conn).Session(ctx)
 		if err != nil {
@@ -154,7 +154,7 @@
 	})
 }
 
-func callLink(t *testing.T, address string, member settings.TLS, call func(context.Context, drpc.Conn) error) error {
+func callLink(t testing.TB, address string, member settings.TLS, call func(context.Context, drpc.Conn) error) error {
 	t.Helper()
 	config, err := member.ClientConfig()
 	require.NoError(t, err)
--- a/cmd/carawaypitch/dev_test.go
+++ b/cmd/carawaypitch/dev_test.go
@@ -51,7 +51,7 @@
 
 const prompt = `"model": "sample", "max_tokens": 8, "messages": [{"role": "user", "content": "What may be tipped?"}]`
 
-func requireCompletion(t *testing.T, c caller) {
+func requireCompletion(t testing.TB, c caller) {
 	t.Helper()
 	got := c.call(t, "/v1/chat/completions", nil, `{`+prompt+`}`)
 	require.Equal(t, http.StatusOK, got.Status, "%s", got.Body)
@@ -70,14 +70,14 @@
 	require.Equal(t, 8, completion.Usage.CompletionTokens)
 }
 
-func requireStream(t *testing.T, c caller) {
+func requireStream(t testing.TB, c caller) {
 	t.Helper()
 	got := c.call(t, "/v1/chat/completions", nil, `{"stream": true, `+prompt+`}`)
 	require.Equal(t, http.StatusOK, got.Status, "%s", got.Body)
 	require.True(t, strings.HasSuffix(strings.TrimSpace(string(got.Body)), "data: [DONE]"), "%s", got.Body)
 }
 
-func requireCheck(t *testing.T, c caller) {
+func requireCheck(t testing.TB, c caller) {
 	t.Helper()
 	got, err := c.check()
 	require.NoError(t, err)
@@ -85,7 +85,7 @@
 }
 
 // requireIssueOnce issues a pass twice with one key, at both entries: the answers are the same, and it ran once.
-func requireIssueOnce(t *testing.T, c caller, info dev.Info, key string) {
+func requireIssueOnce(t testing.TB, c caller, info dev.Info, key string) {
 	t.Helper()
 	first, err := c.issue(key)
 	require.NoError(t, err)
@@ -100,7 +100,7 @@
 }
 
 // totalRuns adds up how often a key ran at all stand-in services.
-func totalRuns(t *testing.T, engines []string, key string) int {
+func totalRuns(t testing.TB, engines []string, key string) int {
 	t.Helper()
 	total := 0
 	for _, engine := range engines {
--- a/cmd/carawaypitch/operators_page_test.go
+++ b/cmd/carawaypitch/operators_page_test.go
@@ -56,7 +56,7 @@
 
 // place is a folder like the root of the repository, with the binary and the examples.
 type place struct {
-	t       *testing.T
+	t       testing.TB
 	folder  string
 	replace *strings.Replacer
 }
