--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,6 +58,34 @@
 	require.NoError(t, err)
 }
 
+// Symptom: a fault of an experiment doesn't happen, or breaks a promise.
+// Sequence: an agent, an entry and an engine die and come back, a server leaves, the control leader is cut off.
+// Cause: the deployment lost track of an instance; or the system under test is at fault, and the violation says how.
+func TestEveryFaultHappens(t *testing.T) {
+	p := tiny(t)
+	p.Controls = 3
+	p.Servers[0].Count = 3
+	at, lasts := plan.Duration(100*time.Millisecond), plan.Duration(200*time.Millisecond)
+	p.Scenarios[0].Faults = []plan.Fault{
+		{Kind: plan.AgentDeath, At: at, For: lasts, Target: "fast-01"},
+		{Kind: plan.EngineCrash, At: at, For: lasts, Target: "fast-02"},
+		{Kind: plan.ServerLeave, At: at, Target: "fast-03"},
+		{Kind: plan.EntryDeath, At: at, For: lasts, Entry: 2},
+		{Kind: plan.CacheEvents, At: at, For: lasts, Factor: 1},
+		{Kind: plan.ControlCut, At: at, For: lasts},
+	}
+	r, err := Run(context.Background(), p, Options{})
+	require.NoError(t, err)
+	run := r.Scenarios[0].Runs[0]
+	assert.Empty(t, run.Violations)
+	for _, f := range p.Scenarios[0].Faults {
+		assert.Contains(t, strings.Join(run.Faults, "\n"), string(f.Kind))
+	}
+	for _, note := range run.Faults {
+		assert.Regexp(t, `(began|ended)$`, note)
+	}
+}
+
 func TestUnknownNamesAreRefused(t *testing.T) {
 	_, err := Run(context.Background(), tiny(t), Options{Scenarios: []string{"none"}})
 	require.ErrorContains(t, err, `no scenario "none"`)
--- a/experiment/report/goals.go
+++ b/experiment/report/goals.go
@@ -81,6 +81,9 @@
 	best, policy := j.best(func(r Run) float64 { return r.Prefill.WastedShare }, less)
 	j.add(wasted <= j.goals.Wasted, fmt.Sprintf("wasted prefill under %s of prompt tokens", percent(j.goals.Wasted)),
 		"%s (%d tokens)", percent(wasted), j.run.Prefill.TotalWasted())
+	if len(j.baselines) == 0 {
+		return
+	}
 	j.add(wasted <= best*j.goals.WastedOfBest, fmt.Sprintf("wasted prefill at most %s of the best baseline's", percent(j.goals.WastedOfBest)),
 		"%s; best baseline %s (%s)", percent(wasted), percent(best), policy)
 }
@@ -100,7 +103,11 @@
 	latencyFloor = 2.0 // milliseconds
 )
 
+// underload compares with baselines only; without one nothing is judged.
 func (j *judge) underload() {
+	if len(j.baselines) == 0 {
+		return
+	}
 	for _, c := range j.columns() {
 		better := less
 		if c.more {
--- a/experiment/report/report_test.go
+++ b/experiment/report/report_test.go
@@ -119,6 +119,17 @@
 	assert.True(t, judged(plan.GoalsUnderload, good, bad)["goodput of tier 1 no worse than the best baseline"])
 }
 
+// Symptom: a goal is reported as missed although nothing was compared.
+// Sequence: only our policy runs.
+// Cause: the best of no baselines was taken for a figure.
+func TestNothingIsComparedWithNoBaseline(t *testing.T) {
+	mine := Run{Policy: ours, Tiers: []Tier{{Requests: 1, Good: 1, GoodRate: 1}, {}, {}}}
+	assert.Empty(t, Judge(plan.GoalsUnderload, plan.Goals{}, Group{Runs: []Run{mine}}))
+	for _, goal := range Judge(plan.GoalsOverload, plan.Goals{}, Group{Runs: []Run{mine}}) {
+		assert.NotContains(t, goal.Goal, "baseline")
+	}
+}
+
 func TestPageHoldsEverything(t *testing.T) {
 	run := smallRun(smallPlan())
 	run.Policy = "<ours>"
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -133,10 +133,11 @@
 }
 
 func (o *one) noteFault(f plan.Fault, what string, err error) {
-	text := fmt.Sprintf("%.1fs: %s %s%s", time.Since(o.measuredFrom()).Seconds(), f.Kind, f.Target, what)
+	name := string(f.Kind)
 	if f.Target != "" {
-		text = fmt.Sprintf("%.1fs: %s of %s %s", time.Since(o.measuredFrom()).Seconds(), f.Kind, f.Target, what)
+		name += " of " + f.Target
 	}
+	text := fmt.Sprintf("%.1fs: %s %s", time.Since(o.measuredFrom()).Seconds(), name, what)
 	if err != nil {
 		text += ": " + err.Error()
 	}
