--- a/cmd/carawaypitch/cluster_restart_test.go
+++ b/cmd/carawaypitch/cluster_restart_test.go
@@ -17,18 +17,18 @@
 	c.eventually(func() bool { return c.target(0, "registry").ReadyServers == 2 }, "the services aren't ready")
 	leader := c.waitLeader(0)
 	for _, i := range []int{(leader + 1) % clusterControls, (leader + 2) % clusterControls, leader} {
-		c.restart(c.controls[i], c.controlURLs[i], 0)
+		c.restartServing(c.controls[i], c.controlURLs[i], 0)
 	}
 	for i := range c.entries {
-		c.restart(c.entries[i], c.entryURLs[i], 1-i)
+		c.restartServing(c.entries[i], c.entryURLs[i], 1-i)
 	}
 	for i, name := range []string{"registry-1", "registry-2"} {
 		c.restartServer(i+1, name) // the model comes first
 	}
 }
 
-// restart stops a process, which must exit with 0, and starts it again; the other entry serves meanwhile.
-func (c *cluster) restart(p *process, url string, serving int) {
+// restartServing stops a process, which must exit with 0, and starts it again; the other entry serves meanwhile.
+func (c *cluster) restartServing(p *process, url string, serving int) {
 	c.t.Helper()
 	p.stop()
 	c.requireServed(serving)
