sched: what is late already goes after what can still be in time

Cause: of a class that may be late but not lost, entries served the earliest deadline first, so under overload those whose deadline had passed went first and kept the bounded reservations; hardly any packet was in time. Gates also predicted the end of a call without the way of its answer to the entry.

--- a/gate/ahead_test.go
+++ b/gate/ahead_test.go
@@ -118,3 +118,17 @@
 	require.Empty(t, b.gate.held)
 	noChartErrors(t, b)
 }
+
+func TestTimeOfTheWayCountsAgainstTheDeadline(t *testing.T) {
+	// Symptom: calls of a full service end in time at the server, and are late or unproven at the entry.
+	// Sequence: a call starts with just the time left that it takes.
+	// Cause: the way back wasn't counted.
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(1))
+	b.teachCalls()
+	tight := callWork(3)
+	tight.RemainingMs = uint32((callTime + bodyDelay/2).Milliseconds())
+	refusedWith(t, b.reserve(entryA, id("tight", 1), tight), result.CannotFinishInTime)
+	fair := callWork(3)
+	fair.RemainingMs = uint32((callTime + 2*bodyDelay).Milliseconds())
+	require.Equal(t, []string{"fair.1"}, offeredIDs(b.reserve(entryA, id("fair", 1), fair)))
+}
--- a/gate/order.go
+++ b/gate/order.go
@@ -214,12 +214,13 @@
 	return !a.deadline.IsZero() && !g.now.Before(a.deadline)
 }
 
-// misses tells whether an attempt that starts after a wait is predicted to end after its deadline.
+// misses tells whether an attempt that starts after a wait is predicted to end after its deadline. The answer has to
+// get to the entry as well: without the time for that, calls end in time here and late there.
 func (g *Gate) misses(a *attempt, wait time.Duration) bool {
 	if a.deadline.IsZero() {
 		return false
 	}
-	return g.now.Add(wait + g.predict(a.work)).After(a.deadline)
+	return g.now.Add(wait + g.predict(a.work) + g.ahead.mean).After(a.deadline)
 }
 
 // attemptHeap orders attempts by deadline and arrival, for container/heap.
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -168,6 +168,7 @@
 		r.class.service.add(took.Microseconds())
 	} else {
 		r.class.outputs.add(int64(end.GetOutputTokens()))
+		r.class.runs.add(took.Milliseconds())
 	}
 	if a.first == 0 {
 		a.server.pace.add(took, a.plain)
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -81,9 +81,19 @@
 	q.head = 0
 }
 
-// first returns the first request that the present walk hasn't passed over, or nil.
-func (q *run) first(mark uint64) *request {
-	for _, r := range q.live() {
+// first returns the first request of rank cut or later that the present walk hasn't passed over, or else the first
+// of all that it hasn't, or nil.
+func (q *run) first(mark uint64, cut time.Time) *request {
+	live := q.live()
+	at, _ := slices.BinarySearchFunc(live, cut, func(r *request, cut time.Time) int { return r.rank.Compare(cut) })
+	if r := firstOf(live[at:], mark); r != nil {
+		return r
+	}
+	return firstOf(live[:at], mark)
+}
+
+func firstOf(requests []*request, mark uint64) *request {
+	for _, r := range requests {
 		if r.mark != mark {
 			return r
 		}
@@ -118,16 +128,32 @@
 	return len(l.plain.live()) == 0 && len(l.reserved.live()) == 0
 }
 
-func (l *lane) first(mark uint64, plainOnly bool) *request {
-	a := l.plain.first(mark)
+// first returns the lane's best request: of those that can still be in time the one with the earliest deadline.
+func (l *lane) first(now time.Time, mark uint64, plainOnly bool) *request {
+	cut := l.class.class.cut(now)
+	a := l.plain.first(mark, cut)
 	if plainOnly {
 		return a
 	}
-	b := l.reserved.first(mark)
-	if a == nil || (b != nil && before(b, a)) {
+	return sooner(a, l.reserved.first(mark, cut), cut)
+}
+
+// sooner returns the one of two requests that goes first: one that can still be in time, then the earlier deadline.
+func sooner(a, b *request, cut time.Time) *request {
+	switch {
+	case a == nil:
 		return b
+	case b == nil:
+		return a
+	case a.rank.Before(cut) && !b.rank.Before(cut):
+		return b
+	case b.rank.Before(cut) && !a.rank.Before(cut):
+		return a
+	case before(b, a):
+		return b
+	default:
+		return a
 	}
-	return a
 }
 
 func (l *lane) last() *request {
@@ -186,7 +212,7 @@
 	var best place
 	earliest := time.Time{}
 	for _, l := range c.lanes {
-		r := l.first(mark, plainOnly)
+		r := l.first(now, mark, plainOnly)
 		if r == nil {
 			continue
 		}
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -56,6 +56,11 @@
 
 // renewReservations sends the reservations again, and makes up for those at servers that left.
 func (s *Scheduler) renewReservations(r *request) {
+	if s.yields(r) {
+		s.withdrawAll(r)
+		s.afterLosing(r)
+		return
+	}
 	r.reservedAt = s.now
 	s.topUp(r)
 	for _, res := range r.reservations {
@@ -63,6 +68,17 @@
 	}
 }
 
+// yields tells whether a request that will be late gives its reservations to one of its lane that may still be in time.
+// How many requests have reservations is bounded: those that are late would keep the others from the gates.
+func (s *Scheduler) yields(r *request) bool {
+	if r.lane == nil || !r.mayBeLate {
+		return false
+	}
+	cut := r.class.cut(s.now)
+	last := r.lane.plain.last()
+	return r.rank.Before(cut) && last != nil && !last.rank.Before(cut)
+}
+
 func (s *Scheduler) topUp(r *request) {
 	want := s.reservationCount(r)
 	if len(r.reservations) >= want {
--- a/sched/urgency.go
+++ b/sched/urgency.go
@@ -35,6 +35,7 @@
 	window  window
 	outputs *quantiles // tokens
 	service *quantiles // microseconds of a service call
+	runs    *quantiles // milliseconds of a model's run
 	base    float64    // used share of the targets, 0..1, as of baseAt
 	baseAt  time.Time
 }
@@ -43,7 +44,7 @@
 func (s *Scheduler) classFor(spec *wire.Class) *class {
 	c := s.classes[spec.GetName()]
 	if c == nil {
-		c = &class{name: spec.GetName(), spec: spec, outputs: newQuantiles(), service: newQuantiles()}
+		c = &class{name: spec.GetName(), spec: spec, outputs: newQuantiles(), service: newQuantiles(), runs: newQuantiles()}
 		s.classes[c.name] = c
 	}
 	if spec.GetVersion() > c.spec.GetVersion() {
@@ -82,6 +83,18 @@
 	return c.GetLateMax() > 0 && c.GetLateMax() >= lateOverLost*c.GetLostMax()
 }
 
+// cut is the deadline before which a request of the class is probably late even if it starts now; zero for a class that
+// doesn't wait past its deadline.
+//
+// Without it a class that may be late but not lost is served by deadline alone: under overload those that are late
+// already go first for ever, and none is in time.
+func (c *class) cut(now time.Time) time.Time {
+	if !mayBeLate(c.spec) {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(c.runs.value(c.predicted().Milliseconds())) * time.Millisecond)
+}
+
 // Sliding window.
 const (
 	windowSlots = 12
