control: a poll is answered within half a second, confirmed or not

Cause: while a leader was dead, followers kept polls waiting for up to two rounds of a second each; to an entry with a bound of 2 s they looked as silent as the leader, a majority looked silent, and it refused calls during the election. Ruled out: shorter rounds for all reads, which fail an operator's read that waits for a follower to catch up. Conclusion: the answer says that nothing is confirmed; that the instance is alive is known in time.

--- a/control/session.go
+++ b/control/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -87,13 +88,27 @@
 	}
 }
 
+// pollTimeout is after which a poll is answered without a confirmation.
+//
+// Clients poll each second and take an instance for silent whose last answer is to a poll of 2 s ago, by default. If a
+// follower kept its clients waiting for a dead leader, it would look as silent as the leader, and with a majority that
+// looks silent entries refuse calls during each election.
+const pollTimeout = 500 * time.Millisecond
+
 // poll asks for a confirmed read; its answer follows all updates that the read covers.
 func (s *session) poll(poll *wire.Poll) {
 	s.control.sessions.heard(s, poll)
 	s.report(poll.GetReport())
-	asked := s.control.reads.ask(func(confirmed bool) { s.fresh(poll, confirmed) })
+	var once sync.Once
+	answer := func(confirmed bool) { once.Do(func() { s.fresh(poll, confirmed) }) }
+	timer := time.AfterFunc(pollTimeout, func() { answer(false) })
+	asked := s.control.reads.ask(func(confirmed bool) {
+		timer.Stop()
+		answer(confirmed)
+	})
 	if !asked {
-		s.fresh(poll, false)
+		timer.Stop()
+		answer(false)
 	}
 }
 
--- a/control/sessions_test.go
+++ b/control/sessions_test.go
@@ -163,6 +163,37 @@
 	})
 }
 
+// Symptom: entries refuse calls for a moment whenever the leader dies. Sequence: the leader is cut off silently from all;
+// the other two are alive and elect a new one. Cause: their answers, which say that no quorum confirmed, came later than
+// the bound on silence, since they waited for the dead leader. Found by bench and by the rolling restart.
+func TestElectionCutsNoEntryOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, gateCheck())
+		c.startAll()
+		defer c.stopAll()
+		entry := session.New(session.Config{
+			Instance: "entry-1", Role: wire.Role_ROLE_ENTRY, Incarnation: 1, Zone: "zone-1", Controls: c.links(),
+			Network: c.net.Host(entryHost), SilenceBound: settings.DefaultEntry().Timing.CutOff,
+		})
+		ctx, cancel := context.WithCancel(c.ctx)
+		done := make(chan error, 1)
+		go func() { done <- entry.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		c.eventually("ready", func() bool { return entry.Ready() == nil })
+		leader := c.leader()
+		for _, n := range c.nodes {
+			if n != leader {
+				c.net.Cut(leader.host, n.host)
+			}
+		}
+		c.net.Cut(leader.host, entryHost)
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			require.NoError(t, entry.CutOff())
+		}
+	})
+}
+
 // Symptom: an order is lost with the leader, or done under an old fence.
 // Sequence: an order is committed and sent; the leader stops before the result; the agent reports to the next one.
 // Cause: orders that only the old leader's memory holds.
