--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,6 +32,8 @@
 	Now func() time.Time
 	// Policy is the scheduler's, for measurements.
 	Policy sched.Policy
+	// MaxOutstanding bounds the attempts at one server under a baseline policy, for measurements; 0 means the default.
+	MaxOutstanding int
 	// Seed starts the scheduler's random choices; 0 means the incarnation.
 	Seed uint64
 	// Control replaces the session with control, for tests.
@@ -194,6 +196,7 @@
 	}
 	return sched.Options{
 		Policy:           options.Policy,
+		MaxOutstanding:   options.MaxOutstanding,
 		Entry:            e.settings.Instance,
 		AvailabilityZone: e.settings.AvailabilityZone,
 		Seed:             seed,
--- a/experiment/deploy/instances.go
+++ b/experiment/deploy/instances.go
@@ -133,6 +133,8 @@
 		Log:     d.log,
 		Policy:  policies[d.options.Policy.Policy],
 		Seed:    d.plan.Seed + uint64(number) + 1,
+
+		MaxOutstanding: d.options.Policy.MaxOutstanding,
 	}
 }
 
