sched: reservations are spread over organisations, with a bound for each tier

Cause: an organisation is charged once a request of it is dispatched, so the one with the lowest tag took all reservations that an entry may have, and higher tiers filled the bound for all. The gates, which share by what waits there, saw nothing of the others.

--- a/sched/pool.go
+++ b/sched/pool.go
@@ -27,11 +27,11 @@
 type pool struct {
 	key      poolKey
 	tiers    [tierCount]tierQueue
-	servers  []*server // sorted by name
-	roomy    int       // servers that are ready and have room
-	ready    int       // servers that are ready
-	reserved int       // queued requests with reservations
-	live     int       // requests, queued or not
+	servers  []*server      // sorted by name
+	roomy    int            // servers that are ready and have room
+	ready    int            // servers that are ready
+	reserved [tierCount]int // queued requests with reservations, by tier
+	live     int            // requests, queued or not
 	dirty    bool
 	drain    rate // dispatches a second
 }
@@ -96,7 +96,7 @@
 	q := l.class.tier
 	l.part(r).remove(r)
 	if len(r.reservations) > 0 {
-		r.pool.reserved--
+		r.pool.reserved[r.tier]--
 	}
 	r.lane = nil
 	q.count--
@@ -181,15 +181,16 @@
 	}
 }
 
-// pumpReserve places reservations for the requests that are next. How many requests have some is bounded, so that
-// the messages and the gates' queues don't grow with a backlog; tier 1 isn't held back by the bound.
+// pumpReserve places reservations for the requests that are next. How many requests of a tier have some is bounded, so
+// that the messages and the gates' queues don't grow with a backlog; tier 1 isn't held back by the bound. The bound is
+// for each tier, so that a lower one can show the gates what its organisations want while a higher one waits.
 func (s *Scheduler) pumpReserve(p *pool, tier int) {
 	if p.ready == 0 {
 		return
 	}
 	s.mark++
 	passed := 0
-	for passed < maxPassed && (tier == 0 || p.reserved < s.reserveBound(p)) {
+	for passed < maxPassed && (tier == 0 || p.reserved[tier] < s.reserveBound(p)) {
 		r := p.tiers[tier].next(s.now, s.mark, true)
 		if r == nil {
 			return
@@ -202,7 +203,7 @@
 	}
 }
 
-// reserveBound is how many requests of the pool may have reservations.
+// reserveBound is how many requests of a tier of the pool may have reservations.
 func (s *Scheduler) reserveBound(p *pool) int {
 	return max(1, p.ready*s.options.ReservationsPerServer/s.options.Reservations)
 }
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -138,6 +138,13 @@
 	return sooner(a, l.reserved.first(mark, cut), cut)
 }
 
+// pending is about what the lane's requests with reservations will cost, in tokens, each like r. An organisation is charged
+// only once a request of it is dispatched: without this the one with the lowest tag would take all reservations there
+// may be, and the gates, which share between organisations by what waits there, wouldn't see the others.
+func (l *lane) pending(r *request) int64 {
+	return int64(l.reserved.length()) * (int64(r.PromptTokens) + int64(r.outputs) + 1)
+}
+
 // sooner returns the one of two requests that goes first: one that can still be in time, then the earlier deadline.
 func sooner(a, b *request, cut time.Time) *request {
 	switch {
@@ -220,6 +227,9 @@
 			earliest = r.Deadline
 		}
 		p := place{request: r, tag: c.tier.clock.Tag(l.organisation)}
+		if plainOnly {
+			p.tag += l.pending(r)
+		}
 		if best.request == nil || p.ahead(best) {
 			best = p
 		}
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -36,7 +36,7 @@
 func (s *Scheduler) setReservations(r *request, servers []*server) {
 	if r.lane != nil {
 		r.lane.part(r).remove(r)
-		r.pool.reserved -= min(len(r.reservations), 1)
+		r.pool.reserved[r.tier] -= min(len(r.reservations), 1)
 	}
 	r.reservations = r.reservations[:0]
 	for _, v := range servers {
@@ -45,7 +45,7 @@
 	}
 	if r.lane != nil {
 		r.lane.part(r).add(r)
-		r.pool.reserved += min(len(r.reservations), 1)
+		r.pool.reserved[r.tier] += min(len(r.reservations), 1)
 	}
 }
 
