gate: running answers count at the present pace before a long prompt starts

Cause: a long prompt was let in beside answers of a higher tier if those would end in time at the pace without prompts. Many prompts, each harmless by that pace, made them late.

--- a/gate/shield.go
+++ b/gate/shield.go
@@ -6,20 +6,22 @@
 // answers of higher tiers down. Without the bounds here those tiers are refused, because they can't finish in time at
 // that pace, while the low tier is served. One would notice by refusals of a tier whose lower tiers have goodput.
 
-// slowsHigher tells whether a long prompt would make a running answer of a higher tier late that is in time without it.
+// slowsHigher tells whether a long prompt would make a running answer of a higher tier late that can be in time without it.
+// How fast that answer goes on is taken from the present pace, which other prompts have a part in.
 func (g *Gate) slowsHigher(a *attempt) bool {
 	if a.work.GetService() || a.uncached() < leastJudged {
 		return false
 	}
 	prompts := g.pace.prefillTime(g.use.prefill + a.uncached())
 	quiet := g.pace.quietTime(len(g.runs) + 1)
+	present := g.pace.tokenTime(len(g.runs)+1, g.now)
 	for _, run := range g.runs {
 		if run.tier() >= a.tier() || run.deadline.IsZero() || run.state != running {
 			continue
 		}
-		left := max(int64(run.work.GetOutputTokens())-int64(run.run.tokens), 0)
-		slack := run.deadline.Sub(g.now) - time.Duration(left)*quiet
-		if slack > 0 && slack < prompts {
+		left := time.Duration(max(int64(run.work.GetOutputTokens())-int64(run.run.tokens), 0))
+		remaining := run.deadline.Sub(g.now)
+		if remaining > left*quiet && remaining < left*present+prompts {
 			return true
 		}
 	}
--- a/gate/shield_test.go
+++ b/gate/shield_test.go
@@ -46,3 +46,17 @@
 	draft := workOf(func(w *wire.Work) { w.OutputTokens, w.RemainingMs = 50, 5000 })
 	require.Empty(t, overs(b.reserve(entryB, id("draft", 1), draft), entryB))
 }
+
+func TestPresentPaceCountsForRunningAnswers(t *testing.T) {
+	// Symptom: drafts are late although no prompt was let in that would have made them late by itself.
+	// Sequence: prompts are computed one after the other beside the draft; each leaves it just enough time.
+	// Cause: the draft was taken to go on as fast as without any prompt.
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(8))
+	b.teach(20*time.Millisecond, 100)
+	b.start(entryA, id("draft", 1), workOf(func(w *wire.Work) { w.OutputTokens, w.RemainingMs = 50, 4000 }))
+	b.progress(id("draft", 1), "x")
+	b.gate.pace.gap, b.gate.pace.gapAt = 0.07, b.now
+	packet := workOf(func(w *wire.Work) { w.Tier, w.PromptTokens = 3, 8000 })
+	require.Empty(t, offeredIDs(b.reserve(entryA, id("packet", 1), packet)))
+	require.Equal(t, string(whyPace), b.gate.Status().Blocked)
+}
