settings: keys that nothing read are gone

Cause: timing.dial and weight_store were checked and documented, and changed nothing; whoever sets them would believe otherwise. A file that has them is refused by name.

--- a/settings/agent.go
+++ b/settings/agent.go
@@ -68,8 +68,6 @@
 	Tombstone time.Duration `json:"tombstone"`
 	// Drain is how long attempts in flight may take after SIGTERM or a leave. Default 10m.
 	Drain time.Duration `json:"drain"`
-	// Dial is how long one try to connect may take. Default 1s.
-	Dial time.Duration `json:"dial"`
 }
 
 func (*Agent) expectedRole() Role { return RoleAgent }
@@ -93,7 +91,6 @@
 			Offer:     time.Second,
 			Tombstone: 10 * time.Minute,
 			Drain:     10 * time.Minute,
-			Dial:      defaultDial,
 		},
 	}
 }
@@ -121,7 +118,6 @@
 	positive(c, "timing.offer", a.Timing.Offer)
 	positive(c, "timing.tombstone", a.Timing.Tombstone)
 	positive(c, "timing.drain", a.Timing.Drain)
-	positive(c, "timing.dial", a.Timing.Dial)
 	c.silence("timing.cut_off", a.Timing.CutOff, a.Timing.Heartbeat)
 }
 
--- a/settings/common.go
+++ b/settings/common.go
@@ -33,7 +33,6 @@
 	defaultCutOff    = 2 * time.Second
 	defaultDrain     = 30 * time.Second
 	defaultLease     = 2 * time.Second
-	defaultDial      = time.Second
 )
 
 // minHeartbeats is how many heartbeats must fit into a bound on silence.
--- a/settings/control.go
+++ b/settings/control.go
@@ -38,8 +38,6 @@
 	OrganisationsFile string `json:"organisations_file" settings:"path"`
 	// InitialClasses are the classes of a new quorum. Later changes come from operators only.
 	InitialClasses []Class `json:"initial_classes"`
-	// WeightStore bounds the load on the weight store.
-	WeightStore WeightStore `json:"weight_store"`
 	// TLS is for the links to other processes. Without it links are plain TCP.
 	TLS TLS `json:"tls"`
 	// OperatorTLS is for operators. Without it operators speak plain HTTP.
@@ -74,14 +72,6 @@
 	KeyDigests []string `json:"key_digests" settings:"required,digest"`
 }
 
-// WeightStore bounds the load on the weight store.
-type WeightStore struct {
-	// RateBytesPerS is the rate of all model loads together, in bytes a second. Default 1 GiB.
-	RateBytesPerS Size `json:"rate_per_s"`
-	// MaxLoads is how many loads may run at a time. Default 2.
-	MaxLoads int `json:"max_loads"`
-}
-
 // ControlTiming holds a control instance's intervals and bounds.
 type ControlTiming struct {
 	// Heartbeat is the interval between the leader's messages. Default 100ms.
@@ -94,8 +84,6 @@
 	KeyRecords time.Duration `json:"key_records"`
 	// Drain is how long calls in flight may take after SIGTERM. Default 30s.
 	Drain time.Duration `json:"drain"`
-	// Dial is how long one try to connect may take. Default 1s.
-	Dial time.Duration `json:"dial"`
 }
 
 func (*Control) expectedRole() Role { return RoleControl }
@@ -103,16 +91,14 @@
 // DefaultControl returns the settings that hold for keys a file leaves out.
 func DefaultControl() Control {
 	return Control{
-		Role:        RoleControl,
-		Log:         Log{Level: log.InfoLevel},
-		WeightStore: WeightStore{RateBytesPerS: GiB, MaxLoads: 2},
+		Role: RoleControl,
+		Log:  Log{Level: log.InfoLevel},
 		Timing: ControlTiming{
 			Heartbeat:    100 * time.Millisecond,
 			Election:     time.Second,
 			ServerExpire: 10 * time.Second,
 			KeyRecords:   24 * time.Hour,
 			Drain:        defaultDrain,
-			Dial:         defaultDial,
 		},
 	}
 }
@@ -134,13 +120,10 @@
 	c.classes(s.InitialClasses)
 	c.tlsFiles("tls", s.TLS)
 	c.tlsFiles("operator_tls", s.OperatorTLS)
-	positive(c, "weight_store.rate_per_s", s.WeightStore.RateBytesPerS)
-	positive(c, "weight_store.max_loads", s.WeightStore.MaxLoads)
 	positive(c, "timing.heartbeat", s.Timing.Heartbeat)
 	positive(c, "timing.server_expire", s.Timing.ServerExpire)
 	positive(c, "timing.key_records", s.Timing.KeyRecords)
 	positive(c, "timing.drain", s.Timing.Drain)
-	positive(c, "timing.dial", s.Timing.Dial)
 	c.silence("timing.election", s.Timing.Election, s.Timing.Heartbeat)
 }
 
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -69,8 +69,6 @@
 	Lease time.Duration `json:"lease"`
 	// Drain is how long requests in flight may take after SIGTERM. Default 30s.
 	Drain time.Duration `json:"drain"`
-	// Dial is how long one try to connect may take. Default 1s.
-	Dial time.Duration `json:"dial"`
 }
 
 func (*Entry) expectedRole() Role { return RoleEntry }
@@ -92,7 +90,6 @@
 			CutOff:    defaultCutOff,
 			Lease:     defaultLease,
 			Drain:     defaultDrain,
-			Dial:      defaultDial,
 		},
 	}
 }
@@ -114,7 +111,6 @@
 	positive(c, "limits.max_reservations", e.Limits.MaxReservations)
 	positive(c, "timing.heartbeat", e.Timing.Heartbeat)
 	positive(c, "timing.drain", e.Timing.Drain)
-	positive(c, "timing.dial", e.Timing.Dial)
 	c.silence("timing.cut_off", e.Timing.CutOff, e.Timing.Heartbeat)
 	c.silence("timing.lease", e.Timing.Lease, e.Timing.Heartbeat)
 }
