entry: counters are there at 0 before their first event

Cause: of the metrics that the contract names, a fresh entry showed only carawaypitch_config_version. Conclusion: what is known from the start, or with the classes, is declared.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -145,6 +145,7 @@
 		return nil, errors.Wrap(err, "entry")
 	}
 	e.meter.watch(e)
+	e.meter.declare(s.Organisations)
 	return e, nil
 }
 
--- a/entry/links.go
+++ b/entry/links.go
@@ -85,6 +85,7 @@
 			return err
 		}
 		e.log.WithField("version", view.ConfigVersion).Info("config_applied")
+		e.meter.declareClasses(view.Classes)
 	}
 	if err := e.tell(ctx, sched.Directory{Agents: sortedAgents(view)}); err != nil {
 		return err
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -171,6 +171,14 @@
 	retryDigest       = "answer_digest_mismatch"
 )
 
+// RetryReasons returns the labels of the counter Retries.
+func RetryReasons() []string {
+	return []string{
+		retryNeverStarted, retryReservation, retryFailed, retryCancelled, retryPreempted, retryLost, retryProved,
+		retryIncomplete, retryDigest,
+	}
+}
+
 func (s *Scheduler) countRetry(r *request, reason string) {
 	s.act(Count{Counter: Retries, Tier: r.Class.GetTier(), Class: r.Class.GetName(), Label: reason, Add: 1})
 }
