pause: a wait that a context cuts short stands once

Cause: agent, control, entry, experiment, link, session and operator each had their own copy; sched and state compared strings and numbers by hand where the standard library does.

--- a/agent/orders.go
+++ b/agent/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -140,7 +141,7 @@
 		if done || err != nil {
 			return err
 		}
-		if !pause(ctx, orderPoll) {
+		if !pause.For(ctx, orderPoll) {
 			return result.New(result.OrderExpired, "")
 		}
 	}
--- a/agent/release.go
+++ b/agent/release.go
@@ -1,6 +1,10 @@
 package agent
 
-import "context"
+import (
+	"context"
+
+	"github.com/carawaypitch/carawaypitch/pause"
+)
 
 // releaseDuty lets this incarnation show itself, to control and to entries, once the engines of all announced servers
 // are proved free of what earlier incarnations started.
@@ -9,9 +13,9 @@
 // elsewhere. One that showed itself while an engine still runs such an attempt would make two engines work on one
 // request. So it first waits for every living server's announcement, and then for all their gates.
 func (a *Agent) releaseDuty(ctx context.Context) error {
-	waits := pause(ctx, announceWindow)
+	waits := pause.For(ctx, announceWindow)
 	for waits && !a.isFree() {
-		waits = pause(ctx, releasePoll)
+		waits = pause.For(ctx, releasePoll)
 	}
 	if !waits {
 		return nil
--- a/agent/report.go
+++ b/agent/report.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/ring"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -69,7 +70,7 @@
 		}
 		r.meter.retried(retryReport)
 		r.log.WithField("request", c.GetRequest()).WithError(err).Warn("outcome_not_committed")
-		if !pause(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return
 		}
 		wait = min(2*wait, retryMax)
--- a/agent/server_list.go
+++ b/agent/server_list.go
@@ -6,6 +6,7 @@
 
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/pause"
 )
 
 // list asks the engine for its streams. The gate wants it when the server announces itself first: an engine may go on
@@ -32,7 +33,7 @@
 	if err != nil || anyRunning(streams) {
 		return streams, err
 	}
-	if !pause(ctx, settleTime) {
+	if !pause.For(ctx, settleTime) {
 		return nil, context.Cause(ctx)
 	}
 	return listOnce(ctx, client)
@@ -71,15 +72,3 @@
 	entry.Info("engine_listed")
 	s.step(now, gate.EngineListed{Streams: in.streams, Err: in.err})
 }
-
-// pause waits for d. It returns false if ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -34,7 +35,7 @@
 func (a *Agent) awaitDrained(ctx context.Context) bool {
 	end := time.Now().Add(a.settings.Timing.Drain)
 	for !a.isDrained() {
-		if time.Now().After(end) || !pause(ctx, drainPoll) {
+		if time.Now().After(end) || !pause.For(ctx, drainPoll) {
 			return false
 		}
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -254,15 +254,3 @@
 	}
 	return errors.Wrap(err, "control: operators")
 }
-
-// pause waits for d or the end of ctx. It returns false in the second case.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/control/peers.go
+++ b/control/peers.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/quorum"
 	"github.com/carawaypitch/carawaypitch/quorum/quorumpb"
 	"github.com/carawaypitch/carawaypitch/ring"
@@ -201,7 +202,7 @@
 			wait = peerRedialMin
 			l.peers.control.log.WithError(err).WithField("peer", l.instance).Warn("replica_link_lost")
 		}
-		if !pause(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return
 		}
 		wait = min(2*wait, peerRedialMax)
--- a/control/propose.go
+++ b/control/propose.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/quorum"
 	"github.com/carawaypitch/carawaypitch/quorum/replica"
 	"github.com/carawaypitch/carawaypitch/result"
@@ -105,7 +106,7 @@
 		if !result.Is(err, result.NotLeader) {
 			return res, err
 		}
-		if !pause(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			return nil, result.Wrap(err, result.ControlUnavailable, "no leader among the control instances").WithRan(result.RanNo)
 		}
 	}
--- a/control/reads.go
+++ b/control/reads.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/ring"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -128,7 +129,7 @@
 	round, replies := r.begin()
 	leader := r.control.leaderInstance()
 	if leader == "" || !r.control.peers.requestRead(leader, round) {
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 		return 0, false
 	}
 	select {
--- a/entry/config.go
+++ b/entry/config.go
@@ -4,8 +4,8 @@
 	"context"
 	"maps"
 	"slices"
-	"time"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -48,7 +48,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, versionWait)
 	defer cancel()
-	for pause(ctx, drainPoll) {
+	for pause.For(ctx, drainPoll) {
 		if e.view.Load().version >= e.wanted.Load() {
 			return nil
 		}
@@ -72,15 +72,3 @@
 	}
 	return nil
 }
-
-// pause waits for d or the end of ctx. It returns false in the second case.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/operation.go
+++ b/entry/operation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -34,7 +35,7 @@
 		if res.GetBegin() != wire.BeginOutcome_BEGIN_OUTCOME_OPEN {
 			return op.begun(ctx, res)
 		}
-		if !pause(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			out := stillOpen()
 			op.flight.decide(out)
 			return out
--- a/entry/operation_close.go
+++ b/entry/operation_close.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/state"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -124,7 +125,7 @@
 		if err == nil {
 			return res
 		}
-		pause(op.entry.base, wait)
+		pause.For(op.entry.base, wait)
 		wait = min(2*wait, pollMost)
 	}
 	return nil
--- a/entry/prove.go
+++ b/entry/prove.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -89,7 +90,7 @@
 // proofOf returns PROOF_CANCELLED if the engine confirms the end, PROOF_NEVER_STARTED if it will never see the attempt
 // any more, else PROOF_UNPROVEN.
 func (p *prover) proofOf(ctx context.Context, a sched.ProveAtEngine) wire.Proof {
-	gone := p.agentGone(ctx, a.Server) && pause(ctx, settleTime) && p.agentGone(ctx, a.Server)
+	gone := p.agentGone(ctx, a.Server) && pause.For(ctx, settleTime) && p.agentGone(ctx, a.Server)
 	said, err := p.cancelAtEngine(ctx, a)
 	switch {
 	case err != nil:
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -10,6 +10,7 @@
 	"github.com/carawaypitch/carawaypitch/experiment/load"
 	"github.com/carawaypitch/carawaypitch/experiment/plan"
 	"github.com/carawaypitch/carawaypitch/experiment/report"
+	"github.com/carawaypitch/carawaypitch/pause"
 )
 
 // Durations of a run.
@@ -75,7 +76,7 @@
 		cancel()
 	})
 	duties.Go(func() {
-		if pause(ctx, time.Until(o.measuredFrom())) {
+		if pause.For(ctx, time.Until(o.measuredFrom())) {
 			o.snapshot(&o.warm)
 		}
 	})
@@ -101,7 +102,7 @@
 	lastArrival := o.begin.Add(o.plan.Length())
 	end := lastArrival.Add(o.plan.Drain.Std())
 	next := o.begin
-	for pause(ctx, watchInterval) {
+	for pause.For(ctx, watchInterval) {
 		now := time.Now()
 		status := o.driver.Status()
 		if now.After(next) {
@@ -117,7 +118,7 @@
 
 // fault lets a fault begin and end at its times.
 func (o *one) fault(ctx context.Context, f plan.Fault) {
-	if !pause(ctx, time.Until(o.measuredFrom().Add(f.At.Std()))) {
+	if !pause.For(ctx, time.Until(o.measuredFrom().Add(f.At.Std()))) {
 		return
 	}
 	end, err := o.deployment.Begin(ctx, f)
@@ -128,7 +129,7 @@
 	if f.For == 0 {
 		return
 	}
-	pause(ctx, f.For.Std())
+	pause.For(ctx, f.For.Std())
 	o.noteFault(f, "ended", end())
 }
 
@@ -160,15 +161,3 @@
 		return ""
 	}
 }
-
-// pause returns false if ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/link/agent_dialer.go
+++ b/link/agent_dialer.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/carawaypitch/carawaypitch/network"
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -60,7 +61,7 @@
 		} else if d.Failed != nil {
 			d.Failed(err)
 		}
-		if !pause(ctx, d.jittered(wait)) {
+		if !pause.For(ctx, d.jittered(wait)) {
 			return context.Cause(ctx)
 		}
 		wait = min(2*wait, d.Timing.RedialMax)
--- a/link/entry_link.go
+++ b/link/entry_link.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/ring"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -137,7 +138,7 @@
 		l.fail(err)
 	}
 	if !errors.Is(err, ErrSilent) {
-		pause(l.ctx, l.server.Timing.Flush)
+		pause.For(l.ctx, l.server.Timing.Flush)
 	}
 	l.fail(err)
 }
--- a/link/pump.go
+++ b/link/pump.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/ring"
 )
 
@@ -118,7 +119,7 @@
 			cancel(ErrSilent)
 			return
 		}
-		if !pause(ctx, p.Silence-quiet) {
+		if !pause.For(ctx, p.Silence-quiet) {
 			return
 		}
 	}
--- a/link/serve.go
+++ b/link/serve.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/carawaypitch/carawaypitch/network"
+	"github.com/carawaypitch/carawaypitch/pause"
 )
 
 // acceptPause is the wait after a failed Accept, such as for want of file descriptors.
@@ -113,7 +114,7 @@
 			return nil
 		}
 		if isTemporary(err) {
-			pause(ctx, acceptPause)
+			pause.For(ctx, acceptPause)
 			continue
 		}
 		if err != nil {
@@ -169,15 +170,3 @@
 	var temporary interface{ Temporary() bool }
 	return errors.As(err, &temporary) && temporary.Temporary()
 }
-
-// pause waits for d or the end of ctx. It returns false in the second case.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/operator/client.go
+++ b/operator/client.go
@@ -18,6 +18,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/result"
 )
 
@@ -158,8 +159,8 @@
 	var last error
 	for round := range Rounds {
 		if round > 0 {
-			if err := pause(ctx, RoundPause); err != nil {
-				return err
+			if !pause.For(ctx, RoundPause) {
+				return ctx.Err()
 			}
 		}
 		for _, base := range c.controls {
@@ -175,17 +176,6 @@
 	return last
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // final tells whether another control instance would say the same.
 func final(err error) bool {
 	var coded *result.Error
--- a/operator/status.go
+++ b/operator/status.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/carawaypitch/carawaypitch/pause"
 )
 
 // Status is what a control instance knows of the deployment.
@@ -155,8 +157,8 @@
 		if inForce(status, version) {
 			return nil
 		}
-		if err := pause(ctx, waitPoll); err != nil {
-			return err
+		if !pause.For(ctx, waitPoll) {
+			return ctx.Err()
 		}
 	}
 }
--- /dev/null
+++ b/pause/pause_test.go
@@ -0,0 +1,24 @@
+package pause
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		require.True(t, For(context.Background(), time.Minute))
+		require.Equal(t, time.Minute, time.Since(start))
+
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		start = time.Now()
+		require.False(t, For(ctx, time.Minute))
+		require.Equal(t, time.Second, time.Since(start))
+	})
+}
--- a/sched/frames.go
+++ b/sched/frames.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -64,7 +65,7 @@
 		return
 	}
 	at, _ := slices.BinarySearchFunc(a.pending, f.GetOffset(), func(p *wire.Frame, offset uint64) int {
-		return compare(p.GetOffset(), offset)
+		return cmp.Compare(p.GetOffset(), offset)
 	})
 	a.pending = slices.Insert(a.pending, at, f)
 	a.heldBytes += size
@@ -198,14 +199,3 @@
 	}
 	return size
 }
-
-func compare(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -257,7 +258,7 @@
 
 func (t *tierQueue) lane(c *class, organisation string) *lane {
 	at, ok := slices.BinarySearchFunc(t.classes, c.name, func(q *classQueue, name string) int {
-		return compareString(q.class.name, name)
+		return cmp.Compare(q.class.name, name)
 	})
 	if !ok {
 		t.classes = slices.Insert(t.classes, at, &classQueue{class: c, tier: t})
@@ -275,7 +276,7 @@
 
 func (c *classQueue) search(organisation string) (int, bool) {
 	return slices.BinarySearchFunc(c.lanes, organisation, func(l *lane, name string) int {
-		return compareString(l.organisation, name)
+		return cmp.Compare(l.organisation, name)
 	})
 }
 
@@ -287,14 +288,3 @@
 		t.classes = slices.DeleteFunc(t.classes, func(c *classQueue) bool { return c == l.class })
 	}
 }
-
-func compareString(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/sched/rapid_test.go
+++ b/sched/rapid_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -67,7 +68,7 @@
 	if len(all) == 0 {
 		return nil
 	}
-	slices.SortFunc(all, func(x, y *modelAttempt) int { return compareString(key(x.id), key(y.id)) })
+	slices.SortFunc(all, func(x, y *modelAttempt) int { return cmp.Compare(key(x.id), key(y.id)) })
 	return rapid.SampledFrom(all).Draw(m.t, "attempt")
 }
 
--- a/sched/servers.go
+++ b/sched/servers.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -212,7 +213,7 @@
 
 func (p *pool) search(name string) (int, bool) {
 	return slices.BinarySearchFunc(p.servers, name, func(v *server, name string) int {
-		return compareString(v.name, name)
+		return cmp.Compare(v.name, name)
 	})
 }
 
@@ -284,10 +285,10 @@
 }
 
 func sortedOf(servers map[string]*server) []*server {
-	return slices.SortedFunc(maps.Values(servers), func(a, b *server) int { return compareString(a.name, b.name) })
+	return slices.SortedFunc(maps.Values(servers), func(a, b *server) int { return cmp.Compare(a.name, b.name) })
 }
 
 // sortedRequests returns the requests in order of arrival.
 func sortedRequests(set map[*request]struct{}) []*request {
-	return slices.SortedFunc(maps.Keys(set), func(a, b *request) int { return compare(a.sequence, b.sequence) })
+	return slices.SortedFunc(maps.Keys(set), func(a, b *request) int { return cmp.Compare(a.sequence, b.sequence) })
 }
--- a/sched/status.go
+++ b/sched/status.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -85,6 +86,6 @@
 			Class: c.name, Late: late, Lost: lost, LateMax: c.spec.GetLateMax(), LostMax: c.spec.GetLostMax(),
 		})
 	}
-	slices.SortFunc(all, func(a, b ClassStatus) int { return compareString(a.Class, b.Class) })
+	slices.SortFunc(all, func(a, b ClassStatus) int { return cmp.Compare(a.Class, b.Class) })
 	return all
 }
--- a/sched/takeover.go
+++ b/sched/takeover.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -126,6 +127,6 @@
 			waiting = append(waiting, r)
 		}
 	}
-	slices.SortFunc(waiting, func(a, b *request) int { return compare(a.sequence, b.sequence) })
+	slices.SortFunc(waiting, func(a, b *request) int { return cmp.Compare(a.sequence, b.sequence) })
 	return waiting
 }
--- a/sched/waiting.go
+++ b/sched/waiting.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -34,10 +35,10 @@
 		all = append(all, *w)
 	}
 	slices.SortFunc(all, func(a, b TargetWait) int {
-		if order := compareString(a.Kind, b.Kind); order != 0 {
+		if order := cmp.Compare(a.Kind, b.Kind); order != 0 {
 			return order
 		}
-		return compareString(a.Target, b.Target)
+		return cmp.Compare(a.Target, b.Target)
 	})
 	return all
 }
--- a/session/peer.go
+++ b/session/peer.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/ring"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -46,7 +47,7 @@
 			p.session.counters.linksLost.Inc()
 			p.session.cfg.Log.WithError(err).WithField("address", p.address).Warn("control_link_lost")
 		}
-		if !pause(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return
 		}
 		wait = min(2*wait, timing.RedialMax)
@@ -243,14 +244,3 @@
 	}
 	return err
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/session/propose.go
+++ b/session/propose.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -35,7 +36,7 @@
 			s.counters.unknown.Inc()
 			return nil, result.New(result.ProposalUnknown, "")
 		}
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 	if lost {
 		s.counters.unknown.Inc()
--- a/session/registration.go
+++ b/session/registration.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -119,7 +120,7 @@
 			s.supersede(ErrSuperseded)
 			return
 		}
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 		return
 	}
 	r := s.registration
--- a/state/directory.go
+++ b/state/directory.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/carawaypitch/carawaypitch/result"
@@ -69,13 +70,7 @@
 }
 
 func compareServers(a, b *wire.ServerRecord) int {
-	if a.GetServer() < b.GetServer() {
-		return -1
-	}
-	if a.GetServer() > b.GetServer() {
-		return 1
-	}
-	return 0
+	return cmp.Compare(a.GetServer(), b.GetServer())
 }
 
 // forgetLeft ends the draining of servers that the same incarnation of their agent lists no longer: they have left.
