--- a/entry/caps.go
+++ b/entry/caps.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -10,22 +11,25 @@
 )
 
 const (
+	// capSlots is how many slots a window is counted in. One more or less of them is a thirtieth of the cap.
+	capSlots = 33
 	// capSourceBound is how long the control instance whose counts are followed may be silent until another one's are.
 	capSourceBound = 1500 * time.Millisecond
 	// capRateGain is the weight of the newest difference in the rate that is assumed of the other entries.
 	capRateGain = 0.5
-	// capReportPart is the part of a burst that may be used here untold while the cap is nearly used up. All entries
-	// together then overrun the cap by their number times this part at most.
-	capReportPart = 0.01
-	// capNear is the part of the burst below which the cap counts as nearly used up.
-	capNear = 0.5
+	// capReportPart is the part of a cap that may be used here untold while the cap is nearly used up. All entries
+	// together then overrun it by their number times this part at most.
+	capReportPart = 0.005
+	// capNear is the used part of a cap from which on it counts as nearly used up.
+	capNear = 0.6
 	// capReportGap is the least time between two such words to control, which bounds what they cost.
 	capReportGap = 100 * time.Millisecond
 )
 
 // usageCaps holds the caps of all organisations, also over changes of the desired state.
 type usageCaps struct {
-	now func() time.Time
+	now    func() time.Time
+	window time.Duration
 
 	mu     sync.Mutex
 	byName map[string]*usageCap
@@ -33,35 +37,35 @@
 	heard  time.Time // from it
 }
 
-func newUsageCaps(now func() time.Time) *usageCaps {
-	return &usageCaps{now: now, byName: make(map[string]*usageCap)}
+func newUsageCaps(now func() time.Time, window time.Duration) *usageCaps {
+	return &usageCaps{now: now, window: window, byName: make(map[string]*usageCap)}
 }
 
-// usageCap is one organisation's cap as this entry sees it: a token bucket for the whole deployment. What is used here
-// is taken from it at once; what is used at other entries is taken as control tells it, and assumed to go on at the
-// same rate until control tells again.
+// usageCap is one organisation's cap as this entry sees it: in any window, no more than the rate times the window plus
+// the burst is used in the whole deployment. What is used here counts at once; what is used at other entries counts as
+// control tells it, and is assumed to go on at the same rate until control tells again.
 //
-// Each entry holds the whole bucket and not a part of it, because callers spread unevenly: with parts, an organisation
-// is refused at a busy entry while others have room. What the others used in the last moments can be missed, but it is
-// taken later, so that the overrun stays as small as what is used between two words of control. An entry that is cut
-// off goes on with the rate of the others that it knew last.
+// Each entry counts for the whole deployment and has no part of the cap of its own, because callers spread unevenly:
+// with parts, an organisation is refused at a busy entry while others have room. What the others used in the last
+// moments can be missed, but it counts later, so that the overrun stays as small as what is used between two words of
+// control. An entry that is cut off goes on with the rate of the others that it knew last.
 type usageCap struct {
-	now func() time.Time
+	now    func() time.Time
+	window time.Duration
 
 	mu         sync.Mutex
-	rate       float64 // a second
-	burst      float64
-	level      float64 // left; below zero when too much was used
-	filled     time.Time
-	used       uint64 // here, since the start
-	credit     uint64 // given back, and not yet taken off used
-	told       uint64 // of used, to control
+	rate       float64           // a second
+	burst      float64           // in a window, beyond the rate
+	slots      [capSlots]float64 // use by time, here and as told of others
+	turn       int64             // of the newest slot
+	used       uint64            // here, since the start
+	credit     uint64            // given back, and not yet taken off used
+	told       uint64            // of used, to control
 	toldAt     time.Time
 	others     uint64 // used elsewhere, as told last by the source
 	known      bool   // others was told
 	othersAt   time.Time
 	othersRate float64 // a second
-	assumed    float64 // taken for others since othersAt
 }
 
 // of returns the cap of an organisation with its rate and burst as they are now, nil if it has none.
@@ -74,7 +78,7 @@
 	}
 	u := c.byName[spec.GetName()]
 	if u == nil {
-		u = &usageCap{now: c.now, level: float64(spec.GetBurst())}
+		u = &usageCap{now: c.now, window: c.window}
 		c.byName[spec.GetName()] = u
 	}
 	u.set(float64(spec.GetRatePerS()), float64(spec.GetBurst()))
@@ -120,20 +124,41 @@
 func (u *usageCap) set(rate, burst float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.fill()
 	u.rate, u.burst = rate, burst
-	u.level = min(u.level, burst)
 }
 
-// fill lets time pass: the bucket fills, and the others go on as they did.
-func (u *usageCap) fill() {
-	now := u.now()
-	if !u.filled.IsZero() && now.After(u.filled) {
-		passed := now.Sub(u.filled).Seconds()
-		u.level = min(u.level+(u.rate-u.othersRate)*passed, u.burst)
-		u.assumed += u.othersRate * passed
+// step is the time that one slot stands for. The slots reach one step further back than the window, so that what was
+// used early in the oldest one still counts.
+func (u *usageCap) step() time.Duration { return u.window / (capSlots - 1) }
+
+func (u *usageCap) limit() float64 { return u.rate*u.window.Seconds() + u.burst }
+
+// slot returns the present slot, after those that the window has left behind were emptied.
+func (u *usageCap) slot() *float64 {
+	turn := u.now().UnixNano() / int64(u.step())
+	for i := max(u.turn+1, turn-capSlots+1); i <= turn; i++ {
+		u.slots[i%capSlots] = 0
+	}
+	u.turn = max(u.turn, turn)
+	return &u.slots[u.turn%capSlots]
+}
+
+// sum is what counts as used in the window that ends now.
+func (u *usageCap) sum() float64 {
+	u.slot()
+	total := u.assumed()
+	for _, used := range u.slots {
+		total += used
+	}
+	return total
+}
+
+// assumed is what the others have probably used since control told last.
+func (u *usageCap) assumed() float64 {
+	if !u.known {
+		return 0
 	}
-	u.filled = now
+	return u.othersRate * min(u.now().Sub(u.othersAt), u.window).Seconds()
 }
 
 // takeOthers replaces what was assumed of the others by what they used. The first count of another source only says
@@ -141,36 +166,42 @@
 func (u *usageCap) takeOthers(used uint64, isNew bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.fill()
+	now := u.now()
 	if u.known && !isNew && used >= u.others {
 		difference := float64(used - u.others)
-		u.level = min(u.level+u.assumed-difference, u.burst)
-		if passed := u.filled.Sub(u.othersAt).Seconds(); passed > 0 {
+		*u.slot() += difference
+		if passed := now.Sub(u.othersAt).Seconds(); passed > 0 {
 			u.othersRate += capRateGain * (difference/passed - u.othersRate)
 		}
 	}
-	u.others, u.known = used, true
-	u.othersAt, u.assumed = u.filled, 0
+	u.others, u.known, u.othersAt = used, true, now
 }
 
-// take admits a request of so many units, or returns after which time it could be. The last admitted request may take
-// the bucket below empty, which later ones make good: otherwise one above the bucket's size could never be admitted.
+// take admits a request of so many units, or returns after which time it could be. One above the whole limit is admitted
+// when nothing else was.
 func (u *usageCap) take(units uint64) (wait time.Duration, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.fill()
-	if u.level > 0 {
-		u.level -= float64(units)
-		spared := min(u.credit, units)
-		u.credit -= spared
-		u.used += units - spared
-		return 0, true
+	sum := u.sum()
+	if sum > 0 && sum+float64(units) > u.limit() {
+		return u.wait(sum + float64(units) - u.limit()), false
 	}
-	fills := max(u.rate-u.othersRate, u.rate*capReportPart)
-	if fills <= 0 {
-		return time.Second, false
+	*u.slot() += float64(units)
+	spared := min(u.credit, units)
+	u.credit -= spared
+	u.used += units - spared
+	return 0, true
+}
+
+// wait is after which time so much of what counts now will have left the window, if nothing is added.
+func (u *usageCap) wait(excess float64) time.Duration {
+	for i := int64(1); i < capSlots; i++ {
+		excess -= u.slots[(u.turn+i)%capSlots]
+		if excess <= 0 {
+			return time.Duration(i) * u.step()
+		}
 	}
-	return time.Duration((1 - u.level) / fills * float64(time.Second)), false
+	return u.window
 }
 
 // giveBack takes back what a request took that was refused after all. What control is told only rises, so it is made good
@@ -178,18 +209,29 @@
 func (u *usageCap) giveBack(units uint64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.fill()
-	u.level = min(u.level+float64(units), u.burst)
+	slot := u.slot()
+	*slot = max(*slot-float64(units), 0)
 	u.credit += units
 }
 
+// String tells what the cap goes by, for people.
+func (u *usageCap) String() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return fmt.Sprintf("%.0f of %.0f used in %s; others use %.0f a second, told %s ago",
+		u.sum(), u.limit(), u.window, u.othersRate, u.now().Sub(u.othersAt).Round(time.Millisecond))
+}
+
 // isUrgent tells whether control should hear of the use here before the next poll: the cap is nearly used up, and much
 // of it here.
 func (u *usageCap) isUrgent() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	untold := float64(u.used - u.told)
-	return u.level < capNear*u.burst && untold > capReportPart*u.burst && u.now().Sub(u.toldAt) >= capReportGap
+	if untold <= capReportPart*u.limit() || u.now().Sub(u.toldAt) < capReportGap {
+		return false
+	}
+	return u.sum() > capNear*u.limit()
 }
 
 // tell returns what was used here, and notes that control is told.
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -124,13 +124,15 @@
 // refuseCall counts and logs a refusal of the entry itself.
 func (e *Entry) refuseCall(call *Call, admission *Admission, err *result.Error) *result.Error {
 	var tier uint32
-	route := ""
+	route, organisation := "", ""
 	if admission != nil {
+		organisation = admission.member.GetName()
 		tier = admission.route.class(admission.member).GetTier()
 		route = admission.route.GetName()
 	}
 	e.meter.refused(err.Code, tier)
 	e.log.WithField("request", call.ID).
+		WithField("organisation", organisation).
 		WithField("route", route).
 		WithField("desired", e.view.Load().routing.versionOrZero()).
 		WithField("config", e.view.Load().version).
@@ -161,7 +163,7 @@
 	if ok {
 		return nil
 	}
-	return result.New(result.OverUsageCap, "").WithRetryAfter(wait)
+	return result.New(result.OverUsageCap, "%s", m.cap).WithRetryAfter(wait)
 }
 
 // giveBack returns what a call took that has not run.
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -67,6 +67,9 @@
 	CutOff time.Duration `json:"cut_off"`
 	// Lease is how long an agent goes on with an attempt that isn't renewed. Default 2s.
 	Lease time.Duration `json:"lease"`
+	// UsageWindow is the time over which usage caps hold: in any such time an organisation may use its rate times this,
+	// and its burst. Default 8s.
+	UsageWindow time.Duration `json:"usage_window"`
 	// Leave is how long requests are still taken after SIGTERM, while the process says that it isn't ready, so that a
 	// balancer has time to notice. Default 0s.
 	Leave time.Duration `json:"leave"`
@@ -93,6 +96,8 @@
 			CutOff:    defaultCutOff,
 			Lease:     defaultLease,
 			Drain:     defaultDrain,
+
+			UsageWindow: 8 * time.Second,
 		},
 	}
 }
@@ -114,6 +119,7 @@
 	positive(c, "limits.max_reservations", e.Limits.MaxReservations)
 	positive(c, "timing.heartbeat", e.Timing.Heartbeat)
 	positive(c, "timing.drain", e.Timing.Drain)
+	positive(c, "timing.usage_window", e.Timing.UsageWindow)
 	c.silence("timing.cut_off", e.Timing.CutOff, e.Timing.Heartbeat)
 	c.silence("timing.lease", e.Timing.Lease, e.Timing.Heartbeat)
 }
