--- a/entry/caps.go
+++ b/entry/caps.go
@@ -7,12 +7,17 @@
 	"sync"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/settings"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
 const (
 	// capSlots is how many slots a window is counted in. One more or less of them is a thirtieth of the cap.
 	capSlots = 33
+	// capDoubt is the part of the tolerated overrun up to which a request gets the benefit of the doubt: what other entries
+	// used lately is known late or assumed, and a refusal within the cap is the worse mistake. The rest of the overrun
+	// covers what they use between two words of control.
+	capDoubt = 0.6
 	// capSourceBound is how long the control instance whose counts are followed may be silent until another one's are.
 	capSourceBound = 1500 * time.Millisecond
 	// capRateGain is the weight of the newest difference in the rate that is assumed of the other entries.
@@ -28,8 +33,10 @@
 
 // usageCaps holds the caps of all organisations, also over changes of the desired state.
 type usageCaps struct {
-	now    func() time.Time
-	window time.Duration
+	now       func() time.Time
+	window    time.Duration
+	overrun   float64 // tolerated share beyond a cap
+	allowance float64 // tolerated units beyond that
 
 	mu     sync.Mutex
 	byName map[string]*usageCap
@@ -37,8 +44,14 @@
 	heard  time.Time // from it
 }
 
-func newUsageCaps(now func() time.Time, window time.Duration) *usageCaps {
-	return &usageCaps{now: now, window: window, byName: make(map[string]*usageCap)}
+func newUsageCaps(now func() time.Time, s settings.Entry) *usageCaps {
+	return &usageCaps{
+		now:       now,
+		window:    s.Timing.UsageWindow,
+		overrun:   capDoubt * s.Limits.UsageOverrun,
+		allowance: capDoubt * float64(s.Limits.UsageAllowance),
+		byName:    make(map[string]*usageCap),
+	}
 }
 
 // usageCap is one organisation's cap as this entry sees it: in any window, no more than the rate times the window plus
@@ -50,8 +63,9 @@
 // moments can be missed, but it counts later, so that the overrun stays as small as what is used between two words of
 // control. An entry that is cut off goes on with the rate of the others that it knew last.
 type usageCap struct {
-	now    func() time.Time
-	window time.Duration
+	now                func() time.Time
+	window             time.Duration
+	overrun, allowance float64
 
 	mu         sync.Mutex
 	rate       float64           // a second
@@ -78,7 +92,7 @@
 	}
 	u := c.byName[spec.GetName()]
 	if u == nil {
-		u = &usageCap{now: c.now, window: c.window}
+		u = &usageCap{now: c.now, window: c.window, overrun: c.overrun, allowance: c.allowance}
 		c.byName[spec.GetName()] = u
 	}
 	u.set(float64(spec.GetRatePerS()), float64(spec.GetBurst()))
@@ -131,7 +145,10 @@
 // used early in the oldest one still counts.
 func (u *usageCap) step() time.Duration { return u.window / (capSlots - 1) }
 
-func (u *usageCap) limit() float64 { return u.rate*u.window.Seconds() + u.burst }
+// limit is how much may count as used in a window when a request is admitted.
+func (u *usageCap) limit() float64 {
+	return (u.rate*u.window.Seconds()+u.burst)*(1+u.overrun) + u.allowance
+}
 
 // slot returns the present slot, after those that the window has left behind were emptied.
 func (u *usageCap) slot() *float64 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -143,7 +143,7 @@
 		meter:       newMeter(),
 		inputs:      ring.New[input]("scheduler", inputRing),
 		calls:       newCalls(),
-		caps:        newUsageCaps(options.Now, s.Timing.UsageWindow),
+		caps:        newUsageCaps(options.Now, s),
 		slots:       make(chan struct{}, maxBackground),
 	}
 	for _, organisation := range s.Organisations {
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/carawaypitch/carawaypitch/result"
 )
 
 // Entry is the settings of an entry instance.
@@ -55,6 +57,10 @@
 	MaxQueued int `json:"max_queued"`
 	// MaxQueuedBytes bounds the bodies of all waiting requests, in bytes. Default 256 MiB.
 	MaxQueuedBytes Size `json:"max_queued_bytes"`
+	// UsageOverrun and UsageAllowance are what the deployment's contract tolerates beyond a usage cap: a share of the
+	// cap, and units on top. Default 0 and 0.
+	UsageOverrun   float64 `json:"usage_overrun"`
+	UsageAllowance uint64  `json:"usage_allowance"`
 	// MaxReservations is with how many agents one request waits at a time. Default 3.
 	MaxReservations int `json:"max_reservations"`
 }
@@ -117,6 +123,9 @@
 	positive(c, "limits.max_queued", e.Limits.MaxQueued)
 	positive(c, "limits.max_queued_bytes", e.Limits.MaxQueuedBytes)
 	positive(c, "limits.max_reservations", e.Limits.MaxReservations)
+	if e.Limits.UsageOverrun < 0 {
+		c.add(result.SettingsOutOfRange, "limits.usage_overrun", "want a share of at least 0, got %g", e.Limits.UsageOverrun)
+	}
 	positive(c, "timing.heartbeat", e.Timing.Heartbeat)
 	positive(c, "timing.drain", e.Timing.Drain)
 	positive(c, "timing.usage_window", e.Timing.UsageWindow)
