sched, state, agent: retries within the platform's budget; a server that started again supersedes its predecessor

Announcements now supersede by address, an agent that hears 421 drops the name, and each entry keeps a share of the budget.

--- a/agent/server_runs.go
+++ b/agent/server_runs.go
@@ -65,6 +65,10 @@
 		Err:         in.err,
 		ContentType: r.answerType(),
 	})
+	if errors.Is(in.err, engine.ErrReplaced) && !s.leaving.asked {
+		// The server is gone, whatever the directory still says: nothing more may go to its address in its name.
+		leaveAsked{reason: "replaced"}.apply(s, now)
+	}
 	// A service's call can't be cancelled, so no later proof is to be had.
 	if proven(in.err) || r.service {
 		s.forget(r)
--- a/control/session.go
+++ b/control/session.go
@@ -99,7 +99,7 @@
 func (s *session) poll(poll *wire.Poll) {
 	s.control.sessions.heard(s, poll)
 	s.report(poll.GetReport())
-	others := s.control.usage.take(s.usageKey(), poll.GetUsage(), time.Now())
+	others := s.control.usage.take(s.usageKey(), poll, time.Now())
 	var once sync.Once
 	answer := func(confirmed bool) { once.Do(func() { s.fresh(poll, confirmed, others) }) }
 	timer := time.AfterFunc(pollTimeout, func() { answer(false) })
@@ -113,7 +113,7 @@
 	}
 }
 
-func (s *session) fresh(poll *wire.Poll, confirmed bool, others []*wire.OtherUsage) {
+func (s *session) fresh(poll *wire.Poll, confirmed bool, others []*wire.Usage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pushLocked(newUpdateCache(s.control.machine))
--- a/control/usage.go
+++ b/control/usage.go
@@ -1,70 +1,89 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
-// usageForgotten is how long an entry may say nothing until its counts are dropped. A later word of it begins anew.
-const usageForgotten = time.Minute
+// usageRateStale is how long an entry that says nothing is assumed to go on at its rate.
+const usageRateStale = 3 * time.Second
 
 // usage adds up what organisations use at the entries, and tells each entry what the others have used. It isn't
-// replicated: each control instance adds up what entries tell it, and an entry goes by the differences that one
-// instance gives it.
+// replicated: each control instance goes by what entries tell it with their polls. An entry's word is whole each time,
+// so an instance that has just started knows all within one round of polls.
 type usage struct {
 	mu      sync.Mutex
-	total   map[string]uint64 // by organisation, since this instance began
 	entries map[incarnation]*entryUsage
 }
 
-// entryUsage is what one entry told.
+// entryUsage is what one entry told last.
 type entryUsage struct {
-	heard time.Time
-	last  map[string]uint64 // as told last, by organisation
-	added map[string]uint64 // part of the total
+	at     time.Time
+	window time.Duration
+	told   map[string]*wire.Usage // by organisation
 }
 
 func newUsage() *usage {
-	return &usage{total: make(map[string]uint64), entries: make(map[incarnation]*entryUsage)}
+	return &usage{entries: make(map[incarnation]*entryUsage)}
 }
 
 func (s *session) usageKey() incarnation {
 	return incarnation{s.client.instance, s.hello.GetIncarnation()}
 }
 
-// take adds what an entry has used since it told last, and returns what others have used. What an entry used before its
-// first word here isn't added: other instances may have told of it already.
-func (u *usage) take(from incarnation, told []*wire.Usage, now time.Time) []*wire.OtherUsage {
-	if len(told) == 0 {
+// take notes what an entry has used and returns what others have used, its own earlier incarnations too: what they
+// admitted counts against the same cap.
+func (u *usage) take(from incarnation, poll *wire.Poll, now time.Time) []*wire.Usage {
+	if len(poll.GetUsage()) == 0 {
 		return nil
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	entry := &entryUsage{
+		at:     now,
+		window: time.Duration(poll.GetUsageWindowMs()) * time.Millisecond,
+		told:   make(map[string]*wire.Usage, len(poll.GetUsage())),
+	}
+	for _, one := range poll.GetUsage() {
+		entry.told[one.GetOrganisation()] = one
+	}
+	u.entries[from] = entry
 	u.forget(now)
-	entry := u.entries[from]
-	if entry == nil {
-		entry = &entryUsage{last: make(map[string]uint64), added: make(map[string]uint64)}
-		u.entries[from] = entry
+	others := make([]*wire.Usage, 0, len(entry.told))
+	for _, name := range slices.Sorted(maps.Keys(entry.told)) {
+		others = append(others, u.others(from, name, now))
 	}
-	entry.heard = now
-	others := make([]*wire.OtherUsage, 0, len(told))
-	for _, one := range told {
-		name := one.GetOrganisation()
-		if last, known := entry.last[name]; known && one.GetUsed() > last {
-			u.total[name] += one.GetUsed() - last
-			entry.added[name] += one.GetUsed() - last
+	return others
+}
+
+// others adds up what all but one incarnation used of an organisation's cap. What an entry told a while ago leaves the
+// window evenly.
+func (u *usage) others(but incarnation, organisation string, now time.Time) *wire.Usage {
+	sum := &wire.Usage{Organisation: organisation}
+	for from, entry := range u.entries {
+		one := entry.told[organisation]
+		if from == but || one == nil {
+			continue
+		}
+		age := now.Sub(entry.at)
+		left := 1 - age.Seconds()/entry.window.Seconds()
+		sum.Used += uint64(float64(one.GetUsed()) * left)
+		if age < usageRateStale {
+			sum.Used += uint64(float64(one.GetRate()) * age.Seconds())
+			sum.Rate += one.GetRate()
 		}
-		entry.last[name] = one.GetUsed()
-		others = append(others, &wire.OtherUsage{Organisation: name, Used: u.total[name] - entry.added[name]})
 	}
-	return others
+	return sum
 }
 
+// forget drops entries whose use has left the window.
 func (u *usage) forget(now time.Time) {
 	for from, entry := range u.entries {
-		if now.Sub(entry.heard) > usageForgotten {
+		if now.Sub(entry.at) >= entry.window {
 			delete(u.entries, from)
 		}
 	}
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -27,6 +27,10 @@
 	// ErrIncomplete: what the engine sent stopped before its end, such as a
 	// stream without "[DONE]". It comes together with ErrUnknown.
 	ErrIncomplete = errors.New("ended before its end")
+	// ErrReplaced: another backend server has the address and refused the
+	// request that was meant for its predecessor. It comes together with
+	// ErrNeverSent.
+	ErrReplaced = errors.New("another server has the address")
 	// ErrInvalid: the request can't be sent as it is, such as a model body
 	// that is no JSON object. It comes together with ErrNeverSent.
 	ErrInvalid = errors.New("invalid request")
--- a/entry/caps.go
+++ b/entry/caps.go
@@ -18,10 +18,10 @@
 	// used lately is known late or assumed, and a refusal within the cap is the worse mistake. The rest of the overrun
 	// covers what they use between two words of control.
 	capDoubt = 0.6
-	// capSourceBound is how long the control instance whose counts are followed may be silent until another one's are.
-	capSourceBound = 1500 * time.Millisecond
-	// capRateGain is the weight of the newest difference in the rate that is assumed of the other entries.
-	capRateGain = 0.5
+	// capRateSlots is over how many slots the rate of late is taken: a second of an eight seconds' window.
+	capRateSlots = 4
+	// capWordBound is the age up to which a control instance's word counts beside newer ones of others.
+	capWordBound = 1500 * time.Millisecond
 	// capReportPart is the part of a cap that may be used here untold while the cap is nearly used up. All entries
 	// together then overrun it by their number times this part at most.
 	capReportPart = 0.005
@@ -40,8 +40,6 @@
 
 	mu     sync.Mutex
 	byName map[string]*usageCap
-	source int       // control instance whose counts are followed
-	heard  time.Time // from it
 }
 
 func newUsageCaps(now func() time.Time, s settings.Entry) *usageCaps {
@@ -67,19 +65,14 @@
 	window             time.Duration
 	overrun, allowance float64
 
-	mu         sync.Mutex
-	rate       float64           // a second
-	burst      float64           // in a window, beyond the rate
-	slots      [capSlots]float64 // use by time, here and as told of others
-	turn       int64             // of the newest slot
-	used       uint64            // here, since the start
-	credit     uint64            // given back, and not yet taken off used
-	told       uint64            // of used, to control
-	toldAt     time.Time
-	others     uint64 // used elsewhere, as told last by the source
-	known      bool   // others was told
-	othersAt   time.Time
-	othersRate float64 // a second
+	mu     sync.Mutex
+	rate   float64           // a second
+	burst  float64           // in a window, beyond the rate
+	slots  [capSlots]float64 // use here, by time
+	turn   int64             // of the newest slot
+	untold float64           // used here since control was told last
+	toldAt time.Time
+	others map[int]othersWord // by control instance
 }
 
 // of returns the cap of an organisation with its rate and burst as they are now, nil if it has none.
@@ -92,7 +85,13 @@
 	}
 	u := c.byName[spec.GetName()]
 	if u == nil {
-		u = &usageCap{now: c.now, window: c.window, overrun: c.overrun, allowance: c.allowance}
+		u = &usageCap{
+			now:       c.now,
+			window:    c.window,
+			overrun:   c.overrun,
+			allowance: c.allowance,
+			others:    make(map[int]othersWord),
+		}
 		c.byName[spec.GetName()] = u
 	}
 	u.set(float64(spec.GetRatePerS()), float64(spec.GetBurst()))
@@ -110,27 +109,18 @@
 	caps := c.all()
 	out := make([]*wire.Usage, 0, len(caps))
 	for _, name := range slices.Sorted(maps.Keys(caps)) {
-		out = append(out, &wire.Usage{Organisation: name, Used: caps[name].tell()})
+		used, rate := caps[name].tell()
+		out = append(out, &wire.Usage{Organisation: name, Used: used, Rate: rate})
 	}
 	return out
 }
 
-// takeOthers takes what a control instance says of the other entries. The counts of two instances begin at different
-// moments, so one instance is followed as long as it answers.
-func (c *usageCaps) takeOthers(control int, others []*wire.OtherUsage) {
-	c.mu.Lock()
-	now := c.now()
-	isNew := control != c.source || c.heard.IsZero()
-	if isNew && !c.heard.IsZero() && now.Sub(c.heard) < capSourceBound {
-		c.mu.Unlock()
-		return
-	}
-	c.source, c.heard = control, now
-	c.mu.Unlock()
+// takeOthers takes what a control instance says of the other entries.
+func (c *usageCaps) takeOthers(control int, others []*wire.Usage) {
 	caps := c.all()
 	for _, other := range others {
 		if u := caps[other.GetOrganisation()]; u != nil {
-			u.takeOthers(other.GetUsed(), isNew)
+			u.takeOthers(control, other)
 		}
 	}
 }
@@ -160,38 +150,54 @@
 	return &u.slots[u.turn%capSlots]
 }
 
-// sum is what counts as used in the window that ends now.
-func (u *usageCap) sum() float64 {
+// sum is what counts as used in the window that ends now, here and elsewhere.
+func (u *usageCap) sum() float64 { return u.own() + u.elsewhere() }
+
+// own is what was used here in the window.
+func (u *usageCap) own() float64 {
 	u.slot()
-	total := u.assumed()
+	total := 0.0
 	for _, used := range u.slots {
 		total += used
 	}
 	return total
 }
 
-// assumed is what the others have probably used since control told last.
-func (u *usageCap) assumed() float64 {
-	if !u.known {
-		return 0
+// elsewhere is what the other entries have probably used in the window. A control instance that has just started, or
+// that some entries don't reach, says too little; so the largest of the late words counts, or the last one of all.
+func (u *usageCap) elsewhere() float64 {
+	now := u.now()
+	most, newest := 0.0, 0.0
+	var newestAt time.Time
+	for _, word := range u.others {
+		value := word.value(now, u.window)
+		if now.Sub(word.at) <= capWordBound {
+			most = max(most, value)
+		}
+		if word.at.After(newestAt) {
+			newest, newestAt = value, word.at
+		}
 	}
-	return u.othersRate * min(u.now().Sub(u.othersAt), u.window).Seconds()
+	return max(most, newest)
+}
+
+// othersWord is what a control instance said last.
+type othersWord struct {
+	at   time.Time
+	used float64
+	rate float64
+}
+
+// value is the word as of now: what was used leaves the window evenly, and the others go on at their rate.
+func (w othersWord) value(now time.Time, window time.Duration) float64 {
+	age := min(now.Sub(w.at), window)
+	return w.used*(1-age.Seconds()/window.Seconds()) + w.rate*age.Seconds()
 }
 
-// takeOthers replaces what was assumed of the others by what they used. The first count of another source only says
-// where its counting stands.
-func (u *usageCap) takeOthers(used uint64, isNew bool) {
+func (u *usageCap) takeOthers(control int, other *wire.Usage) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	now := u.now()
-	if u.known && !isNew && used >= u.others {
-		difference := float64(used - u.others)
-		*u.slot() += difference
-		if passed := now.Sub(u.othersAt).Seconds(); passed > 0 {
-			u.othersRate += capRateGain * (difference/passed - u.othersRate)
-		}
-	}
-	u.others, u.known, u.othersAt = used, true, now
+	u.others[control] = othersWord{at: u.now(), used: float64(other.GetUsed()), rate: float64(other.GetRate())}
 }
 
 // take admits a request of so many units, or returns after which time it could be. One above the whole limit is admitted
@@ -204,9 +210,7 @@
 		return u.wait(sum + float64(units) - u.limit()), false
 	}
 	*u.slot() += float64(units)
-	spared := min(u.credit, units)
-	u.credit -= spared
-	u.used += units - spared
+	u.untold += float64(units)
 	return 0, true
 }
 
@@ -221,22 +225,19 @@
 	return u.window
 }
 
-// giveBack takes back what a request took that was refused after all. What control is told only rises, so it is made good
-// with the next requests.
+// giveBack takes back what a request took that was refused after all.
 func (u *usageCap) giveBack(units uint64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	slot := u.slot()
 	*slot = max(*slot-float64(units), 0)
-	u.credit += units
 }
 
 // String tells what the cap goes by, for people.
 func (u *usageCap) String() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return fmt.Sprintf("%.0f of %.0f used in %s; others use %.0f a second, told %s ago",
-		u.sum(), u.limit(), u.window, u.othersRate, u.now().Sub(u.othersAt).Round(time.Millisecond))
+	return fmt.Sprintf("%.0f of %.0f used in %s, %.0f of it here", u.sum(), u.limit(), u.window, u.own())
 }
 
 // isUrgent tells whether control should hear of the use here before the next poll: the cap is nearly used up, and much
@@ -244,17 +245,25 @@
 func (u *usageCap) isUrgent() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	untold := float64(u.used - u.told)
-	if untold <= capReportPart*u.limit() || u.now().Sub(u.toldAt) < capReportGap {
+	if u.untold <= capReportPart*u.limit() || u.now().Sub(u.toldAt) < capReportGap {
 		return false
 	}
 	return u.sum() > capNear*u.limit()
 }
 
-// tell returns what was used here, and notes that control is told.
-func (u *usageCap) tell() uint64 {
+// tell returns what was used here in the window and the rate of late, and notes that control is told.
+func (u *usageCap) tell() (used, rate uint64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.told, u.toldAt = u.used, u.now()
-	return u.used
+	u.untold, u.toldAt = 0, u.now()
+	return uint64(u.own()), uint64(u.lately())
+}
+
+// lately is the rate over the last steps, a second.
+func (u *usageCap) lately() float64 {
+	total := 0.0
+	for i := range int64(capRateSlots) {
+		total += u.slots[(u.turn-i+capSlots)%capSlots]
+	}
+	return total / (capRateSlots * u.step().Seconds())
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -206,6 +206,7 @@
 		Report:       e.report,
 		Usage:        e.caps.usage,
 		Others:       e.caps.takeOthers,
+		UsageWindow:  e.settings.Timing.UsageWindow,
 		Log:          e.log,
 		Metrics:      e.meter.set,
 	})
@@ -227,6 +228,9 @@
 		MaxQueued:        e.settings.Limits.MaxQueued,
 		MaxAnswer:        int(e.settings.Limits.MaxAnswer),
 		LeaseDuration:    e.settings.Timing.Lease,
+		RetryRatio:       e.settings.Limits.RetryRatio,
+		RetryWindow:      e.settings.Timing.RetryWindow,
+		RetryAllowance:   e.settings.Limits.RetryAllowance,
 	}
 }
 
--- a/entry/links.go
+++ b/entry/links.go
@@ -88,7 +88,7 @@
 		e.log.WithField("version", view.ConfigVersion).Info("config_applied")
 		e.meter.declareClasses(view.Classes)
 	}
-	if err := e.tell(ctx, sched.Directory{Agents: l.agents(view)}); err != nil {
+	if err := e.tell(ctx, sched.Directory{Agents: l.agents(view), Entries: len(view.Entries)}); err != nil {
 		return err
 	}
 	catalogue := newCatalogue(view)
--- a/entry/local_agent.go
+++ b/entry/local_agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -18,6 +19,10 @@
 // localSuffix follows the entry's name in the name of its own agent.
 const localSuffix = "/services"
 
+// localProbe is how often the entry's own agent looks after its servers. A server is suspect after two failures, so what
+// is lost to one that just died goes on for half a second at most.
+const localProbe = 200 * time.Millisecond
+
 // Addresses of the entry's own agent on a network inside this process.
 const (
 	localHost  = "127.0.0.1"
@@ -50,6 +55,7 @@
 	s.Advertise = localLinks
 	s.Limits.MaxBody, s.Limits.MaxAnswer = e.settings.Limits.MaxBody, e.settings.Limits.MaxAnswer
 	s.Timing.Heartbeat, s.Timing.Drain = e.settings.Timing.Heartbeat, e.settings.Timing.Drain
+	s.Timing.Probe = localProbe
 	var err error
 	l.agent, err = agent.New(s, agent.Options{
 		Network:   l.network,
--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -222,7 +222,10 @@
 		s.countStray(strayAttempt)
 		return
 	}
-	r.attempt.started = true
+	if !r.attempt.started {
+		r.attempt.started = true
+		r.arrivals++
+	}
 	s.acknowledge(r)
 }
 
--- a/sched/options.go
+++ b/sched/options.go
@@ -54,6 +54,11 @@
 	PrefixEntries int
 	// LeaseDuration is how long an agent keeps an attempt without a heartbeat of this entry.
 	LeaseDuration time.Duration
+	// RetryRatio, RetryWindow and RetryAllowance bound the retries at one model or service, over all entries: in any
+	// window, the ratio times the requests for it plus the allowance. A ratio of 0 means no bound.
+	RetryRatio     float64
+	RetryWindow    time.Duration
+	RetryAllowance int
 	// EvidenceAge is how old a Room may be to count as fresh.
 	EvidenceAge time.Duration
 }
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -34,6 +34,7 @@
 	live     int            // requests, queued or not
 	dirty    bool
 	drain    rate // dispatches a second
+	retries  retryWindow
 }
 
 func (s *Scheduler) pool(key poolKey) *pool {
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -200,6 +200,9 @@
 	if r.callerGone && !r.wanted() {
 		return result.New(result.CallerLeft, "")
 	}
+	if r.arrivals > 0 && !s.takeRetry(r) {
+		return r.lastErr
+	}
 	if r.refusals < maxRefusals || r.mayBeLate || !s.mayRefuse(r) || s.options.Policy != PolicyTargets {
 		return nil
 	}
--- a/sched/request.go
+++ b/sched/request.go
@@ -45,6 +45,7 @@
 	attempts []attemptRecord
 	number   uint64 // of the last attempt sent, without the epoch
 	refusals int    // attempts proved never started
+	arrivals int    // attempts that reached, or may have reached, a server
 	starts   int    // attempts that may have begun, see maxStarts
 	avoid    []string
 	earlier  *earlierProofs
@@ -81,6 +82,7 @@
 	r.mayBeLate = mayBeLate(in.Class)
 	r.pool = s.pool(poolKey{kind: in.Class.GetKind(), target: in.Target})
 	r.pool.live++
+	s.noteRequest(r)
 	r.state = s.table.Initial()
 	r.outputs = s.estimateOutput(r)
 	s.requests[in.ID] = r
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -36,6 +36,7 @@
 	agents    map[string]*agent
 	servers   map[string]*server
 	directory bool // a directory was received
+	entries   int  // of the deployment
 	turn      int  // of PolicyRoundRobin
 	prefixes  *prefixTable
 }
@@ -60,6 +61,7 @@
 		agents:   map[string]*agent{},
 		servers:  map[string]*server{},
 		prefixes: newPrefixTable(options.PrefixEntries),
+		entries:  1,
 	}
 	s.classes[baselineClass] = &class{name: baselineClass, outputs: newQuantiles(), service: newQuantiles()}
 	for tier := range s.clocks {
@@ -97,6 +99,7 @@
 		s.received(e)
 	case Directory:
 		s.setDirectory(e.Agents)
+		s.entries = max(e.Entries, 1)
 	case Config:
 		s.setClasses(e.Classes)
 	case Widened:
--- a/sched/types.go
+++ b/sched/types.go
@@ -79,7 +79,11 @@
 	}
 
 	// Directory carries the committed directory (whole).
-	Directory struct{ Agents []*wire.AgentRecord }
+	Directory struct {
+		Agents []*wire.AgentRecord
+		// Entries is how many entries there are. The allowance of retries is shared among them.
+		Entries int
+	}
 
 	// Config carries the committed classes (whole).
 	Config struct {
--- a/session/peer.go
+++ b/session/peer.go
@@ -160,6 +160,7 @@
 		DirectoryVersion: view.DirectoryVersion,
 		Report:           p.reports.next(now),
 		Usage:            p.session.usage(),
+		UsageWindowMs:    uint32(p.session.cfg.UsageWindow.Milliseconds()),
 	}}}
 }
 
--- a/session/session.go
+++ b/session/session.go
@@ -62,7 +62,9 @@
 	// Usage gives what goes to control with each poll. Others takes the answer, with the number of the control instance
 	// that gave it. They must not block. Nil for none.
 	Usage  func() []*wire.Usage
-	Others func(control int, others []*wire.OtherUsage)
+	Others func(control int, others []*wire.Usage)
+	// UsageWindow is the time over which Usage counts.
+	UsageWindow time.Duration
 	// Released, if not nil, holds the registration back until it is closed.
 	Released <-chan struct{}
 	// Log and Metrics may be nil.
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -60,7 +60,11 @@
 	// UsageOverrun and UsageAllowance are what the deployment's contract tolerates beyond a usage cap: a share of the
 	// cap, and units on top. Default 0 and 0.
 	UsageOverrun   float64 `json:"usage_overrun"`
-	UsageAllowance uint64  `json:"usage_allowance"`
+	UsageAllowance int     `json:"usage_allowance"`
+	// RetryRatio and RetryAllowance bound the retries at one model or service over all entries: in any retry window, this
+	// share of the requests for it, and so many on top. Default 0: no bound.
+	RetryRatio     float64 `json:"retry_ratio"`
+	RetryAllowance int     `json:"retry_allowance"`
 	// MaxReservations is with how many agents one request waits at a time. Default 3.
 	MaxReservations int `json:"max_reservations"`
 }
@@ -76,6 +80,8 @@
 	// UsageWindow is the time over which usage caps hold: in any such time an organisation may use its rate times this,
 	// and its burst. Default 8s.
 	UsageWindow time.Duration `json:"usage_window"`
+	// RetryWindow is the time over which the bound on retries holds. Default 10s.
+	RetryWindow time.Duration `json:"retry_window"`
 	// Leave is how long requests are still taken after SIGTERM, while the process says that it isn't ready, so that a
 	// balancer has time to notice. Default 0s.
 	Leave time.Duration `json:"leave"`
@@ -104,6 +110,7 @@
 			Drain:     defaultDrain,
 
 			UsageWindow: 8 * time.Second,
+			RetryWindow: 10 * time.Second,
 		},
 	}
 }
@@ -129,6 +136,10 @@
 	positive(c, "timing.heartbeat", e.Timing.Heartbeat)
 	positive(c, "timing.drain", e.Timing.Drain)
 	positive(c, "timing.usage_window", e.Timing.UsageWindow)
+	positive(c, "timing.retry_window", e.Timing.RetryWindow)
+	if e.Limits.RetryRatio < 0 || e.Limits.RetryAllowance < 0 {
+		c.add(result.SettingsOutOfRange, "limits.retry_ratio", "want a ratio and an allowance of at least 0")
+	}
 	c.silence("timing.cut_off", e.Timing.CutOff, e.Timing.Heartbeat)
 	c.silence("timing.lease", e.Timing.Lease, e.Timing.Heartbeat)
 }
--- a/state/announcements.go
+++ b/state/announcements.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"maps"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -39,6 +40,7 @@
 	if old == nil && len(a.byServer) >= s.limits.Announcements {
 		return refuse(result.QueueFull, "there are %d announced servers already", len(a.byServer))
 	}
+	s.supersede(in)
 	a.byServer[in.GetServer()] = proto.CloneOf(in)
 	if !sameService(old, in) {
 		s.raiseDirectory(announcementPrefix + in.GetServer())
@@ -46,6 +48,22 @@
 	return accepted()
 }
 
+// supersede takes other servers off the address at which one announces itself: a server that starts again has a new
+// name, and its predecessor, which crashed, can't say that it is gone. Without this requests for the dead one go on to
+// its successor, which refuses them by the name.
+//
+// The predecessor isn't ended for good: should this announcement itself have been held up on the way and be the older
+// one, the server that is really there takes the address back with its next.
+func (s *State) supersede(in *wire.Announcement) {
+	a := &s.announcements
+	for _, name := range slices.Sorted(maps.Keys(a.byServer)) {
+		if name != in.GetServer() && a.byServer[name].GetAddress() == in.GetAddress() {
+			delete(a.byServer, name)
+			s.raiseDirectory(announcementPrefix + name)
+		}
+	}
+}
+
 // sameService tells whether two announcements of a server say the same but for their sequence.
 func sameService(a, b *wire.Announcement) bool {
 	if a == nil {
