--- a/agent/agent.go
+++ b/agent/agent.go
@@ -194,6 +194,7 @@
 		SilentAfter:   timing.Silent,
 		MaxRecords:    limits.MaxTombstones,
 		MaxWaiting:    limits.MaxReservations,
+		UnprovenHold:  timing.UnprovenHold,
 	})
 }
 
--- a/entry/local_agent.go
+++ b/entry/local_agent.go
@@ -23,6 +23,10 @@
 // is lost to one that just died goes on for half a second at most.
 const localProbe = 200 * time.Millisecond
 
+// localUnprovenHold is how long a place at a plain service counts as taken after a connection to it was lost. Its calls
+// take tens of milliseconds.
+const localUnprovenHold = time.Second
+
 // Addresses of the entry's own agent on a network inside this process.
 const (
 	localHost  = "127.0.0.1"
@@ -56,6 +60,7 @@
 	s.Limits.MaxBody, s.Limits.MaxAnswer = e.settings.Limits.MaxBody, e.settings.Limits.MaxAnswer
 	s.Timing.Heartbeat, s.Timing.Drain = e.settings.Timing.Heartbeat, e.settings.Timing.Drain
 	s.Timing.Probe = localProbe
+	s.Timing.UnprovenHold = localUnprovenHold
 	var err error
 	l.agent, err = agent.New(s, agent.Options{
 		Network:   l.network,
--- a/gate/config.go
+++ b/gate/config.go
@@ -16,6 +16,7 @@
 	DefaultSilentAfter    = 3 * time.Second
 	DefaultGoneAfter      = 10 * time.Second
 	DefaultUnlistedSettle = time.Second
+	DefaultUnprovenHold   = 30 * time.Second
 	DefaultMaxRecords     = 1 << 16
 	DefaultMaxWaiting     = 4096
 	DefaultMaxMemory      = 1 << 18
@@ -43,6 +44,9 @@
 	SilentAfter, GoneAfter time.Duration
 	// UnlistedSettle is how long a new incarnation admits nothing at a server that keeps no list of what it runs.
 	UnlistedSettle time.Duration
+	// UnprovenHold is how long an attempt holds its room after its run returned without a proof. It may be running, so
+	// the room isn't free at once; a server that never tells must not lose its rooms one by one either.
+	UnprovenHold time.Duration
 	// MaxRecords bounds the requests remembered, tombstones included. Beyond it new work is refused; up to twice as
 	// many are held for the tombstones of what is refused or cancelled then.
 	MaxRecords int
@@ -78,6 +82,7 @@
 	c.SilentAfter = orDefault(c.SilentAfter, DefaultSilentAfter)
 	c.GoneAfter = orDefault(c.GoneAfter, DefaultGoneAfter)
 	c.UnlistedSettle = orDefault(c.UnlistedSettle, DefaultUnlistedSettle)
+	c.UnprovenHold = orDefault(c.UnprovenHold, DefaultUnprovenHold)
 	c.MaxRecords = orDefault(c.MaxRecords, DefaultMaxRecords)
 	c.MaxWaiting = orDefault(c.MaxWaiting, DefaultMaxWaiting)
 	c.MaxMemory = orDefault(c.MaxMemory, DefaultMaxMemory)
--- a/gate/runs.go
+++ b/gate/runs.go
@@ -14,10 +14,6 @@
 	firstBackoff  = 50 * time.Millisecond
 	longestWait   = 5 * time.Second
 	answerTimeout = 10 * time.Second // after which an unanswered cancel is repeated
-
-	// unprovenHold is how long an attempt holds its room after its run returned without a proof. It may be running,
-	// so the room isn't free at once; an engine that never tells must not lose its rooms one by one either.
-	unprovenHold = 30 * time.Second
 )
 
 // inFlight counts the attempts that a drain has to wait for. One whose connection is lost, at a server that can't be
@@ -230,5 +226,5 @@
 
 func (g *Gate) unsureTooLong(a *attempt) bool {
 	since := a.cancel.unsureSince
-	return a.run.holds && !since.IsZero() && g.now.Sub(since) >= unprovenHold
+	return a.run.holds && !since.IsZero() && g.now.Sub(since) >= g.config.UnprovenHold
 }
--- a/gate/server_test.go
+++ b/gate/server_test.go
@@ -141,7 +141,7 @@
 	b.step(Leaving{})
 	unsupported := EngineCancelled{Attempt: id("r", 1), Try: 1, Err: engine.ErrUnsupported}
 	b.step(unsupported)
-	b.pass(unprovenHold - time.Second)
+	b.pass(DefaultUnprovenHold - time.Second)
 	require.Equal(t, draining, b.gate.Status().Condition)
 	b.pass(2 * time.Second)
 	require.Equal(t, drained, b.gate.Status().Condition)
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -66,6 +66,9 @@
 	Offer time.Duration `json:"offer"`
 	// Tombstone is how long an attempt that is over is remembered. Default 10m.
 	Tombstone time.Duration `json:"tombstone"`
+	// UnprovenHold is how long a place counts as taken after a connection was lost and nothing tells whether the work
+	// there is over. Default 30s.
+	UnprovenHold time.Duration `json:"unproven_hold"`
 	// Drain is how long attempts in flight may take after SIGTERM or a leave. Default 10m.
 	Drain time.Duration `json:"drain"`
 }
@@ -91,6 +94,8 @@
 			Offer:     time.Second,
 			Tombstone: 10 * time.Minute,
 			Drain:     10 * time.Minute,
+
+			UnprovenHold: 30 * time.Second,
 		},
 	}
 }
@@ -118,6 +123,7 @@
 	positive(c, "timing.offer", a.Timing.Offer)
 	positive(c, "timing.tombstone", a.Timing.Tombstone)
 	positive(c, "timing.drain", a.Timing.Drain)
+	positive(c, "timing.unproven_hold", a.Timing.UnprovenHold)
 	c.silence("timing.cut_off", a.Timing.CutOff, a.Timing.Heartbeat)
 }
 
