entry, control: caps hold where entries are cut off

Only confirmed words count, silent entries have an equal part set aside, and an entry that hears nothing keeps to it.

--- a/control/control.go
+++ b/control/control.go
@@ -75,7 +75,7 @@
 	c.reads = newReads(c)
 	c.sessions = newSessions(c)
 	c.reports = newReports()
-	c.usage = newUsage()
+	c.usage = newUsage(c.capOf, c.entriesListed)
 	c.leader = newLeader(c)
 	if err := c.open(); err != nil {
 		c.Close()
--- a/control/usage.go
+++ b/control/usage.go
@@ -6,16 +6,21 @@
 	"sync"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/state"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
-// usageRateStale is how long an entry that says nothing is assumed to go on at its rate.
-const usageRateStale = 3 * time.Second
+// usageRateStale is how long an entry that says nothing is assumed to go on at its rate. After that an equal part of
+// each cap is set aside for it. Entries tell each second.
+const usageRateStale = 2500 * time.Millisecond
 
 // usage adds up what organisations use at the entries, and tells each entry what the others have used. It isn't
 // replicated: each control instance goes by what entries tell it with their polls. An entry's word is whole each time,
 // so an instance that has just started knows all within one round of polls.
 type usage struct {
+	capOf  func(organisation string, window time.Duration) float64
+	listed func() map[string]uint64 // incarnations of the directory's entries, by instance
+
 	mu      sync.Mutex
 	entries map[incarnation]*entryUsage
 }
@@ -27,8 +32,28 @@
 	told   map[string]*wire.Usage // by organisation
 }
 
-func newUsage() *usage {
-	return &usage{entries: make(map[incarnation]*entryUsage)}
+func newUsage(capOf func(string, time.Duration) float64, listed func() map[string]uint64) *usage {
+	return &usage{capOf: capOf, listed: listed, entries: make(map[incarnation]*entryUsage)}
+}
+
+// capOf is how much an organisation may use in a window by the desired state in force.
+func (c *Control) capOf(organisation string, window time.Duration) float64 {
+	for _, member := range c.desired().GetOrganisations() {
+		if member.GetName() == organisation {
+			return float64(member.GetRatePerS())*window.Seconds() + float64(member.GetBurst())
+		}
+	}
+	return 0
+}
+
+func (c *Control) entriesListed() map[string]uint64 {
+	listed := make(map[string]uint64)
+	c.machine.read(func(s *state.State) {
+		for _, entry := range s.Entries() {
+			listed[entry.GetEntry()] = entry.GetIncarnation()
+		}
+	})
+	return listed
 }
 
 func (s *session) usageKey() incarnation {
@@ -53,13 +78,34 @@
 	}
 	u.entries[from] = entry
 	u.forget(now)
+	listed := u.listed()
 	others := make([]*wire.Usage, 0, len(entry.told))
 	for _, name := range slices.Sorted(maps.Keys(entry.told)) {
-		others = append(others, u.others(from, name, now))
+		sum := u.others(from, name, now)
+		sum.Used += u.setAside(from, name, listed, now)
+		others = append(others, sum)
 	}
 	return others
 }
 
+// setAside is the part of an organisation's cap that listed entries may be using which nobody has heard lately: an entry
+// that is cut off keeps to an equal part.
+func (u *usage) setAside(but incarnation, organisation string, listed map[string]uint64, now time.Time) uint64 {
+	silent := 0
+	for instance, number := range listed {
+		from := incarnation{instance, number}
+		entry := u.entries[from]
+		if from != but && (entry == nil || now.Sub(entry.at) > usageRateStale) {
+			silent++
+		}
+	}
+	if silent == 0 {
+		return 0
+	}
+	window := u.entries[but].window
+	return uint64(u.capOf(organisation, window) * float64(silent) / float64(len(listed)))
+}
+
 // others adds up what all but one incarnation used of an organisation's cap. What an entry told a while ago leaves the
 // window evenly.
 func (u *usage) others(but incarnation, organisation string, now time.Time) *wire.Usage {
--- a/entry/caps.go
+++ b/entry/caps.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/settings"
@@ -38,6 +39,8 @@
 	overrun   float64 // tolerated share beyond a cap
 	allowance float64 // tolerated units beyond that
 
+	entries atomic.Int64 // of the deployment, as far as known
+
 	mu     sync.Mutex
 	byName map[string]*usageCap
 }
@@ -59,11 +62,12 @@
 // Each entry counts for the whole deployment and has no part of the cap of its own, because callers spread unevenly:
 // with parts, an organisation is refused at a busy entry while others have room. What the others used in the last
 // moments can be missed, but it counts later, so that the overrun stays as small as what is used between two words of
-// control. An entry that is cut off goes on with the rate of the others that it knew last.
+// control. An entry that hears nothing keeps to an equal part, which control sets aside for it at the others.
 type usageCap struct {
 	now                func() time.Time
 	window             time.Duration
 	overrun, allowance float64
+	entries            *atomic.Int64
 
 	mu     sync.Mutex
 	rate   float64           // a second
@@ -90,6 +94,7 @@
 			window:    c.window,
 			overrun:   c.overrun,
 			allowance: c.allowance,
+			entries:   &c.entries,
 			others:    make(map[int]othersWord),
 		}
 		c.byName[spec.GetName()] = u
@@ -178,6 +183,9 @@
 			newest, newestAt = value, word.at
 		}
 	}
+	if now.Sub(newestAt) > capWordBound {
+		most = u.limit() * (1 - 1/float64(max(u.entries.Load(), 1)))
+	}
 	return max(most, newest)
 }
 
--- a/entry/config.go
+++ b/entry/config.go
@@ -49,13 +49,16 @@
 
 // waitForVersion returns once the newest configuration that any process has shown is in force here.
 //
-// Without it a request that comes just after a change would be judged by the class as it was, although this process
+// A wait of 0 waits for none: an entry that is cut off from control goes on by what it has.
+//
+// Without the wait a request that comes just after a change would be judged by the class as it was, although this process
 // could know better; one would notice it as a deadline or tier that goes back for a moment.
 func (e *Entry) waitForVersion(ctx context.Context) *result.Error {
-	if e.view.Load().version >= e.wanted.Load() {
+	wait := e.settings.Timing.VersionWait
+	if wait <= 0 || e.view.Load().version >= e.wanted.Load() {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, versionWait)
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for pause.For(ctx, drainPoll) {
 		if e.view.Load().version >= e.wanted.Load() {
--- a/entry/timing.go
+++ b/entry/timing.go
@@ -25,8 +25,6 @@
 
 // Durations.
 const (
-	// versionWait is how long a request waits for a configuration version that another process has shown.
-	versionWait = time.Second
 	// pollFirst and pollMost bound the wait between two looks at a record that another entry works on.
 	pollFirst = 50 * time.Millisecond
 	pollMost  = time.Second
--- a/session/peer.go
+++ b/session/peer.go
@@ -223,7 +223,9 @@
 	}
 	s.mu.Unlock()
 	s.registration.wake()
-	if s.cfg.Others != nil && len(f.GetOthers()) > 0 {
+	// An instance that is cut off from the others hears of few entries' use, and would let the rest of each cap be used
+	// here once more.
+	if s.cfg.Others != nil && f.GetConfirmed() && len(f.GetOthers()) > 0 {
 		s.cfg.Others(p.number, f.GetOthers())
 	}
 	return nil
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -82,6 +82,9 @@
 	UsageWindow time.Duration `json:"usage_window"`
 	// RetryWindow is the time over which the bound on retries holds. Default 10s.
 	RetryWindow time.Duration `json:"retry_window"`
+	// VersionWait is how long a request waits for a configuration that another process has shown, and is refused after.
+	// 0 lets it go on by the one in force here. Default 1s.
+	VersionWait time.Duration `json:"version_wait"`
 	// Leave is how long requests are still taken after SIGTERM, while the process says that it isn't ready, so that a
 	// balancer has time to notice. Default 0s.
 	Leave time.Duration `json:"leave"`
@@ -109,6 +112,7 @@
 			Lease:     defaultLease,
 			Drain:     defaultDrain,
 
+			VersionWait: time.Second,
 			UsageWindow: 8 * time.Second,
 			RetryWindow: 10 * time.Second,
 		},
