--- a/agent/agent.go
+++ b/agent/agent.go
@@ -195,6 +195,8 @@
 		MaxRecords:    limits.MaxTombstones,
 		MaxWaiting:    limits.MaxReservations,
 		UnprovenHold:  timing.UnprovenHold,
+
+		UnlistedSettle: timing.UnlistedSettle,
 	})
 }
 
--- a/control/replication.go
+++ b/control/replication.go
@@ -25,8 +25,10 @@
 		TickInterval:   tick,
 		ElectionTicks:  ticks(c.settings.Timing.Election),
 		HeartbeatTicks: ticks(c.settings.Timing.Heartbeat),
-		Seed:           c.options.Seed,
-		OnChange:       c.roleChanged,
+
+		FirstElectionTicks: ticks(c.settings.Timing.FirstElection),
+		Seed:               c.options.Seed,
+		OnChange:           c.roleChanged,
 	}
 }
 
--- a/entry/local_agent.go
+++ b/entry/local_agent.go
@@ -27,6 +27,10 @@
 // take tens of milliseconds.
 const localUnprovenHold = time.Second
 
+// localSettle is how long the entry's own agent waits for what an earlier process left at the servers: the least there
+// is, since the requests of that process died with it and can't run a second time.
+const localSettle = time.Nanosecond
+
 // Addresses of the entry's own agent on a network inside this process.
 const (
 	localHost  = "127.0.0.1"
@@ -61,6 +65,7 @@
 	s.Timing.Heartbeat, s.Timing.Drain = e.settings.Timing.Heartbeat, e.settings.Timing.Drain
 	s.Timing.Probe = localProbe
 	s.Timing.UnprovenHold = localUnprovenHold
+	s.Timing.UnlistedSettle = localSettle
 	var err error
 	l.agent, err = agent.New(s, agent.Options{
 		Network:   l.network,
--- a/link/dial.go
+++ b/link/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"time"
 
 	"github.com/go-faster/errors"
 	"storj.io/drpc/drpcconn"
@@ -13,13 +14,22 @@
 	"github.com/carawaypitch/carawaypitch/network"
 )
 
+// dialTimeout bounds the opening of a connection between two processes of the deployment, and allows for several round
+// trips between regions.
+//
+// An instance that is just starting drops the opening packet, which TCP repeats only after a second: a process that
+// waited for that would be cut off for as long. A second dial gets through at once.
+const dialTimeout = 400 * time.Millisecond
+
 // Dial opens a drpc connection to addr, an IP number and port. With a TLS configuration the handshake is part of
-// it; an empty ServerName means the host of addr. The context and network.DialTimeout bound the dialling only.
+// it; an empty ServerName means the host of addr. The context and dialTimeout bound the dialling only.
 //
 // With TLS 1.3 a server that refuses this side's certificate says so after the handshake: then Dial succeeds and
 // the first call fails.
 func Dial(ctx context.Context, n network.Network, addr string, config *tls.Config) (*drpcconn.Conn, error) {
-	conn, err := n.Dial(ctx, addr)
+	opening, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := n.Dial(opening, addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "link: dial")
 	}
--- a/quorum/config.go
+++ b/quorum/config.go
@@ -28,6 +28,12 @@
 	// ElectionTicks is the shortest election timeout; the longest is one tick
 	// short of twice as much.
 	ElectionTicks int
+	// FirstElectionTicks is the shortest timeout of the first election after a
+	// start, ElectionTicks if 0; the longest is one tick short of twice as
+	// much. A replica that starts beside a living leader asks for pre-votes in
+	// vain and disturbs nobody, so it may be as short as a few messages take.
+	// Where all replicas start together it is what service waits for.
+	FirstElectionTicks int
 	// HeartbeatTicks is the interval of a leader's heartbeats.
 	HeartbeatTicks int
 	// MaxBatchBytes bounds the entries of one message, of one write to disk
@@ -55,6 +61,7 @@
 func (c *Config) complete() error {
 	setDefault(&c.ElectionTicks, DefaultElectionTicks)
 	setDefault(&c.HeartbeatTicks, DefaultHeartbeatTicks)
+	setDefault(&c.FirstElectionTicks, c.ElectionTicks)
 	setDefault(&c.MaxBatchBytes, DefaultMaxBatchBytes)
 	setDefault(&c.MaxInflight, DefaultMaxInflight)
 	setDefault(&c.MaxInflightBytes, DefaultMaxInflightBytes)
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -100,6 +100,9 @@
 	}
 	n.written = hardState{term: n.term, vote: n.vote}
 	n.becomeFollower(n.term, NoID)
+	if cfg.FirstElectionTicks != cfg.ElectionTicks {
+		n.electionTimeout = n.cfg.FirstElectionTicks + n.cfg.Rand.IntN(n.cfg.FirstElectionTicks)
+	}
 	n.reported = n.stateChange()
 	return n, nil
 }
@@ -261,8 +264,14 @@
 
 // restartElectionTimer draws a new timeout. Equal timeouts would split the
 // votes again and again (thesis 3.4).
+//
+// A replica that asks for pre-votes asks again soon: its links may not have been open yet, and it disturbs nobody.
 func (n *Node) restartElectionTimer() {
 	n.electionElapsed = 0
+	if n.role == RolePreCandidate {
+		n.electionTimeout = n.cfg.FirstElectionTicks + n.cfg.Rand.IntN(n.cfg.FirstElectionTicks)
+		return
+	}
 	n.electionTimeout = n.cfg.ElectionTicks + n.cfg.Rand.IntN(n.cfg.ElectionTicks)
 }
 
--- a/quorum/replica/api.go
+++ b/quorum/replica/api.go
@@ -74,6 +74,8 @@
 	// ElectionTicks is the shortest election timeout, in ticks. A leader that
 	// has heard from no majority for so long steps down.
 	ElectionTicks int
+	// FirstElectionTicks is the same for the first election after a start, see quorum.Config; 0: ElectionTicks.
+	FirstElectionTicks int
 	// HeartbeatTicks is the interval of heartbeats, in ticks.
 	HeartbeatTicks int
 	// Seed of the random election timeouts. Replicas of a group need
--- a/quorum/replica/replica.go
+++ b/quorum/replica/replica.go
@@ -122,6 +122,7 @@
 		ID:                  r.id,
 		Rand:                rand.New(rand.NewPCG(r.cfg.Seed, idSeed(r.id))),
 		ElectionTicks:       r.cfg.ElectionTicks,
+		FirstElectionTicks:  r.cfg.FirstElectionTicks,
 		HeartbeatTicks:      r.cfg.HeartbeatTicks,
 		MaxBatchBytes:       r.cfg.MaxBatchBytes,
 		MaxEntryBytes:       r.cfg.MaxEntryBytes,
--- a/session/peer.go
+++ b/session/peer.go
@@ -222,6 +222,10 @@
 		s.freshness.Confirmed(sent, now)
 	}
 	s.mu.Unlock()
+	if !s.isConfirmed() {
+		// A process that starts serves nobody yet: it asks again soon, since an election may just be over.
+		time.AfterFunc(startPoll, p.poll)
+	}
 	s.registration.wake()
 	// An instance that is cut off from the others hears of few entries' use, and would let the rest of each cap be used
 	// here once more.
@@ -231,6 +235,12 @@
 	return nil
 }
 
+func (s *Session) isConfirmed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.freshness.IsConfirmed()
+}
+
 func (s *Session) usage() []*wire.Usage {
 	if s.cfg.Usage == nil {
 		return nil
--- a/session/session.go
+++ b/session/session.go
@@ -25,6 +25,8 @@
 	DefaultPollInterval = time.Second
 	DefaultSilenceBound = 3 * time.Second
 	DefaultTry          = 2 * time.Second
+	// startPoll is how soon a process asks again that no quorum has confirmed the state to yet.
+	startPoll = 50 * time.Millisecond
 )
 
 // Capacities of the rings.
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -66,6 +66,9 @@
 	Offer time.Duration `json:"offer"`
 	// Tombstone is how long an attempt that is over is remembered. Default 10m.
 	Tombstone time.Duration `json:"tombstone"`
+	// UnlistedSettle is how long a restarted agent admits nothing at a server that keeps no list of what it runs, so that
+	// what its last process left there can end. Default 1s.
+	UnlistedSettle time.Duration `json:"unlisted_settle"`
 	// UnprovenHold is how long a place counts as taken after a connection was lost and nothing tells whether the work
 	// there is over. Default 30s.
 	UnprovenHold time.Duration `json:"unproven_hold"`
@@ -95,7 +98,8 @@
 			Tombstone: 10 * time.Minute,
 			Drain:     10 * time.Minute,
 
-			UnprovenHold: 30 * time.Second,
+			UnprovenHold:   30 * time.Second,
+			UnlistedSettle: time.Second,
 		},
 	}
 }
@@ -124,6 +128,7 @@
 	positive(c, "timing.tombstone", a.Timing.Tombstone)
 	positive(c, "timing.drain", a.Timing.Drain)
 	positive(c, "timing.unproven_hold", a.Timing.UnprovenHold)
+	positive(c, "timing.unlisted_settle", a.Timing.UnlistedSettle)
 	c.silence("timing.cut_off", a.Timing.CutOff, a.Timing.Heartbeat)
 }
 
--- a/settings/control.go
+++ b/settings/control.go
@@ -78,6 +78,9 @@
 	Heartbeat time.Duration `json:"heartbeat"`
 	// Election is the shortest election timeout; each is random between it and twice it. Default 1s.
 	Election time.Duration `json:"election"`
+	// FirstElection is the same for the first election after a start, which a replica may try soon: it can't disturb a
+	// living leader. Default: election.
+	FirstElection time.Duration `json:"first_election"`
 	// ServerExpire is the silence after which a backend server is removed from the directory. Default 10s.
 	ServerExpire time.Duration `json:"server_expire"`
 	// KeyRecords is how long the records of Idempotency-Keys are kept. Default 24h.
@@ -109,6 +112,9 @@
 	if s.Advertise == "" {
 		s.Advertise = s.Listen.Links
 	}
+	if s.Timing.FirstElection == 0 {
+		s.Timing.FirstElection = s.Timing.Election
+	}
 }
 
 func (s *Control) validate(c *checker) {
@@ -121,6 +127,7 @@
 	c.tlsFiles("tls", s.TLS)
 	c.tlsFiles("operator_tls", s.OperatorTLS)
 	positive(c, "timing.heartbeat", s.Timing.Heartbeat)
+	positive(c, "timing.first_election", s.Timing.FirstElection)
 	positive(c, "timing.server_expire", s.Timing.ServerExpire)
 	positive(c, "timing.key_records", s.Timing.KeyRecords)
 	positive(c, "timing.drain", s.Timing.Drain)
