sched: a request is queued no longer than its objective, and refused early when it can't make it

The benefit of the doubt in usage caps is 0.45 of the tolerated overrun now: with 0.6 a stalled leader let one through.

--- a/entry/caps.go
+++ b/entry/caps.go
@@ -18,7 +18,7 @@
 	// capDoubt is the part of the tolerated overrun up to which a request gets the benefit of the doubt: what other entries
 	// used lately is known late or assumed, and a refusal within the cap is the worse mistake. The rest of the overrun
 	// covers what they use between two words of control.
-	capDoubt = 0.6
+	capDoubt = 0.45
 	// capRateSlots is over how many slots the rate of late is taken: a second of an eight seconds' window.
 	capRateSlots = 4
 	// capWordBound is the age up to which a control instance's word counts beside newer ones of others.
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -116,7 +116,7 @@
 		r.rank = r.Arrived
 		return 0, s.classes[baselineClass], ""
 	}
-	r.rank = r.Deadline
+	r.rank = r.due()
 	return r.tier, r.class, r.Organisation
 }
 
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -224,8 +224,8 @@
 		if r == nil {
 			continue
 		}
-		if earliest.IsZero() || r.Deadline.Before(earliest) {
-			earliest = r.Deadline
+		if earliest.IsZero() || r.due().Before(earliest) {
+			earliest = r.due()
 		}
 		p := place{request: r, tag: c.tier.clock.Tag(l.organisation)}
 		if plainOnly {
@@ -247,7 +247,7 @@
 	for _, c := range t.classes {
 		for _, l := range c.lanes {
 			r := l.last()
-			p := place{request: r, tag: t.clock.Tag(l.organisation), band: band(c.class.urgency(now, r.Deadline))}
+			p := place{request: r, tag: t.clock.Tag(l.organisation), band: band(c.class.urgency(now, r.due()))}
 			if worst.request == nil || worst.ahead(p) {
 				worst = p
 			}
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -58,7 +58,10 @@
 // refuseEarly refuses a request on arrival that can't be served in time, before any prefill is spent on it. A class
 // that tolerates lateness rather than loss waits instead.
 func (s *Scheduler) refuseEarly(r *request) *result.Error {
-	if s.options.Policy != PolicyTargets || r.mayBeLate || r.tier == 0 {
+	if s.options.Policy != PolicyTargets || r.mayBeLate {
+		return nil
+	}
+	if r.tier == 0 && (r.Objective.IsZero() || !s.mayRefuse(r)) {
 		return nil
 	}
 	if s.directory && len(r.pool.servers) == 0 {
@@ -68,7 +71,8 @@
 		return nil
 	}
 	wait := s.predictWait(r)
-	if s.now.Add(wait+s.bestRun(r)).Before(r.Deadline) || s.lowerGivesWay(r) {
+	inTime := s.now.Add(wait+s.bestRun(r)).Before(r.Deadline) && s.now.Add(wait+s.bestStart(r)).Before(r.due())
+	if inTime || s.lowerGivesWay(r) {
 		return nil
 	}
 	return result.New(result.CannotFinishInTime, "").WithRetryAfter(s.jitter(wait))
@@ -182,6 +186,26 @@
 	return max(best, 0)
 }
 
+// bestStart is how long after its dispatch the first event probably comes, at the server that is fastest for that; 0 for
+// a request whose whole answer is due at its deadline.
+func (s *Scheduler) bestStart(r *request) time.Duration {
+	if r.Objective.IsZero() {
+		return 0
+	}
+	if r.pool.key.kind == kindService {
+		return s.bestRun(r)
+	}
+	best := time.Duration(-1)
+	for _, v := range s.sample(r, s.options.Choices, s.canReserve) {
+		prompt := max(float64(r.PromptTokens)-float64(s.cachedTokens(r, v)), 0)
+		seconds := prompt / rateOr(v.room.GetPrefillTokensPerS(), defaultPrefillRate)
+		if d := time.Duration(seconds * float64(time.Second)); best < 0 || d < best {
+			best = d
+		}
+	}
+	return max(best, 0)
+}
+
 // giveUp refuses a request that is about to be dispatched and can't finish in time even so, and tells whether it
 // did. Its prefill would be wasted.
 func (s *Scheduler) giveUp(r *request, v *server) bool {
--- a/sched/request.go
+++ b/sched/request.go
@@ -146,6 +146,8 @@
 func (r *request) limit() time.Time {
 	allowed := r.Deadline.Sub(r.Arrived)
 	switch {
+	case r.isFresh() && r.Objective.Before(r.Deadline):
+		return r.Objective
 	case r.mayBeLate:
 		return r.Arrived.Add(lateFactor * allowed)
 	case r.state == streaming && r.Class.GetLateMax() > 0:
@@ -155,6 +157,19 @@
 	}
 }
 
+// due is by when the request should be served.
+func (r *request) due() time.Time {
+	if r.Objective.IsZero() {
+		return r.Deadline
+	}
+	return r.Objective
+}
+
+// isFresh tells whether the request has an objective and no server has seen it. After a failure it is worth a late answer.
+func (r *request) isFresh() bool {
+	return !r.Objective.IsZero() && r.arrivals == 0 && (r.state == queued || r.state == reserved)
+}
+
 // remaining is the time left until the deadline, 0 if it has passed.
 func (s *Scheduler) remaining(r *request) time.Duration {
 	return max(r.Deadline.Sub(s.now), 0)
--- a/sched/types.go
+++ b/sched/types.go
@@ -31,6 +31,11 @@
 	Arrived      time.Time
 	Deadline     time.Time
 
+	// Objective is when the answer, or the first event of a stream, is due; zero for a request whose whole answer is due
+	// at its deadline. A request is kept queued no longer than that: later it would be late anyway, and take the place of
+	// one that can still be in time.
+	Objective time.Time
+
 	// Verbatim is set for a request that goes to its backend server byte for byte. MaxAttempts then bounds the attempts
 	// that may have begun; 0 means the scheduler's own bound.
 	Verbatim    *Verbatim
--- a/sched/urgency.go
+++ b/sched/urgency.go
@@ -184,7 +184,7 @@
 }
 
 func (s *Scheduler) urgency(r *request) uint32 {
-	return r.class.urgency(s.now, r.Deadline)
+	return r.class.urgency(s.now, r.due())
 }
 
 // band groups urgencies that count as equal.
