gate: a busy server is not taken for a slow one

Prompts are judged only when computed alone, ten windows are needed, and an idle suspect is tried after two seconds.

--- a/gate/pace.go
+++ b/gate/pace.go
@@ -19,9 +19,11 @@
 
 	// slowRatio and fineRatio are how many times the baseline the present pace is when the server becomes suspect,
 	// and when it no longer is.
-	slowRatio   = 3.0
-	fineRatio   = 1.5
-	slowWindows = 3 // windows in a row
+	slowRatio = 3.0
+	fineRatio = 1.5
+	// slowWindows is how many windows in a row must be slow. A burst of long prompts slows any server for some of them; one
+	// that is taken out for that leaves its load to the others, which then look slow too.
+	slowWindows = 10
 	ratioMost   = 20.0
 
 	// leastPrompt and leastJudged are the shortest prompts in flight, in tokens, that tell the prefill rate, and that
@@ -131,11 +133,13 @@
 	g.room.dirty = true
 	took := g.now.Sub(a.run.started).Seconds()
 	if a.run.prefillAhead >= leastPrompt && a.uncached() > 0 && took > 0 {
-		g.pace.notePrefill(a.run.prefillAhead, took)
+		g.pace.notePrefill(a.run.prefillAhead, took, len(g.runs) == 1)
 	}
 }
 
-func (p *pace) notePrefill(tokens int64, took float64) {
+// notePrefill takes the time of a prompt. Only of one that was computed alone does it tell whether the server has become
+// slow: beside others, an engine shares its steps between prompts and running answers.
+func (p *pace) notePrefill(tokens int64, took float64, alone bool) {
 	rate := float64(tokens) / took
 	if p.prefillRate == 0 {
 		p.prefillRate = rate
@@ -143,7 +147,7 @@
 	// The times are averaged, not the rates: one prompt that was in the cache after all, and took no time, would
 	// otherwise raise the rate beyond measure.
 	p.prefillRate = 1 / (1/p.prefillRate + rateGain*(1/rate-1/p.prefillRate))
-	if tokens < leastJudged {
+	if tokens < leastJudged || !alone {
 		return
 	}
 	// The time for one token stands to its past as the pace does.
--- a/gate/probework.go
+++ b/gate/probework.go
@@ -8,7 +8,9 @@
 	probePrompt   = 1024 // longest uncached prompt, tokens
 	// probeIdle is how long a slow server may go without any work before it is tried again: entries send no work to
 	// a suspect server, so no token would ever tell that its pace is back.
-	probeIdle = 10 * time.Second
+	// A server that is still slow is found out again within a second, by the few requests that it got; one that was busy
+	// and not slow must not be missing for longer than a burst lasts.
+	probeIdle = 2 * time.Second
 )
 
 // probeWork rations work to a server that is suspect for its pace only.
