--- /dev/null
+++ b/sched/objective_test.go
@@ -0,0 +1,94 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+func (w *world) arriveWithObjective(id string, class *wire.Class, objective time.Duration) {
+	w.t.Helper()
+	r := w.request(id, class)
+	r.Objective = w.now.Add(objective)
+	w.step(Arrive{Request: r})
+}
+
+// Symptom: under overload nearly every answer is late. Sequence: more requests arrive than the pool can serve; each waits
+// in the queue up to its deadline, which is many times its objective, and takes a place when it is late already.
+// Cause: a queue bounded by the deadline alone.
+func TestRequestIsQueuedNoLongerThanItsObjective(t *testing.T) {
+	w := newWorld(t, Options{})
+	w.serve("s1", kindModel, testModel, 0)
+	w.arriveWithObjective("a", summary, 300*time.Millisecond)
+	w.pass(280 * time.Millisecond)
+	require.Empty(t, w.failures)
+	w.pass(40 * time.Millisecond)
+	require.Equal(t, result.DeadlinePassedInQueue, w.failures["a"].Code)
+	require.Equal(t, result.RanNo, w.failures["a"].Ran)
+	require.NotZero(t, w.failures["a"].RetryAfter)
+}
+
+// A request that a server has failed is worth a late answer: its objective doesn't end it.
+func TestObjectiveDoesNotEndARetry(t *testing.T) {
+	w := newWorld(t, Options{})
+	w.serve("s1", kindModel, testModel, 1)
+	w.arriveWithObjective("a", summary, 300*time.Millisecond)
+	first := w.last("a", 1)
+	w.say("s1", &wire.AgentMessage{Kind: &wire.AgentMessage_Started{Started: &wire.Started{Attempt: first.id, Server: "s1"}}})
+	w.room("s1", kindModel, testModel, 0)
+	w.prove("s1", first.id, wire.Proof_PROOF_FAILED)
+	w.pass(time.Second)
+	require.Empty(t, w.failures)
+	w.room("s1", kindModel, testModel, 1)
+	w.last("a", 2)
+}
+
+func TestEarlierObjectiveGoesFirst(t *testing.T) {
+	w := newWorld(t, Options{})
+	w.serve("s1", kindModel, testModel, 0)
+	w.arriveWithObjective("late", summary, 900*time.Millisecond)
+	w.arriveWithObjective("soon", summary, 400*time.Millisecond)
+	w.room("s1", kindModel, testModel, 1)
+	require.Len(t, w.dispatches("soon"), 1)
+	require.Empty(t, w.dispatches("late"))
+}
+
+// Symptom: the retry of a check fails like the first try. Sequence: one of two servers fails a part of its requests; the
+// failure frees a place there, so the retry goes to it again. Cause: a failed server that is as good as any other.
+func TestRetryGoesToAnotherServer(t *testing.T) {
+	w := newWorld(t, Options{})
+	w.serve("s1", kindService, testService, 4)
+	w.serve("s2", kindService, testService, 4)
+	w.arrive("a", gateCheck)
+	first := w.last("a", 1)
+	w.prove(first.server, first.id, wire.Proof_PROOF_FAILED)
+	require.NotEqual(t, first.server, w.last("a", 2).server)
+}
+
+func TestRetryGoesToTheSameServerIfThereIsNoOther(t *testing.T) {
+	w := newWorld(t, Options{})
+	w.serve("s1", kindService, testService, 4)
+	w.arrive("a", gateCheck)
+	w.prove("s1", w.last("a", 1).id, wire.Proof_PROOF_FAILED)
+	w.pass(time.Second)
+	w.last("a", 2)
+}
+
+func TestMaxAttempts(t *testing.T) {
+	w := newWorld(t, Options{})
+	w.serve("s1", kindService, testService, 4)
+	r := w.request("a", gateCheck)
+	r.MaxAttempts = 2
+	w.step(Arrive{Request: r})
+	for n := 1; n <= 2; n++ {
+		w.pass(300 * time.Millisecond)
+		w.prove("s1", w.last("a", n).id, wire.Proof_PROOF_FAILED)
+	}
+	w.pass(time.Second)
+	w.last("a", 2)
+	require.Equal(t, result.EngineFailed, w.failures["a"].Code)
+}
