--- /dev/null
+++ b/agent/follow_test.go
@@ -0,0 +1,106 @@
+package agent
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/engine/standin"
+	"github.com/carawaypitch/carawaypitch/session"
+	"github.com/carawaypitch/carawaypitch/settings"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+const followedAddress = engineHost + ":9500"
+
+func followView(version uint64, announcements ...*wire.Announcement) *session.View {
+	view := &session.View{
+		ConfigVersion: version, DirectoryVersion: version, Fence: 5,
+		Announcements: map[string]*wire.Announcement{},
+		Desired: &wire.DesiredState{Version: 1, Pools: []*wire.Pool{
+			{Name: "models", Kind: string(engine.KindModel), TokensPerEvent: 4},
+			{Name: "desk", Kind: string(engine.KindService)},
+		}},
+	}
+	for _, a := range announcements {
+		view.Announcements[a.GetServer()] = a
+	}
+	return view
+}
+
+func announced(server, pool, address string) *wire.Announcement {
+	return &wire.Announcement{Server: server, Pool: pool, Address: address, Slots: 4, Sequence: 1}
+}
+
+func TestServersAreSelected(t *testing.T) {
+	view := followView(1,
+		announced("m1", "models", followedAddress), announced("m2", "models", "10.0.0.9:1"),
+		announced("d1", "desk", "10.0.0.8:1"), announced("x1", "unknown", "10.0.0.7:1"))
+	names := func(found []*wire.Announcement) []string {
+		var list []string
+		for _, a := range found {
+			list = append(list, a.GetServer())
+		}
+		return list
+	}
+	require.Equal(t, []string{"m1"}, names(AtAddress(followedAddress)(view)))
+	require.Equal(t, []string{"d1"}, names(OfKind(engine.KindService)(view)))
+	require.Empty(t, AtAddress(followedAddress)(&session.View{}))
+}
+
+// startFollowing starts an agent that takes its servers from control, beside a stand-in engine.
+func (w *world) startFollowing() {
+	w.t.Helper()
+	w.startStandin(standin.Options{Server: "m1", Kind: engine.KindModel, Models: []string{"models"}, Slots: 4, Listen: followedAddress})
+	w.control.begin()
+	agent, err := New(w.settings(), Options{
+		Network: w.network.Host(agentHost),
+		Control: w.control,
+		Select:  AtAddress(followedAddress),
+	})
+	require.NoError(w.t, err)
+	w.run(agent)
+}
+
+// Symptom: an agent never shows itself. Sequence: its server announces itself to control and not to the agent; the agent
+// waits for an announcement before it opens its session, over which alone it could hear of one. Cause: the two wait for
+// each other.
+func TestAgentHearsOfItsServerFromControl(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.startFollowing()
+		require.Nil(t, w.control.registered())
+		w.control.setView(followView(2, announced("m1", "models", followedAddress)))
+		w.until("the server is registered", func() bool {
+			records := w.control.registered()
+			return len(records) == 1 && records[0].GetCondition() == wire.ServerCondition_SERVER_CONDITION_READY
+		})
+		record := w.control.registered()[0]
+		require.Equal(t, "m1", record.GetServer())
+		require.Equal(t, []string{"models"}, record.GetModels())
+		require.Equal(t, settings.KindModel, record.GetKind())
+		require.EqualValues(t, 4, record.GetTokensPerEvent())
+		require.True(t, record.GetCapabilities().GetResume())
+	})
+}
+
+// Symptom: a server that leaves gets new work. Sequence: control says that it drains, or has it no longer. Cause: an
+// agent that only listens for new servers.
+func TestServerThatControlLostIsDrained(t *testing.T) {
+	drains := announced("m1", "models", followedAddress)
+	drains.Draining = true
+	for name, after := range map[string]*session.View{"drains": followView(3, drains), "ended": followView(3)} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(w *world) {
+				w.startFollowing()
+				w.control.setView(followView(2, announced("m1", "models", followedAddress)))
+				w.until("ready", func() bool { return len(w.control.registered()) == 1 })
+				w.control.setView(after)
+				w.until("drained", func() bool {
+					records := w.control.registered()
+					return len(records) == 1 && records[0].GetCondition() == wire.ServerCondition_SERVER_CONDITION_DRAINED
+				})
+			})
+		})
+	}
+}
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -98,6 +98,10 @@
 		newSession: func(session.Config) Control { return w.control },
 	})
 	require.NoError(w.t, err)
+	w.run(agent)
+}
+
+func (w *world) run(agent *Agent) {
 	ctx, stop := context.WithCancel(w.t.Context())
 	w.agent = agent
 	w.stop = stop
@@ -126,9 +130,14 @@
 
 // startEngine starts a stand-in that announces itself to the agent.
 func (w *world) startEngine(options standin.Options) *standin.Server {
-	options.Network = w.network.Host(engineHost)
 	options.Listen = engineHost + ":0"
 	options.Agent = "http://" + agentHost + ":9100"
+	return w.startStandin(options)
+}
+
+// startStandin starts a stand-in as it is.
+func (w *world) startStandin(options standin.Options) *standin.Server {
+	options.Network = w.network.Host(engineHost)
 	options.Ledger = w.ledger
 	if options.LeaveTimeout == 0 {
 		options.LeaveTimeout = time.Second
--- a/entry/agent_test.go
+++ b/entry/agent_test.go
@@ -25,6 +25,7 @@
 	kind        string
 	target      string
 	incarnation uint64
+	resumes     bool // its engine can go on with a stream
 	links       *link.EntryServer
 	stop        func()
 
@@ -123,10 +124,15 @@
 func (a *fakeAgent) room() *wire.Room {
 	return &wire.Room{
 		Server: a.server, AddressKind: a.kind, Targets: []string{a.target}, Free: 8,
-		PrefillTokensPerS: 10_000, DecodeTokensPerS: 100, Condition: wire.ServerCondition_SERVER_CONDITION_READY,
+		PrefillTokensPerS: 10_000, DecodeTokensPerS: 100, Condition: wire.ServerCondition_SERVER_CONDITION_READY, Resume: a.resumes,
 	}
 }
 
+// announceRoom tells all entries of the room as it is now.
+func (a *fakeAgent) announceRoom() {
+	a.links.Broadcast(&wire.AgentMessage{Kind: &wire.AgentMessage_Room{Room: a.room()}})
+}
+
 func (a *fakeAgent) send(id link.EntryID, m *wire.AgentMessage) { a.links.Send(id, m) }
 
 func (a *fakeAgent) receive(_ context.Context, id link.EntryID, m *wire.EntryMessage) error {
--- a/entry/routing.go
+++ b/entry/routing.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strings"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -121,7 +122,15 @@
 	return r.byTier[m.GetTier()]
 }
 
-// routed is a pool's kind, so that the class of a call fits where it goes.
+// objective is when a call is due that arrived at a time, zero for a route without an objective.
+func (r *route) objective(arrived time.Time) time.Time {
+	if r.GetObjectiveMs() == 0 {
+		return time.Time{}
+	}
+	return arrived.Add(time.Duration(r.GetObjectiveMs()) * time.Millisecond)
+}
+
+// kindOf is a pool's kind, by which the class of a call fits where it goes.
 func (r *route) kindOf(pool string) string { return r.kinds[pool] }
 
 // routingOf returns the routing of a view. One whose desired state is the old one's stays as it is.
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -215,7 +215,7 @@
 		Stream:       route.GetPauseMs() > 0,
 		Arrived:      call.Arrived,
 		Deadline:     call.Arrived.Add(timeout),
-		Objective:    call.Arrived.Add(time.Duration(route.GetObjectiveMs()) * time.Millisecond),
+		Objective:    route.objective(call.Arrived),
 		Verbatim:     &sched.Verbatim{Host: call.Host, Headers: call.Headers},
 		MaxAttempts:  int(route.GetMaxAttempts()),
 	}
