--- a/capacity/view.go
+++ b/capacity/view.go
@@ -24,9 +24,9 @@
 func (c *fixedControl) Subscribe(fn func(*session.View)) { fn(c.view) }
 func (c *fixedControl) Ready() error                     { return nil }
 func (c *fixedControl) CutOff() error                    { return nil }
-func (c *fixedControl) Refresh() {}
+func (c *fixedControl) Refresh()                         {}
 
-func (c *fixedControl) ObserveVersion(uint64) bool       { return true }
+func (c *fixedControl) ObserveVersion(uint64) bool { return true }
 
 // fixedView has the sample classes and an agent with one backend server at each address.
 func fixedView(addresses []string) *session.View {
