control, session, platform: instances are replaced, and seeds followed, while processes run

Members came from the settings of the start alone, and so did the instances that entries and agents keep links to; the third replacement would have ended control.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -158,6 +158,11 @@
 	return a.linkListener.Addr().String()
 }
 
+// AddControls opens links to further control instances by their link addresses.
+func (a *Agent) AddControls(addresses []string) {
+	a.session.AddControls(addresses)
+}
+
 // assemble makes the parts and joins them.
 func (a *Agent) assemble(newEngine func(*wire.ServerRecord) (engine.Client, error)) {
 	a.ready = &readiness{control: a.session.Ready}
--- a/agent/control.go
+++ b/agent/control.go
@@ -19,6 +19,7 @@
 	View() *session.View
 	Subscribe(fn func(*session.View))
 	ObserveVersion(version uint64) bool
+	AddControls(addresses []string)
 }
 
 var _ Control = (*session.Session)(nil)
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -286,6 +286,8 @@
 	fn(view)
 }
 
+func (c *fakeControl) AddControls([]string) {}
+
 func (c *fakeControl) ObserveVersion(uint64) bool { return true }
 
 // list puts an entry into the directory.
--- a/capacity/view.go
+++ b/capacity/view.go
@@ -24,6 +24,8 @@
 func (c *fixedControl) Subscribe(fn func(*session.View)) { fn(c.view) }
 func (c *fixedControl) Ready() error                     { return nil }
 func (c *fixedControl) CutOff() error                    { return nil }
+func (c *fixedControl) AddControls([]string)             {}
+func (c *fixedControl) Addresses() []string              { return nil }
 func (c *fixedControl) Refresh()                         {}
 
 func (c *fixedControl) ObserveVersion(uint64) bool { return true }
--- a/cmd/carawaypitch/platform.go
+++ b/cmd/carawaypitch/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -37,7 +38,9 @@
 	if flags.NArg() != 1 {
 		return usage("platform: name one of entry, agent, control")
 	}
-	// The platform's signal for changed settings must not end the process.
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
-	return exit(platform.Run(ctx, settings.Role(flags.Arg(0))))
+	// A write to a connection that is closed must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	return exit(platform.Run(ctx, settings.Role(flags.Arg(0)), changed))
 }
--- a/control/members.go
+++ b/control/members.go
@@ -2,30 +2,56 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/carawaypitch/carawaypitch/quorum"
 	"github.com/carawaypitch/carawaypitch/quorum/replica"
-	"github.com/carawaypitch/carawaypitch/wire"
 )
 
-// members takes one step towards a group of all instances of the settings that said hello. An instance that came with
-// another disk is added as a learner; once it holds the log, its earlier replica is removed, and then it gets a vote.
+const (
+	// memberHeard is how long ago an instance must have been heard at the latest to become a member.
+	memberHeard = 3 * time.Second
+	// voterSilent is the silence after which a voter gives its vote to a learner that holds the log. The group is to bear
+	// the loss of another voter a few seconds after a replacement has started, so it is short; a voter that comes back
+	// becomes a learner, and takes the next vote that is free.
+	voterSilent = 2500 * time.Millisecond
+	// learnerSilent is the silence after which a learner is removed.
+	learnerSilent = 30 * time.Second
+	// maxMembers bounds the group.
+	maxMembers = 16
+)
+
+// members takes one step towards a group with the wanted number of voters, of all instances that said hello. An instance
+// that came with another disk is added as a learner; once it holds the log, its earlier replica is removed, and then it
+// gets a vote. A learner also gets the vote of a voter that stays away.
 //
 // The earlier replica's disk is gone, so it can't vote again; but the new one must hold the log before it counts.
 // Otherwise the loss of another instance right after the repair could leave a majority without what was committed.
 func (l *leader) members(ctx context.Context) error {
-	status := l.control.replica.Status()
-	known := l.control.peers.all()
-	for _, r := range l.control.settings.Replicas {
-		info := known[r.Instance]
-		if step := nextStep(status, info.getHello()); step != nil {
-			return l.changeMember(ctx, step)
-		}
+	step := memberView{
+		status: l.control.replica.Status(),
+		known:  l.control.peers.all(),
+		self:   l.control.replica.ID(),
+		wanted: l.control.wantedVoters(),
+		since:  l.since,
+		now:    time.Now(),
+	}.next()
+	if step == nil {
+		return nil
 	}
-	return nil
+	return l.changeMember(ctx, step)
+}
+
+// wantedVoters is how many members should vote.
+func (c *Control) wantedVoters() int {
+	if c.settings.Voters > 0 {
+		return c.settings.Voters
+	}
+	return len(c.settings.Replicas)
 }
 
 // memberStep is what is to be done for one instance.
@@ -35,24 +61,95 @@
 	address string
 }
 
-// nextStep returns the next step for the replica that said hello, or nil. Nothing is taken from the earlier replica
+// memberView is the group as its leader sees it.
+type memberView struct {
+	status replica.Status
+	known  map[string]peerInfo // by instance
+	self   quorum.ID
+	wanted int       // voters
+	since  time.Time // from when on silence counts at the earliest: before it nobody spoke to this leader
+	now    time.Time
+}
+
+// next returns the next step towards the wanted group, or nil.
+func (v memberView) next() *memberStep {
+	for _, name := range slices.Sorted(maps.Keys(v.known)) {
+		if step := v.stepFor(v.known[name]); step != nil {
+			return step
+		}
+	}
+	return v.silentLearner()
+}
+
+// stepFor returns the next step for the replica that said hello, or nil. Nothing is taken from the earlier replica
 // before the new one holds the log.
-func nextStep(status replica.Status, hello *wire.ReplicaHello) *memberStep {
-	id := quorum.ID(hello.GetReplica())
-	if id == quorum.NoID || id.Instance() != hello.GetInstance() {
+func (v memberView) stepFor(info peerInfo) *memberStep {
+	id := quorum.ID(info.hello.GetReplica())
+	if id == quorum.NoID || id.Instance() != info.hello.GetInstance() {
 		return nil
 	}
-	i := slices.IndexFunc(status.Members, func(m replica.Member) bool { return m.ID == id })
+	i := slices.IndexFunc(v.status.Members, func(m replica.Member) bool { return m.ID == id })
 	if i < 0 {
-		return &memberStep{quorum.AddLearner, id, hello.GetLinkAddress()}
+		if v.now.Sub(info.heard) > memberHeard || len(v.status.Members) >= maxMembers {
+			return nil
+		}
+		return &memberStep{quorum.AddLearner, id, info.hello.GetLinkAddress()}
 	}
-	if status.Members[i].Voter || !isCaughtUp(status, id) {
+	if v.status.Members[i].Voter || !isCaughtUp(v.status, id) {
 		return nil
 	}
-	if old := earlierVoter(status, id); old != quorum.NoID {
+	if old := earlierVoter(v.status, id); old != quorum.NoID {
 		return &memberStep{change: quorum.Remove, id: old}
 	}
-	return &memberStep{change: quorum.Promote, id: id}
+	if v.voters() < v.wanted {
+		return &memberStep{change: quorum.Promote, id: id}
+	}
+	if silent := v.silentVoter(); silent != quorum.NoID {
+		return &memberStep{change: quorum.Remove, id: silent}
+	}
+	return nil
+}
+
+func (v memberView) voters() int {
+	n := 0
+	for _, m := range v.status.Members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+// silentVoter returns a voter that hasn't been heard for voterSilent, or NoID.
+func (v memberView) silentVoter() quorum.ID {
+	for _, m := range v.status.Members {
+		if m.Voter && v.silence(m.ID) > voterSilent {
+			return m.ID
+		}
+	}
+	return quorum.NoID
+}
+
+// silentLearner returns the removal of a learner that stays away: an instance that was replaced, or an earlier disk.
+func (v memberView) silentLearner() *memberStep {
+	for _, m := range v.status.Members {
+		if !m.Voter && v.silence(m.ID) > learnerSilent {
+			return &memberStep{change: quorum.Remove, id: m.ID}
+		}
+	}
+	return nil
+}
+
+// silence is how long a member hasn't been heard, 0 for one that is active or this replica itself.
+func (v memberView) silence(id quorum.ID) time.Duration {
+	if id == v.self || isActive(v.status, id) {
+		return 0
+	}
+	heard := v.since
+	if info := v.known[id.Instance()]; info.heard.After(heard) {
+		heard = info.heard
+	}
+	return v.now.Sub(heard)
 }
 
 // isCaughtUp tells whether a replica holds all that is committed.
@@ -62,6 +159,11 @@
 	})
 }
 
+// isActive tells whether the leader hears a replica.
+func isActive(status replica.Status, id quorum.ID) bool {
+	return slices.ContainsFunc(status.Progress, func(p quorum.Progress) bool { return p.ID == id && p.Active })
+}
+
 // earlierVoter returns the voter that the instance had with its earlier disk, or NoID.
 func earlierVoter(status replica.Status, id quorum.ID) quorum.ID {
 	for _, m := range status.Members {
@@ -90,6 +192,7 @@
 	}
 	if err == nil {
 		l.control.log.WithField("replica", step.id).WithField("change", changeNames[step.change]).Info("replica_changed")
+		l.wake() // for the next step
 	}
 	return err
 }
@@ -99,3 +202,12 @@
 	quorum.Promote:    "promoted",
 	quorum.Remove:     "removed",
 }
+
+// memberAddresses are the link addresses of the group's members.
+func (c *Control) memberAddresses() []string {
+	var addresses []string
+	for _, m := range c.replica.Status().Members {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
--- a/control/peers.go
+++ b/control/peers.go
@@ -74,6 +74,7 @@
 		p.start(p.links[name])
 	}
 	p.mu.Unlock()
+	p.add(p.control.members())
 	<-ctx.Done()
 	p.mu.Lock()
 	p.start = nil
@@ -101,14 +102,45 @@
 	p.info(hello.GetInstance()).hello = hello
 	p.info(hello.GetInstance()).heard = time.Now()
 	p.signal()
-	if p.links[hello.GetInstance()] != nil || len(p.links) >= maxPeers || p.start == nil {
+	p.open(hello.GetInstance(), hello.GetLinkAddress())
+	for _, peer := range hello.GetPeers() {
+		p.open(peer.GetInstance(), peer.GetLinkAddress())
+	}
+}
+
+// add opens links to instances that the settings didn't name: members of the group, and seeds that are new.
+func (p *peers) add(peers []*wire.Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range peers {
+		p.open(peer.GetInstance(), peer.GetLinkAddress())
+	}
+}
+
+// open begins a link to an instance that has none. It is called with the lock held.
+func (p *peers) open(instance, address string) {
+	if instance == p.control.settings.Instance || p.links[instance] != nil || len(p.links) >= maxPeers || p.start == nil {
 		return
 	}
-	l := newPeerLink(p, hello.GetInstance(), hello.GetLinkAddress())
-	p.links[hello.GetInstance()] = l
+	l := newPeerLink(p, instance, address)
+	p.links[instance] = l
 	p.start(l)
 }
 
+// heardLately returns the instances that were heard within memberHeard.
+func (p *peers) heardLately() []*wire.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var heard []*wire.Peer
+	for _, name := range slices.Sorted(maps.Keys(p.known)) {
+		info := p.known[name]
+		if info.hello != nil && time.Since(info.heard) <= memberHeard {
+			heard = append(heard, &wire.Peer{Instance: name, LinkAddress: info.hello.GetLinkAddress()})
+		}
+	}
+	return heard
+}
+
 func (p *peers) noteStatus(instance string, status *wire.ReplicaStatus) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/control/replication.go
+++ b/control/replication.go
@@ -9,6 +9,7 @@
 
 	"github.com/carawaypitch/carawaypitch/quorum"
 	"github.com/carawaypitch/carawaypitch/quorum/replica"
+	"github.com/carawaypitch/carawaypitch/settings"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -129,6 +130,25 @@
 	return voters
 }
 
+// members are the instances of the group's members.
+func (c *Control) members() []*wire.Peer {
+	var members []*wire.Peer
+	for _, m := range c.replica.Status().Members {
+		members = append(members, &wire.Peer{Instance: m.ID.Instance(), LinkAddress: m.Address})
+	}
+	return members
+}
+
+// AddReplicas opens links to further control instances, such as seeds that settings name since this one started. Those
+// that are known already change nothing; whether one becomes a member is the leader's to decide.
+func (c *Control) AddReplicas(replicas []settings.Replica) {
+	var peers []*wire.Peer
+	for _, r := range replicas {
+		peers = append(peers, &wire.Peer{Instance: r.Instance, LinkAddress: r.Address})
+	}
+	c.peers.add(peers)
+}
+
 func (c *Control) hasGroup() bool {
 	return len(c.replica.Status().Members) > 0
 }
@@ -148,6 +168,7 @@
 		Replica:     string(c.replica.ID()),
 		LinkAddress: c.advertise(),
 		HasGroup:    c.hasGroup(),
+		Peers:       c.peers.heardLately(),
 	}
 	for _, v := range c.replica.FirstVoters() {
 		hello.FirstVoters = append(hello.FirstVoters, &wire.FirstVoter{Replica: string(v.ID), Address: v.Address})
--- a/control/rules_test.go
+++ b/control/rules_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,10 +114,74 @@
 		{"earlier one gone", hello, []replica.Member{voter("a/1"), learner}, caughtUp, &memberStep{change: quorum.Promote, id: "b/new"}},
 		{"done", hello, []replica.Member{voter("a/1"), voter("b/new")}, caughtUp, nil},
 	}
+	now := time.Unix(1_700_000_000, 0)
 	for _, test := range cases {
-		status := replica.Status{Commit: 9, Members: test.members, Progress: test.progress}
-		require.Equal(t, test.want, nextStep(status, test.hello), test.name)
+		view := memberView{
+			status: replica.Status{Commit: 9, Members: test.members, Progress: test.progress},
+			known:  map[string]peerInfo{"b": {hello: test.hello, heard: now}},
+			self:   "a/1", wanted: 2, since: now, now: now,
+		}
+		require.Equal(t, test.want, view.next(), test.name)
+	}
+}
+
+// Symptom: the group is lost with the second instance that is replaced. Sequence: a voter goes for good; an empty one comes
+// at another address, which no settings name; later another voter goes. Cause: members taken from the settings alone.
+func TestReplacementTakesTheVoteOfASilentVoter(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	voters := []replica.Member{{ID: "a/1", Voter: true}, {ID: "b/1", Voter: true}, {ID: "c/1", Voter: true}}
+	learner := append(slices.Clone(voters), replica.Member{ID: "d/1"})
+	heard := func(id string, ago time.Duration) peerInfo {
+		instance, _, _ := strings.Cut(id, "/")
+		hello := &wire.ReplicaHello{Instance: instance, Replica: id, LinkAddress: instance + ":1"}
+		return peerInfo{hello: hello, heard: now.Add(-ago)}
+	}
+	active := func(ids ...quorum.ID) []quorum.Progress {
+		var list []quorum.Progress
+		for _, id := range ids {
+			list = append(list, quorum.Progress{ID: id, Active: true, Match: 9})
+		}
+		return list
+	}
+	cases := map[string]struct {
+		members  []replica.Member
+		progress []quorum.Progress
+		silent   time.Duration // of voter c
+		fresh    time.Duration // since the newcomer was heard
+		leads    time.Duration
+		want     *memberStep
+	}{
+		"newcomer becomes a learner":       {voters, active("b/1", "c/1"), 0, 0, time.Minute, &memberStep{quorum.AddLearner, "d/1", "d:1"}},
+		"one heard long ago doesn't":       {voters, active("b/1", "c/1"), 0, memberHeard + 1, time.Minute, nil},
+		"all voters are there":             {learner, active("b/1", "c/1", "d/1"), 0, 0, time.Minute, nil},
+		"a voter is silent for a moment":   {learner, active("b/1", "d/1"), voterSilent, 0, time.Minute, nil},
+		"a voter is silent":                {learner, active("b/1", "d/1"), voterSilent + 1, 0, time.Minute, &memberStep{change: quorum.Remove, id: "c/1"}},
+		"the learner isn't caught up":      {learner, active("b/1"), voterSilent + 1, 0, time.Minute, nil},
+		"the leader has only just begun":   {learner, active("b/1", "d/1"), time.Hour, 0, voterSilent, nil},
+		"the silent voter's vote is given": {append(slices.Clone(voters[:2]), learner[3]), active("b/1", "d/1"), time.Hour, 0, time.Minute, &memberStep{change: quorum.Promote, id: "d/1"}},
+	}
+	for name, test := range cases {
+		view := memberView{
+			status: replica.Status{Commit: 9, Members: test.members, Progress: test.progress},
+			known:  map[string]peerInfo{"b": heard("b/1", 0), "c": heard("c/1", test.silent), "d": heard("d/1", test.fresh)},
+			self:   "a/1", wanted: 3, since: now.Add(-test.leads), now: now,
+		}
+		if test.silent > memberHeard {
+			delete(view.known, "c") // else its hello would have it added again
+		}
+		require.Equal(t, test.want, view.next(), name)
+	}
+}
+
+func TestSilentLearnerIsRemoved(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	view := memberView{
+		status: replica.Status{Commit: 9, Members: []replica.Member{{ID: "a/1", Voter: true}, {ID: "b/1"}}},
+		self:   "a/1", wanted: 1, since: now.Add(-learnerSilent), now: now,
 	}
+	require.Nil(t, view.next())
+	view.now = now.Add(1)
+	require.Equal(t, &memberStep{change: quorum.Remove, id: "b/1"}, view.next())
 }
 
 // Symptom: a class changes without an operator.
--- a/control/session.go
+++ b/control/session.go
@@ -124,6 +124,7 @@
 		DirectoryVersion: s.directory,
 		Leader:           s.control.leaderInstance(),
 		Others:           others,
+		Controls:         s.control.memberAddresses(),
 	}}})
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,6 +62,9 @@
 	CutOff() error
 	// ObserveVersion notes a configuration version that another process has shown.
 	ObserveVersion(version uint64) bool
+	// AddControls opens links to further control instances; Addresses returns those of all.
+	AddControls(addresses []string)
+	Addresses() []string
 	// Refresh asks control at once for what is new there.
 	Refresh()
 }
@@ -94,7 +97,8 @@
 	waiting   atomic.Pointer[[]sched.TargetWait] // as of the last look, see report
 	wanted    atomic.Uint64                      // highest configuration version that any process has shown
 
-	leaving    atomic.Bool // says that it isn't ready, and still takes requests
+	successor  atomic.Pointer[Entry] // the incarnation that followed on this one, nil while this one runs
+	leaving    atomic.Bool           // says that it isn't ready, and still takes requests
 	stopping   atomic.Bool
 	active     atomic.Int64 // calls and flights in progress
 	bodyBytes  atomic.Int64
--- a/entry/http.go
+++ b/entry/http.go
@@ -131,6 +131,9 @@
 
 // Ready returns why the entry may not receive work, nil if it may.
 func (e *Entry) Ready() error {
+	if successor := e.successor.Load(); successor != nil {
+		return successor.Ready()
+	}
 	if e.leaving.Load() {
 		return result.New(result.Stopping, "")
 	}
--- a/entry/incarnations.go
+++ b/entry/incarnations.go
@@ -24,8 +24,24 @@
 		e.log.WithField("instance", e.settings.Instance).Warn("entry_superseded")
 		next := e.settings
 		next.Listen.Callers = e.CallersAddr()
-		if current, err = New(next, e.options); err != nil {
+		next.Controls = current.control.Addresses()
+		current, err = New(next, e.options)
+		if err != nil {
 			return err
 		}
+		e.successor.Store(current)
 	}
 }
+
+// AddControls opens links to further control instances by their link addresses.
+func (e *Entry) AddControls(addresses []string) {
+	e.present().control.AddControls(addresses)
+}
+
+// present is the incarnation that runs.
+func (e *Entry) present() *Entry {
+	if successor := e.successor.Load(); successor != nil {
+		return successor
+	}
+	return e
+}
--- a/entry/local_agent.go
+++ b/entry/local_agent.go
@@ -145,6 +145,9 @@
 // Subscribe implements agent.Control.
 func (c localControl) Subscribe(fn func(*session.View)) { c.local.entry.control.Subscribe(fn) }
 
+// AddControls implements agent.Control: the entry's session has its own.
+func (localControl) AddControls([]string) {}
+
 // ObserveVersion implements agent.Control.
 func (c localControl) ObserveVersion(version uint64) bool {
 	return c.local.entry.control.ObserveVersion(version)
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -150,6 +150,10 @@
 
 func (f *fakeControl) Refresh() {}
 
+func (f *fakeControl) AddControls([]string) {}
+
+func (f *fakeControl) Addresses() []string { return nil }
+
 func (f *fakeControl) ObserveVersion(version uint64) bool { return version <= f.View().ConfigVersion }
 
 // publish puts a changed view in force.
--- a/session/freshness.go
+++ b/session/freshness.go
@@ -57,6 +57,12 @@
 	return f
 }
 
+// Add takes one more control instance up, which counts as heard now. Its number follows on those before it.
+func (f *Freshness) Add(now time.Time) {
+	f.update(now)
+	f.heard = append(f.heard, contact{at: now})
+}
+
 // Answered notes that an instance answered a poll, which was sent at sent. Times count from the sending: how long the
 // answer took to come back says nothing of what happened meanwhile.
 func (f *Freshness) Answered(instance int, sent, now time.Time) {
--- a/session/orders.go
+++ b/session/orders.go
@@ -37,7 +37,7 @@
 	s.orders.results[r.GetServer()] = r
 	delete(s.orders.pending, r.GetServer())
 	s.orders.mu.Unlock()
-	for _, p := range s.peers {
+	for _, p := range s.all() {
 		p.report(r)
 	}
 }
--- a/session/peer.go
+++ b/session/peer.go
@@ -119,7 +119,7 @@
 	p.ring = out
 	p.sent = make(map[uint64]time.Time)
 	p.waiting = make(map[uint64]chan *wire.ProposeReply)
-	p.reports = reporter{source: p.session.cfg.Report, links: len(p.session.peers)}
+	p.reports = reporter{source: p.session.cfg.Report, links: len(p.session.all())}
 }
 
 // close ends the link. Who waits for a reply learns that none will come.
@@ -214,6 +214,9 @@
 	}
 	s, now := p.session, time.Now()
 	s.setLeader(f.GetLeader())
+	if f.GetConfirmed() {
+		s.AddControls(f.GetControls())
+	}
 	view := s.View()
 	inForce := view.ConfigVersion >= f.GetConfigVersion() && view.DirectoryVersion >= f.GetDirectoryVersion()
 	s.mu.Lock()
--- a/session/propose.go
+++ b/session/propose.go
@@ -49,8 +49,9 @@
 // tryAll tries each control instance once, the leader first, until one gives a reply that settles the matter. It sets
 // lost when an outcome got lost; a command that isn't idempotent goes nowhere else then.
 func (s *Session) tryAll(ctx context.Context, cmd *wire.Command, lost *bool) *wire.ProposeReply {
-	tried := make([]bool, len(s.peers))
-	for p := s.next(tried); p != nil && ctx.Err() == nil; p = s.next(tried) {
+	peers := s.all()
+	tried := make([]bool, len(peers))
+	for p := s.next(peers, tried); p != nil && ctx.Err() == nil; p = s.next(peers, tried) {
 		tried[p.number] = true
 		reply, sent := p.try(ctx, cmd)
 		switch {
@@ -70,9 +71,9 @@
 }
 
 // next returns the untried peer that leads as far as known, else any untried one with a link, else nil.
-func (s *Session) next(tried []bool) *peer {
+func (s *Session) next(peers []*peer, tried []bool) *peer {
 	leader := s.Leader()
-	untried := slices.DeleteFunc(slices.Clone(s.peers), func(p *peer) bool { return tried[p.number] || !p.isUp() })
+	untried := slices.DeleteFunc(slices.Clone(peers), func(p *peer) bool { return tried[p.number] || !p.isUp() })
 	if len(untried) == 0 {
 		return nil
 	}
--- a/session/session.go
+++ b/session/session.go
@@ -95,9 +95,12 @@
 
 // Session keeps the links to all control instances. Its methods may be called from any goroutine, before Run too.
 type Session struct {
-	cfg   Config
-	peers []*peer
-	view  atomic.Pointer[View]
+	cfg  Config
+	view atomic.Pointer[View]
+	// peers only grows. A stored slice isn't changed; adding holds addMu.
+	peers atomic.Pointer[[]*peer]
+	addMu sync.Mutex
+	start func(*peer) // set while Run runs
 	ids   atomic.Uint64
 
 	mu        sync.Mutex
@@ -119,9 +122,11 @@
 	cfg = cfg.withDefaults()
 	s := &Session{cfg: cfg, freshness: NewFreshness(len(cfg.Controls), cfg.SilenceBound, time.Now())}
 	s.view.Store(newView())
+	peers := make([]*peer, 0, len(cfg.Controls))
 	for i, address := range cfg.Controls {
-		s.peers = append(s.peers, newPeer(s, i, address))
+		peers = append(peers, newPeer(s, i, address))
 	}
+	s.peers.Store(&peers)
 	s.registration = newRegistration(cfg)
 	s.orders = newOrders()
 	s.counters = newCounters(cfg.Metrics, s)
@@ -138,19 +143,79 @@
 	defer s.supersede(nil)
 	s.restart()
 	var wg sync.WaitGroup
-	for _, p := range s.peers {
-		wg.Go(func() { p.run(ctx) })
-	}
+	s.startPeers(func(p *peer) { wg.Go(func() { p.run(ctx) }) })
 	wg.Go(func() { s.register(ctx) })
+	<-ctx.Done()
+	s.startPeers(nil)
 	wg.Wait()
 	return context.Cause(ctx)
 }
 
+// startPeers begins all links, and those that are added later, with start; nil begins no more.
+func (s *Session) startPeers(start func(*peer)) {
+	s.addMu.Lock()
+	defer s.addMu.Unlock()
+	s.start = start
+	if start == nil {
+		return
+	}
+	for _, p := range s.all() {
+		start(p)
+	}
+}
+
+// all returns the control instances that are known.
+func (s *Session) all() []*peer { return *s.peers.Load() }
+
+// maxControls bounds the control instances that a session keeps links to. A group has a handful of members at a time;
+// the rest are those that were replaced while this process ran.
+const maxControls = 32
+
+// AddControls opens links to further control instances by their link addresses. Those that are known already, and what
+// goes beyond the bound, change nothing.
+//
+// Instances are replaced at other addresses while a process runs, and its settings may be older than it. One that only
+// knew its first three would lose control with the third that is replaced.
+func (s *Session) AddControls(addresses []string) {
+	s.addMu.Lock()
+	defer s.addMu.Unlock()
+	for _, address := range addresses {
+		known := s.all()
+		if len(known) >= maxControls || slices.ContainsFunc(known, func(p *peer) bool { return p.address == address }) {
+			continue
+		}
+		s.add(known, address)
+	}
+}
+
+// Addresses returns the link addresses of the control instances that are known.
+func (s *Session) Addresses() []string {
+	var addresses []string
+	for _, p := range s.all() {
+		addresses = append(addresses, p.address)
+	}
+	return addresses
+}
+
+// add is called with addMu held.
+func (s *Session) add(known []*peer, address string) {
+	added := newPeer(s, len(known), address)
+	s.mu.Lock()
+	s.freshness.Add(time.Now())
+	peers := append(slices.Clone(known), added)
+	s.peers.Store(&peers)
+	s.mu.Unlock()
+	s.cfg.Log.WithField("address", address).WithField("controls", len(peers)).Info("control_added")
+	if s.start != nil {
+		s.start(added)
+	}
+}
+
 // restart counts freshness from the start of Run.
 func (s *Session) restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.freshness = NewFreshness(len(s.peers), s.cfg.SilenceBound, time.Now())
+	s.freshness = NewFreshness(len(s.all()), s.cfg.SilenceBound, time.Now())
 }
 
 // View returns the newest configuration and directory.
@@ -230,7 +295,7 @@
 		return nil
 	}
 	return result.New(result.CutOffFromControl, "%d of %d control instances are silent, and none was confirmed by a quorum",
-		s.freshness.SilentInstances(now), len(s.peers))
+		s.freshness.SilentInstances(now), len(s.all()))
 }
 
 // Contacts returns how each control instance is reached, in the order of Config.Controls.
@@ -238,7 +303,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make([]Contact, len(s.peers))
+	out := make([]Contact, len(s.all()))
 	for i := range out {
 		out[i] = s.freshness.Contact(i, now)
 	}
@@ -265,7 +330,7 @@
 
 // Refresh polls all control instances without waiting for the next interval.
 func (s *Session) Refresh() {
-	for _, p := range s.peers {
+	for _, p := range s.all() {
 		p.poll()
 	}
 }
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -315,7 +315,7 @@
 		c.set(func(c *fakeControl) { c.isMute = true })
 		time.Sleep(DefaultSilenceBound + DefaultPollInterval)
 		require.Error(t, f.session.CutOff())
-		f.eventually("a new link", func() bool { return f.session.peers[0].isUp() })
+		f.eventually("a new link", func() bool { return f.session.all()[0].isUp() })
 		c.pushOrder(order(5, 30))
 		synctest.Wait()
 		require.Empty(t, f.session.Orders(), "no order while cut off")
--- a/session/start_test.go
+++ b/session/start_test.go
@@ -38,7 +38,7 @@
 		f.ready()
 		answer := func(confirmed bool) {
 			id := f.session.ids.Add(1)
-			p := f.session.peers[0]
+			p := f.session.all()[0]
 			p.mu.Lock()
 			p.sent[id] = time.Now()
 			p.mu.Unlock()
--- a/settings/control.go
+++ b/settings/control.go
@@ -24,6 +24,9 @@
 	Advertise string `json:"advertise" settings:"dial"`
 	// Replicas are the initial members of the quorum, this instance among them.
 	Replicas []Replica `json:"replicas" settings:"required"`
+	// Voters is how many members of the quorum should vote. Further ones are learners, and take the place of a voter that
+	// stays away. Default: the number of replicas.
+	Voters int `json:"voters"`
 	// Bootstrap allows this instance to start a new quorum of Replicas on an empty data folder. With false an
 	// empty data folder waits as a learner to be added.
 	Bootstrap bool `json:"bootstrap"`
@@ -112,6 +115,9 @@
 	if s.Advertise == "" {
 		s.Advertise = s.Listen.Links
 	}
+	if s.Voters == 0 {
+		s.Voters = len(s.Replicas)
+	}
 	if s.Timing.FirstElection == 0 {
 		s.Timing.FirstElection = s.Timing.Election
 	}
@@ -126,6 +132,9 @@
 	c.classes(s.InitialClasses)
 	c.tlsFiles("tls", s.TLS)
 	c.tlsFiles("operator_tls", s.OperatorTLS)
+	if s.Voters < 0 {
+		c.add(result.SettingsOutOfRange, "voters", "want at least 1, got %d", s.Voters)
+	}
 	positive(c, "timing.heartbeat", s.Timing.Heartbeat)
 	positive(c, "timing.first_election", s.Timing.FirstElection)
 	positive(c, "timing.server_expire", s.Timing.ServerExpire)
