entry: a cap is used by parts until the next word of control; a drain is cut at its end

An entry now uses two equal parts of what is left until the next word, and asks for one when it has used half of that.

--- a/entry/caps.go
+++ b/entry/caps.go
@@ -29,7 +29,10 @@
 	// capNear is the used part of a cap from which on it counts as nearly used up.
 	capNear = 0.6
 	// capReportGap is the least time between two such words to control, which bounds what they cost.
-	capReportGap = 100 * time.Millisecond
+	capReportGap = 50 * time.Millisecond
+	// capPart is how many equal parts of what is left of a cap an entry may use until the next word of control, since
+	// callers spread unevenly.
+	capPart = 2
 )
 
 // usageCaps holds the caps of all organisations, also over changes of the desired state.
@@ -76,6 +79,9 @@
 	turn   int64             // of the newest slot
 	untold float64           // used here since control was told last
 	toldAt time.Time
+	spent  float64 // used here since the last word of control
+	may    float64 // of it at most
+	wordAt time.Time
 	others map[int]othersWord // by control instance
 }
 
@@ -205,9 +211,29 @@
 func (u *usageCap) takeOthers(control int, other *wire.Usage) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	defer u.allow()
 	u.others[control] = othersWord{at: u.now(), used: float64(other.GetUsed()), rate: float64(other.GetRate())}
 }
 
+// allow sets what may be used here until the next word: a part of what is left now. Were each entry to use all that is
+// left as of the last word, a cap could be overrun as many times as there are entries, when a network is cut in the
+// moment in which an organisation's use rises.
+func (u *usageCap) allow() {
+	left := max(u.limit()-u.sum(), 0)
+	u.may = capPart * left / float64(max(u.entries.Load(), 1))
+	u.spent, u.wordAt = 0, u.now()
+}
+
+// needsWord tells whether so many units more need a newer word of control. Without a late one the equal part binds.
+func (u *usageCap) needsWord(units uint64) bool {
+	return u.keepsToPart() && u.spent > 0 && u.spent+float64(units) > u.may
+}
+
+// keepsToPart tells whether there are others and a late word, so that u.may binds.
+func (u *usageCap) keepsToPart() bool {
+	return u.entries.Load() > 1 && !u.wordAt.IsZero() && u.now().Sub(u.wordAt) <= capWordBound
+}
+
 // take admits a request of so many units, or returns after which time it could be. One above the whole limit is admitted
 // when nothing else was.
 func (u *usageCap) take(units uint64) (wait time.Duration, ok bool) {
@@ -217,8 +243,12 @@
 	if sum > 0 && sum+float64(units) > u.limit() {
 		return u.wait(sum + float64(units) - u.limit()), false
 	}
+	if u.needsWord(units) {
+		return capReportGap, false
+	}
 	*u.slot() += float64(units)
 	u.untold += float64(units)
+	u.spent += float64(units)
 	return 0, true
 }
 
@@ -239,6 +269,7 @@
 	defer u.mu.Unlock()
 	slot := u.slot()
 	*slot = max(*slot-float64(units), 0)
+	u.spent = max(u.spent-float64(units), 0)
 }
 
 // String tells what the cap goes by, for people.
@@ -248,15 +279,18 @@
 	return fmt.Sprintf("%.0f of %.0f used in %s, %.0f of it here", u.sum(), u.limit(), u.window, u.own())
 }
 
-// isUrgent tells whether control should hear of the use here before the next poll: the cap is nearly used up, and much
-// of it here.
+// isUrgent tells whether control should hear of the use here before the next poll: the cap is nearly used up and much
+// of it here, or much is used of what may be without a newer word.
 func (u *usageCap) isUrgent() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.untold <= capReportPart*u.limit() || u.now().Sub(u.toldAt) < capReportGap {
+	if u.now().Sub(u.toldAt) < capReportGap {
 		return false
 	}
-	return u.sum() > capNear*u.limit()
+	if u.keepsToPart() && u.spent > u.may/2 {
+		return true
+	}
+	return u.untold > capReportPart*u.limit() && u.sum() > capNear*u.limit()
 }
 
 // tell returns what was used here in the window and the rate of late, and notes that control is told.
--- a/entry/caps_test.go
+++ b/entry/caps_test.go
@@ -127,6 +127,20 @@
 	require.Equal(t, 250, fillUp(u))
 }
 
+// Symptom: a cap is overrun several times over in a second. Sequence: an organisation's use rises; the network is cut
+// before entries have heard of it; each goes on to use all that was left when control spoke last. Cause: what is left
+// counted for each entry as a whole.
+func TestEntryUsesAPartOfWhatIsLeftUntilTheNextWord(t *testing.T) {
+	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
+	u := newCap(clock, 10, nil)
+	u.takeOthers(0, &wire.Usage{Used: 500})
+	require.Equal(t, 500*capPart/10, fillUp(u))
+	clock.pass(capReportGap)
+	require.True(t, u.isUrgent())
+	u.takeOthers(0, &wire.Usage{Used: 500})
+	require.Equal(t, 400*capPart/10, fillUp(u))
+}
+
 func TestDoubtIsGivenWithinTheTolerance(t *testing.T) {
 	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
 	u := newCap(clock, 1, func(s *settings.Entry) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -291,7 +291,10 @@
 	e.leave(own)
 	e.stopping.Store(true)
 	e.log.WithField("active", e.active.Load()).Info("entry_stopping")
-	e.drain(own)
+	if !e.drain(own) {
+		// What is still open is cut now, while the callers' connections can be closed in order.
+		e.calls.failAll()
+	}
 	e.deregister(own)
 	return nil
 }
@@ -309,8 +312,8 @@
 	pause.For(ctx, e.settings.Timing.Leave)
 }
 
-// drain waits until nothing is in flight.
-func (e *Entry) drain(ctx context.Context) {
+// drain waits until nothing is in flight. It returns false at the end of timing.drain.
+func (e *Entry) drain(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, e.settings.Timing.Drain)
 	defer cancel()
 	ticker := time.NewTicker(drainPoll)
@@ -320,9 +323,10 @@
 		case <-ticker.C:
 		case <-ctx.Done():
 			e.log.WithField("active", e.active.Load()).Warn("drain_timed_out")
-			return
+			return false
 		}
 	}
+	return true
 }
 
 // deregister tells control that this incarnation is gone, so that its open records may be taken over at once.
--- a/entry/local_agent.go
+++ b/entry/local_agent.go
@@ -27,6 +27,9 @@
 // take tens of milliseconds.
 const localUnprovenHold = time.Second
 
+// localDrain is how long calls may still take after the entry itself has let its own requests finish.
+const localDrain = 100 * time.Millisecond
+
 // localSettle is how long the entry's own agent waits for what an earlier process left at the servers: the least there
 // is, since the requests of that process died with it and can't run a second time.
 const localSettle = time.Nanosecond
@@ -62,7 +65,7 @@
 	s.Listen = settings.AgentListen{HTTP: localHTTP, Links: localLinks}
 	s.Advertise = localLinks
 	s.Limits.MaxBody, s.Limits.MaxAnswer = e.settings.Limits.MaxBody, e.settings.Limits.MaxAnswer
-	s.Timing.Heartbeat, s.Timing.Drain = e.settings.Timing.Heartbeat, e.settings.Timing.Drain
+	s.Timing.Heartbeat, s.Timing.Drain = e.settings.Timing.Heartbeat, localDrain
 	s.Timing.Probe = localProbe
 	s.Timing.UnprovenHold = localUnprovenHold
 	s.Timing.UnlistedSettle = localSettle
--- a/entry/timing.go
+++ b/entry/timing.go
@@ -38,8 +38,8 @@
 	settleTime = 500 * time.Millisecond
 	// proveTimeout bounds the calls of one proof.
 	proveTimeout = 3 * time.Second
-	// endTimeout bounds the deregistration at the end.
-	endTimeout = 2 * time.Second
+	// endTimeout bounds the deregistration at the end. Without it control notices the silence after a while.
+	endTimeout = 200 * time.Millisecond
 	// drainPoll is how often a stopping entry looks whether it is done.
 	drainPoll = 10 * time.Millisecond
 	// writeTimeout bounds one write to a caller.
