--- a/agent/agent.go
+++ b/agent/agent.go
@@ -200,6 +200,7 @@
 		MaxRecords:    limits.MaxTombstones,
 		MaxWaiting:    limits.MaxReservations,
 		UnprovenHold:  timing.UnprovenHold,
+		SlowRatio:     limits.SlowRatio,
 
 		UnlistedSettle: timing.UnlistedSettle,
 	})
--- a/gate/config.go
+++ b/gate/config.go
@@ -17,6 +17,7 @@
 	DefaultGoneAfter      = 10 * time.Second
 	DefaultUnlistedSettle = time.Second
 	DefaultUnprovenHold   = 30 * time.Second
+	DefaultSlowRatio      = 3.0
 	DefaultMaxRecords     = 1 << 16
 	DefaultMaxWaiting     = 4096
 	DefaultMaxMemory      = 1 << 18
@@ -47,6 +48,10 @@
 	// UnprovenHold is how long an attempt holds its room after its run returned without a proof. It may be running, so
 	// the room isn't free at once; a server that never tells must not lose its rooms one by one either.
 	UnprovenHold time.Duration
+	// SlowRatio is how many times its own past the present pace is when a server becomes suspect. An engine that computes
+	// prompts beside running answers is several times slower under load than its past by itself; one that is taken out
+	// for that leaves its load to the others.
+	SlowRatio float64
 	// MaxRecords bounds the requests remembered, tombstones included. Beyond it new work is refused; up to twice as
 	// many are held for the tombstones of what is refused or cancelled then.
 	MaxRecords int
@@ -83,6 +88,7 @@
 	c.GoneAfter = orDefault(c.GoneAfter, DefaultGoneAfter)
 	c.UnlistedSettle = orDefault(c.UnlistedSettle, DefaultUnlistedSettle)
 	c.UnprovenHold = orDefault(c.UnprovenHold, DefaultUnprovenHold)
+	c.SlowRatio = orDefault(c.SlowRatio, DefaultSlowRatio)
 	c.MaxRecords = orDefault(c.MaxRecords, DefaultMaxRecords)
 	c.MaxWaiting = orDefault(c.MaxWaiting, DefaultMaxWaiting)
 	c.MaxMemory = orDefault(c.MaxMemory, DefaultMaxMemory)
--- a/gate/pace.go
+++ b/gate/pace.go
@@ -17,10 +17,10 @@
 	rateGain   = 0.2    // weight of a prompt in the prefill rate
 	gapGain    = 0.3    // weight of a window in the present gap
 
-	// slowRatio and fineRatio are how many times the baseline the present pace is when the server becomes suspect,
-	// and when it no longer is.
-	slowRatio = 3.0
-	fineRatio = 1.5
+	// fineShare is the part of Config.SlowRatio, as times of the baseline, below which the present pace is fine again.
+	fineShare = 0.5
+	// driftRatio is from which times of the past on a sample hardly moves the past.
+	driftRatio = 1.5
 	// slowWindows is how many windows in a row must be slow. A burst of long prompts slows any server for some of them; one
 	// that is taken out for that leaves its load to the others, which then look slow too.
 	slowWindows = 10
@@ -95,7 +95,7 @@
 	}
 	ratio := x / m.value
 	gain := paceGain
-	if ratio >= fineRatio {
+	if ratio >= driftRatio {
 		gain = driftGain
 	}
 	m.value += gain * (x - m.value)
@@ -190,7 +190,7 @@
 		p.noteStall(g)
 	}
 	if p.window.samples > 0 {
-		p.judge(p.window.ratios / float64(p.window.samples))
+		p.judge(p.window.ratios/float64(p.window.samples), g.config.SlowRatio)
 	}
 	p.window = window{began: g.now}
 	g.judgePace()
@@ -232,7 +232,7 @@
 	}
 }
 
-func (p *pace) judge(ratio float64) {
+func (p *pace) judge(ratio, slowRatio float64) {
 	p.ratio += recentGain * (ratio - p.ratio)
 	if ratio < slowRatio {
 		p.slowRun = 0
@@ -253,7 +253,7 @@
 	}
 	expected := max(stallRatio*wait, stallLeast.Seconds())
 	if silence := g.now.Sub(last).Seconds(); silence > expected {
-		p.window.add(max(silence/expected*slowRatio, slowRatio))
+		p.window.add(max(silence/expected, 1) * g.config.SlowRatio)
 	}
 }
 
@@ -278,11 +278,11 @@
 // judgePace makes the server suspect, or clears it.
 func (g *Gate) judgePace() {
 	p := &g.pace
-	if p.ratio >= slowRatio && p.slowRun >= slowWindows {
+	if p.ratio >= g.config.SlowRatio && p.slowRun >= slowWindows {
 		g.doubt(doubtPace, onSlow)
 		return
 	}
-	if p.ratio < fineRatio {
+	if p.ratio < fineShare*g.config.SlowRatio {
 		g.trust(doubtPace, onRecovered)
 	}
 }
--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -398,7 +398,7 @@
 	// Cause: only tokens could clear it.
 	b := openBench(t)
 	b.gate.doubt(doubtPace, onSlow)
-	b.gate.pace.ratio = slowRatio
+	b.gate.pace.ratio = DefaultSlowRatio
 	b.pass(probeIdle / 2)
 	require.Equal(t, suspect, b.gate.Status().Condition)
 	b.pass(probeIdle)
@@ -408,7 +408,7 @@
 func TestLongPromptIsNoProbe(t *testing.T) {
 	b := openBench(t)
 	b.gate.doubt(doubtPace, onSlow)
-	b.gate.pace.ratio = slowRatio
+	b.gate.pace.ratio = DefaultSlowRatio
 	long := workOf(func(w *wire.Work) { w.PromptTokens = probePrompt + 1 })
 	refusedWith(t, b.dispatch(entryA, id("long-2", 1), long), result.RefusedNeverStarted)
 	require.Empty(t, offeredIDs(b.reserve(entryA, id("long", 1), long)))
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -35,6 +35,7 @@
 	dirty    bool
 	drain    rate // dispatches a second
 	retries  retryWindow
+	returnAt time.Time // when the last one who was told to come back does so
 }
 
 func (s *Scheduler) pool(key poolKey) *pool {
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -18,6 +18,10 @@
 	// Bounds of the advice when to come back.
 	retryAfterLeast = 50 * time.Millisecond
 	retryAfterMost  = 10 * time.Second
+	// returnShare is the part of a pool's pace that is planned for those who come back; new requests take the rest.
+	returnShare = 0.5
+	// returnsLeast is the least pace of returns, a second, where a pool's own isn't known.
+	returnsLeast = 5
 )
 
 // mayRefuse tells whether a queued request may be refused for want of room. A lower tier always may. Tier 1 may only
@@ -75,7 +79,7 @@
 	if inTime || s.lowerGivesWay(r) {
 		return nil
 	}
-	return result.New(result.CannotFinishInTime, "").WithRetryAfter(s.jitter(wait))
+	return result.New(result.CannotFinishInTime, "")
 }
 
 // retryAfterNoServer is the advice while no server has the target.
@@ -295,7 +299,21 @@
 	return d/2 + time.Duration(s.random.Int64N(int64(d)+1))
 }
 
-// retryAfter is the advice when to come back, by what waits now.
+// retryAfter is the advice when to come back: after what waits now, and after those who were told to come back before,
+// at the pace at which the pool has room for them.
+//
+// Were everybody told the time that the queue takes now, all who are refused in a burst would come back together, to be
+// refused together once more.
 func (s *Scheduler) retryAfter(r *request) time.Duration {
-	return min(max(s.jitter(s.predictWait(r)), retryAfterLeast), retryAfterMost)
+	p := r.pool
+	earliest := s.now.Add(s.predictWait(r))
+	if p.returnAt.Before(earliest) {
+		p.returnAt = earliest
+	}
+	gap := time.Duration(float64(time.Second) / max(returnShare*p.drain.value(s.now), returnsLeast))
+	p.returnAt = p.returnAt.Add(gap)
+	if p.returnAt.Sub(s.now) > retryAfterMost {
+		p.returnAt = s.now.Add(retryAfterMost)
+	}
+	return max(p.returnAt.Sub(s.now), retryAfterLeast)
 }
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -48,6 +48,8 @@
 	MaxAnswer Size `json:"max_answer"`
 	// MaxReservations is how many reservations of all entry instances may wait. Default 4096.
 	MaxReservations int `json:"max_reservations"`
+	// SlowRatio is how many times slower than its own past a backend server must be to get no new work. Default 3.
+	SlowRatio float64 `json:"slow_ratio"`
 	// MaxTombstones is how many attempts that are over are remembered. Default 65536.
 	MaxTombstones int `json:"max_tombstones"`
 }
@@ -88,6 +90,7 @@
 			MaxAnswer:       16 * MiB,
 			MaxReservations: 4096,
 			MaxTombstones:   65536,
+			SlowRatio:       3,
 		},
 		Timing: AgentTiming{
 			Heartbeat: defaultHeartbeat,
@@ -121,6 +124,9 @@
 	positive(c, "limits.max_answer", a.Limits.MaxAnswer)
 	positive(c, "limits.max_reservations", a.Limits.MaxReservations)
 	positive(c, "limits.max_tombstones", a.Limits.MaxTombstones)
+	if a.Limits.SlowRatio <= 1 {
+		c.add(result.SettingsOutOfRange, "limits.slow_ratio", "want more than 1, got %g", a.Limits.SlowRatio)
+	}
 	positive(c, "timing.heartbeat", a.Timing.Heartbeat)
 	positive(c, "timing.probe", a.Timing.Probe)
 	positive(c, "timing.silent", a.Timing.Silent)
