--- /dev/null
+++ b/control/disk_test.go
@@ -0,0 +1,84 @@
+package control_test
+
+import (
+	"context"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/control"
+)
+
+// Symptom: the process of a control instance ends again and again, and its group has one member less. Sequence: its disk
+// is full for some seconds. Cause: a disk that refuses writes taken for one that is broken for good. Meanwhile it must
+// not lead: the others go on without it, and it holds what they took once there is room.
+func TestFullDiskEndsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.startAll()
+		defer c.stopAll()
+		full := c.leader()
+		c.stop(full)
+		var isFull atomic.Bool
+		var latest atomic.Pointer[control.Control]
+		full.fs.Fault(func(op, _ string) error {
+			if isFull.Load() && op == "write" {
+				return syscall.ENOSPC
+			}
+			return nil
+		})
+		silent := &log.Logger{Handler: discard.Default, Level: log.ErrorLevel}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() {
+			done <- control.RunOnDisk(ctx, func() (*control.Control, error) {
+				opened, err := control.New(full.settings, control.Options{Network: c.net.Host(full.host), FS: full.fs, Seed: 1})
+				if err == nil {
+					latest.Store(opened)
+				}
+				return opened, err
+			}, silent)
+		}()
+		c.eventually("it is there", func() bool { return latest.Load() != nil && latest.Load().Ready() == nil })
+		isFull.Store(true)
+		other := c.nodes[0]
+		if other == full {
+			other = c.nodes[1]
+		}
+		for version := range uint64(5) {
+			c.eventually("the others take a change", func() bool {
+				return other.control.PutDesired(t.Context(), testDesired(version+1)) == nil
+			})
+		}
+		time.Sleep(5 * time.Second)
+		select {
+		case err := <-done:
+			require.Fail(t, "it ended", "%v", err)
+		default:
+		}
+		isFull.Store(false)
+		c.eventually("it has all of them", func() bool {
+			// An instance that has ended answers no read.
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			desired, err := latest.Load().Desired(ctx)
+			return err == nil && desired.GetVersion() == 5
+		})
+		stop()
+		require.NoError(t, <-done)
+	})
+}
+
+func TestOtherErrorsEndTheInstance(t *testing.T) {
+	silent := &log.Logger{Handler: discard.Default, Level: log.ErrorLevel}
+	broken := errors.New("broken")
+	err := control.RunOnDisk(t.Context(), func() (*control.Control, error) { return nil, broken }, silent)
+	require.ErrorIs(t, err, broken)
+}
