--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -260,6 +260,9 @@
 			}
 		}
 		if d.ended {
+			if waiting.overflowed() {
+				_ = e.tell(e.base, sched.CallerLeft{Request: waiting.request.ID})
+			}
 			out.err, out.fate = d.err, d.fate
 			return out
 		}
