entry, sched: a stopping entry takes no stream that would outlast it, and has callers connect anew

Ruled out: the connection's end as such (the entry's log has request_failed 1311 at 7.6 s after SIGTERM).

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -146,6 +146,9 @@
 
 // arrive hands a request to the scheduler. With an error the scheduler never heard of it.
 func (e *Entry) arrive(r *sched.Request) (*call, *result.Error) {
+	if end := e.endBy.Load(); end != nil {
+		r.EndBy = *end
+	}
 	call := newCall(r, int(e.settings.Limits.MaxAnswer))
 	if !e.calls.open(call) {
 		return nil, result.New(result.Internal, "the request's identity is in use").WithRan(result.RanUnknown)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -97,8 +97,9 @@
 	waiting   atomic.Pointer[[]sched.TargetWait] // as of the last look, see report
 	wanted    atomic.Uint64                      // highest configuration version that any process has shown
 
-	successor  atomic.Pointer[Entry] // the incarnation that followed on this one, nil while this one runs
-	leaving    atomic.Bool           // says that it isn't ready, and still takes requests
+	successor  atomic.Pointer[Entry]     // the incarnation that followed on this one, nil while this one runs
+	leaving    atomic.Bool               // says that it isn't ready, and still takes requests
+	endBy      atomic.Pointer[time.Time] // when what is open is cut, nil unless leaving
 	stopping   atomic.Bool
 	active     atomic.Int64 // calls and flights in progress
 	bodyBytes  atomic.Int64
@@ -307,6 +308,8 @@
 	if e.settings.Timing.Leave <= 0 {
 		return
 	}
+	end := time.Now().Add(e.settings.Timing.Leave + e.settings.Timing.Drain)
+	e.endBy.Store(&end)
 	e.leaving.Store(true)
 	e.log.WithField("active", e.active.Load()).WithField("for", e.settings.Timing.Leave).Info("entry_leaving")
 	pause.For(ctx, e.settings.Timing.Leave)
--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -202,6 +202,26 @@
 	})
 }
 
+// Symptom: callers are refused for seconds by an entry that stops, though others serve. Sequence: they keep their
+// connections, and balancers choose an entry for new ones only. Cause: answers that don't end the connection.
+func TestCallersOfAStoppingEntryConnectAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 0)
+		r.addEntry(func(s *settings.Entry) { s.Timing.Leave = time.Second })
+		r.addService(1)
+		before := r.call(1, http.MethodPost, checkPath, `{}`, gateCheck)
+		require.Equal(t, 200, before.status)
+		require.False(t, before.close)
+		stopped := make(chan error, 1)
+		go func() { stopped <- r.stops[0]() }()
+		synctest.Wait()
+		leaving := r.call(1, http.MethodPost, checkPath, `{}`, gateCheck)
+		require.NoError(t, <-stopped)
+		require.Equal(t, 200, leaving.status, "balancers haven't noticed yet")
+		require.True(t, leaving.close)
+	})
+}
+
 func TestNotReady(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 1)
--- a/entry/http.go
+++ b/entry/http.go
@@ -51,7 +51,7 @@
 // httpDuty serves callers until ctx ends.
 func (e *Entry) httpDuty(ctx context.Context) error {
 	server := &http.Server{
-		Handler:           e.handler(),
+		Handler:           e.moveOn(e.handler()),
 		ReadHeaderTimeout: httpHeaderTimeout,
 		ReadTimeout:       httpReadTimeout,
 		IdleTimeout:       httpIdleTimeout,
@@ -77,6 +77,19 @@
 	return errors.Wrap(err, "entry: http")
 }
 
+// moveOn has callers connect anew after each answer of an entry that stops.
+//
+// Balancers choose an entry for new connections only. A caller that keeps one would send on it until the process ends,
+// and be refused each time.
+func (e *Entry) moveOn(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.leaving.Load() || e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // handler serves callers: those of the product's own interface, unless an adapter gives another one.
 func (e *Entry) handler() http.Handler {
 	if e.options.Callers != nil {
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -256,6 +256,7 @@
 	status int
 	header http.Header
 	length int64
+	close  bool // the entry ends the connection after it
 	body   string
 	err    error // of reading the body
 }
@@ -290,7 +291,8 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	return answer{
-		status: response.StatusCode, header: response.Header, length: response.ContentLength, body: string(body), err: err,
+		status: response.StatusCode, header: response.Header, length: response.ContentLength, close: response.Close,
+		body: string(body), err: err,
 	}, nil
 }
 
--- a/sched/objective_test.go
+++ b/sched/objective_test.go
@@ -92,3 +92,47 @@
 	w.last("a", 2)
 	require.Equal(t, result.EngineFailed, w.failures["a"].Code)
 }
+
+// Symptom: a stream breaks off in its middle. Sequence: an entry that stops still takes requests, until its balancer has
+// noticed; one of them is a long stream, and the process ends before it does. Cause: a request taken without a look at
+// the time that the entry has left.
+func TestRequestThatOutlastsAStoppingEntryIsRefused(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		learnt bool // how long the class's answers are
+		tokens uint32
+		left   time.Duration
+		code   result.Code
+	}{
+		{"the entry isn't stopping", true, 2000, 0, 0},
+		{"short enough", true, 20, 5 * time.Second, 0},
+		{"too long", true, 2000, 5 * time.Second, result.Stopping},
+		{"short by its caller's bound", false, 20, 5 * time.Second, 0},
+		{"too long by its caller's bound", false, 2000, 5 * time.Second, result.Stopping},
+		{"nothing known", false, 0, time.Millisecond, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			w := newWorld(t, Options{})
+			w.serve("s1", kindModel, testModel, 1)
+			for range 20 {
+				if row.learnt {
+					w.s.classFor(summary).outputs.add(50)
+				}
+			}
+			r := w.request("a", summary)
+			r.MaxTokens = row.tokens
+			r.Deadline = w.now.Add(time.Minute)
+			if row.left > 0 {
+				r.EndBy = w.now.Add(row.left)
+			}
+			w.step(Arrive{Request: r})
+			if row.code == 0 {
+				require.Len(t, w.dispatches("a"), 1)
+				return
+			}
+			require.Equal(t, row.code, w.failures["a"].Code)
+			require.Equal(t, result.RanNo, w.failures["a"].Ran)
+			require.Empty(t, w.dispatches("a"))
+		})
+	}
+}
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -22,6 +22,9 @@
 	returnShare = 0.5
 	// returnsLeast is the least pace of returns, a second, where a pool's own isn't known.
 	returnsLeast = 5
+	// stopMargin is how many times its predicted time a request must have left at an entry that stops. Streams took over
+	// half longer than predicted for the fastest server; a refusal costs one more try at another entry.
+	stopMargin = 2
 )
 
 // mayRefuse tells whether a queued request may be refused for want of room. A lower tier always may. Tier 1 may only
@@ -59,6 +62,30 @@
 	return len(p.servers) > 0
 }
 
+// refuseBeforeStop refuses a request that a stopping entry would probably have to cut.
+//
+// A stopping entry goes on taking requests until balancers have noticed. A long stream that it takes then is cut in the
+// middle when the process ends, which its caller only sees seconds later; refused at once, it is sent to another entry.
+func (s *Scheduler) refuseBeforeStop(r *request) *result.Error {
+	known := r.certain() || r.MaxTokens > 0
+	if r.EndBy.IsZero() || !known {
+		return nil
+	}
+	most := s.predictWait(r) + s.longestRun(r)
+	if s.now.Add(time.Duration(stopMargin * float64(most))).Before(r.EndBy) {
+		return nil
+	}
+	return result.New(result.Stopping, "the request would probably outlast the process")
+}
+
+// longestRun is how long the request takes at the server that is fastest for it, if its answer is as long as its caller
+// allows.
+func (s *Scheduler) longestRun(r *request) time.Duration {
+	longest := *r
+	longest.outputs = max(r.outputs, r.MaxTokens)
+	return s.bestRun(&longest)
+}
+
 // refuseEarly refuses a request on arrival that can't be served in time, before any prefill is spent on it. A class
 // that tolerates lateness rather than loss waits instead.
 func (s *Scheduler) refuseEarly(r *request) *result.Error {
--- a/sched/request.go
+++ b/sched/request.go
@@ -91,7 +91,11 @@
 		s.takeOver(r)
 		return
 	}
-	if err := s.refuseEarly(r); err != nil {
+	err := s.refuseBeforeStop(r)
+	if err == nil {
+		err = s.refuseEarly(r)
+	}
+	if err != nil {
 		s.refuse(r, err)
 		return
 	}
--- a/sched/types.go
+++ b/sched/types.go
@@ -36,6 +36,10 @@
 	// one that can still be in time.
 	Objective time.Time
 
+	// EndBy is when the entry ends at the latest, zero while it isn't stopping. What would probably run longer is refused
+	// on arrival.
+	EndBy time.Time
+
 	// Verbatim is set for a request that goes to its backend server byte for byte. MaxAttempts then bounds the attempts
 	// that may have begun; 0 means the scheduler's own bound.
 	Verbatim    *Verbatim
