sched, gate, platform: the routes' own priorities order the work of an organisation's tier; ends tell what a request went through

Classes have a precedence within their tier now, at entries and gates; one that is served below 0.35 of all goes first.

--- a/agent/run.go
+++ b/agent/run.go
@@ -46,6 +46,7 @@
 	stop       context.CancelFunc // drops the engine's connection
 
 	arrived  time.Time // when the dispatch came
+	beside   int       // other runs at that time
 	returned time.Time // when the engine call returned, zero while it goes on; the gate duty's own
 
 	mu          sync.Mutex
--- a/agent/server_actions.go
+++ b/agent/server_actions.go
@@ -80,6 +80,7 @@
 	r := newRun(d, s.client, s.record.GetCapabilities())
 	callCtx, stop := context.WithCancel(s.base)
 	r.stop = stop
+	r.beside = len(s.runs)
 	s.runs[key] = r
 	s.spawn(func(ctx context.Context) { s.execute(ctx, callCtx, r) })
 }
--- a/agent/server_runs.go
+++ b/agent/server_runs.go
@@ -84,6 +84,10 @@
 	entry := s.log.WithField("request", r.key.request).
 		WithField("attempt", r.key.number).
 		WithField("end", end).
+		WithField("class", r.dispatch.GetWork().GetClass()).
+		WithField("prompt", r.dispatch.GetWork().GetPromptTokens()).
+		WithField("ms", r.returned.Sub(r.arrived).Milliseconds()).
+		WithField("beside", r.beside).
 		WithField("status", outcome.Status).
 		WithField("tokens", outcome.Tokens)
 	if err != nil {
--- a/control/replace_test.go
+++ b/control/replace_test.go
@@ -32,7 +32,7 @@
 		Version: version, Document: []byte("document"),
 		Pools: []*wire.Pool{{Name: "m", Kind: settings.KindModel}},
 		Routes: []*wire.Route{{
-			Name: "one", Host: "a.example", PathPrefix: "/", Pools: []*wire.WeightedPool{{Pool: "m", Weight: 1}},
+			Name: "one", Host: "a.example", Prefix: "/", Pools: []*wire.WeightedPool{{Pool: "m", Weight: 1}},
 			Class: &wire.Class{Name: "one", Tier: 1, DeadlineMs: 1000, Kind: settings.KindModel, Preempt: "never"},
 		}},
 	}
--- a/entry/call.go
+++ b/entry/call.go
@@ -23,6 +23,7 @@
 	end      *wire.AnswerEnd // with a whole answer
 	err      *result.Error   // with a failure
 	fate     fate
+	trace    sched.Trace // with either
 }
 
 // fate is what is known of the attempts of a failed request.
@@ -42,6 +43,7 @@
 	end    *wire.AnswerEnd
 	err    *result.Error
 	fate   fate
+	trace  sched.Trace
 }
 
 // next waits until there is something, or ctx ends.
@@ -64,7 +66,7 @@
 	if c.overflow {
 		return delivery{ended: true, err: result.New(result.AnswerTooLarge, "the caller reads too slowly").WithRan(result.RanYes)}, true
 	}
-	d := delivery{events: c.events, ended: c.ended, end: c.end, err: c.err, fate: c.fate}
+	d := delivery{events: c.events, ended: c.ended, end: c.end, err: c.err, fate: c.fate, trace: c.trace}
 	c.events = nil
 	c.bytes = 0
 	return d, len(d.events) > 0 || d.ended
@@ -155,22 +157,24 @@
 	}
 }
 
-func (c *calls) answer(id string, end *wire.AnswerEnd) {
+func (c *calls) answer(a sched.Answer) {
+	id := a.Request
 	call := c.get(id)
 	if call == nil {
 		return
 	}
 	c.close(id)
-	call.change(func() { call.ended, call.end = true, end })
+	call.change(func() { call.ended, call.end, call.trace = true, a.End, a.Trace })
 }
 
-func (c *calls) fail(id string, err *result.Error, f fate) {
+func (c *calls) fail(a sched.Fail, f fate) {
+	id := a.Request
 	call := c.get(id)
 	if call == nil {
 		return
 	}
 	c.close(id)
-	call.change(func() { call.ended, call.err, call.fate = true, err, f })
+	call.change(func() { call.ended, call.err, call.fate, call.trace = true, a.Err, f, a.Trace })
 }
 
 // failAll ends what is left when the duties have ended. Nobody can prove any more what became of it.
--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -15,6 +15,8 @@
 	err  *result.Error
 	fate fate // with err
 
+	trace sched.Trace
+
 	status      int
 	contentType string
 	body        []byte // whole; of a stream the events as they are sent, without the end mark
--- a/entry/routing.go
+++ b/entry/routing.go
@@ -87,7 +87,7 @@
 	if r.hosts[host] == nil {
 		r.hosts[host] = make(map[string]*route)
 	}
-	r.hosts[host][spec.GetPathPrefix()] = added
+	r.hosts[host][spec.GetPrefix()] = added
 }
 
 // find returns the route of a host and path with the longest prefix, nil if there is none. Every prefix ends with a
--- a/entry/routing_test.go
+++ b/entry/routing_test.go
@@ -12,7 +12,7 @@
 
 func testRoute(name, host, prefix string, pools ...*wire.WeightedPool) *wire.Route {
 	return &wire.Route{
-		Name: name, Host: host, PathPrefix: prefix, Pools: pools,
+		Name: name, Host: host, Prefix: prefix, Pools: pools,
 		Class: &wire.Class{Name: name, Tier: 2, DeadlineMs: 1000, Kind: settings.KindService, Preempt: "never"},
 	}
 }
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -75,7 +75,7 @@
 	case sched.Deliver:
 		e.calls.deliver(a.Request, a.Events)
 	case sched.Answer:
-		e.calls.answer(a.Request, a.End)
+		e.calls.answer(a)
 	case sched.Fail:
 		e.fail(a)
 	case sched.Widen:
@@ -96,7 +96,7 @@
 		fate.sent = len(explanation.Attempts) > 0
 		fate.over = attemptsOver(explanation)
 	}
-	e.calls.fail(a.Request, a.Err, fate)
+	e.calls.fail(a, fate)
 }
 
 func attemptsOver(explanation sched.Explanation) bool {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/apex/log"
 	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 
@@ -79,8 +80,13 @@
 		WithField("organisation", r.Organisation).
 		WithField("class", r.Class.GetName()).
 		WithField("ms", e.now().Sub(r.Arrived).Milliseconds())
+	fields = withTrace(fields, out.trace)
 	if out.err != nil {
-		fields.WithField("code", uint16(out.err.Code)).WithField("ran", out.err.Ran.String()).Info("request_failed")
+		fields.WithField("code", uint16(out.err.Code)).
+			WithField("ran", out.err.Ran.String()).
+			WithField("retry_after_ms", out.err.RetryAfter.Milliseconds()).
+			WithError(out.err).
+			Info("request_failed")
 		return
 	}
 	fields.WithField("bytes", out.size).Info("request_answered")
@@ -114,8 +120,26 @@
 			if call.overflowed() {
 				_ = e.tell(e.base, sched.CallerLeft{Request: call.request.ID})
 			}
-			return &outcome{err: d.err, fate: d.fate}, nil
+			return &outcome{err: d.err, fate: d.fate, trace: d.trace}, nil
 		}
 		return kept.outcome(d.end), nil
 	}
 }
+
+// withTrace adds what a request went through to the line about its end.
+func withTrace(fields *log.Entry, t sched.Trace) *log.Entry {
+	return fields.WithFields(log.Fields{
+		"tier":        t.Tier,
+		"server":      t.Server,
+		"attempts":    t.Attempts,
+		"refusals":    t.Refusals,
+		"sent_ms":     t.SentAfter.Milliseconds(),
+		"first_ms":    t.FirstAfter.Milliseconds(),
+		"due_ms":      t.DueAfter.Milliseconds(),
+		"ahead":       t.Ahead,
+		"ready":       t.Ready,
+		"roomy":       t.Roomy,
+		"room_age_ms": t.RoomAge.Milliseconds(),
+		"pool_pace":   int(t.PoolPace),
+	})
+}
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -263,7 +263,7 @@
 			if waiting.overflowed() {
 				_ = e.tell(e.base, sched.CallerLeft{Request: waiting.request.ID})
 			}
-			out.err, out.fate = d.err, d.fate
+			out.err, out.fate, out.trace = d.err, d.fate, d.trace
 			return out
 		}
 	}
--- a/gate/classes.go
+++ b/gate/classes.go
@@ -1,6 +1,10 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/wire"
+)
 
 // Blending of urgency.
 const (
@@ -21,10 +25,13 @@
 	lateness float64 // share of late or refused attempts here, smoothed
 	slack    float64 // least slack of the heads, in predicted run times
 	band     int
+	// precedence is the class's order within its tier by the entries' last word, 1 first; 0: urgency decides.
+	precedence uint32
 }
 
-func (c *classState) observe(urgency uint32) {
-	value := float64(min(urgency, urgencyFull))
+func (c *classState) observe(w *wire.Work) {
+	c.precedence = w.GetPrecedence()
+	value := float64(min(w.GetUrgency(), urgencyFull))
 	if !c.known {
 		c.known = true
 		c.reported = value
@@ -43,6 +50,10 @@
 
 // weigh sets the band from what was observed. Bands keep small differences from overruling equal shares.
 func (c *classState) weigh() {
+	if c.precedence > 0 {
+		c.band = -int(c.precedence)
+		return
+	}
 	blended := entryShare*c.reported + (1-entryShare)*c.lateness*urgencyFull
 	pressing := urgencyFull * min(max(1-c.slack/amplePredicts, 0), 1)
 	c.band = min(int(max(blended, pressing))*urgencyBands/urgencyFull, urgencyBands-1)
--- a/gate/order.go
+++ b/gate/order.go
@@ -84,7 +84,7 @@
 func (g *Gate) enqueue(a *attempt) {
 	t := g.waiting.tier(a.tier())
 	q := t.queue(a.work.GetClass(), a.work.GetOrganisation())
-	q.class.observe(a.work.GetUrgency())
+	q.class.observe(a.work)
 	a.wait.queue = q
 	a.wait.late = a.wait.late || a.work.GetMayBeLate() && a.work.GetRemainingMs() == 0
 	q.push(a)
--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -141,6 +141,13 @@
 			[]*wire.Work{work(), workOf(func(w *wire.Work) { w.Class, w.Urgency, w.RemainingMs = "b", 900, 500_000 })},
 			[]string{"r1", "r0"},
 		},
+		"precedence before urgency": {
+			[]*wire.Work{
+				workOf(func(w *wire.Work) { w.Class, w.Precedence, w.Urgency, w.RemainingMs = "chat", 4, 1000, 1000 }),
+				workOf(func(w *wire.Work) { w.Class, w.Precedence, w.RemainingMs = "review", 2, 500_000 }),
+			},
+			[]string{"r1", "r0"},
+		},
 		"earlier deadline within an organisation": {
 			[]*wire.Work{work(), workOf(func(w *wire.Work) { w.RemainingMs = 50_000 })},
 			[]string{"r1", "r0"},
@@ -439,7 +446,7 @@
 	c := &classState{slack: amplePredicts}
 	c.weigh()
 	assert.Zero(t, c.band)
-	c.observe(600)
+	c.observe(&wire.Work{Urgency: 600})
 	c.weigh()
 	assert.Equal(t, 2, c.band)
 	for range 100 {
--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -194,6 +194,7 @@
 		MayBeLate:    r.mayBeLate,
 		Preemptible:  r.Class.GetRepeatable() && r.Class.GetPreempt() != preemptNever,
 		WaitedMs:     milliseconds(s.now.Sub(r.Arrived)),
+		Precedence:   r.class.precedence(s.now),
 	}
 	if len(r.Prefix) > 0 {
 		w.Prefix = r.Prefix[len(r.Prefix)-1]
--- a/sched/frames.go
+++ b/sched/frames.go
@@ -106,6 +106,7 @@
 		a.bytes += uint64(len(event))
 	}
 	r.delivered += uint64(len(events))
+	r.noteFirst(s.now)
 	for _, n := range tokens {
 		r.tokens += n
 	}
@@ -128,6 +129,17 @@
 	}
 }
 
+// noteFirst notes when the first event of the answer came.
+func (r *request) noteFirst(now time.Time) {
+	head := uint64(0)
+	if r.Verbatim != nil {
+		head = 1
+	}
+	if r.firstEventAt.IsZero() && r.delivered > head {
+		r.firstEventAt = now
+	}
+}
+
 // noteLast keeps the last event that was delivered: another server goes on after it. The first one of a verbatim answer
 // is its head, and no event of the stream.
 func (r *request) noteLast(events [][]byte) {
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -125,6 +125,9 @@
 	return &l.plain
 }
 
+// length is the number of requests in the lane.
+func (l *lane) length() int { return l.plain.length() + l.reserved.length() }
+
 func (l *lane) empty() bool {
 	return len(l.plain.live()) == 0 && len(l.reserved.live()) == 0
 }
@@ -189,15 +192,15 @@
 // place is where a request stands in the order of its tier.
 type place struct {
 	request *request
-	band    int   // of urgency; higher goes first
+	order   int   // of its class; higher goes first
 	tag     int64 // of the organisation; lower goes first
 }
 
-// ahead tells whether a goes before b: the class nearer to breaking its targets, then the organisation with the
+// ahead tells whether a goes before b: the class with precedence or nearer to breaking its targets, then the organisation with the
 // smaller share, then the earlier deadline.
 func (a place) ahead(b place) bool {
-	if a.band != b.band {
-		return a.band > b.band
+	if a.order != b.order {
+		return a.order > b.order
 	}
 	if a.tag != b.tag {
 		return a.tag < b.tag
@@ -236,7 +239,7 @@
 		}
 	}
 	if best.request != nil {
-		best.band = band(c.class.urgency(now, earliest))
+		best.order = c.class.order(now, earliest)
 	}
 	return best
 }
@@ -247,7 +250,7 @@
 	for _, c := range t.classes {
 		for _, l := range c.lanes {
 			r := l.last()
-			p := place{request: r, tag: t.clock.Tag(l.organisation), band: band(c.class.urgency(now, r.due()))}
+			p := place{request: r, tag: t.clock.Tag(l.organisation), order: c.class.order(now, r.due())}
 			if worst.request == nil || worst.ahead(p) {
 				worst = p
 			}
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -128,32 +128,49 @@
 	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
 }
 
-// aheadOf is how many queued requests probably go first: all of higher tiers, and of its own tier no more than the
-// equal shares let go before it.
+// aheadOf is how many queued requests probably go first: all of higher tiers and of its own tier's classes that go
+// first, and of the classes beside its own no more than the equal shares let go before it.
 func (s *Scheduler) aheadOf(r *request) int {
 	ahead := 0
 	for tier := 0; tier < r.tier; tier++ {
 		ahead += r.pool.tiers[tier].count
 	}
-	t := &r.pool.tiers[r.tier]
-	own, organisations := t.shares(r.Organisation)
-	return ahead + min(t.count, (own+1)*max(organisations, 1))
+	first, beside := r.pool.tiers[r.tier].around(r, s.now)
+	return ahead + first + min(beside.requests, (beside.own+1)*max(beside.organisations, 1))
 }
 
-// shares returns how many requests of the organisation are queued, and how many organisations have some.
-func (t *tierQueue) shares(organisation string) (own, organisations int) {
+// beside is what is queued in the classes that a request shares its place in the order with.
+type beside struct {
+	requests      int
+	own           int // of the request's organisation
+	organisations int
+}
+
+// around counts what is queued in classes that go before the request's, and beside it.
+func (t *tierQueue) around(r *request, now time.Time) (first int, b beside) {
+	precedence := r.class.precedence(now)
 	var seen []string
 	for _, c := range t.classes {
+		other := c.class.precedence(now)
 		for _, l := range c.lanes {
-			if l.organisation == organisation {
-				own += l.plain.length() + l.reserved.length()
+			switch {
+			case other < precedence:
+				first += l.length()
+				continue
+			case other > precedence:
+				continue
+			}
+			b.requests += l.length()
+			if l.organisation == r.Organisation {
+				b.own += l.length()
 			}
 			if !slices.Contains(seen, l.organisation) {
 				seen = append(seen, l.organisation)
 			}
 		}
 	}
-	return own, len(seen)
+	b.organisations = len(seen)
+	return first, b
 }
 
 // leastBacklog is the shortest time after which a gate would probably start a request of r's tier.
--- a/sched/request.go
+++ b/sched/request.go
@@ -55,6 +55,8 @@
 	delivered  uint64 // events kept so far
 	tokens     uint32 // in those events
 	lastEvent  []byte // of a verbatim stream
+	// firstEventAt is when the first event of the answer came; the head of a verbatim answer is none.
+	firstEventAt time.Time
 	buffer     [][]byte
 	bufferSize int
 	resume     *resumePoint
@@ -207,14 +209,14 @@
 		s.act(Deliver{Request: r.ID, Events: r.buffer})
 	}
 	end := r.attempt.end
-	s.act(Answer{Request: r.ID, End: end})
+	s.act(Answer{Request: r.ID, End: end, Trace: s.trace(r)})
 	s.learn(r, end)
 	late := s.now.After(r.Deadline)
 	counter := Goodput
 	if late {
 		counter = Late
 	}
-	r.class.window.add(s.now, late, false)
+	r.class.ended(s.now, late, false)
 	s.countClass(counter, r)
 	s.countServed(r, end)
 	s.finish(r, nil)
@@ -223,10 +225,10 @@
 // failCaller closes a request with r.err, and says of ran what is proved and no more.
 func (s *Scheduler) failCaller(r *request) {
 	err := s.truthful(r, r.err)
-	s.act(Fail{Request: r.ID, Err: err})
+	s.act(Fail{Request: r.ID, Err: err, Trace: s.trace(r)})
 	s.act(Count{Counter: Refusals, Code: err.Code, Tier: r.Class.GetTier(), Class: r.Class.GetName(), Add: 1})
 	if !r.callerGone {
-		r.class.window.add(s.now, false, true)
+		r.class.ended(s.now, false, true)
 		s.countClass(Lost, r)
 	}
 	s.finish(r, err)
--- /dev/null
+++ b/sched/trace.go
@@ -0,0 +1,61 @@
+package sched
+
+import "time"
+
+// Trace says what a request went through, for the log line about its end: what was decided, and by which evidence.
+type Trace struct {
+	// Tier is the request's, 1 for the highest.
+	Tier uint32
+	// Server is where its last attempt went, empty if it had none.
+	Server string
+	// Attempts were sent; Refusals of them, or of reservations, never started.
+	Attempts, Refusals int
+	// SentAfter is the time from its arrival to its last attempt, 0 without one.
+	SentAfter time.Duration
+	// FirstAfter is the time from its arrival to the first event of its answer, 0 without one.
+	FirstAfter time.Duration
+	// DueAfter is the time from its arrival by which the answer or its first event was due.
+	DueAfter time.Duration
+	// Ahead is how many queued requests of its pool go first, as of its end.
+	Ahead int
+	// Ready and Roomy are how many servers of its pool may have new work, and have room for it, as of its end.
+	Ready, Roomy int
+	// RoomAge is how old the oldest word of a ready server about its room is, as of its end.
+	RoomAge time.Duration
+	// PoolPace is how many requests of the pool this entry dispatches a second, as of its end.
+	PoolPace float64
+}
+
+// trace sums up a request that ends now.
+func (s *Scheduler) trace(r *request) Trace {
+	t := Trace{
+		Tier:     uint32(r.tier) + 1,
+		Attempts: len(r.attempts),
+		Refusals: r.refusals,
+		DueAfter: r.due().Sub(r.Arrived),
+		Ahead:    s.aheadOf(r),
+		Ready:    r.pool.ready,
+		Roomy:    r.pool.roomy,
+		RoomAge:  s.roomAge(r.pool),
+		PoolPace: r.pool.drain.value(s.now),
+	}
+	if len(r.attempts) > 0 {
+		t.Server = r.record().server
+		t.SentAfter = r.record().sent.Sub(r.Arrived)
+	}
+	if !r.firstEventAt.IsZero() {
+		t.FirstAfter = r.firstEventAt.Sub(r.Arrived)
+	}
+	return t
+}
+
+// roomAge is how long ago the ready server that was silent longest spoke of its room.
+func (s *Scheduler) roomAge(p *pool) time.Duration {
+	var oldest time.Duration
+	for _, v := range p.servers {
+		if v.ready {
+			oldest = max(oldest, s.now.Sub(v.roomAt))
+		}
+	}
+	return oldest
+}
--- a/sched/types.go
+++ b/sched/types.go
@@ -157,12 +157,14 @@
 	Answer struct {
 		Request string
 		End     *wire.AnswerEnd
+		Trace   Trace
 	}
 
 	// Fail closes a request with a refusal or failure.
 	Fail struct {
 		Request string
 		Err     *result.Error
+		Trace   Trace
 	}
 
 	// Widen asks control to let a keyed request go to more servers; Widened follows.
--- a/sched/urgency.go
+++ b/sched/urgency.go
@@ -38,13 +38,24 @@
 	runs    *quantiles // milliseconds of a model's run
 	base    float64    // used share of the targets, 0..1, as of baseAt
 	baseAt  time.Time
+
+	all       *window // of all classes
+	starved   bool    // as of starvedAt
+	starvedAt time.Time
 }
 
 // classFor returns what is known of a request's class. The newest version of its targets counts.
 func (s *Scheduler) classFor(spec *wire.Class) *class {
 	c := s.classes[spec.GetName()]
 	if c == nil {
-		c = &class{name: spec.GetName(), spec: spec, outputs: newQuantiles(), service: newQuantiles(), runs: newQuantiles()}
+		c = &class{
+			name:    spec.GetName(),
+			spec:    spec,
+			outputs: newQuantiles(),
+			service: newQuantiles(),
+			runs:    newQuantiles(),
+			all:     &s.outcome,
+		}
 		s.classes[c.name] = c
 	}
 	if spec.GetVersion() > c.spec.GetVersion() {
--- a/state/desired.go
+++ b/state/desired.go
@@ -43,7 +43,7 @@
 	places := make(map[string]bool, len(routes))
 	names := make(map[string]bool, len(routes))
 	for _, route := range routes {
-		place := route.GetHost() + " " + route.GetPathPrefix()
+		place := route.GetHost() + " " + route.GetPrefix()
 		switch {
 		case names[route.GetName()]:
 			return fmt.Sprintf("route %q is there twice", route.GetName())
@@ -59,7 +59,7 @@
 }
 
 func checkRoute(route *wire.Route, pools map[string]*wire.Pool) string {
-	if !strings.HasPrefix(route.GetPathPrefix(), "/") || !strings.HasSuffix(route.GetPathPrefix(), "/") {
+	if !strings.HasPrefix(route.GetPrefix(), "/") || !strings.HasSuffix(route.GetPrefix(), "/") {
 		return "a path prefix begins and ends with a slash"
 	}
 	if route.GetClass().GetName() != route.GetName() {
--- a/state/desired_test.go
+++ b/state/desired_test.go
@@ -11,7 +11,7 @@
 
 func routeTo(name, prefix string, pools ...*wire.WeightedPool) *wire.Route {
 	c := class(name)
-	return &wire.Route{Name: name, Host: "a.example", PathPrefix: prefix, Class: c, Pools: pools}
+	return &wire.Route{Name: name, Host: "a.example", Prefix: prefix, Class: c, Pools: pools}
 }
 
 func whole(pool string) *wire.WeightedPool { return &wire.WeightedPool{Pool: pool, Weight: 1} }
@@ -56,12 +56,12 @@
 func TestDesiredStateIsChecked(t *testing.T) {
 	cases := map[string]func(*wire.DesiredState){
 		"no service":      func(d *wire.DesiredState) { d.Routes[0].Pools[0].Pool = "nobody" },
-		"host and":        func(d *wire.DesiredState) { d.Routes[1].PathPrefix = d.Routes[0].PathPrefix },
+		"host and":        func(d *wire.DesiredState) { d.Routes[1].Prefix = d.Routes[0].Prefix },
 		"weights":         func(d *wire.DesiredState) { d.Routes[0].Pools[0].Weight = 0 },
 		"weights ":        func(d *wire.DesiredState) { d.Routes[0].Pools = nil },
 		"deadline_ms":     func(d *wire.DesiredState) { d.Routes[0].Class.DeadlineMs = 0 },
 		"share a key":     func(d *wire.DesiredState) { d.Organisations[1].Keys = []string{"k2"} },
-		"slash":           func(d *wire.DesiredState) { d.Routes[0].PathPrefix = "/one" },
+		"slash":           func(d *wire.DesiredState) { d.Routes[0].Prefix = "/one" },
 		"another name":    func(d *wire.DesiredState) { d.Routes[0].Class.Name = "three" },
 		"route \"one\"":   func(d *wire.DesiredState) { d.Routes[1].Name, d.Routes[1].Class.Name = "one", "one" },
 		"service \"":      func(d *wire.DesiredState) { d.Pools[1].Name = "models" },
