--- a/entry/caps.go
+++ b/entry/caps.go
@@ -86,8 +86,8 @@
 	entries            *atomic.Int64
 
 	mu     sync.Mutex
-	heard  chan struct{} // closed with the next word of control
-	asked  time.Time     // when control was last asked for one
+	heard  chan struct{}     // closed with the next word of control
+	asked  time.Time         // when control was last asked for one
 	rate   float64           // a second
 	burst  float64           // in a window, beyond the rate
 	slots  [capSlots]float64 // use here, by time
--- a/sched/request.go
+++ b/sched/request.go
@@ -52,16 +52,16 @@
 	widen    widenState
 
 	// Answer.
-	delivered  uint64 // events kept so far
-	tokens     uint32 // in those events
-	lastEvent  []byte // of a verbatim stream
+	delivered uint64 // events kept so far
+	tokens    uint32 // in those events
+	lastEvent []byte // of a verbatim stream
 	// firstEventAt is when the first event of the answer came; the head of a verbatim answer is none.
 	firstEventAt time.Time
-	buffer     [][]byte
-	bufferSize int
-	resume     *resumePoint
-	passed     []PassedOver
-	outputs    uint32 // estimated output tokens
+	buffer       [][]byte
+	bufferSize   int
+	resume       *resumePoint
+	passed       []PassedOver
+	outputs      uint32 // estimated output tokens
 
 	err        *result.Error // why it ends, set before the event that ends it
 	lastErr    *result.Error // why the last attempt ended
