--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -35,6 +35,8 @@
 	// PromptTokens and OutputTokens are the size that the caller declares; HasTokens tells whether it does.
 	PromptTokens, OutputTokens uint32
 	HasTokens                  bool
+	// OutputEstimate is how many output tokens the caller expects, 0 if it doesn't say.
+	OutputEstimate uint32
 }
 
 // AnswerWriter takes an answer as it comes. An error means that the caller can't be reached any more.
@@ -239,6 +241,7 @@
 		BodyDigest:   link.BodyDigest(call.Body),
 		PromptTokens: prompt,
 		MaxTokens:    call.OutputTokens,
+		OutputTokens: call.OutputEstimate,
 		Stream:       route.GetPauseMs() > 0,
 		Arrived:      call.Arrived,
 		Deadline:     call.Arrived.Add(timeout),
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -52,7 +52,7 @@
 
 // canReserve tells whether the server may have the request at all now.
 func (s *Scheduler) canReserve(r *request, v *server) bool {
-	return v.ready && r.allows(v) && r.resumesOn(v) && !slices.Contains(r.avoid, v.name)
+	return v.ready && r.allows(v) && r.resumesOn(v) && !slices.Contains(r.avoid, v.name) && s.fits(r, v)
 }
 
 // allows tells whether the request's operation record, if it has one, allows the server. A dispatch elsewhere
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -93,12 +93,15 @@
 	return p.factor
 }
 
-// estimateOutput is how many tokens the answer probably has. The caller's own bound counts.
+// estimateOutput is how many tokens the answer probably has. The caller's own expectation and bound count.
 func (s *Scheduler) estimateOutput(r *request) uint32 {
 	if r.pool.key.kind == kindService {
 		return 0
 	}
 	tokens := uint32(r.class.outputs.value(defaultOutput))
+	if r.OutputTokens > 0 {
+		tokens = r.OutputTokens
+	}
 	if r.MaxTokens > 0 {
 		tokens = min(tokens, r.MaxTokens)
 	}
--- a/sched/types.go
+++ b/sched/types.go
@@ -26,6 +26,7 @@
 	BodyDigest   uint64   // xxhash64
 	PromptTokens uint32   // estimated
 	MaxTokens    uint32   // asked for by the caller, 0 for none
+	OutputTokens uint32   // expected by the caller, 0 if it doesn't say
 	Prefix       []uint64 // digests of the prompt's leading blocks, shortest first
 	Stream       bool     // events are delivered as they come
 	Arrived      time.Time
