--- a/entry/timing.go
+++ b/entry/timing.go
@@ -40,6 +40,8 @@
 	proveTimeout = 3 * time.Second
 	// endTimeout bounds the deregistration at the end. Without it control notices the silence after a while.
 	endTimeout = 200 * time.Millisecond
+	// startPoll is how often a call that is held while the process starts looks whether it may go on.
+	startPoll = 10 * time.Millisecond
 	// drainPoll is how often a stopping entry looks whether it is done.
 	drainPoll = 10 * time.Millisecond
 	// writeTimeout bounds one write to a caller.
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -59,7 +60,7 @@
 // Admit finds the route and the organisation of a call. Errors have code result.UnknownRoute, MissingKey or WrongKey, or
 // say why the entry admits nothing now.
 func (e *Entry) Admit(ctx context.Context, call *Call) (*Admission, *result.Error) {
-	if err := e.notReady(); err != nil {
+	if err := e.waitForStart(ctx, call); err != nil {
 		return nil, e.refuseCall(call, nil, err)
 	}
 	if err := e.waitForVersion(ctx); err != nil {
@@ -88,6 +89,28 @@
 	}
 }
 
+// startWaitShare is the part of a caller's time, one in so many, that it is held at most while the process starts. The
+// rest is left for another entry.
+const startWaitShare = 4
+
+// waitForStart holds a call while the process starts, and returns why it may not be admitted after that.
+func (e *Entry) waitForStart(ctx context.Context, call *Call) *result.Error {
+	err := e.notReady()
+	if err == nil || err.Code != result.Starting {
+		return err
+	}
+	wait := e.settings.Timing.StartWait
+	if call.Timeout > 0 {
+		wait = min(wait, call.Timeout/startWaitShare)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for err != nil && err.Code == result.Starting && pause.For(ctx, startPoll) {
+		err = e.notReady()
+	}
+	return err
+}
+
 // Exchange serves an admitted call and passes the answer to w. A nil error means that w has the whole answer, or that
 // the caller left; any other says what became of the request. If w had the answer's head by then, the answer is cut.
 func (e *Entry) Exchange(ctx context.Context, admission *Admission, call *Call, w AnswerWriter) *result.Error {
--- a/entry/verbatim_test.go
+++ b/entry/verbatim_test.go
@@ -49,7 +49,7 @@
 func verbatimRig(t *testing.T) *rig {
 	t.Helper()
 	r := newRig(t, 0)
-	r.addEntry(func(s *settings.Entry) { s.Timing.VersionWait = 0 })
+	r.addEntry(func(s *settings.Entry) { s.Timing.VersionWait, s.Timing.StartWait = 0, 500*time.Millisecond })
 	stream := testRoute("stream", "a.example", "/stream/", &wire.WeightedPool{Pool: "m", Weight: 1})
 	stream.Class.Kind, stream.Class.Repeatable, stream.PauseMs, stream.MaxAttempts = settings.KindModel, true, 400, 2
 	stream.ObjectiveMs = 500
@@ -231,3 +231,38 @@
 		require.Less(t, time.Since(began), 100*time.Millisecond)
 	})
 }
+
+// Symptom: after a loss of all machines a fifth of a second's requests is refused, and callers come back later than that.
+// Sequence: an entry listens before control has confirmed its state. Cause: a call refused at once where the answer is a
+// moment away.
+func TestCallIsHeldWhileTheEntryStarts(t *testing.T) {
+	cases := map[string]struct {
+		readyAfter, timeout time.Duration
+		served              bool
+	}{
+		"ready soon":                   {200 * time.Millisecond, 4 * time.Second, true},
+		"ready too late":               {time.Second, 4 * time.Second, false},
+		"longer than the caller's own": {200 * time.Millisecond, 400 * time.Millisecond, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := verbatimRig(t)
+				r.addService(1).script(func(d *dispatched) { d.answer("", headEvent(t, 200)) }, nil)
+				setReady := func(err error) { r.control.set(func() { r.control.ready = err }) }
+				setReady(result.New(result.Starting, "not confirmed"))
+				defer time.AfterFunc(c.readyAfter, func() { setReady(nil) }).Stop()
+				call := verbatimCall("/hold/", "k2")
+				call.Arrived, call.Timeout = time.Now(), c.timeout
+				_, err := r.exchange(t.Context(), call)
+				if c.served {
+					require.Nil(t, err)
+					return
+				}
+				require.Equal(t, result.Starting, err.Code)
+				require.Equal(t, result.RanNo, err.Ran)
+				require.Less(t, time.Since(call.Arrived), c.timeout/startWaitShare+100*time.Millisecond)
+			})
+		})
+	}
+}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -85,6 +85,9 @@
 	// VersionWait is how long a request waits for a configuration that another process has shown, and is refused after.
 	// 0 lets it go on by the one in force here. Default 1s.
 	VersionWait time.Duration `json:"version_wait"`
+	// StartWait is how long a request that goes to its server byte for byte is held at most while this process starts and
+	// has no confirmed state yet; a quarter of the caller's own time at most. Default 0s: refused at once.
+	StartWait time.Duration `json:"start_wait"`
 	// Leave is how long requests are still taken after SIGTERM, while the process says that it isn't ready, so that a
 	// balancer has time to notice. Default 0s.
 	Leave time.Duration `json:"leave"`
@@ -144,6 +147,9 @@
 	if e.Limits.RetryRatio < 0 || e.Limits.RetryAllowance < 0 {
 		c.add(result.SettingsOutOfRange, "limits.retry_ratio", "want a ratio and an allowance of at least 0")
 	}
+	if e.Timing.StartWait < 0 || e.Timing.Leave < 0 {
+		c.add(result.SettingsOutOfRange, "timing.start_wait", "want timing.start_wait and timing.leave of at least 0")
+	}
 	c.silence("timing.cut_off", e.Timing.CutOff, e.Timing.Heartbeat)
 	c.silence("timing.lease", e.Timing.Lease, e.Timing.Heartbeat)
 }
