--- a/agent/agent.go
+++ b/agent/agent.go
@@ -54,6 +54,7 @@
 	network     network.Network
 	log         log.Interface
 	incarnation uint64
+	started     time.Time
 
 	httpListener net.Listener
 	linkListener net.Listener
@@ -89,6 +90,7 @@
 		network:        options.Network,
 		log:            options.Log,
 		incarnation:    uint64(time.Now().UnixNano()),
+		started:        time.Now(),
 		meter:          newMeter(),
 		released:       make(chan struct{}),
 		serversChanged: make(chan struct{}, 1),
@@ -203,6 +205,7 @@
 		SlowRatio:     limits.SlowRatio,
 
 		UnlistedSettle: timing.UnlistedSettle,
+		ProcessStarted: a.started,
 	})
 }
 
--- a/gate/clearing.go
+++ b/gate/clearing.go
@@ -31,6 +31,8 @@
 	// unlisted: the server keeps no list of what it runs, so nothing proves it free. It is given some time to end
 	// the short calls of an earlier incarnation.
 	unlisted bool
+	// repeated: the server was gone, so that what may be left there is younger than this process.
+	repeated bool
 	left     []*oldStream
 	seen     map[engine.AttemptID]bool // streams whose end is confirmed
 	waiting  []deferredCancel
@@ -75,6 +77,7 @@
 func (c *clearing) restart() {
 	c.state = clearIdle
 	c.left = nil
+	c.repeated = true
 }
 
 func (c *clearing) list(g *Gate) {
@@ -98,7 +101,7 @@
 	c.unlisted = errors.Is(e.Err, engine.ErrUnsupported)
 	if c.unlisted {
 		c.state = clearWaiting
-		c.again = g.now.Add(g.config.UnlistedSettle)
+		c.again = c.settled(g)
 		return
 	}
 	if e.Err != nil {
@@ -110,6 +113,18 @@
 	c.take(g, e.Streams)
 }
 
+// settled is when a server that keeps no list has had its time to end what was left there.
+//
+// Counted from the listing alone, an agent that waits for control after a loss of all machines makes its server wait
+// another settle time, while requests pass their objectives in the entries' queues.
+func (c *clearing) settled(g *Gate) time.Time {
+	from := g.now
+	if started := g.config.ProcessStarted; !started.IsZero() && !c.repeated {
+		from = started
+	}
+	return from.Add(g.config.UnlistedSettle)
+}
+
 // take cancels what is listed. Attempts of this incarnation, after the server was gone, are the gate's own to end.
 func (c *clearing) take(g *Gate, streams []engine.StreamInfo) {
 	c.left = nil
--- a/gate/config.go
+++ b/gate/config.go
@@ -57,6 +57,9 @@
 	MaxRecords int
 	// MaxWaiting bounds the attempts that wait for room.
 	MaxWaiting int
+	// ProcessStarted is when this incarnation's process began, zero if not known. What an earlier one left at a server that
+	// keeps no list lost its connections before that, so the settle time counts from here; otherwise from the listing.
+	ProcessStarted time.Time
 	// MaxMemory bounds the digests of keyed requests that ran here, in each of two generations.
 	MaxMemory int
 	// ProbeFailures is how many failed probes in a row make the server suspect.
--- a/gate/server_test.go
+++ b/gate/server_test.go
@@ -85,6 +85,31 @@
 	require.True(t, b.gate.Status().Unlisted)
 }
 
+// Symptom: after a loss of all machines model servers get work a settle time later than entries have their state.
+// Sequence: an agent starts, and hears of its server only once control has a leader; then it waits as if its predecessor
+// had just died. Cause: a wait that counts from the listing.
+func TestServerWithoutAListGetsItsTimeFromTheStartOfTheProcess(t *testing.T) {
+	b := newBench(t, Config{ProcessStarted: time.Unix(1000, 0)})
+	b.pass(DefaultUnlistedSettle)
+	b.step(Announced{Server: sampleRecord(2)})
+	b.step(EngineListed{Err: &engine.CallError{Call: "streams", Class: engine.ErrUnsupported}})
+	b.pass(TickInterval)
+	require.True(t, b.gate.Status().Cleared)
+}
+
+// A server that was gone may have work that is younger than the process.
+func TestServerThatWasGoneGetsItsTimeAnew(t *testing.T) {
+	b := newBench(t, Config{ProcessStarted: time.Unix(1000, 0)})
+	b.pass(DefaultUnlistedSettle)
+	b.gate.clearing.restart()
+	b.step(Announced{Server: sampleRecord(2)})
+	b.step(EngineListed{Err: &engine.CallError{Call: "streams", Class: engine.ErrUnsupported}})
+	b.pass(DefaultUnlistedSettle / 2)
+	require.False(t, b.gate.Status().Cleared)
+	b.pass(DefaultUnlistedSettle)
+	require.True(t, b.gate.Status().Cleared)
+}
+
 func TestDrain(t *testing.T) {
 	// Symptom: a stream is cut by a graceful shutdown, or a server that leaves gets new work.
 	// Sequence: a server with work running, waiting, offered and unproven asks to leave; the entry's dispatch crosses.
