--- a/cmd/carawaypitch/cluster_test.go
+++ b/cmd/carawaypitch/cluster_test.go
@@ -60,7 +60,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cmd = exec.Command(binary, p.role, "-settings", p.file)
-	p.cmd.Stderr = &p.log
+	p.cmd.Stderr, p.cmd.Stdout = &p.log, &p.log
 	require.NoError(p.t, p.cmd.Start())
 }
 
--- a/cmd/carawaypitch/daemons.go
+++ b/cmd/carawaypitch/daemons.go
@@ -34,7 +34,9 @@
 	if err != nil {
 		return exit(err)
 	}
-	d, err := make(read, logging.New(level(read), os.Stderr))
+	lines := logging.NewQueue(os.Stdout)
+	defer lines.Close()
+	d, err := make(read, &log.Logger{Handler: lines, Level: level(read)})
 	if err != nil {
 		return exit(err)
 	}
--- a/cmd/carawaypitch/main.go
+++ b/cmd/carawaypitch/main.go
@@ -47,7 +47,7 @@
 		}},
 		{"settings", []subcommands.Command{&checkCommand{}, &digestCommand{}, &codesCommand{}}},
 		{"operators", []subcommands.Command{
-			&classCommand{}, &targetCommand{}, &statusCommand{}, &serversCommand{}, &requestsCommand{}, &drainCommand{},
+			&classCommand{}, &targetCommand{}, &statusCommand{}, &serversCommand{}, &requestsCommand{}, &drainCommand{}, &explainCommand{},
 		}},
 		{"experiments", []subcommands.Command{&benchCommand{}}},
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -192,10 +192,15 @@
 	add(c.serveOperators)
 	stop, cancel := context.WithCancel(ctx)
 	g.Add(func() error { return c.stop(stop, ctx) }, func(error) { cancel() })
+	c.log.WithField("instance", c.settings.Instance).
+		WithField("operators", c.OperatorsAddr()).
+		WithField("links", c.LinkAddr()).
+		Info("control_started")
 	err := g.Run()
 	if errors.Is(err, errStopped) {
-		return nil
+		err = nil
 	}
+	c.log.WithField("instance", c.settings.Instance).WithField("error", err).Info("control_stopped")
 	return err
 }
 
@@ -213,7 +218,7 @@
 		return ctx.Err() // another duty failed
 	}
 	c.stopping.Store(true)
-	c.log.Info("stopping")
+	c.log.Info("control_stopping")
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.settings.Timing.Drain)
 	defer cancel()
 	c.handOver(drain)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -30,6 +31,9 @@
 	metricRingLength  = "carawaypitch_ring_length"
 	metricActive      = "carawaypitch_active_calls"
 	metricBodyBytes   = "carawaypitch_body_bytes"
+	metricFirstEvent  = "carawaypitch_first_event_seconds" // from arrival; histogram by tier
+	metricAnswer      = "carawaypitch_answer_seconds"      // from arrival to the whole answer; histogram by tier
+	metricRoomAge     = "carawaypitch_room_age_seconds"    // of the oldest word of a ready server, as of the last end
 )
 
 // meter holds one entry's metrics. It has a set of its own, so that several daemons fit in one process.
@@ -86,6 +90,19 @@
 	m.count(sched.Count{Counter: sched.Refusals, Code: code, Tier: tier, Add: 1})
 }
 
+// ended takes the times of an answered request.
+func (m *meter) ended(t sched.Trace, took time.Duration) {
+	label := fmt.Sprintf(`{tier="%d"}`, t.Tier)
+	m.set.GetOrCreateHistogram(metricAnswer + label).Update(took.Seconds())
+	if t.FirstAfter > 0 {
+		m.set.GetOrCreateHistogram(metricFirstEvent + label).Update(t.FirstAfter.Seconds())
+	}
+	m.set.GetOrCreateGauge(metricRoomAge, nil).Set(t.RoomAge.Seconds())
+}
+
+// Metrics returns the entry's metrics.
+func (e *Entry) Metrics() *metrics.Set { return e.meter.set }
+
 func (m *meter) linkLost()       { m.add(metricLinksLost, 1) }
 func (m *meter) dialFailed()     { m.add(metricDialsFailed, 1) }
 func (m *meter) messageDropped() { m.add(metricDropped, 1) }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -91,6 +91,7 @@
 			Info("request_failed")
 		return
 	}
+	e.meter.ended(out.trace, e.now().Sub(r.Arrived))
 	fields.WithField("bytes", out.size).Info("request_answered")
 }
 
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -159,6 +159,8 @@
 	e.log.WithField("request", call.ID).
 		WithField("organisation", organisation).
 		WithField("route", route).
+		WithField("host", call.Host).
+		WithField("path", call.Path).
 		WithField("desired", e.view.Load().routing.versionOrZero()).
 		WithField("config", e.view.Load().version).
 		WithField("code", uint16(err.Code)).
