agent: servers that have ended are forgotten

Cause: each start of a server has a new name; an agent took 64 names in its life, after which its server got no work (the entry's own agent has all plain servers), and each name went on costing a hundred ticks a second. A name that ended, is drained and had 30 s is forgotten with its duty. Found by reading; TestAgentForgetsServersThatHaveEnded fails without it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -116,7 +116,7 @@
 	if options.newSession == nil {
 		options.newSession = func(c session.Config) Control { return session.New(c) }
 	}
-	a.follow = follow{selects: options.Select, ended: make(map[string]bool)}
+	a.follow = follow{selects: options.Select, ended: make(map[string]time.Time)}
 	if a.session = options.Control; a.session == nil {
 		a.session = options.newSession(a.sessionConfig(clientTLS))
 	}
--- a/agent/duties.go
+++ b/agent/duties.go
@@ -86,5 +86,5 @@
 
 // beginServer starts the gate duty of a server.
 func (a *Agent) beginServer(s *server) {
-	a.spawn(s.run)
+	a.spawn(s.runUntilForgotten)
 }
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -16,7 +16,7 @@
 // follow is what the follow duty knows of the servers that announce themselves to control.
 type follow struct {
 	selects func(*session.View) []*wire.Announcement
-	ended   map[string]bool // servers whose end was passed on
+	ended   map[string]time.Time // servers whose end was passed on, and when
 }
 
 // AtAddress selects the latest server that announced itself at an address, which is the one beside this agent. Of two,
@@ -90,11 +90,20 @@
 		a.followServer(ctx, announcement, pool)
 	}
 	for _, s := range a.servers.all() {
-		if s.view.Load().announced() && !announced[s.name] && !a.follow.ended[s.name] {
-			a.follow.ended[s.name] = true
+		if s.view.Load().announced() && !announced[s.name] && a.follow.noteEnd(s.name) {
 			_ = s.leave(ctx, "ended")
 		}
 	}
+	a.retire(announced, time.Now())
+}
+
+// noteEnd notes a server's end, and tells whether it is news.
+func (f *follow) noteEnd(server string) bool {
+	if _, known := f.ended[server]; known {
+		return false
+	}
+	f.ended[server] = time.Now()
+	return true
 }
 
 // followServer passes one announcement on. A server that leaves is announced first: its gate must know it.
@@ -107,8 +116,7 @@
 		a.log.WithField("server", announcement.GetServer()).WithError(err).Warn("announcement_refused")
 		return
 	}
-	if announcement.GetDraining() && !a.follow.ended[announcement.GetServer()] {
-		a.follow.ended[announcement.GetServer()] = true
+	if announcement.GetDraining() && a.follow.noteEnd(announcement.GetServer()) {
 		_ = s.leave(ctx, "draining")
 	}
 }
--- a/agent/follow_test.go
+++ b/agent/follow_test.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -63,6 +65,26 @@
 	w.run(agent)
 }
 
+// Symptom: a model server gets no work any more after its 64th start. Sequence: each start has a new name; the agent keeps
+// what it knows of the earlier ones. Cause: servers that are gone counted against the bound for ever.
+func TestAgentForgetsServersThatHaveEnded(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.startFollowing()
+		for i := range uint64(maxServers + 6) {
+			name := fmt.Sprint("start-", i)
+			w.control.setView(followView(i+2, announced(name, "models", followedAddress)))
+			w.until("it is known", func() bool {
+				s := w.agent.servers.get(name)
+				return s != nil && s.view.Load().announced()
+			})
+			time.Sleep(retireAfter / 8)
+		}
+		w.control.setView(followView(1000))
+		time.Sleep(retireAfter + 10*time.Second)
+		require.Empty(t, w.agent.servers.all())
+	})
+}
+
 // Symptom: an agent never shows itself. Sequence: its server announces itself to control and not to the agent; the agent
 // waits for an announcement before it opens its session, over which alone it could hear of one. Cause: the two wait for
 // each other.
--- a/agent/server.go
+++ b/agent/server.go
@@ -46,8 +46,12 @@
 // server is one backend server as its gate duty sees it. All fields without another remark are the duty's own.
 type server struct {
 	serverDeps
-	name   string
-	base   context.Context // the duty's own, ends with the agent
+	name string
+	base context.Context // the duty's own, ends with the agent
+
+	forgotten context.Context // ends when the server is forgotten
+	end       context.CancelFunc
+
 	inputs *ring.Ring[input]
 	gate   admission
 	// follow holds events that a step led to. They don't go through the ring: the duty would wait for itself if the
@@ -94,6 +98,7 @@
 		gate:       deps.newGate(),
 		runs:       make(map[attemptKey]*engineRun),
 	}
+	s.forgotten, s.end = context.WithCancel(context.Background())
 	s.log = deps.log.WithField("server", name)
 	s.view.Store(&serverView{})
 	return s
