--- a/agent/agent.go
+++ b/agent/agent.go
@@ -203,6 +203,7 @@
 		MaxWaiting:    limits.MaxReservations,
 		UnprovenHold:  timing.UnprovenHold,
 		SlowRatio:     limits.SlowRatio,
+		SlotsFloor:    limits.SlotsFloor,
 
 		UnlistedSettle: timing.UnlistedSettle,
 		ProcessStarted: a.started,
--- a/gate/config.go
+++ b/gate/config.go
@@ -15,6 +15,7 @@
 	DefaultOperationLife  = 24 * time.Hour
 	DefaultSilentAfter    = 3 * time.Second
 	DefaultGoneAfter      = 10 * time.Second
+	DefaultSlotsFloor     = 0.25
 	DefaultUnlistedSettle = time.Second
 	DefaultUnprovenHold   = 30 * time.Second
 	DefaultSlowRatio      = 3.0
@@ -57,6 +58,8 @@
 	MaxRecords int
 	// MaxWaiting bounds the attempts that wait for room.
 	MaxWaiting int
+	// SlotsFloor is the share of the announced slots that are used however slow the pace is.
+	SlotsFloor float64
 	// ProcessStarted is when this incarnation's process began, zero if not known. What an earlier one left at a server that
 	// keeps no list lost its connections before that, so the settle time counts from here; otherwise from the listing.
 	ProcessStarted time.Time
@@ -90,6 +93,7 @@
 	c.SilentAfter = orDefault(c.SilentAfter, DefaultSilentAfter)
 	c.GoneAfter = orDefault(c.GoneAfter, DefaultGoneAfter)
 	c.UnlistedSettle = orDefault(c.UnlistedSettle, DefaultUnlistedSettle)
+	c.SlotsFloor = orDefault(c.SlotsFloor, DefaultSlotsFloor)
 	c.UnprovenHold = orDefault(c.UnprovenHold, DefaultUnprovenHold)
 	c.SlowRatio = orDefault(c.SlowRatio, DefaultSlowRatio)
 	c.MaxRecords = orDefault(c.MaxRecords, DefaultMaxRecords)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -48,6 +48,7 @@
 		memory:  newMemory(config.MaxMemory, config.OperationLife),
 		waiting: newWaiting(),
 		pace:    newPace(),
+		limit:   limiter{floor: config.SlotsFloor},
 	}
 }
 
--- a/gate/limit.go
+++ b/gate/limit.go
@@ -5,7 +5,6 @@
 	limitTolerance = 3.0 // the pace may be so many times the best one
 	limitGrow      = 0.8 // share of the tolerance below which the limit grows
 	limitShrink    = 0.9
-	limitFloor     = 4     // the limit stays at or above the announced slots divided by this
 	bestDrift      = 0.002 // how fast the best pace forgets, each window
 	bestGain       = 0.3
 )
@@ -13,6 +12,7 @@
 // limiter learns how many attempts the server runs well at a time: more of them make each slower, and beyond some
 // number all only wait for each other. It is bounded by the announced slots.
 type limiter struct {
+	floor     float64 // share of the announced slots that are always used
 	announced int
 	limit     float64
 	best      float64 // seconds between tokens, or of a service call, at its best
@@ -36,7 +36,7 @@
 		return
 	}
 	l.learnBest(pace)
-	floor := max(float64(l.announced)/limitFloor, 1)
+	floor := l.least()
 	slow := pace / l.best
 	switch {
 	case slow > limitTolerance && batch > 1:
@@ -59,5 +59,8 @@
 
 // restart begins again with one attempt at a time, after the server was too slow.
 func (l *limiter) restart() {
-	l.limit = max(float64(l.announced)/limitFloor, 1)
+	l.limit = l.least()
 }
+
+// least is the limit at its lowest.
+func (l *limiter) least() float64 { return max(float64(l.announced)*l.floor, 1) }
--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -347,7 +347,7 @@
 }
 
 func TestLimitFollowsThePace(t *testing.T) {
-	var l limiter
+	l := limiter{floor: DefaultSlotsFloor}
 	l.announce(16)
 	require.Equal(t, 16, l.slots())
 	for range 50 {
@@ -360,7 +360,7 @@
 	for range 50 {
 		l.observe(0.060, float64(l.slots()))
 	}
-	require.Equal(t, 16/limitFloor, l.slots())
+	require.Equal(t, 16/4, l.slots())
 	for range 50 {
 		l.observe(0.012, float64(l.slots()))
 	}
@@ -501,3 +501,16 @@
 	}
 	require.Less(t, b.gate.Status().Slots, 8, "together they take four times as long")
 }
+
+// Symptom: a quarter of the servers gets a quarter of the work that they can take, while requests are refused. Sequence:
+// events that wait behind a prompt arrive together; their gaps look like a pace that no engine has, and the true one like
+// three times slower. Cause: a limit learnt where the server itself says how many it runs at once.
+func TestAnnouncedSlotsAreUsedWhateverThePace(t *testing.T) {
+	l := limiter{floor: 1}
+	l.announce(8)
+	l.observe(0.001, 8)
+	for range 50 {
+		l.observe(0.010, 8)
+	}
+	require.Equal(t, 8, l.slots())
+}
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -50,6 +50,9 @@
 	MaxReservations int `json:"max_reservations"`
 	// SlowRatio is how many times slower than its own past a backend server must be to get no new work. Default 3.
 	SlowRatio float64 `json:"slow_ratio"`
+	// SlotsFloor is the share, above 0 up to 1, of its announced slots that a server is always given. Below 1 an agent
+	// learns how many attempts a server runs well at a time. Default 0.25.
+	SlotsFloor float64 `json:"slots_floor"`
 	// MaxTombstones is how many attempts that are over are remembered. Default 65536.
 	MaxTombstones int `json:"max_tombstones"`
 }
@@ -90,6 +93,7 @@
 			MaxAnswer:       16 * MiB,
 			MaxReservations: 4096,
 			MaxTombstones:   65536,
+			SlotsFloor:      0.25,
 			SlowRatio:       3,
 		},
 		Timing: AgentTiming{
@@ -123,6 +127,9 @@
 	positive(c, "limits.max_body", a.Limits.MaxBody)
 	positive(c, "limits.max_answer", a.Limits.MaxAnswer)
 	positive(c, "limits.max_reservations", a.Limits.MaxReservations)
+	if a.Limits.SlotsFloor <= 0 || a.Limits.SlotsFloor > 1 {
+		c.add(result.SettingsOutOfRange, "limits.slots_floor", "want a share above 0 up to 1, got %g", a.Limits.SlotsFloor)
+	}
 	positive(c, "limits.max_tombstones", a.Limits.MaxTombstones)
 	if a.Limits.SlowRatio <= 1 {
 		c.add(result.SettingsOutOfRange, "limits.slow_ratio", "want more than 1, got %g", a.Limits.SlowRatio)
