quorum: a log entry may hold a desired state of some thousand routes

Cause: the bound of 1 MiB was reached by about 2,000 routes, since the operator's text is kept beside them; such a change was refused for good. 2.5 MiB now; a message between processes holds 3. TestDesiredStateOfThousandsOfRoutes fails before.

--- a/control/replace_test.go
+++ b/control/replace_test.go
@@ -1,12 +1,15 @@
 package control_test
 
 import (
+	"bytes"
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/settings"
@@ -106,6 +109,34 @@
 	})
 }
 
+// Symptom: an operator's valid change is refused for good. Sequence: the desired state has grown to some thousand routes;
+// their record, with the operator's own text beside it, is over a megabyte. Cause: a bound on log entries that was taken
+// for records of requests.
+func TestDesiredStateOfThousandsOfRoutes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.startAll()
+		defer c.stopAll()
+		client, stop := c.client("entry-1", "10.0.1.1", wire.Role_ROLE_ENTRY, 1)
+		defer stop()
+		large := testDesired(2)
+		for i := range 4000 {
+			route := proto.CloneOf(large.Routes[0])
+			route.Name = fmt.Sprintf("route-of-a-partner-%d", i)
+			route.Class.Name, route.Prefix = route.Name, "/"+route.Name+"/"
+			large.Routes = append(large.Routes, route)
+		}
+		large.Document = bytes.Repeat([]byte("x"), 4000*350)
+		require.Greater(t, proto.Size(large), 3<<19)
+		require.NoError(t, c.follower().control.PutDesired(t.Context(), large))
+		c.eventually("the session has it", func() bool { return len(client.View().Desired.GetRoutes()) == 4001 })
+		c.stop(c.leader())
+		desired, err := c.follower().control.Desired(t.Context())
+		require.NoError(t, err)
+		require.Len(t, desired.GetDocument(), 4000*350)
+	})
+}
+
 // Symptom: an old desired state is shown, or one that may not be the newest. Sequence: an instance is cut off from the
 // others while they take a change. Cause: a read without a quorum.
 func TestReadIsRefusedWithoutAQuorum(t *testing.T) {
--- a/quorum/config.go
+++ b/quorum/config.go
@@ -8,12 +8,14 @@
 
 // Defaults of Config.
 const (
-	DefaultElectionTicks       = 10
-	DefaultHeartbeatTicks      = 2
-	DefaultMaxBatchBytes       = 256 << 10
-	DefaultMaxInflight         = 64
-	DefaultMaxInflightBytes    = 4 << 20
-	DefaultMaxEntryBytes       = 1 << 20
+	DefaultElectionTicks    = 10
+	DefaultHeartbeatTicks   = 2
+	DefaultMaxBatchBytes    = 256 << 10
+	DefaultMaxInflight      = 64
+	DefaultMaxInflightBytes = 4 << 20
+	// DefaultMaxEntryBytes lets a desired state of some thousand routes through, and stays within what one message of a
+	// link between processes may hold.
+	DefaultMaxEntryBytes       = 5 << 19
 	DefaultMaxUncommittedBytes = 16 << 20
 	DefaultMaxReads            = 4096
 )
