entry, control: use leaves a window as the entry told it

Control and entries let what was told leave the window evenly, so that up to an eighth of it was missing after a second though nothing had left. Entries tell what leaves in the next second; the rest leaves evenly after that.

--- a/control/usage.go
+++ b/control/usage.go
@@ -129,8 +129,7 @@
 	return uint64(u.capOf(organisation, window) * float64(silent) / float64(len(listed)))
 }
 
-// others adds up what all but one incarnation used of an organisation's cap. What an entry told a while ago leaves the
-// window evenly.
+// others adds up what all but one incarnation used of an organisation's cap, as far as it is in the window still.
 func (u *usage) others(but incarnation, organisation string, now time.Time) *wire.Usage {
 	sum := &wire.Usage{Organisation: organisation}
 	for from, entry := range u.entries {
@@ -139,8 +138,8 @@
 			continue
 		}
 		age := now.Sub(entry.at)
-		left := 1 - age.Seconds()/entry.window.Seconds()
-		sum.Used += uint64(float64(one.GetUsed()) * left)
+		sum.Used += uint64(wire.LeftInWindow(float64(one.GetUsed()), float64(one.GetLeaving()), age, entry.window))
+		sum.Leaving += one.GetLeaving()
 		if age < usageRateStale {
 			sum.Used += uint64(float64(one.GetRate()) * age.Seconds())
 			sum.Rate += one.GetRate()
--- a/control/usage_test.go
+++ b/control/usage_test.go
@@ -9,8 +9,11 @@
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
+// usagePoll tells of use that is spread over the window evenly.
 func usagePoll(used, rate uint64) *wire.Poll {
-	return &wire.Poll{UsageWindowMs: 8000, Usage: []*wire.Usage{{Organisation: "org", Used: used, Rate: rate}}}
+	return &wire.Poll{UsageWindowMs: 8000, Usage: []*wire.Usage{
+		{Organisation: "org", Used: used, Rate: rate, Leaving: used / 8},
+	}}
 }
 
 // usageTable is a table of three listed entries and a cap of 900 in a window.
--- a/entry/caps.go
+++ b/entry/caps.go
@@ -137,8 +137,9 @@
 	caps := c.all()
 	out := make([]*wire.Usage, 0, len(caps))
 	for _, name := range slices.Sorted(maps.Keys(caps)) {
-		used, rate := caps[name].tell()
-		out = append(out, &wire.Usage{Organisation: name, Used: used, Rate: rate})
+		word := caps[name].tell()
+		word.Organisation = name
+		out = append(out, word)
 	}
 	return out
 }
@@ -240,16 +241,17 @@
 
 // othersWord is what a control instance said last.
 type othersWord struct {
-	at     time.Time
-	used   float64
-	rate   float64
-	oldest time.Duration // age of what it adds up, of the entry that told it longest ago
+	at      time.Time
+	used    float64
+	rate    float64
+	leaving float64       // of used, in the next second
+	oldest  time.Duration // age of what it adds up, of the entry that told it longest ago
 }
 
-// value is the word as of now: what was used leaves the window evenly, and the others go on at their rate.
+// value is the word as of now: what was used leaves the window, and the others go on at their rate.
 func (w othersWord) value(now time.Time, window time.Duration) float64 {
 	age := min(now.Sub(w.at), window)
-	return w.used*(1-age.Seconds()/window.Seconds()) + w.rate*age.Seconds()
+	return wire.LeftInWindow(w.used, w.leaving, age, window) + w.rate*age.Seconds()
 }
 
 func (u *usageCap) takeOthers(control int, other *wire.Usage) {
@@ -257,10 +259,11 @@
 	defer u.mu.Unlock()
 	defer u.allow()
 	u.others[control] = othersWord{
-		at:     u.now(),
-		used:   float64(other.GetUsed()),
-		rate:   float64(other.GetRate()),
-		oldest: time.Duration(other.GetOldestMs()) * time.Millisecond,
+		at:      u.now(),
+		used:    float64(other.GetUsed()),
+		rate:    float64(other.GetRate()),
+		leaving: float64(other.GetLeaving()),
+		oldest:  time.Duration(other.GetOldestMs()) * time.Millisecond,
 	}
 	close(u.heard)
 	u.heard = make(chan struct{})
@@ -372,12 +375,22 @@
 	return u.untold > capReportPart*u.limit() && u.sum() > capNear*u.limit()
 }
 
-// tell returns what was used here in the window and the rate of late, and notes that control is told.
-func (u *usageCap) tell() (used, rate uint64) {
+// tell returns what was used here in the window, the rate of late and what leaves the window next, and notes that control
+// is told.
+func (u *usageCap) tell() *wire.Usage {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.untold, u.toldAt = 0, u.now()
-	return uint64(u.own()), uint64(u.lately())
+	return &wire.Usage{Used: uint64(u.own()), Rate: uint64(u.lately()), Leaving: uint64(u.leaving())}
+}
+
+// leaving is what leaves the window in its next second.
+func (u *usageCap) leaving() float64 {
+	total := 0.0
+	for i := range int64(time.Second / u.step()) {
+		total += u.slots[(u.turn+1+i)%capSlots]
+	}
+	return total
 }
 
 // lately is the rate over the last steps, a second.
--- a/entry/caps_test.go
+++ b/entry/caps_test.go
@@ -219,6 +219,15 @@
 	require.False(t, helps, "control is silent")
 }
 
+func TestControlHearsWhatLeavesTheWindowNext(t *testing.T) {
+	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
+	u := newCap(clock, 1, nil)
+	_, _ = u.take(500)
+	require.Zero(t, u.tell().GetLeaving(), "it was used just now")
+	clock.pass(u.window - u.step())
+	require.EqualValues(t, 500, u.tell().GetLeaving())
+}
+
 func TestControlHearsSoonWhenACapIsNearlyUsedUp(t *testing.T) {
 	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
 	u := newCap(clock, 1, nil)
@@ -227,9 +236,9 @@
 	require.False(t, u.isUrgent(), "half of it is left")
 	_, _ = u.take(200)
 	require.True(t, u.isUrgent())
-	used, rate := u.tell()
-	require.EqualValues(t, 700, used)
-	require.NotZero(t, rate)
+	word := u.tell()
+	require.EqualValues(t, 700, word.GetUsed())
+	require.NotZero(t, word.GetRate())
 	_, _ = u.take(50)
 	require.False(t, u.isUrgent(), "it was told a moment ago")
 	clock.pass(capReportGap)
--- /dev/null
+++ b/wire/usage_test.go
@@ -0,0 +1,32 @@
+package wire_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// Symptom: an organisation whose use has just risen goes beyond its cap and what is tolerated. Sequence: each entry has
+// used much in the last two seconds and tells so; a second later control counts an eighth less of it, though nothing has
+// left the window. Cause: use that was taken to be spread over the window evenly.
+func TestWhatIsLeftInAWindow(t *testing.T) {
+	cases := map[string]struct {
+		used, leaving float64
+		age           time.Duration
+		want          float64
+	}{
+		"just told":           {800, 100, 0, 800},
+		"even, half a second": {800, 100, 500 * time.Millisecond, 750},
+		"risen lately":        {800, 0, time.Second, 800},
+		"all of it old":       {800, 800, time.Second, 0},
+		"half of the rest":    {800, 100, 4500 * time.Millisecond, 350},
+		"the whole window":    {800, 0, 8 * time.Second, 0},
+		"longer":              {800, 100, time.Minute, 0},
+	}
+	for name, c := range cases {
+		require.InDelta(t, c.want, wire.LeftInWindow(c.used, c.leaving, c.age, 8*time.Second), 0.01, name)
+	}
+}
