agent, experiment: an agent whose duty failed ends at once, and stand-ins end before their agents

Cause of the red test TestEveryFaultHappens: the experiment stopped each agent together with its stand-in.

duties.go: the stop now gets a context that ends with the first other duty, as the entry's does.

--- a/agent/duties.go
+++ b/agent/duties.go
@@ -37,7 +37,7 @@
 	a.addDuty(&group, base, a.reports.run)
 	a.addDuty(&group, base, a.linkDuty)
 	a.addDuty(&group, base, func(ctx context.Context) error { return a.httpDuty(ctx, a.httpListener) })
-	a.addDuty(&group, ctx, func(ctx context.Context) error { return a.stopDuty(ctx, base) })
+	a.addDuty(&group, base, func(own context.Context) error { return a.stopDuty(ctx, own) })
 	err := group.Run()
 	a.log.WithField("result", errorText(err)).Info("agent_stopped")
 	return err
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -119,6 +119,15 @@
 	return <-w.ended
 }
 
+// supersede has control list a newer incarnation of the agent.
+func (w *world) supersede() {
+	view := *w.control.View()
+	view.Agents = map[string]*wire.AgentRecord{
+		"agent-1": {Agent: "agent-1", Incarnation: w.agent.incarnation + 1},
+	}
+	w.control.setView(&view)
+}
+
 // killAgent ends the agent as a crash does: nobody hears of it but by its closed connections.
 func (w *world) killAgent() {
 	w.t.Helper()
--- a/agent/restart_test.go
+++ b/agent/restart_test.go
@@ -83,11 +83,7 @@
 		w.startAgent()
 		w.startEngine(slowModel())
 		w.ready()
-		view := *w.control.View()
-		view.Agents = map[string]*wire.AgentRecord{
-			"agent-1": {Agent: "agent-1", Incarnation: w.agent.incarnation + 1},
-		}
-		w.control.setView(&view)
+		w.supersede()
 		w.until("the agent ends", func() bool { return len(w.ended) == 1 })
 		assert.ErrorIs(t, <-w.ended, ErrSuperseded)
 		w.stop()
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -9,21 +9,26 @@
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
-// stopDuty waits for the end of ctx and stops the agent gracefully. base ends only when this returns.
-func (a *Agent) stopDuty(ctx, base context.Context) error {
-	<-ctx.Done()
-	if base.Err() != nil {
+// stopDuty waits for the order to stop, and then stops the agent gracefully. own ends with the first of the other duties.
+//
+// Without the link to control or to the entries nothing can be drained or removed, so the stop ends with them too. An
+// agent whose session had ended went on waiting for what was in flight, for timing.drain, and then for the answer to its
+// removal; its supervisor saw a process that was neither ready nor gone.
+func (a *Agent) stopDuty(order, own context.Context) error {
+	select {
+	case <-order.Done():
+	case <-own.Done():
 		return nil
 	}
 	a.log.Info("agent_stopping")
 	a.ready.stop()
 	for _, s := range a.servers.all() {
-		if err := s.leave(base, "stop"); err != nil {
+		if err := s.leave(own, "stop"); err != nil {
 			return nil
 		}
 	}
-	drained := a.awaitDrained(base)
-	a.remove(base)
+	drained := a.awaitDrained(own)
+	a.remove(own)
 	if !drained {
 		return ErrDrainTimeout
 	}
--- a/agent/stop_test.go
+++ b/agent/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -55,6 +56,32 @@
 	})
 }
 
+// Symptom: an agent that has failed is neither ready nor gone for as long as its longest stream may take.
+// Sequence: a stream runs; a newer incarnation of the agent registers, so that the duty of the session ends; in the
+// second case the agent was told to stop just before.
+// Cause: the duty that stops the agent took the end of another duty for the order to stop, and drained without a session.
+func TestEndOfADutyEndsTheStopToo(t *testing.T) {
+	for name, ordered := range map[string]bool{"no order to stop": false, "while it drains": true} {
+		t.Run(name, func(t *testing.T) {
+			modelWorld(t, func(w *world, _ *standin.Server, entry *fakeEntry) {
+				entry.dispatch(longCompletion("r1", 1))
+				w.until("the stream runs", func() bool { return entry.eventCount("r1", 1) > 3 })
+				if ordered {
+					w.stop()
+					time.Sleep(time.Second)
+				}
+				w.supersede()
+				synctest.Wait()
+				time.Sleep(2 * httpStopTimeout)
+				require.Len(w.t, w.ended, 1, "the agent still runs")
+				assert.ErrorIs(t, <-w.ended, ErrSuperseded)
+				w.stop()
+				w.stop = nil
+			})
+		})
+	}
+}
+
 func TestStopWithoutServers(t *testing.T) {
 	inWorld(t, func(w *world) {
 		w.startAgent()
--- a/experiment/deploy/deploy.go
+++ b/experiment/deploy/deploy.go
@@ -251,11 +251,19 @@
 	for _, e := range d.entries {
 		errs = append(errs, e.wait(stopBound))
 	}
+	// A stand-in that leaves asks its agent until that says drained, so the agent stays until then. One that was stopped
+	// beside it was gone before it had said so, and the stand-in asked on beyond stopBound.
 	for _, s := range d.servers {
-		s.cancel()
+		s.standin.cancel()
 	}
 	for _, s := range d.servers {
-		errs = append(errs, s.standin.wait(stopBound), s.agent.wait(stopBound))
+		errs = append(errs, s.standin.wait(stopBound))
+	}
+	for _, s := range d.servers {
+		s.agent.cancel()
+	}
+	for _, s := range d.servers {
+		errs = append(errs, s.agent.wait(stopBound))
 	}
 	for _, i := range d.leaving {
 		i.cancel()
--- a/experiment/deploy/instances.go
+++ b/experiment/deploy/instances.go
@@ -149,12 +149,6 @@
 	agentHost *fabric.Host
 }
 
-// cancel stops the stand-in and the agent.
-func (s *serverInstance) cancel() {
-	s.standin.cancel()
-	s.agent.cancel()
-}
-
 func (s *serverInstance) agentURL() string { return "http://" + net.JoinHostPort(s.ip, portHTTP) }
 
 func (d *Deployment) startServers() error {
