--- a/control/members.go
+++ b/control/members.go
@@ -95,7 +95,10 @@
 		}
 		return &memberStep{quorum.AddLearner, id, info.hello.GetLinkAddress()}
 	}
-	if v.status.Members[i].Voter || !isCaughtUp(v.status, id) {
+	if old := earlierLearner(v.status, id); old != quorum.NoID {
+		return &memberStep{change: quorum.Remove, id: old}
+	}
+	if v.status.Members[i].Voter || info.hello.GetEphemeral() || !isCaughtUp(v.status, id) {
 		return nil
 	}
 	if old := earlierVoter(v.status, id); old != quorum.NoID {
@@ -174,6 +177,20 @@
 	return quorum.NoID
 }
 
+// earlierLearner returns a learner that the instance had with an earlier disk, or NoID. That disk is gone, and the replica
+// never voted, so nothing is lost with it.
+//
+// An instance that loses its disk with each restart leaves one behind each time. It is not silent, since its instance is
+// heard; some restarts would fill the group, and no replacement of a voter could join any more.
+func earlierLearner(status replica.Status, id quorum.ID) quorum.ID {
+	for _, m := range status.Members {
+		if !m.Voter && m.ID != id && m.ID.Instance() == id.Instance() {
+			return m.ID
+		}
+	}
+	return quorum.NoID
+}
+
 // changeMember makes a change. One that must wait for another, or for the learner, is no error: the next round sees.
 func (l *leader) changeMember(ctx context.Context, step *memberStep) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
--- a/control/replication.go
+++ b/control/replication.go
@@ -54,11 +54,13 @@
 // bootstrap makes the configured replicas a new group, if the settings allow it and this disk is empty. It first hears
 // from all others that their disks are empty too.
 //
+// Ephemeral instances are no first voters, also where the settings name them: they join as learners.
+//
 // An instance whose disk was wiped still has bootstrap in its settings. Were it to start a group on its own, its
 // operators would see an empty configuration in force; so one peer with a group, or one that says nothing, is enough
 // to join or to wait.
 func (c *Control) bootstrap(ctx context.Context) error {
-	if !c.settings.Bootstrap || c.hasGroup() {
+	if !c.settings.Bootstrap || c.settings.Ephemeral || c.hasGroup() {
 		return nil
 	}
 	for {
@@ -96,8 +98,11 @@
 			continue
 		}
 		hello := c.peers.hello(r.Instance)
-		if hello.GetHasGroup() {
+		switch {
+		case hello.GetHasGroup():
 			return c.begunWith(hello), true
+		case hello.GetEphemeral():
+			continue
 		}
 		missing = missing || hello == nil
 		voters = append(voters, replica.Member{ID: quorum.ID(hello.GetReplica()), Address: r.Address, Voter: true})
@@ -169,6 +174,7 @@
 		LinkAddress: c.advertise(),
 		HasGroup:    c.hasGroup(),
 		Peers:       c.peers.heardLately(),
+		Ephemeral:   c.settings.Ephemeral,
 	}
 	for _, v := range c.replica.FirstVoters() {
 		hello.FirstVoters = append(hello.FirstVoters, &wire.FirstVoter{Replica: string(v.ID), Address: v.Address})
--- /dev/null
+++ b/control/tolerance_test.go
@@ -0,0 +1,141 @@
+package control_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/quorum/journal/journaltest"
+)
+
+// sixDisks is a cluster of six instances with a disk of which five are to vote. The first three begin the group.
+func sixDisks(t *testing.T) *cluster {
+	c := newCluster(t, 3)
+	for _, n := range c.nodes {
+		n.settings.Voters = 5
+	}
+	c.startAll()
+	for i := 4; i <= 6; i++ {
+		n := c.newcomer(i, 1, 2, 3)
+		n.settings.Voters = 5
+	}
+	// The settings of an instance bind it when it leads, so each must have been started with them.
+	for _, n := range c.nodes[3:] {
+		c.stop(n)
+		c.start(n)
+	}
+	c.eventually("five vote", func() bool { return voters(c, c.leader()) == 5 })
+	return c
+}
+
+func voters(c *cluster, n *node) int {
+	count := 0
+	for _, r := range c.status(n).Replicas {
+		if r.Voter {
+			count++
+		}
+	}
+	return count
+}
+
+// wipe has an instance come back with an empty disk.
+func (c *cluster) wipe(n *node) {
+	n.settings.Bootstrap = false
+	n.fs = journaltest.New()
+}
+
+// Symptom: after the loss of two disks at once nothing is served any more, and what operators had been told is in force is
+// gone. Sequence: a desired state is acknowledged; the leader and another voter lose their disks, while all instances lose
+// their power. Cause: three voters, of which two are a majority: the one that was left could neither lead nor know what it
+// had missed.
+func TestTwoLostDisksOfFiveVoters(t *testing.T) {
+	for name, all := range map[string]bool{"the others run on": false, "all others stop too": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := sixDisks(t)
+				defer c.stopAll()
+				leader := c.leader()
+				require.NoError(t, leader.control.PutDesired(t.Context(), testDesired(7)))
+				lost := []*node{leader}
+				for _, n := range c.nodes {
+					if n != leader && votes(c, n) > 0 && len(lost) < 2 {
+						lost = append(lost, n)
+					}
+				}
+				if all {
+					c.stopAll()
+				}
+				for _, n := range lost {
+					if n.control != nil {
+						c.stop(n)
+					}
+					c.wipe(n)
+				}
+				for _, n := range c.nodes {
+					if n.control == nil {
+						c.start(n)
+					}
+				}
+				for _, n := range c.nodes {
+					c.eventually("the acknowledged state is read", func() bool {
+						desired, err := n.control.Desired(t.Context())
+						return err == nil && desired.GetVersion() == 7
+					})
+				}
+				c.eventually("five vote again", func() bool { return voters(c, c.leader()) == 5 })
+			})
+		})
+	}
+}
+
+// Symptom: an acknowledged change is lost with the restart of two processes. Sequence: the settings name an instance that
+// has no disk of its own; it is restarted. Cause: its vote counted for what it could not keep.
+func TestInstanceWithoutADiskNeverVotes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		for _, n := range c.nodes {
+			n.settings.Voters = 3
+		}
+		c.nodes[2].settings.Ephemeral = true
+		c.startAll()
+		defer c.stopAll()
+		c.leader()
+		c.newcomer(4, 3) // knows none but the one without a disk
+		without := c.nodes[2]
+		c.eventually("those with a disk vote", func() bool { return voters(c, c.leader()) == 3 })
+		require.Zero(t, votes(c, without))
+		require.NoError(t, without.control.PutDesired(t.Context(), testDesired(2)), "it takes operators' changes")
+		time.Sleep(time.Minute)
+		require.Zero(t, votes(c, without))
+		c.stop(c.nodes[0])
+		time.Sleep(time.Minute)
+		require.Zero(t, votes(c, without), "not even in place of a silent voter")
+	})
+}
+
+// Symptom: no replacement of a lost voter can join any more. Sequence: an instance without a disk is restarted often; each
+// time it comes with another identity. Cause: the learners that it had been stayed in the group, up to its bound: their
+// instance was heard, so none of them counted as silent.
+func TestEarlierLearnersOfAnInstanceAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.startAll()
+		defer c.stopAll()
+		without := c.newcomer(4, 1)
+		c.stop(without)
+		without.settings.Ephemeral = true
+		for range 20 {
+			without.fs = journaltest.New()
+			c.start(without)
+			c.eventually("it serves", func() bool { return without.control.Ready() == nil })
+			c.stop(without)
+		}
+		c.start(without)
+		c.eventually("it serves", func() bool { return without.control.Ready() == nil })
+		c.eventually("the group is as large as the deployment", func() bool {
+			return len(c.status(c.leader()).Replicas) == len(c.nodes)
+		})
+	})
+}
--- a/settings/control.go
+++ b/settings/control.go
@@ -32,6 +32,9 @@
 	Bootstrap bool `json:"bootstrap"`
 	// DataDir is the data folder. Nothing else may use it.
 	DataDir string `json:"data_dir" settings:"required,path"`
+	// Ephemeral says that the data folder is lost with the process. Such an instance serves operators and processes as a
+	// learner, and never votes: what it acknowledged would be gone after its next restart.
+	Ephemeral bool `json:"ephemeral"`
 	// Operators are the people and machines that may change classes.
 	Operators []OperatorAccount `json:"operators" settings:"required"`
 	// Organisations are the members of the consortium.
