gate, sched: the time of a prompt is a fixed part and one that grows with it

The first token came after 65 ms and 11 us for each prompt token (request_answered lines: 70 ms at 850 tokens, 131 at 7,000, 363 at 25,371, 895 at 54,636), but the gate learnt tokens through time, so that prompts of 1,000 tokens showed 13,000 tokens a second where the engine computes 90,000. Besides, the bound of 250 ms on prompts in flight let in 3,000 tokens.

Change: a least-squares line through the last prompts, bounded against surprises; entries hear of the fixed part with Room.

--- a/gate/estimate.go
+++ b/gate/estimate.go
@@ -17,7 +17,7 @@
 		return 0
 	}
 	uncached := int64(w.GetPromptTokens()) - int64(w.GetCachedTokens())
-	return g.pace.prefillTime(uncached) + time.Duration(w.GetOutputTokens())*g.tokenTimeFor(w.GetTier())
+	return g.pace.startTime(uncached) + time.Duration(w.GetOutputTokens())*g.tokenTimeFor(w.GetTier())
 }
 
 // estimate is the cost that the work is charged with at its start: prompt tokens not cached and output tokens; for
--- a/gate/pace.go
+++ b/gate/pace.go
@@ -14,7 +14,6 @@
 	paceGain   = 0.02   // weight of a window like the past in the baseline
 	driftGain  = 0.0005 // weight of one that is slower: hardware may get slow for good, but a straggler is no new past
 	recentGain = 0.3    // weight of a window in the present ratio
-	rateGain   = 0.2    // weight of a prompt in the prefill rate
 	gapGain    = 0.3    // weight of a window in the present gap
 
 	// fineShare is the part of Config.SlowRatio, as times of the baseline, below which the present pace is fine again.
@@ -47,8 +46,8 @@
 type pace struct {
 	baseline    [paceBins]average // seconds between two tokens of a stream, by batch size, while no prompt is computed
 	services    []*serviceTime    // in order of first use
-	prefillRate float64           // prompt tokens a second at present, 0 if not learnt
-	prefillBase average           // its past
+	prefill     prefillPace       // time until the first token
+	prefillBase average           // its past: seconds for a prompt token beyond the fixed part
 	gap         float64           // seconds between two tokens of a stream at present, prompts or not
 	gapAt       time.Time         // when it was seen last
 	ratio       float64           // present pace in units of the past; 1 is as ever
@@ -140,18 +139,12 @@
 // notePrefill takes the time of a prompt. Only of one that was computed alone does it tell whether the server has become
 // slow: beside others, an engine shares its steps between prompts and running answers.
 func (p *pace) notePrefill(tokens int64, took float64, alone bool) {
-	rate := float64(tokens) / took
-	if p.prefillRate == 0 {
-		p.prefillRate = rate
-	}
-	// The times are averaged, not the rates: one prompt that was in the cache after all, and took no time, would
-	// otherwise raise the rate beyond measure.
-	p.prefillRate = 1 / (1/p.prefillRate + rateGain*(1/rate-1/p.prefillRate))
+	p.prefill.learn(tokens, took)
 	if tokens < leastJudged || !alone {
 		return
 	}
 	// The time for one token stands to its past as the pace does.
-	if ratio := p.prefillBase.learn(1 / rate); ratio > 0 {
+	if ratio := p.prefillBase.learn(max(took-p.prefill.fixed, 0) / float64(tokens)); ratio > 0 {
 		p.window.add(ratio)
 	}
 }
@@ -271,7 +264,7 @@
 			wait = max(wait, g.predict(a.work).Seconds())
 		}
 	}
-	known = wait > 0 && (g.use.prefill == 0 || g.pace.prefillRate > 0)
+	known = wait > 0 && (g.use.prefill == 0 || g.pace.prefill.rate > 0)
 	return last, wait + g.pace.prefillTime(g.use.prefill).Seconds(), known
 }
 
@@ -313,8 +306,8 @@
 }
 
 func (p *pace) prefillRateOrGuess() float64 {
-	if p.prefillRate > 0 {
-		return p.prefillRate
+	if p.prefill.rate > 0 {
+		return p.prefill.rate
 	}
 	return guessedRate
 }
@@ -324,12 +317,17 @@
 	return max(int64(p.prefillRateOrGuess()*prefillWindow.Seconds()), prefillLeast)
 }
 
-// prefillTime is how long so many prompt tokens take; 0 before the rate is learnt.
+// prefillTime is how long so many prompt tokens take beside what the engine does anyway; 0 before the rate is learnt.
 func (p *pace) prefillTime(tokens int64) time.Duration {
-	if p.prefillRate <= 0 || tokens <= 0 {
+	if p.prefill.rate <= 0 || tokens <= 0 {
 		return 0
 	}
-	return seconds(float64(tokens) / p.prefillRate)
+	return seconds(float64(tokens) / p.prefill.rate)
+}
+
+// startTime is how long a prompt takes from its start until the first token; 0 before that is learnt.
+func (p *pace) startTime(tokens int64) time.Duration {
+	return seconds(p.prefill.fixed) + p.prefillTime(tokens)
 }
 
 // tokenTime is the time between two tokens of a stream at a batch size; 0 before any is learnt. What was seen just
--- a/gate/preempt.go
+++ b/gate/preempt.go
@@ -75,7 +75,7 @@
 // each first-tier request. It is patient for a part of its slack only, so that a request that is served nowhere else
 // still gets its preemption in time.
 func (g *Gate) patient(a *attempt) bool {
-	if a.state != reserved || a.deadline.IsZero() || g.pace.prefillRate <= 0 {
+	if a.state != reserved || a.deadline.IsZero() || g.pace.prefill.rate <= 0 {
 		return false
 	}
 	whole := a.deadline.Sub(a.arrived) - g.predict(a.work)
--- a/gate/prefill_test.go
+++ b/gate/prefill_test.go
@@ -18,11 +18,11 @@
 	b.start(entryA, id("chat", 1), workOf(func(w *wire.Work) { w.PromptTokens = 4096 }))
 	b.now = b.now.Add(500 * time.Microsecond)
 	b.step(EngineProgress{Attempt: id("chat", 1), Events: [][]byte{[]byte("role")}, Tokens: []uint32{0}})
-	require.Zero(t, b.gate.pace.prefillRate)
+	require.Zero(t, b.gate.pace.prefill.rate)
 	require.EqualValues(t, 4096, b.gate.use.prefill, "it is not computed yet")
 	b.pass(512 * time.Millisecond)
 	b.step(EngineProgress{Attempt: id("chat", 1), Events: [][]byte{[]byte("x")}, Tokens: []uint32{1}})
-	require.InDelta(t, 8000, b.gate.pace.prefillRate, 400)
+	require.InDelta(t, 8000, b.gate.pace.prefill.rate, 400)
 	require.Zero(t, b.gate.use.prefill)
 }
 
@@ -32,9 +32,55 @@
 	// Cause: rates were averaged, and one of millions outweighs all others.
 	b := openBench(t)
 	b.teach(20*time.Millisecond, 20)
-	before := b.gate.pace.prefillRate
+	before := b.gate.pace.prefill.rate
 	b.start(entryA, id("cached", 1), workOf(func(w *wire.Work) { w.PromptTokens = 4096 }))
 	b.now = b.now.Add(time.Millisecond)
 	b.progress(id("cached", 1), "x")
-	require.InEpsilon(t, before, b.gate.pace.prefillRate, 0.3)
+	require.InEpsilon(t, before, b.gate.pace.prefill.rate, 0.3)
+}
+
+// Symptom: prompts of 20,000 tokens and more are refused while all servers are free.
+// Sequence: an engine takes 65 ms for the way to its next step and 92 tokens a millisecond from then on, and has computed
+// prompts of some hundred to ten thousand tokens, mostly short ones.
+// Cause: the time was learnt as so many tokens a second, which short prompts show to be seven times too few.
+func TestFixedPartOfThePrefillIsLearntApart(t *testing.T) {
+	const fixed, perSecond = 65 * time.Millisecond, 92_000.0
+	took := func(tokens int64) float64 { return fixed.Seconds() + float64(tokens)/perSecond }
+	var p prefillPace
+	for range 5 {
+		for _, tokens := range []int64{300, 900, 1400, 1900, 2500, 3200, 4700, 9000} {
+			p.learn(tokens, took(tokens))
+		}
+	}
+	require.InEpsilon(t, fixed.Seconds(), p.fixed, 0.05)
+	require.InEpsilon(t, perSecond, p.rate, 0.05)
+	require.InEpsilon(t, took(50_000), p.fixed+50_000/p.rate, 0.05, "a long prompt is predicted from short ones")
+}
+
+// Symptom: none; an engine that has become slow is still taken for fast.
+// Cause: the bound on surprises must not keep the pace from following.
+func TestPrefillPaceFollowsAnEngineThatChanged(t *testing.T) {
+	var p prefillPace
+	lengths := []int64{500, 2000, 8000}
+	for range 20 {
+		for _, tokens := range lengths {
+			p.learn(tokens, 0.05+float64(tokens)/80_000)
+		}
+	}
+	for range 40 {
+		for _, tokens := range lengths {
+			p.learn(tokens, 0.05+float64(tokens)/8000)
+		}
+	}
+	require.InEpsilon(t, 8000, p.rate, 0.1)
+}
+
+// Prompts of one length can't tell the two parts apart.
+func TestPromptsOfOneLengthTellNoFixedPart(t *testing.T) {
+	var p prefillPace
+	for range 10 {
+		p.learn(1000, 0.1)
+	}
+	require.Zero(t, p.fixed)
+	require.InEpsilon(t, 10_000, p.rate, 0.01)
 }
--- a/gate/room.go
+++ b/gate/room.go
@@ -206,7 +206,8 @@
 		Running:           uint32(len(g.runs)),
 		LowestRunningTier: g.lowestRunning(),
 		LowestWaitingTier: g.lowestWaiting(),
-		PrefillTokensPerS: float32(g.pace.prefillRate),
+		PrefillTokensPerS: float32(g.pace.prefill.rate),
+		PrefillFixedMs:    float32(g.pace.prefill.fixed * 1000),
 		DecodeTokensPerS:  float32(g.pace.decodeRate()),
 		BacklogMs:         uint32(min(g.backlog(), time.Hour) / time.Millisecond),
 		Condition:         g.condition(),
@@ -252,7 +253,7 @@
 		a.Running == b.Running && a.LowestRunningTier == b.LowestRunningTier &&
 		a.LowestWaitingTier == b.LowestWaitingTier && a.Resume == b.Resume && a.Kv == b.Kv &&
 		slices.Equal(a.Targets, b.Targets)
-	return !same || apart(a.PrefillTokensPerS, b.PrefillTokensPerS) ||
+	return !same || apart(a.PrefillTokensPerS, b.PrefillTokensPerS) || apart(a.PrefillFixedMs, b.PrefillFixedMs) ||
 		apart(a.DecodeTokensPerS, b.DecodeTokensPerS) || backlogApart(a.BacklogMs, b.BacklogMs)
 }
 
--- a/gate/status.go
+++ b/gate/status.go
@@ -92,7 +92,7 @@
 		PrefillBound:           g.pace.prefillBound(),
 		MemoryTokens:           g.use.memory,
 		MemoryCapacity:         g.use.memoryCapacity,
-		PrefillTokensPerSecond: g.pace.prefillRate,
+		PrefillTokensPerSecond: g.pace.prefill.rate,
 		DecodeTokensPerSecond:  g.pace.decodeRate(),
 		PaceRatio:              g.pace.ratio,
 		Backlog:                g.backlog(),
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -137,10 +137,15 @@
 	if r.pool.key.kind == kindService {
 		return time.Duration(r.class.service.value(defaultService.Microseconds())) * time.Microsecond
 	}
-	prompt := max(float64(r.PromptTokens)-float64(s.cachedTokens(r, v)), 0)
 	output := max(float64(r.outputs)-float64(r.delivered), 1)
-	seconds := prompt/rateOr(v.room.GetPrefillTokensPerS(), defaultPrefillRate) +
-		output/rateOr(decode, defaultDecodeRate)
+	return s.startAt(r, v) + time.Duration(output/rateOr(decode, defaultDecodeRate)*float64(time.Second))
+}
+
+// startAt is how long a prompt probably takes at the server until the first token.
+func (s *Scheduler) startAt(r *request, v *server) time.Duration {
+	prompt := max(float64(r.PromptTokens)-float64(s.cachedTokens(r, v)), 0)
+	ms := float64(v.room.GetPrefillFixedMs())
+	seconds := ms/1000 + prompt/rateOr(v.room.GetPrefillTokensPerS(), defaultPrefillRate)
 	return time.Duration(seconds * float64(time.Second))
 }
 
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -245,9 +245,7 @@
 	}
 	best := time.Duration(-1)
 	for _, v := range s.sample(r, s.options.Choices, s.canReserve) {
-		prompt := max(float64(r.PromptTokens)-float64(s.cachedTokens(r, v)), 0)
-		seconds := prompt / rateOr(v.room.GetPrefillTokensPerS(), defaultPrefillRate)
-		if d := time.Duration(seconds * float64(time.Second)); best < 0 || d < best {
+		if d := s.startAt(r, v); best < 0 || d < best {
 			best = d
 		}
 	}
