gate, control, story: crashed servers draw no requests, use of caps outlives a restart of everything, losses

A crashed server refuses within a millisecond, so its places are free at once; only two failed probes, half a second apart, made it suspect; and its attempts counted as retries, since agents say that one starts before they call. Now a connection that can't be made is enough, and uses no retry.

Control instances now save it, synced, while a cap is near.

3. carawaypitch losses sorts refused, failed and late requests by cause from entries' logs; pause_ms in their lines.

--- a/cmd/carawaypitch/explain.go
+++ b/cmd/carawaypitch/explain.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"os"
 
-	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
 
 	"github.com/carawaypitch/carawaypitch/story"
@@ -48,14 +48,10 @@
 	return exit(story.Write(os.Stdout, logs))
 }
 
-func readLog(name, request string) (*story.Log, error) {
-	if name == "-" {
-		return story.Read(name, os.Stdin, request)
-	}
-	file, err := os.Open(name)
-	if err != nil {
-		return nil, errors.Wrap(err, "explain")
-	}
-	defer file.Close()
-	return story.Read(name, file, request)
+func readLog(name, request string) (l *story.Log, err error) {
+	err = withLog(name, func(r io.Reader) error {
+		l, err = story.Read(name, r, request)
+		return err
+	})
+	return l, err
 }
--- a/cmd/carawaypitch/main.go
+++ b/cmd/carawaypitch/main.go
@@ -47,7 +47,7 @@
 		}},
 		{"settings", []subcommands.Command{&checkCommand{}, &digestCommand{}, &codesCommand{}}},
 		{"operators", []subcommands.Command{
-			&classCommand{}, &targetCommand{}, &statusCommand{}, &serversCommand{}, &requestsCommand{}, &drainCommand{}, &explainCommand{},
+			&classCommand{}, &targetCommand{}, &statusCommand{}, &serversCommand{}, &requestsCommand{}, &drainCommand{}, &explainCommand{}, &lossesCommand{},
 		}},
 		{"experiments", []subcommands.Command{&benchCommand{}}},
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -45,16 +45,17 @@
 	options  Options
 	log      log.Interface
 
-	replica  *replica.Replica
-	machine  *machine
-	peers    *peers
-	reads    *reads
-	sessions *sessions
-	reports  *reports
-	usage    *usage
-	leader   *leader
-	keys     *settings.Keyring
-	counters counters
+	replica   *replica.Replica
+	machine   *machine
+	peers     *peers
+	reads     *reads
+	sessions  *sessions
+	reports   *reports
+	usage     *usage
+	usageFile *usageFile
+	leader    *leader
+	keys      *settings.Keyring
+	counters  counters
 
 	linkListener, operatorsListener net.Listener
 	linkTLS, dialTLS                *tls.Config
@@ -76,6 +77,7 @@
 	c.sessions = newSessions(c)
 	c.reports = newReports()
 	c.usage = newUsage(c.capOf, c.entriesListed)
+	c.usageFile = &usageFile{fs: c.options.FS, dir: s.DataDir}
 	c.leader = newLeader(c)
 	if err := c.open(); err != nil {
 		c.Close()
@@ -99,6 +101,9 @@
 	if o.Log == nil {
 		o.Log = &log.Logger{Handler: log.HandlerFunc(func(*log.Entry) error { return nil }), Level: log.FatalLevel}
 	}
+	if o.FS == nil {
+		o.FS = journal.OS()
+	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
@@ -124,8 +129,13 @@
 	if c.operatorsListener, err = c.listenOperators(); err != nil {
 		return err
 	}
-	c.replica, err = replica.New(c.replicaConfig())
-	return err
+	if c.replica, err = replica.New(c.replicaConfig()); err != nil {
+		return err
+	}
+	if err := c.usageFile.load(c.usage, time.Now()); err != nil {
+		c.log.WithError(err).Warn("usage_not_loaded")
+	}
+	return nil
 }
 
 func (c *Control) listenOperators() (net.Listener, error) {
@@ -189,6 +199,7 @@
 	add(c.reads.run)
 	add(c.sessions.runPushes)
 	add(c.leader.run)
+	add(c.runUsageFile)
 	add(c.serveOperators)
 	stop, cancel := context.WithCancel(ctx)
 	g.Add(func() error { return c.stop(stop, ctx) }, func(error) { cancel() })
--- /dev/null
+++ b/control/usagefile_test.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/quorum/journal/journaltest"
+)
+
+func usageFileOn(disk *journaltest.FS) *usageFile { return &usageFile{fs: disk, dir: "/data"} }
+
+// Symptom: an organisation uses its cap twice within one window. Sequence: an organisation at several times its usual has used
+// up its cap; all processes are killed, or lose their power, and are back within a second; nobody knows of its use any more.
+// Cause: use that was kept in memory only, at entries and control instances alike.
+func TestUseCountsAfterARestartOfEverything(t *testing.T) {
+	for name, stop := range map[string]func(*journaltest.FS){
+		"killed":        (*journaltest.FS).Kill,
+		"loss of power": func(disk *journaltest.FS) { disk.Crash(func(int) int { return 0 }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			disk := journaltest.New()
+			before, e := usageTable()
+			now := time.Unix(1_700_000_000, 0)
+			before.take(e[0], usagePoll(400, 50), now)
+			before.take(e[1], usagePoll(400, 50), now)
+			require.NoError(t, usageFileOn(disk).save(before, now))
+			stop(disk)
+
+			now = now.Add(1300 * time.Millisecond)
+			after, _ := usageTable()
+			require.NoError(t, usageFileOn(disk).load(after, now))
+			sum := after.others(incarnation{"e1", 2}, "org", now)
+			require.InDelta(t, 800+100-130, float64(sum.GetUsed()), 15, "what has left the window is gone, and the last second is assumed")
+			require.Zero(t, sum.GetRate(), "nobody goes on")
+			require.Zero(t, after.others(incarnation{"e1", 2}, "org", now.Add(8*time.Second)).GetUsed())
+		})
+	}
+}
+
+// A cap of which little is used can't be used up by a window more, and costs no write.
+func TestUseFarBelowItsCapIsNotSaved(t *testing.T) {
+	disk := journaltest.New()
+	u, e := usageTable()
+	now := time.Unix(1_700_000_000, 0)
+	u.take(e[0], usagePoll(100, 10), now)
+	steps := disk.Steps()
+	require.NoError(t, usageFileOn(disk).save(u, now))
+	require.Equal(t, steps, disk.Steps())
+}
+
+// Symptom: a control instance ends, or never starts, for the sake of a file that it could do without. Cause: errors of that
+// file passed on as those of the journal.
+func TestUnusableUsageFileStopsNothing(t *testing.T) {
+	u, e := usageTable()
+	now := time.Unix(1_700_000_000, 0)
+	u.take(e[0], usagePoll(800, 10), now)
+	full := journaltest.New()
+	full.Fault(func(string, string) error { return syscall.ENOSPC })
+	require.ErrorIs(t, usageFileOn(full).save(u, now), syscall.ENOSPC)
+
+	damaged := journaltest.New()
+	require.NoError(t, usageFileOn(damaged).write([]byte("no record")))
+	require.Error(t, usageFileOn(damaged).load(u, now))
+
+	old := journaltest.New()
+	require.NoError(t, usageFileOn(old).save(u, now))
+	after, _ := usageTable()
+	for _, at := range []time.Duration{time.Hour, -time.Hour} {
+		require.NoError(t, usageFileOn(old).load(after, now.Add(at)))
+		require.Empty(t, after.entries, "a clock that was set tells no age")
+	}
+}
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -9,6 +9,9 @@
 	// ErrNeverSent: no connection was made, so no byte of the call left
 	// this process. The engine never saw it.
 	ErrNeverSent = errors.New("never sent")
+	// ErrUnreachable: no connection could be made though the call had time
+	// for it. It comes together with ErrNeverSent.
+	ErrUnreachable = errors.New("unreachable")
 	// ErrUnknown: the call failed after a connection was given to it. The
 	// engine may have seen it, may have run it and may be running it still.
 	ErrUnknown = errors.New("outcome unknown")
--- a/engine/http_call.go
+++ b/engine/http_call.go
@@ -76,6 +76,9 @@
 		return response, nil
 	}
 	if !connected.Load() {
+		if ctx.Err() == nil {
+			err = errors.Join(ErrUnreachable, err)
+		}
 		return nil, c.fail(ErrNeverSent, err)
 	}
 	return nil, c.unread(err)
--- a/gate/over.go
+++ b/gate/over.go
@@ -62,6 +62,7 @@
 		Code:         uint32(o.refusal.code),
 		Message:      o.refusal.message,
 		RetryAfterMs: uint32(o.refusal.retryAfter / time.Millisecond),
+		Unsent:       o.unsent,
 	}
 	if !a.unheard {
 		g.emit(Count{Counter: Refusals, Code: uint16(o.refusal.code), Tier: a.tier(), Add: 1})
--- a/gate/runs.go
+++ b/gate/runs.go
@@ -101,11 +101,15 @@
 	if a.cancel.cause == "" {
 		a.cancel.cause = endCause(e)
 	}
+	unreachable := errors.Is(e.Err, engine.ErrUnreachable)
+	if unreachable {
+		g.unreachable()
+	}
 	g.fire(a, endEvent(a, e), occasion{end: &e, cause: a.cancel.cause, refusal: refusal{
 		code:       refuseNoOffer.code,
 		message:    "the call never left the agent",
 		retryAfter: retrySoon,
-	}})
+	}, unsent: unreachable})
 }
 
 // endCause is the cause of waste if the run ended other than whole.
--- a/gate/server.go
+++ b/gate/server.go
@@ -72,6 +72,17 @@
 	g.trust(doubtProbe, onProbeSucceeded)
 }
 
+// unreachable takes a connection that could not be made for as many failed probes as it takes, until one succeeds.
+//
+// A server that has crashed refuses calls within a millisecond, so its places are free at once: of all servers it looks
+// like the one with room, and draws the requests of all entries. One would notice by many refusals that "never left the
+// agent" with other servers idle: 309 in the 1.5 s until the second probe had failed, of four servers that crashed at
+// once.
+func (g *Gate) unreachable() {
+	g.server.failures = max(g.server.failures, g.config.ProbeFailures)
+	g.doubt(doubtProbe, onProbeFailed)
+}
+
 // doubt adds a reason for suspicion.
 func (g *Gate) doubt(reason doubts, e serverEvent) {
 	if g.server.doubts&reason != 0 {
--- a/sched/proofs.go
+++ b/sched/proofs.go
@@ -99,6 +99,11 @@
 		return
 	}
 	r.refusals++
+	if m.GetUnsent() && r.attempt.started {
+		// The agent says that an attempt starts before it calls. Nothing arrived, so a next attempt is no retry: counted as
+		// one, those of a crashed server used up the budget of the whole pool.
+		r.arrivals--
+	}
 	r.avoidServer(r.attempt.server.name)
 	r.attempt.server.refused()
 	s.ended(r, evNeverStarted, m.GetProof(), retryNeverStarted, s.overError(m, result.RefusedNeverStarted))
--- a/sched/retries_test.go
+++ b/sched/retries_test.go
@@ -59,3 +59,24 @@
 	w.serve("s1", kindService, testService, 4)
 	require.Equal(t, 10*(maxStarts-1), failAll(w, "a", 10))
 }
+
+// Symptom: requests are refused that another server has room for. Sequence: some servers crash; each call to one of them
+// ends at once without a connection; the entry tries again elsewhere until its part of the pool's budget of retries is used
+// up. Cause: the agent says that an attempt starts before it calls, and that counted as an arrival at the server.
+func TestAttemptThatNeverLeftTheAgentUsesNoRetry(t *testing.T) {
+	w := newWorld(t, Options{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryAllowance: 2})
+	w.serve("s1", kindModel, testModel, 40)
+	w.serve("s2", kindModel, testModel, 40)
+	for i := range 20 {
+		name := fmt.Sprint("r", i)
+		w.arrive(name, summary)
+		for n := 1; len(w.dispatches(name)) == n && w.last(name, n).server == "s1"; n++ {
+			d := w.last(name, n)
+			w.say("s1", &wire.AgentMessage{Kind: &wire.AgentMessage_Started{Started: &wire.Started{Attempt: d.id, Server: "s1"}}})
+			w.over("s1", &wire.Over{Attempt: d.id, Proof: wire.Proof_PROOF_NEVER_STARTED, Unsent: true})
+			w.room("s1", kindModel, testModel, 40)
+		}
+		require.Empty(t, w.failures)
+	}
+	require.NotEmpty(t, w.dispatches("r19"))
+}
