--- a/gate/charts.go
+++ b/gate/charts.go
@@ -104,7 +104,7 @@
 // occasion is what is known about an event when the chart is asked what it does.
 type occasion struct {
 	refusal refusal
-	unsent  bool // no connection to the server could be made
+	unsent  bool   // no connection to the server could be made
 	cause   string // of waste, see the Cause constants
 	asker   asker
 	work    *wire.Work // of a repeated reservation
