--- a/sched/precedence.go
+++ b/sched/precedence.go
@@ -45,16 +45,11 @@
 
 // served returns how many requests have ended in the window and the share of them that were answered.
 func (w *window) served(now time.Time) (total, share float64) {
-	w.advance(now)
-	lost := 0.0
-	for _, s := range w.slots {
-		total += s.total
-		lost += s.lost
-	}
-	if total == 0 {
+	sum := w.sum(now)
+	if sum.total == 0 {
 		return 0, 1
 	}
-	return total, 1 - lost/total
+	return sum.total, 1 - sum.lost/sum.total
 }
 
 // order is the class's place among those of its tier: higher goes first. Classes that go by their targets are ordered
--- a/sched/urgency.go
+++ b/sched/urgency.go
@@ -140,8 +140,8 @@
 	}
 }
 
-// shares returns the shares late and lost.
-func (w *window) shares(now time.Time) (late, lost float64) {
+// sum adds up the window as of now.
+func (w *window) sum(now time.Time) slot {
 	w.advance(now)
 	sum := slot{}
 	for _, s := range w.slots {
@@ -149,6 +149,12 @@
 		sum.late += s.late
 		sum.lost += s.lost
 	}
+	return sum
+}
+
+// shares returns the shares late and lost.
+func (w *window) shares(now time.Time) (late, lost float64) {
+	sum := w.sum(now)
 	if sum.total == 0 {
 		return 0, 0
 	}
