--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -43,7 +43,9 @@
 	listener, err := n.Listen(loopback)
 	require.NoError(t, err)
 	defer listener.Close()
+	written := make(chan struct{})
 	go func() {
+		defer close(written)
 		conn, err := listener.Accept()
 		if err != nil {
 			return
@@ -56,6 +58,7 @@
 	defer conn.Close()
 	_, err = conn.Read(make([]byte, 16))
 	require.NoError(t, err)
+	<-written // bytes count once the write has returned, which may be after they were read
 	usage, err := n.Usage()
 	require.NoError(t, err)
 	assert.EqualValues(t, 5, usage.In)
