quota: the caps of organisations in a package of their own, without network

Cause: the incident hangs on an exchange between entries and control instances whose code stood in two daemons, where no test could play both sides against each other. Before: entry/caps*.go and control/usage*.go. After: quota, with the entries' side (Caps, Cap) and control's (Ledger, its record); the file on the disk stays in control. Moved and renamed only: no logic changed, all tests as they were. Conclusion: a simulation of both sides can follow.

--- a/control/control.go
+++ b/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/quorum/journal"
 	"github.com/carawaypitch/carawaypitch/quorum/replica"
+	"github.com/carawaypitch/carawaypitch/quota"
 	"github.com/carawaypitch/carawaypitch/settings"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -51,7 +52,7 @@
 	reads     *reads
 	sessions  *sessions
 	reports   *reports
-	usage     *usage
+	usage     *quota.Ledger
 	usageFile *usageFile
 	leader    *leader
 	keys      *settings.Keyring
@@ -76,7 +77,7 @@
 	c.reads = newReads(c)
 	c.sessions = newSessions(c)
 	c.reports = newReports()
-	c.usage = newUsage(c.capOf, c.entriesListed)
+	c.usage = quota.NewLedger(c.capOf, c.entriesListed)
 	c.usageFile = &usageFile{fs: c.options.FS, dir: s.DataDir}
 	c.leader = newLeader(c)
 	if err := c.open(); err != nil {
--- a/control/session.go
+++ b/control/session.go
@@ -99,7 +99,7 @@
 func (s *session) poll(poll *wire.Poll) {
 	s.control.sessions.heard(s, poll)
 	s.report(poll.GetReport())
-	others := s.control.usage.take(s.usageKey(), poll, time.Now())
+	others := s.control.usage.Take(s.usageKey(), poll, time.Now())
 	var once sync.Once
 	answer := func(confirmed bool) { once.Do(func() { s.fresh(poll, confirmed, others) }) }
 	timer := time.AfterFunc(pollTimeout, func() { answer(false) })
--- a/control/usagefile_test.go
+++ b/control/usagefile_test.go
@@ -8,8 +8,26 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carawaypitch/carawaypitch/quorum/journal/journaltest"
+	"github.com/carawaypitch/carawaypitch/quota"
+	"github.com/carawaypitch/carawaypitch/wire"
 )
 
+// usagePoll tells of use that is spread over the window evenly.
+func usagePoll(used, rate uint64) *wire.Poll {
+	return &wire.Poll{UsageWindowMs: 8000, Usage: []*wire.Usage{
+		{Organisation: "org", Used: used, Rate: rate, Leaving: used / 8},
+	}}
+}
+
+// usageTable is a table of three listed entries and a cap of 900 in a window.
+func usageTable() (*quota.Ledger, []quota.Incarnation) {
+	entries := []quota.Incarnation{{Instance: "e1", Number: 1}, {Instance: "e2", Number: 1}, {Instance: "e3", Number: 1}}
+	return quota.NewLedger(
+		func(string, time.Duration) float64 { return 900 },
+		func() map[string]uint64 { return map[string]uint64{"e1": 1, "e2": 1, "e3": 1} },
+	), entries
+}
+
 func usageFileOn(disk *journaltest.FS) *usageFile { return &usageFile{fs: disk, dir: "/data"} }
 
 // Symptom: an organisation uses its cap twice within one window. Sequence: an organisation at several times its usual has used
@@ -24,30 +42,30 @@
 			disk := journaltest.New()
 			before, e := usageTable()
 			now := time.Unix(1_700_000_000, 0)
-			before.take(e[0], usagePoll(400, 50), now)
-			before.take(e[1], usagePoll(400, 50), now)
+			before.Take(e[0], usagePoll(400, 50), now)
+			before.Take(e[1], usagePoll(400, 50), now)
 			require.NoError(t, usageFileOn(disk).save(before, now))
 			stop(disk)
 
 			now = now.Add(1300 * time.Millisecond)
 			after, _ := usageTable()
 			require.NoError(t, usageFileOn(disk).load(after, now))
-			sum := after.others(incarnation{"e1", 2}, "org", now)
+			sum := after.Others(quota.Incarnation{Instance: "e1", Number: 2}, "org", now)
 			require.InDelta(t, 800+100-130, float64(sum.GetUsed()), 15, "what has left the window is gone, and the last second is assumed")
 			require.Zero(t, sum.GetRate(), "nobody goes on")
 
-			got := after.take(incarnation{"e1", 2}, usagePoll(0, 0), now)
+			got := after.Take(quota.Incarnation{Instance: "e1", Number: 2}, usagePoll(0, 0), now)
 			require.GreaterOrEqual(t, got[0].GetOldestMs(), uint32(1300), "no benefit of the doubt on the strength of it")
 
 			// An entry that lives on tells its use again, and it counts once.
-			after.take(e[0], usagePoll(400, 50), now)
-			sum = after.others(incarnation{"e3", 1}, "org", now)
+			after.Take(e[0], usagePoll(400, 50), now)
+			sum = after.Others(quota.Incarnation{Instance: "e3", Number: 1}, "org", now)
 			require.InDelta(t, 400+400+50-65, float64(sum.GetUsed()), 15)
-			after.take(e[1], usagePoll(400, 50), now)
-			sum = after.others(incarnation{"e3", 1}, "org", now)
+			after.Take(e[1], usagePoll(400, 50), now)
+			sum = after.Others(quota.Incarnation{Instance: "e3", Number: 1}, "org", now)
 			require.EqualValues(t, 800, sum.GetUsed())
-			now = now.Add(usageRateStale)
-			require.Zero(t, after.others(incarnation{"e1", 2}, "org", now.Add(8*time.Second)).GetUsed())
+			now = now.Add(2500 * time.Millisecond)
+			require.Zero(t, after.Others(quota.Incarnation{Instance: "e1", Number: 2}, "org", now.Add(8*time.Second)).GetUsed())
 		})
 	}
 }
@@ -57,7 +75,7 @@
 	disk := journaltest.New()
 	u, e := usageTable()
 	now := time.Unix(1_700_000_000, 0)
-	u.take(e[0], usagePoll(100, 10), now)
+	u.Take(e[0], usagePoll(100, 10), now)
 	steps := disk.Steps()
 	require.NoError(t, usageFileOn(disk).save(u, now))
 	require.Equal(t, steps, disk.Steps())
@@ -68,7 +86,7 @@
 func TestUnusableUsageFileStopsNothing(t *testing.T) {
 	u, e := usageTable()
 	now := time.Unix(1_700_000_000, 0)
-	u.take(e[0], usagePoll(800, 10), now)
+	u.Take(e[0], usagePoll(800, 10), now)
 	full := journaltest.New()
 	full.Fault(func(string, string) error { return syscall.ENOSPC })
 	require.ErrorIs(t, usageFileOn(full).save(u, now), syscall.ENOSPC)
@@ -82,6 +100,6 @@
 	after, _ := usageTable()
 	for _, at := range []time.Duration{time.Hour, -time.Hour} {
 		require.NoError(t, usageFileOn(old).load(after, now.Add(at)))
-		require.Empty(t, after.entries, "a clock that was set tells no age")
+		require.Zero(t, after.Entries(), "a clock that was set tells no age")
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/carawaypitch/carawaypitch/logging"
 	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/pause"
+	"github.com/carawaypitch/carawaypitch/quota"
 	"github.com/carawaypitch/carawaypitch/ring"
 	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/session"
@@ -92,7 +93,7 @@
 	prover    *prover
 	local     *localAgent // nil without one
 	view      atomic.Pointer[catalogue]
-	caps      *usageCaps
+	caps      *quota.Caps
 	sequence  atomic.Uint64                      // of verbatim requests
 	waiting   atomic.Pointer[[]sched.TargetWait] // as of the last look, see report
 	wanted    atomic.Uint64                      // highest configuration version that any process has shown
@@ -148,7 +149,7 @@
 		meter:       newMeter(),
 		inputs:      ring.New[input]("scheduler", inputRing),
 		calls:       newCalls(),
-		caps:        newUsageCaps(options.Now, s),
+		caps:        quota.NewCaps(options.Now, usageTolerance(s)),
 		slots:       make(chan struct{}, maxBackground),
 	}
 	for _, organisation := range s.Organisations {
@@ -209,8 +210,8 @@
 		TLS:          tls,
 		SilenceBound: e.settings.Timing.CutOff,
 		Report:       e.report,
-		Usage:        e.caps.usage,
-		Others:       e.caps.takeOthers,
+		Usage:        e.caps.Usage,
+		Others:       e.caps.TakeOthers,
 		UsageWindow:  e.settings.Timing.UsageWindow,
 		Log:          e.log,
 		Metrics:      e.meter.set,
@@ -354,3 +355,12 @@
 		ConfigVersion:    e.view.Load().version,
 	}
 }
+
+// usageTolerance is what an entry's settings say of usage caps.
+func usageTolerance(s settings.Entry) quota.Tolerance {
+	return quota.Tolerance{
+		Window:    s.Timing.UsageWindow,
+		Overrun:   s.Limits.UsageOverrun,
+		Allowance: float64(s.Limits.UsageAllowance),
+	}
+}
--- a/entry/links.go
+++ b/entry/links.go
@@ -93,7 +93,7 @@
 	}
 	catalogue := newCatalogue(view)
 	catalogue.routing = routingOf(view, e.view.Load().routing, e.caps)
-	e.caps.entries.Store(int64(len(view.Entries)))
+	e.caps.SetEntries(len(view.Entries))
 	e.view.Store(catalogue)
 	e.prover.learn(view)
 	l.update(ctx, view)
--- a/entry/routing.go
+++ b/entry/routing.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carawaypitch/carawaypitch/quota"
 	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -32,12 +33,12 @@
 // member is an organisation and what its usage cap has left here.
 type member struct {
 	*wire.Member
-	cap *usageCap // nil without a cap
+	cap *quota.Cap // nil without a cap
 }
 
 // newRouting indexes a desired state; nil gives nil. What the caps of the earlier one have counted is kept: usage
 // doesn't start anew with each change.
-func newRouting(desired *wire.DesiredState, caps *usageCaps) *routing {
+func newRouting(desired *wire.DesiredState, caps *quota.Caps) *routing {
 	if desired == nil {
 		return nil
 	}
@@ -61,8 +62,8 @@
 	return r
 }
 
-func (r *routing) addMember(spec *wire.Member, caps *usageCaps) {
-	m := &member{Member: spec, cap: caps.of(spec)}
+func (r *routing) addMember(spec *wire.Member, caps *quota.Caps) {
+	m := &member{Member: spec, cap: caps.Of(spec)}
 	r.all = append(r.all, m)
 	for _, key := range spec.GetKeys() {
 		r.members[key] = m
@@ -134,7 +135,7 @@
 func (r *route) kindOf(pool string) string { return r.kinds[pool] }
 
 // routingOf returns the routing of a view. One whose desired state is the old one's stays as it is.
-func routingOf(view *session.View, old *routing, caps *usageCaps) *routing {
+func routingOf(view *session.View, old *routing, caps *quota.Caps) *routing {
 	if old != nil && view.Desired.GetVersion() == old.version {
 		return old
 	}
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -9,6 +9,7 @@
 
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/pause"
+	"github.com/carawaypitch/carawaypitch/quota"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -122,7 +123,7 @@
 	}
 	err = e.schedule(ctx, admission, call, w)
 	if err != nil && err.Ran == result.RanNo {
-		spent.giveBack()
+		spent.GiveBack()
 	}
 	return err
 }
@@ -179,43 +180,43 @@
 }
 
 // spend takes a call from its organisation's usage cap.
-func (e *Entry) spend(ctx context.Context, admission *Admission, call *Call) (grant, *result.Error) {
+func (e *Entry) spend(ctx context.Context, admission *Admission, call *Call) (quota.Grant, *result.Error) {
 	m := admission.member
 	if m == nil || m.cap == nil {
-		return grant{}, nil
+		return quota.Grant{}, nil
 	}
 	class := admission.route.class(m)
-	from := capClass{name: class.GetName(), precedence: class.GetPrecedence()}
-	m.cap.ask(m.units(call), from)
+	from := quota.Class{Name: class.GetName(), Precedence: class.GetPrecedence()}
+	m.cap.Ask(m.units(call), from)
 	spent, wait, ok := e.takeFromCap(ctx, m.cap, m.units(call), from)
-	if m.cap.isUrgent() {
+	if m.cap.IsUrgent() {
 		e.control.Refresh()
 	}
 	if ok {
 		return spent, nil
 	}
-	return grant{}, result.New(result.OverUsageCap, "%s", m.cap).WithRetryAfter(wait)
+	return quota.Grant{}, result.New(result.OverUsageCap, "%s", m.cap).WithRetryAfter(wait)
 }
 
 // takeFromCap takes units from a cap. Where only a newer word of control could tell whether they are within it, the
-// request is held until one comes, for capWordWait at most: a refusal within the cap is the worse mistake.
-func (e *Entry) takeFromCap(ctx context.Context, u *usageCap, units uint64, class capClass) (g grant, wait time.Duration, ok bool) {
-	g, wait, ok = u.take(units, class)
+// request is held until one comes, for quota.WordWait at most: a refusal within the cap is the worse mistake.
+func (e *Entry) takeFromCap(ctx context.Context, u *quota.Cap, units uint64, class quota.Class) (g quota.Grant, wait time.Duration, ok bool) {
+	g, wait, ok = u.Take(units, class)
 	if ok {
 		return g, 0, true
 	}
-	ctx, cancel := context.WithTimeout(ctx, capWordWait)
+	ctx, cancel := context.WithTimeout(ctx, quota.WordWait)
 	defer cancel()
 	for !ok && e.awaitWord(ctx, u, units, class) {
-		g, wait, ok = u.take(units, class)
+		g, wait, ok = u.Take(units, class)
 	}
 	return g, wait, ok
 }
 
 // awaitWord waits for a newer word of control about a cap, and asks for one. False means that none came, or that none
 // would help.
-func (e *Entry) awaitWord(ctx context.Context, u *usageCap, units uint64, class capClass) bool {
-	heard, ask, helps := u.newWord(units, class)
+func (e *Entry) awaitWord(ctx context.Context, u *quota.Cap, units uint64, class quota.Class) bool {
+	heard, ask, helps := u.NewWord(units, class)
 	if !helps {
 		return false
 	}
--- a/entry/caps.go
+++ b/quota/cap.go
@@ -1,4 +1,4 @@
-package entry
+package quota
 
 import (
 	"fmt"
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/carawaypitch/carawaypitch/settings"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -29,8 +28,8 @@
 	// capWhole is the age up to which an entry's own word to control counts as new there. Entries tell each second, and at
 	// once when a cap is nearly used up.
 	capWhole = 1200 * time.Millisecond
-	// capWordWait is how long a request is held for a newer word of control before it is refused for want of one.
-	capWordWait = 150 * time.Millisecond
+	// WordWait is how long a request is held for a newer word of control before it is refused for want of one.
+	WordWait = 150 * time.Millisecond
 	// capFirstWait is how long after its start an entry admits nothing without a first word of control. Control answers within
 	// some round trips, and a poll that is lost is repeated within 50 ms.
 	capFirstWait = 300 * time.Millisecond
@@ -54,30 +53,34 @@
 	capPart = 1.2
 )
 
-// usageCaps holds the caps of all organisations, also over changes of the desired state.
-type usageCaps struct {
-	now       func() time.Time
-	window    time.Duration
-	overrun   float64 // tolerated share beyond a cap
-	allowance float64 // tolerated units beyond that
+// Tolerance is over which time caps count, and what operators tolerate beyond them.
+type Tolerance struct {
+	Window    time.Duration
+	Overrun   float64 // share beyond a cap
+	Allowance float64 // units beyond that
+}
+
+// Caps holds the caps of all organisations at an entry, also over changes of the desired state.
+type Caps struct {
+	Tolerance
+
+	now func() time.Time
 
 	entries atomic.Int64 // of the deployment, as far as known
 
 	mu     sync.Mutex
-	byName map[string]*usageCap
+	byName map[string]*Cap
 }
 
-func newUsageCaps(now func() time.Time, s settings.Entry) *usageCaps {
-	return &usageCaps{
-		now:       now,
-		window:    s.Timing.UsageWindow,
-		overrun:   s.Limits.UsageOverrun,
-		allowance: float64(s.Limits.UsageAllowance),
-		byName:    make(map[string]*usageCap),
-	}
+// NewCaps returns the caps of an entry that knows of no organisation yet.
+func NewCaps(now func() time.Time, tolerance Tolerance) *Caps {
+	return &Caps{now: now, Tolerance: tolerance, byName: make(map[string]*Cap)}
 }
 
-// usageCap is one organisation's cap as this entry sees it: in any window, no more than the rate times the window plus
+// SetEntries says how many entries the deployment has, as far as known.
+func (c *Caps) SetEntries(n int) { c.entries.Store(int64(n)) }
+
+// Cap is one organisation's cap as this entry sees it: in any window, no more than the rate times the window plus
 // the burst is used in the whole deployment. What is used here counts at once; what is used at other entries counts as
 // control tells it, and is assumed to go on at the same rate until control tells again.
 //
@@ -85,11 +88,11 @@
 // with parts, an organisation is refused at a busy entry while others have room. What the others used in the last
 // moments can be missed, but it counts later, so that the overrun stays as small as what is used between two words of
 // control. An entry that hears nothing keeps to an equal part, which control sets aside for it at the others.
-type usageCap struct {
-	now                func() time.Time
-	window             time.Duration
-	overrun, allowance float64 // that operators tolerate
-	entries            *atomic.Int64
+type Cap struct {
+	Tolerance
+
+	now     func() time.Time
+	entries *atomic.Int64
 
 	mu     sync.Mutex
 	heard  chan struct{}     // closed with the next word of control
@@ -109,8 +112,8 @@
 	order  *capOrder
 }
 
-// of returns the cap of an organisation with its rate and burst as they are now, nil if it has none.
-func (c *usageCaps) of(spec *wire.Member) *usageCap {
+// Of returns the cap of an organisation with its rate and burst as they are now, nil if it has none.
+func (c *Caps) Of(spec *wire.Member) *Cap {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if spec.GetRatePerS() == 0 && spec.GetBurst() == 0 {
@@ -119,16 +122,14 @@
 	}
 	u := c.byName[spec.GetName()]
 	if u == nil {
-		u = &usageCap{
+		u = &Cap{
+			Tolerance: c.Tolerance,
 			now:       c.now,
-			window:    c.window,
-			overrun:   c.overrun,
-			allowance: c.allowance,
 			entries:   &c.entries,
 			others:    make(map[int]othersWord),
 			heard:     make(chan struct{}),
 			since:     c.now(),
-			order:     newCapOrder(c.window),
+			order:     newCapOrder(c.Window),
 		}
 		c.byName[spec.GetName()] = u
 	}
@@ -136,14 +137,14 @@
 	return u
 }
 
-func (c *usageCaps) all() map[string]*usageCap {
+func (c *Caps) all() map[string]*Cap {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return maps.Clone(c.byName)
 }
 
-// usage tells control what each organisation has used here.
-func (c *usageCaps) usage() []*wire.Usage {
+// Usage tells control what each organisation has used here.
+func (c *Caps) Usage() []*wire.Usage {
 	caps := c.all()
 	out := make([]*wire.Usage, 0, len(caps))
 	for _, name := range slices.Sorted(maps.Keys(caps)) {
@@ -154,8 +155,8 @@
 	return out
 }
 
-// takeOthers takes what a control instance says of the other entries.
-func (c *usageCaps) takeOthers(control int, others []*wire.Usage) {
+// TakeOthers takes what a control instance says of the other entries.
+func (c *Caps) TakeOthers(control int, others []*wire.Usage) {
 	caps := c.all()
 	for _, other := range others {
 		if u := caps[other.GetOrganisation()]; u != nil {
@@ -164,7 +165,7 @@
 	}
 }
 
-func (u *usageCap) set(rate, burst float64) {
+func (u *Cap) set(rate, burst float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.rate, u.burst = rate, burst
@@ -172,10 +173,10 @@
 
 // step is the time that one slot stands for. The slots reach one step further back than the window, so that what was
 // used early in the oldest one still counts.
-func (u *usageCap) step() time.Duration { return u.window / (capSlots - 1) }
+func (u *Cap) step() time.Duration { return u.Window / (capSlots - 1) }
 
 // limit is how much may count as used in a window when a request is admitted.
-func (u *usageCap) limit() float64 {
+func (u *Cap) limit() float64 {
 	if u.isFresh() {
 		return u.limitWith(capDoubtFresh)
 	}
@@ -183,12 +184,12 @@
 }
 
 // limitWith is the limit with a part of the tolerated overrun.
-func (u *usageCap) limitWith(doubt float64) float64 {
-	return (u.rate*u.window.Seconds()+u.burst)*(1+doubt*u.overrun) + doubt*u.allowance
+func (u *Cap) limitWith(doubt float64) float64 {
+	return (u.rate*u.Window.Seconds()+u.burst)*(1+doubt*u.Overrun) + doubt*u.Allowance
 }
 
 // slot returns the present slot, after those that the window has left behind were emptied.
-func (u *usageCap) slot() *float64 {
+func (u *Cap) slot() *float64 {
 	turn := u.now().UnixNano() / int64(u.step())
 	for i := max(u.turn+1, turn-capSlots+1); i <= turn; i++ {
 		u.slots[i%capSlots] = 0
@@ -198,10 +199,10 @@
 }
 
 // sum is what counts as used in the window that ends now, here and elsewhere.
-func (u *usageCap) sum() float64 { return u.own() + u.elsewhere() }
+func (u *Cap) sum() float64 { return u.own() + u.elsewhere() }
 
 // own is what was used here in the window.
-func (u *usageCap) own() float64 {
+func (u *Cap) own() float64 {
 	u.slot()
 	total := 0.0
 	for _, used := range u.slots {
@@ -210,7 +211,7 @@
 	return total
 }
 
-func (u *usageCap) takeOthers(control int, other *wire.Usage) {
+func (u *Cap) takeOthers(control int, other *wire.Usage) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	defer u.allow()
@@ -225,16 +226,16 @@
 	u.heard = make(chan struct{})
 }
 
-// grant is what a request took from a cap.
-type grant struct {
-	cap   *usageCap // nil for a request that no cap binds
+// Grant is what a request took from a cap.
+type Grant struct {
+	cap   *Cap // nil for a request that no cap binds
 	units float64
 	turn  int64 // of the slot that they were taken in
-	class capClass
+	class Class
 }
 
-// ask notes that a request of a class asks for units. It comes once before take, which may be tried several times.
-func (u *usageCap) ask(units uint64, class capClass) {
+// Ask notes that a request of a class asks for units. It comes once before Take, which may be tried several times.
+func (u *Cap) Ask(units uint64, class Class) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.order.ask(u.now(), class, float64(units))
@@ -242,32 +243,32 @@
 
 // limitFor is how much may count as used when a request of the class is admitted: the limit, less what is set aside for
 // classes that go first.
-func (u *usageCap) limitFor(class capClass) float64 {
+func (u *Cap) limitFor(class Class) float64 {
 	limit := u.limit()
 	return limit - u.order.reserve(u.now(), class, float64(max(u.entries.Load(), 1)), limit)
 }
 
-// take admits a request of so many units, or returns after which time it could be. One above the whole limit is admitted
+// Take admits a request of so many units, or returns after which time it could be. One above the whole limit is admitted
 // when nothing else was.
-func (u *usageCap) take(units uint64, class capClass) (g grant, wait time.Duration, ok bool) {
+func (u *Cap) Take(units uint64, class Class) (g Grant, wait time.Duration, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	sum, limit := u.sum(), u.limitFor(class)
 	if sum > 0 && sum+float64(units) > limit {
-		return grant{}, u.wait(sum + float64(units) - limit), false
+		return Grant{}, u.wait(sum + float64(units) - limit), false
 	}
 	if u.needsWord(units) {
-		return grant{}, capReportGap, false
+		return Grant{}, capReportGap, false
 	}
 	*u.slot() += float64(units)
 	u.order.took(class, float64(units))
 	u.untold += float64(units)
 	u.spent += float64(units)
-	return grant{cap: u, units: float64(units), turn: u.turn, class: class}, 0, true
+	return Grant{cap: u, units: float64(units), turn: u.turn, class: class}, 0, true
 }
 
 // wait is after which time so much of what counts now will have left the window, here and elsewhere, if nothing is added.
-func (u *usageCap) wait(excess float64) time.Duration {
+func (u *Cap) wait(excess float64) time.Duration {
 	elsewhere := u.newestWord().leaving * u.step().Seconds()
 	for i := int64(1); i < capSlots; i++ {
 		excess -= u.slots[(u.turn+i)%capSlots] + elsewhere
@@ -275,16 +276,16 @@
 			return time.Duration(i) * u.step()
 		}
 	}
-	return u.window
+	return u.Window
 }
 
-// giveBack returns what a request took that has not run, to the slot that it was taken from.
+// GiveBack returns what a request took that has not run, to the slot that it was taken from.
 //
 // A request may wait for a good part of a second before it is refused. Taken from the present slot, which holds a few
 // requests of this entry, what it gives back was cut off at nothing: under a burst half again as much counted as had run,
 // and an organisation was refused two thirds into its cap. One would notice by a use in the refusals' lines that is more than
 // the sum of the answered requests.
-func (g grant) giveBack() {
+func (g Grant) GiveBack() {
 	u := g.cap
 	if u == nil {
 		return
@@ -301,7 +302,7 @@
 }
 
 // String tells what the cap goes by, for people.
-func (u *usageCap) String() string {
+func (u *Cap) String() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	age := "never"
@@ -309,5 +310,5 @@
 		age = u.now().Sub(u.wordAt).Round(time.Millisecond).String()
 	}
 	return fmt.Sprintf("%.0f of %.0f used in %s, %.0f of it here, age of control's last word %s",
-		u.sum(), u.limit(), u.window, u.own(), age)
+		u.sum(), u.limit(), u.Window, u.own(), age)
 }
--- a/entry/caps_test.go
+++ b/quota/cap_test.go
@@ -1,4 +1,4 @@
-package entry
+package quota
 
 import (
 	"math"
@@ -7,7 +7,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/carawaypitch/carawaypitch/settings"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -18,18 +17,21 @@
 
 func (c *capClock) pass(d time.Duration) { c.now = c.now.Add(d) }
 
+// windowOnly is a window of 8 s in which nothing beyond a cap is tolerated.
+var windowOnly = Tolerance{Window: 8 * time.Second}
+
 // onlyClass is the class of tests in which the order of classes plays no part.
-var onlyClass = capClass{name: "only"}
+var onlyClass = Class{Name: "only"}
 
 // newCap returns a cap of 100 a second with a burst of 200 over a window of 8 s, that is 1000 in any window.
-func newCap(clock *capClock, entries int, change func(*settings.Entry)) *usageCap {
-	s := settings.DefaultEntry()
+func newCap(clock *capClock, entries int, change func(*Tolerance)) *Cap {
+	tolerance := windowOnly
 	if change != nil {
-		change(&s)
+		change(&tolerance)
 	}
-	caps := newUsageCaps(clock.Now, s)
-	caps.entries.Store(int64(entries))
-	u := caps.of(&wire.Member{Name: "org", RatePerS: 100, Burst: 200})
+	caps := NewCaps(clock.Now, tolerance)
+	caps.SetEntries(entries)
+	u := caps.Of(&wire.Member{Name: "org", RatePerS: 100, Burst: 200})
 	clock.pass(capFirstWait) // what holds at once is tested apart
 	return u
 }
@@ -39,28 +41,28 @@
 // the others kept to its equal part, as one does that is cut off, on top of all that had been used.
 func TestNothingIsAdmittedBeforeTheFirstWord(t *testing.T) {
 	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
-	caps := newUsageCaps(clock.Now, settings.DefaultEntry())
-	caps.entries.Store(8)
-	u := caps.of(&wire.Member{Name: "org", RatePerS: 100, Burst: 200})
-	_, _, ok := u.take(1, onlyClass)
+	caps := NewCaps(clock.Now, windowOnly)
+	caps.SetEntries(8)
+	u := caps.Of(&wire.Member{Name: "org", RatePerS: 100, Burst: 200})
+	_, _, ok := u.Take(1, onlyClass)
 	require.False(t, ok)
-	_, ask, helps := u.newWord(1, onlyClass)
+	_, ask, helps := u.NewWord(1, onlyClass)
 	require.True(t, ask)
 	require.True(t, helps, "it is held until the word comes")
 	u.takeOthers(0, &wire.Usage{Used: 990, OldestMs: 3000})
 	require.Less(t, fillUp(u), 50)
 
-	alone := newUsageCaps(clock.Now, settings.DefaultEntry())
-	alone.entries.Store(1)
-	u = alone.of(&wire.Member{Name: "org", RatePerS: 100, Burst: 200})
+	alone := NewCaps(clock.Now, windowOnly)
+	alone.SetEntries(1)
+	u = alone.Of(&wire.Member{Name: "org", RatePerS: 100, Burst: 200})
 	require.Equal(t, 1000, fillUp(u), "an entry without others knows all there is")
 }
 
 // fillUp takes one unit after the other until the cap refuses, and returns how many it admitted.
-func fillUp(u *usageCap) int {
+func fillUp(u *Cap) int {
 	n := 0
 	for {
-		if _, _, ok := u.take(1, onlyClass); !ok {
+		if _, _, ok := u.Take(1, onlyClass); !ok {
 			return n
 		}
 		n++
@@ -68,7 +70,7 @@
 }
 
 // fillUpWithWords does the same and has control say again and again what others have used, until that helps no more.
-func fillUpWithWords(u *usageCap, others uint64) int {
+func fillUpWithWords(u *Cap, others uint64) int {
 	total := 0
 	for {
 		u.takeOthers(0, &wire.Usage{Used: others})
@@ -84,7 +86,7 @@
 	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
 	u := newCap(clock, 1, nil)
 	require.Equal(t, 1000, fillUp(u))
-	_, wait, ok := u.take(1, onlyClass)
+	_, wait, ok := u.Take(1, onlyClass)
 	require.False(t, ok)
 	require.Greater(t, wait, 7*time.Second, "all of it leaves the window at the same time")
 	clock.pass(4 * time.Second)
@@ -99,7 +101,7 @@
 	admitted := 0
 	for range 400 { // 40 s at 200 a second
 		clock.pass(100 * time.Millisecond)
-		if _, _, ok := u.take(20, onlyClass); ok {
+		if _, _, ok := u.Take(20, onlyClass); ok {
 			admitted += 20
 		}
 	}
@@ -109,9 +111,9 @@
 func TestCapTakesBackWhatDidNotRun(t *testing.T) {
 	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
 	u := newCap(clock, 1, nil)
-	g, _, ok := u.take(900, onlyClass)
+	g, _, ok := u.Take(900, onlyClass)
 	require.True(t, ok)
-	g.giveBack()
+	g.GiveBack()
 	require.Equal(t, 1000, fillUp(u))
 }
 
@@ -122,22 +124,22 @@
 func TestUnitsGivenBackLaterCountNoMore(t *testing.T) {
 	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
 	u := newCap(clock, 1, nil)
-	var waiting []grant
+	var waiting []Grant
 	for range 9 {
-		g, _, ok := u.take(100, onlyClass)
+		g, _, ok := u.Take(100, onlyClass)
 		require.True(t, ok)
 		waiting = append(waiting, g)
 	}
 	clock.pass(700 * time.Millisecond)
-	_, _, ok := u.take(10, onlyClass)
+	_, _, ok := u.Take(10, onlyClass)
 	require.True(t, ok)
 	for _, g := range waiting {
-		g.giveBack()
+		g.GiveBack()
 	}
 	require.InDelta(t, 10, u.sum(), 0.1)
 	clock.pass(8200 * time.Millisecond)
 	require.Equal(t, 1000, fillUp(u))
-	waiting[0].giveBack()
+	waiting[0].GiveBack()
 	require.InDelta(t, 1000, u.sum(), 0.1, "what has left the window is not given back once more")
 }
 
@@ -146,10 +148,10 @@
 func TestWaitCountsWhatLeavesElsewhere(t *testing.T) {
 	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
 	u := newCap(clock, 8, nil)
-	_, _, ok := u.take(10, onlyClass)
+	_, _, ok := u.Take(10, onlyClass)
 	require.True(t, ok)
 	u.takeOthers(0, &wire.Usage{Used: 985, Leaving: 100})
-	_, wait, ok := u.take(25, onlyClass)
+	_, wait, ok := u.Take(25, onlyClass)
 	require.False(t, ok)
 	require.InDelta(t, 200, wait.Milliseconds(), 80)
 }
@@ -157,19 +159,19 @@
 func TestRequestAboveTheWholeCapIsAdmittedAlone(t *testing.T) {
 	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
 	u := newCap(clock, 1, nil)
-	_, _, ok := u.take(5000, onlyClass)
+	_, _, ok := u.Take(5000, onlyClass)
 	require.True(t, ok)
-	_, _, ok = u.take(1, onlyClass)
+	_, _, ok = u.Take(1, onlyClass)
 	require.False(t, ok)
 }
 
 func TestLowerLimitHoldsAtOnce(t *testing.T) {
 	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
 	u := newCap(clock, 1, nil)
-	_, _, ok := u.take(500, onlyClass)
+	_, _, ok := u.Take(500, onlyClass)
 	require.True(t, ok)
 	u.set(10, 20)
-	_, _, ok = u.take(1, onlyClass)
+	_, _, ok = u.Take(1, onlyClass)
 	require.False(t, ok)
 }
 
@@ -214,25 +216,25 @@
 	u.takeOthers(0, &wire.Usage{Used: 500})
 	require.EqualValues(t, 500*capPart/10, fillUp(u))
 	clock.pass(capReportGap)
-	require.True(t, u.isUrgent())
+	require.True(t, u.IsUrgent())
 	u.takeOthers(0, &wire.Usage{Used: 500})
 	require.EqualValues(t, math.Floor(440*capPart/10), fillUp(u))
 }
 
 func TestDoubtIsGivenWithinTheTolerance(t *testing.T) {
 	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
-	u := newCap(clock, 1, func(s *settings.Entry) {
-		s.Limits.UsageOverrun = 0.1
-		s.Limits.UsageAllowance = 100
+	u := newCap(clock, 1, func(s *Tolerance) {
+		s.Overrun = 0.1
+		s.Allowance = 100
 	})
 	require.InDelta(t, 1000*(1+0.1*capDoubtFresh)+100*capDoubtFresh, fillUp(u), 1, "an entry alone knows all there is")
 }
 
 // newTolerantCap is a cap of 1000 in any window, of which operators tolerate to be overrun by 200.
-func newTolerantCap(clock *capClock, entries int) *usageCap {
-	return newCap(clock, entries, func(s *settings.Entry) {
-		s.Limits.UsageOverrun = 0.1
-		s.Limits.UsageAllowance = 100
+func newTolerantCap(clock *capClock, entries int) *Cap {
+	return newCap(clock, entries, func(s *Tolerance) {
+		s.Overrun = 0.1
+		s.Allowance = 100
 	})
 }
 
@@ -266,31 +268,31 @@
 	u := newTolerantCap(clock, 7)
 	u.takeOthers(0, &wire.Usage{Used: 900, Rate: 1000})
 	clock.pass(capFresh + time.Millisecond)
-	_, _, ok := u.take(10, onlyClass)
+	_, _, ok := u.Take(10, onlyClass)
 	require.False(t, ok)
-	heard, ask, helps := u.newWord(10, onlyClass)
+	heard, ask, helps := u.NewWord(10, onlyClass)
 	require.True(t, ask)
 	require.True(t, helps)
-	_, ask, _ = u.newWord(10, onlyClass)
+	_, ask, _ = u.NewWord(10, onlyClass)
 	require.False(t, ask, "it was asked for a moment ago")
 	u.takeOthers(0, &wire.Usage{Used: 900})
 	require.NotPanics(t, func() { <-heard })
-	_, _, ok = u.take(10, onlyClass)
+	_, _, ok = u.Take(10, onlyClass)
 	require.True(t, ok)
 	u.takeOthers(0, &wire.Usage{Used: 1200})
-	_, _, helps = u.newWord(10, onlyClass)
+	_, _, helps = u.NewWord(10, onlyClass)
 	require.False(t, helps, "it is known to be used up")
 	clock.pass(capWordBound + time.Millisecond)
-	_, _, helps = u.newWord(10, onlyClass)
+	_, _, helps = u.NewWord(10, onlyClass)
 	require.False(t, helps, "control is silent")
 }
 
 func TestControlHearsWhatLeavesTheWindowNext(t *testing.T) {
 	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
 	u := newCap(clock, 1, nil)
-	_, _, _ = u.take(500, onlyClass)
+	_, _, _ = u.Take(500, onlyClass)
 	require.Zero(t, u.tell().GetLeaving(), "it was used just now")
-	clock.pass(u.window - u.step())
+	clock.pass(u.Window - u.step())
 	require.EqualValues(t, 500, u.tell().GetLeaving())
 }
 
@@ -298,28 +300,28 @@
 	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
 	u := newCap(clock, 1, nil)
 	clock.pass(time.Second)
-	_, _, _ = u.take(500, onlyClass)
-	require.False(t, u.isUrgent(), "half of it is left")
-	_, _, _ = u.take(200, onlyClass)
-	require.True(t, u.isUrgent())
+	_, _, _ = u.Take(500, onlyClass)
+	require.False(t, u.IsUrgent(), "half of it is left")
+	_, _, _ = u.Take(200, onlyClass)
+	require.True(t, u.IsUrgent())
 	word := u.tell()
 	require.EqualValues(t, 700, word.GetUsed())
 	require.NotZero(t, word.GetRate())
-	_, _, _ = u.take(50, onlyClass)
-	require.False(t, u.isUrgent(), "it was told a moment ago")
+	_, _, _ = u.Take(50, onlyClass)
+	require.False(t, u.IsUrgent(), "it was told a moment ago")
 	clock.pass(capReportGap)
-	require.True(t, u.isUrgent())
+	require.True(t, u.IsUrgent())
 }
 
 // The word of an entry tells when its use leaves the window once a good part of the cap is used.
 func TestWordTellsWhenAllOfItsUseLeaves(t *testing.T) {
 	clock := &capClock{now: time.Unix(1_700_000_000, 0)}
 	u := newCap(clock, 1, nil)
-	_, _, ok := u.take(100, onlyClass)
+	_, _, ok := u.Take(100, onlyClass)
 	require.True(t, ok)
 	require.Empty(t, u.tell().GetLeavingLater(), "little is used")
 	clock.pass(5 * time.Second)
-	_, _, ok = u.take(700, onlyClass)
+	_, _, ok = u.Take(700, onlyClass)
 	require.True(t, ok)
 	clock.pass(time.Second)
 	word := u.tell()
--- a/entry/caporder.go
+++ b/quota/order.go
@@ -1,4 +1,4 @@
-package entry
+package quota
 
 import (
 	"math"
@@ -16,11 +16,11 @@
 	capStarvedShare = 0.35
 )
 
-// capClass is the class of a request that takes from a cap.
-type capClass struct {
-	name string
-	// precedence is the class's order among its organisation's: the lower number goes first.
-	precedence uint32
+// Class is the class of a request that takes from a cap.
+type Class struct {
+	Name string
+	// Precedence is the class's order among its organisation's: the lower number goes first.
+	Precedence uint32
 }
 
 // capDemand is what one class asks of a cap at this entry. The sums fade, by the time in their name.
@@ -67,22 +67,22 @@
 const maxCapClasses = 64
 
 // ask notes that a request of the class asks for units, whether or not it gets them.
-func (o *capOrder) ask(now time.Time, class capClass, units float64) {
-	d := o.classes[class.name]
+func (o *capOrder) ask(now time.Time, class Class, units float64) {
+	d := o.classes[class.Name]
 	if d == nil {
 		d = &capDemand{at: now}
-		o.classes[class.name] = d
+		o.classes[class.Name] = d
 		o.forget()
 	}
-	d.precedence = class.precedence
+	d.precedence = class.Precedence
 	d.fade(now, o.window)
 	d.lately += units
 	d.asked += units
 }
 
 // took notes that a request of the class got units, or gave them back.
-func (o *capOrder) took(class capClass, units float64) {
-	if d := o.classes[class.name]; d != nil {
+func (o *capOrder) took(class Class, units float64) {
+	if d := o.classes[class.Name]; d != nil {
 		d.taken = max(d.taken+units, 0)
 	}
 }
@@ -103,8 +103,8 @@
 
 // reserve is how many units, over so many entries with a demand like here, a request of the class must leave to those that
 // go first.
-func (o *capOrder) reserve(now time.Time, class capClass, entries, limit float64) float64 {
-	own := o.classes[class.name]
+func (o *capOrder) reserve(now time.Time, class Class, entries, limit float64) float64 {
+	own := o.classes[class.Name]
 	if own == nil {
 		return 0
 	}
--- a/entry/caporder_test.go
+++ b/quota/order_test.go
@@ -1,4 +1,4 @@
-package entry
+package quota
 
 import (
 	"testing"
@@ -8,29 +8,29 @@
 )
 
 var (
-	urgentClass = capClass{name: "briefing", precedence: 1}
-	minorClass  = capClass{name: "order", precedence: 3}
-	lowestClass = capClass{name: "label", precedence: 3}
+	urgentClass = Class{Name: "briefing", Precedence: 1}
+	minorClass  = Class{Name: "order", Precedence: 3}
+	lowestClass = Class{Name: "label", Precedence: 3}
 )
 
 // load is what an organisation asks of its cap, by class: so many requests each 100 ms of so many units.
 type load struct {
-	class    capClass
+	class    Class
 	requests int
 	units    uint64
 }
 
 // play asks for some seconds and returns the share admitted of each class's units.
-func play(u *usageCap, clock *capClock, seconds int, loads []load) map[string]float64 {
+func play(u *Cap, clock *capClock, seconds int, loads []load) map[string]float64 {
 	asked, taken := map[string]float64{}, map[string]float64{}
 	for range seconds * 10 {
 		clock.pass(100 * time.Millisecond)
 		for _, l := range loads {
 			for range l.requests {
-				u.ask(l.units, l.class)
-				asked[l.class.name] += float64(l.units)
-				if _, _, ok := u.take(l.units, l.class); ok {
-					taken[l.class.name] += float64(l.units)
+				u.Ask(l.units, l.class)
+				asked[l.class.Name] += float64(l.units)
+				if _, _, ok := u.Take(l.units, l.class); ok {
+					taken[l.class.Name] += float64(l.units)
 				}
 			}
 		}
--- a/entry/capwords.go
+++ b/quota/words.go
@@ -1,4 +1,4 @@
-package entry
+package quota
 
 import (
 	"time"
@@ -11,7 +11,7 @@
 //
 // Were the larger part of the overrun given on older words, entries that a cut keeps from control would use it as well,
 // each by what it heard last; a trial went over a cap so.
-func (u *usageCap) isFresh() bool {
+func (u *Cap) isFresh() bool {
 	if u.entries.Load() == 1 {
 		return true
 	}
@@ -26,13 +26,13 @@
 
 // elsewhere is what the other entries have probably used in the window. A control instance that has just started, or
 // that some entries don't reach, says too little; so the largest of the late words counts, or the last one of all.
-func (u *usageCap) elsewhere() float64 {
+func (u *Cap) elsewhere() float64 {
 	now := u.now()
 	newest := u.newestWord()
-	most := newest.value(now, u.window)
+	most := newest.value(now, u.Window)
 	for _, word := range u.others {
 		if now.Sub(word.at) <= capWordBound {
-			most = max(most, word.value(now, u.window))
+			most = max(most, word.value(now, u.Window))
 		}
 	}
 	if now.Sub(newest.at) > capWordBound {
@@ -59,7 +59,7 @@
 // allow sets what may be used here until the next word: a part of what is left now. Were each entry to use all that is
 // left as of the last word, a cap could be overrun as many times as there are entries, when a network is cut in the
 // moment in which an organisation's use rises.
-func (u *usageCap) allow() {
+func (u *Cap) allow() {
 	sum, entries := u.sum(), float64(max(u.entries.Load(), 1))
 	u.may = capPart * max(u.limitWith(capDoubt)-sum, 0) / entries
 	u.mayNew = capPart * max(u.limit()-sum, 0) / entries
@@ -71,12 +71,12 @@
 // After a loss of all processes the first polls go out before the caps are known, and the first words came a second later.
 // Until then each entry admitted up to its equal part, beside all that had been used just before: 1,721,923 tokens ran in 8 s
 // of 1,683,024 tolerated.
-func (u *usageCap) awaitsFirst() bool {
+func (u *Cap) awaitsFirst() bool {
 	return u.wordAt.IsZero() && u.entries.Load() != 1 && u.now().Sub(u.since) < capFirstWait
 }
 
 // needsWord tells whether so many units more need a newer word of control. Without a late one the equal part binds.
-func (u *usageCap) needsWord(units uint64) bool {
+func (u *Cap) needsWord(units uint64) bool {
 	if u.awaitsFirst() {
 		return true
 	}
@@ -88,13 +88,13 @@
 }
 
 // keepsToPart tells whether there are others and a late word, so that u.may binds.
-func (u *usageCap) keepsToPart() bool {
+func (u *Cap) keepsToPart() bool {
 	return u.entries.Load() > 1 && !u.wordAt.IsZero() && u.now().Sub(u.wordAt) <= capWordBound
 }
 
-// newWord tells whether a newer word of control could let so many units in that take refused, and whether it is time to
+// NewWord tells whether a newer word of control could let so many units in that Take refused, and whether it is time to
 // ask for one. The channel is closed when one comes.
-func (u *usageCap) newWord(units uint64, class capClass) (heard <-chan struct{}, ask, helps bool) {
+func (u *Cap) NewWord(units uint64, class Class) (heard <-chan struct{}, ask, helps bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.now()
@@ -111,7 +111,7 @@
 }
 
 // newestWord is the last word of any control instance, empty if there was none.
-func (u *usageCap) newestWord() othersWord {
+func (u *Cap) newestWord() othersWord {
 	var newest othersWord
 	for _, word := range u.others {
 		if word.at.After(newest.at) {
@@ -121,9 +121,9 @@
 	return newest
 }
 
-// isUrgent tells whether control should hear of the use here before the next poll: the cap is nearly used up and much
+// IsUrgent tells whether control should hear of the use here before the next poll: the cap is nearly used up and much
 // of it here, or much is used of what may be without a newer word.
-func (u *usageCap) isUrgent() bool {
+func (u *Cap) IsUrgent() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.now().Sub(u.toldAt) < capReportGap {
@@ -137,13 +137,13 @@
 
 // tell returns what was used here in the window, the rate of late and what leaves the window next, and notes that control
 // is told.
-func (u *usageCap) tell() *wire.Usage {
+func (u *Cap) tell() *wire.Usage {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.untold, u.toldAt = 0, u.now()
 	word := &wire.Usage{Used: uint64(u.own()), Rate: uint64(u.lately()), Leaving: uint64(u.leavingIn(0))}
 	if u.sum() > capTellAll*u.limit() {
-		for second := 1; second < int(u.window/time.Second); second++ {
+		for second := 1; second < int(u.Window/time.Second); second++ {
 			word.LeavingLater = append(word.LeavingLater, uint64(u.leavingIn(second)))
 		}
 	}
@@ -151,7 +151,7 @@
 }
 
 // leavingIn is what leaves the window in the second that begins after so many.
-func (u *usageCap) leavingIn(second int) float64 {
+func (u *Cap) leavingIn(second int) float64 {
 	slots := int64(time.Second / u.step())
 	total := 0.0
 	for i := range slots {
@@ -163,7 +163,7 @@
 }
 
 // lately is the rate over the last steps, a second.
-func (u *usageCap) lately() float64 {
+func (u *Cap) lately() float64 {
 	total := 0.0
 	for i := range int64(capRateSlots) {
 		total += u.slots[(u.turn-i+capSlots)%capSlots]
