--- a/quota/cap.go
+++ b/quota/cap.go
@@ -246,7 +246,7 @@
 func (u *Cap) String() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return fmt.Sprintf("%.0f of a share of %.0f used here in %s, which may be used up to %.0f; of %.0f that may be held in all, "+
+	return fmt.Sprintf("%.0f used in %s of a share of %.0f, of which %.0f may be used now; of %.0f that may be held in all, "+
 		"others hold %.0f and have used %.0f; %.0f more was asked for and refused",
-		u.own(), u.share, u.Window, u.allowed(), u.bound, u.others.held, u.others.used, u.short)
+		u.own(), u.Window, u.share, u.allowed(), u.bound, u.others.held, u.others.used, u.short)
 }
