quota: a word counts from its sending, not from its arrival; a test of a share that shrank by a lower cap

Cause of the first: a word that was held up by a cut told of use to leave that had left and been made anew. Its age now follows from the time since boot that it carries and the word of that entry that was fastest on its way.

--- a/quota/cap_test.go
+++ b/quota/cap_test.go
@@ -353,3 +353,32 @@
 		require.LessOrEqual(t, word.LeftAtLeast(age, f.tolerance.Window), want, age.String())
 	}
 }
+
+// Symptom: an organisation has half again as much as its lower cap for as long as it asks for it. Sequence: entries hold all of a
+// cap; it is lowered, and each uses a smaller share at once; before its first proposal after that, the state has the larger one;
+// it proposes less than that, which is more than it uses, and gets it. Cause: a proposal that was taken for lowering a share
+// because the state held more than the entry did.
+func TestShareThatShrankByALowerCapIsRaisedOnlyWithinIt(t *testing.T) {
+	f := newFleet(t, 2, windowOnly)
+	for i := range 2 {
+		for range 350 {
+			require.True(t, f.request(i, 1, onlyClass))
+		}
+		f.clock.pass(raiseGap)
+		f.tellAll()
+		f.move(0)
+		f.move(1)
+	}
+	f.setCap(60, 120)
+	for i := range 2 {
+		f.caps[i].Of(f.member)
+	}
+	f.clock.pass(9 * time.Second)
+	for range 40 {
+		for i := range 2 {
+			f.fillUp(i)
+			require.LessOrEqual(t, f.used(), 600.0)
+		}
+		f.clock.pass(raiseGap)
+	}
+}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -31,9 +31,12 @@
 
 // entryUsage is what one entry told last.
 type entryUsage struct {
-	at     time.Time
-	window time.Duration
-	told   map[string]*wire.Usage // by organisation
+	at time.Time // when it was told
+	// boot is when the entry's machine was booted, as the word tells that was the least time on its way.
+	boot      time.Time
+	sinceBoot time.Duration // of the entry's machine, when it was told
+	window    time.Duration
+	told      map[string]*wire.Usage // by organisation
 }
 
 // NewLedger returns an empty ledger. capOf is an organisation's cap in a window by the desired state in force, and held what
@@ -49,8 +52,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	entry := &entryUsage{
-		at:     now,
+	entry := l.timed(from, time.Duration(poll.GetSinceBootMs())*time.Millisecond, now)
+	if entry == nil {
+		return nil
+	}
+	*entry = entryUsage{
+		at: entry.at, boot: entry.boot, sinceBoot: entry.sinceBoot,
 		window: time.Duration(poll.GetUsageWindowMs()) * time.Millisecond,
 		told:   make(map[string]*wire.Usage, len(poll.GetUsage())),
 	}
@@ -68,6 +75,25 @@
 	return states
 }
 
+// timed returns a word with the time at which it was told, nil if a later one is known.
+//
+// Words may be held up for seconds. One that counts from its arrival says of use which has left the window, and may have been
+// made anew, that it is still to leave: a dead entry's share would be freed by use that its holder had already been given
+// back. How long a word was on its way follows from the one that was fastest; clocks of two machines differ, but go alike.
+func (l *Ledger) timed(from Incarnation, sinceBoot time.Duration, now time.Time) *entryUsage {
+	entry := &entryUsage{at: now, boot: now.Add(-sinceBoot), sinceBoot: sinceBoot}
+	if before := l.entries[from]; before != nil && !before.boot.IsZero() {
+		if sinceBoot < before.sinceBoot {
+			return nil
+		}
+		if before.boot.Before(entry.boot) {
+			entry.boot = before.boot
+		}
+	}
+	entry.at = entry.boot.Add(sinceBoot)
+	return entry
+}
+
 // others adds up what all but one incarnation have used of an organisation's cap, as far as it is in the window still, and
 // what they want. It is called with the lock held.
 func (l *Ledger) others(but Incarnation, organisation string, now time.Time) *wire.CapState {
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -498,7 +498,7 @@
 	if !c.up {
 		return
 	}
-	message := &wire.Poll{Usage: e.caps.Usage(), UsageWindowMs: uint32(simWindow.Milliseconds())}
+	message := &wire.Poll{Usage: e.caps.Usage(), UsageWindowMs: uint32(simWindow.Milliseconds()), SinceBootMs: uint64(s.now.Milliseconds())}
 	started, start, asked := e.started, c.start, s.now
 	s.deliver(link, 0, func() {
 		if !c.up || c.start != start {
--- a/session/peer.go
+++ b/session/peer.go
@@ -157,9 +157,9 @@
 	id := p.session.ids.Add(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now, sinceBoot := time.Now(), clock.SinceBoot()
 	if p.sent != nil {
-		p.sent[id] = pollTime{now, clock.SinceBoot()}
+		p.sent[id] = pollTime{now, sinceBoot}
 	}
 	return &wire.ClientMessage{Kind: &wire.ClientMessage_Poll{Poll: &wire.Poll{
 		Sequence:         id,
@@ -168,6 +168,7 @@
 		Report:           p.reports.next(now),
 		Usage:            p.session.usage(),
 		UsageWindowMs:    uint32(p.session.cfg.UsageWindow.Milliseconds()),
+		SinceBootMs:      uint64(sinceBoot.Milliseconds()),
 	}}}
 }
 
