state, quota: a share is raised from what its holder goes by, not from what is held for it

Cause: after a cap was lowered each holder uses a smaller share at once, while the state still holds the larger one for it. A proposal between the two was taken for lowering it.

--- a/quota/cap.go
+++ b/quota/cap.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,7 +72,7 @@
 	defer u.mu.Unlock()
 	bound := float64(u.Tolerance.message().Bound(member))
 	if bound < u.bound {
-		u.share *= bound / u.bound
+		u.share = math.Floor(u.share * bound / u.bound)
 		u.ceiling = min(u.ceiling, u.share)
 	}
 	u.member, u.bound = member, bound
--- a/quota/caps.go
+++ b/quota/caps.go
@@ -162,8 +162,9 @@
 	}
 	move := &wire.MoveShares{Entry: c.entry, Incarnation: c.incarnation, Tolerance: c.Tolerance.message()}
 	for _, name := range slices.Sorted(maps.Keys(c.byName)) {
-		if units, ok := c.byName[name].move(); ok {
-			move.Shares = append(move.Shares, &wire.Share{Organisation: name, Units: units})
+		if share := c.byName[name].move(); share != nil {
+			share.Organisation = name
+			move.Shares = append(move.Shares, share)
 		}
 	}
 	if len(move.Shares) == 0 {
--- a/quota/share.go
+++ b/quota/share.go
@@ -52,8 +52,8 @@
 	return min(max(unused*aheadPart*part, least), most), unused * floorPart / u.parts()
 }
 
-// move returns the share that should be held, if it differs enough from the one that is. A smaller one holds at once.
-func (u *Cap) move() (units uint64, ok bool) {
+// move returns the share that should be held, nil if the one that is fits. A smaller one holds at once.
+func (u *Cap) move() *wire.Share {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.yield()
@@ -72,15 +72,19 @@
 	case isShort && want > u.share && u.ceiling >= u.share && !u.now().Before(u.raiseAt):
 		u.expected, u.expectedUntil = u.blocked, u.now().Add(ShareWait)
 		u.blocked, u.askedOf = 0, u.bound
-		return uint64(want), true
+		return &wire.Share{Units: uint64(want), Uses: uint64(u.share)}
 	case u.share > want+slack*reserve+floor/2+u.expectedNow():
-		u.share = max(want, math.Ceil(own))
-		return uint64(u.share), true
+		return u.lower(max(want, math.Ceil(own)))
 	case u.ceiling < u.share && own <= u.ceiling:
-		u.share = math.Ceil(u.ceiling)
-		return uint64(u.share), true
+		return u.lower(math.Ceil(u.ceiling))
 	}
-	return 0, false
+	return nil
+}
+
+// lower has less of the cap used here from now on, and returns the share to propose.
+func (u *Cap) lower(share float64) *wire.Share {
+	u.share = share
+	return &wire.Share{Units: uint64(share), Uses: uint64(share)}
 }
 
 // expectedNow is what requests that waited for a larger share are about to take of it. Lowered in that moment, it would be
--- a/state/shares.go
+++ b/state/shares.go
@@ -75,15 +75,18 @@
 }
 
 // moveShare lowers a share as asked, or raises it as far as the sum of all shares allows.
+//
+// It is raised from what its holder goes by. That is less than what is held here after the cap was lowered, when each holder
+// scales its share at once: raised from what is held, shares would add up to the higher cap again.
 func (s *State) moveShare(held *heldShares, asked *wire.Share, tolerance *wire.CapTolerance) {
 	name := asked.GetOrganisation()
-	now, most := held.units[name], uint64(0)
+	now, most := min(held.units[name], asked.GetUses()), uint64(0)
 	if member := s.member(name); member != nil {
 		most = tolerance.Bound(member)
 	}
 	units := asked.GetUnits()
 	if units > now {
-		others := s.shares.held[name] - now
+		others := s.shares.held[name] - held.units[name]
 		units = max(now, min(units, most-min(others, most)))
 	}
 	s.shares.set(held, name, units)
--- a/state/shares_test.go
+++ b/state/shares_test.go
@@ -52,7 +52,7 @@
 func (l *shareLog) move(entry string, incarnation, sequence, units uint64) *wire.CommandResult {
 	return l.apply(&wire.Command{Kind: &wire.Command_MoveShares{MoveShares: &wire.MoveShares{
 		Entry: entry, Incarnation: incarnation, Sequence: sequence, Tolerance: shareTolerance,
-		Shares: []*wire.Share{{Organisation: "org", Units: units}},
+		Shares: []*wire.Share{{Organisation: "org", Units: units, Uses: l.s.HeldBy(entry, incarnation, "org")}},
 	}}})
 }
 
