--- a/spec/attempts.go
+++ b/spec/attempts.go
@@ -20,6 +20,8 @@
 	Leaves uint8
 	// Losses bounds connections to engines that are lost while the agent lives, and calls that never left it.
 	Losses uint8
+	// Runs bounds servers that start again under their id, knowing nothing of what they ran before.
+	Runs uint8
 	// Whole leaves out what makes answers other than whole, and broken links: engines don't fail, frames come with the
 	// end of the run, entries lose no link, and leases end only with their entry. It makes room for more of the rest.
 	Whole bool
@@ -88,6 +90,7 @@
 	stepProgress
 	stepFinish
 	stepFail
+	stepNewRun
 	stepAgentCrash
 	stepAgentStart
 	stepClear
@@ -102,7 +105,7 @@
 	"hear_frame", "frames_lost", "release", "complete", "entry_crash", "entry_start", "end_entry", "wrong_end",
 	"register_again", "learn_end", "take_reserve", "offer", "take_dispatch", "start", "refuse_attempt", "take_cancel",
 	"lease", "preempt", "cancel_at_engine", "cancel_unanswered", "connection_lost", "never_sent", "call_arrives",
-	"call_lost", "progress", "finish", "fail", "agent_crash", "agent_start", "clear", "leave", "drained",
+	"call_lost", "progress", "finish", "fail", "new_run", "agent_crash", "agent_start", "clear", "leave", "drained",
 }
 
 // newAttempts returns the model within the bounds, with the guards given.
@@ -118,6 +121,7 @@
 		wrongEnds:    m.bounds.WrongEnds,
 		leaves:       m.bounds.Leaves,
 		losses:       m.bounds.Losses,
+		runs:         m.bounds.Runs,
 	}
 	for i := range s.entries {
 		s.entries[i] = entry{up: true, incarnation: 1, agent: noAgent, known: [agentCount]uint8{1, 1}}
--- a/spec/attempts_attempt.go
+++ b/spec/attempts_attempt.go
@@ -72,12 +72,17 @@
 	}
 }
 
-// cancelProof says whether the engine knew the attempt that is over. One that doesn't may never have begun it.
+// cancelProof says whether the engine knew the attempt that is over. One that doesn't may never have begun it, or may have
+// started again since.
 func (t *turn) cancelProof(o *occasion) proof {
-	if o.knows {
+	switch {
+	case o.knows:
 		return proofCancelled
+	case !t.guards.has(GuardIgnoranceProvesNothing):
+		return proofNever
+	default:
+		return proofOver
 	}
-	return proofOver
 }
 
 // conclude notes the end of the current attempt and tells its owner and who asked.
@@ -119,6 +124,9 @@
 			try(Step{Kind: stepFail, A: id, C: number}, func(t *turn) bool { return t.endRun(at, number, proofFailed) })
 		}
 	}
+	if s.runs > 0 {
+		try(Step{Kind: stepNewRun, A: id}, func(t *turn) bool { return t.startEngineAgain(at) })
+	}
 	if !a.up || !a.open {
 		return
 	}
@@ -241,6 +249,19 @@
 	return t.fireAttempt(at, attemptEngineGone, occasion{})
 }
 
+// startEngineAgain: the server crashes and starts again under its id. What it ran is gone, with its connections; calls that are
+// on their way reach the new run, which can't tell them from others.
+func (t *turn) startEngineAgain(at int) bool {
+	t.s.runs--
+	a := &t.s.agents[at]
+	a.running = 0
+	if !a.up || !a.open {
+		return true
+	}
+	a.open = false
+	return t.fireAttempt(at, attemptEngineGone, occasion{})
+}
+
 // cancelAtEngine asks the engine to cancel the current attempt. Unanswered, the agent hears of its end only by the run
 // itself, if that is still open.
 func (t *turn) cancelAtEngine(at int, answered bool) bool {
--- a/spec/attempts_encode.go
+++ b/spec/attempts_encode.go
@@ -153,7 +153,7 @@
 	for _, call := range s.calls {
 		b = append(b, byte(call))
 	}
-	b = append(b, s.entryCrashes, s.agentCrashes, s.wrongEnds, s.leaves, s.losses)
+	b = append(b, s.entryCrashes, s.agentCrashes, s.wrongEnds, s.leaves, s.losses, s.runs)
 	return append(b, s.began, s.starts, s.saidNo, s.ends, byte(s.violate))
 }
 
--- a/spec/attempts_state.go
+++ b/spec/attempts_state.go
@@ -150,7 +150,7 @@
 	calls   [callCount]outcome
 
 	// What is left of the bounds.
-	entryCrashes, agentCrashes, wrongEnds, leaves, losses uint8
+	entryCrashes, agentCrashes, wrongEnds, leaves, losses, runs uint8
 
 	// What the invariants look at.
 	began   uint8 // epochs of the present record of which an engine began an attempt, bits
--- a/spec/cases.go
+++ b/spec/cases.go
@@ -56,6 +56,8 @@
 	caseLeave          = "connection lost, leave"
 	caseLost           = "connection lost, agent crash"
 	caseReservations   = "reservations, agent crash"
+	caseNewRun         = "server starts again"
+	caseNewRunOnce     = "server starts again, agent crash, not repeatable"
 
 	caseTerms   = "four terms"
 	caseSync    = "crash without sync"
@@ -82,6 +84,8 @@
 		attemptCase(caseEntryCrash, 70_000, AttemptBounds{Repeatable: true, Calls: 2, Attempts: 1, EntryCrashes: 1}),
 		attemptCase(caseTwoEntries, 10_000, AttemptBounds{Repeatable: true, Calls: 2, Attempts: 1, AgentCrashes: 1, Whole: true}),
 		attemptCase(caseLost, 30_000, AttemptBounds{Repeatable: true, Calls: 1, Attempts: 2, Losses: 1, AgentCrashes: 1}),
+		attemptCase(caseNewRunOnce, 60_000, AttemptBounds{Calls: 2, Attempts: 1, Runs: 1, AgentCrashes: 1}),
+		attemptCase(caseNewRun, 5_000, AttemptBounds{Repeatable: true, Calls: 1, Attempts: 2, Runs: 2}),
 		attemptCase(caseQuiet, 30_000, AttemptBounds{Repeatable: true, Calls: 2, Attempts: 2}),
 		attemptCase(caseAgentCrash, 14_000, AttemptBounds{Repeatable: true, Calls: 1, Attempts: 2, AgentCrashes: 1}),
 		attemptCase(caseLeave, 13_000, AttemptBounds{Repeatable: true, Calls: 1, Attempts: 2, Losses: 1, Leaves: 1}),
@@ -117,6 +121,7 @@
 		{GuardSettledCalls, caseAgentCrash, OneEngine},
 		{GuardSameIncarnation, caseAgentCrashOnce, Once},
 		{GuardBeganIsProved, caseAgentCrashOnce, RanTrue},
+		{GuardIgnoranceProvesNothing, caseNewRunOnce, NotRunTrue},
 		{GuardCommitBeforeDispatch, caseQuietOnce, Once},
 		{GuardEpochTakeover, caseEntryCrash, OneEngine},
 		{GuardEarlierProofs, caseEntryCrash, OneEngine},
--- a/spec/guards.go
+++ b/spec/guards.go
@@ -24,6 +24,8 @@
 	GuardPredecessor
 	// GuardBeganIsProved: a proof that an attempt is over isn't taken for a proof that it began.
 	GuardBeganIsProved
+	// GuardIgnoranceProvesNothing: an engine that doesn't know an attempt may have run it before it started again.
+	GuardIgnoranceProvesNothing
 	// GuardCommitBeforeDispatch: the operation record is committed before the first dispatch.
 	GuardCommitBeforeDispatch
 	// GuardOwnerGone: a record is taken over only once control has ended its owner's incarnation.
@@ -80,7 +82,8 @@
 
 var guardNames = [guardCount]string{
 	"tombstone", "known_attempt", "proof_before_retry", "first_taker", "cancel_all_at_start", "settled_calls", "same_incarnation",
-	"predecessor", "began_is_proved", "commit_before_dispatch", "owner_gone", "epoch_takeover", "earlier_proofs",
+	"predecessor", "began_is_proved", "ignorance_proves_nothing",
+	"commit_before_dispatch", "owner_gone", "epoch_takeover", "earlier_proofs",
 	"unknown_forever", "spent_request", "ended_at_restart", "ended_stays_ended", "whole_answer", "present_frames",
 	"none_in_flight",
 	"persist_vote", "sync_before_acknowledge", "up_to_date_vote", "own_term_commit", "one_vote",
