--- a/quota/cap_test.go
+++ b/quota/cap_test.go
@@ -42,6 +42,20 @@
 	require.Equal(t, 1000, f.fillUp(0))
 }
 
+// Symptom: an organisation has more than its cap on machines whose clocks are set. Sequence: it has used up its cap; the time of
+// day is set forward by some seconds, and what was used seems to have left the window. Cause: a window counted by the time of
+// day. It is counted by the time since boot, which nobody sets, and which goes on while the machine is suspended.
+func TestClockOfTheDayMovesNoWindow(t *testing.T) {
+	f := newFleet(t, 1, windowOnly)
+	require.Equal(t, 1000, f.fillUp(0))
+	f.clock.step(time.Hour)
+	require.Zero(t, f.fillUp(0))
+	f.clock.step(-2 * time.Hour)
+	f.clock.pass(8*time.Second + f.org[0].step())
+	f.tellAll()
+	require.Equal(t, 1000, f.fillUp(0))
+}
+
 func TestCapAdmitsAtItsRate(t *testing.T) {
 	f := newFleet(t, 1, windowOnly)
 	admitted := 0
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -12,13 +12,22 @@
 )
 
 // capClock is a clock that a test moves.
-type capClock struct{ now time.Time }
+type capClock struct {
+	now     time.Time
+	stepped time.Duration // by which the time of day was set forward
+}
 
 func (c *capClock) Now() time.Time { return c.now }
 
 func (c *capClock) pass(d time.Duration) { c.now = c.now.Add(d) }
 
-func (c *capClock) sinceBoot() time.Duration { return c.now.Sub(time.Unix(0, 0)) }
+// step sets the time of day, and nothing else.
+func (c *capClock) step(d time.Duration) {
+	c.now = c.now.Add(d)
+	c.stepped += d
+}
+
+func (c *capClock) sinceBoot() time.Duration { return c.now.Sub(time.Unix(0, 0)) - c.stepped }
 
 // windowOnly is a window of 8 s in which nothing beyond a cap is tolerated.
 var windowOnly = Tolerance{Window: 8 * time.Second}
