quota: windows of caps go by the time since boot; requests that wait are counted once

Cause: slots of use were numbered by the time of day: set forward, use left the window early and an organisation had more than its cap; TestClockOfTheDayMovesNoWindow failed and passes. Also: units of requests that waited for a larger share were added up while none could be asked for, and later asked for at once.

--- a/quota/cap.go
+++ b/quota/cap.go
@@ -28,10 +28,11 @@
 type Cap struct {
 	Tolerance
 
-	now     func() time.Time
-	entries *atomic.Int64 // of the deployment, as far as known
-	valid   func() bool   // whether the lease on shares holds
-	wake    func()        // has the entry look at its shares at once
+	now       func() time.Time
+	sinceBoot func() time.Duration
+	entries   *atomic.Int64 // of the deployment, as far as known
+	valid     func() bool   // whether the lease on shares holds
+	wake      func()        // has the entry look at its shares at once
 
 	mu      sync.Mutex
 	changed chan struct{} // closed when the share changes
@@ -82,9 +83,10 @@
 // used early in the oldest one still counts.
 func (u *Cap) step() time.Duration { return u.Window / (capSlots - 1) }
 
-// slot returns the present slot, after those that the window has left behind were emptied.
+// slot returns the present slot, after those that the window has left behind were emptied. It goes by the time since boot: by
+// the time of day, use would leave the window early when a clock is set forward.
 func (u *Cap) slot() *float64 {
-	turn := u.now().UnixNano() / int64(u.step())
+	turn := int64(u.sinceBoot() / u.step())
 	for i := max(u.turn+1, turn-capSlots+1); i <= turn; i++ {
 		u.used -= u.slots[i%capSlots]
 		u.slots[i%capSlots] = 0
--- a/quota/caps.go
+++ b/quota/caps.go
@@ -98,6 +98,7 @@
 		u = &Cap{
 			Tolerance: c.Tolerance,
 			now:       c.now,
+			sinceBoot: c.sinceBoot,
 			entries:   &c.entries,
 			valid:     c.valid,
 			wake:      c.signal,
--- a/quota/share.go
+++ b/quota/share.go
@@ -58,20 +58,21 @@
 	defer u.mu.Unlock()
 	u.yield()
 	reserve, floor := u.ahead()
-	own := u.own()
+	own, blocked := u.own(), u.blocked
+	u.blocked = 0 // whoever still waits says so again
 	most := u.bound
 	if u.others.wanted > 0 {
 		most = max(u.bound/u.parts(), u.share)
 	}
-	want := math.Ceil(min(max(own+reserve+u.blocked, floor), most))
-	isShort := u.share < min(max(own+u.blocked+reserve/2, floor/2), u.bound)
+	want := math.Ceil(min(max(own+reserve+blocked, floor), most))
+	isShort := u.share < min(max(own+blocked+reserve/2, floor/2), u.bound)
 	if !isShort {
 		u.short = 0
 	}
 	switch {
 	case isShort && want > u.share && u.ceiling >= u.share && !u.now().Before(u.raiseAt):
-		u.expected, u.expectedUntil = u.blocked, u.now().Add(ShareWait)
-		u.blocked, u.askedOf = 0, u.bound
+		u.expected, u.expectedUntil = blocked, u.now().Add(ShareWait)
+		u.askedOf = u.bound
 		return &wire.Share{Units: uint64(want), Uses: uint64(u.share)}
 	case u.share > want+slack*reserve+floor/2+u.expectedNow():
 		return u.lower(max(want, math.Ceil(own)))
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -365,7 +365,7 @@
 	e.up = true
 	e.started++
 	started := e.started
-	e.caps = quota.NewCaps(e.name(), started, quota.Clock{Now: s.clock, SinceBoot: func() time.Duration { return s.now }},
+	e.caps = quota.NewCaps(e.name(), started, quota.Clock{Now: s.clock, SinceBoot: func() time.Duration { return time.Hour + s.now }},
 		quota.Tolerance{Window: simWindow, Overrun: simOverrun})
 	e.caps.SetEntries(len(s.entries))
 	e.cap, e.known = nil, -1
@@ -498,8 +498,8 @@
 	if !c.up {
 		return
 	}
-	message := &wire.Poll{Usage: e.caps.Usage(), UsageWindowMs: uint32(simWindow.Milliseconds()), SinceBootMs: uint64(s.now.Milliseconds())}
-	started, start, asked := e.started, c.start, s.now
+	message := &wire.Poll{Usage: e.caps.Usage(), UsageWindowMs: uint32(simWindow.Milliseconds()), SinceBootMs: uint64((time.Hour + s.now).Milliseconds())}
+	started, start, asked := e.started, c.start, time.Hour+s.now
 	s.deliver(link, 0, func() {
 		if !c.up || c.start != start {
 			return
