--- a/control/control.go
+++ b/control/control.go
@@ -54,7 +54,7 @@
 	reports   *reports
 	usage     *quota.Ledger
 	usageFile *usageFile
-	foreign   foreignWords
+	foreign   foreignMessages
 	leader    *leader
 	keys      *settings.Keyring
 	counters  counters
--- a/control/foreign.go
+++ b/control/foreign.go
@@ -8,9 +8,9 @@
 // maxForeign bounds the sources and reasons that are remembered.
 const maxForeign = 256
 
-// foreignWords remembers which sources of words that name no server were logged, so that a writer that goes on costs one line
+// foreignMessages remembers which sources of messages that name no server were logged, so that a writer that goes on costs one line
 // for each reason. All are counted.
-type foreignWords struct {
+type foreignMessages struct {
 	mu   sync.Mutex
 	seen map[foreignSource]bool
 }
@@ -18,7 +18,7 @@
 type foreignSource struct{ source, reason string }
 
 // isNew tells whether a line is due.
-func (f *foreignWords) isNew(source, reason string) bool {
+func (f *foreignMessages) isNew(source, reason string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	key := foreignSource{source, reason}
@@ -32,11 +32,11 @@
 	return true
 }
 
-// NoteForeign counts a word that was said in a server's name and can't be one of a server, and logs the first of a source and
+// NoteForeign counts a message that was sent in a server's name and can't be one of a server, and logs the first of a source and
 // reason.
 func (c *Control) NoteForeign(source, reason string, err error) {
-	c.counters.set.GetOrCreateCounter(fmt.Sprintf("carawaypitch_foreign_words_total{reason=%q}", reason)).Inc()
+	c.counters.set.GetOrCreateCounter(fmt.Sprintf("carawaypitch_foreign_messages_total{reason=%q}", reason)).Inc()
 	if c.foreign.isNew(source, reason) {
-		c.log.WithField("source", source).WithField("reason", reason).WithError(err).Warn("foreign_word")
+		c.log.WithField("source", source).WithField("reason", reason).WithError(err).Warn("foreign_message")
 	}
 }
--- a/quota/cap.go
+++ b/quota/cap.go
@@ -215,29 +215,29 @@
 	return u.demand * fading(gone, demandTime)
 }
 
-// tell is what control hears of the use here.
-func (u *Cap) tell() *wire.Usage {
+// report is what control hears of the use here.
+func (u *Cap) report() *wire.Usage {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	word := &wire.Usage{Used: uint64(u.own()), Wanted: uint64(u.short)}
-	if u.own()+u.others.used > tellTimes*u.bound {
+	report := &wire.Usage{Used: uint64(u.own()), Wanted: uint64(u.short)}
+	if u.own()+u.others.used > reportTimes*u.bound {
 		for at := int64(1); at < capSlots; at += slotsInStep {
-			word.Leaving = append(word.Leaving, uint64(u.leaving(at)))
+			report.Leaving = append(report.Leaving, uint64(u.leaving(at)))
 		}
 	}
-	return word
+	return report
 }
 
 const (
-	// tellTimes is the used part of a cap from which on control is told when the use here leaves the window. Below it more
+	// reportTimes is the used part of a cap from which on a report says when the use here leaves the window. Below it more
 	// of the cap is free than an organisation asks for in a window, so that nobody waits for what a dead entry held.
-	tellTimes = 0.3
-	// slotsInStep is how many slots a step of a word stands for.
+	reportTimes = 0.3
+	// slotsInStep is how many slots a step of a report stands for.
 	slotsInStep = (capSlots - 1) / wire.LeavingSteps
 )
 
 // leaving is what leaves the window in a step that begins so many slots from now. The oldest slot is one that the window has
-// left already, so nothing leaves earlier than it is told.
+// left already, so nothing leaves earlier than it is reported.
 func (u *Cap) leaving(at int64) float64 {
 	total := 0.0
 	for i := at; i < min(at+slotsInStep, capSlots); i++ {
--- a/quota/caps.go
+++ b/quota/caps.go
@@ -119,14 +119,14 @@
 	return maps.Clone(c.byName)
 }
 
-// Usage tells control what each organisation has used here.
+// Usage reports to control what each organisation has used here.
 func (c *Caps) Usage() []*wire.Usage {
 	caps := c.all()
 	out := make([]*wire.Usage, 0, len(caps))
 	for _, name := range slices.Sorted(maps.Keys(caps)) {
-		word := caps[name].tell()
-		word.Organisation = name
-		out = append(out, word)
+		report := caps[name].report()
+		report.Organisation = name
+		out = append(out, report)
 	}
 	return out
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -9,8 +9,8 @@
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
-// wordStale is the age from which on what an entry wanted counts no more. Entries tell each second.
-const wordStale = 2500 * time.Millisecond
+// reportStale is the age from which on what an entry wanted counts no more. Entries report each second.
+const reportStale = 2500 * time.Millisecond
 
 // Incarnation is one start of an entry. What it has used counts apart from what its predecessors have.
 type Incarnation struct {
@@ -29,14 +29,14 @@
 	entries map[Incarnation]*entryUsage
 }
 
-// entryUsage is what one entry told last.
+// entryUsage is the last report of one entry.
 type entryUsage struct {
-	at time.Time // when it was told
-	// boot is when the entry's machine was booted, as the word tells that was the least time on its way.
+	at time.Time // when it was made
+	// boot is when the entry's machine was booted, by the report that was the least time on its way.
 	boot      time.Time
-	sinceBoot time.Duration // of the entry's machine, when it was told
+	sinceBoot time.Duration // of the entry's machine, when it was made
 	window    time.Duration
-	told      map[string]*wire.Usage // by organisation
+	usage     map[string]*wire.Usage // by organisation
 }
 
 // NewLedger returns an empty ledger. capOf is an organisation's cap in a window by the desired state in force, and held what
@@ -59,15 +59,15 @@
 	*entry = entryUsage{
 		at: entry.at, boot: entry.boot, sinceBoot: entry.sinceBoot,
 		window: time.Duration(poll.GetUsageWindowMs()) * time.Millisecond,
-		told:   make(map[string]*wire.Usage, len(poll.GetUsage())),
+		usage:  make(map[string]*wire.Usage, len(poll.GetUsage())),
 	}
 	for _, one := range poll.GetUsage() {
-		entry.told[one.GetOrganisation()] = one
+		entry.usage[one.GetOrganisation()] = one
 	}
 	l.entries[from] = entry
 	l.forget(now)
-	states := make([]*wire.CapState, 0, len(entry.told))
-	for _, name := range slices.Sorted(maps.Keys(entry.told)) {
+	states := make([]*wire.CapState, 0, len(entry.usage))
+	for _, name := range slices.Sorted(maps.Keys(entry.usage)) {
 		state := l.others(from, name, now)
 		state.Held = l.held(from, name)
 		states = append(states, state)
@@ -75,11 +75,11 @@
 	return states
 }
 
-// timed returns a word with the time at which it was told, nil if a later one is known.
+// timed returns a report with the time at which it was made, nil if a later one is known.
 //
-// Words may be held up for seconds. One that counts from its arrival says of use which has left the window, and may have been
-// made anew, that it is still to leave: a dead entry's share would be freed by use that its holder had already been given
-// back. How long a word was on its way follows from the one that was fastest; clocks of two machines differ, but go alike.
+// Reports may be delayed for seconds. One that counts from its arrival says of use which has left the window, and may have been
+// made anew, that it is still to leave: a dead entry's share would be freed by use that its holder had already got back. How
+// long a report was on its way follows from the fastest one; clocks of two machines differ, but go alike.
 func (l *Ledger) timed(from Incarnation, sinceBoot time.Duration, now time.Time) *entryUsage {
 	entry := &entryUsage{at: now, boot: now.Add(-sinceBoot), sinceBoot: sinceBoot}
 	if before := l.entries[from]; before != nil && !before.boot.IsZero() {
@@ -99,21 +99,21 @@
 func (l *Ledger) others(but Incarnation, organisation string, now time.Time) *wire.CapState {
 	sum := &wire.CapState{Organisation: organisation}
 	for from, entry := range l.entries {
-		one := entry.told[organisation]
+		one := entry.usage[organisation]
 		if from == but || one == nil {
 			continue
 		}
 		age := now.Sub(entry.at)
 		sum.Used += one.LeftAtMost(age, entry.window)
-		if age < wordStale {
+		if age < reportStale {
 			sum.Wanted += one.GetWanted()
 		}
 	}
 	return sum
 }
 
-// forget drops entries whose use has left the window, a window later: the share of one that died just after its last word is
-// freed by that word until then.
+// forget drops entries whose use has left the window, a window later: the share of one that died just after its last report is
+// freed by that report until then.
 func (l *Ledger) forget(now time.Time) {
 	for from, entry := range l.entries {
 		if now.Sub(entry.at) >= 2*entry.window {
@@ -137,7 +137,7 @@
 	if entry == nil {
 		return 0
 	}
-	one := entry.told[organisation]
+	one := entry.usage[organisation]
 	before := one.LeftAtLeast(begin.Sub(entry.at), entry.window)
 	after := one.LeftAtMost(end.Sub(entry.at), entry.window)
 	return before - min(before, after)
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -47,7 +47,7 @@
 	l, e := usageTable()
 	now := time.Unix(1_700_000_000, 0)
 	l.Take(e[0], usagePoll(128, 10), now)
-	got := l.Take(e[1], usagePoll(0, 0), now.Add(wordStale))
+	got := l.Take(e[1], usagePoll(0, 0), now.Add(reportStale))
 	require.Zero(t, got[0].GetWanted())
 	require.InDelta(t, 128*5.5/8, got[0].GetUsed(), 1)
 }
--- a/quota/record.go
+++ b/quota/record.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// SaveInterval is how often use is saved while any cap is near. An older word frees a dead entry's share later, and nothing
+	// SaveInterval is how often use is saved while any cap is near. An older report frees a dead entry's share later, and nothing
 	// else.
 	SaveInterval = time.Second
 	// saveNear is the used part of a cap from which on use is saved. Below it what is left of the cap is more than an
@@ -31,7 +31,7 @@
 			Incarnation: from.Number,
 			UnixMs:      uint64(entry.at.UnixMilli()),
 			WindowMs:    uint32(entry.window.Milliseconds()),
-			Usage:       slices.Collect(maps.Values(entry.told)),
+			Usage:       slices.Collect(maps.Values(entry.usage)),
 		})
 	}
 	return record
@@ -41,7 +41,7 @@
 func (l *Ledger) anyNear(now time.Time) bool {
 	seen := make(map[string]bool) // organisations: each is added up once over all entries
 	for _, entry := range l.entries {
-		for name := range entry.told {
+		for name := range entry.usage {
 			if seen[name] {
 				continue
 			}
@@ -55,7 +55,7 @@
 	return false
 }
 
-// Restore counts a record as the words of the entries that there were. An entry that lives on says its own again, in place of
+// Restore counts a record as the last reports of the entries that there were. An entry that lives on says its own again, in place of
 // the one here.
 func (l *Ledger) Restore(record *wire.UsageRecord, now time.Time) {
 	l.mu.Lock()
@@ -66,9 +66,9 @@
 		if age < 0 || age >= window {
 			continue
 		}
-		entry := &entryUsage{at: now.Add(-age), window: window, told: make(map[string]*wire.Usage)}
-		for _, word := range one.GetUsage() {
-			entry.told[word.GetOrganisation()] = word
+		entry := &entryUsage{at: now.Add(-age), window: window, usage: make(map[string]*wire.Usage)}
+		for _, usage := range one.GetUsage() {
+			entry.usage[usage.GetOrganisation()] = usage
 		}
 		l.entries[Incarnation{one.GetEntry(), one.GetIncarnation()}] = entry
 	}
--- a/quota/release.go
+++ b/quota/release.go
@@ -16,9 +16,9 @@
 // again. Freed only after a whole window, the others would have nothing of it for that long, though use leaves the window
 // all the time: after a loss of all processes an organisation near its cap would be refused for eight seconds.
 //
-// What has left the window follows from the entry's last word. What it used after that isn't known, and counts as used in
-// the last moment before its death at the latest: all of its share that the word doesn't cover. So a share shrinks by what
-// has left the window of the last word since the death, and is gone a window after it.
+// What has left the window follows from the entry's last report. What it used after that isn't known, and counts as used in
+// the last moment before its death at the latest: all of its share that the report doesn't cover. So a share shrinks by what
+// has left the window of the last report since the death, and is gone a window after it.
 type Releases struct {
 	ledger *Ledger
 	seen   map[Incarnation]*endedEntry
--- a/state/announcements.go
+++ b/state/announcements.go
@@ -13,8 +13,8 @@
 // announcementPrefix marks announcements in the directory's history.
 const announcementPrefix = "s/"
 
-// runReturns is how many words in a row, with nothing from the run that is held between them, show that another run of the same
-// server lives though it started earlier by its clock or had been replaced. Words that were held up come once or in a short
+// runReturns is how many announcements in a row, with nothing from the run that is held between them, show that another run of the same
+// server lives though it started earlier by its clock or had been replaced. Late ones come once or in a short
 // series; a server that lives goes on each heartbeat. Meanwhile it gets no new work, for some heartbeats.
 const runReturns = 3
 
@@ -112,7 +112,7 @@
 // checkAnnouncement returns what is wrong with an announcement, or "". One that introduces a run names a service of the
 // desired state in force; one of a service that an operator has taken away still says that it leaves.
 //
-// Words may come from other writers. One with a service that nobody knows would take a sound server's address from it.
+// Announcements may come from other writers. One with a service that nobody knows would take a sound server's address from it.
 func (s *State) checkAnnouncement(in *wire.Announcement) string {
 	if name := in.GetServer(); name == "" || len(name) > maxName || in.GetAddress() == "" {
 		return "an announcement without a name or an address"
@@ -132,10 +132,10 @@
 	return slices.ContainsFunc(desired.GetPools(), func(pool *wire.Pool) bool { return pool.GetName() == name })
 }
 
-// contend notes a word of a run that isn't the newest as far as known, and tells whether it has shown that it lives.
+// contend notes an announcement of a run that isn't the newest as far as known, and tells whether it has shown that it lives.
 //
 // The time of start can't decide alone: a clock that was set back makes a new run look older than the last, and such a server
-// would be lost for good. Nor can the last word: it may have been held up for seconds.
+// would be lost for good. Nor can the last announcement: it may have been delayed for seconds.
 func (a *announcements) contend(in *wire.Announcement) bool {
 	if in.GetDraining() {
 		return false
@@ -253,5 +253,5 @@
 // HasEnded tells whether a run is known to have ended for good.
 func (s *State) HasEnded(run string) bool { return s.announcements.ended.has[run] }
 
-// IsContested tells whether another run than the one that is held announces itself under an id. Then words of both count.
+// IsContested tells whether another run than the one that is held announces itself under an id. Then announcements of both count.
 func (s *State) IsContested(server string) bool { return s.announcements.contenders[server] != nil }
