--- a/quota/sim_control_test.go
+++ b/quota/sim_control_test.go
@@ -100,6 +100,9 @@
 	if s.rng.Float64() < 0.01 {
 		slow += s.between(0, 300*time.Millisecond)
 	}
+	if s.rng.Float64() < 0.01 { // sent again, since its outcome was late
+		s.after(slow+s.between(0, time.Second), func() { s.apply(command) })
+	}
 	s.after(slow, func() {
 		res := s.apply(command)
 		s.after(s.between(time.Millisecond, 4*time.Millisecond), func() {
@@ -143,8 +146,18 @@
 		s.apply(&wire.Command{Kind: &wire.Command_ReleaseShares{ReleaseShares: release}})
 	}
 	for _, e := range s.entries {
-		if s.now-e.heard > simSilent {
-			s.apply(&wire.Command{Kind: &wire.Command_EndEntry{EndEntry: &wire.EndEntry{Entry: e.name(), Incarnation: e.started}}})
+		if number := s.listed(e); number > 0 && s.now-e.heard > simSilent {
+			s.apply(&wire.Command{Kind: &wire.Command_EndEntry{EndEntry: &wire.EndEntry{Entry: e.name(), Incarnation: number}}})
+		}
+	}
+}
+
+// listed is the start of an entry that the directory has, 0 for none.
+func (s *sim) listed(e *simEntry) uint64 {
+	for _, listed := range s.state.Entries() {
+		if listed.GetEntry() == e.name() {
+			return listed.GetIncarnation()
 		}
 	}
+	return 0
 }
--- a/quota/sim_entry_test.go
+++ b/quota/sim_entry_test.go
@@ -17,7 +17,7 @@
 	e.up = true
 	e.started++
 	started := e.started
-	e.caps = quota.NewCaps(e.name(), started, quota.Clock{Now: s.clock, SinceBoot: func() time.Duration { return time.Hour + s.now }},
+	e.caps = quota.NewCaps(e.name(), started, quota.Clock{Now: func() time.Time { return s.clock().Add(e.stepped) }, SinceBoot: func() time.Duration { return time.Hour + s.now }},
 		quota.Tolerance{Window: simWindow, Overrun: simOverrun})
 	e.caps.SetEntries(len(s.entries))
 	e.cap, e.known = nil, -1
@@ -87,14 +87,7 @@
 }
 
 // isEnded tells whether control has ended this start of the entry.
-func (e *simEntry) isEnded() bool {
-	for _, listed := range e.s.state.Entries() {
-		if listed.GetEntry() == e.name() {
-			return false
-		}
-	}
-	return true
-}
+func (e *simEntry) isEnded() bool { return e.s.listed(e) == 0 }
 
 // wake moves shares at once if one has run short.
 func (e *simEntry) wake() {
--- a/quota/sim_faults_test.go
+++ b/quota/sim_faults_test.go
@@ -19,11 +19,15 @@
 	faultFreezeCtl    = "freeze control instance"
 	faultRaise        = "raise the cap"
 	faultLower        = "lower the cap"
+	faultRemove       = "remove an entry"
+	faultAdd          = "add an entry"
+	faultClock        = "set the time of day of an entry"
 )
 
 var simFaults = []string{
 	faultKillEntry, faultKillEntries, faultKillControl, faultKillControls, faultKillAll, faultCut, faultCutLong, faultCutControl,
 	faultOneWay, faultFreezeEntry, faultFreezeCtl, faultRaise, faultLower,
+	faultRemove, faultAdd, faultClock,
 }
 
 func (s *sim) strike(f simFault) {
@@ -66,6 +70,14 @@
 		s.change(1.5)
 	case faultLower:
 		s.change(0.6)
+	case faultRemove:
+		if entry.up {
+			entry.kill()
+		}
+	case faultAdd:
+		s.addEntry()
+	case faultClock:
+		entry.stepped += []time.Duration{f.span, -f.span}[f.which%2]
 	}
 }
 
@@ -94,3 +106,21 @@
 		s.after(min(down, time.Second)+s.between(100*time.Millisecond, 400*time.Millisecond), c.begin)
 	}
 }
+
+// addEntry puts one more entry into the deployment. The others learn of it at once; in a cut they would learn of it later, and
+// hold a little more ahead until then.
+func (s *sim) addEntry() {
+	e := &simEntry{s: s, number: len(s.entries)}
+	s.entries = append(s.entries, e)
+	var row []*simLink
+	for range s.controls {
+		row = append(row, &simLink{})
+	}
+	s.links = append(s.links, row)
+	for _, other := range s.entries {
+		if other.caps != nil {
+			other.caps.SetEntries(len(s.entries))
+		}
+	}
+	e.begin()
+}
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -18,8 +18,7 @@
 const (
 	simWindow     = 8 * time.Second
 	simOverrun    = 0.1
-	simPoll       = time.Second     // between an entry's polls of each control instance
-	simCall       = 1 * time.Second // the least time from the start of a process to its first request
+	simPoll       = time.Second // between an entry's polls of each control instance
 	simReadBound  = 500 * time.Millisecond
 	simSilence    = 2 * time.Second // after which a silent link is closed and opened anew
 	simCapRate    = 10_000.0        // units a second
@@ -122,7 +121,8 @@
 	cap     *quota.Cap
 	known   int // of sim.caps, -1 before the first
 	heard   time.Duration
-	listed  bool // registered in the directory
+	listed  bool          // registered in the directory
+	stepped time.Duration // by which its time of day was set
 	waiting []*simRequest
 }
 
