entry: a request that its share has come to fit meanwhile is not refused, and one that fits at once sets no timer

Cause: read as a newcomer: between a refused try and the question whether a larger share helps, the share may have grown; the answer was no, and the request was refused though it fitted.

--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -198,22 +198,26 @@
 // takeFromCap takes units from a cap. Where a larger share could let the request in, it is held until the share has changed,
 // for quota.ShareWait at most: a refusal within the cap is the worse mistake.
 func takeFromCap(ctx context.Context, u *quota.Cap, units uint64, class quota.Class) (g quota.Grant, wait time.Duration, ok bool) {
+	if g, wait, ok = u.Take(units, class); ok {
+		return g, 0, true
+	}
 	ctx, cancel := context.WithTimeout(ctx, quota.ShareWait)
 	defer cancel()
-	for {
-		if g, wait, ok = u.Take(units, class); ok {
-			return g, 0, true
-		}
+	for !ok && ctx.Err() == nil {
 		changed, helps := u.Awaits(units)
-		if !helps {
-			return g, wait, false
+		if helps {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return g, wait, false
+		// The share may have changed since the last try, also where a larger one wouldn't help any more.
+		g, wait, ok = u.Take(units, class)
+		if !helps {
+			break
 		}
 	}
+	return g, wait, ok
 }
 
 // units is what a call takes from its organisation's cap.
