state, entry: what ended entries hold is listed by itself; a call that nobody makes any more leaves the interface

The leader asked ten times a second for what ended entries hold, and all holders were sorted and copied for it, at the target size 383 entries with 220 organisations each; now only the ended ones. Entries ask control for nothing at once any more, so Refresh isn't part of what an entry needs of its session. Behaviour and tests as they were.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,8 +67,6 @@
 	// AddControls opens links to further control instances; Addresses returns those of all.
 	AddControls(addresses []string)
 	Addresses() []string
-	// Refresh asks control at once for what is new there.
-	Refresh()
 }
 
 // Entry is an entry instance.
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -148,8 +148,6 @@
 	return f.cutOff
 }
 
-func (f *fakeControl) Refresh() {}
-
 func (f *fakeControl) AddControls([]string) {}
 
 func (f *fakeControl) Addresses() []string { return nil }
--- a/state/shares.go
+++ b/state/shares.go
@@ -166,32 +166,48 @@
 	return held.units[organisation]
 }
 
-// EndedShares returns what entries that have ended still hold, sorted.
+// EndedShares returns what entries that have ended still hold, sorted. Most of the time there are none, and the leader asks
+// ten times a second.
 func (s *State) EndedShares() []*wire.HeldShares {
-	return slices.DeleteFunc(s.HeldShares(), func(h *wire.HeldShares) bool { return !h.GetEnded() })
+	return s.shares.records(func(held *heldShares) bool { return held.ended })
 }
 
 // HeldShares returns all shares, sorted by holder and organisation.
 func (s *State) HeldShares() []*wire.HeldShares {
-	var list []*wire.HeldShares
-	for _, holder := range slices.SortedFunc(maps.Keys(s.shares.holders), shareHolder.compare) {
-		held := s.shares.holders[holder]
-		record := &wire.HeldShares{
-			Entry:       holder.entry,
-			Incarnation: holder.incarnation,
-			Sequence:    held.sequence,
-			Ended:       held.ended,
-			Replaced:    held.replaced,
-			WindowMs:    held.windowMS,
-		}
-		for _, name := range slices.Sorted(maps.Keys(held.units)) {
-			record.Shares = append(record.Shares, &wire.Share{Organisation: name, Units: held.units[name]})
+	return s.shares.records(func(*heldShares) bool { return true })
+}
+
+// records returns what the selected holders hold.
+func (s *shares) records(selects func(*heldShares) bool) []*wire.HeldShares {
+	var holders []shareHolder
+	for holder, held := range s.holders {
+		if selects(held) {
+			holders = append(holders, holder)
 		}
-		list = append(list, record)
+	}
+	slices.SortFunc(holders, shareHolder.compare)
+	var list []*wire.HeldShares
+	for _, holder := range holders {
+		list = append(list, s.holders[holder].record(holder))
 	}
 	return list
 }
 
+func (h *heldShares) record(holder shareHolder) *wire.HeldShares {
+	record := &wire.HeldShares{
+		Entry:       holder.entry,
+		Incarnation: holder.incarnation,
+		Sequence:    h.sequence,
+		Ended:       h.ended,
+		Replaced:    h.replaced,
+		WindowMs:    h.windowMS,
+	}
+	for _, name := range slices.Sorted(maps.Keys(h.units)) {
+		record.Shares = append(record.Shares, &wire.Share{Organisation: name, Units: h.units[name]})
+	}
+	return record
+}
+
 func (s *shares) restore(records []*wire.HeldShares) {
 	for _, record := range records {
 		held := &heldShares{
