--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/carawaypitch/carawaypitch/control"
 	"github.com/carawaypitch/carawaypitch/network/memory"
+	"github.com/carawaypitch/carawaypitch/quorum/journal"
 	"github.com/carawaypitch/carawaypitch/quorum/journal/journaltest"
 	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/settings"
@@ -76,9 +77,12 @@
 }
 
 // start runs an instance on its disk.
-func (c *cluster) start(n *node) {
+func (c *cluster) start(n *node) { c.startOn(n, n.fs) }
+
+// startOn runs an instance on a file system.
+func (c *cluster) startOn(n *node, fs journal.FS) {
 	var err error
-	n.control, err = control.New(n.settings, control.Options{Network: c.net.Host(n.host), FS: n.fs, Seed: 1})
+	n.control, err = control.New(n.settings, control.Options{Network: c.net.Host(n.host), FS: fs, Seed: 1})
 	require.NoError(c.t, err)
 	ctx, cancel := context.WithCancel(c.ctx)
 	n.cancel = cancel
