--- a/control/control.go
+++ b/control/control.go
@@ -79,7 +79,7 @@
 	c.sessions = newSessions(c)
 	c.reports = newReports()
 	c.usage = quota.NewLedger(c.capOf, c.heldByOthers)
-	c.usageFile = &usageFile{fs: c.options.FS, dir: s.DataDir}
+	c.usageFile = newUsageFile(s, c.options.FS)
 	c.leader = newLeader(c)
 	if err := c.open(); err != nil {
 		c.Close()
--- a/control/replication.go
+++ b/control/replication.go
@@ -21,6 +21,7 @@
 		Instance:       c.settings.Instance,
 		Dir:            c.settings.DataDir,
 		FS:             c.options.FS,
+		Volatile:       c.settings.Ephemeral,
 		Transport:      c.peers,
 		StateMachine:   c.machine,
 		TickInterval:   tick,
--- a/control/usagefile.go
+++ b/control/usagefile.go
@@ -11,6 +11,7 @@
 
 	"github.com/carawaypitch/carawaypitch/quorum/journal"
 	"github.com/carawaypitch/carawaypitch/quota"
+	"github.com/carawaypitch/carawaypitch/settings"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -27,13 +28,23 @@
 // window that it has used up already: 1,877,958 tokens ran in 8 s of 1,790,983 tolerated. One would notice by use above a
 // cap right after a loss of all machines. The file is synced, so a loss of power leaves it too.
 type usageFile struct {
-	fs      journal.FS
+	fs      journal.FS // nil for an instance without a disk, which saves nothing
 	dir     string
 	failing bool // the last save failed
 }
 
+func newUsageFile(s settings.Control, fs journal.FS) *usageFile {
+	if s.Ephemeral {
+		return new(usageFile)
+	}
+	return &usageFile{fs: fs, dir: s.DataDir}
+}
+
 // save writes what is used now, if any cap is near. The error is that of the disk.
 func (f *usageFile) save(u *quota.Ledger, now time.Time) error {
+	if f.fs == nil {
+		return nil
+	}
 	record := u.Snapshot(now)
 	if record == nil {
 		return nil
@@ -76,6 +87,9 @@
 
 // load has use from before the start counted. A file that isn't there is no error.
 func (f *usageFile) load(u *quota.Ledger, now time.Time) error {
+	if f.fs == nil {
+		return nil
+	}
 	data, err := f.fs.ReadFile(filepath.Join(f.dir, usageFileName))
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil
--- a/quorum/replica/api.go
+++ b/quorum/replica/api.go
@@ -60,8 +60,11 @@
 	// Instance is the name of the instance the replica runs on. Required.
 	Instance string
 	// Dir is the folder of the journal; one replica has it for itself.
-	// Required.
+	// Required unless Volatile.
 	Dir string
+	// Volatile has the replica keep nothing over a restart, and use no file.
+	// Its identity is new at each start. It must not be made a voter.
+	Volatile bool
 	// FS is the file system; the default is the machine's own.
 	FS journal.FS
 	// Transport carries messages to the other replicas. It may be nil for a
--- a/quorum/replica/replica.go
+++ b/quorum/replica/replica.go
@@ -20,7 +20,7 @@
 type Replica struct {
 	cfg     Config
 	id      quorum.ID
-	journal *journal.Journal
+	journal storage
 
 	// mu guards node. The core holds it for one step at a time and never
 	// while it waits; Status takes it in between.
@@ -47,6 +47,26 @@
 	stopped chan struct{}
 }
 
+// storage is what a replica keeps over a restart: a *journal.Journal on a disk, or a *journal.Volatile where there is none.
+type storage interface {
+	Disk() string
+	Stats() journal.Stats
+	Save(hard *quorumpb.HardState, entries []*quorumpb.Entry) error
+	Reset(meta *quorumpb.SnapshotMeta) error
+	Release(index uint64) error
+	SaveSnapshot(s *quorumpb.Snapshot) error
+	ReadSnapshot() (*quorumpb.Snapshot, error)
+	Close() error
+}
+
+// openStorage opens the journal on the disk, or one that keeps nothing.
+func openStorage(cfg Config) (storage, journal.State, error) {
+	if cfg.Volatile {
+		return journal.NewVolatile(), journal.State{}, nil
+	}
+	return journal.Open(cfg.Dir, journal.Options{FS: cfg.FS})
+}
+
 // New opens the journal in cfg.Dir, restores the state machine from its newest
 // snapshot and returns a replica that Run starts. Errors are those of
 // journal.Open, of StateMachine.Restore, or say what cfg lacks.
@@ -54,7 +74,7 @@
 	if err := cfg.complete(); err != nil {
 		return nil, err
 	}
-	j, state, err := journal.Open(cfg.Dir, journal.Options{FS: cfg.FS})
+	j, state, err := openStorage(cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -94,7 +114,7 @@
 	switch {
 	case c.Instance == "":
 		return errors.New("replica: config without an instance")
-	case c.Dir == "":
+	case c.Dir == "" && !c.Volatile:
 		return errors.New("replica: config without a folder")
 	case c.StateMachine == nil:
 		return errors.New("replica: config without a state machine")
--- a/settings/control.go
+++ b/settings/control.go
@@ -30,10 +30,10 @@
 	// Bootstrap allows this instance to start a new quorum of Replicas on an empty data folder. With false an
 	// empty data folder waits as a learner to be added.
 	Bootstrap bool `json:"bootstrap"`
-	// DataDir is the data folder. Nothing else may use it.
-	DataDir string `json:"data_dir" settings:"required,path"`
-	// Ephemeral says that the data folder is lost with the process. Such an instance serves operators and processes as a
-	// learner, and never votes: what it acknowledged would be gone after its next restart.
+	// DataDir is the data folder. Nothing else may use it. Required unless ephemeral.
+	DataDir string `json:"data_dir" settings:"path"`
+	// Ephemeral says that this instance has no disk. It uses no data folder, serves operators and processes as a learner,
+	// and never votes: what it acknowledged would be gone after its next restart.
 	Ephemeral bool `json:"ephemeral"`
 	// Operators are the people and machines that may change classes.
 	Operators []OperatorAccount `json:"operators" settings:"required"`
@@ -130,6 +130,9 @@
 	c.portClash(listener{"listen.operators", s.Listen.Operators}, listener{"listen.links", s.Listen.Links})
 	c.advertised(s.Advertise, s.Listen.Links)
 	s.validateReplicas(c)
+	if s.DataDir == "" && !s.Ephemeral {
+		c.add(result.SettingsMissingKey, "data_dir", "the key \"data_dir\" is missing, and the instance isn't ephemeral")
+	}
 	c.operators(s.Operators)
 	c.organisations(&s.Organisations, &s.OrganisationsFile)
 	c.classes(s.InitialClasses)
