agent, entry: a model server without an agent is taken by the entries' own agents

Cause: model servers were reached by agents beside them only. An agent inside each entry takes plain services already. It now also takes model servers that no agent of the directory has listed for 2 s, and lets go of them once one does. Its gate learns no limit of slots there: it sees its own entry's part only.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -43,6 +43,8 @@
 	// Select chooses the servers of this agent among those that announce themselves to control, see Announced. With it
 	// the agent takes its servers from there and not from announcements at its own address.
 	Select func(*session.View) []*wire.Announcement
+	// MaxServers bounds the backend servers that are known at a time, those that left lately included. Default: maxServers.
+	MaxServers int
 
 	// newSession makes the session with control. Default: session.New.
 	newSession func(session.Config) Control
@@ -116,11 +118,14 @@
 	if options.newSession == nil {
 		options.newSession = func(c session.Config) Control { return session.New(c) }
 	}
+	if options.MaxServers == 0 {
+		options.MaxServers = maxServers
+	}
 	a.follow = follow{selects: options.Select, ended: make(map[string]time.Time)}
 	if a.session = options.Control; a.session == nil {
 		a.session = options.newSession(a.sessionConfig(clientTLS))
 	}
-	a.assemble(newEngine)
+	a.assemble(newEngine, options.MaxServers)
 	return a, nil
 }
 
@@ -166,7 +171,7 @@
 }
 
 // assemble makes the parts and joins them.
-func (a *Agent) assemble(newEngine func(*wire.ServerRecord) (engine.Client, error)) {
+func (a *Agent) assemble(newEngine func(*wire.ServerRecord) (engine.Client, error), most int) {
 	a.ready = &readiness{control: a.session.Ready}
 	a.links = a.entryServer()
 	a.reports = newReporter(a.log, a.meter, a.session.Propose)
@@ -181,7 +186,7 @@
 		spawn:     a.spawn,
 		changed:   a.serverChanged,
 		report:    a.reports.put,
-	}, a.beginServer)
+	}, a.beginServer, most)
 	a.orders = newOrders(orderDeps{
 		log:     a.log,
 		meter:   a.meter,
--- a/agent/follow_test.go
+++ b/agent/follow_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -51,6 +53,35 @@
 	require.Empty(t, AtAddress(followedAddress)(&session.View{}))
 }
 
+// Symptom: requests for models are refused with idle servers there. Sequence: a deployment has model servers on machines
+// where no agent runs, or an agent is gone for good. Cause: only an agent beside it took a model server.
+func TestServersWithoutAnAgentAreSelected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		selects := Either(OfKind(engine.KindService), Unattended(time.Second))
+		view := followView(1, announced("m1", "models", followedAddress), announced("m2", "models", "10.0.0.9:1"),
+			announced("d1", "desk", "10.0.0.8:1"))
+		view.Agents = map[string]*wire.AgentRecord{"agent-1": {Servers: []*wire.ServerRecord{{Server: announced("m1", "", "").Run().String()}}}}
+		names := func() []string {
+			var list []string
+			for _, a := range selects(view) {
+				list = append(list, a.GetServer())
+			}
+			slices.Sort(list)
+			return list
+		}
+		require.Equal(t, []string{"d1"}, names(), "its agent may be starting")
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"d1", "m2"}, names())
+		lone := view.Agents
+		view.Agents = nil
+		require.Equal(t, []string{"d1", "m2"}, names(), "its agent may be restarting")
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"d1", "m1", "m2"}, names())
+		view.Agents = lone
+		require.Equal(t, []string{"d1", "m2"}, names(), "it is the agent's at once")
+	})
+}
+
 // startFollowing starts an agent that takes its servers from control, beside a stand-in engine.
 func (w *world) startFollowing() {
 	w.t.Helper()
--- a/agent/release_test.go
+++ b/agent/release_test.go
@@ -34,7 +34,7 @@
 			l := newServers(serverDeps{
 				log:     noLog(),
 				newGate: func() admission { return new(stepRecorder) },
-			}, func(*server) {})
+			}, func(*server) {}, maxServers)
 			for i, view := range c.views {
 				s := l.expect([]string{"server-1", "server-2"}[i])
 				require.NotNil(t, s)
--- a/agent/servers.go
+++ b/agent/servers.go
@@ -18,16 +18,18 @@
 type servers struct {
 	deps  serverDeps
 	begin func(*server) // starts the gate duty
+	most  int           // servers
 
 	mu      sync.Mutex
 	list    map[string]*server
 	entries map[gate.EntryID]bool // that are linked
 }
 
-func newServers(deps serverDeps, begin func(*server)) *servers {
+func newServers(deps serverDeps, begin func(*server), most int) *servers {
 	l := &servers{
 		deps:    deps,
 		begin:   begin,
+		most:    most,
 		list:    make(map[string]*server),
 		entries: make(map[gate.EntryID]bool),
 	}
@@ -52,7 +54,7 @@
 	if s := l.list[name]; s != nil {
 		return s
 	}
-	if len(l.list) >= maxServers || checkName("server", name) != nil {
+	if len(l.list) >= l.most || checkName("server", name) != nil {
 		return nil
 	}
 	s := newServer(name, l.deps)
@@ -90,7 +92,7 @@
 func (l *servers) admit(name string) (*server, error) {
 	s := l.expect(name)
 	if s == nil {
-		return nil, result.New(result.RingFull, "an agent takes at most %d backend servers", maxServers)
+		return nil, result.New(result.RingFull, "an agent takes at most %d backend servers", l.most)
 	}
 	return s, nil
 }
--- a/agent/servers_test.go
+++ b/agent/servers_test.go
@@ -24,7 +24,7 @@
 	l := newServers(serverDeps{
 		log:     noLog(),
 		newGate: func() admission { return recorder },
-	}, func(*server) {})
+	}, func(*server) {}, maxServers)
 	l.entryUp(t.Context(), linked)
 	l.entryUp(t.Context(), left)
 	l.entryDown(t.Context(), left)
--- a/agent/timing.go
+++ b/agent/timing.go
@@ -44,7 +44,7 @@
 
 // Bounds of what an agent holds.
 const (
-	// maxServers bounds the backend servers of one agent.
+	// maxServers bounds the backend servers of one agent, unless its options say more.
 	maxServers = 64
 	// maxRuns bounds the attempts that run at one server at a time, above any number of slots in use.
 	maxRuns = 4096
--- a/entry/links.go
+++ b/entry/links.go
@@ -163,7 +163,7 @@
 func (l *links) agents(view *session.View) []*wire.AgentRecord {
 	agents := sortedAgents(view)
 	if l.entry.local != nil {
-		agents = append(agents, l.entry.local.record())
+		agents = append(agents, l.entry.local.record(view))
 	}
 	return agents
 }
--- a/entry/local_agent.go
+++ b/entry/local_agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,13 @@
 // take tens of milliseconds.
 const localUnprovenHold = time.Second
 
+// The entry's own agent sees a part of a server's work only, so it learns neither how many attempts the server runs well at
+// a time nor, from its pace, much of its health: all announced slots are given out, and only a standstill is suspect.
+const (
+	localSlotsFloor = 1
+	localSlowRatio  = 10
+)
+
 // localDrain is how long calls may still take after the entry itself has let its own requests finish.
 const localDrain = 100 * time.Millisecond
 
@@ -41,9 +49,20 @@
 	localHTTP  = localHost + ":2"
 )
 
+// localMaxServers bounds the servers of the entry's own agent, with those that left lately. It is a guard against announcements
+// without end: ten thousand servers are more than any deployment has.
+const localMaxServers = 10_000
+
+// localAttendWait is how long a model server has no agent before the entries' own agents take it. Agents announce themselves
+// within a second of their start.
+const localAttendWait = 2 * time.Second
+
 // localAgent is an agent inside the entry, for the plain services that have no agent beside them. Each entry has one of
 // its own, in no directory. An agent that several entries share would be one more process whose death loses what is in
 // flight; a plain service is lightly loaded, so its entries need no common gate to keep their order.
+//
+// It also takes the model servers that have no agent, for want of a better one: the gates of several entries keep no common
+// order there, so its slots are given out more than once under high load.
 type localAgent struct {
 	entry   *Entry
 	name    string
@@ -69,13 +88,16 @@
 	s.Timing.Probe = localProbe
 	s.Timing.UnprovenHold = localUnprovenHold
 	s.Timing.UnlistedSettle = localSettle
+	s.Limits.SlowRatio, s.Limits.SlotsFloor = localSlowRatio, localSlotsFloor
 	var err error
 	l.agent, err = agent.New(s, agent.Options{
 		Network:   l.network,
 		Log:       e.log,
 		NewEngine: e.options.NewEngine,
 		Control:   localControl{l},
-		Select:    agent.OfKind(engine.KindService),
+		Select:    agent.Either(agent.OfKind(engine.KindService), agent.Unattended(localAttendWait)),
+
+		MaxServers: localMaxServers,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "entry: own agent")
@@ -88,13 +110,16 @@
 	return l != nil && l.name == name
 }
 
-// record is the agent as the directory would have it.
-func (l *localAgent) record() *wire.AgentRecord {
+// record is the agent as the directory would have it. A server that an agent of the directory lists is that agent's.
+func (l *localAgent) record(view *session.View) *wire.AgentRecord {
+	attended := agent.Attended(view)
 	return &wire.AgentRecord{
 		Agent:            l.name,
 		AvailabilityZone: l.entry.settings.AvailabilityZone,
 		LinkAddress:      localLinks,
-		Servers:          *l.servers.Load(),
+		Servers: slices.DeleteFunc(slices.Clone(*l.servers.Load()), func(server *wire.ServerRecord) bool {
+			return attended[server.GetServer()]
+		}),
 	}
 }
 
