session: links to the leader and two others instead of to each of many control instances

Cause: 285 processes and 15 control instances had 4,275 links, each with a poll a second that is confirmed by a quorum, and each change of the directory went out as often; a start of the fleet is 470 such changes. A process needs the leader, for its proposals and since silence and use are counted there, and somebody who tells of the next leader. Up to five instances all are linked as before; so they are while no quorum confirms, as whether control is down or cut off shows only by all of them. What others use of a cap is taken from the leader alone where links are few: it alone hears all entries. A status of another instance then covers the processes linked to it.

session.TestLinksToManyInstancesAreBoundedAndSpread and the others beside it.

--- a/session/peer.go
+++ b/session/peer.go
@@ -28,6 +28,8 @@
 	sent     map[uint64]pollTime             // polls without an answer
 	waiting  map[uint64]chan *wire.ProposeReply
 	reports  reporter
+	wish     wish
+	failed   time.Time // when the last dial or link failed
 }
 
 // pollTime is when a poll was sent.
@@ -37,11 +39,11 @@
 }
 
 func newPeer(s *Session, number int, address string) *peer {
-	return &peer{session: s, number: number, address: address}
+	return &peer{session: s, number: number, address: address, wish: wish{changed: make(chan struct{})}}
 }
 
-// run dials until ctx ends, with a growing wait between tries.
-func (p *peer) run(ctx context.Context) {
+// keep dials until ctx ends, with a growing wait between tries.
+func (p *peer) keep(ctx context.Context) {
 	timing := p.session.timing()
 	wait := timing.RedialMin
 	for ctx.Err() == nil {
@@ -54,6 +56,7 @@
 			p.session.counters.linksLost.Inc()
 			p.session.cfg.Log.WithError(err).WithField("address", p.address).Warn("control_link_lost")
 		}
+		p.noteFailure()
 		if !pause.For(ctx, wait) {
 			return
 		}
@@ -121,12 +124,13 @@
 }
 
 func (p *peer) open(out *ring.Ring[*wire.ClientMessage]) {
+	links := p.session.links()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ring = out
 	p.sent = make(map[uint64]pollTime)
 	p.waiting = make(map[uint64]chan *wire.ProposeReply)
-	p.reports = reporter{source: p.session.cfg.Report, links: len(p.session.all())}
+	p.reports = reporter{source: p.session.cfg.Report, links: links}
 }
 
 // close ends the link. Who waits for a reply learns that none will come.
@@ -192,6 +196,7 @@
 		p.mu.Lock()
 		p.instance = kind.Hello.GetInstance()
 		p.mu.Unlock()
+		s.choiceChanged()
 		s.setLeader(kind.Hello.GetLeader())
 	case *wire.ControlMessage_Config:
 		return false, s.applyConfig(kind.Config)
@@ -250,7 +255,9 @@
 	if cfg.Confirmed != nil && p.session.listed() == cfg.Incarnation {
 		cfg.Confirmed(sent.sinceBoot)
 	}
-	if cfg.Caps != nil && len(f.GetCaps()) > 0 {
+	// With few links only the leader hears all entries, so only it can tell of the others.
+	hearsAll := len(p.session.all()) <= linkAllUpTo || f.GetLeader() == p.name()
+	if cfg.Caps != nil && len(f.GetCaps()) > 0 && hearsAll {
 		cfg.Caps(f.GetCaps())
 	}
 }
--- a/session/session.go
+++ b/session/session.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// Session keeps the links to all control instances. Its methods may be called from any goroutine, before Run too.
+// Session keeps the links to control instances: to all of a few, and to the leader and some others of many. Its methods may be called from any goroutine, before Run too.
 type Session struct {
 	cfg  Config
 	view atomic.Pointer[View]
@@ -116,13 +116,18 @@
 	registration *registration
 	orders       *orders
 	counters     counters
+	reselect     chan struct{} // holds one note
 	supersede    context.CancelCauseFunc // set by Run
 }
 
 // New returns a session that Run starts.
 func New(cfg Config) *Session {
 	cfg = cfg.withDefaults()
-	s := &Session{cfg: cfg, freshness: NewFreshness(len(cfg.Controls), cfg.SilenceBound, time.Now())}
+	s := &Session{
+		cfg:       cfg,
+		freshness: NewFreshness(len(cfg.Controls), cfg.SilenceBound, time.Now()),
+		reselect:  make(chan struct{}, 1),
+	}
 	s.view.Store(newView())
 	peers := make([]*peer, 0, len(cfg.Controls))
 	for i, address := range cfg.Controls {
@@ -146,6 +151,7 @@
 	s.restart()
 	var wg sync.WaitGroup
 	s.startPeers(func(p *peer) { wg.Go(func() { p.run(ctx) }) })
+	wg.Go(func() { s.runSelection(ctx) })
 	wg.Go(func() { s.register(ctx) })
 	<-ctx.Done()
 	s.startPeers(nil)
@@ -349,8 +355,23 @@
 		return
 	}
 	s.mu.Lock()
+	isNew := s.leader != instance
 	s.leader = instance
 	s.mu.Unlock()
+	if isNew {
+		s.choiceChanged()
+	}
+}
+
+// links is to how many control instances a link is wanted.
+func (s *Session) links() int {
+	n := 0
+	for _, p := range s.all() {
+		if p.wished().wanted {
+			n++
+		}
+	}
+	return n
 }
 
 // timing is that of the links: a silent one is dialled anew at the bound.
