entry, gate, link: an entry links to 48 agents of a target at most; less on links at rest

Cause: 105 entries and 180 agents had 18,900 links, each with eight heartbeats and four messages about room a second, both ways for the heartbeats. Links that are not its own any more are closed once they have no attempt. - The bulk stream's heartbeats are as seldom as its bound on silence is long. - The room is repeated to an entry that does nothing at the server each second instead of each heartbeat.

--- a/entry/links.go
+++ b/entry/links.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/network"
@@ -12,7 +14,7 @@
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
-// links keeps a link to each agent of the directory.
+// links keeps links to agents of the directory, see agentSubset.
 type links struct {
 	entry *Entry
 	tls   *tls.Config
@@ -21,6 +23,7 @@
 	mu     sync.Mutex
 	latest *session.View
 	byName map[string]*agentLink
+	needed map[string]time.Time // servers whose agents are linked whatever the subset, until then
 	wg     sync.WaitGroup
 }
 
@@ -39,9 +42,43 @@
 		tls:    config,
 		wake:   make(chan struct{}, 1),
 		byName: make(map[string]*agentLink),
+		needed: make(map[string]time.Time),
 	}
 }
 
+// neededFor is how long the agents of servers that an operation may have run on stay linked: longer than any call.
+const neededFor = 10 * time.Minute
+
+// need has the agents of servers linked, for an operation that another entry began: only they can tell what became of it.
+func (l *links) need(servers []string) {
+	l.mu.Lock()
+	isNew := false
+	for _, server := range servers {
+		isNew = isNew || l.needed[server].IsZero()
+		l.needed[server] = time.Now().Add(neededFor)
+	}
+	l.mu.Unlock()
+	if isNew {
+		l.again()
+	}
+}
+
+// neededNow returns the servers that are needed still.
+func (l *links) neededNow() map[string]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	needed := make(map[string]bool, len(l.needed))
+	for server, until := range l.needed {
+		if now.After(until) {
+			delete(l.needed, server)
+			continue
+		}
+		needed[server] = true
+	}
+	return needed
+}
+
 // viewChanged takes a new view from the session. It doesn't wait; views that come faster than the duty takes them are
 // skipped, since each is whole.
 func (l *links) viewChanged(view *session.View) {
@@ -58,10 +95,15 @@
 func (l *links) run(ctx context.Context) error {
 	defer l.wg.Wait()
 	var last *session.View
+	unused := time.NewTicker(unusedInterval)
+	defer unused.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-unused.C:
+			l.dropUnused(ctx)
+			continue
 		case <-l.wake:
 		}
 		view := l.view()
@@ -88,7 +130,8 @@
 		e.log.WithField("version", view.ConfigVersion).Info("config_applied")
 		e.meter.declareClasses(view.Classes)
 	}
-	if err := e.tell(ctx, sched.Directory{Agents: l.agents(view), Entries: len(view.Entries)}); err != nil {
+	agents := l.agents(view)
+	if err := e.tell(ctx, sched.Directory{Agents: agents, Entries: len(view.Entries)}); err != nil {
 		return err
 	}
 	catalogue := newCatalogue(view)
@@ -96,17 +139,19 @@
 	e.caps.SetEntries(len(view.Entries))
 	e.view.Store(catalogue)
 	e.prover.learn(view)
-	l.update(ctx, view)
+	l.update(ctx, agents)
 	return nil
 }
 
-// update opens links to new agents. The link to one that left the directory stays while it is up: answers in flight
-// come over it, and the scheduler sends it no new work.
-func (l *links) update(ctx context.Context, view *session.View) {
+// update opens links to new agents. The link to one that left the directory, or this entry's part of it, stays while it is up
+// and has work: answers in flight come over it, and the scheduler sends it no new work.
+func (l *links) update(ctx context.Context, agents []*wire.AgentRecord) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, record := range l.agents(view) {
+	listed := make(map[string]bool, len(agents))
+	for _, record := range agents {
 		name := record.GetAgent()
+		listed[name] = true
 		old := l.byName[name]
 		if old != nil && old.dialer.Address == record.GetLinkAddress() {
 			old.removed = false
@@ -118,13 +163,55 @@
 		l.byName[name] = l.open(ctx, name, record.GetLinkAddress())
 	}
 	for name, old := range l.byName {
-		if view.Agents[name] == nil && !l.entry.local.is(name) {
+		if !listed[name] {
 			old.removed = true
 			l.stopIfUnused(old)
 		}
 	}
 }
 
+// unusedInterval is how often links are looked for that are open and have no work any more.
+const unusedInterval = 2 * time.Second
+
+// dropUnused closes the open links to agents that aren't this entry's any more, once no attempt is there.
+//
+// A fleet that starts registers its agents one after the other, so the part of them that is an entry's changes until all are
+// there. Were the earlier links kept, most entries would end with twice their part.
+func (l *links) dropUnused(ctx context.Context) {
+	removed := l.removedLinks()
+	if len(removed) == 0 {
+		return
+	}
+	var idle []string
+	err := l.entry.ask(ctx, func(s *sched.Scheduler) {
+		idle = slices.DeleteFunc(removed, s.HasAttempts)
+	})
+	if err != nil {
+		return // the entry stops
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, name := range idle {
+		if a := l.byName[name]; a != nil && a.removed {
+			a.stop()
+			delete(l.byName, name)
+		}
+	}
+}
+
+func (l *links) removedLinks() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var removed []string
+	for name, a := range l.byName {
+		if a.removed {
+			removed = append(removed, name)
+		}
+	}
+	slices.Sort(removed)
+	return removed
+}
+
 // stopIfUnused is called with the lock held.
 func (l *links) stopIfUnused(a *agentLink) {
 	if !a.removed || a.up {
@@ -159,9 +246,10 @@
 	return a
 }
 
-// agents are those of the directory and the entry's own.
+// agents are this entry's part of those of the directory, and its own.
 func (l *links) agents(view *session.View) []*wire.AgentRecord {
-	agents := sortedAgents(view)
+	s := l.entry.settings
+	agents := slices.Clip(agentSubset(s.Instance, s.AvailabilityZone, sortedAgents(view), l.neededNow()))
 	if l.entry.local != nil {
 		agents = append(agents, l.entry.local.record(view))
 	}
--- a/entry/operation.go
+++ b/entry/operation.go
@@ -130,6 +130,9 @@
 	op.taken = taken
 	r.Epoch = record.GetEpoch()
 	r.Candidates = record.GetCandidates()
+	if taken {
+		op.entry.links.need(r.Candidates)
+	}
 	r.Earlier = record.GetEarlier()
 }
 
--- a/gate/leases.go
+++ b/gate/leases.go
@@ -9,6 +9,8 @@
 type entryState struct {
 	id      EntryID
 	heard   time.Time // last heartbeat, link or first message
+	roomAt  time.Time // when the room was sent to this entry alone
+	active  bool      // it has sent something but heartbeats since then
 	up      bool      // its link is open
 	expired bool      // silent for longer than the lease
 	ended   bool      // control committed its end
@@ -74,13 +76,19 @@
 	g.entries.get(id, g.now).up = false
 }
 
-// heartbeat renews the leases of all attempts of the entry.
+// roomRepeat is how often the room is sent to an entry that does nothing here, for one that missed a broadcast since its ring was
+// full. Sent on each heartbeat to all, it was a fifth of the messages of a link at rest.
+const roomRepeat = time.Second
+
+// heartbeat renews the leases of all attempts of the entry, and tells it the room. One that has work here goes by room that it
+// counts its own attempts against, so it is told each time.
 func (g *Gate) heartbeat(e *entryState) {
 	if e.ended {
 		return
 	}
 	g.renew(e)
-	if g.cleared() {
+	if g.cleared() && (e.active || g.now.Sub(e.roomAt) >= roomRepeat) {
+		e.roomAt, e.active = g.now, false
 		g.send(e.id, g.roomMessage())
 	}
 }
--- a/gate/receive.go
+++ b/gate/receive.go
@@ -6,6 +6,7 @@
 
 func (g *Gate) received(from EntryID, message *wire.EntryMessage) {
 	owner := g.entries.get(from, g.now)
+	owner.active = owner.active || message.GetHeartbeat() == nil
 	switch m := message.GetKind().(type) {
 	case *wire.EntryMessage_Hello:
 		// The link has read it.
--- a/link/agent_link.go
+++ b/link/agent_link.go
@@ -118,13 +118,14 @@
 	defer cancel(nil)
 	silence := l.dialer.Timing.Silence()
 	var wg sync.WaitGroup
-	wg.Go(func() { cancel(l.pump(ctx, &l.messages, silence)) })
-	wg.Go(func() { cancel(l.pump(ctx, &l.long, silence*bulkSilenceFactor)) })
+	interval := l.dialer.Timing.Heartbeat
+	wg.Go(func() { cancel(l.pump(ctx, &l.messages, interval, silence)) })
+	wg.Go(func() { cancel(l.pump(ctx, &l.long, interval*bulkSilenceFactor, silence*bulkSilenceFactor)) })
 	wg.Wait()
 	return context.Cause(ctx)
 }
 
-func (l *agentLink) pump(ctx context.Context, c *agentConn, silence time.Duration) error {
+func (l *agentLink) pump(ctx context.Context, c *agentConn, interval, silence time.Duration) error {
 	var batch wire.EntryBatch
 	send := func(messages []*wire.EntryMessage) error {
 		batch.Messages = messages
@@ -140,7 +141,7 @@
 		Ring:         c.ring,
 		Size:         func(message *wire.EntryMessage) int { return proto.Size(message) },
 		Beat:         l.beat,
-		BeatInterval: l.dialer.Timing.Heartbeat,
+		BeatInterval: interval,
 		Receive: func(ctx context.Context, in *wire.AgentBatch) (bool, error) {
 			return l.receive(ctx, in, c == &l.long)
 		},
--- a/link/doc.go
+++ b/link/doc.go
@@ -69,7 +69,8 @@
 	DefaultFlush           = 500 * time.Millisecond
 )
 
-// bulkSilenceFactor lengthens the silence bound of the Bulk stream, where a heartbeat may wait behind a body.
+// bulkSilenceFactor lengthens the silence bound of the Bulk stream, where a heartbeat may wait behind a body, and with it the
+// interval of its heartbeats.
 const bulkSilenceFactor = 4
 
 // WithDefaults returns t with the defaults in place of zero values.
--- a/sched/servers.go
+++ b/sched/servers.go
@@ -120,6 +120,12 @@
 	return v
 }
 
+// HasAttempts tells whether attempts of this entry are at an agent.
+func (s *Scheduler) HasAttempts(agent string) bool {
+	a := s.agents[agent]
+	return a != nil && len(a.attempts) > 0
+}
+
 // forgetAgents drops the agents that nothing refers to. One that was linked is kept while it is up.
 func (s *Scheduler) forgetAgents() {
 	for name, a := range s.agents {
