control: an instance with a disk gets the place of a learner without one in a full group

A machine that replaces a lost voter could not join then. control.TestInstanceWithADiskGetsThePlaceOfOneWithout: red without it.

--- a/control/members.go
+++ b/control/members.go
@@ -90,9 +90,12 @@
 	}
 	i := slices.IndexFunc(v.status.Members, func(m replica.Member) bool { return m.ID == id })
 	if i < 0 {
-		if v.now.Sub(info.heard) > memberHeard || len(v.status.Members) >= maxMembers {
+		if v.now.Sub(info.heard) > memberHeard {
 			return nil
 		}
+		if len(v.status.Members) >= maxMembers {
+			return v.makeRoom(info)
+		}
 		return &memberStep{quorum.AddLearner, id, info.hello.GetLinkAddress()}
 	}
 	if old := earlierLearner(v.status, id); old != quorum.NoID {
@@ -113,6 +116,23 @@
 	return nil
 }
 
+// makeRoom removes a learner without a disk from a full group for an instance with one.
+//
+// A large deployment has a control instance on some machines without a disk in each zone, and gets more of them with each machine
+// that is added. With the group full of them a machine that replaces a lost voter could not join, and the next loss would
+// leave no majority. One that is removed serves nobody any more; its callers know of others.
+func (v memberView) makeRoom(info peerInfo) *memberStep {
+	if info.hello.GetEphemeral() {
+		return nil
+	}
+	for _, m := range slices.Backward(v.status.Members) {
+		if !m.Voter && v.known[m.ID.Instance()].hello.GetEphemeral() {
+			return &memberStep{change: quorum.Remove, id: m.ID}
+		}
+	}
+	return nil
+}
+
 func (v memberView) voters() int {
 	n := 0
 	for _, m := range v.status.Members {
--- a/control/replace_test.go
+++ b/control/replace_test.go
@@ -18,6 +18,13 @@
 
 // newcomer is an instance at a host of its own, with an empty disk, whose settings name some of the others.
 func (c *cluster) newcomer(i int, seeds ...int) *node {
+	n := c.addNode(i, seeds...)
+	c.start(n)
+	return n
+}
+
+// addNode is newcomer without its start.
+func (c *cluster) addNode(i int, seeds ...int) *node {
 	n := c.newNode(i, 0)
 	n.settings.Bootstrap = false
 	n.settings.Voters = 3
@@ -26,7 +33,6 @@
 		n.settings.Replicas = append(n.settings.Replicas, settings.Replica{Instance: named.Instance, Address: named.Advertise})
 	}
 	c.nodes = append(c.nodes, n)
-	c.start(n)
 	return n
 }
 
--- a/control/tolerance_test.go
+++ b/control/tolerance_test.go
@@ -139,3 +139,29 @@
 		})
 	})
 }
+
+// Symptom: a machine that replaces a lost voter never becomes one. Sequence: machines without a disk are added until the group is
+// at its bound; then one with a disk comes. Cause: learners without a disk kept its place.
+func TestInstanceWithADiskGetsThePlaceOfOneWithout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		for _, n := range c.nodes {
+			n.settings.Voters = 5
+		}
+		c.startAll()
+		defer c.stopAll()
+		c.leader()
+		const bound = 16
+		for i := 4; i <= bound+2; i++ {
+			n := c.addNode(i, 1, 2, 3)
+			n.settings.Ephemeral = true
+			c.start(n)
+		}
+		c.eventually("the group is full", func() bool { return len(c.status(c.leader()).Replicas) == bound })
+		for i := bound + 3; i <= bound+4; i++ {
+			c.newcomer(i, 1, 2, 3)
+		}
+		c.eventually("those with a disk vote", func() bool { return voters(c, c.leader()) == 5 })
+		require.LessOrEqual(t, len(c.status(c.leader()).Replicas), bound)
+	})
+}
--- a/control/volatile_test.go
+++ b/control/volatile_test.go
@@ -32,11 +32,9 @@
 		c := newCluster(t, 3)
 		c.startAll()
 		defer c.stopAll()
-		n := c.newNode(4, 3)
-		n.settings.Bootstrap = false
+		n := c.addNode(4, 1, 2, 3)
 		n.settings.Ephemeral = true
 		n.settings.DataDir = ""
-		c.nodes = append(c.nodes, n)
 		for range 3 {
 			c.startOn(n, noFS{})
 			c.eventually("it serves", func() bool { return n.control.Ready() == nil })
