quota: a yield by less than a unit proposes nothing

Cause: what may be used of a share that is yielded lies between two whole units; rounded up it was the share that is held, and was proposed again at each look, four times a second and entry, for as long as others lack some of the cap. Found by a model of 105 entries in which the proposals of one never settled. quota.TestYieldingByLessThanAUnitProposesNothing: red without it.

--- a/quota/cap_test.go
+++ b/quota/cap_test.go
@@ -396,3 +396,16 @@
 		f.clock.pass(raiseGap)
 	}
 }
+
+// Symptom: each entry has a proposal committed four times a second that changes nothing. Sequence: an entry yields a part of its
+// share while others lack some; what it may use then lies between two whole units. Cause: the share to propose is rounded up, to
+// the one that is held.
+func TestYieldingByLessThanAUnitProposesNothing(t *testing.T) {
+	f := newFleet(t, 2, windowOnly)
+	u := f.org[0]
+	require.True(t, f.request(0, 600, onlyClass))
+	f.move(0)
+	f.org[0].share = 700.0
+	u.others.wanted, u.yielded, u.ceiling = 1, f.clock.now, u.share-0.5
+	require.Nil(t, f.caps[0].Moves())
+}
--- a/quota/share.go
+++ b/quota/share.go
@@ -76,7 +76,7 @@
 		return &wire.Share{Units: uint64(want), Uses: uint64(u.share)}
 	case u.share > want+slack*reserve+floor/2+u.expectedNow():
 		return u.lower(max(want, math.Ceil(own)))
-	case u.ceiling < u.share && own <= u.ceiling:
+	case math.Ceil(u.ceiling) < u.share && own <= u.ceiling:
 		return u.lower(math.Ceil(u.ceiling))
 	}
 	return nil
