--- a/entry/links.go
+++ b/entry/links.go
@@ -46,39 +46,6 @@
 	}
 }
 
-// neededFor is how long the agents of servers that an operation may have run on stay linked: longer than any call.
-const neededFor = 10 * time.Minute
-
-// need has the agents of servers linked, for an operation that another entry began: only they can tell what became of it.
-func (l *links) need(servers []string) {
-	l.mu.Lock()
-	isNew := false
-	for _, server := range servers {
-		isNew = isNew || l.needed[server].IsZero()
-		l.needed[server] = time.Now().Add(neededFor)
-	}
-	l.mu.Unlock()
-	if isNew {
-		l.again()
-	}
-}
-
-// neededNow returns the servers that are needed still.
-func (l *links) neededNow() map[string]bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
-	needed := make(map[string]bool, len(l.needed))
-	for server, until := range l.needed {
-		if now.After(until) {
-			delete(l.needed, server)
-			continue
-		}
-		needed[server] = true
-	}
-	return needed
-}
-
 // viewChanged takes a new view from the session. It doesn't wait; views that come faster than the duty takes them are
 // skipped, since each is whole.
 func (l *links) viewChanged(view *session.View) {
@@ -170,48 +137,6 @@
 	}
 }
 
-// unusedInterval is how often links are looked for that are open and have no work any more.
-const unusedInterval = 2 * time.Second
-
-// dropUnused closes the open links to agents that aren't this entry's any more, once no attempt is there.
-//
-// A fleet that starts registers its agents one after the other, so the part of them that is an entry's changes until all are
-// there. Were the earlier links kept, most entries would end with twice their part.
-func (l *links) dropUnused(ctx context.Context) {
-	removed := l.removedLinks()
-	if len(removed) == 0 {
-		return
-	}
-	var idle []string
-	err := l.entry.ask(ctx, func(s *sched.Scheduler) {
-		idle = slices.DeleteFunc(removed, s.HasAttempts)
-	})
-	if err != nil {
-		return // the entry stops
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, name := range idle {
-		if a := l.byName[name]; a != nil && a.removed {
-			a.stop()
-			delete(l.byName, name)
-		}
-	}
-}
-
-func (l *links) removedLinks() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var removed []string
-	for name, a := range l.byName {
-		if a.removed {
-			removed = append(removed, name)
-		}
-	}
-	slices.Sort(removed)
-	return removed
-}
-
 // stopIfUnused is called with the lock held.
 func (l *links) stopIfUnused(a *agentLink) {
 	if !a.removed || a.up {
