--- a/control/session.go
+++ b/control/session.go
@@ -101,13 +101,11 @@
 	s.control.sessions.heard(s, poll)
 	s.report(poll.GetReport())
 	caps := s.control.usage.Take(s.usageKey(), poll, time.Now())
-	var once sync.Once
 	var answered atomic.Bool
 	answer := func(confirmed bool) {
-		once.Do(func() {
-			answered.Store(true)
+		if answered.CompareAndSwap(false, true) {
 			s.fresh(poll, confirmed, caps)
-		})
+		}
 	}
 	timer := time.AfterFunc(pollTimeout, func() { answer(false) })
 	s.confirm(answered.Load, func(confirmed bool) {
