sight: which request a server ran when it crashed

On-call saw single attempts end with an unexpected EOF. No line told that the requests at one crash after the other were the same, nor that the server's process had ended rather than one of its answers: the hypotheses of the incident couldn't be told apart.

- Each request has a fingerprint (package poison): method, host, path with query, and body; in the lines of requests and attempts.
- A gate whose server breaks off an answer that nobody cancelled has its process looked for (VerifyServer).
A refused connection says that it ended, silence says nothing.
The agent logs and counts the crash with all it ran.

No decision is changed.

--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -31,6 +31,7 @@
 	metricDropped      = "carawaypitch_link_dropped_total"
 	metricPeersRefused = "carawaypitch_link_peers_refused_total"
 	metricDelayed      = "carawaypitch_link_delayed_total"
+	metricCrashes      = "carawaypitch_server_crashes_total"
 )
 
 // Reasons of retries.
@@ -90,6 +91,11 @@
 	m.add(fmt.Sprintf(`%s{end=%q}`, metricRuns, end), 1)
 }
 
+// crashed counts a server whose process ended while it ran requests.
+func (m *meter) crashed() {
+	m.add(metricCrashes, 1)
+}
+
 func (m *meter) cancelled(result string) {
 	m.add(fmt.Sprintf(`%s{result=%q}`, metricCancels, result), 1)
 }
--- a/agent/server_actions.go
+++ b/agent/server_actions.go
@@ -28,6 +28,10 @@
 		s.cancel(now, a)
 	case gate.ListEngine:
 		s.list()
+	case gate.VerifyServer:
+		s.verify()
+	case gate.Crashed:
+		s.logCrash(a.Runs)
 	case gate.Report:
 		s.log.WithField("request", a.Complete.GetRequest()).Info("outcome_reported")
 		s.report(a.Complete)
--- /dev/null
+++ b/agent/server_crash.go
@@ -0,0 +1,68 @@
+package agent
+
+import (
+	"context"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/pause"
+)
+
+const (
+	// verifyTries and verifyPause bound how often and how soon a server that broke off an answer is looked for again while a
+	// look tells nothing: its process may be about to close its listener.
+	verifyTries = 5
+	verifyPause = 50 * time.Millisecond
+)
+
+// verify finds out whether the server's process is still there, for the gate.
+func (s *server) verify() {
+	client := s.client
+	if client == nil {
+		s.then(gate.Verified{}, refusal{})
+		return
+	}
+	s.spawn(func(ctx context.Context) {
+		_ = s.push(ctx, gateEvent{gate.Verified{Ended: processEnded(ctx, client)}})
+	})
+}
+
+// processEnded tells whether nothing listens at the server's address. A refused connection says so at once; silence, as of a
+// machine without power or behind a cut, says nothing.
+func processEnded(ctx context.Context, client engine.Client) bool {
+	for range verifyTries {
+		callCtx, stop := context.WithTimeout(ctx, engineCallTimeout)
+		_, err := client.Load(callCtx)
+		stop()
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return true
+		case err == nil || errors.Is(err, engine.ErrUnsupported) || errors.Is(err, context.DeadlineExceeded):
+			return false
+		}
+		if !pause.For(ctx, verifyPause) {
+			return false
+		}
+	}
+	return false
+}
+
+// logCrash notes what the server ran when it crashed.
+func (s *server) logCrash(runs []gate.Run) {
+	requests := make([]string, 0, len(runs))
+	fingerprints := make([]string, 0, len(runs))
+	for _, run := range runs {
+		requests = append(requests, run.Request)
+		fingerprints = append(fingerprints, run.Organisation+"/"+run.Fingerprint.String())
+	}
+	s.meter.crashed()
+	s.log.WithField("runs", len(runs)).
+		WithField("requests", strings.Join(requests, ",")).
+		WithField("fingerprints", strings.Join(fingerprints, ",")).
+		Warn("server_crashed")
+}
--- /dev/null
+++ b/agent/server_crash_test.go
@@ -0,0 +1,72 @@
+package agent
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/engine/standin"
+)
+
+// loads is a client whose load calls give these errors, the last one for ever.
+type loads struct {
+	engine.Client
+	errs  []error
+	asked int
+}
+
+func (l *loads) Load(context.Context) (engine.Load, error) {
+	err := l.errs[min(l.asked, len(l.errs)-1)]
+	l.asked++
+	return engine.Load{}, err
+}
+
+func TestOnlyARefusedConnectionShowsThatAProcessEnded(t *testing.T) {
+	refused := errors.Wrap(syscall.ECONNREFUSED, "dial")
+	unknown := errors.Wrap(engine.ErrUnknown, "reset")
+	for name, test := range map[string]struct {
+		errs  []error
+		ended bool
+	}{
+		"refused":                    {[]error{refused}, true},
+		"reset, then refused":        {[]error{unknown, unknown, refused}, true},
+		"answers":                    {[]error{nil}, false},
+		"answers without a report":   {[]error{errors.Wrap(engine.ErrUnsupported, "load")}, false},
+		"silent":                     {[]error{context.DeadlineExceeded}, false},
+		"reset, again and again":     {[]error{unknown}, false},
+		"reset, then answers":        {[]error{unknown, nil, refused}, false},
+		"refused only after a while": {[]error{unknown, unknown, unknown, unknown, unknown, refused}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				require.Equal(t, test.ended, processEnded(t.Context(), &loads{errs: test.errs}))
+			})
+		})
+	}
+}
+
+// Symptom: on-call can't tell from any line what a server ran when it crashed. Sequence: an engine crashes with two runs, and comes
+// back; later it breaks one answer off without a crash.
+func TestCrashIsCounted(t *testing.T) {
+	modelWorld(t, func(w *world, model *standin.Server, entry *fakeEntry) {
+		entry.dispatch(longCompletion("r1", 1))
+		entry.dispatch(longCompletion("r2", 1))
+		w.until("the streams run", func() bool { return entry.eventCount("r1", 1) > 3 && entry.eventCount("r2", 1) > 3 })
+		crashes := w.agent.meter.set.GetOrCreateCounter(metricCrashes)
+		model.Crash(time.Second)
+		w.until("it is noticed", func() bool { return crashes.Get() == 1 })
+		entry.awaitOver("r1", 1)
+		entry.awaitOver("r2", 1)
+
+		require.NoError(t, model.SetFaults(standin.Faults{CutAnswer: 1}))
+		entry.dispatch(longCompletion("r3", 1))
+		entry.awaitOver("r3", 1)
+		require.EqualValues(t, 1, crashes.Get())
+	})
+}
--- a/agent/server_runs.go
+++ b/agent/server_runs.go
@@ -8,6 +8,7 @@
 
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/poison"
 )
 
 // errMayArrive turns an engine's "no such stream" into no proof.
@@ -85,6 +86,7 @@
 		WithField("attempt", r.key.number).
 		WithField("end", end).
 		WithField("class", r.dispatch.GetWork().GetClass()).
+		WithField("fingerprint", poison.Fingerprint(r.dispatch.GetFingerprint()).String()).
 		WithField("prompt", r.dispatch.GetWork().GetPromptTokens()).
 		WithField("ms", r.returned.Sub(r.arrived).Milliseconds()).
 		WithField("beside", r.beside).
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -133,6 +133,7 @@
 func withTrace(fields *log.Entry, t sched.Trace) *log.Entry {
 	return fields.WithFields(log.Fields{
 		"tier":        t.Tier,
+		"fingerprint": t.Fingerprint.String(),
 		"server":      t.Server,
 		"attempts":    t.Attempts,
 		"refusals":    t.Refusals,
--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/poison"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -37,6 +38,9 @@
 	server   string // as the entry named it
 	work     *wire.Work
 	dispatch *wire.Dispatch // nil for a reservation
+
+	fingerprint poison.Fingerprint // of the request, once dispatched
+
 	state    attemptState
 	unheard  bool   // known by its cancel only
 	sequence uint64 // of arrival
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -31,6 +31,7 @@
 	room     roomState
 	ahead    offerDelay
 	probes   probeWork
+	broken   broken
 	blocked  why // why the best waiting attempt has no room
 
 	nextSweep   time.Time
@@ -98,6 +99,8 @@
 		g.engineCancelled(e)
 	case EngineLoad:
 		g.engineLoad(e.Load)
+	case Verified:
+		g.verified(e)
 	default:
 		g.chartError("unknown event")
 	}
--- a/gate/receive.go
+++ b/gate/receive.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"github.com/carawaypitch/carawaypitch/poison"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -73,6 +74,7 @@
 		return
 	}
 	a.dispatch = m
+	a.fingerprint = poison.Fingerprint(m.GetFingerprint())
 	if before != absent {
 		g.waiting.taken.note(true)
 	}
--- a/gate/runs.go
+++ b/gate/runs.go
@@ -98,9 +98,13 @@
 		return
 	}
 	a.run.open = false
-	if a.cancel.cause == "" {
+	wasCancelled := a.cancel.cause != ""
+	if !wasCancelled {
 		a.cancel.cause = endCause(e)
 	}
+	if !wasCancelled && errors.Is(e.Err, engine.ErrUnknown) {
+		g.noteBroken(a)
+	}
 	unreachable := errors.Is(e.Err, engine.ErrUnreachable)
 	if unreachable {
 		g.unreachable()
--- a/gate/types.go
+++ b/gate/types.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/poison"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -100,6 +101,9 @@
 		Err     error
 	}
 
+	// Verified answers a VerifyServer: Ended says that nothing listens at the server's address any more.
+	Verified struct{ Ended bool }
+
 	// EngineLoad carries a load report, as old as Age.
 	EngineLoad struct {
 		Load engine.Load
@@ -120,6 +124,7 @@
 func (EngineEnded) gateEvent()     {}
 func (EngineCancelled) gateEvent() {}
 func (EngineLoad) gateEvent()      {}
+func (Verified) gateEvent()        {}
 
 // Action is something the agent has to do, in the order given.
 type Action interface{ gateAction() }
@@ -149,6 +154,12 @@
 	// ListEngine asks the engine for its streams; EngineListed follows.
 	ListEngine struct{}
 
+	// VerifyServer asks at once whether the server's process is still there; exactly one Verified follows.
+	VerifyServer struct{}
+
+	// Crashed says that the server's process ended, without having said that it leaves, while it ran these attempts.
+	Crashed struct{ Runs []Run }
+
 	// Report proposes the outcome of a keyed attempt to control because its entry is gone.
 	Report struct{ Complete *wire.CompleteOperation }
 
@@ -170,10 +181,19 @@
 func (StartEngine) gateAction()  {}
 func (CancelEngine) gateAction() {}
 func (ListEngine) gateAction()   {}
+func (VerifyServer) gateAction() {}
+func (Crashed) gateAction()      {}
 func (Report) gateAction()       {}
 func (Changed) gateAction()      {}
 func (Count) gateAction()        {}
 
+// Run is a request that a server ran when it crashed.
+type Run struct {
+	Request      string
+	Organisation string
+	Fingerprint  poison.Fingerprint
+}
+
 // Counter names a counter of the gate.
 type Counter uint8
 
--- /dev/null
+++ b/poison/fingerprint_test.go
@@ -0,0 +1,31 @@
+package poison
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFingerprintTellsRequestsApart(t *testing.T) {
+	one := Content{Method: "POST", Host: "a.example", Target: "/chat/1", BodyDigest: 7, BodySize: 3}
+	require.Equal(t, one.Fingerprint(), one.Fingerprint())
+	require.NotZero(t, Content{}.Fingerprint())
+	seen := map[Fingerprint]bool{one.Fingerprint(): true}
+	for _, change := range []func(*Content){
+		func(c *Content) { c.Method = "PUT" },
+		func(c *Content) { c.Host = "b.example" },
+		func(c *Content) { c.Host, c.Target = "a.example/", "chat/1" },
+		func(c *Content) { c.Target = "/chat/1?q=2" },
+		func(c *Content) { c.BodyDigest = 8 },
+		func(c *Content) { c.BodySize = 4 },
+	} {
+		other := one
+		change(&other)
+		require.False(t, seen[other.Fingerprint()], "%+v", other)
+		seen[other.Fingerprint()] = true
+	}
+}
+
+func TestFingerprintIsWrittenWithAllDigits(t *testing.T) {
+	require.Equal(t, "000000000000002a", Fingerprint(42).String())
+}
--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -159,6 +159,7 @@
 		ReportToControl: r.Key != "" && !r.Class.GetRepeatable(),
 		Operation:       r.operation(),
 		ResumeTokens:    r.tokens,
+		Fingerprint:     uint64(r.fingerprint),
 	}
 	if v := r.Verbatim; v != nil {
 		d.Verbatim = true
--- a/sched/request.go
+++ b/sched/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/poison"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -24,6 +25,8 @@
 // request is a live request.
 type request struct {
 	*Request
+	fingerprint poison.Fingerprint
+
 	state     state
 	sequence  uint64 // order of arrival
 	tier      int    // index: 0 is tier 1
@@ -80,7 +83,7 @@
 		return
 	}
 	s.sequence++
-	r := &request{Request: in, sequence: s.sequence, wakeIndex: -1}
+	r := &request{Request: in, fingerprint: in.fingerprint(), sequence: s.sequence, wakeIndex: -1}
 	r.class = s.classFor(in.Class)
 	r.tier = tierIndex(in.Class.GetTier())
 	r.mayBeLate = mayBeLate(in.Class)
--- a/sched/trace.go
+++ b/sched/trace.go
@@ -1,11 +1,17 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/poison"
+)
 
 // Trace says what a request went through, for the log line about its end: what was decided, and by which evidence.
 type Trace struct {
 	// Tier is the request's, 1 for the highest.
 	Tier uint32
+	// Fingerprint identifies it over its repeats.
+	Fingerprint poison.Fingerprint
 	// Server is where its last attempt went, empty if it had none.
 	Server string
 	// Attempts were sent; Refusals of them, or of reservations, never started.
@@ -31,7 +37,9 @@
 // trace sums up a request that ends now.
 func (s *Scheduler) trace(r *request) Trace {
 	t := Trace{
-		Tier:     uint32(r.tier) + 1,
+		Tier:        uint32(r.tier) + 1,
+		Fingerprint: r.fingerprint,
+
 		Attempts: len(r.attempts),
 		Refusals: r.refusals,
 		DueAfter: r.due().Sub(r.Arrived),
--- a/sched/types.go
+++ b/sched/types.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/poison"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -53,6 +54,17 @@
 	Earlier    []string // servers whose proofs are needed first, after a takeover
 }
 
+// fingerprint identifies the request over its repeats by the same caller.
+func (r *Request) fingerprint() poison.Fingerprint {
+	content := poison.Content{
+		Method: r.Method, Host: r.Target, Target: r.Path, BodyDigest: r.BodyDigest, BodySize: len(r.Body),
+	}
+	if r.Verbatim != nil {
+		content.Host = r.Verbatim.Host
+	}
+	return content.Fingerprint()
+}
+
 // Verbatim is what a request needs that is passed on as its caller wrote it. Path is then its whole target.
 type Verbatim struct {
 	Host    string
