--- a/engine/standin/delivery.go
+++ b/engine/standin/delivery.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -68,7 +69,7 @@
 // crashes writes what there is and crashes the engine, if it is to die here or
 // the answer is to be cut here. It says whether the connection must close.
 func (d *delivery) crashes() bool {
-	down, dies := d.model.faults.dies(d.next)
+	down, dies := d.dies()
 	cut := d.fate.cut && d.next >= d.s.spec.Total/2
 	if !dies && !cut {
 		return false
@@ -80,6 +81,14 @@
 	return true
 }
 
+// dies says whether the engine crashes here, and for how long.
+func (d *delivery) dies() (time.Duration, bool) {
+	if d.fate.kills && d.next > 0 {
+		return d.fate.down, true
+	}
+	return d.model.faults.dies(d.next)
+}
+
 // end writes the last events: the finish, the usage and the end mark, or the
 // error that ends the stream.
 func (d *delivery) end(state engine.StreamState) error {
@@ -138,7 +147,7 @@
 			return abort()
 		}
 		d.next = produced
-		if down, dies := d.model.faults.dies(d.next); dies {
+		if down, dies := d.dies(); dies {
 			d.model.Crash(down)
 			return abort()
 		}
--- a/engine/standin/faults.go
+++ b/engine/standin/faults.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"math"
@@ -37,6 +38,9 @@
 	// that many tokens; 0 never. It stays down for DownMs milliseconds.
 	DieAfterTokens int   `json:"die_after_tokens"`
 	DownMs         int64 `json:"down_ms"`
+	// CrashOn crashes the engine each time that it begins to run a request whose
+	// body holds this text; empty never. It stays down for DownMs milliseconds.
+	CrashOn string `json:"crash_on"`
 	// FreezeMs freezes it from now on, in milliseconds: it accepts
 	// connections and calls, and nothing happens.
 	FreezeMs int64 `json:"freeze_ms"`
@@ -110,6 +114,17 @@
 	return time.Duration(f.faults.DownMs) * time.Millisecond, true
 }
 
+// kills tells whether a request with this body crashes the engine, and for how
+// long.
+func (f *faultSet) kills(body []byte) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.faults.CrashOn == "" || !bytes.Contains(body, []byte(f.faults.CrashOn)) {
+		return 0, false
+	}
+	return time.Duration(f.faults.DownMs) * time.Millisecond, true
+}
+
 // slowed is a duration under the switch Slow.
 func (f *faultSet) slowed(duration time.Duration) time.Duration {
 	slow := f.get().Slow
@@ -122,6 +137,10 @@
 // fate is what befalls one run of a request.
 type fate struct {
 	loseBefore, loseAnswer, cut, failBefore, failAfter bool
+
+	// kills: the engine crashes with the run's first token and stays down.
+	kills bool
+	down  time.Duration
 }
 
 // fate decides by the identity and how often it was started.
--- a/engine/standin/model.go
+++ b/engine/standin/model.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return m.refuse(c, err)
 	}
+	fate.down, fate.kills = m.faults.kills(body)
 	return m.deliver(c, s, 0, fate, parseStreamWish(body).Stream)
 }
 
@@ -78,7 +79,9 @@
 	if err != nil {
 		return m.refuse(c, err)
 	}
-	return m.deliver(c, s, from, fate{}, true)
+	var befalls fate
+	befalls.down, befalls.kills = m.faults.kills(body)
+	return m.deliver(c, s, from, befalls, true)
 }
 
 // deliver hands a stream's answer over from token number from.
--- a/engine/standin/service.go
+++ b/engine/standin/service.go
@@ -88,6 +88,10 @@
 	if fate.failBefore {
 		return fail(c)
 	}
+	if down, kills := s.faults.kills(body); kills {
+		s.Crash(down)
+		return abort()
+	}
 	run, err := s.run(c, id)
 	if err != nil || fate.loseAnswer {
 		return abort()
