--- /dev/null
+++ b/poison/fleet_test.go
@@ -0,0 +1,286 @@
+package poison_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/agent"
+	"github.com/carawaypitch/carawaypitch/control"
+	"github.com/carawaypitch/carawaypitch/engine/standin"
+	"github.com/carawaypitch/carawaypitch/entry"
+	"github.com/carawaypitch/carawaypitch/network/memory"
+	"github.com/carawaypitch/carawaypitch/quorum/journal/journaltest"
+	"github.com/carawaypitch/carawaypitch/settings"
+)
+
+// The fleet of these tests.
+const (
+	controls = 3
+	entries  = 3
+	engines  = 6
+	// contact is how long a process has to learn what another one knows.
+	contact = 3 * time.Second
+	// down is how long a crashed engine takes to come back.
+	down = 2 * time.Second
+	// killer is the text whose requests crash the engines.
+	killer = "poison"
+)
+
+// fleet is a whole deployment on an in-memory network, in a synctest bubble: the product's own daemons, and stand-ins of
+// engines that crash when they begin to run a request with the killer text.
+type fleet struct {
+	t        *testing.T
+	net      *memory.Network
+	controls []*process
+	entries  []*process
+	engines  []*standin.Server
+	client   *http.Client
+	ends     []func()
+}
+
+// process is a daemon that runs.
+type process struct {
+	name string
+	host string
+	fs   *journaltest.FS // of control
+	stop func()
+}
+
+func inFleet(t *testing.T, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, net: memory.New()}
+		caller := f.net.Host("10.9.0.1")
+		transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return caller.Dial(ctx, address)
+		}}
+		f.client = &http.Client{Transport: transport}
+		defer f.end(transport)
+		for i := range controls {
+			f.controls = append(f.controls, &process{name: fmt.Sprint("control-", i), host: fmt.Sprint("10.0.0.", i+1), fs: journaltest.New()})
+		}
+		for i := range f.controls {
+			f.startControl(i)
+		}
+		for i := range engines {
+			f.startEngine(i)
+		}
+		for i := range entries {
+			f.startEntry(i)
+		}
+		f.eventually("all entries serve", func() bool {
+			for i := range entries {
+				if f.chat(i, "compost", "hello").status != http.StatusOK {
+					return false
+				}
+			}
+			return true
+		})
+		test(f)
+	})
+}
+
+// end stops all daemons, the last one first.
+func (f *fleet) end(transport *http.Transport) {
+	transport.CloseIdleConnections()
+	for _, end := range slices.Backward(f.ends) {
+		end()
+	}
+	transport.CloseIdleConnections()
+}
+
+// launch runs a daemon and returns what kills it: its connections are lost, and nobody hears why.
+func (f *fleet) launch(host string, run func(context.Context) error) (kill func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = run(ctx)
+	}()
+	end := sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})
+	f.ends = append(f.ends, end)
+	return func() {
+		f.net.Refuse(host, true)
+		f.net.Reset(host)
+		end()
+		f.net.Refuse(host, false)
+	}
+}
+
+func quiet() log.Interface { return &log.Logger{Handler: discard.New(), Level: log.FatalLevel} }
+
+var organisations = []settings.Organisation{
+	{Name: "compost", DefaultClass: "review", KeyDigests: []string{settings.NewDigest("key-of-compost", settings.NewSalt())}},
+	{Name: "yatai", DefaultClass: "review", KeyDigests: []string{settings.NewDigest("key-of-yatai", settings.NewSalt())}},
+}
+
+func (f *fleet) startControl(i int) {
+	p := f.controls[i]
+	s := settings.DefaultControl()
+	s.Instance = p.name
+	s.AvailabilityZone = fmt.Sprint("zone-", i)
+	s.Listen = settings.ControlListen{Operators: p.host + ":8090", Links: p.host + ":7000"}
+	s.Advertise = s.Listen.Links
+	s.Bootstrap = true
+	s.DataDir = "/data"
+	s.Organisations = organisations
+	s.InitialClasses = []settings.Class{{
+		Name: "review", Tier: 2, DeadlineMS: 6000, LateMax: 0.01, LostMax: 0.01, Repeatable: true, Kind: settings.KindModel,
+	}}
+	for _, other := range f.controls {
+		s.Replicas = append(s.Replicas, settings.Replica{Instance: other.name, Address: other.host + ":7000"})
+	}
+	c, err := control.New(s, control.Options{Network: f.net.Host(p.host), FS: p.fs, Seed: uint64(i) + 1})
+	require.NoError(f.t, err)
+	p.stop = f.launch(p.host, c.Run)
+}
+
+func (f *fleet) links() []string {
+	var links []string
+	for _, c := range f.controls {
+		links = append(links, c.host+":7000")
+	}
+	return links
+}
+
+func (f *fleet) startEngine(i int) {
+	host := fmt.Sprint("10.1.0.", i+1)
+	a := settings.DefaultAgent()
+	a.Instance = fmt.Sprint("agent-", i)
+	a.AvailabilityZone = fmt.Sprint("zone-", i%3)
+	a.Listen = settings.AgentListen{HTTP: host + ":7100", Links: host + ":9100"}
+	a.Advertise = a.Listen.Links
+	a.Controls = f.links()
+	daemon, err := agent.New(a, agent.Options{Network: f.net.Host(host), Log: quiet()})
+	require.NoError(f.t, err)
+	f.launch(host, daemon.Run)
+	options := standin.ModelDefaults()
+	options.Server = fmt.Sprint("model-", i)
+	options.Network = f.net.Host(host)
+	options.Listen = host + ":7200"
+	options.Agent = "http://" + host + ":7100"
+	options.LeaveTimeout = time.Second
+	options.Faults = standin.Faults{CrashOn: killer, DownMs: down.Milliseconds()}
+	server := standin.New(options)
+	f.engines = append(f.engines, server)
+	f.launch(host, server.Run)
+}
+
+func (f *fleet) startEntry(i int) {
+	host := fmt.Sprint("10.2.0.", i+1)
+	s := settings.DefaultEntry()
+	s.Instance = fmt.Sprint("entry-", i)
+	s.AvailabilityZone = fmt.Sprint("zone-", i%3)
+	s.Listen.Callers = host + ":8080"
+	s.Controls = f.links()
+	s.Organisations = organisations
+	s.Timing.Drain = time.Second
+	daemon, err := entry.New(s, entry.Options{Network: f.net.Host(host), Log: quiet(), Seed: uint64(i) + 1})
+	require.NoError(f.t, err)
+	p := &process{name: s.Instance, host: host, stop: f.launch(host, daemon.Run)}
+	if i < len(f.entries) {
+		f.entries[i] = p
+		return
+	}
+	f.entries = append(f.entries, p)
+}
+
+// answer is what a caller got; a status of 0 says that the connection was lost.
+type answer struct {
+	status int
+	body   string
+}
+
+// chat asks an entry for an answer to a text.
+func (f *fleet) chat(at int, organisation, text string) answer {
+	body := fmt.Sprintf(`{"model":"sample","max_tokens":24,"messages":[{"role":"user","content":%q}]}`, text)
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.entries[at].host+":8080/v1/chat/completions", strings.NewReader(body))
+	require.NoError(f.t, err)
+	request.Header.Set("Authorization", "Bearer key-of-"+organisation)
+	response, err := f.client.Do(request)
+	if err != nil {
+		return answer{}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer{}
+	}
+	return answer{response.StatusCode, string(data)}
+}
+
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	require.Eventually(f.t, holds, time.Minute, 20*time.Millisecond, what)
+}
+
+// crashes is how often engines have crashed.
+func (f *fleet) crashes() int {
+	total := 0
+	for _, e := range f.engines {
+		total += int(e.Stats().Crashes)
+	}
+	return total
+}
+
+// crashTimes notes when engines crash, until the returned function is called.
+func (f *fleet) crashTimes() func() []time.Time {
+	var times []time.Time
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case now := <-time.After(5 * time.Millisecond):
+				for range f.crashes() - len(times) {
+					times = append(times, now)
+				}
+			}
+		}
+	}()
+	return func() []time.Time {
+		close(stop)
+		<-done
+		return times
+	}
+}
+
+// Symptom: engines crash one after the other, and with each the answers of all requests beside the one that crashes it are lost.
+// Sequence: a request crashes each engine that begins to run it. Its caller repeats it every second, with another id, at one
+// entry after the other.
+func TestRequestThatCrashesServersIsHeldBack(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		seen := f.crashTimes()
+		for i := range 20 {
+			f.chat(i%entries, "compost", "a "+killer+" pill")
+			time.Sleep(time.Second)
+		}
+		times := seen()
+		require.GreaterOrEqual(f.t, len(times), 3, "the request reaches engines until it is known")
+		retries := 0
+		for _, at := range times[3:] {
+			if at.Sub(times[2]) > contact {
+				retries++
+			}
+		}
+		require.LessOrEqual(f.t, retries, 3, "retries later than contact after the third crash; crashes at %v", times)
+	})
+}
