poison: a request with two crashes begins alone, and only a crash there quarantines it

Cause: two crashes and keeping such requests apart from each other don't tell an innocent one from the one beside it. Now a request with two crashes waits at one gate, which lets its server run empty for it and takes nobody else until half a second after its first token; a crash then is its own. Crashes beside others count twice at most, in any order.

Two more, found by the same tests: an entry heard of a crash only with the proof, which a server without its process gives when it is back, and sent the request on meanwhile (it is told at once now); crashes of one server that control noted late, together, counted as one (they are told apart by their reporter's ids).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -185,6 +185,7 @@
 		newGate:   a.newGate,
 		spawn:     a.spawn,
 		changed:   a.serverChanged,
+		reporter:  a.settings.Instance,
 		report:    a.reports.put,
 	}, a.beginServer, most)
 	a.orders = newOrders(orderDeps{
--- a/agent/server_actions.go
+++ b/agent/server_actions.go
@@ -31,7 +31,7 @@
 	case gate.VerifyServer:
 		s.verify()
 	case gate.Crashed:
-		s.crashed(a.Runs)
+		s.crashed(a)
 	case gate.Report:
 		s.log.WithField("request", a.Complete.GetRequest()).Info("outcome_reported")
 		s.report(outcomeReport(a.Complete))
--- a/agent/server_crash.go
+++ b/agent/server_crash.go
@@ -56,11 +56,13 @@
 }
 
 // crashed tells control and the log what the server ran when it crashed.
-func (s *server) crashed(runs []gate.Run) {
-	note := &wire.NoteCrash{Crash: &wire.Crash{Id: uuid.NewString(), Server: s.name}}
-	requests := make([]string, 0, len(runs))
-	fingerprints := make([]string, 0, len(runs))
-	for _, run := range runs {
+func (s *server) crashed(a gate.Crashed) {
+	note := &wire.NoteCrash{Crash: &wire.Crash{
+		Id: uuid.NewString(), Server: s.name, Alone: a.Alone, Reporter: s.reporter,
+	}}
+	requests := make([]string, 0, len(a.Runs))
+	fingerprints := make([]string, 0, len(a.Runs))
+	for _, run := range a.Runs {
 		key := poison.Key{Organisation: run.Organisation, Fingerprint: run.Fingerprint}
 		note.Ran = append(note.Ran, key.Record())
 		requests = append(requests, run.Request)
@@ -68,7 +70,8 @@
 	}
 	s.report(crashReport(note))
 	s.meter.crashed()
-	s.log.WithField("runs", len(runs)).
+	s.log.WithField("runs", len(a.Runs)).
+		WithField("alone", a.Alone).
 		WithField("requests", strings.Join(requests, ",")).
 		WithField("fingerprints", strings.Join(fingerprints, ",")).
 		Warn("server_crashed")
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -145,7 +145,7 @@
 		for i := range poison.QuarantinedAt {
 			_, err := f.sessions[fmt.Sprint("agent-", i)].Propose(t.Context(), &wire.Command{Kind: &wire.Command_NoteCrash{
 				NoteCrash: &wire.NoteCrash{
-					Crash: &wire.Crash{Id: fmt.Sprint(i), Server: fmt.Sprint("server-", i)},
+					Crash: &wire.Crash{Id: fmt.Sprint(i), Server: fmt.Sprint("server-", i), Alone: true},
 					Ran:   []*wire.PoisonRecord{key.Record()},
 				},
 			}})
--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -39,8 +39,9 @@
 	work     *wire.Work
 	dispatch *wire.Dispatch // nil for a reservation
 
-	fingerprint poison.Fingerprint // of the request, once dispatched
-	crashed     bool               // the server's process ended while it ran
+	fingerprint  poison.Fingerprint // of the request, once dispatched
+	crashed      bool               // the server's process ended while it ran
+	crashedAlone bool               // and nothing else did
 
 	state    attemptState
 	unheard  bool   // known by its cancel only
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
 )
 
 // crashWindow is how far apart the broken connections of one crash may be noticed. A process loses all of them at once; the rest
@@ -16,12 +19,14 @@
 type broken struct {
 	attempts []brokenAttempt // oldest first
 	asked    bool            // a VerifyServer has no answer yet
+	alone    bool            // a request has the server for itself, as of the last tick
 	endedAt  time.Time       // when the process was found to have ended, zero if it wasn't
 }
 
 type brokenAttempt struct {
 	attempt *attempt
 	at      time.Time
+	alone   bool
 }
 
 // noteBroken notes that the server broke off an attempt that nobody had cancelled, and has its process looked for.
@@ -31,7 +36,7 @@
 	}
 	b := &g.broken
 	b.attempts = slices.DeleteFunc(b.attempts, func(one brokenAttempt) bool { return g.now.Sub(one.at) > crashWindow })
-	b.attempts = append(b.attempts, brokenAttempt{a, g.now})
+	b.attempts = append(b.attempts, brokenAttempt{a, g.now, g.isAlone(a)})
 	if !b.endedAt.IsZero() && g.now.Sub(b.endedAt) <= crashWindow {
 		g.blameBroken()
 		return
@@ -60,20 +65,45 @@
 	g.blameBroken()
 }
 
-// holdsWatched tells whether a watched request has room here.
+// aloneTime is how long a watched request stays alone after its first token. One that crashes servers does so as it begins.
+const aloneTime = 500 * time.Millisecond
+
+// isAlone tells whether an attempt is to have the server for itself.
 //
-// Watched requests run apart from each other. Two that have each been under two crashes would otherwise share the third, and the one
-// that was only beside the other would be refused with it.
-func (g *Gate) holdsWatched() bool {
-	return slices.ContainsFunc(g.held, func(a *attempt) bool { return a.work.GetWatched() })
+// A request may have been beside another one that crashed two servers. Were it beside that one, or a further such one, at the third
+// crash too, it would be refused with it. Alone it either crashes the server itself or is served.
+func (g *Gate) isAlone(a *attempt) bool {
+	begun := !a.run.firstToken.IsZero() && g.now.Sub(a.run.firstToken) >= aloneTime
+	return a.work.GetWatched() && !begun
+}
+
+// holdsAlone tells whether a request is to have the server for itself now.
+func (g *Gate) holdsAlone() bool { return slices.ContainsFunc(g.held, g.isAlone) }
+
+// notAlone says whether an attempt has to wait until it, or another one, has had the server for itself.
+func (g *Gate) notAlone(a *attempt) why {
+	if a.work.GetWatched() && len(g.held) > 0 || g.holdsAlone() {
+		return whyAlone
+	}
+	return roomEnough
+}
+
+// noteAlone has entries hear when the server takes others again.
+func (g *Gate) noteAlone() {
+	if alone := g.holdsAlone(); alone != g.broken.alone {
+		g.broken.alone = alone
+		g.room.dirty = true
+	}
 }
 
 // blameBroken reports the broken attempts as run by a server that crashed.
 func (g *Gate) blameBroken() {
 	var runs []Run
+	alone := len(g.broken.attempts) == 1 && g.broken.attempts[0].alone
 	for _, one := range g.broken.attempts {
 		a := one.attempt
-		a.crashed = true
+		a.crashed, a.crashedAlone = true, alone
+		g.tellCrash(a)
 		runs = append(runs, Run{
 			Request:      a.record.request,
 			Organisation: a.work.GetOrganisation(),
@@ -82,6 +112,21 @@
 	}
 	g.broken.attempts = nil
 	if len(runs) > 0 {
-		g.emit(Crashed{Runs: runs})
+		g.emit(Crashed{Runs: runs, Alone: alone})
+	}
+}
+
+// tellCrash tells the owner of an attempt that isn't proved over of the crash. The proof may have to wait until the server is back,
+// and meanwhile the entry would send the request to the next one.
+func (g *Gate) tellCrash(a *attempt) {
+	if a.state != cancelling {
+		return
 	}
+	g.reply(asker{entry: a.owner.id, number: a.number, server: a.server}, a.record.request, &wire.Over{
+		Proof:        wire.Proof_PROOF_UNPROVEN,
+		Code:         uint32(result.EngineLost),
+		Message:      "the backend server crashed",
+		Crashed:      a.crashed,
+		CrashedAlone: a.crashedAlone,
+	})
 }
--- a/gate/crash_test.go
+++ b/gate/crash_test.go
@@ -104,24 +104,48 @@
 
 func watchedWork() *wire.Work { return workOf(func(w *wire.Work) { w.Watched = true }) }
 
-// Symptom: a request is quarantined that was only beside the one that crashes servers. Sequence: each has been under two crashes; both
-// run at one server, which crashes. Other requests go past the one that has to wait.
-func TestWatchedRequestsRunApart(t *testing.T) {
+// Symptom: a request is quarantined that was only beside the ones that crash servers. Sequence: it has been under two crashes, and at the
+// third there is another such request, or one that nobody knows yet, beside it.
+func TestWatchedRequestBeginsAlone(t *testing.T) {
 	b := openBench(t)
-	b.start(entryA, id("w1", 1), watchedWork())
-	refused := b.dispatch(entryB, id("w2", 1), watchedWork())
-	require.Empty(t, of[StartEngine](refused))
-	onlyOver(t, refused, entryB, wire.Proof_PROOF_NEVER_STARTED)
-
-	refused = b.reserve(entryB, id("w3", 1), watchedWork())
-	onlyOver(t, refused, entryB, wire.Proof_PROOF_NEVER_STARTED)
-	b.start(entryB, id("r1", 1), work())
+	b.start(entryA, id("r1", 1), work())
+	b.reserve(entryA, id("w1", 1), watchedWork())
+	b.reserve(entryB, id("r2", 1), work())
+	b.reserve(entryB, id("w2", 1), watchedWork())
+	b.actions = nil
+	b.finish(id("r1", 1))
+	require.Equal(t, []string{"w1.1"}, offeredIDs(b.actions), "the server has run empty for it")
+	b.dispatchOffered(entryA, id("w1", 1), watchedWork())
+	require.Zero(t, b.gate.free())
+	onlyOver(t, b.dispatch(entryB, id("r3", 1), work()), entryB, wire.Proof_PROOF_NEVER_STARTED)
 
-	b.finish(id("w1", 1))
-	b.start(entryB, id("w4", 1), watchedWork())
+	b.progress(id("w1", 1), "token")
+	b.pass(aloneTime / 2)
+	require.Len(t, b.gate.held, 1)
+	b.actions = nil
+	b.pass(aloneTime/2 + 2*TickInterval)
+	require.Equal(t, []string{"r2.1"}, offeredIDs(b.actions), "it has begun, and the server is there")
+	b.dispatchOffered(entryB, id("r2", 1), work())
+	b.actions = nil
+	b.lost(id("r2", 1))
+	b.lost(id("w1", 1))
+	b.step(Verified{Ended: true})
+	require.Len(t, crashed(b.actions), 2)
+	require.False(t, of[Crashed](b.actions)[0].Alone)
 	noChartErrors(t, b)
 }
 
+func TestCrashOfAServerThatRanAWatchedRequestAloneSaysSo(t *testing.T) {
+	b := openBench(t)
+	b.start(entryA, id("w1", 1), watchedWork())
+	b.lost(id("w1", 1))
+	b.step(Verified{Ended: true})
+	require.True(t, of[Crashed](b.actions)[0].Alone)
+	over := onlyOver(t, b.answer(id("w1", 1), engine.CancelUnknownID), entryA, wire.Proof_PROOF_CANCELLED)
+	require.True(t, over.GetCrashed())
+	require.True(t, over.GetCrashedAlone())
+}
+
 // Symptom: an entry sends more to a server that has crashed until a probe notices. Sequence: its process is found to have ended.
 func TestCrashedServerGetsNoNewWork(t *testing.T) {
 	b := openBench(t)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -120,6 +120,7 @@
 	g.lapseOffers()
 	g.retryCancels()
 	g.pace.roll(g)
+	g.noteAlone()
 	if g.now.Before(g.nextSweep) {
 		return
 	}
--- a/gate/offers.go
+++ b/gate/offers.go
@@ -28,12 +28,8 @@
 		if a == nil {
 			return
 		}
-		if g.blocked = g.noRoom(a); g.blocked == whyWatched {
-			g.refuseWaiting(a, refuseBesideWatched) // others go past it, and it goes elsewhere
-			continue
-		}
-		if g.blocked != roomEnough {
-			if g.protectFirstTier(a) {
+		if g.blocked = g.noRoom(a); g.blocked != roomEnough {
+			if g.blocked != whyAlone && g.protectFirstTier(a) {
 				continue
 			}
 			return
--- a/gate/refusals.go
+++ b/gate/refusals.go
@@ -35,8 +35,6 @@
 	refuseLapsed     = refusal{result.RefusedNeverStarted, "offers were not answered", 0}
 	refuseDeadline   = refusal{result.DeadlinePassedInQueue, "the deadline passed while the request waited", 0}
 	refuseCancelled  = refusal{result.Cancelled, "cancelled before it started", 0}
-
-	refuseBesideWatched = refusal{result.RefusedNeverStarted, string(whyWatched), retrySoon}
 )
 
 // refuseFull is for a full waiting list; the wait is how long the list is expected to take.
--- a/gate/room.go
+++ b/gate/room.go
@@ -34,7 +34,7 @@
 	whyPrefill  why = "too many prompt tokens are in flight"
 	whyMemory   why = "the cache memory is full"
 	whyPace     why = "its prompt would make running answers of a higher tier late"
-	whyWatched  why = "another request under which servers crashed runs there"
+	whyAlone    why = "a request under which servers crashed runs alone"
 )
 
 // noRoom says why an attempt can't start now.
@@ -42,8 +42,8 @@
 	if reason := g.closed(); reason != roomEnough {
 		return reason
 	}
-	if a.work.GetWatched() && g.holdsWatched() {
-		return whyWatched
+	if reason := g.notAlone(a); reason != roomEnough {
+		return reason
 	}
 	if g.server.state == serverSuspect {
 		return g.probes.room(g, a)
@@ -222,7 +222,7 @@
 
 // free is how many attempts may be dispatched without an offer.
 func (g *Gate) free() int {
-	if g.waiting.count > 0 || g.closed() != roomEnough {
+	if g.waiting.count > 0 || g.closed() != roomEnough || g.holdsAlone() {
 		return 0
 	}
 	if g.server.state == serverSuspect {
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -1,14 +1,15 @@
 package poison
 
 import (
-	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
-// How many crashes it takes. With one, a request may have been beside the one that caused it. With two, it runs beside no other
-// request with two, so that the third crash can speak of one of them only.
+// How many crashes it takes. A request may have been beside the one that caused them, also twice. So it then begins to run alone,
+// and only a crash there makes a quarantine.
 const (
 	WatchedAt     = 2
 	QuarantinedAt = 3
@@ -33,7 +34,7 @@
 const (
 	// Clear requests run as any other.
 	Clear Standing = iota
-	// Watched ones run beside no other watched one.
+	// Watched ones begin to run alone at their server.
 	Watched
 	// Quarantined ones are refused.
 	Quarantined
@@ -96,9 +97,10 @@
 }
 
 // Add notes a crash in a record at a time, in milliseconds since 1970, and tells whether that changes the record. One that is known
-// already doesn't, nor does one of a request that is quarantined: it was on its way when that was decided.
+// already doesn't, nor does one of a request that is quarantined, which was on its way when that was decided, nor a third one beside
+// others. The order in which crashes are noted makes no difference.
 func Add(record *wire.PoisonRecord, crash *wire.Crash, nowMS uint64) bool {
-	if StandingOf(record) == Quarantined {
+	if StandingOf(record) == Quarantined || !crash.GetAlone() && besideOthers(record) >= WatchedAt {
 		return false
 	}
 	for _, known := range record.GetCrashes() {
@@ -106,7 +108,9 @@
 			return false
 		}
 	}
-	record.Crashes = append(record.Crashes, &wire.Crash{Id: crash.GetId(), Server: crash.GetServer(), UnixMs: nowMS})
+	noted := proto.CloneOf(crash)
+	noted.UnixMs = nowMS
+	record.Crashes = append(record.Crashes, noted)
 	record.UntilUnixMs = nowMS + milliseconds(WatchFor)
 	if StandingOf(record) == Quarantined {
 		record.Quarantines++
@@ -115,6 +119,17 @@
 	return true
 }
 
+// besideOthers counts the crashes of a record at which other requests ran as well.
+func besideOthers(record *wire.PoisonRecord) int {
+	n := 0
+	for _, crash := range record.GetCrashes() {
+		if !crash.GetAlone() {
+			n++
+		}
+	}
+	return n
+}
+
 // isSame tells whether a crash is one that was noted before. A run of a server that tells when it started crashes once; one that
 // doesn't may crash again under its name.
 func isSame(known, crash *wire.Crash, nowMS uint64) bool {
@@ -123,6 +138,8 @@
 		return true
 	case known.GetServer() != crash.GetServer():
 		return false
+	case known.GetReporter() != "" && known.GetReporter() == crash.GetReporter():
+		return false
 	default:
 		apart := max(nowMS, known.GetUnixMs()) - min(nowMS, known.GetUnixMs())
 		return wire.ParseRun(crash.GetServer()).StartedMS != 0 || apart < milliseconds(sameCrash)
@@ -135,7 +152,13 @@
 	if StandingOf(record) != Quarantined {
 		return false
 	}
-	record.Crashes = slices.Clone(record.GetCrashes()[len(record.GetCrashes())-WatchedAt:])
+	kept := record.GetCrashes()[len(record.GetCrashes())-WatchedAt:]
+	record.Crashes = nil
+	for _, crash := range kept {
+		crash = proto.CloneOf(crash)
+		crash.Alone = false // the next one has to be alone again
+		record.Crashes = append(record.Crashes, crash)
+	}
 	record.UntilUnixMs = nowMS + milliseconds(quarantineTime(record))
 	return true
 }
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -13,12 +13,20 @@
 
 func crash(id, server string) *wire.Crash { return &wire.Crash{Id: id, Server: server} }
 
+func reported(id, server, reporter string) *wire.Crash {
+	return &wire.Crash{Id: id, Server: server, Reporter: reporter}
+}
+
+func crashAlone(id, server string) *wire.Crash {
+	return &wire.Crash{Id: id, Server: server, Alone: true}
+}
+
 func TestThirdCrashMakesAQuarantine(t *testing.T) {
 	key := Key{Organisation: "org", Fingerprint: 7}
 	record := key.Record()
 	require.Equal(t, Clear, StandingOf(nil))
 	for i, want := range []Standing{Clear, Watched, Quarantined} {
-		require.True(t, Add(record, crash(string(rune('a'+i)), string(rune('x'+i))), startMS))
+		require.True(t, Add(record, crashAlone(string(rune('a'+i)), string(rune('x'+i))), startMS))
 		require.Equal(t, want, StandingOf(record))
 	}
 	require.Equal(t, []string{"x", "y", "z"}, Servers(record))
@@ -27,6 +35,26 @@
 	require.Equal(t, key, KeyOf(record))
 }
 
+// Symptom: a request is quarantined that was beside others at each crash. Sequence: several poison requests crash server after server,
+// and it happens to be there.
+func TestOnlyACrashAloneMakesAQuarantine(t *testing.T) {
+	record := Key{}.Record()
+	for i := range 10 {
+		Add(record, crash(string(rune('a'+i)), string(rune('A'+i))), startMS)
+	}
+	require.Equal(t, Watched, StandingOf(record))
+	require.True(t, Add(record, crashAlone("z", "Z"), startMS))
+	require.Equal(t, Quarantined, StandingOf(record))
+
+	t.Run("noted in another order", func(t *testing.T) {
+		record := Key{}.Record()
+		for _, one := range []*wire.Crash{crashAlone("z", "Z"), crash("a", "A"), crash("b", "B")} {
+			require.True(t, Add(record, one, startMS))
+		}
+		require.Equal(t, Quarantined, StandingOf(record))
+	})
+}
+
 // Symptom: a request is quarantined after one crash. Sequence: several entries were connected to the server and report its end, and
 // one of them reports it twice, since the first answer of control was lost.
 func TestOneCrashCountsOnce(t *testing.T) {
@@ -39,6 +67,8 @@
 		"a resend":                          {crash("a", "s"), crash("a", "s"), time.Hour, false},
 		"told by another at the same time":  {crash("a", "s"), crash("b", "s"), time.Second, false},
 		"the same name, later":              {crash("a", "s"), crash("b", "s"), 3 * time.Second, true},
+		"by the same reporter, soon after":  {reported("a", "s", "agent"), reported("b", "s", "agent"), time.Second, true},
+		"by another reporter":               {reported("a", "s", "agent"), reported("b", "s", "other"), time.Second, false},
 		"the same run, later":               {crash("a", run), crash("b", run), time.Hour, false},
 		"another server at the same moment": {crash("a", "s"), crash("b", "t"), 0, true},
 	} {
@@ -61,7 +91,7 @@
 	now, crashes := uint64(startMS), 0
 	fall := func() {
 		crashes++
-		require.True(t, Add(record, crash(string(rune(crashes)), string(rune(1000+crashes))), now))
+		require.True(t, Add(record, crashAlone(string(rune(crashes)), string(rune(1000+crashes))), now))
 	}
 	for range QuarantinedAt {
 		fall()
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -40,6 +40,9 @@
 }
 
 func (s *Scheduler) reservationCount(r *request) int {
+	if s.isWatched(r) {
+		return 1 // each gate that it waits at lets its server run empty
+	}
 	if r.tier == 0 {
 		return 2 * s.options.Reservations
 	}
@@ -47,7 +50,8 @@
 }
 
 func (s *Scheduler) canDispatch(r *request, v *server) bool {
-	return v.hasRoom && s.canReserve(r, v)
+	mayBegin := v.room.GetRunning() == 0 || !s.isWatched(r)
+	return v.hasRoom && mayBegin && s.canReserve(r, v)
 }
 
 // canReserve tells whether the server may have the request at all now.
--- a/sched/poison.go
+++ b/sched/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -53,6 +54,9 @@
 
 // record joins what is known of a request, nil for nothing.
 func (t *poisonTable) record(key poison.Key, now time.Time) *wire.PoisonRecord {
+	if len(t.committed) == 0 && t.own.Len() == 0 {
+		return nil
+	}
 	committed := t.committed[key]
 	own, ok := t.own.Peek(key)
 	if !ok || now.Sub(own.at) > ownCrashLife || t.wasServed(key, now) {
@@ -116,7 +120,7 @@
 	return poison.Key{Organisation: r.Organisation, Fingerprint: r.fingerprint}
 }
 
-// isWatched tells whether a request may run beside no other watched one.
+// isWatched tells whether a request has to begin alone.
 func (s *Scheduler) isWatched(r *request) bool {
 	return poison.StandingOf(s.poison.record(r.poisonKey(), s.now)) != poison.Clear
 }
@@ -140,7 +144,10 @@
 
 // noteCrash notes that a server crashed while it ran the present attempt of a request.
 func (s *Scheduler) noteCrash(r *request, m *wire.Over) {
-	s.poison.crashed(r.poisonKey(), &wire.Crash{Id: m.GetServer(), Server: m.GetServer()}, s.now)
+	id := fmt.Sprintf("%s.%d", r.ID, m.GetAttempt().GetNumber())
+	s.poison.crashed(r.poisonKey(), &wire.Crash{
+		Id: id, Server: m.GetServer(), Alone: m.GetCrashedAlone(), Reporter: s.options.Entry,
+	}, s.now)
 }
 
 // noteWhole notes that a request was answered, and has control forget the crashes that it was beside. A server may give an
--- a/sched/poison_test.go
+++ b/sched/poison_test.go
@@ -29,15 +29,27 @@
 // crash ends an attempt by the end of its server's process.
 func (w *world) crash(at sentTo) {
 	w.t.Helper()
-	w.over(at.server, &wire.Over{Attempt: at.id, Proof: wire.Proof_PROOF_CANCELLED, Began: true, Crashed: true})
+	w.over(at.server, &wire.Over{
+		Attempt: at.id, Proof: wire.Proof_PROOF_CANCELLED, Began: true, Crashed: true, CrashedAlone: w.isWatched(at),
+	})
 	w.pass(TickInterval)
 }
 
+// isWatched tells whether an attempt was sent as one that has to begin alone.
+func (w *world) isWatched(at sentTo) bool {
+	for _, sent := range w.sent {
+		if d := sent.Message.GetDispatch(); d != nil && d.GetAttempt() == at.id {
+			return d.GetWork().GetWatched()
+		}
+	}
+	return false
+}
+
 // committed is a record of so many crashes.
 func committed(key poison.Key, crashes int, version uint64) *wire.PoisonRecord {
 	record := key.Record()
 	for i := range crashes {
-		poison.Add(record, &wire.Crash{Id: fmt.Sprint(i), Server: fmt.Sprint("other-", i)}, 1)
+		poison.Add(record, &wire.Crash{Id: fmt.Sprint(i), Server: fmt.Sprint("other-", i), Alone: i == 2}, 1)
 	}
 	record.Version = version
 	return record
@@ -107,17 +119,31 @@
 	require.Len(t, w.dispatches("later"), 1)
 }
 
+// Symptom: a request that may be innocent takes several servers from all others. Sequence: it has to begin alone; it waits at three gates,
+// each of which lets its server run empty, or is sent to a server that runs others.
+func TestWatchedRequestWaitsAtOneGate(t *testing.T) {
+	w := poisonWorld(t, 3)
+	for i := range 3 {
+		room := readyRoom(fmt.Sprint("s", i), kindService, testService, 2)
+		room.Running = 1
+		w.say(fmt.Sprint("s", i), &wire.AgentMessage{Kind: &wire.AgentMessage_Room{Room: room}})
+	}
+	w.step(Poisoned{Records: []*wire.PoisonRecord{committed(w.print(gateCheck), 2, 9)}})
+	w.arrive("r1", gateCheck)
+	require.Empty(t, w.dispatches("r1"))
+	reserved := w.reserves("r1")
+	require.Len(t, reserved, 1)
+	w.offer(reserved[0].server, reserved[0].id)
+	require.Len(t, w.dispatches("r1"), 1)
+	require.True(t, w.isWatched(w.last("r1", 1)))
+}
+
 func TestCrashesSeenHereAndElsewhereAddUp(t *testing.T) {
 	w := poisonWorld(t, 3)
 	w.step(Poisoned{Records: []*wire.PoisonRecord{committed(w.print(gateCheck), 2, 9)}})
 	w.arrive("r1", gateCheck)
 	at := w.last("r1", 1)
-	for _, sent := range w.sent {
-		if d := sent.Message.GetDispatch(); d != nil {
-			require.True(t, d.GetWork().GetWatched())
-			require.Equal(t, uint64(w.print(gateCheck).Fingerprint), d.GetFingerprint())
-		}
-	}
+	require.True(t, w.isWatched(at))
 	w.crash(at)
 	require.Len(t, w.dispatches("r1"), 1)
 	require.Equal(t, result.EngineLost, w.failures["r1"].Code)
--- a/state/poison.go
+++ b/state/poison.go
@@ -36,6 +36,8 @@
 	switch {
 	case crash.GetId() == "" || len(crash.GetId()) > maxName || crash.GetServer() == "" || len(crash.GetServer()) > maxName:
 		return refuse(result.BadMessage, "a crash without an id or a server, or with a long one")
+	case len(crash.GetReporter()) > maxName:
+		return refuse(result.BadMessage, "a reporter with a long name")
 	case len(cmd.GetRan()) > s.limits.Servers:
 		return refuse(result.BadMessage, "a crash under too many requests")
 	}
--- a/state/poison_test.go
+++ b/state/poison_test.go
@@ -16,10 +16,10 @@
 	return poison.Key{Organisation: organisation, Fingerprint: poison.Fingerprint(fingerprint)}.Record()
 }
 
-// crash notes that a server crashed while it ran these.
+// crash notes that a server crashed while it ran these. One that ran a single request is taken to have run it alone.
 func (l *log) crash(server string, ran ...*wire.PoisonRecord) {
 	l.accept(&wire.Command{Kind: &wire.Command_NoteCrash{NoteCrash: &wire.NoteCrash{
-		Crash: &wire.Crash{Id: fmt.Sprint("crash-", l.index), Server: server}, Ran: ran,
+		Crash: &wire.Crash{Id: fmt.Sprint("crash-", l.index), Server: server, Alone: len(ran) == 1}, Ran: ran,
 	}}})
 }
 
