status: the requests under which servers crashed

On-call saw a quarantine only in log lines. GET /v1/status and carawaypitch status list what is watched or quarantined: organisation, fingerprint, the servers that crashed, and for how long.

--- a/cmd/carawaypitch/status.go
+++ b/cmd/carawaypitch/status.go
@@ -64,6 +64,7 @@
 	fmt.Fprintf(w, "orders\t%d open\n", s.Orders)
 	classesTable(w, s)
 	targetsTable(w, s)
+	poisonTable(w, s)
 	fmt.Fprintln(w, "\nINSTANCE\tROLE\tZONE\tVERSION\tSTATE")
 	for _, i := range s.Controls {
 		instanceRow(w, "control", i, s.ConfigVersion)
--- /dev/null
+++ b/cmd/carawaypitch/status_poison_test.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/operator"
+)
+
+func TestStatusShowsPoisonRequests(t *testing.T) {
+	var out bytes.Buffer
+	poisonTable(&out, operator.Status{})
+	require.Empty(t, out.String())
+	poisonTable(&out, operator.Status{Poison: []operator.Poison{{
+		Organisation: "union", Fingerprint: "000000000000002a", Standing: "quarantined", Servers: []string{"a", "b", "c"}, LeftMS: 7_199_600,
+	}}})
+	require.Contains(t, out.String(), "000000000000002a\tunion\tquarantined\t2h0m0s\ta, b, c\n")
+}
--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -253,6 +253,14 @@
 	Controls      []instanceAnswer `json:"controls"`
 	Entries       []instanceAnswer `json:"entries"`
 	Agents        []instanceAnswer `json:"agents"`
+	Poison        []poisonAnswer   `json:"poison"`
+}
+
+type poisonAnswer struct {
+	Fingerprint string   `json:"fingerprint"`
+	Standing    string   `json:"standing"`
+	Servers     []string `json:"servers"`
+	LeftMS      int64    `json:"left_ms"`
 }
 
 type replicaAnswer struct {
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -155,6 +155,13 @@
 		f.eventually("all know it", binds)
 		require.Less(t, time.Since(began), time.Second, "simulated time, from the third crash on")
 
+		shown := f.status(f.leader()).Poison
+		require.Len(t, shown, 1, "operators see it")
+		require.Equal(t, "quarantined", shown[0].Standing)
+		require.Equal(t, key.Fingerprint.String(), shown[0].Fingerprint)
+		require.Len(t, shown[0].Servers, poison.QuarantinedAt)
+		require.Positive(t, shown[0].LeftMS)
+
 		f.stop(f.leader())
 		f.join(wire.Role_ROLE_ENTRY, fleetEntries)
 		f.eventually("the new one is ready", func() bool { return f.converged(fleetEntries+1, fleetAgents) })
--- /dev/null
+++ b/control/http_poison.go
@@ -0,0 +1,31 @@
+package control
+
+import (
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/poison"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// poisonJSON is a request under which backend servers crashed.
+type poisonJSON struct {
+	Organisation string   `json:"organisation"`
+	Fingerprint  string   `json:"fingerprint"`
+	Standing     string   `json:"standing"` // "watched" or "quarantined"
+	Servers      []string `json:"servers"`  // that crashed
+	LeftMS       int64    `json:"left_ms"`  // until it steps down
+}
+
+func poisonStatus(records []*wire.PoisonRecord, now time.Time) []poisonJSON {
+	out := []poisonJSON{}
+	for _, record := range records {
+		out = append(out, poisonJSON{
+			Organisation: record.GetOrganisation(),
+			Fingerprint:  poison.Fingerprint(record.GetFingerprint()).String(),
+			Standing:     poison.StandingOf(record).String(),
+			Servers:      poison.Servers(record),
+			LeftMS:       max(int64(record.GetUntilUnixMs())-now.UnixMilli(), 0),
+		})
+	}
+	return out
+}
--- a/control/http_status.go
+++ b/control/http_status.go
@@ -39,6 +39,8 @@
 	EntriesHeard int               `json:"entries_heard"`
 	Classes      []classStatusJSON `json:"classes"`
 	Targets      []targetJSON      `json:"targets"`
+	// Poison are the requests under which servers crashed twice or more.
+	Poison []poisonJSON `json:"poison"`
 }
 
 type replicaJSON struct {
@@ -91,8 +93,9 @@
 	var agents []*wire.AgentRecord
 	var entries []*wire.EntryRecord
 	var classes []*wire.Class
+	var records []*wire.PoisonRecord
 	c.machine.read(func(s *state.State) {
-		agents, entries, classes = s.Agents(), s.Entries(), s.Classes()
+		agents, entries, classes, records = s.Agents(), s.Entries(), s.Classes(), s.WatchedPoison()
 		out.Index, out.Fence = s.Index(), s.Fence()
 		out.ConfigVersion, out.DirectoryVersion = s.ConfigVersion(), s.DirectoryVersion()
 		counts := s.Counts()
@@ -115,6 +118,7 @@
 	out.EntriesHeard = reported.entries
 	out.Classes = classesStatus(classes, reported)
 	out.Targets = targetsStatus(agents, reported)
+	out.Poison = poisonStatus(records, time.Now())
 	return out
 }
 
--- a/operator/status.go
+++ b/operator/status.go
@@ -31,6 +31,17 @@
 	EntriesHeard int           `json:"entries_heard"`
 	Classes      []ClassStatus `json:"classes"`
 	Targets      []Target      `json:"targets"`
+	// Poison are the requests under which backend servers crashed twice or more.
+	Poison []Poison `json:"poison"`
+}
+
+// Poison is a request under which backend servers crashed. With three of them it is refused.
+type Poison struct {
+	Organisation string   `json:"organisation"`
+	Fingerprint  string   `json:"fingerprint"` // as in the lines of its runs
+	Standing     string   `json:"standing"`    // "watched" or "quarantined"
+	Servers      []string `json:"servers"`     // that crashed
+	LeftMS       int64    `json:"left_ms"`     // until it steps down
 }
 
 // ClassStatus is how a class stands against its targets, over the window.
--- a/state/poison.go
+++ b/state/poison.go
@@ -149,6 +149,13 @@
 // Poison returns all requests under which servers have crashed, sorted by key.
 func (s *State) Poison() []*wire.PoisonRecord { return sorted(s.poisoned.records) }
 
+// WatchedPoison returns those that are watched or quarantined, which is what clients get to know, sorted by key.
+func (s *State) WatchedPoison() []*wire.PoisonRecord {
+	return slices.DeleteFunc(s.Poison(), func(record *wire.PoisonRecord) bool {
+		return poison.StandingOf(record) == poison.Clear
+	})
+}
+
 // IsPoisonDue tells whether records are to step down at a time, in milliseconds since 1970.
 func (s *State) IsPoisonDue(unixMS uint64) bool {
 	for _, record := range s.poisoned.records {
@@ -159,13 +166,6 @@
 	return false
 }
 
-// toldPoison is what clients get to know, sorted by key.
-func (s *State) toldPoison() []*wire.PoisonRecord {
-	return slices.DeleteFunc(s.Poison(), func(record *wire.PoisonRecord) bool {
-		return poison.StandingOf(record) == poison.Clear
-	})
-}
-
 // addPoisonTo puts what is known of a record into an update.
 func (s *State) addPoisonTo(out *wire.DirectoryUpdate, name string) {
 	record := s.poisoned.records[name]
--- a/state/read.go
+++ b/state/read.go
@@ -176,6 +176,6 @@
 		Entries: s.Entries(),
 
 		Announcements: s.Announcements(),
-		Poison:        s.toldPoison(),
+		Poison:        s.WatchedPoison(),
 	}
 }
