agent: a crash is looked for with a connection alone

A client that shares one flag for "the last connection failed" among all its answers could take a crashed server for a living one: an answer that had arrived before the crash, read after a broken one, cleared it, and the crash was evidence against nobody. Found by reading.

--- a/agent/server_crash.go
+++ b/agent/server_crash.go
@@ -39,9 +39,7 @@
 // machine without power or behind a cut, says nothing.
 func processEnded(ctx context.Context, client engine.Client) bool {
 	for range verifyTries {
-		callCtx, stop := context.WithTimeout(ctx, engineCallTimeout)
-		_, err := client.Load(callCtx)
-		stop()
+		err := reach(ctx, client)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return true
@@ -55,6 +53,17 @@
 	return false
 }
 
+// reach connects to the server's process, or calls it where the client can't do less.
+func reach(ctx context.Context, client engine.Client) error {
+	ctx, stop := context.WithTimeout(ctx, engineCallTimeout)
+	defer stop()
+	if reacher, ok := client.(engine.Reacher); ok {
+		return reacher.Reach(ctx)
+	}
+	_, err := client.Load(ctx)
+	return err
+}
+
 // crashed tells control and the log what the server ran when it crashed.
 func (s *server) crashed(a gate.Crashed) {
 	note := &wire.NoteCrash{Crash: &wire.Crash{
--- a/engine/client.go
+++ b/engine/client.go
@@ -223,3 +223,10 @@
 	// fence numbers answers an old one with OrderStale, not with an error.
 	Order(ctx context.Context, order Order) (OrderResult, error)
 }
+
+// Reacher is a [Client] that can tell, with a connection alone, whether a
+// process listens at its server's address. The error wraps
+// syscall.ECONNREFUSED if none does.
+type Reacher interface {
+	Reach(ctx context.Context) error
+}
