An entry tells control of the crashes that it hears of, too

Only the agent beside a crashed server told control. One that is cut off from control, while its entries aren't, would have kept what they knew to itself: each entry would have lost three servers more.

The agents' reporter becomes package outbox, which both use; what answers refute goes the same way, and is tried until control has it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/carawaypitch/carawaypitch/gate"
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/network"
+	"github.com/carawaypitch/carawaypitch/outbox"
 	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/settings"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -68,7 +69,7 @@
 	links   *link.EntryServer
 	servers *servers
 	orders  *orders
-	reports *reporter
+	reports *outbox.Outbox
 
 	// base ends when the agent is to let go of everything, after the drain. It is set by Run.
 	base  context.Context
@@ -174,7 +175,12 @@
 func (a *Agent) assemble(newEngine func(*wire.ServerRecord) (engine.Client, error), most int) {
 	a.ready = &readiness{control: a.session.Ready}
 	a.links = a.entryServer()
-	a.reports = newReporter(a.log, a.meter, a.session.Propose)
+	a.reports = outbox.New(outbox.Options{
+		Log:     a.log,
+		Propose: a.session.Propose,
+		Retried: func() { a.meter.retried(retryReport) },
+		Refused: a.meter.ringRefused,
+	})
 	a.servers = newServers(serverDeps{
 		log:       a.log,
 		meter:     a.meter,
@@ -186,7 +192,7 @@
 		spawn:     a.spawn,
 		changed:   a.serverChanged,
 		reporter:  a.settings.Instance,
-		report:    a.reports.put,
+		report:    a.reports.Put,
 	}, a.beginServer, most)
 	a.orders = newOrders(orderDeps{
 		log:     a.log,
--- a/agent/duties.go
+++ b/agent/duties.go
@@ -34,7 +34,7 @@
 	}
 	a.addDuty(&group, base, a.directoryDuty)
 	a.addDuty(&group, base, a.orderDuty)
-	a.addDuty(&group, base, a.reports.run)
+	a.addDuty(&group, base, a.reports.Run)
 	a.addDuty(&group, base, a.linkDuty)
 	a.addDuty(&group, base, func(ctx context.Context) error { return a.httpDuty(ctx, a.httpListener) })
 	a.addDuty(&group, base, func(own context.Context) error { return a.stopDuty(ctx, own) })
--- a/agent/server.go
+++ b/agent/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/outbox"
 	"github.com/carawaypitch/carawaypitch/ring"
 	"github.com/carawaypitch/carawaypitch/settings"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -41,7 +42,7 @@
 	// reporter names this agent in what it reports.
 	reporter string
 	// report hands a report over for control. It never blocks.
-	report func(report)
+	report func(outbox.Item)
 	// linked returns the entries with an open link.
 	linked func() []gate.EntryID
 }
--- a/agent/server_actions.go
+++ b/agent/server_actions.go
@@ -9,6 +9,7 @@
 
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/outbox"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -101,6 +102,19 @@
 	}
 }
 
+// outcomeReport is the outcome of an operation whose entry is gone.
+//
+// Without it the outcome of work that ran would be lost with its entry: the operation would stay "unknown" for ever,
+// and its caller would never get the answer that the service gave.
+func outcomeReport(c *wire.CompleteOperation) outbox.Item {
+	return outbox.Item{
+		Kind:    "outcome",
+		Field:   "request",
+		Subject: c.GetRequest(),
+		Command: &wire.Command{Kind: &wire.Command_CompleteOperation{CompleteOperation: c}},
+	}
+}
+
 // noteCondition takes what the gate wants in the directory.
 func (s *server) noteCondition(record *wire.ServerRecord) {
 	if !s.recovered() {
--- a/agent/server_crash.go
+++ b/agent/server_crash.go
@@ -11,6 +11,7 @@
 
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/outbox"
 	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/poison"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -77,7 +78,7 @@
 		requests = append(requests, run.Request)
 		fingerprints = append(fingerprints, key.String())
 	}
-	s.report(crashReport(note))
+	s.report(outbox.Crash(note))
 	s.meter.crashed()
 	s.log.WithField("runs", len(a.Runs)).
 		WithField("alone", a.Alone).
--- a/agent/timing.go
+++ b/agent/timing.go
@@ -15,8 +15,6 @@
 	settleTime = 250 * time.Millisecond
 	// cancelledRunGrace is how long the engine's own end of a stream is awaited after it confirmed the cancel.
 	cancelledRunGrace = time.Second
-	// proposeTimeout bounds one proposal to control.
-	proposeTimeout = 5 * time.Second
 	// comeBackAfter is how long after a server was told that it is drained its announcements count again. A stopping
 	// server's last announcement may be under way then.
 	comeBackAfter = 2 * time.Second
@@ -27,11 +25,6 @@
 	announceWindow = 1200 * time.Millisecond
 	// releasePoll is how often it then looks whether all of them are proved free.
 	releasePoll = 50 * time.Millisecond
-	// retryMin and retryMax bound the wait before a proposal is tried again.
-	retryMin = 100 * time.Millisecond
-	retryMax = 5 * time.Second
-	// reportRetryMax is that of reports. What servers crashed under has to be known everywhere soon after control is back.
-	reportRetryMax = 500 * time.Millisecond
 	// orderPoll is the interval at which an engine is asked how far an order is.
 	orderPoll = time.Second
 	// orderTimeout bounds an order. A model of some hundred gigabytes takes minutes at the weight store's rate.
@@ -54,8 +47,6 @@
 	inputRing = 4096
 	// inputBatch is how many inputs a gate duty takes before it looks at its clock again.
 	inputBatch = 256
-	// reportRing bounds the reports that wait to be committed.
-	reportRing = 4096
 	// runBufferBytes bounds the events of one attempt that its gate hasn't taken yet.
 	runBufferBytes = 1 << 20
 	// serviceChunkBytes is the size of the chunks in which a service's answer is passed on.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/logging"
 	"github.com/carawaypitch/carawaypitch/network"
+	"github.com/carawaypitch/carawaypitch/outbox"
 	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/quota"
 	"github.com/carawaypitch/carawaypitch/ring"
@@ -90,7 +91,7 @@
 	flights   *flights
 	links     *links
 	prover    *prover
-	clears    *ring.Ring[sched.ClearPoison]
+	outbox    *outbox.Outbox
 	local     *localAgent // nil without one
 	view      atomic.Pointer[catalogue]
 	caps      *quota.Caps
@@ -149,7 +150,6 @@
 		meter:       newMeter(),
 		inputs:      ring.New[input]("scheduler", inputRing),
 		calls:       newCalls(),
-		clears:      ring.New[sched.ClearPoison]("clears", clearRing),
 		slots:       make(chan struct{}, maxBackground),
 	}
 	times := quota.Clock{Now: options.Now, SinceBoot: clock.SinceBoot}
@@ -163,6 +163,12 @@
 	if err := e.connect(options); err != nil {
 		return nil, err
 	}
+	e.outbox = outbox.New(outbox.Options{
+		Log:     e.log,
+		Propose: e.control.Propose,
+		Retried: func() { e.meter.add(metricOutboxRetries, 1) },
+		Refused: func(string) { e.meter.add(metricOutboxRefused, 1) },
+	})
 	e.scheduler, err = sched.New(e.schedulerOptions(options))
 	if err != nil {
 		return nil, errors.Wrap(err, "entry")
@@ -266,7 +272,7 @@
 	e.add(&group, e.control.Run)
 	e.add(&group, e.links.run)
 	e.add(&group, e.sharesDuty)
-	e.add(&group, e.clearDuty)
+	e.add(&group, e.outbox.Run)
 	e.add(&group, e.httpDuty)
 	if e.local != nil {
 		e.add(&group, e.local.run)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -14,28 +14,30 @@
 
 // Names of the entry's metrics.
 const (
-	metricRefusals    = "carawaypitch_refusals_total"
-	metricRetries     = "carawaypitch_retries_total"
-	metricGoodput     = "carawaypitch_goodput_total"
-	metricLate        = "carawaypitch_late_total"
-	metricLost        = "carawaypitch_lost_total"
-	metricWasted      = "carawaypitch_wasted_prefill_tokens_total"
-	metricServed      = "carawaypitch_served_tokens_total"
-	metricChartErrors = "carawaypitch_chart_errors_total"
-	metricLinksLost   = "carawaypitch_links_lost_total"
-	metricDialsFailed = "carawaypitch_link_dials_failed_total"
-	metricDropped     = "carawaypitch_link_dropped_total"
-	metricProofs      = "carawaypitch_engine_proofs_total"
-	metricCommits     = "carawaypitch_operation_commits_total"
-	metricRingRefused = "carawaypitch_ring_refused_total"
-	metricRingLength  = "carawaypitch_ring_length"
-	metricActive      = "carawaypitch_active_calls"
-	metricBodyBytes   = "carawaypitch_body_bytes"
-	metricFirstEvent  = "carawaypitch_first_event_seconds" // from arrival; histogram by tier
-	metricAnswer      = "carawaypitch_answer_seconds"      // from arrival to the whole answer; histogram by tier
-	metricMoves       = "carawaypitch_share_moves_total"   // proposals to move shares of usage caps, by outcome
-	metricShare       = "carawaypitch_cap_share_units"     // that this entry may use in any window, by organisation
-	metricRoomAge     = "carawaypitch_room_age_seconds"    // of the oldest word of a ready server, as of the last end
+	metricRefusals      = "carawaypitch_refusals_total"
+	metricRetries       = "carawaypitch_retries_total"
+	metricGoodput       = "carawaypitch_goodput_total"
+	metricLate          = "carawaypitch_late_total"
+	metricLost          = "carawaypitch_lost_total"
+	metricWasted        = "carawaypitch_wasted_prefill_tokens_total"
+	metricServed        = "carawaypitch_served_tokens_total"
+	metricChartErrors   = "carawaypitch_chart_errors_total"
+	metricLinksLost     = "carawaypitch_links_lost_total"
+	metricDialsFailed   = "carawaypitch_link_dials_failed_total"
+	metricDropped       = "carawaypitch_link_dropped_total"
+	metricProofs        = "carawaypitch_engine_proofs_total"
+	metricCommits       = "carawaypitch_operation_commits_total"
+	metricRingRefused   = "carawaypitch_ring_refused_total"
+	metricRingLength    = "carawaypitch_ring_length"
+	metricActive        = "carawaypitch_active_calls"
+	metricBodyBytes     = "carawaypitch_body_bytes"
+	metricFirstEvent    = "carawaypitch_first_event_seconds"               // from arrival; histogram by tier
+	metricAnswer        = "carawaypitch_answer_seconds"                    // from arrival to the whole answer; histogram by tier
+	metricMoves         = "carawaypitch_share_moves_total"                 // proposals to move shares of usage caps, by outcome
+	metricShare         = "carawaypitch_cap_share_units"                   // that this entry may use in any window, by organisation
+	metricOutboxRetries = `carawaypitch_retries_total{reason="report"}`    // proposals of the outbox that are tried again
+	metricOutboxRefused = `carawaypitch_ring_refused_total{ring="outbox"}` // items that met a full outbox
+	metricRoomAge       = "carawaypitch_room_age_seconds"                  // of the oldest word of a ready server, as of the last end
 )
 
 // meter holds one entry's metrics. It has a set of its own, so that several daemons fit in one process.
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/outbox"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/sched"
 )
@@ -109,9 +110,11 @@
 		return e.widen(a)
 	case sched.ProveAtEngine:
 		e.prover.ask(a)
+	case sched.ReportCrash:
+		e.outbox.Put(outbox.Crash(a.Note))
 	case sched.ClearPoison:
-		if !e.clears.TryPush(a) {
-			e.log.WithField("records", len(a.Records)).Warn("poison_not_cleared")
+		for _, record := range a.Records {
+			e.outbox.Put(clearReport(record))
 		}
 	case sched.Count:
 		e.meter.count(a)
--- a/sched/poison.go
+++ b/sched/poison.go
@@ -72,15 +72,16 @@
 	return joined
 }
 
-// crashed notes a crash that this entry has heard of.
-func (t *poisonTable) crashed(key poison.Key, crash *wire.Crash, now time.Time) {
+// crashed notes a crash that this entry has heard of, and tells whether that changes what it goes by.
+func (t *poisonTable) crashed(key poison.Key, crash *wire.Crash, now time.Time) bool {
 	own, ok := t.own.Get(key)
 	if !ok || now.Sub(own.at) > ownCrashLife {
 		own = ownRecord{record: key.Record()}
 	}
-	poison.Add(own.record, crash, uint64(now.UnixMilli()))
+	changed := poison.Add(own.record, crash, uint64(now.UnixMilli()))
 	own.at = now
 	t.own.Add(key, own)
+	return changed
 }
 
 // endedWhole notes that a server ran a request to its end, and returns the committed record that this refutes, nil for none.
@@ -145,9 +146,10 @@
 // noteCrash notes that a server crashed while it ran the present attempt of a request.
 func (s *Scheduler) noteCrash(r *request, m *wire.Over) {
 	id := fmt.Sprintf("%s.%d", r.ID, m.GetAttempt().GetNumber())
-	s.poison.crashed(r.poisonKey(), &wire.Crash{
-		Id: id, Server: m.GetServer(), Alone: m.GetCrashedAlone(), Reporter: s.options.Entry,
-	}, s.now)
+	crash := &wire.Crash{Id: id, Server: m.GetServer(), Alone: m.GetCrashedAlone(), Reporter: s.options.Entry}
+	if s.poison.crashed(r.poisonKey(), crash, s.now) {
+		s.act(ReportCrash{Note: &wire.NoteCrash{Crash: crash, Ran: []*wire.PoisonRecord{r.poisonKey().Record()}}})
+	}
 }
 
 // noteWhole notes that a request was answered, and has control forget the crashes that it was beside. A server may give an
--- a/sched/poison_test.go
+++ b/sched/poison_test.go
@@ -99,6 +99,37 @@
 	require.Len(t, w.dispatches("r4"), 1, "control has it by then, or has refuted it")
 }
 
+// Symptom: three servers more crash for each entry, though one knows of three crashes. Sequence: the agents that saw them are cut off from
+// control, and their entries are not.
+func TestEntryReportsTheCrashesThatItHearsOf(t *testing.T) {
+	w := poisonWorld(t, 6)
+	var notes []*wire.NoteCrash
+	w.arrive("r1", gateCheck)
+	for n := range poison.QuarantinedAt {
+		at := w.last("r1", n+1)
+		for _, proof := range []wire.Proof{wire.Proof_PROOF_UNPROVEN, wire.Proof_PROOF_CANCELLED} {
+			over := &wire.Over{
+				Attempt: at.id, Server: at.server, Proof: proof, Began: true, Crashed: true, CrashedAlone: w.isWatched(at),
+			}
+			for _, a := range w.step(Received{Agent: agentOf(at.server), Incarnation: 1, Message: &wire.AgentMessage{
+				Kind: &wire.AgentMessage_Over{Over: over},
+			}}) {
+				if report, ok := a.(ReportCrash); ok {
+					notes = append(notes, report.Note)
+				}
+			}
+		}
+		w.pass(TickInterval)
+	}
+	require.Len(t, notes, poison.QuarantinedAt, "each crash once, though it is heard of before and with the proof")
+	record := w.print(gateCheck).Record()
+	for i, note := range notes {
+		require.Equal(t, w.print(gateCheck), poison.KeyOf(note.GetRan()[0]))
+		require.True(t, poison.Add(record, note.GetCrash(), uint64(i)))
+	}
+	require.Equal(t, poison.Quarantined, poison.StandingOf(record))
+}
+
 // Symptom: an entry sends a request on that others know to crash servers. Sequence: requests wait and run when control's word comes.
 func TestWordOfControlBindsWhatWaits(t *testing.T) {
 	w := poisonWorld(t, 1)
--- a/sched/types.go
+++ b/sched/types.go
@@ -197,6 +197,9 @@
 		Address string
 	}
 
+	// ReportCrash tells control that a server crashed while it ran a request.
+	ReportCrash struct{ Note *wire.NoteCrash }
+
 	// ClearPoison has control forget records of requests that were answered since.
 	ClearPoison struct{ Records []*wire.PoisonRecord }
 
@@ -217,6 +220,7 @@
 func (Fail) schedAction()          {}
 func (Widen) schedAction()         {}
 func (ProveAtEngine) schedAction() {}
+func (ReportCrash) schedAction()   {}
 func (ClearPoison) schedAction()   {}
 func (Count) schedAction()         {}
 
