--- a/experiment/deploy/deploy.go
+++ b/experiment/deploy/deploy.go
@@ -75,6 +75,8 @@
 	entries  []*entryInstance
 	servers  []*serverInstance
 	leaving  []*instance // killed, or ending by themselves
+
+	violations []string // that faults have seen themselves
 }
 
 // Start starts everything and returns once callers can be served. Stop must follow.
--- a/experiment/deploy/faults.go
+++ b/experiment/deploy/faults.go
@@ -33,6 +33,8 @@
 		return noFault, nil
 	case plan.ControlCut:
 		return d.cutLeader(ctx)
+	case plan.PoisonRequest:
+		return d.beginPoison(ctx, f)
 	default:
 		return nil, errors.Errorf("no fault %q", f.Kind)
 	}
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -72,6 +72,7 @@
 		{Kind: plan.EntryDeath, At: at, For: lasts, Entry: 2},
 		{Kind: plan.CacheEvents, At: at, For: lasts, Factor: 1},
 		{Kind: plan.ControlCut, At: at, For: lasts},
+		{Kind: plan.PoisonRequest, At: at, For: lasts, Target: "fast-01", Factor: 20},
 	}
 	r, err := Run(context.Background(), p, Options{})
 	require.NoError(t, err)
--- a/experiment/plan/check_faults.go
+++ b/experiment/plan/check_faults.go
@@ -47,6 +47,10 @@
 		r.require(f.For > 0, at+"for", "want a time above zero")
 	case CacheEvents:
 		r.require(isShare(f.Factor), at+"factor", "want a share from 0 to 1")
+	case PoisonRequest:
+		r.checkTarget(p, at, f)
+		r.require(f.For > 0, at+"for", "want a time above zero")
+		r.require(f.Factor > 0 && f.Factor <= maxMultiple, at+"factor", "want repeats a second, up to %d", maxMultiple)
 	case ControlCut:
 		r.require(p.Controls >= 3, at+"kind", "want at least 3 control instances")
 	default:
--- a/experiment/plan/plan.go
+++ b/experiment/plan/plan.go
@@ -181,6 +181,9 @@
 	CacheEvents FaultKind = "cache_events"
 	// ControlCut cuts the control leader off from all others, silently.
 	ControlCut FaultKind = "control_cut"
+	// PoisonRequest has the first organisation repeat, Factor times a second, a request for what backend server Target has that
+	// crashes each server that begins to run it.
+	PoisonRequest FaultKind = "poison_request"
 )
 
 // Fault is something that fails at a time.
--- a/experiment/violations.go
+++ b/experiment/violations.go
@@ -15,6 +15,7 @@
 	if count, names := o.deployment.Ledger().Overlaps(); count > 0 {
 		found = append(found, fmt.Sprintf("%d overlaps: a request ran on two engines at a time: %v", count, names))
 	}
+	found = append(found, o.deployment.Violations()...)
 	found = append(found, o.doubleRuns(outcomes)...)
 	return append(found, o.falseRefusals(outcomes)...)
 }
