pause, rendezvous: one timer for both duties, one hash for both choices of links

An entry's scheduler and an agent's gate each had a timer of their own that is brought forward by events and not put off; the gate now says when its next tick is due, as the scheduler does. Entries and sessions ranked agents and control instances by the same hash in two places. Moves only: nothing is decided otherwise.

--- a/agent/attempts_test.go
+++ b/agent/attempts_test.go
@@ -116,10 +116,10 @@
 	return actions
 }
 
-// cancels returns the answers to cancels that the gate got.
-// AtRest implements admission.
-func (r *stepRecorder) AtRest() bool { return false }
+// NextTick implements admission.
+func (r *stepRecorder) NextTick() time.Duration { return gate.TickInterval }
 
+// cancels returns the answers to cancels that the gate got.
 func (r *stepRecorder) cancels() []gate.EngineCancelled {
 	var list []gate.EngineCancelled
 	for _, event := range r.events {
--- a/agent/server.go
+++ b/agent/server.go
@@ -18,7 +18,7 @@
 // admission is the gate of one server as its duty drives it.
 type admission interface {
 	Step(now time.Time, event gate.Event) []gate.Action
-	AtRest() bool
+	NextTick() time.Duration
 }
 
 // entryLinks is how gates reach entries. Neither call blocks.
--- a/agent/server_loop.go
+++ b/agent/server_loop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/result"
 )
 
@@ -29,9 +30,8 @@
 // run is the gate duty. It returns only when ctx ends.
 func (s *server) run(ctx context.Context) {
 	s.base = ctx
-	ticks := time.NewTimer(gate.TickInterval)
+	ticks := pause.NewTimer(gate.TickInterval)
 	defer ticks.Stop()
-	isResting := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -39,26 +39,22 @@
 			return
 		case in := <-s.inputs.C():
 			s.take(in)
-			if isResting && !s.atRest() {
-				isResting = false
-				ticks.Reset(gate.TickInterval)
-			}
-		case now := <-ticks.C:
+			ticks.Within(s.nextTick())
+		case now := <-ticks.C():
 			s.sendUnsent()
 			s.noteDeparture(now)
 			s.step(now, gate.Tick{})
-			if isResting = s.atRest(); isResting {
-				ticks.Reset(gate.RestInterval)
-			} else {
-				ticks.Reset(gate.TickInterval)
-			}
+			ticks.Fired(s.nextTick())
 		}
 	}
 }
 
-// atRest tells whether the next tick may come late.
-func (s *server) atRest() bool {
-	return s.gate.AtRest() && !s.unsent.any() && !s.leaving.asked
+// nextTick is when the duty has to look again, whatever comes meanwhile.
+func (s *server) nextTick() time.Duration {
+	if s.unsent.any() || s.leaving.asked {
+		return gate.TickInterval
+	}
+	return s.gate.NextTick()
 }
 
 // take applies an input and what else is on the ring, up to inputBatch, so that ticks keep their turn.
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/outbox"
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/sched"
 )
@@ -17,52 +18,27 @@
 
 // schedulerDuty is the only one that touches the scheduler.
 func (e *Entry) schedulerDuty(ctx context.Context) error {
-	ticks := newTickTimer(sched.TickInterval)
-	defer ticks.timer.Stop()
+	ticks := pause.NewTimer(sched.TickInterval)
+	defer ticks.Stop()
 	looks := time.NewTicker(lookInterval)
 	defer looks.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticks.timer.C:
+		case <-ticks.C():
 			e.step(sched.Tick{})
-			ticks.fired(e.scheduler.NextTick())
+			ticks.Fired(e.scheduler.NextTick())
 		case <-looks.C:
 			e.look()
 		case in := <-e.inputs.C():
 			e.take(in)
 			e.takeMore()
-			ticks.within(e.scheduler.NextTick())
+			ticks.Within(e.scheduler.NextTick())
 		}
 	}
 }
 
-// tickTimer fires when the next Tick is due.
-type tickTimer struct {
-	timer *time.Timer
-	at    time.Time
-}
-
-func newTickTimer(in time.Duration) *tickTimer {
-	return &tickTimer{timer: time.NewTimer(in), at: time.Now().Add(in)}
-}
-
-// fired sets the timer again after it has fired.
-func (t *tickTimer) fired(in time.Duration) {
-	t.at = time.Now().Add(in)
-	t.timer.Reset(in)
-}
-
-// within has the timer fire no later than that. One that is set to fire earlier stays: setting it anew with each event would
-// cost more than the Tick that it spares.
-func (t *tickTimer) within(in time.Duration) {
-	if at := time.Now().Add(in); at.Before(t.at) {
-		t.at = at
-		t.timer.Reset(in)
-	}
-}
-
 func (e *Entry) takeMore() {
 	for range inputBatch {
 		select {
--- a/entry/subset.go
+++ b/entry/subset.go
@@ -4,8 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/carawaypitch/carawaypitch/rendezvous"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -36,7 +35,7 @@
 		ranked := rankedAgent{
 			name:   agent.GetAgent(),
 			isNear: agent.GetAvailabilityZone() == zone,
-			rank:   xxhash.Sum64String(entry + "\n" + agent.GetAgent()),
+			rank:   rendezvous.Rank(entry, agent.GetAgent()),
 		}
 		for _, target := range targetsOf(agent) {
 			byTarget[target] = append(byTarget[target], ranked)
--- a/gate/config.go
+++ b/gate/config.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// TickInterval is how often the agent sends a Tick while anything waits or runs, and RestInterval while nothing does.
+// TickInterval is the time between two Ticks while anything waits or runs, and RestInterval while nothing does.
 const (
 	TickInterval = 20 * time.Millisecond
 	RestInterval = sweepInterval
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -109,10 +109,13 @@
 // sweepInterval is how often what changes slowly is looked at: deadlines, leases, expiry.
 const sweepInterval = 100 * time.Millisecond
 
-// AtRest tells whether nothing waits or runs here and nothing is to be told, so that Ticks may be further apart. A server at rest
-// had its agent woken 50 times a second for a look that found nothing.
-func (g *Gate) AtRest() bool {
-	return g.cleared() && g.waiting.count == 0 && len(g.held) == 0 && len(g.runs) == 0 && !g.room.dirty
+// NextTick is when the next Tick is due. While nothing waits or runs here and nothing is to be told, they may be further apart: a
+// server at rest had its agent woken 50 times a second for a look that found nothing.
+func (g *Gate) NextTick() time.Duration {
+	if g.cleared() && g.waiting.count == 0 && len(g.held) == 0 && len(g.runs) == 0 && !g.room.dirty {
+		return RestInterval
+	}
+	return TickInterval
 }
 
 func (g *Gate) tick() {
--- a/gate/types.go
+++ b/gate/types.go
@@ -36,7 +36,7 @@
 type Event interface{ gateEvent() }
 
 type (
-	// Tick lets time pass: leases, probes and estimates are looked at. The agent sends one every TickInterval, or RestInterval.
+	// Tick lets time pass: leases, probes and estimates are looked at. The agent sends one when NextTick says so.
 	Tick struct{}
 
 	// EntryUp says that an entry's link pair is open.
--- a/session/choice.go
+++ b/session/choice.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/carawaypitch/carawaypitch/rendezvous"
 )
 
 // To how many control instances a process keeps links.
@@ -70,7 +70,7 @@
 	rank := make([]uint64, len(all))
 	for i, c := range all {
 		order[i] = i
-		rank[i] = xxhash.Sum64String(self + "\n" + c.address)
+		rank[i] = rendezvous.Rank(self, c.address)
 	}
 	slices.SortFunc(order, func(a, b int) int {
 		if all[a].failing != all[b].failing {
