gate: a crash that follows a spoilt answer is seen

A server that broke off one answer was looked for and found; what it ran when it crashed a moment later, before the answer came, was dropped with the rest. What broke after the look was asked for has it asked once more. Found by reading the change; the test is red without it.

--- a/gate/crash.go
+++ b/gate/crash.go
@@ -19,6 +19,7 @@
 type broken struct {
 	attempts []brokenAttempt // oldest first
 	asked    bool            // a VerifyServer has no answer yet
+	askedAt  time.Time       // when the last one was asked for
 	alone    bool            // a request has the server for itself, as of the last tick
 	endedAt  time.Time       // when the process was found to have ended, zero if it wasn't
 }
@@ -42,11 +43,15 @@
 		return
 	}
 	if !b.asked {
-		b.asked = true
-		g.emit(VerifyServer{})
+		g.askVerify()
 	}
 }
 
+func (g *Gate) askVerify() {
+	g.broken.asked, g.broken.askedAt = true, g.now
+	g.emit(VerifyServer{})
+}
+
 // isLeaving tells whether the server's end is planned, or seen already.
 func (g *Gate) isLeaving() bool {
 	return g.server.state != serverReady && g.server.state != serverSuspect
@@ -56,10 +61,18 @@
 func (g *Gate) verified(e Verified) {
 	b := &g.broken
 	b.asked = false
-	if !e.Ended || g.isLeaving() {
+	if g.isLeaving() {
 		b.attempts = nil
 		return
 	}
+	if !e.Ended {
+		// What broke later may be of an end that came after the look.
+		b.attempts = slices.DeleteFunc(b.attempts, func(one brokenAttempt) bool { return !one.at.After(b.askedAt) })
+		if len(b.attempts) > 0 {
+			g.askVerify()
+		}
+		return
+	}
 	b.endedAt = g.now
 	g.unreachable()
 	g.blameBroken()
--- a/gate/crash_test.go
+++ b/gate/crash_test.go
@@ -48,6 +48,22 @@
 	noChartErrors(t, b)
 }
 
+// Symptom: a crash is evidence against nobody. Sequence: a server spoils an answer; while its process is looked for, it crashes under
+// another request; the look had found it.
+func TestCrashThatFollowsASpoiltAnswerIsSeen(t *testing.T) {
+	b := openBench(t)
+	b.startPrint("r1", 1)
+	b.startPrint("r2", 2)
+	b.lost(id("r1", 1))
+	b.now = b.now.Add(5 * time.Millisecond)
+	b.lost(id("r2", 1))
+	b.actions = nil
+	b.step(Verified{})
+	require.Len(t, of[VerifyServer](b.actions), 1, "once more")
+	b.step(Verified{Ended: true})
+	require.Equal(t, []poison.Fingerprint{2}, crashed(b.actions))
+}
+
 // Symptom: a request that never crashed a server is taken for one that does. Sequence: its server spoils its answer, is cancelled,
 // can't be reached, or ends after it said that it leaves.
 func TestEndsOfOtherKindsAreNoCrash(t *testing.T) {
