sched: a quarantined request isn't a loss of its class; explain gives the reason

Each refusal of a repeated poison request counted as work that its class lost, so that an organisation could make its class urgent by sending one again and again: others would have waited for it. The explanation of a request has its error's message now, which names the servers.

--- a/cmd/carawaypitch/requests.go
+++ b/cmd/carawaypitch/requests.go
@@ -125,6 +125,9 @@
 	fmt.Fprintf(w, "request\t%s of %s\n", r.Request, r.Organisation)
 	fmt.Fprintf(w, "class\t%s, tier %d, %s %s\n", r.Class, r.Tier, r.Kind, r.Target)
 	fmt.Fprintf(w, "state\t%s, ran: %s, code %d\n", r.State, r.Ran, r.Code)
+	if r.Reason != "" {
+		fmt.Fprintf(w, "reason\t%s\n", r.Reason)
+	}
 	fmt.Fprintf(w, "time\tarrived %s, deadline after %s\n", r.Arrived.Format(time.RFC3339Nano), r.Deadline.Sub(r.Arrived))
 	if r.Queued {
 		fmt.Fprintf(w, "queued\tabout %d ahead, waits at %s\n", r.Ahead, orNone(strings.Join(r.Reservations, ", ")))
--- a/operator/requests.go
+++ b/operator/requests.go
@@ -32,6 +32,7 @@
 	Candidates   []string     `json:"candidates"`
 	Delivered    uint64       `json:"delivered"` // events
 	Code         uint16       `json:"code"`
+	Reason       string       `json:"reason"` // with Code
 	Ran          string       `json:"ran"`
 	Ended        time.Time    `json:"ended,omitzero"`
 }
--- a/sched/explain.go
+++ b/sched/explain.go
@@ -67,6 +67,7 @@
 	EarlierUnproved []string    `json:"earlier_unproved,omitempty"`
 	Delivered       uint64      `json:"delivered"` // events
 	Code            result.Code `json:"code,omitempty"`
+	Reason          string      `json:"reason,omitempty"` // with Code
 	Ran             string      `json:"ran"`
 	Ended           time.Time   `json:"ended,omitzero"`
 }
@@ -106,7 +107,7 @@
 		e.EarlierUnproved = slices.Clone(r.earlier.waiting)
 	}
 	if err != nil {
-		e.Code = err.Code
+		e.Code, e.Reason = err.Code, err.Message
 		e.Ran = err.Ran.String()
 	}
 	if r.lane != nil {
--- a/sched/poison_test.go
+++ b/sched/poison_test.go
@@ -89,6 +89,16 @@
 	for _, at := range w.dispatches("r1") {
 		require.Contains(t, failure.Message, at.server, "the reason names the servers")
 	}
+	explanation, known := w.s.Explain("r2")
+	require.True(t, known)
+	require.Equal(t, failure.Message, explanation.Reason)
+	lost := 0
+	for _, c := range w.counts {
+		if c.Counter == Lost {
+			lost++
+		}
+	}
+	require.Equal(t, 1, lost, "r1 only: who repeats it doesn't make the class look as if it missed its target")
 	other := w.request("r3", gateCheck)
 	other.Organisation = "rival"
 	w.step(Arrive{Request: other})
--- a/sched/request.go
+++ b/sched/request.go
@@ -240,7 +240,9 @@
 	err := s.truthful(r, r.err)
 	s.act(Fail{Request: r.ID, Err: err, Trace: s.trace(r)})
 	s.act(Count{Counter: Refusals, Code: err.Code, Tier: r.Class.GetTier(), Class: r.Class.GetName(), Add: 1})
-	if !r.callerGone {
+	if !r.callerGone && err.Code != result.RequestQuarantined {
+		// A caller who repeats what crashes servers must not make its class look as if it missed its target: the class
+		// would go before others.
 		r.class.ended(s.now, false, true)
 		s.countClass(Lost, r)
 	}
