--- a/poison/fleet_test.go
+++ b/poison/fleet_test.go
@@ -299,4 +299,3 @@
 		return times
 	}
 }
-
