--- a/gate/crash.go
+++ b/gate/crash.go
@@ -39,7 +39,7 @@
 	b.attempts = slices.DeleteFunc(b.attempts, func(one brokenAttempt) bool { return g.now.Sub(one.at) > crashWindow })
 	b.attempts = append(b.attempts, brokenAttempt{a, g.now, g.isAlone(a)})
 	if !b.endedAt.IsZero() && g.now.Sub(b.endedAt) <= crashWindow {
-		g.blameBroken()
+		g.attributeCrash()
 		return
 	}
 	if !b.asked {
@@ -75,7 +75,7 @@
 	}
 	b.endedAt = g.now
 	g.unreachable()
-	g.blameBroken()
+	g.attributeCrash()
 }
 
 // aloneTime is how long a watched request stays alone after its first token. One that crashes servers does so as it begins.
@@ -109,8 +109,8 @@
 	}
 }
 
-// blameBroken reports the broken attempts as run by a server that crashed.
-func (g *Gate) blameBroken() {
+// attributeCrash reports the broken attempts as what the server ran when it crashed.
+func (g *Gate) attributeCrash() {
 	var runs []Run
 	alone := len(g.broken.attempts) == 1 && g.broken.attempts[0].alone
 	for _, one := range g.broken.attempts {
--- a/state/poison.go
+++ b/state/poison.go
@@ -43,13 +43,14 @@
 	}
 	for _, ran := range cmd.GetRan() {
 		if ran.GetFingerprint() != 0 && len(ran.GetOrganisation()) <= maxName {
-			s.blame(poison.KeyOf(ran), crash)
+			s.addCrash(poison.KeyOf(ran), crash)
 		}
 	}
 	return accepted()
 }
 
-func (s *State) blame(key poison.Key, crash *wire.Crash) {
+// addCrash notes a crash against one request.
+func (s *State) addCrash(key poison.Key, crash *wire.Crash) {
 	record := key.Record()
 	if known := s.poisoned.records[key.String()]; known != nil {
 		record = proto.CloneOf(known)
@@ -105,15 +106,15 @@
 	}
 	var least *wire.PoisonRecord // the same in whatever order they come
 	for _, record := range p.records {
-		if record.GetOrganisation() == organisation && (least == nil || compareGuilt(record, least) < 0) {
+		if record.GetOrganisation() == organisation && (least == nil || compareEvidence(record, least) < 0) {
 			least = record
 		}
 	}
 	s.setPoison(poison.KeyOf(least), nil)
 }
 
-// compareGuilt orders the records of an organisation by their crashes, then by their last change.
-func compareGuilt(a, b *wire.PoisonRecord) int {
+// compareEvidence orders the records of an organisation by their crashes, then by their last change.
+func compareEvidence(a, b *wire.PoisonRecord) int {
 	return cmp.Or(
 		cmp.Compare(len(a.GetCrashes()), len(b.GetCrashes())),
 		cmp.Compare(a.GetVersion(), b.GetVersion()),
