poison: a crash that is reported late is the same crash

The entry that was cut off reported the crashes 4.8 s later, and what comes two seconds after another report of a server was taken for another crash, since these servers don't tell when they started.

A crash has one identity now, given by the agent that noticed it, told to the entries with it, and reported by both as it is. Where each start of a server has another name, a name crashes once, whoever reports it and when. The test is red without either.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -191,7 +191,6 @@
 		newGate:   a.newGate,
 		spawn:     a.spawn,
 		changed:   a.serverChanged,
-		reporter:  a.settings.Instance,
 		report:    a.reports.Put,
 	}, a.beginServer, most)
 	a.orders = newOrders(orderDeps{
@@ -217,6 +216,8 @@
 		SlowRatio:     limits.SlowRatio,
 		SlotsFloor:    limits.SlotsFloor,
 
+		Reporter:       a.settings.Instance,
+		RunNames:       a.follow.selects != nil,
 		UnlistedSettle: timing.UnlistedSettle,
 		ProcessStarted: a.started,
 	})
--- a/agent/server.go
+++ b/agent/server.go
@@ -39,8 +39,6 @@
 	spawn     func(func(ctx context.Context))
 	// changed says that a server's view changed.
 	changed func(*server)
-	// reporter names this agent in what it reports.
-	reporter string
 	// report hands a report over for control. It never blocks.
 	report func(outbox.Item)
 	// linked returns the entries with an open link.
--- a/agent/server_crash.go
+++ b/agent/server_crash.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/google/uuid"
 
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/gate"
@@ -67,9 +66,7 @@
 
 // crashed tells control and the log what the server ran when it crashed.
 func (s *server) crashed(a gate.Crashed) {
-	note := &wire.NoteCrash{Crash: &wire.Crash{
-		Id: uuid.NewString(), Server: s.name, Alone: a.Alone, Reporter: s.reporter,
-	}}
+	note := &wire.NoteCrash{Crash: a.Crash}
 	requests := make([]string, 0, len(a.Runs))
 	fingerprints := make([]string, 0, len(a.Runs))
 	for _, run := range a.Runs {
@@ -81,7 +78,7 @@
 	s.report(outbox.Crash(note))
 	s.meter.crashed()
 	s.log.WithField("runs", len(a.Runs)).
-		WithField("alone", a.Alone).
+		WithField("alone", a.Crash.GetAlone()).
 		WithField("requests", strings.Join(requests, ",")).
 		WithField("fingerprints", strings.Join(fingerprints, ",")).
 		Warn("server_crashed")
--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -39,9 +39,8 @@
 	work     *wire.Work
 	dispatch *wire.Dispatch // nil for a reservation
 
-	fingerprint  poison.Fingerprint // of the request, once dispatched
-	crashed      bool               // the server's process ended while it ran
-	crashedAlone bool               // and nothing else did
+	fingerprint poison.Fingerprint // of the request, once dispatched
+	crash       *wire.Crash        // the end of the server's process while it ran, nil for none
 
 	state    attemptState
 	unheard  bool   // known by its cancel only
--- a/gate/config.go
+++ b/gate/config.go
@@ -72,6 +72,10 @@
 	ProbeFailures int
 	// AnswerBound and ResendBound bound the bytes of an answer kept for control and for an entry that lost its link.
 	AnswerBound, ResendBound int
+	// Reporter names this agent in what it reports of crashes.
+	Reporter string
+	// RunNames says that each start of a server has another name.
+	RunNames bool
 	// NoPredecessor says that no earlier incarnation of this agent can have run anything at this server. Without it
 	// a Cancel for an attempt that the gate never heard of is not answered with PROOF_NEVER_STARTED as long as it may
 	// speak of an attempt of an earlier incarnation.
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/result"
@@ -111,11 +112,20 @@
 
 // attributeCrash reports the broken attempts as what the server ran when it crashed.
 func (g *Gate) attributeCrash() {
+	if len(g.broken.attempts) == 0 {
+		return
+	}
+	crash := &wire.Crash{
+		Id:       g.serverName() + "@" + strconv.FormatInt(g.now.UnixNano(), 10),
+		Server:   g.serverName(),
+		Alone:    len(g.broken.attempts) == 1 && g.broken.attempts[0].alone,
+		Reporter: g.config.Reporter,
+		Once:     g.config.RunNames,
+	}
 	var runs []Run
-	alone := len(g.broken.attempts) == 1 && g.broken.attempts[0].alone
 	for _, one := range g.broken.attempts {
 		a := one.attempt
-		a.crashed, a.crashedAlone = true, alone
+		a.crash = crash
 		g.tellCrash(a)
 		runs = append(runs, Run{
 			Request:      a.record.request,
@@ -124,9 +134,7 @@
 		})
 	}
 	g.broken.attempts = nil
-	if len(runs) > 0 {
-		g.emit(Crashed{Runs: runs, Alone: alone})
-	}
+	g.emit(Crashed{Crash: crash, Runs: runs})
 }
 
 // tellCrash tells the owner of an attempt that isn't proved over of the crash. The proof may have to wait until the server is back,
@@ -136,10 +144,9 @@
 		return
 	}
 	g.reply(asker{entry: a.owner.id, number: a.number, server: a.server}, a.record.request, &wire.Over{
-		Proof:        wire.Proof_PROOF_UNPROVEN,
-		Code:         uint32(result.EngineLost),
-		Message:      "the backend server crashed",
-		Crashed:      a.crashed,
-		CrashedAlone: a.crashedAlone,
+		Proof:   wire.Proof_PROOF_UNPROVEN,
+		Code:    uint32(result.EngineLost),
+		Message: "the backend server crashed",
+		Crash:   a.crash,
 	})
 }
--- a/gate/crash_test.go
+++ b/gate/crash_test.go
@@ -147,7 +147,7 @@
 	b.lost(id("w1", 1))
 	b.step(Verified{Ended: true})
 	require.Len(t, crashed(b.actions), 2)
-	require.False(t, of[Crashed](b.actions)[0].Alone)
+	require.False(t, of[Crashed](b.actions)[0].Crash.GetAlone())
 	noChartErrors(t, b)
 }
 
@@ -156,10 +156,9 @@
 	b.start(entryA, id("w1", 1), watchedWork())
 	b.lost(id("w1", 1))
 	b.step(Verified{Ended: true})
-	require.True(t, of[Crashed](b.actions)[0].Alone)
+	require.True(t, of[Crashed](b.actions)[0].Crash.GetAlone())
 	over := onlyOver(t, b.answer(id("w1", 1), engine.CancelUnknownID), entryA, wire.Proof_PROOF_CANCELLED)
-	require.True(t, over.GetCrashed())
-	require.True(t, over.GetCrashedAlone())
+	require.Equal(t, of[Crashed](b.actions)[0].Crash, over.GetCrash(), "its entry reports the same crash")
 }
 
 // Symptom: an entry sends more to a server that has crashed until a probe notices. Sequence: its process is found to have ended.
@@ -171,7 +170,7 @@
 	b.step(Verified{Ended: true})
 	require.Equal(t, serverSuspect, b.gate.server.state)
 	over := onlyOver(t, b.answer(id("r1", 1), engine.CancelUnknownID), entryA, wire.Proof_PROOF_CANCELLED)
-	require.True(t, over.GetCrashed(), "its entry hears of it")
+	require.NotNil(t, over.GetCrash(), "its entry hears of it")
 	b.step(Probed{OK: true})
 	require.Equal(t, serverReady, b.gate.server.state)
 }
--- a/gate/over.go
+++ b/gate/over.go
@@ -119,7 +119,7 @@
 	over.Attempt = a.id()
 	over.Server = a.server
 	over.WastedPrefillTokens = a.run.wasted
-	over.Crashed, over.CrashedAlone = a.crashed, a.crashedAlone
+	over.Crash = a.crash
 	if over.Proof == wire.Proof_PROOF_CANCELLED && a.cancel.tier > 0 {
 		over.PreemptedByTier = a.cancel.tier
 		over.Resumable = g.resumable(a)
--- a/gate/types.go
+++ b/gate/types.go
@@ -157,11 +157,10 @@
 	// VerifyServer asks at once whether the server's process is still there; exactly one Verified follows.
 	VerifyServer struct{}
 
-	// Crashed says that the server's process ended, without having said that it leaves, while it ran these attempts. Alone says
-	// that it was one watched request only.
+	// Crashed says that the server's process ended, without having said that it leaves, while it ran these attempts.
 	Crashed struct {
+		Crash *wire.Crash
 		Runs  []Run
-		Alone bool
 	}
 
 	// Report proposes the outcome of a keyed attempt to control because its entry is gone.
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -130,8 +130,8 @@
 	return n
 }
 
-// isSame tells whether a crash is one that was noted before. A run of a server that tells when it started crashes once; one that
-// doesn't may crash again under its name.
+// isSame tells whether a crash is one that was noted before. Several agents may report it, and one of them may have been cut off from
+// control meanwhile. A server whose name is of one start crashes once; another one may crash again under its name.
 func isSame(known, crash *wire.Crash, nowMS uint64) bool {
 	switch {
 	case known.GetId() == crash.GetId():
@@ -142,7 +142,7 @@
 		return false
 	default:
 		apart := max(nowMS, known.GetUnixMs()) - min(nowMS, known.GetUnixMs())
-		return wire.ParseRun(crash.GetServer()).StartedMS != 0 || apart < milliseconds(sameCrash)
+		return crash.GetOnce() || apart < milliseconds(sameCrash)
 	}
 }
 
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -58,7 +58,7 @@
 // Symptom: a request is quarantined after one crash. Sequence: several entries were connected to the server and report its end, and
 // one of them reports it twice, since the first answer of control was lost.
 func TestOneCrashCountsOnce(t *testing.T) {
-	run := wire.Run{ID: "i-1", StartedMS: 5}.String()
+	once := func(id string) *wire.Crash { return &wire.Crash{Id: id, Server: "i-1", Once: true} }
 	for name, test := range map[string]struct {
 		first, second *wire.Crash
 		later         time.Duration
@@ -69,7 +69,7 @@
 		"the same name, later":              {crash("a", "s"), crash("b", "s"), 3 * time.Second, true},
 		"by the same reporter, soon after":  {reported("a", "s", "agent"), reported("b", "s", "agent"), time.Second, true},
 		"by another reporter":               {reported("a", "s", "agent"), reported("b", "s", "other"), time.Second, false},
-		"the same run, later":               {crash("a", run), crash("b", run), time.Hour, false},
+		"a name of one start, later":        {once("a"), once("b"), time.Hour, false},
 		"another server at the same moment": {crash("a", "s"), crash("b", "t"), 0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/sched/poison.go
+++ b/sched/poison.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -143,10 +142,8 @@
 		strings.Join(poison.Servers(record), ", "), left).WithRetryAfter(max(left, 0))
 }
 
-// noteCrash notes that a server crashed while it ran the present attempt of a request.
-func (s *Scheduler) noteCrash(r *request, m *wire.Over) {
-	id := fmt.Sprintf("%s.%d", r.ID, m.GetAttempt().GetNumber())
-	crash := &wire.Crash{Id: id, Server: m.GetServer(), Alone: m.GetCrashedAlone(), Reporter: s.options.Entry}
+// noteCrash notes that a server crashed while it ran an attempt of a request, and tells control, as the agent does that reported it.
+func (s *Scheduler) noteCrash(r *request, crash *wire.Crash) {
 	if s.poison.crashed(r.poisonKey(), crash, s.now) {
 		s.act(ReportCrash{Note: &wire.NoteCrash{Crash: crash, Ran: []*wire.PoisonRecord{r.poisonKey().Record()}}})
 	}
--- a/sched/poison_test.go
+++ b/sched/poison_test.go
@@ -30,11 +30,18 @@
 func (w *world) crash(at sentTo) {
 	w.t.Helper()
 	w.over(at.server, &wire.Over{
-		Attempt: at.id, Proof: wire.Proof_PROOF_CANCELLED, Began: true, Crashed: true, CrashedAlone: w.isWatched(at),
+		Attempt: at.id, Proof: wire.Proof_PROOF_CANCELLED, Began: true, Crash: w.crashAt(at),
 	})
 	w.pass(TickInterval)
 }
 
+// crashAt is the crash of an attempt's server, as its agent reports it.
+func (w *world) crashAt(at sentTo) *wire.Crash {
+	return &wire.Crash{
+		Id: fmt.Sprint(at.server, "@", at.id.GetNumber()), Server: at.server, Alone: w.isWatched(at), Reporter: agentOf(at.server),
+	}
+}
+
 // isWatched tells whether an attempt was sent as one that has to begin alone.
 func (w *world) isWatched(at sentTo) bool {
 	for _, sent := range w.sent {
@@ -119,7 +126,7 @@
 		at := w.last("r1", n+1)
 		for _, proof := range []wire.Proof{wire.Proof_PROOF_UNPROVEN, wire.Proof_PROOF_CANCELLED} {
 			over := &wire.Over{
-				Attempt: at.id, Server: at.server, Proof: proof, Began: true, Crashed: true, CrashedAlone: w.isWatched(at),
+				Attempt: at.id, Server: at.server, Proof: proof, Began: true, Crash: w.crashAt(at),
 			}
 			for _, a := range w.step(Received{Agent: agentOf(at.server), Incarnation: 1, Message: &wire.AgentMessage{
 				Kind: &wire.AgentMessage_Over{Over: over},
--- a/sched/proofs.go
+++ b/sched/proofs.go
@@ -46,8 +46,8 @@
 		return
 	}
 	s.acknowledge(r)
-	if m.GetCrashed() {
-		s.noteCrash(r, m)
+	if m.GetCrash() != nil {
+		s.noteCrash(r, m.GetCrash())
 	}
 	if provesBegun(r, m) {
 		r.record().began = true
--- a/state/poison.go
+++ b/state/poison.go
@@ -34,7 +34,7 @@
 func (s *State) noteCrash(cmd *wire.NoteCrash) *wire.CommandResult {
 	crash := cmd.GetCrash()
 	switch {
-	case crash.GetId() == "" || len(crash.GetId()) > maxName || crash.GetServer() == "" || len(crash.GetServer()) > maxName:
+	case crash.GetId() == "" || len(crash.GetId()) > maxKey || crash.GetServer() == "" || len(crash.GetServer()) > maxName:
 		return refuse(result.BadMessage, "a crash without an id or a server, or with a long one")
 	case len(crash.GetReporter()) > maxName:
 		return refuse(result.BadMessage, "a reporter with a long name")
--- a/state/poison_test.go
+++ b/state/poison_test.go
@@ -141,3 +141,27 @@
 	l.crash("s1", &wire.PoisonRecord{Organisation: "org"})
 	require.Empty(t, l.state.Poison(), "without a fingerprint it is of no request")
 }
+
+// Symptom: requests that harmed nobody have to begin alone. Sequence: three servers crash; their agents report it; an entry that is cut
+// off from control reports the same crashes five seconds later. Cause: seen on a played day: a crash that came late was taken for
+// another one, since the names of its servers tell no time of start.
+func TestCrashThatIsReportedLateIsTheSame(t *testing.T) {
+	for name, crash := range map[string]*wire.Crash{
+		"by the entry that its agent told":                   {Id: "s1@5", Server: "s1", Reporter: "agent-1"},
+		"by another agent, of a server whose name is unique": {Id: "s1@7", Server: "s1", Reporter: "agent-2", Once: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLog(t)
+			a := printOf("org", 1)
+			note := func(crash *wire.Crash) {
+				l.accept(&wire.Command{Kind: &wire.Command_NoteCrash{NoteCrash: &wire.NoteCrash{
+					Crash: crash, Ran: []*wire.PoisonRecord{a},
+				}}})
+			}
+			note(&wire.Crash{Id: "s1@5", Server: "s1", Reporter: "agent-1", Once: crash.GetOnce()})
+			l.now += uint64((5 * time.Second).Milliseconds())
+			note(crash)
+			require.Len(t, l.state.Poison()[0].GetCrashes(), 1)
+		})
+	}
+}
