poison: a request that crashes servers only after a while is quarantined after six

A watched request is alone until half a second after its first token. One that crashes its server later than that was never alone at a crash, and would have gone on without end. Found by reading; six crashes in a row without an answer, beside whatever, make a quarantine too: three retries after the third at most.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -9,10 +9,13 @@
 )
 
 // How many crashes it takes. A request may have been beside the one that caused them, also twice. So it then begins to run alone,
-// and only a crash there makes a quarantine.
+// and a crash there makes a quarantine.
 const (
 	WatchedAt     = 2
 	QuarantinedAt = 3
+	// quarantinedBeside is how many it takes of a request that was never alone. It may crash servers only after it has run for
+	// a while, when others are beside it again; one that is innocent isn't at so many in a row without an answer.
+	quarantinedBeside = 6
 )
 
 // Times by the leader's clock.
@@ -52,10 +55,11 @@
 	}
 }
 
-// StandingAfter is the standing of a request after so many crashes.
-func StandingAfter(crashes int) Standing {
+// StandingOf is the standing by a record, nil for none.
+func StandingOf(record *wire.PoisonRecord) Standing {
+	crashes, beside := len(record.GetCrashes()), besideOthers(record)
 	switch {
-	case crashes >= QuarantinedAt:
+	case crashes >= QuarantinedAt && beside < crashes, beside >= quarantinedBeside:
 		return Quarantined
 	case crashes >= WatchedAt:
 		return Watched
@@ -64,9 +68,6 @@
 	}
 }
 
-// StandingOf is the standing by a record, nil for none.
-func StandingOf(record *wire.PoisonRecord) Standing { return StandingAfter(len(record.GetCrashes())) }
-
 // Key names a request over its repeats by the same caller. What another organisation sends is another request: what one
 // of the rivals does never has a request of another refused.
 type Key struct {
@@ -97,10 +98,10 @@
 }
 
 // Add notes a crash in a record at a time, in milliseconds since 1970, and tells whether that changes the record. One that is known
-// already doesn't, nor does one of a request that is quarantined, which was on its way when that was decided, nor a third one beside
-// others. The order in which crashes are noted makes no difference.
+// already doesn't, nor does one of a request that is quarantined, which was on its way when that was decided. The order in which
+// crashes are noted makes no difference.
 func Add(record *wire.PoisonRecord, crash *wire.Crash, nowMS uint64) bool {
-	if StandingOf(record) == Quarantined || !crash.GetAlone() && besideOthers(record) >= WatchedAt {
+	if StandingOf(record) == Quarantined {
 		return false
 	}
 	for _, known := range record.GetCrashes() {
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -39,8 +39,8 @@
 // and it happens to be there.
 func TestOnlyACrashAloneMakesAQuarantine(t *testing.T) {
 	record := Key{}.Record()
-	for i := range 10 {
-		Add(record, crash(string(rune('a'+i)), string(rune('A'+i))), startMS)
+	for i := range quarantinedBeside - 1 {
+		require.True(t, Add(record, crash(string(rune('a'+i)), string(rune('A'+i))), startMS))
 	}
 	require.Equal(t, Watched, StandingOf(record))
 	require.True(t, Add(record, crashAlone("z", "Z"), startMS))
@@ -55,6 +55,17 @@
 	})
 }
 
+// Symptom: a request goes on to crash servers, each after it has run for a while. Sequence: others are let in beside it by then, so no
+// crash is one alone.
+func TestRequestThatCrashesServersLaterIsQuarantinedToo(t *testing.T) {
+	record := Key{}.Record()
+	crashes := 0
+	for ; StandingOf(record) != Quarantined; crashes++ {
+		require.True(t, Add(record, crash(string(rune('a'+crashes)), string(rune('A'+crashes))), startMS))
+	}
+	require.LessOrEqual(t, crashes-QuarantinedAt, 3, "retries after the third crash")
+}
+
 // Symptom: a request is quarantined after one crash. Sequence: several entries were connected to the server and report its end, and
 // one of them reports it twice, since the first answer of control was lost.
 func TestOneCrashCountsOnce(t *testing.T) {
