--- a/agent/server_crash_test.go
+++ b/agent/server_crash_test.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// Symptom: on-call can't tell from any line what a server ran when it crashed. Sequence: an engine crashes with two runs, and comes
-// back; later it breaks one answer off without a crash.
+// Symptom: on-call can't tell from any line what a server ran when it crashed. Sequence: an engine crashes with two runs, and
+// comes back; later it breaks one answer off without a crash. Cause: crashes that no line and no metric told.
 func TestCrashIsCounted(t *testing.T) {
 	modelWorld(t, func(w *world, model *standin.Server, entry *fakeEntry) {
 		entry.dispatch(longCompletion("r1", 1))
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -119,8 +119,9 @@
 	})
 }
 
-// Symptom: hundreds of machines send a request on that crashes servers, long after some of them knew. Sequence: three agents report a
-// crash each, at a fleet of 105 entries and 180 agents; then control loses its leader, and an entry joins.
+// Symptom: hundreds of machines send a request on that crashes servers, long after some of them knew. Sequence: three agents
+// report a crash each, at a fleet of 105 entries and 180 agents; then control loses its leader, and an entry joins. Cause: what
+// is known spread slower than requests come back, or lost with the leader.
 func TestQuarantineBindsAFleetOfHundreds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
--- a/gate/crash_test.go
+++ b/gate/crash_test.go
@@ -29,8 +29,9 @@
 	return prints
 }
 
-// Symptom: nobody can tell which request crashes servers. Sequence: a server crashes with two requests on it; its agent reads the end
-// of one connection, looks for the process, and reads the end of the other one later.
+// Symptom: nobody can tell which request crashes servers. Sequence: a server crashes with two requests on it; its agent reads the
+// end of one connection, looks for the process, and reads the end of the other one later. Cause: the ends of single attempts
+// noted and not that of the process.
 func TestWhatAServerRanWhenItCrashedIsTold(t *testing.T) {
 	b := openBench(t)
 	b.startPrint("r1", 1)
@@ -48,8 +49,8 @@
 	noChartErrors(t, b)
 }
 
-// Symptom: a crash is evidence against nobody. Sequence: a server spoils an answer; while its process is looked for, it crashes under
-// another request; the look had found it.
+// Symptom: a crash is evidence against nobody. Sequence: a server spoils an answer; while its process is looked for, it crashes
+// under another request; the look had found it. Cause: one look taken for all that broke until its answer came.
 func TestCrashThatFollowsASpoiltAnswerIsSeen(t *testing.T) {
 	b := openBench(t)
 	b.startPrint("r1", 1)
@@ -64,8 +65,8 @@
 	require.Equal(t, []poison.Fingerprint{2}, crashed(b.actions))
 }
 
-// Symptom: a request that never crashed a server is taken for one that does. Sequence: its server spoils its answer, is cancelled,
-// can't be reached, or ends after it said that it leaves.
+// Symptom: a request that never crashed a server is taken for one that does. Sequence: its server spoils its answer, is
+// cancelled, can't be reached, or ends after it said that it leaves. Cause: any broken answer taken for a crash.
 func TestEndsOfOtherKindsAreNoCrash(t *testing.T) {
 	for name, play := range map[string]func(b *bench){
 		"the process is there": func(b *bench) {
@@ -120,8 +121,9 @@
 
 func watchedWork() *wire.Work { return workOf(func(w *wire.Work) { w.Watched = true }) }
 
-// Symptom: a request is quarantined that was only beside the ones that crash servers. Sequence: it has been under two crashes, and at the
-// third there is another such request, or one that nobody knows yet, beside it.
+// Symptom: a request is quarantined that was only beside the ones that crash servers. Sequence: it has been under two crashes,
+// and at the third there is another such request, or one that nobody knows yet, beside it. Cause: a third crash that may speak of
+// several requests.
 func TestWatchedRequestBeginsAlone(t *testing.T) {
 	b := openBench(t)
 	b.start(entryA, id("r1", 1), work())
@@ -162,6 +164,7 @@
 }
 
 // Symptom: an entry sends more to a server that has crashed until a probe notices. Sequence: its process is found to have ended.
+// Cause: only a failed call or probe made a server suspect.
 func TestCrashedServerGetsNoNewWork(t *testing.T) {
 	b := openBench(t)
 	b.startPrint("r1", 1)
--- a/outbox/outbox_test.go
+++ b/outbox/outbox_test.go
@@ -15,7 +15,7 @@
 )
 
 // Symptom: what servers crashed under is forgotten after a loss of control. Sequence: nobody commits proposals for a minute; then
-// control is back.
+// control is back. Cause: proposals given up after some tries.
 func TestItemsAreCommittedOnceControlIsBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		back := time.Now().Add(time.Minute)
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -35,8 +35,8 @@
 	require.Equal(t, key, KeyOf(record))
 }
 
-// Symptom: a request is quarantined that was beside others at each crash. Sequence: several poison requests crash server after server,
-// and it happens to be there.
+// Symptom: a request is quarantined that was beside others at each crash. Sequence: several poison requests crash server after
+// server, and it happens to be there. Cause: crashes beside others counted like those alone.
 func TestOnlyACrashAloneMakesAQuarantine(t *testing.T) {
 	record := Key{}.Record()
 	for i := range quarantinedBeside - 1 {
@@ -55,8 +55,8 @@
 	})
 }
 
-// Symptom: a request goes on to crash servers, each after it has run for a while. Sequence: others are let in beside it by then, so no
-// crash is one alone.
+// Symptom: a request goes on to crash servers, each after it has run for a while. Sequence: others are let in beside it by then,
+// so no crash is one alone. Cause: only crashes alone counted.
 func TestRequestThatCrashesServersLaterIsQuarantinedToo(t *testing.T) {
 	record := Key{}.Record()
 	crashes := 0
@@ -66,8 +66,8 @@
 	require.LessOrEqual(t, crashes-QuarantinedAt, 3, "retries after the third crash")
 }
 
-// Symptom: a request is quarantined after one crash. Sequence: several entries were connected to the server and report its end, and
-// one of them reports it twice, since the first answer of control was lost.
+// Symptom: a request is quarantined after one crash. Sequence: several entries were connected to the server and report its end,
+// and one of them reports it twice, since the first answer of control was lost. Cause: reports counted and not crashes.
 func TestOneCrashCountsOnce(t *testing.T) {
 	once := func(id string) *wire.Crash { return &wire.Crash{Id: id, Server: "i-1", Once: true} }
 	for name, test := range map[string]struct {
@@ -96,7 +96,8 @@
 	})
 }
 
-// Symptom: a request that crashes servers reaches more than three of them within a day after it was first quarantined.
+// Symptom: a request that crashes servers reaches more than three of them within a day after it was first quarantined. Cause:
+// quarantines that are all of one length.
 func TestQuarantinesGetLonger(t *testing.T) {
 	record := Key{}.Record()
 	now, crashes := uint64(startMS), 0
--- a/poison/quarantine_test.go
+++ b/poison/quarantine_test.go
@@ -61,8 +61,9 @@
 	}
 }
 
-// Symptom: what crashed servers before crashes them again after a fault. Sequence: a request is quarantined; the entry that saw all
-// of its crashes dies and starts again, so do the control instances one after the other, and in the end all of them at once.
+// Symptom: what crashed servers before crashes them again after a fault. Sequence: a request is quarantined; the entry that saw
+// all of its crashes dies and starts again, so do the control instances one after the other, and in the end all of them at once.
+// Cause: what is known of crashes kept by one process, or in memory only.
 func TestQuarantineOutlivesEntriesAndControl(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		crashes := f.quarantine(0)
@@ -94,7 +95,8 @@
 }
 
 // Symptom: each entry loses servers to a request that another one knows. Sequence: control is gone while servers crash; the entry
-// that sees it goes by what it knows itself. Then control comes back.
+// that sees it goes by what it knows itself. Then control comes back. Cause: crashes told once, or not at all, while nobody can
+// commit them.
 func TestCrashesSeenWithoutControlAreKnownOnceItIsBack(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		for _, c := range f.controls {
@@ -119,8 +121,9 @@
 	})
 }
 
-// Symptom: requests that did no harm are refused. Sequence: answers run on all engines while another request crashes one engine after
-// the other; each of them loses its engine once or more, and is sent again.
+// Symptom: requests that did no harm are refused. Sequence: answers run on all engines while another request crashes one engine
+// after the other; each of them loses its engine once or more, and is sent again. Cause: each of the requests at a crash taken
+// for its cause.
 func TestRequestsBesideAPoisonRequestAreServed(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		stop := make(chan struct{})
@@ -165,8 +168,9 @@
 	})
 }
 
-// Symptom: a request that many send is refused after a rack has lost power. Sequence: it runs on all engines; half of them end at once,
-// then the other half, and so on: more than three engines end under it, none of them because of it.
+// Symptom: a request that many send is refused after a rack has lost power. Sequence: it runs on all engines; half of them end at
+// once, then the other half, and so on: more than three engines end under it, none of them because of it. Cause: crashes counted
+// against a request that was answered a moment ago.
 func TestServersThatDieOtherwiseHoldNobodyBack(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		stop := make(chan struct{})
--- a/rendezvous/rendezvous_test.go
+++ b/rendezvous/rendezvous_test.go
@@ -8,6 +8,7 @@
 )
 
 // Symptom: some instances have several times the links of others. Sequence: each of many processes takes the first of its order.
+// Cause: a hash whose order is alike for many.
 func TestChoicesSpread(t *testing.T) {
 	const processes, others = 1000, 10
 	chosen := make(map[int]int)
--- a/sched/poison_test.go
+++ b/sched/poison_test.go
@@ -75,8 +75,9 @@
 	return versions
 }
 
-// Symptom: one entry sends a request to server after server, and each crashes. Sequence: its attempts end with their servers' processes,
-// before control has committed anything. The caller of the third hears that it ran, later ones that theirs did not.
+// Symptom: one entry sends a request to server after server, and each crashes. Sequence: its attempts end with their servers'
+// processes, before control has committed anything. The caller of the third hears that it ran, later ones that theirs did not.
+// Cause: an entry that goes by what control has committed only.
 func TestEntryGoesByTheCrashesThatItHasSeen(t *testing.T) {
 	w := poisonWorld(t, 6)
 	w.arrive("r1", gateCheck)
@@ -116,8 +117,8 @@
 	require.Len(t, w.dispatches("r4"), 1, "control has it by then, or has refuted it")
 }
 
-// Symptom: three servers more crash for each entry, though one knows of three crashes. Sequence: the agents that saw them are cut off from
-// control, and their entries are not.
+// Symptom: three servers more crash for each entry, though one knows of three crashes. Sequence: the agents that saw them are cut
+// off from control, and their entries are not. Cause: crashes reported by agents only.
 func TestEntryReportsTheCrashesThatItHearsOf(t *testing.T) {
 	w := poisonWorld(t, 6)
 	var notes []*wire.NoteCrash
@@ -147,7 +148,8 @@
 	require.Equal(t, poison.Quarantined, poison.StandingOf(record))
 }
 
-// Symptom: an entry sends a request on that others know to crash servers. Sequence: requests wait and run when control's word comes.
+// Symptom: an entry sends a request on that others know to crash servers. Sequence: requests wait and run when control's word
+// comes. Cause: the word of control looked at on arrival only.
 func TestWordOfControlBindsWhatWaits(t *testing.T) {
 	w := poisonWorld(t, 1)
 	w.arrive("runs", gateCheck)
@@ -167,8 +169,9 @@
 	require.Len(t, w.dispatches("later"), 1)
 }
 
-// Symptom: a request that may be innocent takes several servers from all others. Sequence: it has to begin alone; it waits at three gates,
-// each of which lets its server run empty, or is sent to a server that runs others.
+// Symptom: a request that may be innocent takes several servers from all others. Sequence: it has to begin alone; it waits at
+// three gates, each of which lets its server run empty, or is sent to a server that runs others. Cause: as many reservations as
+// for any request.
 func TestWatchedRequestWaitsAtOneGate(t *testing.T) {
 	w := poisonWorld(t, 3)
 	for i := range 3 {
@@ -197,8 +200,8 @@
 	require.Equal(t, result.EngineLost, w.failures["r1"].Code)
 }
 
-// Symptom: a request that harmed nobody stays refused. Sequence: it was beside crashes, and then a server answers it; or it was answered
-// a moment before three servers died at once.
+// Symptom: a request that harmed nobody stays refused. Sequence: it was beside crashes, and then a server answers it; or it was
+// answered a moment before three servers died at once. Cause: crashes that nothing takes back.
 func TestAnswerRefutesCrashes(t *testing.T) {
 	w := poisonWorld(t, 2)
 	w.step(Poisoned{Records: []*wire.PoisonRecord{committed(w.print(gateCheck), 2, 9)}})
--- a/state/poison_test.go
+++ b/state/poison_test.go
@@ -65,8 +65,8 @@
 	l.restart()
 }
 
-// Symptom: a request that was answered stays refused, or one that crashed a server again since runs free. Sequence: an entry that had
-// an answer clears it; its proposal is late, and meanwhile another crash was noted.
+// Symptom: a request that was answered stays refused, or one that crashed a server again since runs free. Sequence: an entry that
+// had an answer clears it; its proposal is late, and meanwhile another crash was noted. Cause: a clearance that names no version.
 func TestAnswerClearsWhatItWasAnsweredAfter(t *testing.T) {
 	l := newLog(t)
 	a := printOf("org", 1)
@@ -108,8 +108,8 @@
 	l.restart()
 }
 
-// Symptom: what is known of one organisation's requests is lost, and they crash servers again. Sequence: another organisation sends
-// requests without end that are under crashes.
+// Symptom: what is known of one organisation's requests is lost, and they crash servers again. Sequence: another organisation
+// sends requests without end that are under crashes. Cause: one bound for all organisations, the oldest first.
 func TestNoOrganisationPushesOutWhatIsKnownOfOthers(t *testing.T) {
 	limits := DefaultLimits
 	limits.Poison, limits.PoisonPerOrganisation = 12, 8
