--- a/state/poison_test.go
+++ b/state/poison_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 
 	"github.com/carawaypitch/carawaypitch/poison"
 	"github.com/carawaypitch/carawaypitch/result"
@@ -165,3 +167,80 @@
 		})
 	}
 }
+
+// drawPoisonCommand draws a command about few requests and few servers, sensible or not.
+func drawPoisonCommand(t *rapid.T, l *log) *wire.Command {
+	record := printOf(drawName(t, "organisation"), rapid.IntRange(0, 3).Draw(t, "fingerprint"))
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0:
+		return &wire.Command{Kind: &wire.Command_ExpirePoison{ExpirePoison: &wire.ExpirePoison{}}}
+	case 1:
+		record.Version = l.index - min(l.index, drawNumber(t, "age"))
+		return &wire.Command{Kind: &wire.Command_ClearPoison{ClearPoison: &wire.ClearPoison{Cleared: []*wire.PoisonRecord{record}}}}
+	default:
+		ran := []*wire.PoisonRecord{record}
+		if rapid.Bool().Draw(t, "beside") {
+			ran = append(ran, printOf(drawName(t, "other"), rapid.IntRange(1, 3).Draw(t, "other fingerprint")))
+		}
+		return &wire.Command{Kind: &wire.Command_NoteCrash{NoteCrash: &wire.NoteCrash{Ran: ran, Crash: &wire.Crash{
+			Id: fmt.Sprint(drawNumber(t, "id")), Server: drawName(t, "server"), Reporter: drawName(t, "reporter"),
+			Alone: len(ran) == 1 && rapid.Bool().Draw(t, "alone"), Once: rapid.Bool().Draw(t, "once"),
+		}}}}
+	}
+}
+
+// Symptom: replicas, or a client after its deltas, know of different requests. Sequence: any crashes, clearances and times, with a
+// restore at any point. Cause: something that isn't in the snapshot, an order that the log doesn't give, or a change that isn't told.
+func TestPoisonIsEqualOnReplicasAndClients(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		limits := DefaultLimits
+		limits.Poison, limits.PoisonPerOrganisation, limits.History = 5, 2, 3
+		l := newLog(rt)
+		l.state, l.other = newState(limits), newState(limits)
+		told, version := make(map[string]*wire.PoisonRecord), uint64(0)
+		for range rapid.IntRange(1, 80).Draw(rt, "length") {
+			l.now += drawNumber(rt, "hours") * uint64(time.Hour.Milliseconds()) / 2
+			l.apply(proto.CloneOf(drawPoisonCommand(rt, l)))
+			requirePoison(rt, l.state)
+			if rapid.IntRange(0, 9).Draw(rt, "restart") == 0 {
+				l.restart()
+			}
+			if u := l.state.DirectorySince(version); u != nil && rapid.Bool().Draw(rt, "update") {
+				if u.GetFull() {
+					clear(told)
+				}
+				replaceAll(told, u.GetPoison(), func(r *wire.PoisonRecord) string { return poison.KeyOf(r).String() }, u.GetRemovedPoison())
+				version = u.GetVersion()
+				want, got := &wire.Snapshot{Poison: l.state.WatchedPoison()}, &wire.Snapshot{Poison: sorted(told)}
+				require.True(rt, proto.Equal(want, got), "a client after its deltas:\n%v\n%v", want, got)
+			}
+		}
+		l.restart()
+	})
+}
+
+// requirePoison checks what holds of all records at any time.
+func requirePoison(t require.TestingT, s *State) {
+	require.LessOrEqual(t, len(s.Poison()), s.limits.Poison)
+	counts := make(map[string]int)
+	for _, record := range s.Poison() {
+		counts[record.GetOrganisation()]++
+		ids := make(map[string]bool)
+		alone := false
+		for _, crash := range record.GetCrashes() {
+			require.False(t, ids[crash.GetId()], "a crash counts once")
+			ids[crash.GetId()] = true
+			alone = alone || crash.GetAlone()
+		}
+		if poison.StandingOf(record) == poison.Quarantined {
+			require.GreaterOrEqual(t, len(ids), poison.QuarantinedAt)
+			require.True(t, alone || len(ids) > poison.QuarantinedAt)
+			require.Positive(t, record.GetQuarantines())
+		}
+		require.Greater(t, record.GetUntilUnixMs(), record.GetCrashes()[0].GetUnixMs())
+	}
+	require.Equal(t, counts, s.poisoned.counts)
+	for _, n := range counts {
+		require.LessOrEqual(t, n, s.limits.PoisonPerOrganisation)
+	}
+}
