backpressure, engine, agent: what a server says of itself in its answers is read, logged and counted

No line showed whether the word reached an agent, so "dropped when decoded" and "known and not kept" could not be told apart.

The heads of all answers (runs, failures, refusals, cut streams, answers to earlier attempts, load reports; not those of another server at the address) are read once, in the adapter, into typed values (package backpressure). A change gives a line server_advice (rate, route, request, refused, age; one a second for each server at most) and counts carawaypitch_server_advice_total{route}; a value without meaning gives server_advice_malformed and its counter. Zero is a limit, of two values the lower one counts, what is too large is the largest; negative, empty, NaN, infinite, hexadecimal or a date mean nothing and change nothing.

The stand-in names a rate on command (fault rate_limit).

--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/carawaypitch/carawaypitch/backpressure"
 	"github.com/carawaypitch/carawaypitch/gate"
 	"github.com/carawaypitch/carawaypitch/result"
 )
@@ -32,6 +33,8 @@
 	metricPeersRefused = "carawaypitch_link_peers_refused_total"
 	metricDelayed      = "carawaypitch_link_delayed_total"
 	metricCrashes      = "carawaypitch_server_crashes_total"
+	metricAdvice       = "carawaypitch_server_advice_total"
+	metricMalformed    = "carawaypitch_server_advice_malformed_total"
 )
 
 // Reasons of retries.
@@ -96,6 +99,16 @@
 	m.add(metricCrashes, 1)
 }
 
+// advised counts a change of what a server asks of its senders.
+func (m *meter) advised(route backpressure.Route) {
+	m.add(fmt.Sprintf(`%s{route=%q}`, metricAdvice, string(route)), 1)
+}
+
+// malformedAdvice counts header fields of servers that mean nothing.
+func (m *meter) malformedAdvice(field string) {
+	m.add(fmt.Sprintf(`%s{field=%q}`, metricMalformed, field), 1)
+}
+
 func (m *meter) cancelled(result string) {
 	m.add(fmt.Sprintf(`%s{result=%q}`, metricCancels, result), 1)
 }
--- a/agent/server.go
+++ b/agent/server.go
@@ -61,6 +61,7 @@
 	follow   []followUp
 	refusing refusal
 	unsent   unsent
+	advised  advised
 
 	record    *wire.ServerRecord // latest announcement, nil before the first
 	client    engine.Client      // nil before the first announcement
--- a/agent/server_announce.go
+++ b/agent/server_announce.go
@@ -107,6 +107,7 @@
 	}
 	s.client = client
 	s.publish()
+	s.observe(s.base, client)
 	s.spawn(func(ctx context.Context) { s.probeLoop(ctx, client) })
 	return nil
 }
--- a/engine/http.go
+++ b/engine/http.go
@@ -62,12 +62,17 @@
 
 // HTTP is the [Client] of the protocol that package standin speaks.
 type HTTP struct {
+	Observed
+
 	base      *url.URL
 	options   HTTPOptions
 	transport *http.Transport
 }
 
-var _ Client = (*HTTP)(nil)
+var (
+	_ Client     = (*HTTP)(nil)
+	_ Observable = (*HTTP)(nil)
+)
 
 // NewHTTP makes an adapter to the backend server at a base URL such as
 // "http://127.0.0.1:9000". It fails if the address is no such URL, and
--- a/engine/http_call.go
+++ b/engine/http_call.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -71,8 +72,10 @@
 	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
 	// The transport and not http.Client: a client follows redirects, which
 	// would run the call at a second place.
+	asked := time.Now()
 	response, err := h.transport.RoundTrip(request)
 	if err == nil {
+		h.observe(c, asked, response)
 		return response, nil
 	}
 	if !connected.Load() {
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -1,11 +1,19 @@
 package engine
 
+import "github.com/carawaypitch/carawaypitch/backpressure"
+
 // Headers of the protocol.
 const (
 	HeaderRequestID      = "X-Request-Id"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderRateLimit is in all answers of a server that takes only so many requests a second, a decimal number, from all senders
+	// together.
+	HeaderRateLimit = "Carawaypitch-Rate-Limit"
 )
 
+// backpressureNames are the headers by which a server speaks of itself.
+var backpressureNames = backpressure.Names{RateLimit: HeaderRateLimit}
+
 // Content types of the protocol.
 const (
 	ContentTypeJSON   = "application/json"
--- a/engine/standin/faults.go
+++ b/engine/standin/faults.go
@@ -41,6 +41,9 @@
 	// CrashOn crashes the engine each time that it begins to run a request whose
 	// body holds this text; empty never. It stays down for DownMs milliseconds.
 	CrashOn string `json:"crash_on"`
+	// RateLimit is named in all answers as the requests a second that it takes,
+	// as it stands here; empty for none. It is named and not enforced.
+	RateLimit string `json:"rate_limit"`
 	// FreezeMs freezes it from now on, in milliseconds: it accepts
 	// connections and calls, and nothing happens.
 	FreezeMs int64 `json:"freeze_ms"`
--- a/engine/standin/server.go
+++ b/engine/standin/server.go
@@ -64,7 +64,7 @@
 
 func (s *Server) commonRoutes() {
 	s.routes.HTTPErrorHandler = answerError
-	s.routes.Use(s.whileUp, s.whileThawed, s.limitBody)
+	s.routes.Use(s.whileUp, s.whileThawed, s.limitBody, s.advise)
 	s.routes.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	s.routes.GET(pathStats, func(c echo.Context) error { return c.JSON(http.StatusOK, s.Stats()) })
 	s.routes.GET(pathFaults, func(c echo.Context) error { return c.JSON(http.StatusOK, s.faults.get()) })
@@ -107,6 +107,16 @@
 	}
 }
 
+// advise puts what the stand-in asks of its senders into an answer.
+func (s *Server) advise(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if rate := s.faults.get().RateLimit; rate != "" && !isControlPath(c.Request().URL.Path) {
+			c.Response().Header().Set(engine.HeaderRateLimit, rate)
+		}
+		return next(c)
+	}
+}
+
 // limitBody makes the reading of a longer body fail.
 func (s *Server) limitBody(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
