gate, backpressure: a server gets no more requests than the rate that it names

What callers saw: nothing; all requests ended with 200.

Cause: what a server says of itself in an answer was dropped when the answer was decoded, and admission went by places, memory and prompts alone. Ruled out: several senders (the agent's lines account for all arrivals), and work admitted before (attempts end within some hundred milliseconds).

The gate, which is the one place that lets an attempt begin, now takes a permit from a limiter when it gives room, by an offer or for a dispatch, and returns it if nothing is sent. Sends are spaced, not counted in windows, so no window's edge holds a burst: at most 1 + 0.97 rate (T + 0.1 s) in any T, and one for each offer that was under way. Offers that were made before a word are taken back and their requests go elsewhere; a dispatch without a permit is refused with 1209, "not run", and the time until the next permit. Entries see it in the room and the backlog. Nothing is preempted for a rate. A rate ends with the first answer without it to a call that was sent after the word; refusals, answers to other calls and values without meaning end nothing. Zero is a limit, and one request in 10 s asks whether it still holds.

Not yet: several senders of one server each use all of its rate (their number is not told to the gate), and an agent that starts again knows nothing.

--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -34,6 +34,7 @@
 	metricDelayed      = "carawaypitch_link_delayed_total"
 	metricCrashes      = "carawaypitch_server_crashes_total"
 	metricAdvice       = "carawaypitch_server_advice_total"
+	metricThrottled    = "carawaypitch_throttled_total"
 	metricMalformed    = "carawaypitch_server_advice_malformed_total"
 )
 
@@ -76,6 +77,8 @@
 		m.add(fmt.Sprintf(`%s{organisation=%s,tier="%s"}`, metricServed, label, tier), c.Add)
 	case gate.LeasesExpired:
 		m.add(metricLeases, c.Add)
+	case gate.Throttled:
+		m.add(fmt.Sprintf(`%s{reason=%s}`, metricThrottled, label), c.Add)
 	case gate.ChartErrors:
 		m.add(fmt.Sprintf(`%s{reason=%s}`, metricChartErrors, label), c.Add)
 	}
--- a/agent/server_actions.go
+++ b/agent/server_actions.go
@@ -36,6 +36,8 @@
 	case gate.Report:
 		s.log.WithField("request", a.Complete.GetRequest()).Info("outcome_reported")
 		s.report(outcomeReport(a.Complete))
+	case gate.Advised:
+		s.noteAdvice(now, a)
 	case gate.Changed:
 		s.noteCondition(a.Server)
 	case gate.Count:
--- a/agent/server_advice.go
+++ b/agent/server_advice.go
@@ -8,18 +8,18 @@
 
 	"github.com/carawaypitch/carawaypitch/backpressure"
 	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/gate"
 )
 
 // adviceLogGap is the least time between two lines about what one server asks of its senders. What is left out between them is
 // counted in the next one.
 const adviceLogGap = time.Second
 
-// advised is what a server asked of its senders last.
+// advised bounds what is noted of the words of one server.
 type advised struct {
-	// speaks is set while something is known, so that answers that say nothing are looked at too.
+	// speaks is set while the server is known to ask something, so that answers that say nothing are looked at too.
 	speaks atomic.Bool
 
-	last    backpressure.Advice
 	logged  time.Time
 	skipped int
 }
@@ -49,21 +49,18 @@
 		return
 	}
 	s.noteMalformed(now, in.observation)
-	s.noteAdvice(now, in.observation)
+	s.step(now, gate.Heard{Observation: in.observation})
 }
 
-// noteAdvice counts what an answer said, and logs it where it differs from what was said before.
-func (s *server) noteAdvice(now time.Time, o backpressure.Observation) {
-	if o.Advice == s.advised.last {
-		return
-	}
-	s.advised.last = o.Advice
-	s.advised.speaks.Store(!o.Advice.IsZero())
+// noteAdvice counts and logs a change of what the server is known to ask.
+func (s *server) noteAdvice(now time.Time, a gate.Advised) {
+	o := a.Observation
+	s.advised.speaks.Store(a.Rate.Limited)
 	s.meter.advised(o.Route)
 	if !s.advised.mayLog(now) {
 		return
 	}
-	s.log.WithField("rate", rateText(o.Rate)).
+	s.log.WithField("rate", rateText(a.Rate)).
 		WithField("route", string(o.Route)).
 		WithField("request", o.Request).
 		WithField("refused", o.Refused).
--- /dev/null
+++ b/backpressure/limiter_test.go
@@ -0,0 +1,211 @@
+package backpressure
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the property tests; -rapid.seed tries others.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// named is an answer that names a rate.
+func named(heard time.Time, perSecond float64) Observation {
+	return Observation{
+		Advice: Advice{Rate: Rate{Limited: true, PerSecond: perSecond}},
+		Route:  RouteRun, Asked: heard.Add(-time.Millisecond), Heard: heard,
+	}
+}
+
+// silent is an answer that names none.
+func silent(asked, heard time.Time) Observation {
+	return Observation{Route: RouteRun, Asked: asked, Heard: heard}
+}
+
+// sendAll sends whatever is allowed, every step, and returns when.
+func sendAll(l *Limiter, from time.Time, during, step time.Duration) []time.Time {
+	var sent []time.Time
+	for now := from; now.Before(from.Add(during)); now = now.Add(step) {
+		for range min(l.Ready(now), 1000) {
+			l.Take(now)
+			l.Sent(now)
+			sent = append(sent, now)
+		}
+	}
+	return sent
+}
+
+func mostWithin(times []time.Time, window time.Duration) int {
+	most, first := 0, 0
+	for i, when := range times {
+		for when.Sub(times[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func TestRateIsKeptInEveryWindowAndUsed(t *testing.T) {
+	for _, perSecond := range []float64{0.2, 0.5, 1, 1.2, 2.8, 10, 50, 400} {
+		var l Limiter
+		l.Hear(named(start, perSecond))
+		sent := sendAll(&l, start, time.Minute, 20*time.Millisecond)
+		for _, window := range []time.Duration{time.Second, 4 * time.Second, 10 * time.Second} {
+			allowed := perSecond*(window+catchUp).Seconds() + 1
+			require.LessOrEqual(t, float64(mostWithin(sent, window)), allowed, "%g a second, in %s", perSecond, window)
+		}
+		require.GreaterOrEqual(t, float64(len(sent)), 0.9*perSecond*60, "%g a second", perSecond)
+	}
+}
+
+func TestSendsNotMadeAreNotSavedUp(t *testing.T) {
+	var l Limiter
+	l.Hear(named(start, 10))
+	require.Equal(t, 1+int(catchUp/l.interval()), l.Ready(at(60)))
+}
+
+// Zero is a limit, and a server that named it must not be lost for good: only its answers can say that it takes more.
+func TestServerWithRateZeroIsTriedNowAndThen(t *testing.T) {
+	var l Limiter
+	l.Hear(named(start, 0))
+	sent := sendAll(&l, start, 2*time.Minute, 20*time.Millisecond)
+	require.LessOrEqual(t, mostWithin(sent, 4*time.Second), 1)
+	require.GreaterOrEqual(t, len(sent), 10)
+	require.LessOrEqual(t, len(sent), 12)
+}
+
+func TestHugeRateIsNoLimit(t *testing.T) {
+	var l Limiter
+	l.Hear(named(start, 1e300))
+	require.Equal(t, unlimited, l.Ready(start))
+	require.Zero(t, l.Wait(start, 1000))
+}
+
+func TestLimitEndsWithAnAnswerThatNamesNone(t *testing.T) {
+	ended := silent(at(1), at(2))
+	for name, c := range map[string]struct {
+		change func(*Observation)
+		ends   bool
+	}{
+		"an answer to a later call":     {func(*Observation) {}, true},
+		"to an earlier call":            {func(o *Observation) { o.Asked = at(-1) }, false},
+		"of a refusal":                  {func(o *Observation) { o.Refused = true }, false},
+		"to another call":               {func(o *Observation) { o.Mismatched = true }, false},
+		"that can't be read":            {func(o *Observation) { o.Malformed = []Malformed{{}} }, false},
+		"a report, where none names":    {func(o *Observation) { o.Route = RouteReport }, false},
+		"another kind of call's":        {func(o *Observation) { o.Route = RouteCall }, false},
+		"asked when the word was heard": {func(o *Observation) { o.Asked = start }, true},
+	} {
+		var l Limiter
+		l.Hear(named(start, 1))
+		o := ended
+		c.change(&o)
+		require.Equal(t, c.ends, l.Hear(o), name)
+		require.Equal(t, !c.ends, l.Rate().Limited, name)
+	}
+}
+
+func TestReportEndsALimitThatReportsName(t *testing.T) {
+	var l Limiter
+	byReport := named(start, 1)
+	byReport.Route = RouteReport
+	l.Hear(byReport)
+	o := silent(at(1), at(1))
+	o.Route = RouteReport
+	require.True(t, l.Hear(o))
+}
+
+func TestLaterWordWins(t *testing.T) {
+	var l Limiter
+	l.Hear(named(at(2), 5))
+	require.False(t, l.Hear(named(at(1), 1)))
+	require.Equal(t, 5.0, l.Rate().PerSecond)
+}
+
+func TestPermitOfAnEarlierRateIsNotGivenBack(t *testing.T) {
+	var l Limiter
+	permit := l.Take(start)
+	l.Hear(named(start, 1))
+	next := l.next
+	l.GiveBack(permit)
+	require.Equal(t, next, l.next)
+
+	l.Take(at(2))
+	permit = l.Take(at(4))
+	before := l.next
+	l.GiveBack(permit)
+	require.Equal(t, before.Add(-l.interval()), l.next)
+}
+
+func TestSharedRate(t *testing.T) {
+	for _, senders := range []int{2, 7, 105} {
+		var all []time.Time
+		for i := range senders {
+			var l Limiter
+			l.Share(start, senders)
+			heard := start.Add(time.Duration(i) * 10 * time.Millisecond)
+			l.Hear(named(heard, 20))
+			all = append(all, sendAll(&l, heard, time.Minute, 20*time.Millisecond)...)
+		}
+		require.GreaterOrEqual(t, float64(len(all)), 0.85*20*60, "%d senders", senders)
+		require.LessOrEqual(t, float64(len(all)), 20.0*60+float64(senders), "%d senders", senders)
+	}
+}
+
+// Whatever a server names, and however offers and sends fall, no window of some seconds has more sends than the highest rate of
+// the time allows.
+func TestNoWindowExceedsWhatWasNamed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l Limiter
+		highest := rapid.Float64Range(0.2, 40).Draw(t, "highest")
+		now := start
+		l.Hear(named(now, highest))
+		var sent []time.Time
+		var pending []Permit
+		most := 0
+		for range 400 {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(200*time.Millisecond)).Draw(t, "pass")))
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				l.Hear(named(now, rapid.Float64Range(0, highest).Draw(t, "rate")))
+			case 1:
+				if len(pending) > 0 {
+					l.GiveBack(pending[0])
+					pending = pending[1:]
+				}
+			case 2, 3, 4, 5:
+				if l.Ready(now) > 0 {
+					pending = append(pending, l.Take(now))
+				}
+			default:
+				if len(pending) > 0 {
+					pending = pending[1:]
+					l.Sent(now)
+					sent = append(sent, now)
+				}
+			}
+			most = max(most, len(pending))
+		}
+		window := 4 * time.Second
+		allowed := highest*(window+catchUp).Seconds() + 1 + float64(most)
+		if got := mostWithin(sent, window); float64(got) > allowed {
+			t.Fatalf("%d sends in %s at %g a second, %d permits held at most", got, window, highest, most)
+		}
+	})
+}
--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/backpressure"
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/poison"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -68,6 +69,8 @@
 // runState is what an attempt holds of the server, and how its run goes.
 type runState struct {
 	holds        bool // room
+	permitted    bool // counted against the server's rate, and not sent
+	permit       backpressure.Permit
 	open         bool // StartEngine was issued and EngineEnded hasn't come
 	started      time.Time
 	firstToken   time.Time
--- a/gate/estimate.go
+++ b/gate/estimate.go
@@ -81,6 +81,22 @@
 		}
 	}
 	ahead = time.Duration(float64(ahead) * g.waiting.taken.value())
+	return max(g.slotsFreeIn(slots, ahead), g.throttledFor(1+g.goesBefore(tier)))
+}
+
+// goesBefore is how many of those that wait will probably be served here before a new attempt of a tier.
+func (g *Gate) goesBefore(tier uint32) int {
+	count := 0
+	for _, t := range g.waiting.tiers {
+		if t.tier <= tier {
+			count += t.count
+		}
+	}
+	return int(float64(count) * g.waiting.taken.value())
+}
+
+// slotsFreeIn is the time until a slot is free for an attempt that comes after so much work.
+func (g *Gate) slotsFreeIn(slots, ahead time.Duration) time.Duration {
 	if len(g.held) < int(slots) {
 		return ahead / slots
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/backpressure"
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -27,6 +28,7 @@
 	clearing clearing
 	pace     pace
 	limit    limiter
+	throttle backpressure.Limiter
 	headroom headroom
 	room     roomState
 	ahead    offerDelay
@@ -99,6 +101,10 @@
 		g.engineCancelled(e)
 	case EngineLoad:
 		g.engineLoad(e.Load)
+	case Heard:
+		g.heard(e.Observation)
+	case Senders:
+		g.shareRate(e.Count)
 	case Verified:
 		g.verified(e)
 	default:
--- a/gate/offers.go
+++ b/gate/offers.go
@@ -46,6 +46,9 @@
 		g.blocked = g.closed()
 		return true
 	}
+	if g.blocked = g.throttled(); g.blocked != roomEnough {
+		return true
+	}
 	if len(g.held) < g.limit.slots()+g.mostAhead() || g.firstTierWaits() {
 		return false
 	}
--- a/gate/receive.go
+++ b/gate/receive.go
@@ -101,6 +101,11 @@
 	if a.tier() == firstTier && g.lowerWork(a) {
 		return
 	}
+	if g.throttled() != roomEnough {
+		g.emit(Count{Counter: Throttled, Label: string(ThrottledByRate), Add: 1})
+		g.fire(a, onRefuse, occasion{refusal: g.refuseThrottled()})
+		return
+	}
 	if withOffer || before == reserved {
 		g.fire(a, onRefuse, occasion{refusal: refuseLateOffer})
 		return
--- a/gate/room.go
+++ b/gate/room.go
@@ -34,6 +34,7 @@
 	whyPrefill  why = "too many prompt tokens are in flight"
 	whyMemory   why = "the cache memory is full"
 	whyPace     why = "its prompt would make running answers of a higher tier late"
+	whyRate     why = "the server takes only so many requests a second"
 	whyAlone    why = "a request under which servers crashed runs alone"
 )
 
@@ -45,6 +46,9 @@
 	if reason := g.notAlone(a); reason != roomEnough {
 		return reason
 	}
+	if reason := g.throttled(); reason != roomEnough && !a.run.permitted {
+		return reason
+	}
 	if g.server.state == serverSuspect {
 		return g.probes.room(g, a)
 	}
@@ -120,6 +124,7 @@
 	g.use.prefill += a.run.prefill
 	g.use.memory += a.run.memory
 	g.held = append(g.held, a)
+	g.takePermit(a)
 	if a.tier() <= firstTier && len(g.held) > g.limit.slots()-g.headroom.slots() {
 		g.headroom.took()
 	}
@@ -146,6 +151,7 @@
 		return
 	}
 	a.run.holds = false
+	g.returnPermit(a)
 	g.prefillDone(a)
 	g.use.memory -= a.run.memory
 	g.held = slices.DeleteFunc(g.held, func(other *attempt) bool { return other == a })
@@ -222,7 +228,7 @@
 
 // free is how many attempts may be dispatched without an offer.
 func (g *Gate) free() int {
-	if g.waiting.count > 0 || g.closed() != roomEnough || g.holdsAlone() {
+	if g.waiting.count > 0 || g.closed() != roomEnough || g.throttled() != roomEnough || g.holdsAlone() {
 		return 0
 	}
 	if g.server.state == serverSuspect {
@@ -231,7 +237,7 @@
 	if g.use.prefill >= g.pace.prefillBound() {
 		return 0
 	}
-	return max(g.limit.slots()-g.headroom.slots()-len(g.held), 0)
+	return max(min(g.limit.slots()-g.headroom.slots()-len(g.held), g.throttle.Ready(g.now)), 0)
 }
 
 func (g *Gate) lowestRunning() uint32 {
--- a/gate/runs.go
+++ b/gate/runs.go
@@ -41,6 +41,7 @@
 func (g *Gate) startEngine(a *attempt) {
 	a.run.started = g.now
 	a.run.open = true
+	g.usePermit(a)
 	a.run.prefillAhead = g.use.prefill
 	a.run.busy = g.started()
 	a.frames.begin(a.dispatch)
--- a/gate/status.go
+++ b/gate/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/backpressure"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -34,6 +35,10 @@
 	PrefillTokensPerSecond, DecodeTokensPerSecond float64
 	// PaceRatio is the time that a token takes in units of the server's own past.
 	PaceRatio float64
+	// RateLimit is what the server takes from all senders together.
+	RateLimit backpressure.Rate
+	// NextSend is the time until the server may get another request.
+	NextSend time.Duration
 	// Backlog is the predicted wait of a new attempt of the lowest tier.
 	Backlog time.Duration
 	// Blocked says why the best waiting attempt has no room, empty if none waits for room.
@@ -95,6 +100,8 @@
 		PrefillTokensPerSecond: g.pace.prefill.rate,
 		DecodeTokensPerSecond:  g.pace.decodeRate(),
 		PaceRatio:              g.pace.ratio,
+		RateLimit:              g.throttle.Rate(),
+		NextSend:               g.throttledFor(1),
 		Backlog:                g.backlog(),
 		Blocked:                string(g.blocked),
 		WaitingCount:           g.waiting.count,
--- /dev/null
+++ b/gate/throttle.go
@@ -0,0 +1,67 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/backpressure"
+)
+
+// heard takes what an answer of the server said of the work that it takes.
+//
+// Room that was given before the word is taken back where nothing was sent: offers and bodies that came ahead would otherwise still
+// go out beyond the limit, and those that are waiting here can go to other servers.
+func (g *Gate) heard(o backpressure.Observation) {
+	if !g.throttle.Hear(o) {
+		return
+	}
+	g.emit(Advised{Rate: g.throttle.Rate(), Observation: o})
+	g.room.dirty = true
+	if g.throttle.Ready(g.now) == 0 {
+		g.lapseAllOffers()
+	}
+}
+
+// shareRate has the server's rate shared by so many senders.
+func (g *Gate) shareRate(senders int) {
+	if g.throttle.Share(g.now, senders) {
+		g.room.dirty = true
+	}
+}
+
+// throttled says why the server may get nothing now, whatever room it has.
+func (g *Gate) throttled() why {
+	if g.throttle.Ready(g.now) == 0 {
+		return whyRate
+	}
+	return roomEnough
+}
+
+// throttledFor is the time until the server may get n more requests.
+func (g *Gate) throttledFor(n int) time.Duration { return g.throttle.Wait(g.now, n) }
+
+// refuseThrottled is for a dispatch that the server may not get now.
+func (g *Gate) refuseThrottled() refusal {
+	no := refuseRateLimited
+	no.retryAfter = clampRetry(g.throttledFor(g.waiting.count + 1))
+	return no
+}
+
+// takePermit counts an attempt that gets room against the server's rate. It holds the permit until it starts.
+func (g *Gate) takePermit(a *attempt) {
+	a.run.permitted = true
+	a.run.permit = g.throttle.Take(g.now)
+}
+
+// usePermit notes that an attempt's request leaves now.
+func (g *Gate) usePermit(a *attempt) {
+	a.run.permitted = false
+	g.throttle.Sent(g.now)
+}
+
+// returnPermit gives the permit back of an attempt that didn't start.
+func (g *Gate) returnPermit(a *attempt) {
+	if a.run.permitted {
+		a.run.permitted = false
+		g.throttle.GiveBack(a.run.permit)
+	}
+}
--- /dev/null
+++ b/gate/throttle_test.go
@@ -0,0 +1,213 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/carawaypitch/carawaypitch/backpressure"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// hearRate lets an answer name a rate.
+func (b *bench) hearRate(perSecond float64) []Action {
+	return b.step(Heard{backpressure.Observation{
+		Advice: backpressure.Advice{Rate: backpressure.Rate{Limited: true, PerSecond: perSecond}},
+		Route:  backpressure.RouteRun, Asked: b.now, Heard: b.now,
+	}})
+}
+
+// hearNoRate lets an answer to a call of this moment name none.
+func (b *bench) hearNoRate() []Action {
+	return b.step(Heard{backpressure.Observation{Route: backpressure.RouteRun, Asked: b.now, Heard: b.now}})
+}
+
+// busyServer is a gate that entries reserve at all the time; its runs end after a while.
+type busyServer struct {
+	*bench
+	next    int
+	offered []*wire.AttemptID
+	started []time.Time
+}
+
+// run lets time pass; each offer is answered in the tick after it, and reservations never run out.
+func (s *busyServer) run(d time.Duration) {
+	until := s.now.Add(d)
+	for s.now.Before(until) {
+		s.now = s.now.Add(TickInterval)
+		s.take(s.step(Tick{}))
+		for range max(3-s.gate.waiting.count, 0) {
+			s.next++
+			s.take(s.reserve(entryA, id(fmt.Sprint("r", s.next), 1), work()))
+		}
+		offers := s.offered
+		s.offered = nil
+		for _, attempt := range offers {
+			s.take(s.dispatchOffered(entryA, attempt, work()))
+		}
+		if !s.now.Before(s.beat) {
+			s.beat = s.now.Add(500 * time.Millisecond)
+			s.take(s.receive(entryA, heartbeat()))
+			s.take(s.step(Announced{Server: s.gate.server.record}))
+		}
+	}
+}
+
+func (s *busyServer) take(actions []Action) {
+	for _, a := range of[Send](actions) {
+		if offer := a.Message.GetOffer(); offer != nil {
+			s.offered = append(s.offered, offer.GetAttempt())
+		}
+	}
+	for _, a := range of[StartEngine](actions) {
+		s.started = append(s.started, s.now)
+		s.take(s.finish(a.Dispatch.GetAttempt()))
+	}
+}
+
+func (s *busyServer) mostWithin(window time.Duration) int {
+	most, first := 0, 0
+	for i, when := range s.started {
+		for when.Sub(s.started[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// A limit bounds what goes out after offers as well, and is used while work waits.
+func TestRateLimitHoldsForOffersAndIsUsed(t *testing.T) {
+	for _, perSecond := range []float64{0.5, 1, 2.8, 20} {
+		s := &busyServer{bench: openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(8))}
+		s.hearRate(perSecond)
+		s.run(40 * time.Second)
+		require.LessOrEqual(t, float64(s.mostWithin(4*time.Second)), 4.1*perSecond+1, "%g a second", perSecond)
+		require.GreaterOrEqual(t, float64(len(s.started)), 0.9*perSecond*40, "%g a second", perSecond)
+		noChartErrors(t, s.bench)
+	}
+}
+
+func TestRateLimitThatChangesAndEnds(t *testing.T) {
+	s := &busyServer{bench: openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(8))}
+	s.hearRate(10)
+	s.run(4 * time.Second)
+	s.started = nil
+	s.hearRate(2)
+	s.run(10 * time.Second)
+	require.LessOrEqual(t, s.mostWithin(4*time.Second), 9)
+	s.started = nil
+	s.hearNoRate()
+	s.run(time.Second)
+	require.Greater(t, len(s.started), 50, "nothing limits it any more")
+}
+
+// What was offered before the word must not go out beyond the limit, and its request must be free to go elsewhere.
+func TestOffersAreTakenBackWhenARateIsNamed(t *testing.T) {
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(4))
+	for i := range 3 {
+		b.reserve(entryA, id(fmt.Sprint("r", i), 1), work())
+	}
+	require.Len(t, offeredIDs(b.actions), 3)
+	require.Len(t, of[Advised](b.hearRate(1)), 1)
+	require.Empty(t, b.gate.held)
+	for i := range 3 {
+		over := refusedWith(t, b.dispatchOffered(entryA, id(fmt.Sprint("r", i), 1), work()), result.ServerRateLimited)
+		require.NotZero(t, over.RetryAfterMs)
+	}
+	noChartErrors(t, b)
+}
+
+// Cancelling work for the first tier buys nothing where the server takes no more requests.
+func TestNothingIsPreemptedForARateLimit(t *testing.T) {
+	b := openBench(t)
+	b.fill()
+	b.hearRate(0.5)
+	b.actions = nil
+	b.reserve(entryB, id("urgent", 1), firstTierWork())
+	b.pass(500 * time.Millisecond)
+	require.Empty(t, of[CancelEngine](b.actions))
+}
+
+// Entries choose by the room and the backlog that a gate tells: with the slots alone a limited server would look like the idlest one.
+func TestRateLimitShowsInTheRoom(t *testing.T) {
+	b := openBench(t)
+	require.Positive(t, b.gate.free())
+	b.hearRate(1)
+	require.Zero(t, b.gate.free())
+	require.InDelta(t, time.Second, b.gate.backlog(), float64(50*time.Millisecond))
+	b.pass(1200 * time.Millisecond)
+	require.Equal(t, 1, b.gate.free())
+	b.start(entryA, id("r", 1), work())
+	require.Zero(t, b.gate.free())
+	status := b.gate.Status()
+	require.Equal(t, 1.0, status.RateLimit.PerSecond)
+	require.Positive(t, status.NextSend)
+}
+
+// A limited server is neither slow nor failing: it stays ready.
+func TestLimitedServerStaysReady(t *testing.T) {
+	s := &busyServer{bench: openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(8))}
+	s.hearRate(0.3)
+	s.run(time.Minute)
+	require.Equal(t, wire.ServerCondition_SERVER_CONDITION_READY, s.gate.condition())
+}
+
+func TestSendersShareARate(t *testing.T) {
+	s := &busyServer{bench: openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(8))}
+	s.step(Senders{Count: 4})
+	s.hearRate(8)
+	s.run(20 * time.Second)
+	require.LessOrEqual(t, s.mostWithin(4*time.Second), 9)
+	require.GreaterOrEqual(t, len(s.started), 36)
+}
+
+// Drawn schedules of words, offers, lapses, dispatches and losses: no window has more starts than the highest rate of the time allows.
+func TestNoScheduleExceedsARateLimit(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := &busyServer{bench: openBenchWith(rt, Config{NoPredecessor: true}, sampleRecord(6))}
+		highest := rapid.Float64Range(0.2, 15).Draw(rt, "highest")
+		s.hearRate(highest)
+		for range 60 {
+			s.disturb(rt, highest)
+			s.run(time.Duration(rapid.IntRange(1, 400).Draw(rt, "pass")) * time.Millisecond)
+		}
+		// An offer that is answered late leaves up to DefaultOfferTimeout after its permit was taken.
+		allowed := highest*(4*time.Second+DefaultOfferTimeout+100*time.Millisecond).Seconds() + 1
+		if got := s.mostWithin(4 * time.Second); float64(got) > allowed {
+			rt.Fatalf("%d starts in 4 s at %g a second", got, highest)
+		}
+	})
+}
+
+// disturb lets something happen that a schedule may hold.
+func (s *busyServer) disturb(rt *rapid.T, highest float64) {
+	switch rapid.IntRange(0, 7).Draw(rt, "what") {
+	case 0:
+		s.hearRate(rapid.Float64Range(0, highest).Draw(rt, "rate"))
+	case 1:
+		s.offered = nil // the entry doesn't answer
+	case 2:
+		s.next++
+		s.take(s.dispatch(entryB, id(fmt.Sprint("straight", s.next), 1), firstTierWork()))
+	case 3:
+		s.step(EntryDown{Entry: entryB})
+		s.step(EntryUp{Entry: entryB})
+	case 4:
+		for _, attempt := range s.offered {
+			s.take(s.receive(entryA, &wire.EntryMessage{Kind: &wire.EntryMessage_Decline{
+				Decline: &wire.Decline{Attempt: attempt, Server: sampleServer},
+			}}))
+		}
+		s.offered = nil
+	case 5:
+		s.step(Senders{Count: rapid.IntRange(1, 3).Draw(rt, "senders")})
+	case 6:
+		s.step(Heard{backpressure.Observation{Route: backpressure.RouteRun, Refused: true, Asked: s.now, Heard: s.now}})
+	default:
+	}
+}
--- a/gate/types.go
+++ b/gate/types.go
@@ -21,6 +21,7 @@
 import (
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/backpressure"
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/poison"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -104,6 +105,12 @@
 	// Verified answers a VerifyServer: Ended says that nothing listens at the server's address any more.
 	Verified struct{ Ended bool }
 
+	// Heard carries what an answer of the server said of the work that it takes.
+	Heard struct{ Observation backpressure.Observation }
+
+	// Senders says how many agents send to the server, this one included; they share its rate limit.
+	Senders struct{ Count int }
+
 	// EngineLoad carries a load report, as old as Age.
 	EngineLoad struct {
 		Load engine.Load
@@ -124,6 +131,8 @@
 func (EngineEnded) gateEvent()     {}
 func (EngineCancelled) gateEvent() {}
 func (EngineLoad) gateEvent()      {}
+func (Heard) gateEvent()           {}
+func (Senders) gateEvent()         {}
 func (Verified) gateEvent()        {}
 
 // Action is something the agent has to do, in the order given.
@@ -169,6 +178,12 @@
 	// Changed says that the server's record must go to control's directory (condition, models, slots).
 	Changed struct{ Server *wire.ServerRecord }
 
+	// Advised says that an answer changed what the gate believes of the server: Rate is the limit from now on.
+	Advised struct {
+		Rate        backpressure.Rate
+		Observation backpressure.Observation
+	}
+
 	// Count adds to a counter.
 	Count struct {
 		Counter Counter
@@ -188,8 +203,15 @@
 func (Crashed) gateAction()      {}
 func (Report) gateAction()       {}
 func (Changed) gateAction()      {}
+func (Advised) gateAction()      {}
 func (Count) gateAction()        {}
 
+// ThrottleReason is what of a server's words keeps a request from it. It is a label of a metric.
+type ThrottleReason string
+
+// The reasons.
+const ThrottledByRate ThrottleReason = "rate_limit"
+
 // Run is a request that a server ran when it crashed.
 type Run struct {
 	Request      string
@@ -207,5 +229,6 @@
 	WastedPrefill                // tokens, by Label (cause)
 	ServedTokens                 // by Label (organisation) and Tier
 	LeasesExpired
+	Throttled // attempts refused or sent elsewhere for what the server asked, by Label (reason)
 	ChartErrors
 )
--- a/result/codes.go
+++ b/result/codes.go
@@ -31,6 +31,7 @@
 	RingFull              Code = 1206
 	CallerLeft            Code = 1207
 	OverUsageCap          Code = 1208
+	ServerRateLimited     Code = 1209
 )
 
 // 13xx: the end of an attempt.
--- a/result/table.go
+++ b/result/table.go
@@ -109,6 +109,10 @@
 		OverUsageCap, "over_usage_cap", http.StatusTooManyRequests, onlyNo, "the organisation has used up its cap",
 		"Come back after the advised time; ask the operators about the cap.",
 	},
+	{
+		ServerRateLimited, "server_rate_limited", http.StatusServiceUnavailable, onlyNo, "the backend server takes only so many requests a second",
+		"Retry after the time given; operators: the server names the rate in its answers.",
+	},
 
 	{
 		RefusedNeverStarted, "refused_never_started", http.StatusServiceUnavailable, onlyNo, "the agent refused the attempt; it never started and never will",
