agent, state, backpressure: what a server asks crosses to its other senders and to a successor

What would have been seen: a plain service, to which each entry sends by itself, gets as many times its rate as there are entries; and an agent that starts again, or an entry that takes a server over, sends as if nothing had been asked until its own first answer.

Cause: the word was known to the process alone that heard it, and each sender used all of the rate.

Senders of one server share its rate in equal parts, by the number of entries in the directory. A sender has control record a word that the directory doesn't have (NoteServerAdvice, once a second for each server at most, by compare and set on the record's version, so a delayed word undoes no later one); the record goes to entries and to the agent beside the server with the directory, and ends with the server's run. That a record is gone is no word: each sender's own answers show that a rate has ended. Absent or silent senders leave their part unused.

With a sender's share not told to its gate the agent's test has 32 requests in 4 s instead of 9; without the record read at the start a restarted agent sends 5 at once instead of 1.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -47,6 +47,8 @@
 	// ServerAddress is where the backend server beside this agent announces that it is, IP:port. With it the agent takes its server from
 	// control's announcements as with Select, and control sends it no others.
 	ServerAddress string
+	// Senders returns how many agents send to the servers of this one, which share their rate limits. Default: this one alone.
+	Senders func(*session.View) int
 	// MaxServers bounds the backend servers that are known at a time, those that left lately included. Default: maxServers.
 	MaxServers int
 
@@ -84,6 +86,7 @@
 	serversChanged chan struct{} // holds one note
 	viewChanged    chan struct{} // holds one note
 
+	senders   func(*session.View) int
 	follow    follow               // the follow duty's own
 	directory []*wire.ServerRecord // what control was told last; the directory duty's own
 }
@@ -128,6 +131,9 @@
 	if options.ServerAddress != "" {
 		options.Select = AtAddress(options.ServerAddress)
 	}
+	if a.senders = options.Senders; a.senders == nil {
+		a.senders = func(*session.View) int { return 1 }
+	}
 	a.follow = follow{selects: options.Select, ended: make(map[string]time.Time)}
 	if a.session = options.Control; a.session == nil {
 		a.session = options.newSession(a.sessionConfig(clientTLS, options.ServerAddress))
@@ -198,6 +204,9 @@
 		spawn:     a.spawn,
 		changed:   a.serverChanged,
 		report:    a.reports.Put,
+		propose:   a.session.Propose,
+		advice:    func(server string) *wire.ServerAdvice { return a.session.View().Advice[server] },
+		senders:   func() int { return a.senders(a.session.View()) },
 	}, a.beginServer, most)
 	a.orders = newOrders(orderDeps{
 		log:     a.log,
--- a/agent/control.go
+++ b/agent/control.go
@@ -77,6 +77,7 @@
 	})
 	incarnations := entryIncarnations{}
 	drains := drainWatch{}
+	advice := adviceWatch{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -84,6 +85,7 @@
 		case <-a.viewChanged:
 		}
 		view := a.session.View()
+		a.tellAdvice(ctx, &advice, view)
 		own := view.Agents[a.settings.Instance]
 		if own.GetIncarnation() > a.incarnation {
 			return ErrSuperseded
@@ -96,6 +98,33 @@
 	}
 }
 
+// adviceWatch is what the gates were told of the advice of their servers. A gate that begins reads it itself.
+type adviceWatch struct {
+	senders  int
+	versions map[string]uint64
+}
+
+// tellAdvice tells the gates what has changed in the directory's advice, and how many agents share it.
+func (a *Agent) tellAdvice(ctx context.Context, told *adviceWatch, view *session.View) {
+	if senders := a.senders(view); senders != told.senders {
+		told.senders = senders
+		a.servers.tellAll(ctx, gateEvent{gate.Senders{Count: senders}})
+	}
+	versions := make(map[string]uint64, len(view.Advice))
+	for name, record := range view.Advice {
+		versions[name] = record.GetVersion()
+	}
+	for _, s := range a.servers.all() {
+		if versions[s.name] == told.versions[s.name] {
+			continue
+		}
+		if s.push(ctx, recordedAdvice{view.Advice[s.name]}) != nil {
+			return
+		}
+	}
+	told.versions = versions
+}
+
 func (a *Agent) endEntries(ctx context.Context, ended []gate.EntryID) {
 	for _, id := range ended {
 		a.log.WithField("entry", id.Name).WithField("incarnation", id.Incarnation).Info("entry_ended")
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -48,6 +48,7 @@
 	stop    context.CancelFunc
 	ended   chan error
 	http    *http.Client
+	senders int // of the agent's servers; 0 is the default
 }
 
 // inWorld runs a test in a bubble.
@@ -93,10 +94,14 @@
 	}
 	time.Sleep(time.Millisecond) // so that the incarnations differ
 	w.control.begin()
-	agent, err := New(s, Options{
+	options := Options{
 		Network:    w.network.Host(agentHost),
 		newSession: func(session.Config) Control { return w.control },
-	})
+	}
+	if w.senders > 0 {
+		options.Senders = func(*session.View) int { return w.senders }
+	}
+	agent, err := New(s, options)
 	require.NoError(w.t, err)
 	w.run(agent)
 }
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -43,6 +43,7 @@
 	retryReport  = "report"
 	retryRemove  = "remove"
 	retryRecover = "recover"
+	retryAdvice  = "advice"
 )
 
 // meter holds one agent's metrics. It has a set of its own, so that several daemons fit in one process.
--- a/agent/server.go
+++ b/agent/server.go
@@ -41,6 +41,12 @@
 	changed func(*server)
 	// report hands a report over for control. It never blocks.
 	report func(outbox.Item)
+	// propose has control commit a command.
+	propose func(context.Context, *wire.Command) (*wire.CommandResult, error)
+	// advice returns what the directory has of a server's advice, nil for nothing.
+	advice func(server string) *wire.ServerAdvice
+	// senders is how many agents send to the same servers, this one included.
+	senders func() int
 	// linked returns the entries with an open link.
 	linked func() []gate.EntryID
 }
--- a/agent/server_advice.go
+++ b/agent/server_advice.go
@@ -9,19 +9,26 @@
 	"github.com/carawaypitch/carawaypitch/backpressure"
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/wire"
 )
 
 // adviceLogGap is the least time between two lines about what one server asks of its senders. What is left out between them is
 // counted in the next one.
 const adviceLogGap = time.Second
 
-// advised bounds what is noted of the words of one server.
+// adviceProposeTimeout bounds the wait for a commit.
+const adviceProposeTimeout = 2 * time.Second
+
+// advised is what is known of the words of one server, besides what its gate goes by. All fields but speaks are the gate duty's own.
 type advised struct {
 	// speaks is set while the server is known to ask something, so that answers that say nothing are looked at too.
 	speaks atomic.Bool
 
 	logged  time.Time
 	skipped int
+
+	limit     backpressure.Rate // that the gate goes by
+	directory backpressure.Directory
 }
 
 // observe has the gate duty hear what the client's answers say of the server.
@@ -50,11 +57,61 @@
 	}
 	s.noteMalformed(now, in.observation)
 	s.step(now, gate.Heard{Observation: in.observation})
+	s.advised.directory.Heard(in.observation, s.advised.limit)
+	s.shareAdvice(now)
+}
+
+// recordedAdvice carries what the directory has of the server, nil for nothing.
+type recordedAdvice struct{ record *wire.ServerAdvice }
+
+func (in recordedAdvice) apply(s *server, now time.Time) { s.learnAdvice(now, in.record) }
+
+// learnAdvice goes by what another sender heard of the server, or an earlier process beside it.
+func (s *server) learnAdvice(now time.Time, record *wire.ServerAdvice) {
+	word, isNews := s.advised.directory.Learn(now, backpressure.Record{
+		Rate:    backpressure.Rate{Limited: record.GetRateLimited(), PerSecond: record.GetRatePerS()},
+		Version: record.GetVersion(),
+	})
+	if isNews {
+		s.step(now, gate.Heard{Observation: word})
+	}
+}
+
+// shareAdvice has control record what the server asks where that isn't known there. What isn't committed is proposed again.
+func (s *server) shareAdvice(now time.Time) {
+	record, isDue := s.advised.directory.Propose(now)
+	if !isDue {
+		return
+	}
+	note := &wire.NoteServerAdvice{Advice: &wire.ServerAdvice{
+		Server:      s.name,
+		RateLimited: record.Rate.Limited,
+		RatePerS:    record.Rate.PerSecond,
+		Version:     record.Version,
+	}}
+	s.spawn(func(ctx context.Context) {
+		callCtx, stop := context.WithTimeout(ctx, adviceProposeTimeout)
+		defer stop()
+		_, err := s.propose(callCtx, &wire.Command{Kind: &wire.Command_NoteServerAdvice{NoteServerAdvice: note}})
+		_ = s.push(ctx, adviceShared{err: err})
+	})
+}
+
+// adviceShared says that a proposal has ended.
+type adviceShared struct{ err error }
+
+func (in adviceShared) apply(s *server, _ time.Time) {
+	s.advised.directory.Proposed()
+	if in.err != nil {
+		s.meter.retried(retryAdvice)
+		s.log.WithError(in.err).Warn("server_advice_not_committed")
+	}
 }
 
 // noteAdvice counts and logs a change of what the server is known to ask.
 func (s *server) noteAdvice(now time.Time, a gate.Advised) {
 	o := a.Observation
+	s.advised.limit = a.Rate
 	s.advised.speaks.Store(a.Rate.Limited)
 	s.meter.advised(o.Route)
 	if !s.advised.mayLog(now) {
--- a/agent/server_advice_test.go
+++ b/agent/server_advice_test.go
@@ -10,6 +10,7 @@
 	"github.com/carawaypitch/carawaypitch/backpressure"
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/engine/standin"
+	"github.com/carawaypitch/carawaypitch/wire"
 )
 
 // counter returns a counter of the agent.
@@ -78,13 +79,86 @@
 		require.NoError(t, model.SetFaults(standin.Faults{RateLimit: "2"}))
 		entry.dispatch(completion("first", 1))
 		entry.awaitOver("first", 1)
-		times := arrivals(model)
-		for i := range 400 {
-			entry.dispatch(completion(fmt.Sprint("r", i), 1))
-			time.Sleep(50 * time.Millisecond)
-		}
-		got := times()
+		got := flood(model, entry, "r", 20*time.Second)
 		require.LessOrEqual(t, mostWithin(got, window), int(perSecond*window.Seconds())+1)
 		require.GreaterOrEqual(t, float64(len(got)), 0.9*perSecond*20, "the limit is used")
 	})
 }
+
+// flood dispatches 20 requests a second for a while, and returns when requests reached the server.
+func flood(model *standin.Server, entry *fakeEntry, name string, during time.Duration) []time.Time {
+	times := arrivals(model)
+	for i := range int(during / (50 * time.Millisecond)) {
+		entry.dispatch(completion(fmt.Sprint(name, i), 1))
+		time.Sleep(50 * time.Millisecond)
+	}
+	return times()
+}
+
+// advise has control record what a server asks.
+func (c *fakeControl) advise(server string, perSecond float64, version uint64) {
+	view := *c.View()
+	view.Advice = map[string]*wire.ServerAdvice{
+		server: {Server: server, RateLimited: true, RatePerS: perSecond, Version: version},
+	}
+	c.setView(&view)
+}
+
+// An agent that starts again must not send as if its server had asked nothing until its own first answer.
+func TestRestartedAgentKeepsToTheRecordedRate(t *testing.T) {
+	modelWorld(t, func(w *world, model *standin.Server, entry *fakeEntry) {
+		w.killAgent()
+		w.control.advise("server-1", 1, 7)
+		w.startAgent()
+		w.ready()
+		w.until("the new agent is linked", func() bool { links, _ := entry.links(); return links == 2 })
+		w.until("its server is ready", func() bool {
+			return entry.room("server-1").GetCondition() == wire.ServerCondition_SERVER_CONDITION_READY
+		})
+		times := arrivals(model)
+		for i := range 5 {
+			entry.dispatch(completion(fmt.Sprint("at once ", i), 1))
+		}
+		time.Sleep(time.Second / 2)
+		require.LessOrEqual(t, len(times()), 1)
+	})
+}
+
+// What one sender hears must reach the directory, so that others know it.
+func TestRateLimitIsRecorded(t *testing.T) {
+	modelWorld(t, func(w *world, model *standin.Server, entry *fakeEntry) {
+		require.NoError(t, model.SetFaults(standin.Faults{RateLimit: "3"}))
+		w.control.setFailures(2)
+		entry.dispatch(completion("r1", 1))
+		entry.awaitOver("r1", 1)
+		notes := func() (notes []*wire.ServerAdvice) {
+			for _, command := range w.control.commands() {
+				if note := command.GetNoteServerAdvice(); note != nil {
+					notes = append(notes, note.GetAdvice())
+				}
+			}
+			return notes
+		}
+		w.until("it is proposed until it is committed", func() bool { return len(notes()) == 3 })
+		require.Equal(t, 3.0, notes()[2].GetRatePerS())
+		require.True(t, notes()[2].GetRateLimited())
+	})
+}
+
+// Entries that send to the same plain service share its limit: each of them using all of it is as many times too much.
+func TestSendersShareTheRateOfAServer(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.senders = 4
+		w.startAgent()
+		model := w.startEngine(slowModel())
+		w.ready()
+		entry := w.startEntry(entryHost, "entry-1")
+		entry.awaitRoom("server-1")
+		require.NoError(t, model.SetFaults(standin.Faults{RateLimit: "8"}))
+		entry.dispatch(completion("first", 1))
+		entry.awaitOver("first", 1)
+		times := flood(model, entry, "r", 20*time.Second)
+		require.LessOrEqual(t, mostWithin(times, 4*time.Second), 9)
+		require.GreaterOrEqual(t, len(times), 36)
+	})
+}
--- a/agent/server_loop.go
+++ b/agent/server_loop.go
@@ -43,6 +43,7 @@
 		case now := <-ticks.C():
 			s.sendUnsent()
 			s.noteDeparture(now)
+			s.shareAdvice(now)
 			s.step(now, gate.Tick{})
 			ticks.Fired(s.nextTick())
 		}
--- a/backpressure/advice.go
+++ b/backpressure/advice.go
@@ -25,6 +25,9 @@
 	RouteRun    Route = "run"    // an attempt of a request
 	RouteReport Route = "report" // a load report
 	RouteCall   Route = "call"   // any other call, such as a cancel
+
+	// RouteDirectory is no call: another sender heard the word, and the directory has it.
+	RouteDirectory Route = "directory"
 )
 
 // Observation is one answer of a server, as far as it speaks of the server.
--- a/control/allowed.go
+++ b/control/allowed.go
@@ -28,7 +28,7 @@
 	case *wire.Command_MoveShares:
 		move := kind.MoveShares
 		return isEntry && move.GetEntry() == hello.GetInstance() && move.GetIncarnation() == hello.GetIncarnation()
-	case *wire.Command_CompleteOperation, *wire.Command_NoteCrash:
+	case *wire.Command_CompleteOperation, *wire.Command_NoteCrash, *wire.Command_NoteServerAdvice:
 		return true
 	case *wire.Command_ClearPoison:
 		return isEntry
--- a/control/scope.go
+++ b/control/scope.go
@@ -46,6 +46,7 @@
 	} else {
 		s.addServers(out, u)
 	}
+	s.addAdvice(out, u)
 	return out
 }
 
@@ -78,10 +79,29 @@
 	}
 }
 
+// addAdvice adds what the servers ask that the client was told of. The servers of an update come before.
+func (s *scope) addAdvice(out, u *wire.DirectoryUpdate) {
+	if s.address == "" {
+		out.Advice, out.RemovedAdvice = u.GetAdvice(), u.GetRemovedAdvice()
+		return
+	}
+	for _, advice := range u.GetAdvice() {
+		if s.servers[advice.GetServer()] {
+			out.Advice = append(out.Advice, advice)
+		}
+	}
+	for _, server := range u.GetRemovedAdvice() {
+		if s.servers[server] {
+			out.RemovedAdvice = append(out.RemovedAdvice, server)
+		}
+	}
+}
+
 // isNews tells whether an update changes anything but the version.
 func isNews(u *wire.DirectoryUpdate) bool {
 	changes := len(u.GetAgents()) + len(u.GetRemoved()) + len(u.GetEntries()) + len(u.GetRemovedEntries()) +
-		len(u.GetAnnouncements()) + len(u.GetRemovedAnnouncements()) + len(u.GetPoison()) + len(u.GetRemovedPoison())
+		len(u.GetAnnouncements()) + len(u.GetRemovedAnnouncements()) + len(u.GetPoison()) + len(u.GetRemovedPoison()) +
+		len(u.GetAdvice()) + len(u.GetRemovedAdvice())
 	return u.GetFull() || changes > 0
 }
 
--- a/entry/local_agent.go
+++ b/entry/local_agent.go
@@ -100,6 +100,8 @@
 			newUnattended(e.settings.Instance, e.settings.AvailabilityZone, localAttendWait).choose,
 		),
 
+		// Any entry may send to a server without an agent.
+		Senders:    func(view *session.View) int { return len(view.Entries) },
 		MaxServers: localMaxServers,
 	})
 	if err != nil {
--- a/session/propose.go
+++ b/session/propose.go
@@ -159,7 +159,7 @@
 		return true
 	case *wire.Command_ReleaseOperation, *wire.Command_ExpireOperations, *wire.Command_EndOrder:
 		return true
-	case *wire.Command_MoveShares, *wire.Command_NoteCrash, *wire.Command_ClearPoison:
+	case *wire.Command_MoveShares, *wire.Command_NoteCrash, *wire.Command_ClearPoison, *wire.Command_NoteServerAdvice:
 		return true
 	case *wire.Command_PutClass:
 		return kind.PutClass.GetChange().GetChangeId() != ""
--- a/session/view.go
+++ b/session/view.go
@@ -23,6 +23,8 @@
 	Announcements map[string]*wire.Announcement
 	// Poison are the requests that are watched or quarantined, by the text of their keys, see package poison.
 	Poison map[string]*wire.PoisonRecord
+	// Advice is what backend servers ask of their senders, by server.
+	Advice map[string]*wire.ServerAdvice
 	// Desired is the desired state in force, without its document; nil before the first.
 	Desired *wire.DesiredState
 }
@@ -38,6 +40,7 @@
 
 		Announcements: make(map[string]*wire.Announcement),
 		Poison:        make(map[string]*wire.PoisonRecord),
+		Advice:        make(map[string]*wire.ServerAdvice),
 	}
 }
 
@@ -107,6 +110,13 @@
 	for _, key := range u.GetRemovedPoison() {
 		delete(next.Poison, key)
 	}
+	next.Advice = start(v.Advice, u.GetFull())
+	for _, advice := range u.GetAdvice() {
+		next.Advice[advice.GetServer()] = advice
+	}
+	for _, server := range u.GetRemovedAdvice() {
+		delete(next.Advice, server)
+	}
 	return &next, nil
 }
 
--- a/state/announcements.go
+++ b/state/announcements.go
@@ -191,6 +191,7 @@
 func (s *State) drop(name string) {
 	delete(s.announcements.byRun, name)
 	s.raiseDirectory(announcementPrefix + name)
+	s.dropAdvice(name)
 }
 
 // supersede takes other servers off the address at which one announces itself: a server that starts again may have a new
--- a/state/read.go
+++ b/state/read.go
@@ -160,6 +160,10 @@
 		s.addPoisonTo(out, key)
 		return
 	}
+	if server, ok := strings.CutPrefix(name, advicePrefix); ok {
+		s.addAdviceTo(out, server)
+		return
+	}
 	agent := strings.TrimPrefix(name, agentPrefix)
 	if a := s.agents[agent]; a != nil {
 		out.Agents = append(out.Agents, a)
@@ -177,5 +181,6 @@
 
 		Announcements: s.Announcements(),
 		Poison:        s.WatchedPoison(),
+		Advice:        s.Advice(),
 	}
 }
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -36,6 +36,7 @@
 		Contenders:          sorted(s.announcements.contenders),
 		Shares:              s.HeldShares(),
 		Poison:              s.Poison(),
+		Advice:              s.Advice(),
 	}
 }
 
@@ -79,6 +80,9 @@
 	s.announcements.restore(in, limits.EndedServers)
 	s.shares.restore(in.GetShares())
 	s.poisoned.restore(in.GetPoison())
+	for _, record := range in.GetAdvice() {
+		s.advice[record.GetServer()] = record
+	}
 	return s
 }
 
--- a/state/state.go
+++ b/state/state.go
@@ -30,6 +30,7 @@
 	announcements announcements
 	shares        shares
 	poisoned      poisoned
+	advice        map[string]*wire.ServerAdvice // by server; its records are replaced and never changed
 
 	configHistory    history
 	directoryHistory history
@@ -55,6 +56,7 @@
 		announcements:    newAnnouncements(),
 		shares:           newShares(),
 		poisoned:         newPoisoned(),
+		advice:           make(map[string]*wire.ServerAdvice),
 		configHistory:    history{limit: limits.History},
 		directoryHistory: history{limit: limits.History},
 	}
@@ -123,6 +125,8 @@
 		return s.noteCrash(kind.NoteCrash)
 	case *wire.Command_ClearPoison:
 		return s.clearPoison(kind.ClearPoison)
+	case *wire.Command_NoteServerAdvice:
+		return s.noteAdvice(kind.NoteServerAdvice)
 	case *wire.Command_ExpirePoison:
 		return s.expirePoison()
 	default:
