--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -78,8 +78,6 @@
 		m.add(fmt.Sprintf(`%s{organisation=%s,tier="%s"}`, metricServed, label, tier), c.Add)
 	case gate.LeasesExpired:
 		m.add(metricLeases, c.Add)
-	case gate.Throttled:
-		m.add(fmt.Sprintf(`%s{reason=%s}`, metricThrottled, label), c.Add)
 	case gate.ChartErrors:
 		m.add(fmt.Sprintf(`%s{reason=%s}`, metricChartErrors, label), c.Add)
 	}
@@ -108,6 +106,11 @@
 	m.add(fmt.Sprintf(`%s{route=%q}`, metricAdvice, string(route)), 1)
 }
 
+// throttled counts an attempt that was kept from a server for what the server asked.
+func (m *meter) throttled(reason gate.ThrottleReason) {
+	m.add(fmt.Sprintf(`%s{reason=%q}`, metricThrottled, string(reason)), 1)
+}
+
 // malformedAdvice counts header fields of servers that mean nothing.
 func (m *meter) malformedAdvice(field string) {
 	m.add(fmt.Sprintf(`%s{field=%q}`, metricMalformed, field), 1)
--- a/agent/server_actions.go
+++ b/agent/server_actions.go
@@ -38,6 +38,8 @@
 		s.report(outcomeReport(a.Complete))
 	case gate.Advised:
 		s.noteAdvice(now, a)
+	case gate.Throttled:
+		s.noteThrottled(now, a)
 	case gate.Changed:
 		s.noteCondition(a.Server)
 	case gate.Count:
--- a/agent/server_advice.go
+++ b/agent/server_advice.go
@@ -24,8 +24,7 @@
 	// speaks is set while the server is known to ask something, so that answers that say nothing are looked at too.
 	speaks atomic.Bool
 
-	logged  time.Time
-	skipped int
+	words, throttles lineBound
 
 	limit     backpressure.Rate // that the gate goes by
 	directory backpressure.Directory
@@ -114,7 +113,7 @@
 	s.advised.limit = a.Rate
 	s.advised.speaks.Store(a.Rate.Limited)
 	s.meter.advised(o.Route)
-	if !s.advised.mayLog(now) {
+	if !s.advised.words.mayLog(now) {
 		return
 	}
 	s.log.WithField("rate", rateText(a.Rate)).
@@ -122,39 +121,60 @@
 		WithField("request", o.Request).
 		WithField("refused", o.Refused).
 		WithField("age_ms", now.Sub(o.Heard).Milliseconds()).
-		WithField("skipped", s.advised.takeSkipped()).
+		WithField("skipped", s.advised.words.takeSkipped()).
 		Info("server_advice")
 }
 
+// noteThrottled counts and logs an attempt that was kept from the server for what it asked.
+func (s *server) noteThrottled(now time.Time, a gate.Throttled) {
+	s.meter.throttled(a.Reason)
+	if !s.advised.throttles.mayLog(now) {
+		return
+	}
+	s.log.WithField("request", a.Attempt.GetRequest()).
+		WithField("attempt", a.Attempt.GetNumber()).
+		WithField("class", a.Class).
+		WithField("reason", string(a.Reason)).
+		WithField("rate", rateText(s.advised.limit)).
+		WithField("wait_ms", a.Wait.Milliseconds()).
+		WithField("skipped", s.advised.throttles.takeSkipped()).
+		Info("attempt_throttled")
+}
+
 func (s *server) noteMalformed(now time.Time, o backpressure.Observation) {
 	for _, m := range o.Malformed {
 		s.meter.malformedAdvice(m.Name)
-		if !s.advised.mayLog(now) {
+		if !s.advised.words.mayLog(now) {
 			continue
 		}
 		s.log.WithField("field", m.Name).
 			WithField("value", m.Value).
 			WithField("route", string(o.Route)).
 			WithField("request", o.Request).
-			WithField("skipped", s.advised.takeSkipped()).
+			WithField("skipped", s.advised.words.takeSkipped()).
 			WithError(m.Err).
 			Warn("server_advice_malformed")
 	}
 }
 
-// mayLog bounds the lines about one server.
-func (a *advised) mayLog(now time.Time) bool {
-	if !a.logged.IsZero() && now.Sub(a.logged) < adviceLogGap {
-		a.skipped++
+// lineBound bounds the lines of one kind about one server to one each adviceLogGap.
+type lineBound struct {
+	logged  time.Time
+	skipped int
+}
+
+func (b *lineBound) mayLog(now time.Time) bool {
+	if !b.logged.IsZero() && now.Sub(b.logged) < adviceLogGap {
+		b.skipped++
 		return false
 	}
-	a.logged = now
+	b.logged = now
 	return true
 }
 
-func (a *advised) takeSkipped() int {
-	skipped := a.skipped
-	a.skipped = 0
+func (b *lineBound) takeSkipped() int {
+	skipped := b.skipped
+	b.skipped = 0
 	return skipped
 }
 
--- a/cmd/carawaypitch/status.go
+++ b/cmd/carawaypitch/status.go
@@ -65,6 +65,7 @@
 	classesTable(w, s)
 	targetsTable(w, s)
 	poisonTable(w, s)
+	adviceTable(w, s)
 	fmt.Fprintln(w, "\nINSTANCE\tROLE\tZONE\tVERSION\tSTATE")
 	for _, i := range s.Controls {
 		instanceRow(w, "control", i, s.ConfigVersion)
--- /dev/null
+++ b/cmd/carawaypitch/status_advice.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/carawaypitch/carawaypitch/operator"
+)
+
+// adviceTable shows what backend servers ask of their senders, if any does.
+func adviceTable(w io.Writer, s operator.Status) {
+	if len(s.Advice) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nASKED BY SERVER\tREQUESTS A SECOND")
+	for _, a := range s.Advice {
+		fmt.Fprintf(w, "%s\t%s\n", a.Server, rateText(a))
+	}
+}
+
+func rateText(a operator.Advice) string {
+	if !a.RateLimited {
+		return "-"
+	}
+	return fmt.Sprintf("%g", a.RatePerS)
+}
--- a/control/http_status.go
+++ b/control/http_status.go
@@ -41,6 +41,8 @@
 	Targets      []targetJSON      `json:"targets"`
 	// Poison are the requests under which servers crashed twice or more.
 	Poison []poisonJSON `json:"poison"`
+	// Advice is what backend servers ask of their senders.
+	Advice []adviceJSON `json:"advice"`
 }
 
 type replicaJSON struct {
@@ -101,6 +103,7 @@
 		counts := s.Counts()
 		out.Operations = operationsJSON{counts.Operations, counts.AnswerBytes, counts.ExpiredKeys}
 		out.Orders = len(s.Orders())
+		out.Advice = adviceStatus(s.Advice())
 	})
 	registered := make(map[string]bool)
 	for _, a := range agents {
--- a/gate/receive.go
+++ b/gate/receive.go
@@ -102,8 +102,7 @@
 		return
 	}
 	if g.throttled() != roomEnough {
-		g.emit(Count{Counter: Throttled, Label: string(ThrottledByRate), Add: 1})
-		g.fire(a, onRefuse, occasion{refusal: g.refuseThrottled()})
+		g.refuseThrottled(a)
 		return
 	}
 	if withOffer || before == reserved {
--- a/gate/room.go
+++ b/gate/room.go
@@ -221,6 +221,7 @@
 		DecodeTokensPerS:  float32(g.pace.decodeRate()),
 		BacklogMs:         uint32(min(g.backlog(), time.Hour) / time.Millisecond),
 		Condition:         g.condition(),
+		Throttle:          throttles[g.throttled()],
 		Resume:            r.GetCapabilities().GetResume(),
 		Kv:                r.GetCapabilities().GetKv(),
 	}
@@ -259,7 +260,7 @@
 
 // differs tells whether an entry would decide differently.
 func differs(a, b *wire.Room) bool {
-	same := a.Server == b.Server && a.Condition == b.Condition && a.Free == b.Free && a.Waiting == b.Waiting &&
+	same := a.Server == b.Server && a.Condition == b.Condition && a.Throttle == b.Throttle && a.Free == b.Free && a.Waiting == b.Waiting &&
 		a.Running == b.Running && a.LowestRunningTier == b.LowestRunningTier &&
 		a.LowestWaitingTier == b.LowestWaitingTier && a.Resume == b.Resume && a.Kv == b.Kv &&
 		slices.Equal(a.Targets, b.Targets)
--- a/gate/throttle.go
+++ b/gate/throttle.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/backpressure"
+	"github.com/carawaypitch/carawaypitch/wire"
 )
 
 // heard takes what an answer of the server said of the work that it takes.
@@ -28,6 +29,9 @@
 	}
 }
 
+// throttles are the reasons as entries are told them.
+var throttles = map[why]wire.Throttle{whyRate: wire.Throttle_THROTTLE_RATE_LIMIT}
+
 // throttled says why the server may get nothing now, whatever room it has.
 func (g *Gate) throttled() why {
 	if g.throttle.Ready(g.now) == 0 {
@@ -39,11 +43,13 @@
 // throttledFor is the time until the server may get n more requests.
 func (g *Gate) throttledFor(n int) time.Duration { return g.throttle.Wait(g.now, n) }
 
-// refuseThrottled is for a dispatch that the server may not get now.
-func (g *Gate) refuseThrottled() refusal {
+// refuseThrottled refuses a dispatch that the server may not get now.
+func (g *Gate) refuseThrottled(a *attempt) {
+	wait := g.throttledFor(g.waiting.count + 1)
+	g.emit(Throttled{Attempt: a.id(), Class: a.work.GetClass(), Reason: ThrottledByRate, Wait: wait})
 	no := refuseRateLimited
-	no.retryAfter = clampRetry(g.throttledFor(g.waiting.count + 1))
-	return no
+	no.retryAfter = clampRetry(wait)
+	g.fire(a, onRefuse, occasion{refusal: no})
 }
 
 // takePermit counts an attempt that gets room against the server's rate. It holds the permit until it starts.
--- a/gate/types.go
+++ b/gate/types.go
@@ -184,6 +184,15 @@
 		Observation backpressure.Observation
 	}
 
+	// Throttled says that an attempt was refused, or sent elsewhere, for what the server asked of its senders. Wait is the time
+	// until the server may get it.
+	Throttled struct {
+		Attempt *wire.AttemptID
+		Class   string
+		Reason  ThrottleReason
+		Wait    time.Duration
+	}
+
 	// Count adds to a counter.
 	Count struct {
 		Counter Counter
@@ -204,6 +213,7 @@
 func (Report) gateAction()       {}
 func (Changed) gateAction()      {}
 func (Advised) gateAction()      {}
+func (Throttled) gateAction()    {}
 func (Count) gateAction()        {}
 
 // ThrottleReason is what of a server's words keeps a request from it. It is a label of a metric.
@@ -229,6 +239,5 @@
 	WastedPrefill                // tokens, by Label (cause)
 	ServedTokens                 // by Label (organisation) and Tier
 	LeasesExpired
-	Throttled // attempts refused or sent elsewhere for what the server asked, by Label (reason)
 	ChartErrors
 )
--- a/operator/status.go
+++ b/operator/status.go
@@ -33,6 +33,15 @@
 	Targets      []Target      `json:"targets"`
 	// Poison are the requests under which backend servers crashed twice or more.
 	Poison []Poison `json:"poison"`
+	// Advice is what backend servers ask of their senders.
+	Advice []Advice `json:"advice"`
+}
+
+// Advice is what a backend server names in its answers.
+type Advice struct {
+	Server      string  `json:"server"`
+	RateLimited bool    `json:"rate_limited"`
+	RatePerS    float64 `json:"rate_per_s"` // requests a second from all senders together
 }
 
 // Poison is a request under which backend servers crashed. With three of them it is refused.
--- a/sched/explain.go
+++ b/sched/explain.go
@@ -20,6 +20,7 @@
 	PassedNoCandidate PassedReason = "not allowed by the operation record"
 	PassedRefused     PassedReason = "refused this request before"
 	PassedNoResume    PassedReason = "can't continue the answer"
+	PassedRateLimited PassedReason = "the server takes only so many requests a second"
 	PassedNoRoom      PassedReason = "no room"
 	PassedSlower      PassedReason = "slower by estimate"
 )
@@ -162,6 +163,8 @@
 		return PassedRefused
 	case !r.resumesOn(v):
 		return PassedNoResume
+	case !v.hasRoom && v.room.GetThrottle() == wire.Throttle_THROTTLE_RATE_LIMIT:
+		return PassedRateLimited
 	case !v.hasRoom:
 		return PassedNoRoom
 	default:
