backpressure, agent: sight of rests and leaving, and two failing tests

Refusals' Retry-After (seconds with fractions, or a date by the server's own clock; ten minutes at most; of several the longest; negative, infinite and other values mean nothing, are logged and counted) and the word that a server leaves are read at the boundary and logged in server_advice. No decision changes.

The stand-ins turn away with a time to keep away, and say that they leave, on command. TestServerThatAsksForRestGetsNothing: 60 requests reach a server in the 3 s that it asked for. TestServerThatSaysItLeavesGetsNothingNew: all requests reach a server that says in an answer that it leaves.

--- a/agent/server_advice.go
+++ b/agent/server_advice.go
@@ -55,6 +55,7 @@
 		return
 	}
 	s.noteMalformed(now, in.observation)
+	s.noteBackoff(now, in.observation)
 	s.step(now, gate.Heard{Observation: in.observation})
 	s.advised.directory.Heard(in.observation, s.advised.limit)
 	s.shareAdvice(now)
@@ -125,6 +126,24 @@
 		Info("server_advice")
 }
 
+// noteBackoff counts and logs that the server wants nothing for a while, or leaves.
+func (s *server) noteBackoff(now time.Time, o backpressure.Observation) {
+	if o.Backoff == 0 && !o.Draining {
+		return
+	}
+	s.meter.advised(o.Route)
+	if !s.advised.words.mayLog(now) {
+		return
+	}
+	s.log.WithField("backoff_ms", o.Backoff.Milliseconds()).
+		WithField("draining", o.Draining).
+		WithField("route", string(o.Route)).
+		WithField("request", o.Request).
+		WithField("age_ms", now.Sub(o.Heard).Milliseconds()).
+		WithField("skipped", s.advised.words.takeSkipped()).
+		Info("server_advice")
+}
+
 // noteThrottled counts and logs an attempt that was kept from the server for what it asked.
 func (s *server) noteThrottled(now time.Time, a gate.Throttled) {
 	s.meter.throttled(a.Reason)
--- a/agent/server_advice_test.go
+++ b/agent/server_advice_test.go
@@ -162,3 +162,42 @@
 		require.GreaterOrEqual(t, len(times), 36)
 	})
 }
+
+// A server that asks for rest must get nothing until its time is over, and then one request to see whether it takes work again.
+func TestServerThatAsksForRestGetsNothing(t *testing.T) {
+	modelWorld(t, func(w *world, model *standin.Server, entry *fakeEntry) {
+		require.NoError(t, model.SetFaults(standin.Faults{RefuseFor: "3"}))
+		entry.dispatch(completion("first", 1))
+		entry.awaitOver("first", 1)
+		asked := time.Now()
+		times := flood(model, entry, "r", 8*time.Second)
+		var within, after int
+		for _, at := range times {
+			if at.Sub(asked) < 3*time.Second {
+				within++
+				continue
+			}
+			after++
+		}
+		require.Zero(t, within)
+		require.LessOrEqual(t, after, 2, "one request each time the rest is over")
+		require.NotZero(t, after)
+		require.Equal(t, wire.ServerCondition_SERVER_CONDITION_READY, entry.room("server-1").GetCondition())
+
+		require.NoError(t, model.SetFaults(standin.Faults{}))
+		time.Sleep(3 * time.Second)
+		require.Greater(t, len(flood(model, entry, "again", 5*time.Second)), 10, "it gets work again")
+	})
+}
+
+// A server that says in its answers that it leaves must get nothing new, also where nobody else says so.
+func TestServerThatSaysItLeavesGetsNothingNew(t *testing.T) {
+	modelWorld(t, func(w *world, model *standin.Server, entry *fakeEntry) {
+		require.NoError(t, model.SetFaults(standin.Faults{Draining: true}))
+		entry.dispatch(completion("first", 1))
+		entry.awaitOver("first", 1)
+		require.NoError(t, model.SetFaults(standin.Faults{}))
+		time.Sleep(time.Second)
+		require.Empty(t, flood(model, entry, "r", 5*time.Second))
+	})
+}
--- a/backpressure/advice.go
+++ b/backpressure/advice.go
@@ -5,6 +5,11 @@
 // Advice is what a server says of itself in one answer.
 type Advice struct {
 	Rate Rate
+	// Backoff is for how long, from the arrival of the answer, the server wants nothing from the sender that it answered; 0 for no such
+	// wish.
+	Backoff time.Duration
+	// Draining: the server leaves and wants nothing new from anybody.
+	Draining bool
 }
 
 // IsZero tells whether the answer said nothing.
--- a/backpressure/parse_test.go
+++ b/backpressure/parse_test.go
@@ -5,12 +5,13 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
-var testNames = Names{RateLimit: "Rate-Limit"}
+var testNames = Names{RateLimit: "Rate-Limit", Backoff: "Retry-After", Draining: "Draining"}
 
 func TestRates(t *testing.T) {
 	for _, c := range []struct {
@@ -51,20 +52,20 @@
 
 func TestLowestOfTwoRatesCounts(t *testing.T) {
 	for _, values := range [][]string{{"5", "2"}, {"2", "5"}, {"2", "x"}, {"x", "2"}} {
-		advice, _ := testNames.Read(http.Header{"Rate-Limit": values})
+		advice, _ := testNames.Read(200, http.Header{"Rate-Limit": values}, start)
 		require.Equal(t, Rate{Limited: true, PerSecond: 2}, advice.Rate, "%q", values)
 	}
 }
 
 func TestMalformedRateIsReportedAndChangesNothing(t *testing.T) {
-	advice, malformed := testNames.Read(http.Header{"Rate-Limit": {strings.Repeat("x", 1000)}})
+	advice, malformed := testNames.Read(200, http.Header{"Rate-Limit": {strings.Repeat("x", 1000)}}, start)
 	require.True(t, advice.IsZero())
 	require.Len(t, malformed, 1)
 	require.Len(t, malformed[0].Value, maxShown)
 }
 
 func TestAnswerWithoutHeadersSaysNothing(t *testing.T) {
-	advice, malformed := testNames.Read(http.Header{"Content-Type": {"text/plain"}})
+	advice, malformed := testNames.Read(200, http.Header{"Content-Type": {"text/plain"}}, start)
 	require.True(t, advice.IsZero())
 	require.Empty(t, malformed)
 }
@@ -83,3 +84,73 @@
 		assert.False(t, math.IsNaN(rate.PerSecond) || math.IsInf(rate.PerSecond, 0) || rate.PerSecond < 0)
 	})
 }
+
+func TestBackoffs(t *testing.T) {
+	sent := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	for _, c := range []struct {
+		text string
+		want time.Duration
+		err  error
+	}{
+		{text: "3", want: 3 * time.Second},
+		{text: " 0.25 ", want: 250 * time.Millisecond},
+		{text: "0", want: 0},
+		{text: "1e-12", want: 0},
+		{text: "86400", want: MaxBackoff},
+		{text: "1e308", want: MaxBackoff},
+		{text: "Fri, 02 Jan 2026 03:04:35 GMT", want: 30 * time.Second},
+		{text: "Fri, 02 Jan 2026 03:00:00 GMT", want: 0},
+		{text: "Fri, 02 Jan 2099 03:00:00 GMT", want: MaxBackoff},
+		{text: "-1", err: errNegative},
+		{text: "NaN", err: errNoDecimal},
+		{text: "Infinity", err: errNoDecimal},
+		{text: "soon", err: errNoDecimal},
+		{text: "", err: errNoDecimal},
+		{text: "3 s", err: errNoDecimal},
+	} {
+		backoff, err := ParseBackoff(c.text, sent)
+		if c.err != nil {
+			require.ErrorIs(t, err, c.err, "%q", c.text)
+			require.Zero(t, backoff)
+			continue
+		}
+		require.NoError(t, err, "%q", c.text)
+		require.Equal(t, c.want, backoff, "%q", c.text)
+	}
+}
+
+func TestBackoffCountsInRefusalsOnly(t *testing.T) {
+	header := http.Header{"Retry-After": {"2", "5", "soon"}}
+	for status, want := range map[int]time.Duration{200: 0, 500: 0, 504: 0, 503: 5 * time.Second, 429: 5 * time.Second} {
+		advice, _ := testNames.Read(status, header, start)
+		require.Equal(t, want, advice.Backoff, "status %d", status)
+	}
+	_, malformed := testNames.Read(503, header, start)
+	require.Len(t, malformed, 1)
+}
+
+// The server's clock and this one may differ by seconds; a date is taken by the clock that it was written by.
+func TestDateOfABackoffGoesByTheServersClock(t *testing.T) {
+	header := http.Header{"Date": {"Fri, 02 Jan 2026 03:04:05 GMT"}, "Retry-After": {"Fri, 02 Jan 2026 03:04:15 GMT"}}
+	advice, _ := testNames.Read(503, header, start)
+	require.Equal(t, 10*time.Second, advice.Backoff)
+}
+
+func TestDraining(t *testing.T) {
+	for value, want := range map[string]bool{"1": true, " 1 ": true, "0": false, "true": false, "": false, "2": false} {
+		advice, malformed := testNames.Read(200, http.Header{"Draining": {value}}, start)
+		require.Equal(t, want, advice.Draining, "%q", value)
+		require.Equal(t, !want && value != "0", len(malformed) == 1, "%q", value)
+	}
+}
+
+func FuzzBackoff(f *testing.F) {
+	for _, text := range []string{"3", "0", "-1", "1e400", "NaN", "Fri, 02 Jan 2026 03:04:05 GMT", "Fri, 02 Jan 0001 00:00:00 GMT"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		backoff, err := ParseBackoff(text, start)
+		assert.True(t, backoff >= 0 && backoff <= MaxBackoff)
+		assert.True(t, err == nil || backoff == 0)
+	})
+}
--- a/engine/observe.go
+++ b/engine/observe.go
@@ -33,14 +33,15 @@
 
 // observe tells what the head of an answer to a call says.
 func (h *HTTP) observe(c call, asked time.Time, response *http.Response) {
-	advice, malformed := backpressureNames.Read(response.Header)
+	now := time.Now()
+	advice, malformed := backpressureNames.Read(response.StatusCode, response.Header, now)
 	h.Tell(backpressure.Observation{
 		Advice:    advice,
 		Malformed: malformed,
 		Route:     c.route(),
 		Request:   string(c.id),
 		Asked:     asked,
-		Heard:     time.Now(),
+		Heard:     now,
 		Refused:   response.StatusCode >= http.StatusBadRequest,
 	})
 }
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -9,10 +9,14 @@
 	// HeaderRateLimit is in all answers of a server that takes only so many requests a second, a decimal number, from all senders
 	// together.
 	HeaderRateLimit = "Carawaypitch-Rate-Limit"
+	// HeaderBackoff is in a refusal of a server that wants nothing for so many seconds from whom it answers.
+	HeaderBackoff = "Retry-After"
+	// HeaderDraining is 1 in all answers of a server that leaves.
+	HeaderDraining = "Carawaypitch-Draining"
 )
 
 // backpressureNames are the headers by which a server speaks of itself.
-var backpressureNames = backpressure.Names{RateLimit: HeaderRateLimit}
+var backpressureNames = backpressure.Names{RateLimit: HeaderRateLimit, Backoff: HeaderBackoff, Draining: HeaderDraining}
 
 // Content types of the protocol.
 const (
--- a/engine/standin/faults.go
+++ b/engine/standin/faults.go
@@ -44,6 +44,11 @@
 	// RateLimit is named in all answers as the requests a second that it takes,
 	// as it stands here; empty for none. It is named and not enforced.
 	RateLimit string `json:"rate_limit"`
+	// RefuseFor turns every run away with a status 503 that asks to keep away for
+	// so long, as it stands here; empty for none.
+	RefuseFor string `json:"refuse_for"`
+	// Draining says in all answers that the stand-in leaves.
+	Draining bool `json:"draining"`
 	// FreezeMs freezes it from now on, in milliseconds: it accepts
 	// connections and calls, and nothing happens.
 	FreezeMs int64 `json:"freeze_ms"`
--- a/engine/standin/model.go
+++ b/engine/standin/model.go
@@ -43,6 +43,9 @@
 		id = engine.AttemptID("anonymous-" + strconv.FormatUint(m.anonymous.Add(1), 10))
 	}
 	m.counters.add(func(stats *Stats) { stats.Requests++ })
+	if m.turnsAway(c) {
+		return m.refuse(c, errNotReady)
+	}
 	spec, err := m.batch.parse(body)
 	if err != nil {
 		return m.refuse(c, err)
--- a/engine/standin/refuse.go
+++ b/engine/standin/refuse.go
@@ -41,6 +41,16 @@
 	return cause
 }
 
+// turnsAway tells whether the switch RefuseFor is set, and puts its time into the answer.
+func (s *Server) turnsAway(c echo.Context) bool {
+	refuseFor := s.faults.get().RefuseFor
+	if refuseFor == "" {
+		return false
+	}
+	c.Response().Header().Set(engine.HeaderBackoff, refuseFor)
+	return true
+}
+
 // fail answers with a status 500, which says nothing of whether it ran.
 func fail(c echo.Context) error {
 	return c.JSON(http.StatusInternalServerError, engine.ErrorBody{Error: internalError()})
--- a/engine/standin/server.go
+++ b/engine/standin/server.go
@@ -110,8 +110,16 @@
 // advise puts what the stand-in asks of its senders into an answer.
 func (s *Server) advise(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if rate := s.faults.get().RateLimit; rate != "" && !isControlPath(c.Request().URL.Path) {
-			c.Response().Header().Set(engine.HeaderRateLimit, rate)
+		if isControlPath(c.Request().URL.Path) {
+			return next(c)
+		}
+		faults := s.faults.get()
+		header := c.Response().Header()
+		if faults.RateLimit != "" {
+			header.Set(engine.HeaderRateLimit, faults.RateLimit)
+		}
+		if faults.Draining {
+			header.Set(engine.HeaderDraining, "1")
 		}
 		return next(c)
 	}
--- a/engine/standin/service.go
+++ b/engine/standin/service.go
@@ -78,6 +78,9 @@
 		return refuse(c, errors.Wrap(errInvalid, err.Error()))
 	}
 	s.counters.add(func(stats *Stats) { stats.Requests++ })
+	if s.turnsAway(c) {
+		return refuse(c, errNotReady)
+	}
 	id := engine.AttemptID(c.Request().Header.Get(engine.HeaderRequestID))
 	start := s.options.Ledger.begin(id)
 	defer s.options.Ledger.end(id)
