backpressure, gate, sched: a server that asks for rest gets nothing until its time is over, and then one request first

What callers saw: up to 13 requests a second refused with 1301 while other servers were sound. What servers saw: 63 and 23 requests in a rest of 3 s (record: 70 and 29), 33 a second where it had been 8 before.

Cause: of a refusal that ran nothing only "never sent" was kept. The place was free again at once, so the server that had turned a request away looked like the one with most room, and drew the next one; each request and each entry learnt by itself that it refuses. Ruled out: work admitted before (arrivals go on for eight seconds, a millisecond each) and one try of each entry (33 a second of seven entries, each another request).

The limiter, which the gate asks for every send, keeps away until the latest end that any answer named; a shorter time in the answer to a call that was under way ends nothing, nor does an answer to a call from before. Then one request is let out until it is answered (a second at most), so that not all that waits comes at once to be turned away again. A process that starts can't know what the one before it was asked: it makes two such trials, as many as the rule allows. The gate takes offers and bodies back and refuses dispatches with 1210, "not run" and the time that is left; it stays ready, in the directory. Entries hear it with the room at once: reservations move to other servers without a retry counted, explain names the reason, and where every sound server of a pool rests for longer than a request can wait, it is refused on arrival with that time and a place in the order of those who return.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -235,6 +235,7 @@
 		RunNames:       a.follow.selects != nil,
 		UnlistedSettle: timing.UnlistedSettle,
 		ProcessStarted: a.started,
+		ProbeAtStart:   true,
 	})
 }
 
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -107,7 +107,7 @@
 }
 
 // throttled counts an attempt that was kept from a server for what the server asked.
-func (m *meter) throttled(reason gate.ThrottleReason) {
+func (m *meter) throttled(reason backpressure.Reason) {
 	m.add(fmt.Sprintf(`%s{reason=%q}`, metricThrottled, string(reason)), 1)
 }
 
--- a/agent/server.go
+++ b/agent/server.go
@@ -107,6 +107,7 @@
 		gate:       deps.newGate(),
 		runs:       make(map[attemptKey]*engineRun),
 	}
+	s.advised.expects.Store(true)
 	s.forgotten, s.end = context.WithCancel(context.Background())
 	s.log = deps.log.WithField("server", name)
 	s.view.Store(&serverView{})
--- a/agent/server_advice.go
+++ b/agent/server_advice.go
@@ -19,10 +19,10 @@
 // adviceProposeTimeout bounds the wait for a commit.
 const adviceProposeTimeout = 2 * time.Second
 
-// advised is what is known of the words of one server, besides what its gate goes by. All fields but speaks are the gate duty's own.
+// advised is what is known of the words of one server, besides what its gate goes by. All fields but expects are the gate duty's own.
 type advised struct {
-	// speaks is set while the server is known to ask something, so that answers that say nothing are looked at too.
-	speaks atomic.Bool
+	// expects is set while answers that say nothing matter.
+	expects atomic.Bool
 
 	words, throttles lineBound
 
@@ -37,7 +37,7 @@
 		return
 	}
 	observable.Observe(func(o backpressure.Observation) {
-		if o.IsSilent() && !s.advised.speaks.Load() {
+		if o.IsSilent() && !s.advised.expects.Load() {
 			return
 		}
 		_ = s.push(ctx, observed{client: client, observation: o})
@@ -55,7 +55,6 @@
 		return
 	}
 	s.noteMalformed(now, in.observation)
-	s.noteBackoff(now, in.observation)
 	s.step(now, gate.Heard{Observation: in.observation})
 	s.advised.directory.Heard(in.observation, s.advised.limit)
 	s.shareAdvice(now)
@@ -112,12 +111,13 @@
 func (s *server) noteAdvice(now time.Time, a gate.Advised) {
 	o := a.Observation
 	s.advised.limit = a.Rate
-	s.advised.speaks.Store(a.Rate.Limited)
+	s.advised.expects.Store(a.Expects)
 	s.meter.advised(o.Route)
 	if !s.advised.words.mayLog(now) {
 		return
 	}
 	s.log.WithField("rate", rateText(a.Rate)).
+		WithField("backoff_ms", max(a.Until.Sub(now), 0).Milliseconds()).
 		WithField("route", string(o.Route)).
 		WithField("request", o.Request).
 		WithField("refused", o.Refused).
@@ -126,24 +126,6 @@
 		Info("server_advice")
 }
 
-// noteBackoff counts and logs that the server wants nothing for a while, or leaves.
-func (s *server) noteBackoff(now time.Time, o backpressure.Observation) {
-	if o.Backoff == 0 && !o.Draining {
-		return
-	}
-	s.meter.advised(o.Route)
-	if !s.advised.words.mayLog(now) {
-		return
-	}
-	s.log.WithField("backoff_ms", o.Backoff.Milliseconds()).
-		WithField("draining", o.Draining).
-		WithField("route", string(o.Route)).
-		WithField("request", o.Request).
-		WithField("age_ms", now.Sub(o.Heard).Milliseconds()).
-		WithField("skipped", s.advised.words.takeSkipped()).
-		Info("server_advice")
-}
-
 // noteThrottled counts and logs an attempt that was kept from the server for what it asked.
 func (s *server) noteThrottled(now time.Time, a gate.Throttled) {
 	s.meter.throttled(a.Reason)
--- a/agent/server_advice_test.go
+++ b/agent/server_advice_test.go
@@ -201,3 +201,17 @@
 		require.Empty(t, flood(model, entry, "r", 5*time.Second))
 	})
 }
+
+// The first answer of a sound server opens it: trials at the start must not last longer than that.
+func TestFirstAnswerOpensAServer(t *testing.T) {
+	modelWorld(t, func(w *world, model *standin.Server, entry *fakeEntry) {
+		entry.dispatch(completion("first", 1))
+		w.until("it is answered", func() bool { return entry.eventCount("first", 1) > 0 })
+		for i := range 3 {
+			entry.dispatch(longCompletion(fmt.Sprint("r", i), 1))
+		}
+		w.until("all run beside each other", func() bool {
+			return entry.startCount("r0", 1)+entry.startCount("r1", 1)+entry.startCount("r2", 1) == 3
+		})
+	})
+}
--- a/agent/server_leave.go
+++ b/agent/server_leave.go
@@ -71,6 +71,7 @@
 	s.leaving = leaving{}
 	s.published = nil
 	s.gate = s.newGate()
+	s.advised.expects.Store(true)
 	for _, id := range s.linked() {
 		s.step(now, gate.EntryUp{Entry: id})
 	}
--- a/backpressure/limiter.go
+++ b/backpressure/limiter.go
@@ -20,11 +20,13 @@
 )
 
 // Limiter decides when one sender may send to one run of a server. It isn't safe for concurrent use. Its times are those of
-// one monotonic clock.
+// one monotonic clock. The zero value limits nothing.
 //
-// In any window of length T it allows at most 1 + usedShare*rate*(T+catchUp) sends, its own share of the rate counted, and as many
+// Within a time that the server asked to keep away for it allows nothing, and after it one send until one is answered. In any window of length T it allows at most 1 + usedShare*rate*(T+catchUp) sends, its own share of the rate counted, and as many
 // more as were allowed before the window and left in it.
 type Limiter struct {
+	backoff backoff
+
 	rate  Rate
 	heard time.Time // when the answer came that named the rate last
 	// byReport: a load report named a rate as well, so that one without it tells that there is none.
@@ -40,8 +42,49 @@
 // Rate is the limit that the server named last.
 func (l *Limiter) Rate() Rate { return l.rate }
 
-// Hear takes what an answer said, and tells whether that changed the limit.
+// NewLimiter returns the limiter of a sender that doesn't know what its predecessor was asked: until the first answer it makes some
+// trials only.
+func NewLimiter() Limiter { return Limiter{backoff: backoff{most: firstTrials}} }
+
+// Until is the end of the time that the server asked to keep away for last.
+func (l *Limiter) Until() time.Time { return l.backoff.until }
+
+// Expects tells whether answers that say nothing matter.
+func (l *Limiter) Expects() bool { return l.rate.Limited || l.backoff.most > 0 }
+
+// Reason is what keeps a sender from a server.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone      Reason = ""
+	ReasonRateLimit Reason = "rate_limit"
+	ReasonBackoff   Reason = "backoff" // the time that the server asked for isn't over
+	ReasonTrial     Reason = "trial"   // a trial isn't answered
+)
+
+// Blocked says why nothing may be sent now.
+func (l *Limiter) Blocked(now time.Time) Reason {
+	switch {
+	case l.backoff.isAway(now):
+		return ReasonBackoff
+	case l.backoff.ready(now) == 0:
+		return ReasonTrial
+	case l.rateReady(now) == 0:
+		return ReasonRateLimit
+	default:
+		return ReasonNone
+	}
+}
+
+// Hear takes what an answer said, and tells whether that changed anything.
 func (l *Limiter) Hear(o Observation) bool {
+	isBackoff, isRate := l.backoff.hear(o), l.hearRate(o)
+	return isBackoff || isRate
+}
+
+// hearRate takes what an answer said of the server's rate.
+func (l *Limiter) hearRate(o Observation) bool {
 	if o.Rate.Limited {
 		return l.name(o)
 	}
@@ -116,7 +159,10 @@
 }
 
 // Ready is how many sends may be made now.
-func (l *Limiter) Ready(now time.Time) int {
+func (l *Limiter) Ready(now time.Time) int { return min(l.backoff.ready(now), l.rateReady(now)) }
+
+// rateReady is how many sends the rate allows now.
+func (l *Limiter) rateReady(now time.Time) int {
 	interval := l.interval()
 	if interval == 0 {
 		return unlimited
@@ -138,6 +184,10 @@
 
 // Wait is how long it takes until n sends could be made, 0 if they could now.
 func (l *Limiter) Wait(now time.Time, n int) time.Duration {
+	return max(l.backoff.wait(now), l.rateWait(now, n))
+}
+
+func (l *Limiter) rateWait(now time.Time, n int) time.Duration {
 	interval := l.interval()
 	if interval == 0 || n <= 0 {
 		return 0
@@ -147,6 +197,7 @@
 
 // Take counts a send that is about to be made.
 func (l *Limiter) Take(now time.Time) Permit {
+	l.backoff.take(now)
 	interval := l.interval()
 	if interval == 0 {
 		return Permit{}
@@ -157,6 +208,7 @@
 
 // GiveBack returns a send that was counted and isn't made. One of an earlier schedule isn't in the present one.
 func (l *Limiter) GiveBack(p Permit) {
+	l.backoff.giveBack()
 	if p == (Permit{l.schedule}) {
 		l.next = l.next.Add(-l.interval())
 	}
--- a/backpressure/limiter_test.go
+++ b/backpressure/limiter_test.go
@@ -209,3 +209,119 @@
 		}
 	})
 }
+
+// refused is an answer that asks to keep away.
+func refused(heard time.Time, backoff time.Duration) Observation {
+	return Observation{
+		Advice: Advice{Backoff: backoff}, Route: RouteRun, Refused: true,
+		Asked: heard.Add(-time.Millisecond), Heard: heard,
+	}
+}
+
+func TestNothingIsSentUntilTheTimeIsOver(t *testing.T) {
+	var l Limiter
+	require.True(t, l.Hear(refused(start, 3*time.Second)))
+	require.Equal(t, ReasonBackoff, l.Blocked(at(2.9)))
+	require.Zero(t, l.Ready(at(2.9)))
+	require.InDelta(t, 100*time.Millisecond, l.Wait(at(2.9), 1), float64(time.Millisecond))
+	require.Equal(t, 1, l.Ready(at(3)))
+}
+
+// Calls that were under way are answered after the first refusal; a shorter time in one of them must not end the longer one.
+func TestShorterTimeEndsNothing(t *testing.T) {
+	var l Limiter
+	l.Hear(refused(start, 3*time.Second))
+	require.False(t, l.Hear(refused(at(0.1), time.Second)))
+	require.Zero(t, l.Ready(at(2)))
+	require.False(t, l.Hear(silent(at(-1), at(0.2))), "an answer to a call from before shows nothing")
+	require.Zero(t, l.Ready(at(2)))
+}
+
+// All that waits must not come at once when the time is over, to be turned away once more.
+func TestOneTrialFollowsATimeToKeepAway(t *testing.T) {
+	var l Limiter
+	l.Hear(refused(start, time.Second))
+	l.Take(at(1))
+	require.Equal(t, ReasonTrial, l.Blocked(at(1)))
+	require.Equal(t, 1, l.Ready(at(2)), "a trial that is never answered is followed by another")
+	l.Take(at(2))
+	require.Zero(t, l.Ready(at(2.5)))
+	l.Hear(silent(at(2), at(2.6)))
+	require.Equal(t, unlimited, l.Ready(at(2.6)))
+}
+
+func TestTrialThatIsTurnedAwayBeginsAnew(t *testing.T) {
+	var l Limiter
+	l.Hear(refused(start, time.Second))
+	l.Take(at(1))
+	l.Hear(refused(at(1.1), 2*time.Second))
+	require.Zero(t, l.Ready(at(3)))
+	require.Equal(t, 1, l.Ready(at(3.1)))
+}
+
+func TestTrialThatIsNotSentIsGivenBack(t *testing.T) {
+	var l Limiter
+	l.Hear(refused(start, time.Second))
+	permit := l.Take(at(1))
+	require.Zero(t, l.Ready(at(1)))
+	l.GiveBack(permit)
+	require.Equal(t, 1, l.Ready(at(1)))
+}
+
+// A process that starts doesn't know what its predecessor was asked, and sends no more than the rule allows until it does.
+func TestNewSenderTriesTheServerFirst(t *testing.T) {
+	l := NewLimiter()
+	for range firstTrials {
+		l.Take(start)
+	}
+	require.Zero(t, l.Ready(at(0.5)))
+	l.Hear(refused(at(0.5), 2*time.Second))
+	require.Zero(t, l.Ready(at(2.4)))
+
+	l = NewLimiter()
+	l.Take(start)
+	l.Hear(silent(start, at(0.1)))
+	require.Equal(t, unlimited, l.Ready(at(0.1)))
+}
+
+// Whatever a server answers and however sends and answers fall, nothing leaves within a time that was asked for.
+func TestNothingLeavesWithinATimeToKeepAway(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLimiter()
+		now := start
+		var until time.Time
+		var open []time.Time // calls that aren't answered, by when they were sent
+		for range 300 {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(300*time.Millisecond)).Draw(t, "pass")))
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1, 2:
+				if l.Ready(now) > 0 {
+					if now.Before(until) {
+						t.Fatalf("a send %s before the end", until.Sub(now))
+					}
+					l.Take(now)
+					l.Sent(now)
+					open = append(open, now)
+				}
+			case 3:
+				if len(open) > 0 {
+					l.Hear(silent(open[0], now))
+					open = open[1:]
+				}
+			case 4:
+				if len(open) > 0 {
+					backoff := time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond
+					o := refused(now, backoff)
+					o.Asked = open[0]
+					l.Hear(o)
+					open = open[1:]
+					if end := now.Add(backoff); end.After(until) {
+						until = end
+					}
+				}
+			default:
+				l.Hear(named(now, rapid.Float64Range(1, 20).Draw(t, "rate")))
+			}
+		}
+	})
+}
--- a/gate/config.go
+++ b/gate/config.go
@@ -76,6 +76,9 @@
 	Reporter string
 	// RunNames says that each start of a server has another name.
 	RunNames bool
+	// ProbeAtStart has the first attempts at a server wait for the first answer, since an earlier process may have been asked to keep
+	// away from it.
+	ProbeAtStart bool
 	// NoPredecessor says that no earlier incarnation of this agent can have run anything at this server. Without it
 	// a Cancel for an attempt that the gate never heard of is not answered with PROOF_NEVER_STARTED as long as it may
 	// speak of an attempt of an earlier incarnation.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -44,7 +44,7 @@
 // before is proved over.
 func New(config Config) *Gate {
 	config = config.withDefaults()
-	return &Gate{
+	g := &Gate{
 		config:  config,
 		entries: newEntryTable(),
 		records: newRecordTable(),
@@ -53,6 +53,10 @@
 		pace:    newPace(),
 		limit:   limiter{floor: config.SlotsFloor},
 	}
+	if config.ProbeAtStart {
+		g.throttle = backpressure.NewLimiter()
+	}
+	return g
 }
 
 // Step takes one event and returns what the agent has to do, in order. Times must not go back.
@@ -127,6 +131,7 @@
 func (g *Gate) tick() {
 	g.clearing.tick(g)
 	g.lapseOffers()
+	g.noteThrottle()
 	g.retryCancels()
 	g.pace.roll(g)
 	g.noteAlone()
--- a/gate/receive.go
+++ b/gate/receive.go
@@ -98,13 +98,13 @@
 		g.fire(a, onStart, occasion{})
 		return
 	}
-	if a.tier() == firstTier && g.lowerWork(a) {
-		return
-	}
 	if g.throttled() != roomEnough {
 		g.refuseThrottled(a)
 		return
 	}
+	if a.tier() == firstTier && g.lowerWork(a) {
+		return
+	}
 	if withOffer || before == reserved {
 		g.fire(a, onRefuse, occasion{refusal: refuseLateOffer})
 		return
--- a/gate/refusals.go
+++ b/gate/refusals.go
@@ -33,6 +33,7 @@
 	refuseNoOffer     = refusal{result.RefusedNeverStarted, "no room for a dispatch without an offer", retrySoon}
 	refuseLateOffer   = refusal{result.RefusedNeverStarted, "the offer had lapsed and its slot was taken", retrySoon}
 	refuseRateLimited = refusal{result.ServerRateLimited, "the backend server takes only so many requests a second", 0}
+	refuseBackoff     = refusal{result.ServerBackoff, "the backend server asks to keep away for a while", 0}
 	refuseLapsed      = refusal{result.RefusedNeverStarted, "offers were not answered", 0}
 	refuseDeadline    = refusal{result.DeadlinePassedInQueue, "the deadline passed while the request waited", 0}
 	refuseCancelled   = refusal{result.Cancelled, "cancelled before it started", 0}
--- a/gate/room.go
+++ b/gate/room.go
@@ -35,6 +35,8 @@
 	whyMemory   why = "the cache memory is full"
 	whyPace     why = "its prompt would make running answers of a higher tier late"
 	whyRate     why = "the server takes only so many requests a second"
+	whyBackoff  why = "the server asks to keep away for a while"
+	whyTrial    why = "the first answer since the server may have asked to keep away is awaited"
 	whyAlone    why = "a request under which servers crashed runs alone"
 )
 
@@ -221,7 +223,7 @@
 		DecodeTokensPerS:  float32(g.pace.decodeRate()),
 		BacklogMs:         uint32(min(g.backlog(), time.Hour) / time.Millisecond),
 		Condition:         g.condition(),
-		Throttle:          throttles[g.throttled()],
+		Throttle:          throttles[g.throttle.Blocked(g.now)].wire,
 		Resume:            r.GetCapabilities().GetResume(),
 		Kv:                r.GetCapabilities().GetKv(),
 	}
--- a/gate/throttle.go
+++ b/gate/throttle.go
@@ -15,7 +15,12 @@
 	if !g.throttle.Hear(o) {
 		return
 	}
-	g.emit(Advised{Rate: g.throttle.Rate(), Observation: o})
+	g.emit(Advised{
+		Rate:        g.throttle.Rate(),
+		Until:       g.throttle.Until(),
+		Expects:     g.throttle.Expects(),
+		Observation: o,
+	})
 	g.room.dirty = true
 	if g.throttle.Ready(g.now) == 0 {
 		g.lapseAllOffers()
@@ -29,15 +34,26 @@
 	}
 }
 
-// throttles are the reasons as entries are told them.
-var throttles = map[why]wire.Throttle{whyRate: wire.Throttle_THROTTLE_RATE_LIMIT}
+// throttles are the reasons as attempts and entries are told them.
+var throttles = map[backpressure.Reason]struct {
+	why  why
+	wire wire.Throttle
+	no   refusal
+}{
+	backpressure.ReasonNone:      {roomEnough, wire.Throttle_THROTTLE_UNSPECIFIED, refusal{}},
+	backpressure.ReasonRateLimit: {whyRate, wire.Throttle_THROTTLE_RATE_LIMIT, refuseRateLimited},
+	backpressure.ReasonBackoff:   {whyBackoff, wire.Throttle_THROTTLE_BACKOFF, refuseBackoff},
+	backpressure.ReasonTrial:     {whyTrial, wire.Throttle_THROTTLE_TRIAL, refuseBackoff},
+}
 
 // throttled says why the server may get nothing now, whatever room it has.
-func (g *Gate) throttled() why {
-	if g.throttle.Ready(g.now) == 0 {
-		return whyRate
+func (g *Gate) throttled() why { return throttles[g.throttle.Blocked(g.now)].why }
+
+// noteThrottle has entries told when time alone has changed what the server may get.
+func (g *Gate) noteThrottle() {
+	if g.room.told != nil && g.room.told.GetThrottle() != throttles[g.throttle.Blocked(g.now)].wire {
+		g.room.dirty = true
 	}
-	return roomEnough
 }
 
 // throttledFor is the time until the server may get n more requests.
@@ -45,9 +61,9 @@
 
 // refuseThrottled refuses a dispatch that the server may not get now.
 func (g *Gate) refuseThrottled(a *attempt) {
-	wait := g.throttledFor(g.waiting.count + 1)
-	g.emit(Throttled{Attempt: a.id(), Class: a.work.GetClass(), Reason: ThrottledByRate, Wait: wait})
-	no := refuseRateLimited
+	reason, wait := g.throttle.Blocked(g.now), g.throttledFor(g.waiting.count+1)
+	g.emit(Throttled{Attempt: a.id(), Class: a.work.GetClass(), Reason: reason, Wait: wait})
+	no := throttles[reason].no
 	no.retryAfter = clampRetry(wait)
 	g.fire(a, onRefuse, occasion{refusal: no})
 }
--- a/gate/throttle_test.go
+++ b/gate/throttle_test.go
@@ -211,3 +211,53 @@
 	default:
 	}
 }
+
+// hearBackoff lets a refusal ask to keep away.
+func (b *bench) hearBackoff(backoff time.Duration) []Action {
+	return b.step(Heard{backpressure.Observation{
+		Advice: backpressure.Advice{Backoff: backoff},
+		Route:  backpressure.RouteRun, Refused: true, Asked: b.now, Heard: b.now,
+	}})
+}
+
+// Entries must hear at once that the server wants nothing, and again when its time is over: nothing else would tell them.
+func TestTimeToKeepAwayIsToldToEntries(t *testing.T) {
+	b := openBench(t)
+	b.pass(100 * time.Millisecond)
+	told := rooms(b.hearBackoff(2 * time.Second))
+	require.NotEmpty(t, told)
+	require.Equal(t, wire.Throttle_THROTTLE_BACKOFF, told[0].GetThrottle())
+	require.Zero(t, told[0].GetFree())
+	require.GreaterOrEqual(t, told[0].GetBacklogMs(), uint32(1900))
+	require.Equal(t, wire.ServerCondition_SERVER_CONDITION_READY, told[0].GetCondition())
+	b.actions = nil
+	b.pass(2100 * time.Millisecond)
+	told = rooms(b.actions)
+	require.NotEmpty(t, told)
+	require.Equal(t, wire.Throttle_THROTTLE_UNSPECIFIED, told[len(told)-1].GetThrottle())
+	require.EqualValues(t, 1, told[len(told)-1].GetFree(), "one trial")
+}
+
+// A body that came ahead must not be kept here through a time of rest: another server could have it.
+func TestDispatchToAServerThatRestsGoesElsewhereAtOnce(t *testing.T) {
+	b := openBench(t)
+	b.fill()
+	b.hearBackoff(2 * time.Second)
+	b.actions = nil
+	over := refusedWith(t, b.dispatch(entryA, id("urgent", 1), firstTierWork()), result.ServerBackoff)
+	require.GreaterOrEqual(t, over.RetryAfterMs, uint32(1900))
+	require.Len(t, of[Throttled](b.actions), 1)
+}
+
+func TestOneTrialAtAServerThatHasRested(t *testing.T) {
+	b := openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(4))
+	b.hearBackoff(time.Second)
+	b.pass(time.Second + TickInterval)
+	for i := range 4 {
+		b.reserve(entryA, id(fmt.Sprint("r", i), 1), work())
+	}
+	require.Len(t, offeredIDs(b.actions), 1)
+	b.dispatchOffered(entryA, id("r0", 1), work())
+	b.step(Heard{backpressure.Observation{Route: backpressure.RouteRun, Asked: b.now, Heard: b.now}})
+	require.Len(t, offeredIDs(b.actions), 4)
+}
--- a/gate/types.go
+++ b/gate/types.go
@@ -178,9 +178,12 @@
 	// Changed says that the server's record must go to control's directory (condition, models, slots).
 	Changed struct{ Server *wire.ServerRecord }
 
-	// Advised says that an answer changed what the gate believes of the server: Rate is the limit from now on.
+	// Advised says that an answer changed what the gate believes of the server: Rate is the limit from now on, Until the end of the
+	// time to keep away, and Expects whether answers that say nothing matter.
 	Advised struct {
 		Rate        backpressure.Rate
+		Until       time.Time
+		Expects     bool
 		Observation backpressure.Observation
 	}
 
@@ -189,7 +192,7 @@
 	Throttled struct {
 		Attempt *wire.AttemptID
 		Class   string
-		Reason  ThrottleReason
+		Reason  backpressure.Reason
 		Wait    time.Duration
 	}
 
@@ -216,12 +219,6 @@
 func (Throttled) gateAction()    {}
 func (Count) gateAction()        {}
 
-// ThrottleReason is what of a server's words keeps a request from it. It is a label of a metric.
-type ThrottleReason string
-
-// The reasons.
-const ThrottledByRate ThrottleReason = "rate_limit"
-
 // Run is a request that a server ran when it crashed.
 type Run struct {
 	Request      string
--- a/result/codes.go
+++ b/result/codes.go
@@ -32,6 +32,7 @@
 	CallerLeft            Code = 1207
 	OverUsageCap          Code = 1208
 	ServerRateLimited     Code = 1209
+	ServerBackoff         Code = 1210
 )
 
 // 13xx: the end of an attempt.
--- a/result/table.go
+++ b/result/table.go
@@ -113,6 +113,10 @@
 		ServerRateLimited, "server_rate_limited", http.StatusServiceUnavailable, onlyNo, "the backend server takes only so many requests a second",
 		"Retry after the time given; operators: the server names the rate in its answers.",
 	},
+	{
+		ServerBackoff, "server_backoff", http.StatusServiceUnavailable, onlyNo, "the backend server asks to keep away for a while",
+		"Retry after the time given; operators: the server turned requests away and said for how long.",
+	},
 
 	{
 		RefusedNeverStarted, "refused_never_started", http.StatusServiceUnavailable, onlyNo, "the agent refused the attempt; it never started and never will",
--- a/sched/early.go
+++ b/sched/early.go
@@ -43,6 +43,9 @@
 	if s.directory && len(r.pool.servers) == 0 {
 		return result.New(result.NoServer, "").WithRetryAfter(retryAfterNoServer)
 	}
+	if r.pool.isAway() && !s.now.Add(s.leastBacklog(r)).Before(r.due()) {
+		return result.New(result.ServerBackoff, "")
+	}
 	if !r.certain() || !s.paceKnown(r) {
 		return nil
 	}
@@ -150,11 +153,12 @@
 	return first, b
 }
 
-// leastBacklog is the shortest time after which a gate would probably start a request of r's tier.
+// leastBacklog is the shortest time after which a gate would probably start a request of r's tier. A server that asked to keep
+// away counts: where all of them did, that is how long to wait.
 func (s *Scheduler) leastBacklog(r *request) time.Duration {
 	least := time.Duration(-1)
 	for _, v := range r.pool.servers {
-		if d := v.backlogFor(r.tier); v.ready && (least < 0 || d < least) {
+		if d := v.backlogFor(r.tier); v.isSound() && (least < 0 || d < least) {
 			least = d
 		}
 	}
--- a/sched/explain.go
+++ b/sched/explain.go
@@ -21,6 +21,8 @@
 	PassedRefused     PassedReason = "refused this request before"
 	PassedNoResume    PassedReason = "can't continue the answer"
 	PassedRateLimited PassedReason = "the server takes only so many requests a second"
+	PassedBackoff     PassedReason = "the server asks to keep away for a while"
+	PassedTrial       PassedReason = "whether the server takes work again is being tried"
 	PassedNoRoom      PassedReason = "no room"
 	PassedSlower      PassedReason = "slower by estimate"
 )
@@ -155,6 +157,8 @@
 		return PassedLinkDown
 	case v.room == nil:
 		return PassedNoReport
+	case v.isAway():
+		return PassedBackoff
 	case !v.ready:
 		return PassedNotReady
 	case !r.allows(v):
@@ -165,6 +169,8 @@
 		return PassedNoResume
 	case !v.hasRoom && v.room.GetThrottle() == wire.Throttle_THROTTLE_RATE_LIMIT:
 		return PassedRateLimited
+	case !v.hasRoom && v.room.GetThrottle() == wire.Throttle_THROTTLE_TRIAL:
+		return PassedTrial
 	case !v.hasRoom:
 		return PassedNoRoom
 	default:
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -63,6 +63,18 @@
 	return slices.ContainsFunc(p.servers, func(v *server) bool { return v.ready && v.room.GetResume() })
 }
 
+// isAway tells whether every sound server has asked to keep away for a while, of one at least.
+func (p *pool) isAway() bool {
+	found := false
+	for _, v := range p.servers {
+		if v.isSound() && !v.isAway() {
+			return false
+		}
+		found = found || v.isSound()
+	}
+	return found
+}
+
 // left notes that a request of this pool was dispatched.
 func (p *pool) left(now time.Time) {
 	p.drain.add(now)
--- a/sched/servers.go
+++ b/sched/servers.go
@@ -245,10 +245,16 @@
 
 // isReady tells whether the server may have new work. Three independent signs stop it, each at once: the directory,
 // the link, and the gate's own word. A server that leaves while one of them fails to say so is stopped by another.
-func (v *server) isReady() bool {
+func (v *server) isReady() bool { return v.isSound() && !v.isAway() }
+
+// isSound tells whether nothing but its own wish keeps new work from the server.
+func (v *server) isSound() bool {
 	return v.listed && v.agent.up && v.room != nil && v.room.GetCondition() == wire.ServerCondition_SERVER_CONDITION_READY
 }
 
+// isAway tells whether the server has asked to keep away for a while. Its reservations go to other servers meanwhile.
+func (v *server) isAway() bool { return v.room.GetThrottle() == wire.Throttle_THROTTLE_BACKOFF }
+
 // usable is how many attempts may be dispatched to the server without an Offer.
 func (s *Scheduler) usable(v *server) int {
 	if !v.isReady() {
