gate: the end of one process is one crash, however late its broken connections are read

Seen: TestCrashIsCounted failed once in a run of all tests ("never: it is noticed").

Cause: the test waits for one counted crash. Where the agent reads the end of one connection, finds the process ended, and reads the end of the other connection after that, the second one was reported as a crash with an id of its own, by the time of the report: the counter went from 0 to 2. Ruled out: the order in which the stand-in closes listener and connections (swapped, it failed as before).

The id is now by the time at which the end was found, and what is told later of the same end is marked and not counted again. What requests are held to doesn't change: each is at one crash either way.

--- a/agent/server_crash.go
+++ b/agent/server_crash.go
@@ -76,8 +76,11 @@
 		fingerprints = append(fingerprints, key.String())
 	}
 	s.report(outbox.Crash(note))
-	s.meter.crashed()
+	if !a.Again {
+		s.meter.crashed()
+	}
 	s.log.WithField("runs", len(a.Runs)).
+		WithField("crash", a.Crash.GetId()).
 		WithField("alone", a.Crash.GetAlone()).
 		WithField("requests", strings.Join(requests, ",")).
 		WithField("fingerprints", strings.Join(fingerprints, ",")).
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -23,6 +23,7 @@
 	askedAt  time.Time       // when the last one was asked for
 	alone    bool            // a request has the server for itself, as of the last tick
 	endedAt  time.Time       // when the process was found to have ended, zero if it wasn't
+	told     bool            // that end was reported with some of its attempts
 }
 
 type brokenAttempt struct {
@@ -74,7 +75,7 @@
 		}
 		return
 	}
-	b.endedAt = g.now
+	b.endedAt, b.told = g.now, false
 	g.unreachable()
 	g.attributeCrash()
 }
@@ -116,7 +117,7 @@
 		return
 	}
 	crash := &wire.Crash{
-		Id:       g.serverName() + "@" + strconv.FormatInt(g.now.UnixNano(), 10),
+		Id:       g.serverName() + "@" + strconv.FormatInt(g.broken.endedAt.UnixNano(), 10),
 		Server:   g.serverName(),
 		Alone:    len(g.broken.attempts) == 1 && g.broken.attempts[0].alone,
 		Reporter: g.config.Reporter,
@@ -134,7 +135,8 @@
 		})
 	}
 	g.broken.attempts = nil
-	g.emit(Crashed{Crash: crash, Runs: runs})
+	g.emit(Crashed{Crash: crash, Runs: runs, Again: g.broken.told})
+	g.broken.told = true
 }
 
 // tellCrash tells the owner of an attempt that isn't proved over of the crash. The proof may have to wait until the server is back,
--- a/gate/crash_test.go
+++ b/gate/crash_test.go
@@ -49,6 +49,22 @@
 	noChartErrors(t, b)
 }
 
+// The end of one process must count as one crash, however late the broken connections are read.
+func TestBrokenConnectionsOfOneEndAreOneCrash(t *testing.T) {
+	b := openBench(t)
+	b.startPrint("r1", 1)
+	b.startPrint("r2", 2)
+	b.lost(id("r1", 1))
+	b.step(Verified{Ended: true})
+	b.now = b.now.Add(10 * time.Millisecond)
+	b.lost(id("r2", 1))
+	crashes := of[Crashed](b.actions)
+	require.Len(t, crashes, 2)
+	require.Equal(t, crashes[0].Crash.GetId(), crashes[1].Crash.GetId())
+	require.False(t, crashes[0].Again)
+	require.True(t, crashes[1].Again)
+}
+
 // Symptom: a crash is evidence against nobody. Sequence: a server spoils an answer; while its process is looked for, it crashes
 // under another request; the look had found it. Cause: one look taken for all that broke until its answer came.
 func TestCrashThatFollowsASpoiltAnswerIsSeen(t *testing.T) {
--- a/gate/types.go
+++ b/gate/types.go
@@ -170,6 +170,8 @@
 	Crashed struct {
 		Crash *wire.Crash
 		Runs  []Run
+		// Again: the same end was told before, with other attempts.
+		Again bool
 	}
 
 	// Report proposes the outcome of a keyed attempt to control because its entry is gone.
