agent, backpressure: a server that says in an answer that it leaves gets nothing new, for good

The word lets the server leave as an announcement does: nothing new, what is in flight finishes. It is never taken back, and ends with the run. It is in the directory too, so that other senders and a successor beside the server know it; servers whose starts have no names of their own are left out of that, since their next start would be held to it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -206,6 +206,7 @@
 		report:    a.reports.Put,
 		propose:   a.session.Propose,
 		advice:    func(server string) *wire.ServerAdvice { return a.session.View().Advice[server] },
+		runNames:  a.follow.selects != nil,
 		senders:   func() int { return a.senders(a.session.View()) },
 	}, a.beginServer, most)
 	a.orders = newOrders(orderDeps{
--- a/agent/server.go
+++ b/agent/server.go
@@ -45,6 +45,8 @@
 	propose func(context.Context, *wire.Command) (*wire.CommandResult, error)
 	// advice returns what the directory has of a server's advice, nil for nothing.
 	advice func(server string) *wire.ServerAdvice
+	// runNames says that each start of a server has another name.
+	runNames bool
 	// senders is how many agents send to the same servers, this one included.
 	senders func() int
 	// linked returns the entries with an open link.
--- a/agent/server_advice.go
+++ b/agent/server_advice.go
@@ -56,10 +56,31 @@
 	}
 	s.noteMalformed(now, in.observation)
 	s.step(now, gate.Heard{Observation: in.observation})
-	s.advised.directory.Heard(in.observation, s.advised.limit)
+	s.noteLeaving(now, in.observation)
+	s.advised.directory.Heard(s.recordable(in.observation), s.advised.limit)
 	s.shareAdvice(now)
 }
 
+// noteLeaving lets the server leave where an answer says that it does. Its announcements may say so late, or never.
+func (s *server) noteLeaving(now time.Time, o backpressure.Observation) {
+	if !o.Draining {
+		return
+	}
+	s.leaving.said = true
+	if s.leaving.asked {
+		return
+	}
+	s.log.WithField("route", string(o.Route)).WithField("request", o.Request).Info("server_says_draining")
+	leaveAsked{reason: "answer"}.apply(s, now)
+}
+
+// recordable is what of an answer the directory is to have. That a server leaves is for good only where each of its starts has
+// another name.
+func (s *server) recordable(o backpressure.Observation) backpressure.Observation {
+	o.Draining = o.Draining && s.runNames
+	return o
+}
+
 // recordedAdvice carries what the directory has of the server, nil for nothing.
 type recordedAdvice struct{ record *wire.ServerAdvice }
 
@@ -68,11 +89,13 @@
 // learnAdvice goes by what another sender heard of the server, or an earlier process beside it.
 func (s *server) learnAdvice(now time.Time, record *wire.ServerAdvice) {
 	word, isNews := s.advised.directory.Learn(now, backpressure.Record{
-		Rate:    backpressure.Rate{Limited: record.GetRateLimited(), PerSecond: record.GetRatePerS()},
-		Version: record.GetVersion(),
+		Rate:     backpressure.Rate{Limited: record.GetRateLimited(), PerSecond: record.GetRatePerS()},
+		Draining: record.GetDraining(),
+		Version:  record.GetVersion(),
 	})
 	if isNews {
 		s.step(now, gate.Heard{Observation: word})
+		s.noteLeaving(now, word)
 	}
 }
 
@@ -86,6 +109,7 @@
 		Server:      s.name,
 		RateLimited: record.Rate.Limited,
 		RatePerS:    record.Rate.PerSecond,
+		Draining:    record.Draining,
 		Version:     record.Version,
 	}}
 	s.spawn(func(ctx context.Context) {
--- a/agent/server_advice_test.go
+++ b/agent/server_advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -215,3 +216,34 @@
 		})
 	})
 }
+
+// A process that starts beside a server that has said that it leaves must not send it anything, and others must know it too.
+func TestLeavingOfAServerIsRecordedForItsSuccessor(t *testing.T) {
+	inWorld(t, func(w *world) {
+		view := followView(2, announced("m1", "models", followedAddress))
+		view.Advice = map[string]*wire.ServerAdvice{"m1": {Server: "m1", Draining: true, Version: 2}}
+		w.control.setView(view)
+		w.startFollowing()
+		w.until("it leaves", func() bool {
+			s := w.agent.servers.get("m1")
+			return s != nil && s.view.Load().leaving
+		})
+	})
+}
+
+// What an answer says of leaving must reach the directory where each start of a server has another name.
+func TestLeavingOfAServerIsRecorded(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.control.setView(followView(2, announced("m1", "models", followedAddress)))
+		w.startFollowing()
+		s := func() *server { return w.agent.servers.get("m1") }
+		w.until("it is known", func() bool { return s() != nil && s().view.Load().announced() })
+		o := backpressure.Observation{Advice: backpressure.Advice{Draining: true}, Route: backpressure.RouteRun}
+		require.NoError(t, s().push(w.t.Context(), observed{client: s().view.Load().client, observation: o}))
+		w.until("it is proposed", func() bool {
+			return slices.ContainsFunc(w.control.commands(), func(c *wire.Command) bool {
+				return c.GetNoteServerAdvice().GetAdvice().GetDraining()
+			})
+		})
+	})
+}
--- a/agent/server_leave.go
+++ b/agent/server_leave.go
@@ -10,6 +10,7 @@
 // leaving says where a graceful leave stands.
 type leaving struct {
 	asked   bool
+	said    bool // the server itself said so in an answer
 	drained bool
 	silent  bool      // the server stopped announcing for a while since it was asked to leave
 	heard   time.Time // when the server was first told that it is drained, zero before
@@ -53,9 +54,10 @@
 //
 // A server goes on announcing while it drains, and for a moment after. Were that taken for a return, it would get new
 // work and stop under it. So it is back only if it is drained and either was told so a while ago or was silent in
-// between. A server that an operator drained asks nothing and is never silent, and stays drained.
+// between. A server that an operator drained asks nothing and is never silent, and stays drained. So does one that said in an answer
+// that it leaves, where its next start has another name.
 func (s *server) comesBack(now time.Time) bool {
-	if !s.leaving.drained {
+	if !s.leaving.drained || s.leaving.said && s.runNames {
 		return false
 	}
 	told := !s.leaving.heard.IsZero() && now.Sub(s.leaving.heard) >= comeBackAfter
--- a/backpressure/directory.go
+++ b/backpressure/directory.go
@@ -7,16 +7,23 @@
 
 // Record is what the directory has of a server's advice. The zero value is nothing.
 type Record struct {
-	Rate    Rate
-	Version uint64 // that the directory gave it
+	Rate     Rate
+	Draining bool
+	Version  uint64 // that the directory gave it
 }
 
+// asks tells whether the record holds anything.
+func (r Record) asks() bool { return r.Rate.Limited || r.Draining }
+
+// says tells whether two records hold the same, whatever their versions.
+func (r Record) says(other Record) bool { return r.Rate == other.Rate && r.Draining == other.Draining }
+
 // Directory joins what a sender hears of a server with what the directory has of it, so that senders know of each other's words and a
 // successor knows its predecessor's. It isn't safe for concurrent use.
 type Directory struct {
 	record    Record
-	own       Rate // that answers to this sender named last
-	isNews    bool // own was heard after the record was
+	own       Record // what answers to this sender said last; that it leaves is never taken back
+	isNews    bool   // own was heard after the record was
 	proposing bool
 	next      time.Time // of the next proposal
 }
@@ -25,7 +32,10 @@
 // says nothing.
 func (d *Directory) Heard(o Observation, limit Rate) {
 	if o.Rate.Limited || !limit.Limited {
-		d.own, d.isNews = o.Rate, true
+		d.own.Rate, d.isNews = o.Rate, true
+	}
+	if o.Draining {
+		d.own.Draining, d.isNews = true, true
 	}
 }
 
@@ -36,21 +46,25 @@
 		return Observation{}, false
 	}
 	d.record, d.isNews = record, false
-	if !record.Rate.Limited {
+	if !record.asks() {
 		return Observation{}, false
 	}
-	return Observation{Advice: Advice{Rate: record.Rate}, Route: RouteDirectory, Asked: now, Heard: now}, true
+	d.own.Draining = d.own.Draining || record.Draining
+	return Observation{
+		Advice: Advice{Rate: record.Rate, Draining: record.Draining},
+		Route:  RouteDirectory, Asked: now, Heard: now,
+	}, true
 }
 
 // Propose returns what the directory should have, if it has something else. Proposed follows for each. The directory is to
 // keep a record whose version is later.
 func (d *Directory) Propose(now time.Time) (Record, bool) {
-	if !d.isNews || d.proposing || d.own == d.record.Rate || now.Before(d.next) {
+	if !d.isNews || d.proposing || d.own.says(d.record) || now.Before(d.next) {
 		return Record{}, false
 	}
 	d.proposing = true
 	d.next = now.Add(proposeGap)
-	return Record{Rate: d.own, Version: d.record.Version}, true
+	return Record{Rate: d.own.Rate, Draining: d.own.Draining, Version: d.record.Version}, true
 }
 
 // Proposed says that a proposal has ended, whatever became of it.
--- a/cmd/carawaypitch/status_advice.go
+++ b/cmd/carawaypitch/status_advice.go
@@ -12,9 +12,9 @@
 	if len(s.Advice) == 0 {
 		return
 	}
-	fmt.Fprintln(w, "\nASKED BY SERVER\tREQUESTS A SECOND")
+	fmt.Fprintln(w, "\nASKED BY SERVER\tREQUESTS A SECOND\tLEAVES")
 	for _, a := range s.Advice {
-		fmt.Fprintf(w, "%s\t%s\n", a.Server, rateText(a))
+		fmt.Fprintf(w, "%s\t%s\t%v\n", a.Server, rateText(a), a.Draining)
 	}
 }
 
--- a/cmd/carawaypitch/status_advice_test.go
+++ b/cmd/carawaypitch/status_advice_test.go
@@ -14,5 +14,5 @@
 	adviceTable(&out, operator.Status{})
 	require.Empty(t, out.String())
 	adviceTable(&out, operator.Status{Advice: []operator.Advice{{Server: "model-1", RateLimited: true, RatePerS: 2.5}}})
-	require.Contains(t, out.String(), "model-1\t2.5")
+	require.Contains(t, out.String(), "model-1\t2.5\tfalse")
 }
--- a/control/http_advice.go
+++ b/control/http_advice.go
@@ -7,6 +7,7 @@
 	Server      string  `json:"server"`
 	RateLimited bool    `json:"rate_limited"`
 	RatePerS    float64 `json:"rate_per_s"`
+	Draining    bool    `json:"draining"`
 }
 
 func adviceStatus(records []*wire.ServerAdvice) []adviceJSON {
@@ -16,6 +17,7 @@
 			Server:      record.GetServer(),
 			RateLimited: record.GetRateLimited(),
 			RatePerS:    record.GetRatePerS(),
+			Draining:    record.GetDraining(),
 		})
 	}
 	return out
--- a/operator/status.go
+++ b/operator/status.go
@@ -42,6 +42,7 @@
 	Server      string  `json:"server"`
 	RateLimited bool    `json:"rate_limited"`
 	RatePerS    float64 `json:"rate_per_s"` // requests a second from all senders together
+	Draining    bool    `json:"draining"`   // it leaves, and gets nothing new
 }
 
 // Poison is a request under which backend servers crashed. With three of them it is refused.
--- a/state/advice.go
+++ b/state/advice.go
@@ -33,7 +33,7 @@
 	switch {
 	case known.GetVersion() > in.GetVersion():
 		return accepted()
-	case !in.GetRateLimited():
+	case !in.GetRateLimited() && !in.GetDraining():
 		s.dropAdvice(server)
 		return accepted()
 	case known == nil:
