experiment: servers name limits, ask for rest and leave by the plan; reports say what they got

Faults rate_limit, backoff and draining of a backend server; the report has for each what was sent, allowed and used and the most in four seconds, and a violation where it got more than its word allows.

--- a/experiment/deploy/deploy.go
+++ b/experiment/deploy/deploy.go
@@ -77,6 +77,7 @@
 	leaving  []*instance // killed, or ending by themselves
 
 	violations []string // that faults have seen themselves
+	asked      []Asked
 }
 
 // Start starts everything and returns once callers can be served. Stop must follow.
--- a/experiment/deploy/faults.go
+++ b/experiment/deploy/faults.go
@@ -35,6 +35,12 @@
 		return d.cutLeader(ctx)
 	case plan.PoisonRequest:
 		return d.beginPoison(ctx, f)
+	case plan.RateLimit:
+		return d.beginAsking(ctx, f, func(s *standin.Faults) { s.RateLimit = decimal(f.Factor) }, func(s *standin.Faults) { s.RateLimit = "" })
+	case plan.Backoff:
+		return d.beginAsking(ctx, f, func(s *standin.Faults) { s.RefuseFor = decimal(f.Factor) }, func(s *standin.Faults) { s.RefuseFor = "" })
+	case plan.Draining:
+		return d.beginAsking(ctx, f, func(s *standin.Faults) { s.Draining = true }, func(s *standin.Faults) { s.Draining = false })
 	default:
 		return nil, errors.Errorf("no fault %q", f.Kind)
 	}
--- a/experiment/deploy/poison.go
+++ b/experiment/deploy/poison.go
@@ -75,7 +75,7 @@
 	for n := 0; ; {
 		select {
 		case <-ctx.Done():
-			p.deployment.notePoison(p.violation())
+			p.deployment.noteViolation(p.violation())
 			return
 		case <-send.C:
 			entry := p.deployment.entries[n%len(p.deployment.entries)]
@@ -135,7 +135,7 @@
 	return total
 }
 
-func (d *Deployment) notePoison(violation string) {
+func (d *Deployment) noteViolation(violation string) {
 	if violation == "" {
 		return
 	}
--- a/experiment/plan/check_faults.go
+++ b/experiment/plan/check_faults.go
@@ -51,6 +51,11 @@
 		r.checkTarget(p, at, f)
 		r.require(f.For > 0, at+"for", "want a time above zero")
 		r.require(f.Factor > 0 && f.Factor <= maxMultiple, at+"factor", "want repeats a second, up to %d", maxMultiple)
+	case RateLimit, Backoff:
+		r.checkTarget(p, at, f)
+		r.require(f.Factor >= 0 && f.Factor <= maxMultiple, at+"factor", "want requests a second, or seconds, from 0 to %d", maxMultiple)
+	case Draining:
+		r.checkTarget(p, at, f)
 	case ControlCut:
 		r.require(p.Controls >= 3, at+"kind", "want at least 3 control instances")
 	default:
--- a/experiment/plan/plan.go
+++ b/experiment/plan/plan.go
@@ -184,6 +184,12 @@
 	// PoisonRequest has the first organisation repeat, Factor times a second, a request for what backend server Target has that
 	// crashes each server that begins to run it.
 	PoisonRequest FaultKind = "poison_request"
+	// RateLimit has backend server Target name Factor requests a second in its answers.
+	RateLimit FaultKind = "rate_limit"
+	// Backoff has backend server Target turn everything away and ask to keep away for Factor seconds.
+	Backoff FaultKind = "backoff"
+	// Draining has backend server Target say in its answers that it leaves.
+	Draining FaultKind = "draining"
 )
 
 // Fault is something that fails at a time.
--- a/experiment/report/report.go
+++ b/experiment/report/report.go
@@ -63,12 +63,27 @@
 	Pools    []Used   `json:"pools"`
 	Timeline Timeline `json:"timeline"`
 	Metrics  []Metric `json:"metrics"`
+	// Asked is what backend servers asked of their senders, and what they got.
+	Asked []Asked `json:"asked"`
 	// Violations are promises that were broken.
 	Violations []string `json:"violations"`
 	// Faults are those that were let happen, and their errors.
 	Faults []string `json:"faults"`
 }
 
+// Asked is what a backend server asked of its senders during a fault, and what it got.
+type Asked struct {
+	Server string `json:"server"`
+	Fault  string `json:"fault"`
+	// Sent is how many requests reached the server, and Allowed how many its word allowed, below 0 where it names no number. Used is
+	// the part of Allowed that was sent.
+	Sent    int     `json:"sent"`
+	Allowed float64 `json:"allowed"`
+	Used    float64 `json:"used"`
+	// Most is the largest number of requests in any four seconds.
+	Most int `json:"most_in_window"`
+}
+
 // Tier is the measured requests of a tier.
 type Tier struct {
 	Tier     int     `json:"tier"`
--- a/experiment/report/text.go
+++ b/experiment/report/text.go
@@ -82,6 +82,13 @@
 	if r.Invalid != "" {
 		fmt.Fprintf(w, "  INVALID: %s\n", r.Invalid)
 	}
+	for _, a := range r.Asked {
+		fmt.Fprintf(w, "  %s (%s): %d sent, %d at most in 4 s", a.Server, a.Fault, a.Sent, a.Most)
+		if a.Allowed >= 0 {
+			fmt.Fprintf(w, ", %.1f allowed, %s used", a.Allowed, percent(a.Used))
+		}
+		fmt.Fprintln(w)
+	}
 	for _, v := range r.Violations {
 		fmt.Fprintf(w, "  VIOLATION: %s\n", v)
 	}
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -51,6 +51,9 @@
 	run.Faults = o.faults
 	run.Prefill = report.NewPrefill(o.prefill)
 	run.Metrics = report.SumMetrics(d.Metrics(ctx))
+	for _, asked := range d.Asked() {
+		run.Asked = append(run.Asked, report.Asked(asked))
+	}
 	run.Violations = append(run.Violations, o.violations(outcomes)...)
 	run.Invalid = o.invalid(run)
 	if err := d.Stop(); err != nil {
