--- a/agent/server_advice_test.go
+++ b/agent/server_advice_test.go
@@ -61,18 +61,6 @@
 	}
 }
 
-// mostWithin is the largest number of times in any window of a length.
-func mostWithin(times []time.Time, window time.Duration) int {
-	most, first := 0, 0
-	for i, at := range times {
-		for at.Sub(times[first]) >= window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // A server that names a rate limit must not get more than that while requests for it never end.
 func TestServerGetsNoMoreThanItsRateLimit(t *testing.T) {
 	const perSecond, window = 2.0, 4 * time.Second
@@ -81,7 +69,7 @@
 		entry.dispatch(completion("first", 1))
 		entry.awaitOver("first", 1)
 		got := flood(model, entry, "r", 20*time.Second)
-		require.LessOrEqual(t, mostWithin(got, window), int(perSecond*window.Seconds())+1)
+		require.LessOrEqual(t, backpressure.MostWithin(got, window), int(perSecond*window.Seconds())+1)
 		require.GreaterOrEqual(t, float64(len(got)), 0.9*perSecond*20, "the limit is used")
 	})
 }
@@ -159,7 +147,7 @@
 		entry.dispatch(completion("first", 1))
 		entry.awaitOver("first", 1)
 		times := flood(model, entry, "r", 20*time.Second)
-		require.LessOrEqual(t, mostWithin(times, 4*time.Second), 9)
+		require.LessOrEqual(t, backpressure.MostWithin(times, 4*time.Second), 9)
 		require.GreaterOrEqual(t, len(times), 36)
 	})
 }
--- a/backpressure/fleet_test.go
+++ b/backpressure/fleet_test.go
@@ -206,7 +206,7 @@
 		}
 	}
 	allowed := rates*(ruleWindow+catchUp).Seconds() + float64(len(f.senders))
-	if got := mostWithin(counted, ruleWindow); float64(got) > allowed {
+	if got := MostWithin(counted, ruleWindow); float64(got) > allowed {
 		f.t.Fatalf("%d requests in %s at %g a second from %d senders", got, ruleWindow, rates, len(f.senders))
 	}
 }
--- a/backpressure/limiter.go
+++ b/backpressure/limiter.go
@@ -22,8 +22,9 @@
 // Limiter decides when one sender may send to one run of a server. It isn't safe for concurrent use. Its times are those of
 // one monotonic clock. The zero value limits nothing.
 //
-// Within a time that the server asked to keep away for it allows nothing, and after it one send until one is answered. In any window of length T it allows at most 1 + usedShare*rate*(T+catchUp) sends, its own share of the rate counted, and as many
-// more as were allowed before the window and left in it.
+// Within a time that the server asked to keep away for it allows nothing, and after it one send until one is answered. In any
+// window of length T it allows at most 1 + usedShare*rate*(T+catchUp) sends, of its share of the rate, and as many more as were
+// allowed before the window and left in it.
 type Limiter struct {
 	backoff backoff
 
--- a/backpressure/limiter_test.go
+++ b/backpressure/limiter_test.go
@@ -50,17 +50,6 @@
 	return sent
 }
 
-func mostWithin(times []time.Time, window time.Duration) int {
-	most, first := 0, 0
-	for i, when := range times {
-		for when.Sub(times[first]) >= window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 func TestRateIsKeptInEveryWindowAndUsed(t *testing.T) {
 	for _, perSecond := range []float64{0.2, 0.5, 1, 1.2, 2.8, 10, 50, 400} {
 		var l Limiter
@@ -68,7 +57,7 @@
 		sent := sendAll(&l, start, time.Minute, 20*time.Millisecond)
 		for _, window := range []time.Duration{time.Second, 4 * time.Second, 10 * time.Second} {
 			allowed := perSecond*(window+catchUp).Seconds() + 1
-			require.LessOrEqual(t, float64(mostWithin(sent, window)), allowed, "%g a second, in %s", perSecond, window)
+			require.LessOrEqual(t, float64(MostWithin(sent, window)), allowed, "%g a second, in %s", perSecond, window)
 		}
 		require.GreaterOrEqual(t, float64(len(sent)), 0.9*perSecond*60, "%g a second", perSecond)
 	}
@@ -85,7 +74,7 @@
 	var l Limiter
 	l.Hear(named(start, 0))
 	sent := sendAll(&l, start, 2*time.Minute, 20*time.Millisecond)
-	require.LessOrEqual(t, mostWithin(sent, 4*time.Second), 1)
+	require.LessOrEqual(t, MostWithin(sent, 4*time.Second), 1)
 	require.GreaterOrEqual(t, len(sent), 10)
 	require.LessOrEqual(t, len(sent), 12)
 }
@@ -204,7 +193,7 @@
 		}
 		window := 4 * time.Second
 		allowed := highest*(window+catchUp).Seconds() + 1 + float64(most)
-		if got := mostWithin(sent, window); float64(got) > allowed {
+		if got := MostWithin(sent, window); float64(got) > allowed {
 			t.Fatalf("%d sends in %s at %g a second, %d permits held at most", got, window, highest, most)
 		}
 	})
@@ -325,3 +314,9 @@
 		}
 	})
 }
+
+func TestMostWithinCountsAnyWindow(t *testing.T) {
+	times := []time.Time{at(0), at(1), at(3.9), at(4), at(4.5)}
+	require.Equal(t, 4, MostWithin(times, 4*time.Second))
+	require.Equal(t, 0, MostWithin(nil, time.Second))
+}
--- a/experiment/deploy/asked.go
+++ b/experiment/deploy/asked.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/backpressure"
 	"github.com/carawaypitch/carawaypitch/engine/standin"
 	"github.com/carawaypitch/carawaypitch/experiment/plan"
 )
@@ -88,7 +89,7 @@
 
 // report sums up what the server got.
 func (a *asking) report(ended time.Time) Asked {
-	out := Asked{Server: a.server.Name, Fault: string(a.fault.Kind), Sent: len(a.times), Allowed: -1, Most: mostWithin(a.times, askedWindow)}
+	out := Asked{Server: a.server.Name, Fault: string(a.fault.Kind), Sent: len(a.times), Allowed: -1, Most: backpressure.MostWithin(a.times, askedWindow)}
 	if a.fault.Kind == plan.RateLimit {
 		out.Allowed = a.fault.Factor * ended.Sub(a.began).Seconds()
 	}
@@ -103,7 +104,7 @@
 	switch a.fault.Kind {
 	case plan.RateLimit:
 		allowed := rateSlack*a.fault.Factor*askedWindow.Seconds() + rateExtra
-		if got := mostWithin(a.after(askedContact), askedWindow); float64(got) > allowed {
+		if got := backpressure.MostWithin(a.after(askedContact), askedWindow); float64(got) > allowed {
 			return fmt.Sprintf("%s got %d requests in %s at a limit of %g a second", a.server.Name, got, askedWindow, a.fault.Factor)
 		}
 	case plan.Backoff:
@@ -144,18 +145,6 @@
 	return most
 }
 
-// mostWithin is the largest number of times in any window of a length.
-func mostWithin(times []time.Time, window time.Duration) int {
-	most, first := 0, 0
-	for i, at := range times {
-		for at.Sub(times[first]) >= window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 func (d *Deployment) noteAsked(a *asking) {
 	d.noteViolation(a.violation())
 	d.mu.Lock()
--- a/gate/throttle_test.go
+++ b/gate/throttle_test.go
@@ -69,24 +69,13 @@
 	}
 }
 
-func (s *busyServer) mostWithin(window time.Duration) int {
-	most, first := 0, 0
-	for i, when := range s.started {
-		for when.Sub(s.started[first]) >= window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // A limit bounds what goes out after offers as well, and is used while work waits.
 func TestRateLimitHoldsForOffersAndIsUsed(t *testing.T) {
 	for _, perSecond := range []float64{0.5, 1, 2.8, 20} {
 		s := &busyServer{bench: openBenchWith(t, Config{NoPredecessor: true}, sampleRecord(8))}
 		s.hearRate(perSecond)
 		s.run(40 * time.Second)
-		require.LessOrEqual(t, float64(s.mostWithin(4*time.Second)), 4.1*perSecond+1, "%g a second", perSecond)
+		require.LessOrEqual(t, float64(backpressure.MostWithin(s.started, 4*time.Second)), 4.1*perSecond+1, "%g a second", perSecond)
 		require.GreaterOrEqual(t, float64(len(s.started)), 0.9*perSecond*40, "%g a second", perSecond)
 		noChartErrors(t, s.bench)
 	}
@@ -99,7 +88,7 @@
 	s.started = nil
 	s.hearRate(2)
 	s.run(10 * time.Second)
-	require.LessOrEqual(t, s.mostWithin(4*time.Second), 9)
+	require.LessOrEqual(t, backpressure.MostWithin(s.started, 4*time.Second), 9)
 	s.started = nil
 	s.hearNoRate()
 	s.run(time.Second)
@@ -162,7 +151,7 @@
 	s.step(Senders{Count: 4})
 	s.hearRate(8)
 	s.run(20 * time.Second)
-	require.LessOrEqual(t, s.mostWithin(4*time.Second), 9)
+	require.LessOrEqual(t, backpressure.MostWithin(s.started, 4*time.Second), 9)
 	require.GreaterOrEqual(t, len(s.started), 36)
 }
 
@@ -178,7 +167,7 @@
 		}
 		// An offer that is answered late leaves up to DefaultOfferTimeout after its permit was taken.
 		allowed := highest*(4*time.Second+DefaultOfferTimeout+100*time.Millisecond).Seconds() + 1
-		if got := s.mostWithin(4 * time.Second); float64(got) > allowed {
+		if got := backpressure.MostWithin(s.started, 4*time.Second); float64(got) > allowed {
 			rt.Fatalf("%d starts in 4 s at %g a second", got, highest)
 		}
 	})
