--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -254,6 +254,11 @@
 	Entries       []instanceAnswer `json:"entries"`
 	Agents        []instanceAnswer `json:"agents"`
 	Poison        []poisonAnswer   `json:"poison"`
+	Advice        []adviceAnswer   `json:"advice"`
+}
+
+type adviceAnswer struct {
+	Server string `json:"server"`
 }
 
 type poisonAnswer struct {
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -141,6 +141,18 @@
 	})
 }
 
+// joinAll starts all processes of the fleet and waits until they know each other.
+func (f *fleet) joinAll() {
+	f.leader()
+	for i := range fleetEntries {
+		f.join(wire.Role_ROLE_ENTRY, i)
+	}
+	for i := range fleetAgents {
+		f.join(wire.Role_ROLE_AGENT, i)
+	}
+	f.eventually("all know each other", func() bool { return f.converged(fleetEntries, fleetAgents) })
+}
+
 // Symptom: hundreds of machines send a request on that crashes servers, long after some of them knew. Sequence: three agents
 // report a crash each, at a fleet of 105 entries and 180 agents; then control loses its leader, and an entry joins. Cause: what
 // is known spread slower than requests come back, or lost with the leader.
@@ -148,14 +160,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		defer f.stopAll()
-		f.leader()
-		for i := range fleetEntries {
-			f.join(wire.Role_ROLE_ENTRY, i)
-		}
-		for i := range fleetAgents {
-			f.join(wire.Role_ROLE_AGENT, i)
-		}
-		f.eventually("all know each other", func() bool { return f.converged(fleetEntries, fleetAgents) })
+		f.joinAll()
 		key := poison.Key{Organisation: "union", Fingerprint: 7}
 		binds := func() bool {
 			for _, s := range f.sessions {
@@ -191,3 +196,38 @@
 		require.True(t, binds())
 	})
 }
+
+// What one of hundreds of senders hears of a server must reach all others within a second, and outlast the leader.
+func TestAdviceOfAServerReachesAFleetOfHundreds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		f.joinAll()
+		known := func() bool {
+			for _, s := range f.sessions {
+				advice := s.View().Advice["server-1"]
+				if advice.GetRatePerS() != 2.5 || !advice.GetDraining() {
+					return false
+				}
+			}
+			return true
+		}
+		_, err := f.sessions["agent-1"].Propose(t.Context(), &wire.Command{Kind: &wire.Command_NoteServerAdvice{
+			NoteServerAdvice: &wire.NoteServerAdvice{
+				Advice: &wire.ServerAdvice{Server: "server-1", RateLimited: true, RatePerS: 2.5, Draining: true},
+			},
+		}})
+		require.NoError(t, err)
+		began := time.Now()
+		f.eventually("all know it", known)
+		require.Less(t, time.Since(began), time.Second, "simulated time")
+		shown := f.status(f.leader()).Advice
+		require.Len(t, shown, 1, "operators see it")
+		require.Equal(t, "server-1", shown[0].Server)
+
+		f.stop(f.leader())
+		f.join(wire.Role_ROLE_ENTRY, fleetEntries)
+		f.eventually("the new one is ready", func() bool { return f.converged(fleetEntries+1, fleetAgents) })
+		require.True(t, known())
+	})
+}
