control: instances without a disk no longer take the places of those with one

Callers saw: nothing by itself; control used its time on itself while the fleet started. Now places are kept for instances with a disk that wait. In a group of up to four instances with a disk clients are told of these alone, so that a learner doesn't take a voter's place among their links. TestMembershipSettlesWithMoreInstancesThanPlaces didn't settle before.

--- a/control/internal_test.go
+++ b/control/internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -234,3 +235,61 @@
 		require.Equal(t, test.byPeer, mayForward(test.cmd), "%T forwarded", test.cmd.GetKind())
 	}
 }
+
+// Guards against a leader that changes the membership without end. With more control instances than places in the group,
+// an instance with a disk has a learner without one evicted, and the next instance without a disk took the free place.
+// The instances with a disk never joined, and the log grew by hundreds of membership changes a second.
+func TestMembershipSettlesWithMoreInstancesThanPlaces(t *testing.T) {
+	const zones, perZone, disksPerZone, tolerated = 5, 10, 2, 2
+	now := time.Unix(1_700_000_000, 0)
+	known := make(map[string]peerInfo)
+	disks := 0
+	for zone := range zones {
+		for i := range perZone {
+			name := fmt.Sprintf("control-%d-%02d", zone, i)
+			hasDisk := i < disksPerZone
+			hello := &wire.ReplicaHello{Instance: name, Replica: name + "/1", LinkAddress: name + ":1", Ephemeral: !hasDisk}
+			known[name] = peerInfo{hello: hello, lastContact: now}
+			if hasDisk {
+				disks++
+			}
+		}
+	}
+	view := memberView{
+		status: replica.Status{Commit: 9, Members: []replica.Member{{ID: "control-0-00/1", Voter: true}}},
+		known:  known, self: "control-0-00/1", wanted: 2*tolerated + 1, silenceStart: now, now: now,
+	}
+	steps := 0
+	for step := view.next(); step != nil; step = view.next() {
+		steps++
+		require.LessOrEqual(t, steps, 4*maxMembers, "the membership doesn't settle")
+		view.apply(step)
+	}
+	members := 0
+	for name, info := range known {
+		if !info.hello.GetEphemeral() && slices.ContainsFunc(view.status.Members, func(m replica.Member) bool { return m.ID.Instance() == name }) {
+			members++
+		}
+	}
+	require.Equal(t, disks, members, "members with a disk")
+	require.Equal(t, 2*tolerated+1, view.voters())
+	require.Len(t, view.status.Members, maxMembers)
+}
+
+// apply changes the members as a leader does after the step. All members are active and caught up.
+func (v *memberView) apply(step *memberStep) {
+	at := slices.IndexFunc(v.status.Members, func(m replica.Member) bool { return m.ID == step.id })
+	switch step.change {
+	case quorum.AddLearner:
+		v.status.Members = append(v.status.Members, replica.Member{ID: step.id, Address: step.address})
+	case quorum.Promote:
+		v.status.Members[at].Voter = true
+	case quorum.Remove:
+		v.status.Members = slices.Delete(v.status.Members, at, at+1)
+	}
+	slices.SortFunc(v.status.Members, func(a, b replica.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	v.status.Progress = nil
+	for _, m := range v.status.Members {
+		v.status.Progress = append(v.status.Progress, quorum.Progress{ID: m.ID, Active: true, Match: v.status.Commit})
+	}
+}
--- a/control/members.go
+++ b/control/members.go
@@ -94,8 +94,11 @@
 		if v.now.Sub(info.lastContact) > joinContactAge {
 			return nil
 		}
+		if info.hello.GetEphemeral() && len(v.status.Members)+v.waitingWithDisk() >= maxMembers {
+			return nil
+		}
 		if len(v.status.Members) >= maxMembers {
-			return v.evictEphemeralLearner(info)
+			return v.evictEphemeralLearner()
 		}
 		return &memberStep{quorum.AddLearner, id, info.hello.GetLinkAddress()}
 	}
@@ -117,16 +120,30 @@
 	return nil
 }
 
+// waitingWithDisk returns how many instances with a disk have been in contact recently and are not members yet.
+//
+// Their places are kept free of instances without a disk. Otherwise the place of an evicted learner would go to the next
+// instance without a disk, which would be evicted in turn: the leader would change the membership without end, and the
+// instances with a disk would never join.
+func (v memberView) waitingWithDisk() int {
+	n := 0
+	for _, info := range v.known {
+		id := quorum.ID(info.hello.GetReplica())
+		isMember := slices.ContainsFunc(v.status.Members, func(m replica.Member) bool { return m.ID == id })
+		if id != quorum.NoID && !info.hello.GetEphemeral() && !isMember && v.now.Sub(info.lastContact) <= joinContactAge {
+			n++
+		}
+	}
+	return n
+}
+
 // evictEphemeralLearner returns the removal of a learner without a disk from a full group, to make room for an instance
-// with a disk. It returns nil if there is no such learner, or if the instance that wants to join has no disk either.
+// with a disk. It returns nil if there is no such learner.
 //
 // A large deployment runs control instances on machines without a disk in each zone, and more of them with each machine
 // that is added. If they filled the group, a machine that replaces a lost voter could not join, and the next loss would
 // leave no majority. An evicted instance stops serving; its clients know other instances.
-func (v memberView) evictEphemeralLearner(info peerInfo) *memberStep {
-	if info.hello.GetEphemeral() {
-		return nil
-	}
+func (v memberView) evictEphemeralLearner() *memberStep {
 	for _, m := range slices.Backward(v.status.Members) {
 		if !m.Voter && v.known[m.ID.Instance()].hello.GetEphemeral() {
 			return &memberStep{change: quorum.Remove, id: m.ID}
@@ -247,13 +264,33 @@
 	quorum.Remove:     "removed",
 }
 
-// memberAddresses returns the link addresses of the group's members.
+// smallGroup is the number of instances with a disk up to which clients link to these alone: three voters, and one more
+// while a voter is replaced.
+const smallGroup = 4
+
+// memberAddresses returns the link addresses of the members that clients may link to: all of them, or in a small group
+// those with a disk. Clients link to all of few instances, but to some of many; with learners among them, a client of a
+// small group could have a link to one voter only, and hear of a new leader seconds later.
 func (c *Control) memberAddresses() []string {
-	var addresses []string
+	var withDisk, all []string
 	for _, m := range c.replica.Status().Members {
-		addresses = append(addresses, m.Address)
+		all = append(all, m.Address)
+		if !c.isEphemeral(m.ID.Instance()) {
+			withDisk = append(withDisk, m.Address)
+		}
+	}
+	if len(withDisk) <= smallGroup {
+		return withDisk
+	}
+	return all
+}
+
+// isEphemeral reports whether an instance is known to have no disk.
+func (c *Control) isEphemeral(instance string) bool {
+	if instance == c.settings.Instance {
+		return c.settings.Ephemeral
 	}
-	return addresses
+	return c.peers.hello(instance).GetEphemeral()
 }
 
 // zonesOf returns the availability zones of control instances by their link addresses, with "" for an unknown one.
