quota: idle organisations cost an entry nothing

Cause: each entry proposed a floor of each organisation's cap, 361 x 333 shares, in proposals of 338 shares and 14 kB. Control didn't answer within the 0.3 s that an entry waits, so they were proposed again and again: 39,250 unanswered proposals until 12 s of traffic, 8 answered. The log and the queues of the members grew until they were killed for memory. Reports of use named all organisations too, and control summed each over all entries: 43 million look-ups a second at one instance, by arithmetic. Now a floor is held only where it admits a request of the usual size, headroom only after more than one request in a window, lower shares go with the next raise or once a second, reports name what is used, held or lacked, and the ledger is indexed by organisation.

--- a/quota/cap.go
+++ b/quota/cap.go
@@ -32,6 +32,7 @@
 	now        func() time.Time
 	sinceBoot  func() time.Duration
 	entries    *atomic.Int64 // number of entries in the deployment, as far as known
+	requests   *requestSizes // of all organisations at this entry
 	leaseValid func() bool   // whether the lease on shares is valid
 	wake       func()        // triggers an immediate check of the shares
 
@@ -50,6 +51,7 @@
 
 	demand        float64 // requested units, decaying over demandTimeConstant
 	demandUpdated time.Time
+	recent        float64 // number of requests, decaying over the window, as of demandUpdated
 	waiting       float64 // units of requests waiting for a larger share
 	ungranted     float64 // units of the last raise of the share that were not granted
 
@@ -124,8 +126,10 @@
 func (u *Cap) RecordDemand(units uint64, class Class) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.requests.record(float64(units))
 	u.decayDemand()
 	u.demand += float64(units)
+	u.recent++
 	u.order.recordDemand(u.now(), class, float64(units))
 }
 
@@ -213,7 +217,14 @@
 	u.order.recordTaken(g.class, -g.units)
 }
 
-func (u *Cap) decayDemand() { u.demand, u.demandUpdated = u.currentDemand(), u.now() }
+func (u *Cap) decayDemand() {
+	u.demand, u.recent, u.demandUpdated = u.currentDemand(), u.recentRequests(), u.now()
+}
+
+// recentRequests returns the number of requests in about a window.
+func (u *Cap) recentRequests() float64 {
+	return u.recent * decay(u.now().Sub(u.demandUpdated), u.Window)
+}
 
 // currentDemand returns the decayed demand. With a time constant of one second it is also the demand per second.
 func (u *Cap) currentDemand() float64 {
@@ -221,10 +232,17 @@
 	return u.demand * decay(elapsed, demandTimeConstant)
 }
 
-// report returns the use at this entry as reported to control.
+// report returns the use at this entry as reported to control, or nil if the entry neither uses nor holds nor lacks any
+// of the cap. Control then returns no state of the other entries either, so what is known of them is discarded.
+//
+// If idle caps were reported too, control would receive the product of entries and organisations with each poll.
 func (u *Cap) report() *wire.Usage {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.share == 0 && u.ungranted == 0 && u.localUse() == 0 {
+		u.others = otherEntries{}
+		return nil
+	}
 	report := &wire.Usage{Used: uint64(u.localUse()), Wanted: uint64(u.ungranted)}
 	if u.localUse()+u.others.used > detailThreshold*u.limit {
 		for at := int64(1); at < capSlots; at += slotsPerStep {
--- a/quota/caps.go
+++ b/quota/caps.go
@@ -36,6 +36,7 @@
 	entry       string
 	incarnation uint64
 	entries     atomic.Int64 // number of entries in the deployment, as far as known
+	requests    requestSizes
 	wake        chan struct{}
 	leaseEnd    atomic.Int64 // in nanoseconds of sinceBoot
 
@@ -43,6 +44,7 @@
 	byName    map[string]*Cap
 	sequence  uint64 // number of the last proposal
 	proposing bool   // a proposal is outstanding
+	nextLower time.Time
 }
 
 // Clock is the source of time: the monotonic clock, and the time since the machine's boot.
@@ -101,6 +103,7 @@
 			now:          c.now,
 			sinceBoot:    c.sinceBoot,
 			entries:      &c.entries,
+			requests:     &c.requests,
 			leaseValid:   c.leaseValid,
 			wake:         c.signal,
 			shareChanged: make(chan struct{}),
@@ -120,14 +123,16 @@
 	return maps.Clone(c.byName)
 }
 
-// Usage returns the reports to control on each organisation's use at this entry.
+// Usage returns the reports to control on the use at this entry, of the organisations that use or hold any of their cap
+// here.
 func (c *Caps) Usage() []*wire.Usage {
 	caps := c.copyCaps()
-	out := make([]*wire.Usage, 0, len(caps))
+	var out []*wire.Usage
 	for _, name := range slices.Sorted(maps.Keys(caps)) {
-		report := caps[name].report()
-		report.Organisation = name
-		out = append(out, report)
+		if report := caps[name].report(); report != nil {
+			report.Organisation = name
+			out = append(out, report)
+		}
 	}
 	return out
 }
@@ -164,12 +169,29 @@
 		return nil
 	}
 	move := &wire.MoveShares{Entry: c.entry, Incarnation: c.incarnation, Tolerance: c.Tolerance.message()}
-	for _, name := range slices.Sorted(maps.Keys(c.byName)) {
-		if share := c.byName[name].proposeShare(); share != nil {
+	names := slices.Sorted(maps.Keys(c.byName))
+	raised := make(map[string]bool)
+	for _, name := range names {
+		if share := c.byName[name].proposeRaise(); share != nil {
 			share.Organisation = name
+			raised[name] = true
 			move.Shares = append(move.Shares, share)
 		}
 	}
+	isLowerDue := len(raised) > 0 || !c.now().Before(c.nextLower)
+	for _, name := range names {
+		if raised[name] {
+			continue
+		}
+		if share := c.byName[name].proposeLower(isLowerDue); share != nil {
+			share.Organisation = name
+			move.Shares = append(move.Shares, share)
+			c.nextLower = c.now().Add(lowerInterval)
+		}
+	}
+	for _, name := range names {
+		c.byName[name].endRound()
+	}
 	if len(move.Shares) == 0 {
 		return nil
 	}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -12,6 +12,9 @@
 // demandExpiry is the age of a report above which the demand in it is ignored. Entries report each second.
 const demandExpiry = 2500 * time.Millisecond
 
+// evictionInterval is the least time between two searches for reports to evict.
+const evictionInterval = time.Second
+
 // Incarnation is one start of an entry. Its use is counted separately from that of earlier incarnations.
 type Incarnation struct {
 	Instance string
@@ -28,6 +31,10 @@
 
 	mu      sync.Mutex
 	entries map[Incarnation]*entryUsage
+	// users holds the entries whose latest report names an organisation, by organisation. A sum over an organisation's
+	// users costs as much as that organisation is used, however many entries there are.
+	users        map[string]map[Incarnation]*entryUsage
+	lastEviction time.Time
 }
 
 // entryUsage is the latest report of one entry.
@@ -43,7 +50,12 @@
 // NewLedger returns an empty ledger. capOf returns an organisation's cap in a window according to the desired state in
 // force, and held returns what all incarnations of entries except the given one hold of it.
 func NewLedger(capOf func(string, time.Duration) float64, held func(Incarnation, string) uint64) *Ledger {
-	return &Ledger{capOf: capOf, held: held, entries: make(map[Incarnation]*entryUsage)}
+	return &Ledger{
+		capOf:   capOf,
+		held:    held,
+		entries: make(map[Incarnation]*entryUsage),
+		users:   make(map[string]map[Incarnation]*entryUsage),
+	}
 }
 
 // Record stores a report of an entry's use and returns the state of the others, which include its own earlier
@@ -58,15 +70,9 @@
 	if entry == nil {
 		return nil
 	}
-	*entry = entryUsage{
-		reportedAt: entry.reportedAt, bootedAt: entry.bootedAt, sinceBoot: entry.sinceBoot,
-		window: time.Duration(poll.GetUsageWindowMs()) * time.Millisecond,
-		usage:  make(map[string]*wire.Usage, len(poll.GetUsage())),
-	}
-	for _, usage := range poll.GetUsage() {
-		entry.usage[usage.GetOrganisation()] = usage
-	}
-	l.entries[from] = entry
+	entry.window = time.Duration(poll.GetUsageWindowMs()) * time.Millisecond
+	entry.usage = byOrganisation(poll.GetUsage())
+	l.store(from, entry)
 	l.evict(now)
 	states := make([]*wire.CapState, 0, len(entry.usage))
 	for _, name := range slices.Sorted(maps.Keys(entry.usage)) {
@@ -77,6 +83,41 @@
 	return states
 }
 
+func byOrganisation(usage []*wire.Usage) map[string]*wire.Usage {
+	out := make(map[string]*wire.Usage, len(usage))
+	for _, u := range usage {
+		out[u.GetOrganisation()] = u
+	}
+	return out
+}
+
+// store makes entry the latest report of an incarnation. The caller holds the lock.
+func (l *Ledger) store(from Incarnation, entry *entryUsage) {
+	l.remove(from)
+	l.entries[from] = entry
+	for name := range entry.usage {
+		if l.users[name] == nil {
+			l.users[name] = make(map[Incarnation]*entryUsage)
+		}
+		l.users[name][from] = entry
+	}
+}
+
+// remove removes the report of an incarnation, if there is one. The caller holds the lock.
+func (l *Ledger) remove(from Incarnation) {
+	entry := l.entries[from]
+	if entry == nil {
+		return
+	}
+	for name := range entry.usage {
+		delete(l.users[name], from)
+		if len(l.users[name]) == 0 {
+			delete(l.users, name)
+		}
+	}
+	delete(l.entries, from)
+}
+
 // timestamp returns an otherwise empty report with the time at which it was made, nil if a later one is known.
 //
 // Reports may be delayed for seconds. If the age of a report counted from its arrival, use that has already left the
@@ -101,11 +142,11 @@
 // and their demand. The caller holds the lock.
 func (l *Ledger) others(except Incarnation, organisation string, now time.Time) *wire.CapState {
 	sum := &wire.CapState{Organisation: organisation}
-	for from, entry := range l.entries {
-		usage := entry.usage[organisation]
-		if from == except || usage == nil {
+	for from, entry := range l.users[organisation] {
+		if from == except {
 			continue
 		}
+		usage := entry.usage[organisation]
 		age := now.Sub(entry.reportedAt)
 		sum.Used += usage.LeftAtMost(age, entry.window)
 		if age < demandExpiry {
@@ -116,11 +157,16 @@
 }
 
 // evict removes entries one window after their use has left the window: until then the share of an entry that died just
-// after its latest report is released according to that report.
+// after its latest report is released according to that report. It looks at all entries, so it does so at most once in
+// evictionInterval.
 func (l *Ledger) evict(now time.Time) {
+	if now.Sub(l.lastEviction) < evictionInterval {
+		return
+	}
+	l.lastEviction = now
 	for from, entry := range l.entries {
 		if now.Sub(entry.reportedAt) >= 2*entry.window {
-			delete(l.entries, from)
+			l.remove(from)
 		}
 	}
 }
--- a/quota/share.go
+++ b/quota/share.go
@@ -14,8 +14,12 @@
 	// maxHeadroom and minHeadroom bound the headroom, as the time for which it covers the present demand.
 	maxHeadroom = 2 * time.Second
 	minHeadroom = 300 * time.Millisecond
+	// minRecentRequests is the number of requests in a window, decaying, from which headroom is held. A single request says
+	// nothing of the next one: with many entries and organisations, an entry sees one request of an organisation in
+	// minutes, and headroom would be raised and lowered again for each.
+	minRecentRequests = 1.5
 	// headroomFraction is the fraction of the unused part of a cap that all entries together hold as headroom, and
-	// floorFraction the fraction that they hold even without any use.
+	// floorFraction the fraction that they hold even without any use, if an entry's part of it admits a request.
 	headroomFraction = 0.3
 	floorFraction    = 0.25
 	// MoveTimeout is after which time the outcome of a proposal counts as unknown. It is several times as long as a
@@ -25,6 +29,9 @@
 	MoveInterval = 250 * time.Millisecond
 	// lowerMargin is the excess of a share, as a multiple of its headroom, above which the share is lowered.
 	lowerMargin = 1.0
+	// lowerInterval is the least time between two proposals that only lower shares. Lower shares that no other entry
+	// waits for go with the next proposal for a larger one.
+	lowerInterval = time.Second
 	// minRaiseInterval is the least time between two proposals for a larger share after one that was not granted in
 	// full.
 	minRaiseInterval = 200 * time.Millisecond
@@ -43,6 +50,9 @@
 // both are minimal.
 func (u *Cap) headroom() (reserve, floor float64) {
 	demand := u.currentDemand()
+	if u.ungranted == 0 && u.recentRequests() < minRecentRequests {
+		demand = 0
+	}
 	least, most := demand*minHeadroom.Seconds(), demand*maxHeadroom.Seconds()
 	if u.others.wanted > 0 || u.ungranted > 0 {
 		return least, 0
@@ -53,40 +63,87 @@
 	if used > 0 {
 		fraction = u.localUse() / used
 	}
-	return min(max(unused*headroomFraction*fraction, least), most), unused * floorFraction / u.entryCount()
+	return min(max(unused*headroomFraction*fraction, least), most), u.floor(unused)
 }
 
-// proposeShare returns the share that should be held, nil if the present one is suitable. A smaller share takes effect
-// at once.
-func (u *Cap) proposeShare() *wire.Share {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.yield()
-	reserve, floor := u.headroom()
-	own, waiting := u.localUse(), u.waiting
-	u.waiting = 0 // requests that still wait add their units again
+// floor returns the share that is held without any use, of a cap with the given unused units. A floor that admits no
+// request of the usual size is not held: it would cost a proposal and a record for each entry and organisation, and
+// each request would still wait for a larger share.
+func (u *Cap) floor(unused float64) float64 {
+	floor := unused * floorFraction / u.entryCount()
+	usual := u.requests.mean()
+	if u.share > 0 {
+		usual /= 2 // a floor that varies around the usual size is kept
+	}
+	if usual == 0 || floor < usual {
+		return 0
+	}
+	return floor
+}
+
+// sizing is how large a share should be.
+type sizing struct {
+	own     float64 // use in the window
+	reserve float64
+	floor   float64
+	want    float64 // the share that should be held, in whole units
+}
+
+// size returns how large the share should be. The caller holds the lock.
+func (u *Cap) size() sizing {
+	s := sizing{own: u.localUse()}
+	s.reserve, s.floor = u.headroom()
 	maxShare := u.limit
 	if u.others.wanted > 0 {
 		maxShare = max(u.limit/u.entryCount(), u.share)
 	}
-	want := math.Ceil(min(max(own+reserve+waiting, floor), maxShare))
-	isShort := u.share < min(max(own+waiting+reserve/2, floor/2), u.limit)
+	s.want = math.Ceil(min(max(s.own+s.reserve+u.waiting, s.floor), maxShare))
+	return s
+}
+
+// proposeRaise returns the larger share that should be held, or nil if the present one suffices.
+func (u *Cap) proposeRaise() *wire.Share {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.yield()
+	s := u.size()
+	isShort := u.share < min(max(s.own+u.waiting+s.reserve/2, s.floor/2), u.limit)
 	if !isShort {
 		u.ungranted = 0
 	}
+	if !isShort || s.want <= u.share || u.ceiling < u.share || u.now().Before(u.nextRaise) {
+		return nil
+	}
+	u.expectedUnits, u.expectedUntil = u.waiting, u.now().Add(MaxShareWait)
+	u.proposedLimit = u.limit
+	return &wire.Share{Units: uint64(s.want), Uses: uint64(u.share)}
+}
+
+// proposeLower returns the smaller share that should be held, or nil if the present one is suitable. A smaller share
+// takes effect at once. If isDue is false, a share is lowered only for other entries that need more of the cap.
+func (u *Cap) proposeLower(isDue bool) *wire.Share {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !isDue && u.others.wanted <= 0 {
+		return nil
+	}
+	s := u.size()
 	switch {
-	case isShort && want > u.share && u.ceiling >= u.share && !u.now().Before(u.nextRaise):
-		u.expectedUnits, u.expectedUntil = waiting, u.now().Add(MaxShareWait)
-		u.proposedLimit = u.limit
-		return &wire.Share{Units: uint64(want), Uses: uint64(u.share)}
-	case u.share > want+lowerMargin*reserve+floor/2+u.expectedUnitsNow():
-		return u.lower(max(want, math.Ceil(own)))
-	case math.Ceil(u.ceiling) < u.share && own <= u.ceiling:
+	case u.share > s.want+lowerMargin*s.reserve+s.floor/2+u.expectedUnitsNow():
+		return u.lower(max(s.want, math.Ceil(s.own)))
+	case math.Ceil(u.ceiling) < u.share && s.own <= u.ceiling:
 		return u.lower(math.Ceil(u.ceiling))
 	}
 	return nil
 }
 
+// endRound forgets the requests that waited for the proposal. Those that still wait add their units again.
+func (u *Cap) endRound() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.waiting = 0
+}
+
 // lower reduces the share at once, and returns the share to propose.
 func (u *Cap) lower(share float64) *wire.Share {
 	u.share = share
--- a/quota/snapshot.go
+++ b/quota/snapshot.go
@@ -39,17 +39,14 @@
 
 // anyNearLimit reports whether the use of any cap exceeds saveThreshold. The caller holds the lock.
 func (l *Ledger) anyNearLimit(now time.Time) bool {
-	seen := make(map[string]bool) // organisations that have been summed over all entries
-	for _, entry := range l.entries {
-		for name := range entry.usage {
-			if seen[name] {
-				continue
-			}
-			seen[name] = true
-			sum := l.others(Incarnation{}, name, now)
-			if float64(sum.GetUsed()) > saveThreshold*l.capOf(name, entry.window) {
-				return true
-			}
+	for name, users := range l.users {
+		var window time.Duration
+		for _, entry := range users {
+			window = max(window, entry.window)
+		}
+		sum := l.others(Incarnation{}, name, now)
+		if float64(sum.GetUsed()) > saveThreshold*l.capOf(name, window) {
+			return true
 		}
 	}
 	return false
@@ -66,10 +63,7 @@
 		if age < 0 || age >= window {
 			continue
 		}
-		entry := &entryUsage{reportedAt: now.Add(-age), window: window, usage: make(map[string]*wire.Usage)}
-		for _, usage := range saved.GetUsage() {
-			entry.usage[usage.GetOrganisation()] = usage
-		}
-		l.entries[Incarnation{saved.GetEntry(), saved.GetIncarnation()}] = entry
+		entry := &entryUsage{reportedAt: now.Add(-age), window: window, usage: byOrganisation(saved.GetUsage())}
+		l.store(Incarnation{saved.GetEntry(), saved.GetIncarnation()}, entry)
 	}
 }
