--- a/control/session.go
+++ b/control/session.go
@@ -197,6 +197,9 @@
 	}
 	if u := cache.config(s.config, s.fence); u != nil {
 		s.config, s.fence = u.GetVersion(), u.GetFence()
+		if s.client.role == wire.Role_ROLE_AGENT {
+			u = agentConfig(u)
+		}
 		s.send(&wire.ControlMessage{Kind: &wire.ControlMessage_Config{Config: u}})
 	}
 	if u := s.directory.next(cache, isPoll); u != nil {
--- a/control/update_cache.go
+++ b/control/update_cache.go
@@ -48,3 +48,20 @@
 	}
 	return u
 }
+
+// agentConfig returns the part of an update that agents use: of a desired state the pools, without routes and
+// organisations. These are nearly all of it, and each change of it goes to each agent over each of its links.
+func agentConfig(u *wire.ConfigUpdate) *wire.ConfigUpdate {
+	if u.GetDesired() == nil {
+		return u
+	}
+	return &wire.ConfigUpdate{
+		Version: u.GetVersion(),
+		Full:    u.GetFull(),
+		Base:    u.GetBase(),
+		Classes: u.GetClasses(),
+		Removed: u.GetRemoved(),
+		Fence:   u.GetFence(),
+		Desired: &wire.DesiredState{Version: u.GetDesired().GetVersion(), Pools: u.GetDesired().GetPools()},
+	}
+}
