control: rounds of confirmed reads have a least interval of 10 ms

Each process polls three instances once a second. At a thousand processes every instance was in a round all the time, and each round of a follower costs the leader a heartbeat to each member and a reply: by arithmetic 2,000 read requests a second at the leader. A poll now waits up to 10 ms for the next round.

--- a/control/reads.go
+++ b/control/reads.go
@@ -14,6 +14,10 @@
 // Timing and capacities of reads.
 const (
 	readTimeout = time.Second
+	// readRoundInterval is the least time between the starts of two rounds. Each process polls each of its instances once
+	// a second, so without it a large deployment keeps all instances in rounds all the time, each of which costs the
+	// leader a heartbeat to each member.
+	readRoundInterval = 10 * time.Millisecond
 	// confirmInterval is the time between rounds when no read is pending. Readiness is derived from these rounds.
 	confirmInterval = time.Second
 	// confirmedMaxAge is the time for which a confirmed round shows that this instance is ready.
@@ -101,7 +105,9 @@
 		clear(batch)
 		if !confirmed {
 			pause.For(ctx, retryInterval) // callers that repeat the request at once wait for the next round
+			continue
 		}
+		pause.For(ctx, time.Until(started.Add(readRoundInterval)))
 	}
 }
 
