--- a/control/replication.go
+++ b/control/replication.go
@@ -22,6 +22,7 @@
 		Dir:            c.settings.DataDir,
 		FS:             c.options.FS,
 		Volatile:       c.settings.Ephemeral,
+		SnapshotBytes:  int(c.settings.Limits.LogBytes),
 		Transport:      c.peers,
 		StateMachine:   c.machine,
 		TickInterval:   tick,
--- a/settings/control.go
+++ b/settings/control.go
@@ -50,10 +50,19 @@
 	OperatorTLS CallerTLS `json:"operator_tls"`
 	// Log configures logging.
 	Log Log `json:"log"`
+	// Limits holds the resource limits of the process.
+	Limits ControlLimits `json:"limits"`
 	// Timing holds the intervals and timeouts of the process.
 	Timing ControlTiming `json:"timing"`
 }
 
+// ControlLimits holds the resource limits of a control instance.
+type ControlLimits struct {
+	// LogBytes is the size of the log, in memory and on disk, at which a snapshot replaces it. The disk must hold several
+	// times as much. Default 64 MiB.
+	LogBytes Size `json:"log_bytes"`
+}
+
 // ControlListen holds the addresses, IP:port, that a control instance listens on. Port 0 selects any free port.
 type ControlListen struct {
 	// Operators is the HTTP address for operators and for health checks of the platform.
@@ -103,6 +112,9 @@
 	return Control{
 		Role: RoleControl,
 		Log:  Log{Level: log.InfoLevel},
+		Limits: ControlLimits{
+			LogBytes: 64 * MiB,
+		},
 		Timing: ControlTiming{
 			Heartbeat:    100 * time.Millisecond,
 			Election:     time.Second,
@@ -142,6 +154,7 @@
 	if s.Voters < 0 {
 		c.report(result.SettingsOutOfRange, "voters", "want at least 1, got %d", s.Voters)
 	}
+	checkPositive(c, "limits.log_bytes", s.Limits.LogBytes)
 	checkPositive(c, "timing.heartbeat", s.Timing.Heartbeat)
 	checkPositive(c, "timing.first_election", s.Timing.FirstElection)
 	checkPositive(c, "timing.server_expire", s.Timing.ServerExpire)
