entry: a call is held while control hasn't answered for a larger share

A call that needs a larger share was refused after 150 ms with 429 and the time after which use leaves the window, also where control had not answered, as during an election: not true, and its caller came back later than the next leader would have answered. It is now held for up to three quarters of its objective, and refused with 503 and control_unavailable. A cap that is known to be used up refuses at once, as before.

--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -190,36 +190,74 @@
 	class := admission.route.class(m)
 	capClass := quota.Class{Name: class.GetName(), Precedence: class.GetPrecedence()}
 	m.cap.RecordDemand(m.units(call), capClass)
-	grant, wait, ok := takeFromCap(ctx, m.cap, m.units(call), capClass)
-	if ok {
+	ctx, cancel := context.WithDeadline(ctx, e.shareWaitEnd(admission.route, call))
+	defer cancel()
+	grant, refusal := takeFromCap(ctx, m.cap, m.units(call), capClass)
+	switch {
+	case refusal == nil:
 		return grant, nil
+	case refusal.isUnanswered:
+		return quota.Grant{}, result.New(result.ControlUnavailable, "control has not answered a proposal for a larger share: %s", m.cap).
+			WithRan(result.RanNo).WithRetryAfter(controlRetryAfter)
+	default:
+		return quota.Grant{}, result.New(result.OverUsageCap, "%s", m.cap).WithRetryAfter(refusal.wait)
 	}
-	return quota.Grant{}, result.New(result.OverUsageCap, "%s", m.cap).WithRetryAfter(wait)
 }
 
-// takeFromCap takes units from a cap. If a larger share could admit the request, it waits until the share has changed,
-// for quota.MaxShareWait at most, since refusing a request within the cap is worse than delaying it.
-func takeFromCap(ctx context.Context, usageCap *quota.Cap, units uint64, class quota.Class) (g quota.Grant, wait time.Duration, ok bool) {
-	if g, wait, ok = usageCap.Take(units, class); ok {
-		return g, 0, true
+// shareWaitShare is the part of its objective for which a call is held while control has not answered a proposal for a
+// larger share. The rest suffices for the first answer of a server that is not busy.
+const shareWaitShare = 0.75
+
+// shareWaitEnd returns how long a call is held for a larger share. Control answers within quota.MaxShareWait, except
+// during an election. A call that is refused then comes back later than the next leader would have answered.
+func (e *Entry) shareWaitEnd(route *route, call *Call) time.Time {
+	end := e.now().Add(quota.MaxShareWait)
+	objective := time.Duration(route.GetObjectiveMs()) * time.Millisecond
+	held := call.Arrived.Add(time.Duration(shareWaitShare * float64(objective)))
+	if held.After(end) {
+		return held
 	}
-	ctx, cancel := context.WithTimeout(ctx, quota.MaxShareWait)
-	defer cancel()
-	for !ok && ctx.Err() == nil {
-		changed, largerShareHelps := usageCap.AwaitShare(units)
-		if largerShareHelps {
-			select {
-			case <-changed:
-			case <-ctx.Done():
-			}
+	return end
+}
+
+// capRefusal is why units were not taken from a cap.
+type capRefusal struct {
+	wait         time.Duration // after which the units could be admitted
+	isUnanswered bool          // a larger share could admit the request, and control has not answered whether it is free
+}
+
+// takeFromCap takes units from a cap. If a larger share could admit the request, it waits until the share has changed,
+// or until ctx ends, since refusing a request within the cap is worse than delaying it.
+func takeFromCap(ctx context.Context, usageCap *quota.Cap, units uint64, class quota.Class) (quota.Grant, *capRefusal) {
+	for {
+		g, refusal := takeOnce(usageCap, units, class)
+		if refusal == nil {
+			return g, nil
 		}
-		// The share may have changed since the previous Take, even if a larger one would no longer help.
-		g, wait, ok = usageCap.Take(units, class)
+		changed, largerShareHelps := usageCap.AwaitShare(units)
 		if !largerShareHelps {
-			break
+			return takeOnce(usageCap, units, class)
 		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			g, refusal := takeOnce(usageCap, units, class)
+			if refusal != nil {
+				refusal.isUnanswered = true
+			}
+			return g, refusal
+		}
+	}
+}
+
+// takeOnce takes units without waiting. The share may have changed since an earlier Take, even if a larger one would no
+// longer help.
+func takeOnce(usageCap *quota.Cap, units uint64, class quota.Class) (quota.Grant, *capRefusal) {
+	g, wait, ok := usageCap.Take(units, class)
+	if !ok {
+		return quota.Grant{}, &capRefusal{wait: wait}
 	}
-	return g, wait, ok
+	return g, nil
 }
 
 // units returns how many units a call takes from its organisation's cap.
