--- a/entry/catalogue.go
+++ b/entry/catalogue.go
@@ -43,6 +43,20 @@
 	}
 }
 
+// missingKind returns a kind that a class is for and no backend server has, or "".
+func (c *catalogue) missingKind() string {
+	for _, class := range c.classes {
+		offered := c.models
+		if class.GetKind() == settings.KindService {
+			offered = c.services
+		}
+		if len(offered) == 0 {
+			return class.GetKind()
+		}
+	}
+	return ""
+}
+
 func (c *catalogue) sortedModels() []string {
 	return slices.Sorted(maps.Keys(c.models))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,6 +79,7 @@
 	now            func() time.Time
 	network        network.Network
 	incarnation    uint64
+	started        time.Time
 	listener       net.Listener
 	keys           *settings.Keyring
 	operators      *settings.Keyring
@@ -146,6 +147,7 @@
 		now:             options.Now,
 		network:         options.Network,
 		incarnation:     uint64(options.Now().UnixNano()),
+		started:         options.Now(),
 		keys:            keys,
 		operators:       operators,
 		defaultClasses:  make(map[string]string),
--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -223,6 +223,7 @@
 func TestNotReady(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, 1)
+		h.addModel(2)
 		agent := h.addService(1)
 		agent.holdDispatches()
 		require.Equal(t, 200, h.call(1, http.MethodGet, "/readyz", "").status)
@@ -331,3 +332,22 @@
 		}
 	})
 }
+
+// Guards against an entry that is ready before the directory lists any backend server of a kind that callers may ask
+// for. Entries and agents start together, and callers would get 404 for a service that registers a moment later.
+func TestEntryIsReadyOnceServersOfEachKindAreListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, 1)
+		status := func() int { return h.call(1, http.MethodGet, "/readyz", "").status }
+		h.addModel(1)
+		require.Equal(t, 503, status(), "no service is listed")
+		h.addService(2)
+		require.Equal(t, 200, status())
+	})
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, 1)
+		h.addModel(1)
+		time.Sleep(directoryWait)
+		require.Equal(t, 200, h.call(1, http.MethodGet, "/readyz", "").status, "the deployment may have no service")
+	})
+}
--- a/entry/http.go
+++ b/entry/http.go
@@ -153,5 +153,13 @@
 	if err := e.notReady(); err != nil {
 		return err
 	}
+	if kind := e.catalogue.Load().missingKind(); kind != "" && e.now().Sub(e.started) < directoryWait {
+		return result.New(result.Starting, "the directory lists no backend server of kind %s yet", kind)
+	}
 	return nil
 }
+
+// directoryWait is how long after its start an entry is not ready because the directory lists no backend server of a kind
+// that a class is for. Agents that start with the entry register within a second or two; a deployment may also have none
+// of that kind.
+const directoryWait = 5 * time.Second
