control: updates of the directory have an interval that grows with the directory

A client looks through its whole directory at each update, and while a deployment starts there was one for nearly each registration: work that grows with the square of the fleet. An update now follows the last one after 50 us for each record of the directory, 83 ms in that fleet, a few milliseconds in small ones; the first after an idle time goes at once. TestStartingProcessesCauseBoundedWorkAtEachEntry failed before at 400 agents.

--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,6 +141,38 @@
 	})
 }
 
+// Guards against an update of the directory for each registration. A client looks through its whole directory at each
+// update, so while all processes of a deployment start its work would grow with the square of their number, and entries
+// on slow machines lost their links for want of heartbeats.
+func TestStartingProcessesCauseBoundedWorkAtEachEntry(t *testing.T) {
+	const (
+		span = time.Second // in which the agents register
+		// maxRecordsPerSecond follows from the least time between updates, 50 us for each record of the directory.
+		maxRecordsPerSecond = 20_000
+	)
+	for _, agents := range []int{100, 200, 400} {
+		t.Run(fmt.Sprint(agents, " agents"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				defer f.stopAll()
+				f.leader()
+				f.join(wire.Role_ROLE_ENTRY, 0)
+				f.eventually("the entry is ready", func() bool { return f.converged(1, 0) })
+				var records atomic.Int64
+				f.sessions["entry-0"].Subscribe(func(v *session.View) {
+					records.Add(int64(len(v.Agents) + len(v.Entries) + len(v.Announcements)))
+				})
+				for i := range agents {
+					f.join(wire.Role_ROLE_AGENT, i)
+					time.Sleep(span / time.Duration(agents))
+				}
+				f.eventually("all processes know each other", func() bool { return f.converged(1, agents) })
+				require.LessOrEqual(t, records.Load(), int64(1.5*maxRecordsPerSecond))
+			})
+		})
+	}
+}
+
 // joinAll starts all processes of the fleet and waits until they know each other.
 func (f *fleet) joinAll() {
 	f.leader()
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/state"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -167,8 +168,15 @@
 	return list
 }
 
-// runPushes is the loop that sends each change to all sessions. Changes that arrive during a round are sent together in
-// the next one.
+// pushIntervalPerRecord is the least time between two rounds of pushes, for each record of the directory.
+//
+// A client looks through its whole directory at each update, and all processes register when a deployment starts. With an
+// update for each registration, entries on slow machines would have no time left for their heartbeats. An interval that
+// grows with the directory bounds the share of its time that a client spends on updates.
+const pushIntervalPerRecord = 50 * time.Microsecond
+
+// runPushes is the loop that sends each change to all sessions. Changes that arrive during a round, or before the next
+// one may start, are sent together in the next one. The first change after an idle time is sent at once.
 func (s *sessions) runPushes(ctx context.Context) error {
 	var config, directory, fence uint64
 	for {
@@ -177,6 +185,7 @@
 		if c != config || d != directory || f != fence {
 			config, directory, fence = c, d, f
 			s.pushAll()
+			pause.For(ctx, time.Duration(s.control.directorySize())*pushIntervalPerRecord)
 		}
 		select {
 		case <-changed:
@@ -193,6 +202,12 @@
 	}
 }
 
+// directorySize returns the number of agents, entries and announcements in the directory.
+func (c *Control) directorySize() (records int) {
+	c.machine.read(func(s *state.State) { records = s.DirectorySize() })
+	return records
+}
+
 func (c *Control) pushVersions() (config, directory, fence uint64) {
 	c.machine.read(func(s *state.State) {
 		config, directory, fence = s.ConfigVersion(), s.DirectoryVersion(), s.Fence()
--- a/state/accessors.go
+++ b/state/accessors.go
@@ -188,3 +188,8 @@
 		Advice:        s.ServerAdvice(),
 	}
 }
+
+// DirectorySize returns the number of agents, entries and announcements in the directory.
+func (s *State) DirectorySize() int {
+	return len(s.agents) + len(s.entries) + len(s.announcements.byRun)
+}
