--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -141,32 +141,36 @@
 	})
 }
 
-// Guards against an update of the directory for each registration. A client looks through its whole directory at each
-// update, so while all processes of a deployment start its work would grow with the square of their number, and entries
+// Guards against an update of the directory for each server that announces itself. A client looks through its whole
+// directory at each update, so while a deployment starts its work would grow with the square of the servers, and entries
 // on slow machines lost their links for want of heartbeats.
-func TestStartingProcessesCauseBoundedWorkAtEachEntry(t *testing.T) {
+func TestAnnouncementsCauseBoundedWorkAtEachEntry(t *testing.T) {
 	const (
-		span = time.Second // in which the agents register
+		span = time.Second // in which the servers announce themselves
 		// maxRecordsPerSecond follows from the least time between updates, 50 us for each record of the directory.
 		maxRecordsPerSecond = 20_000
 	)
-	for _, agents := range []int{100, 200, 400} {
-		t.Run(fmt.Sprint(agents, " agents"), func(t *testing.T) {
+	for _, servers := range []int{100, 200, 400} {
+		t.Run(fmt.Sprint(servers, " servers"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t)
 				defer f.stopAll()
-				f.leader()
+				leader := f.leader()
+				require.NoError(t, leader.control.PutDesired(t.Context(), testDesired(2)))
 				f.join(wire.Role_ROLE_ENTRY, 0)
 				f.eventually("the entry is ready", func() bool { return f.converged(1, 0) })
+				entry := f.sessions["entry-0"]
 				var records atomic.Int64
-				f.sessions["entry-0"].Subscribe(func(v *session.View) {
+				entry.Subscribe(func(v *session.View) {
 					records.Add(int64(len(v.Agents) + len(v.Entries) + len(v.Announcements)))
 				})
-				for i := range agents {
-					f.join(wire.Role_ROLE_AGENT, i)
-					time.Sleep(span / time.Duration(agents))
+				for i := range servers {
+					require.NoError(t, leader.control.Announce(t.Context(), &wire.Announcement{
+						Server: fmt.Sprint("s", i), Pool: "m", Address: fmt.Sprint("10.3.0.1:", 8000+i), Slots: 5, Sequence: 1,
+					}))
+					time.Sleep(span / time.Duration(servers))
 				}
-				f.eventually("all processes know each other", func() bool { return f.converged(1, agents) })
+				f.eventually("the entry knows all servers", func() bool { return len(entry.View().Announcements) == servers })
 				require.LessOrEqual(t, records.Load(), int64(1.5*maxRecordsPerSecond))
 			})
 		})
