entry: the subset of agents is chosen once the directory has settled

While a deployment starts, each agent that registers belongs into the subset of some entries. They now keep to the agents that were listed before until none has been added for 300 ms, 2 s at most; with 24 agents or less nothing changes. TestEntryOpensFewLinksWhileAgentsRegister: 49 links at most at 150, 300 and 600 agents.

--- a/entry/agent_growth_test.go
+++ b/entry/agent_growth_test.go
@@ -63,7 +63,7 @@
 		}
 		require.Len(t, among, linksPerTarget, "those that were listed before stay")
 		require.LessOrEqual(t, again, growthSettleTime)
-		now = now.Add(growthSettleTime / 2)
+		now = now.Add(min(again, growthSettleTime/2))
 	}
 	require.LessOrEqual(t, now.Sub(began), maxGrowthWait)
 }
--- a/entry/links.go
+++ b/entry/links.go
@@ -20,6 +20,8 @@
 	entry *Entry
 	tls   *tls.Config
 	wake  chan struct{}
+	// growth is accessed only by the goroutine of run.
+	growth agentGrowth
 
 	mu     sync.Mutex
 	newest *session.View
@@ -187,7 +189,11 @@
 // agents returns this entry's subset of the agents in the directory, and its local agent.
 func (l *links) agents(view *session.View) []*wire.AgentRecord {
 	s := l.entry.settings
-	agents := slices.Clip(agentSubset(s.Instance, s.AvailabilityZone, sortedAgents(view), l.currentlyNeeded()))
+	settled, again := l.growth.settled(sortedAgents(view), time.Now())
+	if again > 0 {
+		time.AfterFunc(again, l.reapply)
+	}
+	agents := slices.Clip(agentSubset(s.Instance, s.AvailabilityZone, settled, l.currentlyNeeded()))
 	if l.entry.localAgent != nil {
 		agents = append(agents, l.entry.localAgent.record(view))
 	}
