entry: a restarted entry links at once; views are applied without rests

A restarted entry waited 300 ms or more until the directory that it got at once had settled, without any link, and it applied views with rests. It now chooses at once while it has chosen among fewer agents than it links to, and the rests are gone, since the updates have an interval at control. TestRestartedEntryLinksAtOnce failed before.

--- a/control/proposal_rounds_test.go
+++ b/control/proposal_rounds_test.go
@@ -29,7 +29,7 @@
 		}
 		synctest.Wait()
 		require.Zero(t, ended.Load())
-		time.Sleep(start.Add(proposalRoundInterval).Sub(time.Now()))
+		time.Sleep(time.Until(start.Add(proposalRoundInterval)))
 		synctest.Wait()
 		require.EqualValues(t, 3, ended.Load(), "all in one round")
 
--- a/entry/agent_growth.go
+++ b/entry/agent_growth.go
@@ -60,9 +60,10 @@
 	}
 }
 
-// wait returns the time until the growth is settled.
+// wait returns the time until the growth is settled. An entry that has chosen among fewer agents than it links to doesn't
+// wait: it would be without links after a restart, when it receives the whole directory at once.
 func (g *agentGrowth) wait(now time.Time) time.Duration {
-	if g.firstAt.IsZero() || len(g.known) <= linksPerTarget {
+	if g.firstAt.IsZero() || len(g.settledNames) < linksPerTarget {
 		return 0
 	}
 	return min(g.lastAt.Add(growthSettleTime).Sub(now), g.firstAt.Add(maxGrowthWait).Sub(now))
--- a/entry/agent_growth_test.go
+++ b/entry/agent_growth_test.go
@@ -67,3 +67,15 @@
 	}
 	require.LessOrEqual(t, now.Sub(began), maxGrowthWait)
 }
+
+// Guards against an entry without links after its restart in a running deployment: it receives the whole directory at once,
+// and waited until that had settled.
+func TestRestartedEntryLinksAtOnce(t *testing.T) {
+	var growth agentGrowth
+	now := time.Unix(1_700_000_000, 0)
+	_, again := growth.settled(nil, now)
+	require.Zero(t, again)
+	among, again := growth.settled(listedAgents(600), now.Add(time.Millisecond))
+	require.Zero(t, again)
+	require.Len(t, among, 600)
+}
--- a/entry/links.go
+++ b/entry/links.go
@@ -9,7 +9,6 @@
 
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/network"
-	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -76,23 +75,14 @@
 			continue
 		case <-l.wake:
 		}
-		view, began := l.view(), time.Now()
+		view := l.view()
 		if err := l.apply(ctx, last, view); err != nil {
 			return nil
 		}
 		last = view
-		pause.For(ctx, min(applyRest*time.Since(began), maxApplyRest))
 	}
 }
 
-// applyRest is how long, in multiples of the time that a view took to apply, the next one waits. Views follow each other
-// closely while a deployment starts, and the time for each grows with the directory. The rest is for requests and
-// heartbeats: an entry that only applied views would lose its links.
-const (
-	applyRest    = 4
-	maxApplyRest = 500 * time.Millisecond
-)
-
 func (l *links) view() *session.View {
 	l.mu.Lock()
 	defer l.mu.Unlock()
