entry: a failed proposal of shares is not repeated at once

With calls held while control hasn't answered, a proposal that was refused without being proposed, as with a full queue at the leader, was repeated at once for as long as a call waited, by every entry. Found by the test of the hold, which spun. The next proposal now waits 50 ms.

--- a/entry/usage_shares.go
+++ b/entry/usage_shares.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/quota"
 	"github.com/carawaypitch/carawaypitch/settings"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -29,23 +30,28 @@
 		case <-ticker.C:
 		case <-e.caps.Wake():
 		}
-		if e.isListed() {
-			e.moveShares(ctx)
+		if e.isListed() && !e.moveShares(ctx) {
+			pause.For(ctx, shareRetryDelay)
 		}
 	}
 }
 
+// shareRetryDelay is the wait after a proposal that was not answered, or refused without being proposed. Calls that wait
+// for a larger share ask for the next proposal at once.
+const shareRetryDelay = 50 * time.Millisecond
+
 // isListed reports whether the directory contains this incarnation. The state grants shares only to incarnations in the
 // directory.
 func (e *Entry) isListed() bool {
 	return e.control.View().Entries[e.settings.Instance].GetIncarnation() == e.incarnation
 }
 
-// moveShares proposes the shares that this entry should hold, if they differ from those it holds.
-func (e *Entry) moveShares(ctx context.Context) {
+// moveShares proposes the shares that this entry should hold, if they differ from those it holds. It returns false if the
+// proposal failed.
+func (e *Entry) moveShares(ctx context.Context) bool {
 	move := e.caps.NextProposal()
 	if move == nil {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, quota.MoveTimeout)
 	defer cancel()
@@ -60,7 +66,8 @@
 		WithField("ms", e.now().Sub(begun).Milliseconds())
 	if err != nil {
 		log.WithError(err).Warn("shares_not_moved")
-		return
+		return false
 	}
 	log.Info("shares_moved")
+	return true
 }
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -208,7 +208,7 @@
 // larger share. The rest suffices for the first answer of a server that is not busy.
 const shareWaitShare = 0.75
 
-// shareWaitEnd returns how long a call is held for a larger share. Control answers within quota.MaxShareWait, except
+// shareWaitEnd returns until when a call is held for a larger share. Control answers within quota.MaxShareWait, except
 // during an election. A call that is refused then comes back later than the next leader would have answered.
 func (e *Entry) shareWaitEnd(route *route, call *Call) time.Time {
 	end := e.now().Add(quota.MaxShareWait)
--- a/entry/verbatim_test.go
+++ b/entry/verbatim_test.go
@@ -219,6 +219,47 @@
 	})
 }
 
+// Guards against a refusal for a used-up cap while control has not said so, as during an election: the caller is told
+// something untrue, and comes back later than the next leader answers.
+func TestCallIsHeldWhileControlHasNotAnsweredForItsShare(t *testing.T) {
+	isMove := func(command *wire.Command) bool { return command.GetMoveShares() != nil }
+	synctest.Test(t, func(t *testing.T) {
+		h := newVerbatimHarness(t)
+		h.addModel(1).setHandlers(func(d *receivedDispatch) { d.sendAnswer("", headEvent(t, 200)) }, nil)
+		const late = 250 * time.Millisecond // more than quota.MaxShareWait, less than three quarters of the objective
+		h.control.update(func() {
+			h.control.delay = func(command *wire.Command) time.Duration {
+				if isMove(command) {
+					return late
+				}
+				return 0
+			}
+		})
+		began := time.Now()
+		_, err := h.exchange(t.Context(), verbatimCall("/stream/", "k1"))
+		require.Nil(t, err)
+		require.GreaterOrEqual(t, time.Since(began), late)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		h := newVerbatimHarness(t)
+		h.addModel(1)
+		h.control.update(func() {
+			h.control.failBefore = func(command *wire.Command) error {
+				if isMove(command) {
+					return result.New(result.ControlUnavailable, "no leader")
+				}
+				return nil
+			}
+		})
+		began := time.Now()
+		_, err := h.exchange(t.Context(), verbatimCall("/stream/", "k1"))
+		require.Equal(t, result.ControlUnavailable, err.Code)
+		require.Equal(t, result.RanNo, err.Ran)
+		require.NotZero(t, err.RetryAfter)
+		require.LessOrEqual(t, time.Since(began), 500*time.Millisecond, "the objective")
+	})
+}
+
 // Callers of an entry that is cut off from control would wait a second and be refused if the entry waited for a newer
 // configuration, reported by agents, that it can't fetch.
 func TestZeroVersionWaitServesWithOlderConfiguration(t *testing.T) {
