--- a/quota/caps.go
+++ b/quota/caps.go
@@ -189,9 +189,6 @@
 			c.nextLower = c.now().Add(lowerInterval)
 		}
 	}
-	for _, name := range names {
-		c.byName[name].endRound()
-	}
 	if len(move.Shares) == 0 {
 		return nil
 	}
--- a/quota/share.go
+++ b/quota/share.go
@@ -115,15 +115,18 @@
 		return nil
 	}
 	u.expectedUnits, u.expectedUntil = u.waiting, u.now().Add(MaxShareWait)
+	u.waiting = 0 // requests that still wait add their units again
 	u.proposedLimit = u.limit
 	return &wire.Share{Units: uint64(s.want), Uses: uint64(u.share)}
 }
 
 // proposeLower returns the smaller share that should be held, or nil if the present one is suitable. A smaller share
-// takes effect at once. If isDue is false, a share is lowered only for other entries that need more of the cap.
+// takes effect at once. If isDue is false, a share is lowered only for other entries that need more of the cap. It is called
+// after a proposeRaise that returned nil.
 func (u *Cap) proposeLower(isDue bool) *wire.Share {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	defer func() { u.waiting = 0 }() // requests that still wait add their units again
 	if !isDue && u.others.wanted <= 0 {
 		return nil
 	}
@@ -137,13 +140,6 @@
 	return nil
 }
 
-// endRound forgets the requests that waited for the proposal. Those that still wait add their units again.
-func (u *Cap) endRound() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.waiting = 0
-}
-
 // lower reduces the share at once, and returns the share to propose.
 func (u *Cap) lower(share float64) *wire.Share {
 	u.share = share
