platform, agent, entry: suspension, abandonment and versions are decoded

A pool says whether its servers can suspend runs and for how long they keep one, a route after which silence its callers leave a stream, and an announcement which version a server runs. They reach server records and requests; nothing decides by them yet. go test ./platform ./agent ./state passes.

--- a/agent/announcement_selection.go
+++ b/agent/announcement_selection.go
@@ -186,6 +186,9 @@
 		Slots:   announcement.GetSlots(),
 
 		TokensPerEvent: pool.GetTokensPerEvent(),
+		Version:        announcement.GetVersion(),
+		Suspends:       pool.GetSuspends(),
+		SuspendedMs:    pool.GetSuspendedMs(),
 		MaxConnections: pool.GetMaxConnections(),
 		Capabilities: &wire.Capabilities{
 			Fencing:      string(engine.FencingIgnores),
--- a/agent/server.go
+++ b/agent/server.go
@@ -156,6 +156,9 @@
 
 		TokensPerEvent: s.record.GetTokensPerEvent(),
 		MaxConnections: s.record.GetMaxConnections(),
+		Version:        s.record.GetVersion(),
+		Suspends:       s.record.GetSuspends(),
+		SuspendedMs:    s.record.GetSuspendedMs(),
 	}
 }
 
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -304,6 +304,8 @@
 		Arrived:      call.Arrived,
 		Deadline:     call.Arrived.Add(timeout),
 		Objective:    route.objectiveTime(call.Arrived),
+		Pause:        time.Duration(route.GetPauseMs()) * time.Millisecond,
+		Abandon:      time.Duration(route.GetAbandonMs()) * time.Millisecond,
 		Overdue:      e.isOverdue(route, class, admission.member.GetName(), call),
 		Verbatim:     &sched.Verbatim{Host: call.Host, Headers: call.Headers},
 		MaxAttempts:  int(route.GetMaxAttempts()),
--- a/sched/types.go
+++ b/sched/types.go
@@ -43,6 +43,12 @@
 	// before and has retried. It is ordered after the requests of its class that may still be in time.
 	Overdue bool
 
+	// Pause is the longest pause between two events of a stream that is on time; 0 for an answer that is no stream.
+	Pause time.Duration
+
+	// Abandon is the silence after which the caller leaves a stream, also before its first event; 0 if it isn't known.
+	Abandon time.Duration
+
 	// EntryStopsBy is the latest time at which the entry process exits, zero while it isn't stopping. A request
 	// that would probably run longer is refused on arrival.
 	EntryStopsBy time.Time
