--- a/engine/client.go
+++ b/engine/client.go
@@ -50,6 +50,10 @@
 	// response is delivered through [Sink.Chunk] only: first the encoded wire.AnswerHead, then
 	// the parts of the body. Nil means the adapter builds the request.
 	Verbatim *Verbatim
+	// Resume is set for a run that the same engine has suspended; nil for a run from the start. The run's first event
+	// is then the one after Verbatim.LastEvent. A suspension that the engine no longer holds gives an error that
+	// matches ErrNeverSent and ErrUnknownStream.
+	Resume *Suspension
 }
 
 // Verbatim holds the additional fields of a request that is forwarded unchanged.
@@ -123,6 +127,8 @@
 	EndFailed
 	// EndCancelled means the stream ended because of a cancel call.
 	EndCancelled
+	// EndSuspended means the engine stopped the stream and keeps its memory, see [Suspender]. The attempt isn't over.
+	EndSuspended
 )
 
 // String returns the name used in log lines.
@@ -134,6 +140,8 @@
 		return "failed"
 	case EndCancelled:
 		return "cancelled"
+	case EndSuspended:
+		return "suspended"
 	default:
 		return "unproved"
 	}
@@ -156,6 +164,8 @@
 	PromptTokens       int
 	CachedPromptTokens int
 	FinishReason       string
+	// Suspension is set with EndSuspended.
+	Suspension Suspension
 }
 
 // CancelResult is an engine's response to a cancel call. If the call returns an error, nothing
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -20,6 +20,10 @@
 	ErrDuplicate = errors.New("duplicate attempt")
 	// ErrUnknownStream means that the engine reports that it holds no such stream.
 	ErrUnknownStream = errors.New("unknown stream")
+	// ErrBusy means that the engine is already handling a suspension of the run.
+	ErrBusy = errors.New("suspension in progress")
+	// ErrNoRoom means that no other server accepted a copy of the run's memory.
+	ErrNoRoom = errors.New("no room at a target")
 	// ErrUnsupported means that the backend server does not offer this call.
 	ErrUnsupported = errors.New("call not supported")
 	// ErrRefused means that the engine refused a call other than a run.
@@ -45,8 +49,8 @@
 	Call string
 	// ID identifies the attempt; empty for calls without one.
 	ID AttemptID
-	// Class is ErrNeverSent, ErrOutcomeUnknown, ErrDuplicate, ErrUnknownStream, ErrRefused or
-	// ErrUnsupported.
+	// Class is ErrNeverSent, ErrOutcomeUnknown, ErrDuplicate, ErrUnknownStream, ErrBusy,
+	// ErrNoRoom, ErrRefused or ErrUnsupported.
 	Class error
 	// Err is the cause; nil if Class is sufficient.
 	Err error
--- a/gate/types.go
+++ b/gate/types.go
@@ -106,6 +106,15 @@
 		Err     error
 	}
 
+	// EngineSuspended carries the engine's answer to a SuspendEngine. Exactly one follows each SuspendEngine and
+	// repeats its Try. After a confirmed suspension, EngineEnded with engine.EndSuspended follows as well.
+	EngineSuspended struct {
+		Attempt    *wire.AttemptID
+		Try        uint32
+		Suspension engine.Suspension
+		Err        error
+	}
+
 	// ServerVerified answers a VerifyServer. Ended is true if nothing listens at the server's address any more.
 	ServerVerified struct{ Ended bool }
 
@@ -135,6 +144,7 @@
 func (EngineEnded) gateEvent()       {}
 func (EngineCancelled) gateEvent()   {}
 func (EngineLoad) gateEvent()        {}
+func (EngineSuspended) gateEvent()   {}
 func (ServerObserved) gateEvent()    {}
 func (SendersChanged) gateEvent()    {}
 func (ServerVerified) gateEvent()    {}
@@ -153,8 +163,27 @@
 	// Broadcast passes a message to all connected entries.
 	Broadcast struct{ Message *wire.AgentMessage }
 
-	// StartEngine runs an attempt at the backend server; EngineProgress and EngineEnded follow.
-	StartEngine struct{ Dispatch *wire.Dispatch }
+	// StartEngine runs an attempt at the backend server; EngineProgress and EngineEnded follow. Resume is set for a
+	// run that the server has suspended; the run continues after the last event that the agent received of it.
+	StartEngine struct {
+		Dispatch *wire.Dispatch
+		Resume   *engine.Suspension
+	}
+
+	// SuspendEngine suspends the run of an attempt; EngineSuspended with the same Try follows. Targets are addresses
+	// of other servers, as IP:port, that may take a copy of its memory.
+	SuspendEngine struct {
+		Attempt *wire.AttemptID
+		Stream  engine.AttemptID
+		Targets []string
+		Try     uint32
+	}
+
+	// DiscardSuspended frees the memory of a suspended run. No event follows.
+	DiscardSuspended struct {
+		Attempt    *wire.AttemptID
+		Suspension engine.Suspension
+	}
 
 	// CancelEngine cancels an attempt at the backend server; EngineCancelled with the same Try follows. The gate
 	// repeats it as needed. Stream is the engine's identifier of the stream to cancel.
@@ -214,18 +243,20 @@
 	}
 )
 
-func (Send) gateAction()            {}
-func (Broadcast) gateAction()       {}
-func (StartEngine) gateAction()     {}
-func (CancelEngine) gateAction()    {}
-func (ListEngine) gateAction()      {}
-func (VerifyServer) gateAction()    {}
-func (Crashed) gateAction()         {}
-func (ReportOutcome) gateAction()   {}
-func (ServerChanged) gateAction()   {}
-func (ThrottleChanged) gateAction() {}
-func (Throttled) gateAction()       {}
-func (Count) gateAction()           {}
+func (Send) gateAction()             {}
+func (Broadcast) gateAction()        {}
+func (StartEngine) gateAction()      {}
+func (CancelEngine) gateAction()     {}
+func (SuspendEngine) gateAction()    {}
+func (DiscardSuspended) gateAction() {}
+func (ListEngine) gateAction()       {}
+func (VerifyServer) gateAction()     {}
+func (Crashed) gateAction()          {}
+func (ReportOutcome) gateAction()    {}
+func (ServerChanged) gateAction()    {}
+func (ThrottleChanged) gateAction()  {}
+func (Throttled) gateAction()        {}
+func (Count) gateAction()            {}
 
 // Run identifies a request that a server ran when it crashed.
 type Run struct {
