control: the proposals of a round are one submission to the replica

TestShareProposalsOfManyEntriesShareCommits failed beside load (416 and 508 syncs a second, bound 400), and so did TestSharesOfManyDeadEntriesAreReleasedTogether (30, bound 10). A round woke the goroutines that waited for it, and each of them queued its own proposal: the replica appended in as many batches as the goroutines happened to run in, so the number of disk syncs of a round depended on the load of the machine. It was no fault of the tests.

Proposals that wait for a round are now handed to the replica by one call, and so are the releases of ended entries: one append, one sync. The test of the rounds checks the calls to the replica, and that rounds keep their interval.

--- a/control/control.go
+++ b/control/control.go
@@ -137,6 +137,7 @@
 	if c.replica, err = replica.New(c.replicaConfig()); err != nil {
 		return err
 	}
+	c.rounds.submit = c.replica.Submit
 	if err := c.usageFile.load(c.usage, time.Now()); err != nil {
 		c.log.WithError(err).Warn("usage_not_loaded")
 	}
--- a/control/proposal_rounds.go
+++ b/control/proposal_rounds.go
@@ -1,10 +1,10 @@
 package control
 
 import (
-	"context"
 	"sync"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/quorum/replica"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -12,53 +12,44 @@
 // several availability zones.
 const proposalRoundInterval = 10 * time.Millisecond
 
-// proposalRounds delays proposals so that those of many processes are proposed at the same time. The replica then
-// appends and sends them together: one message to each member and one disk sync for each round, however many processes
-// propose. The first proposal after an idle interval is not delayed.
+// proposalRounds delays proposals so that those of many processes are submitted together. The replica then appends and
+// sends them together: one message to each member and one disk sync for each round, however many processes propose.
+// The first proposal after an idle interval is not delayed.
 //
 // Each request may need a larger share of a usage cap, and each entry proposes its own. Proposed one by one, a thousand
 // requests a second cost a leader with nine followers some 20,000 messages a second.
 type proposalRounds struct {
-	mu   sync.Mutex
-	next time.Time     // earliest time of the next round
-	open chan struct{} // closed at the next round; nil while nothing waits for it
-}
+	submit func(...*replica.Proposal)
 
-// wait returns at the next round, or when ctx ends. It reports whether the proposal was delayed.
-func (r *proposalRounds) wait(ctx context.Context) (delayed bool) {
-	next := r.join(time.Now())
-	if next == nil {
-		return false
-	}
-	select {
-	case <-next:
-	case <-ctx.Done():
-	}
-	return true
+	mu      sync.Mutex
+	next    time.Time // earliest time of the next round
+	waiting []*replica.Proposal
 }
 
-// join returns a channel that is closed at the next round, or nil if the caller may propose now.
-func (r *proposalRounds) join(now time.Time) <-chan struct{} {
+// add submits a proposal with the next round, which may be now. It reports whether the proposal is delayed.
+func (r *proposalRounds) add(p *replica.Proposal) (delayed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.open != nil {
-		return r.open
-	}
-	if !now.Before(r.next) {
+	now := time.Now()
+	if len(r.waiting) == 0 && !now.Before(r.next) {
 		r.next = now.Add(proposalRoundInterval)
-		return nil
+		r.submit(p)
+		return false
 	}
-	r.open = make(chan struct{})
-	time.AfterFunc(r.next.Sub(now), r.start)
-	return r.open
+	r.waiting = append(r.waiting, p)
+	if len(r.waiting) == 1 {
+		time.AfterFunc(r.next.Sub(now), r.submitWaiting)
+	}
+	return true
 }
 
-// start lets all waiting proposals go.
-func (r *proposalRounds) start() {
+// submitWaiting submits all proposals that wait. They are submitted by one call, since calls of their own would reach
+// the replica in as many groups as the scheduler of goroutines makes of them, each with a disk sync.
+func (r *proposalRounds) submitWaiting() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	close(r.open)
-	r.open = nil
+	r.submit(r.waiting...)
+	r.waiting = nil
 	r.next = time.Now().Add(proposalRoundInterval)
 }
 
--- a/control/proposal_rounds_test.go
+++ b/control/proposal_rounds_test.go
@@ -1,55 +1,54 @@
 package control
 
 import (
-	"context"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/quorum/replica"
 )
 
-// Guards against a delay of the first proposal after an idle time, and against proposals that are not proposed together
+// newTestRounds returns rounds, and the numbers of proposals that were submitted together.
+func newTestRounds() (*proposalRounds, *[]int) {
+	submitted := new([]int)
+	return &proposalRounds{submit: func(p ...*replica.Proposal) { *submitted = append(*submitted, len(p)) }}, submitted
+}
+
+// Guards against a delay of the first proposal after an idle time, and against proposals that are not submitted together
 // while others are under way.
 func TestProposalsWaitForCommonRounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var r proposalRounds
-		start := time.Now()
-		r.wait(t.Context())
-		require.Zero(t, time.Since(start), "the first one")
+		r, submitted := newTestRounds()
+		require.False(t, r.add(replica.NewProposal(nil)))
+		require.Equal(t, []int{1}, *submitted, "the first one")
 
-		var ended atomic.Int64
 		for range 3 {
 			time.Sleep(proposalRoundInterval / 10)
-			go func() {
-				r.wait(t.Context())
-				ended.Add(1)
-			}()
+			require.True(t, r.add(replica.NewProposal(nil)))
 		}
 		synctest.Wait()
-		require.Zero(t, ended.Load())
-		time.Sleep(time.Until(start.Add(proposalRoundInterval)))
+		require.Len(t, *submitted, 1)
+		time.Sleep(proposalRoundInterval * 7 / 10)
 		synctest.Wait()
-		require.EqualValues(t, 3, ended.Load(), "all in one round")
+		require.Equal(t, []int{1, 3}, *submitted, "all in one call")
 
 		time.Sleep(10 * proposalRoundInterval)
-		start = time.Now()
-		r.wait(t.Context())
-		require.Zero(t, time.Since(start), "after an idle time")
+		require.False(t, r.add(replica.NewProposal(nil)))
+		require.Equal(t, []int{1, 3, 1}, *submitted, "after an idle time")
 	})
 }
 
-// Guards against a proposal that waits longer than its sender.
-func TestProposalStopsWaitingWithItsContext(t *testing.T) {
+// Guards against two rounds in less than the interval: a round that follows a delayed one must wait as long again.
+func TestRoundsKeepTheirInterval(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var r proposalRounds
-		r.wait(t.Context())
-		ctx, cancel := context.WithCancel(t.Context())
-		cancel()
-		start := time.Now()
-		r.wait(ctx)
-		require.Zero(t, time.Since(start))
-		time.Sleep(2 * proposalRoundInterval)
+		r, submitted := newTestRounds()
+		const span = 100
+		for range span * 4 {
+			r.add(replica.NewProposal(nil))
+			time.Sleep(proposalRoundInterval / 4)
+		}
+		require.LessOrEqual(t, len(*submitted), span+1)
 	})
 }
--- a/control/propose.go
+++ b/control/propose.go
@@ -51,13 +51,47 @@
 		return 0, nil, result.New(result.ProposalQueueFull, "").WithRan(result.RanNo)
 	}
 	defer c.proposals.release()
+	proposal, err := newProposal(cmd)
+	if err != nil {
+		return 0, nil, err
+	}
+	c.submit(cmd, proposal)
+	return c.await(ctx, proposal)
+}
+
+// proposeTogether commits commands as propose does, in one batch, and returns the error of each.
+func (c *Control) proposeTogether(ctx context.Context, commands []*wire.Command) []error {
+	errs := make([]error, len(commands))
+	proposals := make([]*replica.Proposal, len(commands))
+	var submitted []*replica.Proposal
+	for i, cmd := range commands {
+		if proposals[i], errs[i] = newProposal(cmd); errs[i] == nil {
+			submitted = append(submitted, proposals[i])
+		}
+	}
+	c.replica.Submit(submitted...)
+	for i, proposal := range proposals {
+		if errs[i] == nil {
+			_, _, errs[i] = c.await(ctx, proposal)
+		}
+	}
+	return errs
+}
+
+// newProposal returns the proposal of a command, stamped with this instance's clock.
+func newProposal(cmd *wire.Command) (*replica.Proposal, error) {
 	stamped := proto.CloneOf(cmd)
 	stamped.UnixMs = uint64(time.Now().UnixMilli())
 	data, err := proto.Marshal(stamped)
 	if err != nil {
-		return 0, nil, result.Wrap(err, result.BadMessage, "")
+		return nil, result.Wrap(err, result.BadMessage, "")
 	}
-	applied, err := c.replica.Propose(ctx, data)
+	return replica.NewProposal(data), nil
+}
+
+// await returns the result of a submitted command.
+func (c *Control) await(ctx context.Context, proposal *replica.Proposal) (uint64, *wire.CommandResult, error) {
+	applied, err := c.replica.Wait(ctx, proposal)
 	if err != nil {
 		return 0, nil, proposalError(err)
 	}
@@ -68,6 +102,17 @@
 	return applied.Index, res, nil
 }
 
+// submit submits the proposal of a command, a routine one together with those of other processes.
+func (c *Control) submit(cmd *wire.Command, p *replica.Proposal) {
+	if !isRoutine(cmd) {
+		c.replica.Submit(p)
+		return
+	}
+	if c.rounds.add(p) {
+		c.counters.proposalsDelayed.Inc()
+	}
+}
+
 // proposalError maps an error of the replica to a result code. Any error that is not a definite refusal is an unknown
 // outcome.
 func proposalError(err error) error {
--- a/control/session.go
+++ b/control/session.go
@@ -226,9 +226,6 @@
 		defer s.proposals.release()
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), proposeTimeout)
 		defer cancel()
-		if isRoutine(p.GetCommand()) && s.control.rounds.wait(ctx) {
-			s.control.counters.proposalsDelayed.Inc()
-		}
 		s.sendReply(s.control.proposeLocally(ctx, p.GetId(), p.GetCommand()))
 	}()
 }
--- a/control/usage.go
+++ b/control/usage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/quorum"
@@ -63,18 +62,23 @@
 	c.machine.read(func(s *state.State) { ended = s.SharesOfEndedEntries() })
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	// The releases are proposed at the same time, so that they share appends and disk syncs. After a loss of all
-	// processes there is one for each entry, and one after the other would take a second.
-	var wg sync.WaitGroup
-	for _, command := range releases.Due(now, ended) {
-		wg.Go(func() { c.releaseShare(ctx, command) })
+	due := releases.Due(now, ended)
+	if len(due) == 0 {
+		return
+	}
+	commands := make([]*wire.Command, len(due))
+	for i, command := range due {
+		commands[i] = &wire.Command{Kind: &wire.Command_ReleaseShares{ReleaseShares: command}}
+	}
+	// The releases are proposed together, so that they share one append and disk sync. After a loss of all processes
+	// there is one for each entry, and one after the other would take a second.
+	for i, err := range c.proposeTogether(ctx, commands) {
+		c.logRelease(due[i], err)
 	}
-	wg.Wait()
 }
 
-// releaseShare proposes one release. If that fails, the next round proposes what is due then.
-func (c *Control) releaseShare(ctx context.Context, command *wire.ReleaseShares) {
-	_, _, err := c.propose(ctx, &wire.Command{Kind: &wire.Command_ReleaseShares{ReleaseShares: command}})
+// logRelease logs the outcome of a release. One that failed is proposed again with what is due then.
+func (c *Control) logRelease(command *wire.ReleaseShares, err error) {
 	if err != nil {
 		c.log.WithField("entry", command.GetEntry()).WithError(err).Warn("shares_not_released")
 		return
--- a/quorum/replica/core.go
+++ b/quorum/replica/core.go
@@ -85,7 +85,7 @@
 		case m := <-r.messages:
 			event = func() error { return handleQueued(r.messages, m, l.handleMessage) }
 		case q := <-r.proposals:
-			event = func() error { return handleQueued(r.proposals, q, l.handleProposal) }
+			event = func() error { return handleQueued(r.proposals, q, l.handleProposals) }
 		case q := <-r.reads:
 			event = func() error { return handleQueued(r.reads, q, l.handleRead) }
 		case q := <-r.commands:
@@ -201,13 +201,15 @@
 	return nil
 }
 
-// handleProposal proposes the data of q unless the caller has canceled it.
-func (l *eventLoop) handleProposal(q *request) error {
-	if !q.claim() {
-		return nil
+// handleProposals proposes the data of requests that were submitted together,
+// except those that their callers have canceled.
+func (l *eventLoop) handleProposals(requests []*request) error {
+	for _, q := range requests {
+		if q.claim() {
+			position, err := l.r.node.Propose(q.data)
+			l.trackProposal(q, position, err)
+		}
 	}
-	position, err := l.r.node.Propose(q.data)
-	l.trackProposal(q, position, err)
 	return nil
 }
 
--- a/quorum/replica/replica.go
+++ b/quorum/replica/replica.go
@@ -30,7 +30,7 @@
 	initialVoters []Member // result of InitialVoters
 
 	messages  chan *quorumpb.Message
-	proposals chan *request
+	proposals chan []*request
 	reads     chan *request
 	commands  chan *request
 
@@ -88,7 +88,7 @@
 		id:           quorum.MakeID(cfg.Instance, j.Disk()),
 		journal:      j,
 		messages:     make(chan *quorumpb.Message, cfg.QueueLength),
-		proposals:    make(chan *request, cfg.QueueLength),
+		proposals:    make(chan []*request, cfg.QueueLength),
 		reads:        make(chan *request, cfg.QueueLength),
 		commands:     make(chan *request, commandQueueLength),
 		toJournal:    make(chan journalJob, 1),
--- a/quorum/replica/request.go
+++ b/quorum/replica/request.go
@@ -59,7 +59,42 @@
 // A *quorum.RefusedError means that data was not proposed and never will be. An
 // *UnknownOutcomeError means that data may have been committed or may still be.
 func (r *Replica) Propose(ctx context.Context, data []byte) (Applied, error) {
-	return r.submit(ctx, r.proposals, &request{data: slices.Clone(data)})
+	p := NewProposal(data)
+	r.Submit(p)
+	return r.Wait(ctx, p)
+}
+
+// Proposal is data to be appended to the log.
+type Proposal struct{ request *request }
+
+// NewProposal returns a proposal of data that has not been submitted.
+func NewProposal(data []byte) *Proposal {
+	return &Proposal{request: &request{data: slices.Clone(data), done: make(chan outcome, 1)}}
+}
+
+// Submit hands proposals to the event loop, which appends all of them in one
+// batch. If its queue is full, they are refused. Each proposal must be submitted
+// at most once, and its outcome is returned by Wait.
+func (r *Replica) Submit(proposals ...*Proposal) {
+	requests := make([]*request, len(proposals))
+	for i, p := range proposals {
+		requests[i] = p.request
+	}
+	select {
+	case r.proposals <- requests:
+	default:
+		for _, q := range requests {
+			if q.claim() {
+				q.finish(Applied{}, r.counters.countRefusal(quorum.ErrQueueFull))
+			}
+		}
+	}
+}
+
+// Wait returns the outcome of a proposal, with the errors of Propose. A proposal
+// that has not been submitted when ctx ends is withdrawn.
+func (r *Replica) Wait(ctx context.Context, p *Proposal) (Applied, error) {
+	return r.await(ctx, p.request)
 }
 
 // Read waits until the state machine of this replica has applied every entry
@@ -120,6 +155,11 @@
 	default:
 		return Applied{}, r.counters.countRefusal(quorum.ErrQueueFull)
 	}
+	return r.await(ctx, q)
+}
+
+// await waits for the outcome of q.
+func (r *Replica) await(ctx context.Context, q *request) (Applied, error) {
 	select {
 	case o := <-q.done:
 		return r.countOutcome(o)
