entry: a request is counted before its caller gets its answer

TestReportCountsByClassAndTarget read 0 lost requests instead of 1 in 5 of 2,400 runs: the scheduler's answer to the caller comes before its count in the actions of a step, and the caller's goroutine could read the report between the two.

--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -64,7 +64,9 @@
 	next := []sched.Event{event}
 	for len(next) > 0 {
 		event, next = next[0], next[1:]
-		for _, action := range e.scheduler.Step(e.now(), event) {
+		actions := e.scheduler.Step(e.now(), event)
+		e.count(actions)
+		for _, action := range actions {
 			if resulting := e.execute(action); resulting != nil {
 				next = append(next, resulting)
 			}
@@ -72,6 +74,15 @@
 	}
 }
 
+// count adds the counts of a step before its other actions, so that a request whose caller has its answer is counted.
+func (e *Entry) count(actions []sched.Action) {
+	for _, action := range actions {
+		if counted, ok := action.(sched.Count); ok {
+			e.meter.count(counted)
+		}
+	}
+}
+
 // execute executes one action without blocking. It returns the event that the action produces immediately, or nil.
 func (e *Entry) execute(action sched.Action) sched.Event {
 	switch a := action.(type) {
@@ -94,7 +105,7 @@
 			e.outbox.Put(clearReport(record))
 		}
 	case sched.Count:
-		e.meter.count(a)
+		// Counted by count.
 	}
 	return nil
 }
