--- a/result/codes.go
+++ b/result/codes.go
@@ -76,6 +76,9 @@
 	UnknownServer    Code = 1509
 
 	InvalidDesiredState Code = 1510
+	InvalidRollout      Code = 1511
+	RolloutInProgress   Code = 1512
+	UnknownRollout      Code = 1513
 )
 
 // 16xx: errors in a settings file or a state chart file.
--- a/result/table.go
+++ b/result/table.go
@@ -240,6 +240,18 @@
 		InvalidDesiredState, "invalid_desired_state", http.StatusBadRequest, onlyNo, "the desired state is not valid",
 		"Correct what the message names and send it again.",
 	},
+	{
+		InvalidRollout, "invalid_rollout", http.StatusBadRequest, onlyNo, "the order of a roll-out is not valid",
+		"Correct what the message names; a service is one of the desired state in force.",
+	},
+	{
+		RolloutInProgress, "rollout_in_progress", http.StatusConflict, onlyNo, "another version of the service is being rolled out",
+		"Wait for the end of that roll-out, then order this one.",
+	},
+	{
+		UnknownRollout, "unknown_rollout", http.StatusNotFound, onlyNo, "no roll-out of this service was ordered",
+		"Check the service's name; list the roll-outs.",
+	},
 
 	{
 		SettingsUnknownField, "settings_unknown_field", http.StatusUnprocessableEntity, onlyNo, "the field is not known",
