state, rollout: replicated roll-outs and sums of their evidence

Roll-outs have to survive every process. The state keeps the last roll-out of each pool; a change of its state advances the configuration version, evidence alone does not. An order of the same version is accepted again at any time. Sums of an entry's incarnation only rise and are added over entries; the log's counts are a lower bound.

--- a/state/accessors.go
+++ b/state/accessors.go
@@ -101,9 +101,11 @@
 		Base:    version,
 		Fence:   s.fence,
 		Desired: s.desiredSince(version),
+
+		Rollouts: s.rolloutsSince(version),
 	}
 	for _, name := range names {
-		if name == desiredStateName {
+		if name == desiredStateName || name == rolloutsName {
 			continue
 		}
 		if class := s.classes[name]; class != nil {
@@ -122,6 +124,8 @@
 		Classes: s.Classes(),
 		Fence:   s.fence,
 		Desired: s.desiredSince(0),
+
+		Rollouts: s.rolloutsSince(0),
 	}
 }
 
--- a/state/desired.go
+++ b/state/desired.go
@@ -118,6 +118,7 @@
 	}
 	s.desiredIndex = s.index
 	s.advanceConfigVersion(desiredStateName)
+	s.revertRemovedPools()
 	return accepted()
 }
 
--- a/state/limits.go
+++ b/state/limits.go
@@ -36,6 +36,9 @@
 	// PoisonRecords is the maximum number of records of requests that crashed servers, PoisonPerOrganisation that of
 	// one organisation.
 	PoisonRecords, PoisonPerOrganisation int
+	// RemovedRollouts is the maximum number of records of roll-outs whose pools are not in the desired state.
+	// RolloutCounts is the maximum number of counts in the evidence of one roll-out.
+	RemovedRollouts, RolloutCounts int
 	// History is the maximum number of changes from which deltas are made; clients with an older version get
 	// everything.
 	History int
@@ -61,6 +64,9 @@
 
 	PoisonPerOrganisation: 64,
 
+	RemovedRollouts: 256,
+	RolloutCounts:   512,
+
 	History: 1024,
 }
 
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -37,6 +37,7 @@
 		Shares:              s.HeldShares(),
 		Poison:              s.PoisonRecords(),
 		Advice:              s.ServerAdvice(),
+		Rollouts:            s.Rollouts(),
 	}
 }
 
@@ -83,6 +84,9 @@
 	for _, record := range in.GetAdvice() {
 		s.advice[record.GetServer()] = record
 	}
+	for _, rollout := range in.GetRollouts() {
+		s.rollouts[rollout.GetPool()] = rollout
+	}
 	return s
 }
 
--- a/state/state.go
+++ b/state/state.go
@@ -31,6 +31,7 @@
 	shares        usageShares
 	poisonRecords poisonSet
 	advice        map[string]*wire.ServerAdvice // by server; records are replaced and never modified
+	rollouts      map[string]*wire.Rollout      // the last one of each pool; records are replaced and never modified
 
 	configHistory    history
 	directoryHistory history
@@ -57,6 +58,7 @@
 		shares:           newUsageShares(),
 		poisonRecords:    newPoisonSet(),
 		advice:           make(map[string]*wire.ServerAdvice),
+		rollouts:         make(map[string]*wire.Rollout),
 		configHistory:    history{limit: limits.History},
 		directoryHistory: history{limit: limits.History},
 	}
@@ -128,6 +130,12 @@
 		return s.clearPoison(kind.ClearPoison)
 	case *wire.Command_NoteServerAdvice:
 		return s.noteServerAdvice(kind.NoteServerAdvice)
+	case *wire.Command_StartRollout:
+		return s.startRollout(kind.StartRollout)
+	case *wire.Command_RecordRollout:
+		return s.recordRollout(kind.RecordRollout)
+	case *wire.Command_EndRollout:
+		return s.endRollout(kind.EndRollout)
 	case *wire.Command_ExpirePoison:
 		return s.expirePoison()
 	default:
