state: number of servers of a version

A roll-out must not be completed towards servers that don't exist: the old ones stop at once. The state counts the announced and the registered servers of a pool by version; a table test covers draining, other pools and servers known twice.

--- a/state/rollouts.go
+++ b/state/rollouts.go
@@ -182,3 +182,21 @@
 	}
 	return out
 }
+
+// ServersOfVersion returns the number of servers of a pool that run the version and take work.
+func (s *State) ServersOfVersion(pool, version string) int {
+	servers := 0
+	for _, a := range s.announcements.byRun {
+		if a.GetPool() == pool && a.GetVersion() == version && !a.GetDraining() {
+			servers++
+		}
+	}
+	for _, agent := range s.agents {
+		for _, server := range agent.GetServers() {
+			if hasReadyModel(server, pool) && server.GetVersion() == version && s.announcements.byRun[server.GetServer()] == nil {
+				servers++
+			}
+		}
+	}
+	return servers
+}
--- a/state/rollouts_test.go
+++ b/state/rollouts_test.go
@@ -299,3 +299,30 @@
 		})
 	})
 }
+
+// Guards against a roll-out that is completed towards servers that don't exist, drain, or belong to another service or
+// version, and against one that is not since its servers are known by agents only.
+func TestServersOfVersion(t *testing.T) {
+	l := newRolloutLog(t)
+	announce := func(server, pool, version string, draining bool) *wire.Announcement {
+		return &wire.Announcement{Server: server, Pool: pool, Address: "10.0.0." + server + ":80", Slots: 1, Sequence: 1, Version: version, Draining: draining}
+	}
+	l.accept(&wire.Command{Kind: &wire.Command_AnnounceServers{AnnounceServers: &wire.AnnounceServers{Announcements: []*wire.Announcement{
+		announce("a", "desk", "v2", false),
+		announce("b", "desk", "v2", true),
+		announce("c", "desk", "v1", false),
+		announce("d", "models", "v2", false),
+	}}}})
+	require.Equal(t, 1, l.state.ServersOfVersion("desk", "v2"))
+	ready := wire.ServerCondition_SERVER_CONDITION_READY
+	l.accept(&wire.Command{Kind: &wire.Command_RegisterAgent{RegisterAgent: &wire.RegisterAgent{Agent: &wire.AgentRecord{
+		Agent: "agent-1", Incarnation: 1, Servers: []*wire.ServerRecord{
+			{Server: "a", Models: []string{"desk"}, Version: "v2", Condition: ready},
+			{Server: "e", Models: []string{"desk"}, Version: "v2", Condition: ready},
+			{Server: "f", Models: []string{"desk"}, Version: "v2"},
+			{Server: "g", Models: []string{"models"}, Version: "v2", Condition: ready},
+		},
+	}}}})
+	require.Equal(t, 2, l.state.ServersOfVersion("desk", "v2"), "a server that is known twice counts once")
+	require.Zero(t, l.state.ServersOfVersion("desk", "v3"))
+}
