--- a/control/control.go
+++ b/control/control.go
@@ -57,6 +57,7 @@
 	foreignMessages foreignMessages
 	leader          *leader
 	announcements   *announcementBatcher
+	rollouts        *rollouts
 	keys            *settings.Keyring
 	counters        counters
 
@@ -84,6 +85,7 @@
 	c.usageFile = newUsageFile(s, c.options.FS)
 	c.leader = newLeader(c)
 	c.announcements = newAnnouncementBatcher(c)
+	c.rollouts = newRollouts(c)
 	if err := c.open(); err != nil {
 		c.Close()
 		return nil, err
@@ -206,6 +208,7 @@
 	add(c.sessions.runPushes)
 	add(c.leader.run)
 	add(c.announcements.run)
+	add(c.rollouts.run)
 	add(c.runUsageFile)
 	add(c.runReleases)
 	add(c.serveOperators)
--- a/control/counters.go
+++ b/control/counters.go
@@ -31,6 +31,7 @@
 	gauge("sessions", func() float64 { return float64(len(c.sessions.list())) })
 	gauge("replica_syncs_total", func() float64 { return float64(c.replica.Status().Counters.Syncs) })
 	gauge("replica_synced_bytes_total", func() float64 { return float64(c.replica.Status().Counters.SyncedBytes) })
+	addRolloutGauges(c)
 	return counters{
 		set:              set,
 		slowSessions:     set.GetOrCreateCounter("carawaypitch_sessions_ended_total{reason=\"slow\"}"),
--- a/control/http_status.go
+++ b/control/http_status.go
@@ -43,6 +43,8 @@
 	Poison []poisonJSON `json:"poison"`
 	// Advice lists what backend servers ask of all processes that send them requests.
 	Advice []adviceJSON `json:"advice"`
+	// Rollouts lists the last roll-out of each service that had one.
+	Rollouts []rolloutJSON `json:"rollouts"`
 }
 
 type replicaJSON struct {
@@ -105,6 +107,7 @@
 		out.Operations = operationsJSON{counts.Operations, counts.AnswerBytes, counts.ExpiredKeys}
 		out.Orders = len(s.Orders())
 		out.Advice = adviceStatus(s.ServerAdvice())
+		out.Rollouts = toRolloutsJSON(s.Rollouts())
 	})
 	registered := make(map[string]bool)
 	for _, a := range agents {
--- a/control/permissions.go
+++ b/control/permissions.go
@@ -36,14 +36,16 @@
 	}
 }
 
-// mayForward reports whether a follower may forward a command: changes by operators, and announcements and ends of
-// backend servers.
+// mayForward reports whether a follower may forward a command: changes by operators, announcements and ends of backend
+// servers, and the evidence of a roll-out.
 func mayForward(cmd *wire.Command) bool {
 	switch cmd.GetKind().(type) {
 	case *wire.Command_PutClass, *wire.Command_DeleteClass, *wire.Command_DrainServer:
 		return true
 	case *wire.Command_PutDesiredState, *wire.Command_AnnounceServers, *wire.Command_EndServer:
 		return true
+	case *wire.Command_StartRollout, *wire.Command_RecordRollout:
+		return true
 	default:
 		return false
 	}
--- a/control/session.go
+++ b/control/session.go
@@ -106,6 +106,7 @@
 func (s *session) poll(poll *wire.Poll) {
 	s.control.sessions.recordPoll(s, poll)
 	s.report(poll.GetReport())
+	s.recordEvidence(poll.GetEvidence())
 	caps := s.control.usage.Record(s.usageKey(), poll, time.Now())
 	var answered atomic.Bool
 	answer := func(confirmed bool) {
--- a/control/update_cache.go
+++ b/control/update_cache.go
@@ -50,18 +50,22 @@
 }
 
 // agentConfig returns the part of an update that agents use: of a desired state the pools, without routes and
-// organisations. These are nearly all of it, and each change of it goes to each agent over each of its links.
+// organisations, and no roll-outs. These are nearly all of it, and each change of it goes to each agent over each of its
+// links.
 func agentConfig(u *wire.ConfigUpdate) *wire.ConfigUpdate {
-	if u.GetDesired() == nil {
+	if u.GetDesired() == nil && u.GetRollouts() == nil {
 		return u
 	}
-	return &wire.ConfigUpdate{
+	out := &wire.ConfigUpdate{
 		Version: u.GetVersion(),
 		Full:    u.GetFull(),
 		Base:    u.GetBase(),
 		Classes: u.GetClasses(),
 		Removed: u.GetRemoved(),
 		Fence:   u.GetFence(),
-		Desired: &wire.DesiredState{Version: u.GetDesired().GetVersion(), Pools: u.GetDesired().GetPools()},
 	}
+	if u.GetDesired() != nil {
+		out.Desired = &wire.DesiredState{Version: u.GetDesired().GetVersion(), Pools: u.GetDesired().GetPools()}
+	}
+	return out
 }
