--- a/rollout/errors_test.go
+++ b/rollout/errors_test.go
@@ -116,8 +116,9 @@
 type outcome struct {
 	decision Decision
 	reason   Reason
-	seconds  int  // from the first spoiled answer, or from the order, to the verdict
-	late     bool // later than 3 s after the 50th spoiled answer; 2 s are left for commit and delivery
+	seconds  int     // from the first spoiled answer, or from the order, to the verdict
+	spoiled  float64 // answers until the verdict
+	late     bool    // later than 3 s after the 50th spoiled answer; 2 s are left for commit and delivery
 }
 
 func play(s *schedule, d decider) outcome {
@@ -131,7 +132,7 @@
 			fiftieth = second
 		}
 		if v := d.Decide(s.observation(second + 1)); v.Decision != Continue {
-			return outcome{v.Decision, v.Reason, second + 1 - max(firstBad, 0), fiftieth >= 0 && second > fiftieth+3}
+			return outcome{v.Decision, v.Reason, second + 1 - max(firstBad, 0), s.spoiledAnswers, fiftieth >= 0 && second > fiftieth+3}
 		}
 	}
 	return outcome{decision: Continue}
@@ -178,16 +179,19 @@
 	firstSeed, _ := strconv.ParseUint(os.Getenv("ROLLOUT_SEED"), 10, 64)
 	var table strings.Builder
 	w := tabwriter.NewWriter(&table, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "way\tversion\tschedules\twrong\tlate\ts to verdict, median\t95%")
+	fmt.Fprintln(w, "way\tversion\tschedules\twrong\tafter 50 spoiled\tlate\ts to verdict, median\t95%")
 	for i, way := range weighed {
 		for _, bad := range allBadness {
 			outcomes := playAll(bad, way.make, firstSeed)
-			wrong, late, seconds := 0, 0, []int{}
+			wrong, informed, late, seconds := 0, 0, 0, []int{}
 			reasons := map[Reason]int{}
 			for _, o := range outcomes {
 				if (o.decision == Revert) != (bad != good) || o.decision == Continue {
 					wrong++
 					reasons[o.reason]++
+					if o.spoiled >= 50 {
+						informed++
+					}
 				}
 				if o.late && bad != good {
 					late++
@@ -195,7 +199,7 @@
 				seconds = append(seconds, o.seconds)
 			}
 			slices.Sort(seconds)
-			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", way.name, bad, len(outcomes), wrong, late, seconds[len(seconds)/2], seconds[len(seconds)*95/100])
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", way.name, bad, len(outcomes), wrong, informed, late, seconds[len(seconds)/2], seconds[len(seconds)*95/100])
 			if i < waysInUse {
 				if i > 0 && bad == failsLate {
 					bounds[bad] = verdictErrors{wrong: 0.01, late: 0.03} // a new judge sees the earlier good answers in one sum with the bad ones
