--- a/cmd/carawaypitch/status.go
+++ b/cmd/carawaypitch/status.go
@@ -67,6 +67,7 @@
 	targetsTable(w, s)
 	poisonTable(w, s)
 	adviceTable(w, s)
+	rolloutStatusTable(w, s)
 	fmt.Fprintln(w, "\nINSTANCE\tROLE\tZONE\tVERSION\tSTATE")
 	for _, i := range s.Controls {
 		instanceRow(w, "control", i, s.ConfigVersion)
--- a/operator/status.go
+++ b/operator/status.go
@@ -35,6 +35,8 @@
 	Poison []Poison `json:"poison"`
 	// Advice lists the rate limits and drain announcements of backend servers.
 	Advice []Advice `json:"advice"`
+	// Rollouts lists the last roll-out of each service that had one.
+	Rollouts []Rollout `json:"rollouts"`
 }
 
 // Advice is the rate limit and the drain announcement that a backend server sends with its answers.
