--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -122,4 +123,8 @@
 	}
 	l.Record(Source{"e1", 1}, &wire.RolloutEvidence{Id: 1, Counts: counts})
 	require.Len(t, l.Sum(1), MaxCounts)
+	l.Record(Source{"e2", 1}, &wire.RolloutEvidence{Id: 2, Counts: []*wire.RolloutCount{
+		testCount("v1", 3, 0), testCount(strings.Repeat("v", MaxName+1), 1, 0),
+	}})
+	require.Len(t, l.Sum(2), 1, "a long name is left out")
 }
