--- a/state/rollouts.go
+++ b/state/rollouts.go
@@ -92,11 +92,12 @@
 	if len(cmd.GetReason()) > maxMessage {
 		return refuse(result.BadMessage, "a reason of %d bytes", len(cmd.GetReason()))
 	}
-	if problem := s.checkCounts(cmd.GetCounts()); problem != "" {
-		return refuse(result.BadMessage, "%s", problem)
+	counts := cmd.GetCounts()
+	if s.checkCounts(counts) != "" {
+		counts = nil // A roll-out must end even if its evidence can't be kept.
 	}
 	if current := s.rolloutInProgress(cmd.GetPool(), cmd.GetId()); current != nil {
-		s.end(current, cmd.GetState(), cmd.GetReason(), cmd.GetCounts())
+		s.end(current, cmd.GetState(), cmd.GetReason(), counts)
 	}
 	return &wire.CommandResult{Rollout: s.rollouts[cmd.GetPool()]}
 }
@@ -115,7 +116,9 @@
 	if len(counts) > s.limits.RolloutCounts {
 		return "too many counts"
 	}
-	if slices.ContainsFunc(counts, func(c *wire.RolloutCount) bool { return len(c.GetVersion()) > maxName || len(c.GetClass()) > maxName }) {
+	if slices.ContainsFunc(counts, func(c *wire.RolloutCount) bool {
+		return len(c.GetVersion()) > rollout.MaxName || len(c.GetClass()) > rollout.MaxName
+	}) {
 		return "a count of a long version or class"
 	}
 	return ""
--- a/state/rollouts_test.go
+++ b/state/rollouts_test.go
@@ -146,8 +146,12 @@
 		many = append(many, count(fmt.Sprint(i), 1, 0))
 	}
 	l.refuse(result.BadMessage, recordRollout("desk", id, many...))
+	l.refuse(result.BadMessage, recordRollout("desk", id, count(strings.Repeat("v", 200), 1, 0)))
 	l.restart()
 	require.Len(t, l.state.Rollout("desk").GetCounts(), 2)
+	l.accept(endRollout("desk", id, reverted, many...))
+	require.Equal(t, reverted, l.state.Rollout("desk").GetState(), "it ends although the evidence can't be kept")
+	require.Len(t, l.state.Rollout("desk").GetCounts(), 2)
 }
 
 // Guards against clients that don't learn of an order or a verdict, that receive the roll-outs with each other change, or
