--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -220,7 +220,9 @@
 		r.logger(t.record).WithField("reason", verdict.String()).WithError(err).Warn("rollout_verdict_not_committed")
 		return
 	}
-	r.follow(res.GetRollout())
+	if held := res.GetRollout(); held != nil {
+		r.follow(held)
+	}
 }
 
 // recordCounts commits evidence.
