story, docs: log lines of roll-outs

explain shows orders and ends of roll-outs near a request's events, since they change where requests are sent; the tables of events and terms list them.

--- a/story/story.go
+++ b/story/story.go
@@ -23,6 +23,7 @@
 	"config_applied", "settings_reloaded", "link_up", "link_down", "server_condition", "server_leaving", "server_announced",
 	"entry_started", "entry_stopping", "agent_started", "agent_stopping", "control_started", "role_changed",
 	"desired_state_committed", "announcement_not_committed", "log_lines_left_out",
+	"rollout_ordered", "rollout_completed", "rollout_reverted",
 }
 
 // Log holds the lines of one log that are about a request, and those of state changes, in the order of the log.
