--- a/session/fake_control_test.go
+++ b/session/fake_control_test.go
@@ -33,6 +33,7 @@
 	proposals    []*wire.Command
 	results      []*wire.OrderResult
 	hellos       []*wire.ClientHello
+	evidence     []*wire.Poll // polls that carried evidence
 	send         func(*wire.ControlMessage)
 }
 
@@ -45,6 +46,11 @@
 }
 
 func newFakeCluster(t *testing.T, size int, role wire.Role, prepare ...func(*fakeControl)) *fakeCluster {
+	return newFakeClusterWith(t, size, func(c *Config) { c.Role = role }, prepare...)
+}
+
+// newFakeClusterWith returns a group with a session of an entry whose configuration is changed by configure.
+func newFakeClusterWith(t *testing.T, size int, configure func(*Config), prepare ...func(*fakeControl)) *fakeCluster {
 	f := &fakeCluster{t: t, network: memory.New()}
 	var addresses []string
 	for i := 1; i <= size; i++ {
@@ -57,9 +63,11 @@
 		addresses = append(addresses, c.host+":7000")
 		f.start(c)
 	}
-	f.session = New(Config{
-		Instance: "me", Role: role, Incarnation: 7, Controls: addresses, Network: f.network.Host(clientHost),
-	})
+	config := Config{
+		Instance: "me", Role: wire.Role_ROLE_ENTRY, Incarnation: 7, Controls: addresses, Network: f.network.Host(clientHost),
+	}
+	configure(&config)
+	f.session = New(config)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -130,6 +138,9 @@
 	case *wire.ClientMessage_OrderResult:
 		c.results = append(c.results, kind.OrderResult)
 	case *wire.ClientMessage_Poll:
+		if len(kind.Poll.GetEvidence()) > 0 {
+			c.evidence = append(c.evidence, kind.Poll)
+		}
 		if !c.ignoresPolls {
 			return &wire.ControlMessage{Kind: &wire.ControlMessage_Fresh{Fresh: &wire.Fresh{
 				Sequence: kind.Poll.GetSequence(), Confirmed: c.confirmed, ConfigVersion: c.version, Leader: c.leader,
--- a/session/peer.go
+++ b/session/peer.go
@@ -29,6 +29,7 @@
 	pendingPolls    map[uint64]pollTime             // unanswered polls by sequence
 	pendingReplies  map[uint64]chan *wire.ProposeReply
 	reporter        reporter
+	evidence        evidenceReporter
 	demand          linkDemand
 	failedAt        time.Time // when the last dial or link failed
 	isPollScheduled bool      // a poll ahead of the next interval is scheduled
@@ -140,6 +141,7 @@
 	p.pendingPolls = make(map[uint64]pollTime)
 	p.pendingReplies = make(map[uint64]chan *wire.ProposeReply)
 	p.reporter = reporter{source: p.session.cfg.Report, links: links}
+	p.evidence = evidenceReporter{source: p.session.cfg.Evidence}
 }
 
 // close ends the link. Callers that wait for a reply find their channel closed.
@@ -205,6 +207,7 @@
 		UsageWindowMs:    uint32(p.session.cfg.UsageWindow.Milliseconds()),
 		SinceBootMs:      uint64(sinceBoot.Milliseconds()),
 		Follow:           p.isFollowed,
+		Evidence:         p.evidence.next(now),
 	}}}
 }
 
--- a/session/session.go
+++ b/session/session.go
@@ -71,6 +71,9 @@
 	// block. Either may be nil.
 	Usage  func() []*wire.Usage
 	OnCaps func(states []*wire.CapState)
+	// Evidence returns the evidence of the roll-outs in progress, to send with polls, see evidenceReporter. It must not block.
+	// Nil means no evidence.
+	Evidence func() []*wire.RolloutEvidence
 	// OnConfirmed is called for each answer that a quorum confirmed while the directory lists this incarnation, with the
 	// time since boot at which the poll was sent. It must not block. Nil means no calls.
 	OnConfirmed func(sinceBoot time.Duration)
@@ -163,6 +166,7 @@
 	s.startPeers(func(p *peer) { wg.Go(func() { p.run(ctx) }) })
 	wg.Go(func() { s.runLinkSelection(ctx) })
 	wg.Go(func() { s.register(ctx) })
+	wg.Go(func() { s.runEvidence(ctx) })
 	<-ctx.Done()
 	s.startPeers(nil)
 	wg.Wait()
--- a/session/view.go
+++ b/session/view.go
@@ -27,6 +27,8 @@
 	Advice map[string]*wire.ServerAdvice
 	// Desired is the desired state in force, without its document; nil before the first.
 	Desired *wire.DesiredState
+	// Rollouts holds the last roll-out of each pool that ever had one.
+	Rollouts []*wire.Rollout
 }
 
 // errGap means that the base of an update is newer than the known version.
@@ -69,6 +71,9 @@
 	if u.GetDesired() != nil {
 		next.Desired = u.GetDesired()
 	}
+	if u.GetRollouts() != nil {
+		next.Rollouts = u.GetRollouts().GetRollouts()
+	}
 	return &next, nil
 }
 
