sched: a version that is rolled out gets a bounded share of the requests

Of the requests that an entry sends to a pool since it learned of an order, retries included, at most half of the exposure share goes to servers of the new version: few of them, chosen by rendezvous hashing, and with a part for each class. After a verdict only the version in force gets requests; reservations elsewhere are withdrawn and offers that cross are declined. An entry without a confirmed answer of control for two seconds, or with a dozen bad answers of its own, sends nothing more to the new version. Answers, failures, slow answers, work and time are summed by version and class.

--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -20,8 +20,11 @@
 	sentAt         time.Time
 	cost           int64         // tokens charged to the organisation
 	uncorrectedRun time.Duration // predicted run time at the rates that the gate reports
+	rollout        uint64        // id of the roll-out in progress when it was sent, 0 without one
+	version        string        // of the server, when it was sent; set together with rollout
 
 	started       bool      // the agent reports that it asked the engine to begin
+	startedAt     time.Time // when it reported that
 	acked         bool      // the agent has replied since the link was last opened
 	silentSince   time.Time // when sent, or when the link opened again
 	downSince     time.Time // link lost; zero while it is open
@@ -104,7 +107,7 @@
 // allows a dispatch in queued and reserved only, which are re-entered only by a proof. Other reservations are
 // withdrawn first; an offer that crosses the withdrawal is declined, since the request then has an attempt.
 func (s *Scheduler) dispatch(r *request, to *server, offered bool) {
-	if !to.ready || !r.pool.has(to) || !r.allows(to) {
+	if !to.ready || !s.mayUse(r, to) || !r.allows(to) {
 		s.countDropped(droppedAttempt)
 		return
 	}
@@ -135,6 +138,7 @@
 	to.agent.attempts[r] = struct{}{}
 	to.attemptSent(a)
 	r.pool.noteDispatch(s.now)
+	s.noteSend(r, a)
 	s.settleCredits(r)
 	s.send(to.agent, dispatchMessage(s, r, a, offered))
 	s.prefixes.addAll(to.name, r.Prefix)
@@ -229,7 +233,7 @@
 		return
 	}
 	if !r.attempt.started {
-		r.attempt.started = true
+		r.attempt.started, r.attempt.startedAt = true, s.now
 		r.reached++
 	}
 	s.acknowledge(r)
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -8,6 +8,9 @@
 // chooseServer returns the server for a dispatch without an Offer, or nil if no server with room suits the request.
 func (s *Scheduler) chooseServer(r *request) *server {
 	r.passedOver = r.passedOver[:0]
+	if v := s.exposeTo(r); v != nil {
+		return v
+	}
 	if s.options.Policy != PolicyTargets {
 		return s.chooseBaseline(r)
 	}
@@ -36,7 +39,7 @@
 		finish[v] = s.estimateFinish(r, v)
 	}
 	slices.SortStableFunc(servers, func(a, b *server) int { return int(min(max(finish[a]-finish[b], -1), 1)) })
-	return servers[:min(count, len(servers))]
+	return s.addExposed(r, servers[:min(count, len(servers))])
 }
 
 func (s *Scheduler) reservationCount(r *request) int {
--- a/sched/frames.go
+++ b/sched/frames.go
@@ -192,6 +192,7 @@
 	rec := r.currentRecord()
 	rec.over, rec.proof, rec.provedOver = s.now, wire.Proof_PROOF_COMPLETED, true
 	s.reconcileCharge(r, rec.proof)
+	s.noteCompleted(r)
 	_ = s.fire(r, evAnswerComplete)
 }
 
--- a/sched/options.go
+++ b/sched/options.go
@@ -71,6 +71,10 @@
 	RetryAllowance int
 	// MaxRoomAge is the age up to which a Room report counts as current.
 	MaxRoomAge time.Duration
+	// ExposureShare is the share of a pool's requests that all entries together may send to a version that is being rolled
+	// out, and ControlSilence how long an entry without a confirmed answer of control goes on to send any.
+	ExposureShare  float64
+	ControlSilence time.Duration
 }
 
 // Defaults of Options.
@@ -100,6 +104,10 @@
 	o.PrefixEntries = orDefault(o.PrefixEntries, DefaultPrefixEntries)
 	o.LeaseDuration = orDefault(o.LeaseDuration, DefaultLeaseDuration)
 	o.MaxRoomAge = orDefault(o.MaxRoomAge, DefaultMaxRoomAge)
+	o.ControlSilence = orDefault(o.ControlSilence, DefaultControlSilence)
+	if o.ExposureShare <= 0 {
+		o.ExposureShare = DefaultExposureShare
+	}
 	return o
 }
 
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -186,7 +186,7 @@
 func (s *Scheduler) dispatchQueued(p *pool, tier int) {
 	s.scan++
 	skipped := 0
-	for p.withRoom > 0 && skipped < maxSkipped {
+	for (p.withRoom > 0 || s.exposureHasRoom(p)) && skipped < maxSkipped {
 		r := p.tiers[tier].next(s.now, s.scan, false)
 		if r == nil {
 			return
@@ -196,8 +196,10 @@
 		case to == nil:
 			r.lastScan = s.scan
 			skipped++
-			s.handleUnplaceable(r)
-		case s.refuseIfTooLate(r, to):
+			if p.withRoom > 0 {
+				s.handleUnplaceable(r)
+			}
+		case p.has(to) && s.refuseIfTooLate(r, to):
 		default:
 			r.lastScan = s.scan
 			r.promote()
--- a/sched/proofs.go
+++ b/sched/proofs.go
@@ -78,6 +78,7 @@
 	case wire.Proof_PROOF_COMPLETED:
 		s.engineCompleted(r, m)
 	case wire.Proof_PROOF_FAILED:
+		s.noteFailed(r, m)
 		r.setResume(m)
 		s.attemptEnded(r, evAttemptFailed, m.GetProof(), retryEngineFailed, s.proofError(m, result.EngineFailed))
 	default:
--- a/sched/request.go
+++ b/sched/request.go
@@ -52,6 +52,7 @@
 	reached    int    // attempts that reached, or may have reached, a server
 	begun      int    // attempts that may have begun, see maxBegunAttempts
 	avoided    []string
+	exposed    bool // an attempt was sent to a version that was being rolled out
 	earlier    *earlierProofs
 	widen      widenState
 
@@ -202,6 +203,7 @@
 // only serves to clean up.
 func (s *Scheduler) deadlinePassed(r *request) {
 	r.err = r.deadlineError()
+	s.noteCutOff(r)
 	_ = s.fire(r, evDeadline)
 }
 
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -186,6 +186,9 @@
 		s.decline(a, m)
 		return
 	}
+	if s.declineExposure(a, r, v, m) {
+		return
+	}
 	if better := s.higherTierFor(r, v); better != nil {
 		s.decline(a, m)
 		s.forgetReservation(r, v)
@@ -193,7 +196,7 @@
 		s.dispatch(better, v, false)
 		return
 	}
-	if s.refuseIfTooLate(r, v) {
+	if r.pool.has(v) && s.refuseIfTooLate(r, v) {
 		s.decline(a, m)
 		return
 	}
@@ -224,7 +227,7 @@
 	for tier := 0; tier < r.tier; tier++ {
 		s.scan++
 		best := r.pool.tiers[tier].next(s.now, s.scan, false)
-		if best != nil && best.state == reserved && best.hasReservationAt(v) {
+		if best != nil && best.state == reserved && best.hasReservationAt(v) && s.mayUse(best, v) {
 			return best
 		}
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -40,6 +40,10 @@
 	roundRobin        int  // server index for PolicyRoundRobin
 	prefixes          *prefixTable
 	poison            *poisonTable
+
+	rollouts           map[string]*rollout // last roll-out of each pool, by target
+	rolloutsStale      bool                // refreshRollouts is due
+	controlConfirmedAt time.Time           // when the last poll that control confirmed was sent; zero if contact is lost
 }
 
 // New returns a scheduler without servers and classes. The error, with code result.ChartInvalid, means that the
@@ -80,8 +84,10 @@
 	if now.After(s.now) {
 		s.now = now
 	}
+	s.refreshRollouts()
 	s.handle(e)
 	s.runTimers()
+	s.refreshRollouts()
 	s.schedulePools()
 	return s.actions
 }
@@ -110,6 +116,10 @@
 		s.engineProved(e)
 	case PoisonRecords:
 		s.setPoison(e.Records)
+	case Rollouts:
+		s.setRollouts(e)
+	case ControlContact:
+		s.setControlContact(e.ConfirmedAt)
 	case CacheHint:
 		s.prefixes.applyHint(e.Server, e.Digest, e.Evicted)
 	}
--- a/sched/servers.go
+++ b/sched/servers.go
@@ -163,6 +163,9 @@
 	v.pools = nil
 	kind, targets := v.advertised()
 	for _, target := range targets {
+		if !s.isMember(target, v) {
+			continue
+		}
 		p := s.pool(poolKey{kind: kind, target: target})
 		p.addServer(v)
 		v.pools = append(v.pools, p)
@@ -174,7 +177,8 @@
 	for _, p := range v.pools {
 		s.markDirty(p)
 	}
-	s.dropReservations(v, func(r *request) bool { return !r.pool.has(v) })
+	s.rolloutsStale = s.rolloutsStale || len(s.rollouts) > 0
+	s.dropReservations(v, func(r *request) bool { return !s.isInUse(r.pool, v) })
 }
 
 // advertised returns the targets that a listed server has: by its last Room, or by the directory without one.
@@ -232,6 +236,7 @@
 		return
 	}
 	unready := v.ready && !ready
+	s.noteReadiness(v, ready != v.ready)
 	for _, p := range v.pools {
 		p.adjustCounts(v, -1)
 	}
--- a/sched/status.go
+++ b/sched/status.go
@@ -16,6 +16,8 @@
 	ChartErrors   uint64         `json:"chart_errors"`
 	Servers       []ServerStatus `json:"servers"`
 	Classes       []ClassStatus  `json:"classes"`
+
+	Rollouts []RolloutStatus `json:"rollouts,omitempty"`
 }
 
 // ServerStatus is what this entry knows about a backend server.
@@ -61,6 +63,7 @@
 		st.Servers = append(st.Servers, s.serverStatus(v))
 	}
 	st.Classes = s.classStatus()
+	st.Rollouts = s.Rollouts()
 	return st
 }
 
--- a/sched/types.go
+++ b/sched/types.go
@@ -143,6 +143,16 @@
 	// PoisonRecords carries all committed records of requests that are watched or quarantined.
 	PoisonRecords struct{ Records []*wire.PoisonRecord }
 
+	// Rollouts carries all committed roll-outs. OldServers is the number of servers of other versions than the new one, by
+	// pool, in the whole deployment, which may be more than Directory lists.
+	Rollouts struct {
+		Rollouts   []*wire.Rollout
+		OldServers map[string]int
+	}
+
+	// ControlContact reports when the last poll was sent that control has confirmed. A zero time means that contact is lost.
+	ControlContact struct{ ConfirmedAt time.Time }
+
 	// CacheHint carries a prefix cache event of a server. Such events arrive late, and some are missing.
 	CacheHint struct {
 		Server  string
@@ -162,6 +172,8 @@
 func (CandidatesWidened) schedEvent() {}
 func (EngineProved) schedEvent()      {}
 func (PoisonRecords) schedEvent()     {}
+func (Rollouts) schedEvent()          {}
+func (ControlContact) schedEvent()    {}
 func (CacheHint) schedEvent()         {}
 
 // Action is something that the entry has to do. Actions are carried out in the order given.
@@ -217,13 +229,24 @@
 	// ClearPoison asks control to delete records of requests that were answered since.
 	ClearPoison struct{ Records []*wire.PoisonRecord }
 
+	// RolloutChanged reports a step of a roll-out at this entry, for the log. Sent, Exposed and Bad are as in RolloutStatus.
+	RolloutChanged struct {
+		Step               RolloutStep
+		Pool, To           string
+		ID                 uint64
+		State              wire.RolloutState
+		Reason             string
+		Sent, Exposed, Bad uint64
+	}
+
 	// Count adds to a counter.
 	Count struct {
 		Counter Counter
 		Code    result.Code
 		Tier    uint32
 		Class   string
-		Label   string // reason, cause or organisation, by counter
+		Pool    string
+		Label   string // reason, cause, organisation or role, by counter
 		Add     uint64
 	}
 )
@@ -236,6 +259,7 @@
 func (ProveAtEngine) schedAction()   {}
 func (ReportCrash) schedAction()     {}
 func (ClearPoison) schedAction()     {}
+func (RolloutChanged) schedAction()  {}
 func (Count) schedAction()           {}
 
 // Counter identifies a counter of the scheduler.
@@ -251,4 +275,8 @@
 	WastedPrefill                // tokens, by Label (cause)
 	ServedTokens                 // by Label (organisation) and Tier
 	ChartErrors
+	RolloutSends    // requests sent to a pool with a roll-out in progress, by Pool and Label (role)
+	RolloutAnswers  // answers and failures of these, by Pool and Label (role)
+	RolloutBad      // those that speak against the version, by Pool and Label (role)
+	RolloutWithheld // offers of servers of a new version that were declined, by Pool and Label (role)
 )
