--- a/settings/entry.go
+++ b/settings/entry.go
@@ -31,6 +31,8 @@
 	Operators []OperatorAccount `json:"operators"`
 	// Limits holds the resource limits of the process.
 	Limits EntryLimits `json:"limits"`
+	// Rollout bounds what a version that is being rolled out may do before it has proved good.
+	Rollout EntryRollout `json:"rollout"`
 	// TLS secures the connections to other processes. If it is empty, they are plain TCP.
 	TLS TLS `json:"tls"`
 	// CallerTLS secures the listener for callers. If it is empty, callers use plain HTTP.
@@ -69,6 +71,19 @@
 	MaxReservations int `json:"max_reservations"`
 }
 
+// EntryRollout bounds the roll-outs of new versions. It has no effect on a service until a roll-out was ordered for it.
+type EntryRollout struct {
+	// ExposureShare is the share of a service's requests, above 0 and up to 1, that all entry instances together may send to
+	// servers of the new version while the roll-out is in progress. Default 0.1.
+	ExposureShare float64 `json:"exposure_share"`
+	// ExposureAllowance is the number of requests beyond that share that is tolerated. Entry instances leave it unused, as a
+	// margin for requests that are counted elsewhere than here. Default 50.
+	ExposureAllowance int `json:"exposure_allowance"`
+	// Rollback is the time after which a bad version gets no more requests. An entry instance that has no contact with control
+	// for two fifths of it sends none. Default 5s.
+	Rollback time.Duration `json:"rollback"`
+}
+
 // EntryTiming holds the intervals and timeouts of an entry instance.
 type EntryTiming struct {
 	// Heartbeat is the interval between messages on a connection without other traffic. Default 250ms.
@@ -97,6 +112,13 @@
 	Drain time.Duration `json:"drain"`
 }
 
+// Defaults of EntryRollout.
+const (
+	defaultExposureShare     = 0.1
+	defaultExposureAllowance = 50
+	defaultRollback          = 5 * time.Second
+)
+
 func (*Entry) expectedRole() Role { return RoleEntry }
 
 // DefaultEntry returns the default values, which apply to keys that a file omits.
@@ -111,6 +133,11 @@
 			MaxQueuedBytes:  256 * MiB,
 			MaxReservations: 3,
 		},
+		Rollout: EntryRollout{
+			ExposureShare:     defaultExposureShare,
+			ExposureAllowance: defaultExposureAllowance,
+			Rollback:          defaultRollback,
+		},
 		Timing: EntryTiming{
 			Heartbeat: defaultHeartbeat,
 			CutOff:    defaultCutOff,
@@ -152,10 +179,21 @@
 	if e.Timing.StartWait < 0 || e.Timing.Leave < 0 {
 		c.report(result.SettingsOutOfRange, "timing.start_wait", "want timing.start_wait and timing.leave of at least 0")
 	}
+	e.Rollout.validate(c)
 	c.checkSilenceTimeout("timing.cut_off", e.Timing.CutOff, e.Timing.Heartbeat)
 	c.checkSilenceTimeout("timing.lease", e.Timing.Lease, e.Timing.Heartbeat)
 }
 
+func (r EntryRollout) validate(c *checker) {
+	if r.ExposureShare <= 0 || r.ExposureShare > 1 {
+		c.report(result.SettingsOutOfRange, "rollout.exposure_share", "want a share above 0 and up to 1, got %g", r.ExposureShare)
+	}
+	if r.ExposureAllowance < 0 {
+		c.report(result.SettingsOutOfRange, "rollout.exposure_allowance", "want a number of at least 0, got %d", r.ExposureAllowance)
+	}
+	checkPositive(c, "rollout.rollback", r.Rollback)
+}
+
 func controlPath(i int) string {
 	return fmt.Sprintf("controls[%d]", i)
 }
