entry: roll-outs reach the scheduler, and their evidence control

The entry passes roll-outs to its scheduler before the directory, with the number of old servers in the whole deployment, and tells it the age of the last confirmed answer of control by the clock that goes on while the machine is suspended. An entry that links to some of the servers only also links to those of the new version that all entries use.

--- a/entry/agentless_servers.go
+++ b/entry/agentless_servers.go
@@ -24,6 +24,7 @@
 type agentlessSelector struct {
 	entry, zone string
 	list        func(*session.View) []*wire.Announcement
+	needed      func(*session.View) map[string]bool // further runs that are always chosen; nil for none
 
 	// The assignment of a server depends on the set of entries only.
 	zoneByEntry   map[string]string   // zone of each entry, as of the last refreshEntries
@@ -43,6 +44,9 @@
 	}
 	s.refreshEntries(view)
 	chosen := s.preferred(found)
+	if s.needed != nil {
+		maps.Copy(chosen, s.needed(view))
+	}
 	assigned := make(map[string]bool, len(found))
 	for _, announcement := range found {
 		run := announcement.Run().String()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -98,6 +98,7 @@
 	catalogue        atomic.Pointer[catalogue]
 	caps             *quota.Caps
 	callerTimeouts   *timeoutTracker
+	rollouts         rolloutState
 	verbatimSequence atomic.Uint64                       // of verbatim requests
 	targetQueues     atomic.Pointer[[]sched.TargetQueue] // as of the last sampleQueues
 	highestVersion   atomic.Uint64                       // highest configuration version reported by any process
@@ -225,7 +226,8 @@
 		Report:       e.report,
 		Usage:        e.caps.Usage,
 		OnCaps:       e.caps.ApplyStates,
-		OnConfirmed:  e.caps.RenewLease,
+		OnConfirmed:  e.controlConfirmed,
+		Evidence:     e.rolloutEvidence,
 		UsageWindow:  e.settings.Timing.UsageWindow,
 		Log:          e.log,
 		Metrics:      e.meter.set,
@@ -251,6 +253,8 @@
 		RetryRatio:       e.settings.Limits.RetryRatio,
 		RetryWindow:      e.settings.Timing.RetryWindow,
 		RetryAllowance:   e.settings.Limits.RetryAllowance,
+		ExposureShare:    e.settings.Rollout.ExposureShare,
+		ControlSilence:   e.controlSilence(),
 	}
 }
 
--- a/entry/fake_agent_test.go
+++ b/entry/fake_agent_test.go
@@ -25,6 +25,7 @@
 	server      string
 	kind        string
 	target      string
+	version     string // of its server
 	incarnation uint64
 	resumes     bool // its engine can resume a stream
 	links       *link.EntryServer
@@ -73,6 +74,7 @@
 		Agent: a.name, Incarnation: a.incarnation, LinkAddress: a.host + ":7000",
 		Servers: []*wire.ServerRecord{{
 			Server: a.server, Kind: a.kind, Address: "http://" + a.host + ":9000", Models: []string{a.target}, Slots: 8,
+			Version:   a.version,
 			Condition: wire.ServerCondition_SERVER_CONDITION_READY,
 		}},
 	}
--- a/entry/links.go
+++ b/entry/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -99,6 +100,9 @@
 		e.log.WithField("version", view.ConfigVersion).Info("config_applied")
 		e.meter.declareClasses(view.Classes)
 	}
+	if err := e.applyRollouts(ctx, last, view); err != nil {
+		return err
+	}
 	agents := l.agents(view)
 	if err := e.postEvent(ctx, sched.Directory{Agents: agents, Entries: len(view.Entries)}); err != nil {
 		return err
@@ -183,7 +187,9 @@
 	if again > 0 {
 		time.AfterFunc(again, l.reapply)
 	}
-	agents := slices.Clip(agentSubset(s.Instance, s.AvailabilityZone, settled, l.currentlyNeeded()))
+	needed := l.currentlyNeeded()
+	maps.Copy(needed, exposedServers(view, s.Rollout.ExposureShare))
+	agents := slices.Clip(agentSubset(s.Instance, s.AvailabilityZone, settled, needed))
 	if l.entry.localAgent != nil {
 		agents = append(agents, l.entry.localAgent.record(view))
 	}
--- a/entry/local_agent.go
+++ b/entry/local_agent.go
@@ -90,6 +90,10 @@
 	s.Timing.UnprovenHold = localUnprovenHold
 	s.Timing.UnlistedSettle = localSettleTime
 	s.Limits.SlowRatio, s.Limits.SlotsFloor = localSlowRatio, localSlotsFloor
+	modelServers := newAgentlessSelector(e.settings.Instance, e.settings.AvailabilityZone, agentlessGracePeriod)
+	modelServers.needed = func(view *session.View) map[string]bool {
+		return exposedServers(view, e.settings.Rollout.ExposureShare)
+	}
 	var err error
 	l.agent, err = agent.New(s, agent.Options{
 		Network:   l.network,
@@ -98,7 +102,7 @@
 		Control:   localControl{l},
 		Select: agent.AnyOf(
 			agent.OfKind(engine.KindService),
-			newAgentlessSelector(e.settings.Instance, e.settings.AvailabilityZone, agentlessGracePeriod).choose,
+			modelServers.choose,
 		),
 
 		// Any entry may send to a server without an agent.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -37,6 +37,10 @@
 	metricShareUnits      = "carawaypitch_cap_share_units"                   // units that this entry may use in any window, by organisation
 	metricOutboxRetries   = `carawaypitch_retries_total{reason="report"}`    // proposals of the outbox that are retried
 	metricOutboxRefused   = `carawaypitch_ring_refused_total{ring="outbox"}` // items rejected by a full outbox
+	metricRolloutSends    = "carawaypitch_rollout_sends_total"               // requests sent to pools with a roll-out in progress, by pool and role
+	metricRolloutAnswers  = "carawaypitch_rollout_answers_total"             // answers and failures of these, by pool and role
+	metricRolloutBad      = "carawaypitch_rollout_bad_answers_total"         // failures and slow answers among them, by pool and role
+	metricRolloutWithheld = "carawaypitch_rollout_withheld_total"            // offers declined because of a server's version, by pool and role
 	metricRoomAge         = "carawaypitch_room_age_seconds"                  // age of the oldest room report of a ready server, as of the last completed request
 )
 
@@ -84,11 +88,23 @@
 		m.add(fmt.Sprintf(`%s{cause=%s}`, metricWastedPrefill, label), c.Add)
 	case sched.ServedTokens:
 		m.add(fmt.Sprintf(`%s{organisation=%s,tier="%s"}`, metricServedTokens, label, tier), c.Add)
+	case sched.RolloutSends:
+		m.addRollout(metricRolloutSends, c)
+	case sched.RolloutAnswers:
+		m.addRollout(metricRolloutAnswers, c)
+	case sched.RolloutBad:
+		m.addRollout(metricRolloutBad, c)
+	case sched.RolloutWithheld:
+		m.addRollout(metricRolloutWithheld, c)
 	case sched.ChartErrors:
 		m.add(fmt.Sprintf(`%s{reason=%s}`, metricChartErrors, label), c.Add)
 	}
 }
 
+func (m *meter) addRollout(name string, c sched.Count) {
+	m.add(fmt.Sprintf(`%s{pool=%s,role=%s}`, name, strconv.Quote(c.Pool), strconv.Quote(c.Label)), c.Add)
+}
+
 // countRefusal counts a refusal by the entry itself. Refusals by the scheduler are included in its own counts.
 func (m *meter) countRefusal(code result.Code, tier uint32) {
 	m.count(sched.Count{Counter: sched.Refusals, Code: code, Tier: tier, Add: 1})
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -62,6 +62,10 @@
 // processed in order.
 func (e *Entry) step(event sched.Event) {
 	next := []sched.Event{event}
+	if contact, ok := e.contactEvent(event); ok {
+		next = []sched.Event{contact, event}
+	}
+	defer e.sampleRollouts(event)
 	for len(next) > 0 {
 		event, next = next[0], next[1:]
 		for _, action := range e.scheduler.Step(e.now(), event) {
@@ -93,6 +97,8 @@
 		for _, record := range a.Records {
 			e.outbox.Put(clearReport(record))
 		}
+	case sched.RolloutChanged:
+		e.logRollout(a)
 	case sched.Count:
 		e.meter.count(a)
 	}
