engine/standin, agent: servers announce a version, and stand-ins can be bad versions

An announcement to an agent may carry the version of the server's software, which reaches its record.

--- a/agent/announcement.go
+++ b/agent/announcement.go
@@ -41,6 +41,11 @@
 	if a.Slots < 1 || a.Slots > maxSlots {
 		return nil, malformed("slots: want 1 to %d, got %d", maxSlots, a.Slots)
 	}
+	if a.Version != "" {
+		if err := checkName("version", a.Version); err != nil {
+			return nil, err
+		}
+	}
 	capabilities, err := checkCapabilities(a.Capabilities)
 	if err != nil {
 		return nil, err
@@ -52,6 +57,7 @@
 		Models:       a.Models,
 		Slots:        uint32(a.Slots),
 		Capabilities: capabilities,
+		Version:      a.Version,
 	}, nil
 }
 
--- a/agent/announcement_test.go
+++ b/agent/announcement_test.go
@@ -31,10 +31,12 @@
 	for _, address := range []string{"10.0.0.7:9000", "http://10.0.0.7:9000", "http://10.0.0.7:9000/"} {
 		announcement := validAnnouncement()
 		announcement.Address = address
+		announcement.Version = "v2.1"
 		record, err := checkAnnouncement(announcement)
 		require.NoError(t, err, address)
 		assert.Equal(t, "http://10.0.0.7:9000", record.GetAddress())
 		assert.Equal(t, uint32(4), record.GetSlots())
+		assert.Equal(t, "v2.1", record.GetVersion())
 		assert.True(t, record.GetCapabilities().GetResume())
 	}
 }
@@ -46,6 +48,7 @@
 		"server":                     func(a *engine.Announcement) { a.Server = "" },
 		"server: want printable":     func(a *engine.Announcement) { a.Server = "a/b" },
 		"server: want 1 to":          func(a *engine.Announcement) { a.Server = strings.Repeat("s", maxNameBytes+1) },
+		"version: want printable":    func(a *engine.Announcement) { a.Version = "v 2" },
 		"kind":                       func(a *engine.Announcement) { a.Kind = "database" },
 		"address: want IP:port":      func(a *engine.Announcement) { a.Address = "engine.example:9000" },
 		"address: want IP":           func(a *engine.Announcement) { a.Address = "10.0.0.7" },
--- a/engine/announce.go
+++ b/engine/announce.go
@@ -40,6 +40,8 @@
 	Models       []string     `json:"models"`
 	Slots        int          `json:"slots"`
 	Capabilities Capabilities `json:"capabilities"`
+	// Version is the version of the server's software, empty if it doesn't say.
+	Version string `json:"version,omitempty"`
 }
 
 // LeaveRequest is the body that a backend server posts to its agent, at /v1/leave, to start a
--- a/engine/standin/options.go
+++ b/engine/standin/options.go
@@ -25,6 +25,10 @@
 	Agent string
 	// Models are loaded and ready from the start; for a service, its name.
 	Models []string
+	// Version is announced as the version of the software; empty announces none. VersionFault
+	// makes it a bad one.
+	Version      string
+	VersionFault VersionFault
 	// Slots limits the number of streams in the batch, or of concurrent service calls.
 	Slots int
 
@@ -216,7 +220,7 @@
 	check(o.MaxTracked >= 0 && o.MaxBodyBytes >= 0, "bounds: must not be negative")
 	check(o.LeaveTimeout >= 0, "leave timeout: must not be negative")
 	check(validCapabilities(o.Capabilities), "capabilities: fencing is refuses or ignores, on_disconnect cancels or continues")
-	problems = append(problems, o.Faults.Validate())
+	problems = append(problems, o.Faults.Validate(), o.VersionFault.Validate())
 	return errors.Join(problems...)
 }
 
--- a/engine/standin/run.go
+++ b/engine/standin/run.go
@@ -95,6 +95,7 @@
 		Models:       models,
 		Slots:        s.options.Slots,
 		Capabilities: s.options.Capabilities,
+		Version:      s.options.Version,
 	}
 }
 
--- a/engine/standin/server.go
+++ b/engine/standin/server.go
@@ -64,7 +64,8 @@
 
 func (s *Server) commonRoutes() {
 	s.routes.HTTPErrorHandler = answerError
-	s.routes.Use(s.abortWhileDown, s.delayWhileFrozen, s.limitBody, s.setBackpressureHeaders)
+	s.routes.Use(s.abortWhileDown, s.delayWhileFrozen, s.limitBody, s.setBackpressureHeaders,
+		s.applyVersionFault())
 	s.routes.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	s.routes.GET(pathStats, func(c echo.Context) error { return c.JSON(http.StatusOK, s.Stats()) })
 	s.routes.GET(pathFaults, func(c echo.Context) error { return c.JSON(http.StatusOK, s.faults.get()) })
