--- a/cmd/carawaypitch/dev.go
+++ b/cmd/carawaypitch/dev.go
@@ -48,6 +48,13 @@
 	flags.IntVar(&c.options.Entries, "entries", 2, "number of entry instances")
 	flags.IntVar(&c.options.Servers, "servers", 4, "number of stand-in model engines")
 	flags.IntVar(&c.options.Services, "services", 2, "number of stand-in registry services")
+	flags.StringVar(&c.options.Version, "version", "", "version that engines and services announce")
+	flags.IntVar(&c.options.NewServers, "new-servers", 0, "number of further model engines, of the version -new-version")
+	flags.IntVar(&c.options.NewServices, "new-services", 0, "number of further registry services, of the version -new-version")
+	flags.StringVar(&c.options.NewVersion, "new-version", "", "version that further engines and services announce")
+	flags.Float64Var(&c.options.NewFault.Failures, "new-failures", 0, "share of requests, 0 to 1, that fail at the new version")
+	flags.Float64Var(&c.options.NewFault.Slow, "new-slow", 0, "how many times as long a request takes at the new version")
+	flags.DurationVar(&c.options.NewFault.After, "new-fault-after", 0, "time from the start at which the new version goes bad")
 	flags.BoolVar(&c.json, "json", false, "print one line of JSON once ready, and nothing else on standard output")
 	flags.BoolVar(&c.verbose, "v", false, "log every event instead of warnings and errors")
 }
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -157,15 +157,15 @@
 		d.info.Agents = append(d.info.Agents, options.Agent)
 		return nil
 	}
-	for i := range d.options.Servers {
-		options := modelOptions(i)
+	for i := range d.options.Servers + d.options.NewServers {
+		options := d.withVersion(modelOptions(i), i >= d.options.Servers)
 		options.Server = fmt.Sprintf("model-%02d", i+1)
 		if err := add(options, i); err != nil {
 			return err
 		}
 	}
-	for i := range d.options.Services {
-		options := serviceOptions(i)
+	for i := range d.options.Services + d.options.NewServices {
+		options := d.withVersion(serviceOptions(i), i >= d.options.Services)
 		options.Server = fmt.Sprintf("registry-%02d", i+1)
 		if err := add(options, i); err != nil {
 			return err
@@ -175,6 +175,15 @@
 	return d.waitForEngines(ctx, servers)
 }
 
+// withVersion sets the version that a stand-in announces, and the fault of the new version.
+func (d *Dev) withVersion(options standin.Options, isNew bool) standin.Options {
+	options.Version = d.options.Version
+	if isNew {
+		options.Version, options.VersionFault = d.options.NewVersion, d.options.NewFault
+	}
+	return options
+}
+
 // waitForEngines waits until the stand-ins listen and records their URLs and the names of the models and services.
 func (d *Dev) waitForEngines(ctx context.Context, servers []*standin.Server) error {
 	for _, s := range servers {
@@ -185,10 +194,10 @@
 			return ctx.Err()
 		}
 	}
-	if d.options.Servers > 0 {
+	if d.options.Servers+d.options.NewServers > 0 {
 		d.info.Models = []string{SampleModel}
 	}
-	if d.options.Services > 0 {
+	if d.options.Services+d.options.NewServices > 0 {
 		d.info.Services = []string{SampleService}
 	}
 	return nil
--- a/dev/options.go
+++ b/dev/options.go
@@ -26,6 +26,14 @@
 	Entries  int
 	Servers  int
 	Services int
+	// Version is the version that these engines and services announce; empty announces none.
+	Version string
+	// NewServers and NewServices are the numbers of further engines and services, which announce NewVersion and have the
+	// fault NewFault, to try roll-outs.
+	NewServers  int
+	NewServices int
+	NewVersion  string
+	NewFault    standin.VersionFault
 	// Log receives the daemons' log entries; nil discards them.
 	Log log.Interface
 }
@@ -39,13 +47,13 @@
 		name string
 		n    int
 		low  int
-	}{{"entries", o.Entries, 1}, {"servers", o.Servers, 0}, {"services", o.Services, 0}}
+	}{{"entries", o.Entries, 1}, {"servers", o.Servers, 0}, {"services", o.Services, 0}, {"new-servers", o.NewServers, 0}, {"new-services", o.NewServices, 0}}
 	for _, c := range counts {
 		if c.n < c.low || c.n > maxInstances {
 			return errors.Errorf("-%s: want %d to %d, got %d", c.name, c.low, maxInstances, c.n)
 		}
 	}
-	return nil
+	return o.NewFault.Validate()
 }
 
 // Names of the sample deployment.
