--- a/sched/rollout.go
+++ b/sched/rollout.go
@@ -101,6 +101,7 @@
 		if known[pool] != ro || ro.applied != ro.state {
 			ro.applied = ro.state
 			s.updateVersions(pool)
+			s.recallUnstarted(ro)
 		}
 	}
 	for _, pool := range slices.Sorted(maps.Keys(known)) {
@@ -143,6 +144,25 @@
 	}
 }
 
+// recallUnstarted cancels the attempts that wait at gates of servers that may not be used any more, so that they go elsewhere.
+// Without it a gate could start them at a version seconds after its verdict. An attempt that may have started by now and may not
+// be repeated stays: a Cancel could leave its outcome unknown.
+func (s *Scheduler) recallUnstarted(ro *rollout) {
+	if ro.inProgress() && !ro.stopped {
+		return
+	}
+	waiting := map[*request]struct{}{}
+	for _, r := range s.requests {
+		a := r.attempt
+		if a != nil && r.pool.key.target == ro.pool && !a.started && !a.framesSeen && r.Class.GetRepeatable() && !s.isMember(ro.pool, a.server) {
+			waiting[r] = struct{}{}
+		}
+	}
+	for _, r := range sortedRequests(waiting) {
+		s.requestCancel(r, wire.CancelCause_CANCEL_CAUSE_RETRY)
+	}
+}
+
 func (ro *rollout) inProgress() bool { return ro.state == wire.RolloutState_ROLLOUT_STATE_IN_PROGRESS }
 
 // isNew reports whether the server is of the version that the pool is moved to.
--- a/sched/rollout_evidence.go
+++ b/sched/rollout_evidence.go
@@ -230,6 +230,7 @@
 	ro.stopped = true
 	s.rolloutsStale = true
 	s.emitRolloutStep(RolloutStopped, ro, "bad answers at this entry")
+	s.recallUnstarted(ro)
 }
 
 // answerWork returns the work of the current attempt's whole answer: the prompt tokens that the server computed and the
--- a/sched/rollout_test.go
+++ b/sched/rollout_test.go
@@ -262,6 +262,30 @@
 	}
 }
 
+// Guards against work that a gate holds when the verdict comes and starts at a bad version afterwards. What has started goes on,
+// and what may not be repeated is left alone, since a Cancel could leave its outcome unknown.
+func TestReversalRecallsWhatWaitsAtGates(t *testing.T) {
+	h := newRolloutHarness(t, Options{ExposureShare: 1}, 1, 1, 8)
+	sent := map[string]sentMessage{}
+	for _, id := range []string{"waits", "runs", "order"} {
+		class := summary
+		if id == "order" {
+			class = order
+		}
+		h.arrive("old before "+id, class)
+		h.arrive(id, class)
+		sent[id] = h.lastDispatch(id, 1)
+		require.Equal(t, "new00", sent[id].server, id)
+	}
+	h.receive("new00", started(sent["runs"]))
+	h.rollout(wire.RolloutState_ROLLOUT_STATE_REVERTED)
+	require.Equal(t, []string{"new00"}, serversOf(h.cancels("waits")))
+	require.Empty(t, h.cancels("runs"))
+	require.Empty(t, h.cancels("order"))
+	h.prove("new00", sent["waits"].id, wire.Proof_PROOF_NEVER_STARTED)
+	require.Equal(t, "old00", h.lastDispatch("waits", 2).server)
+}
+
 // Guards against a request that fails at a bad version twice: a retry goes to an old server.
 func TestFailedExposureIsRetriedAtAnOldServer(t *testing.T) {
 	h := newRolloutHarness(t, Options{ExposureShare: 1}, 1, 3, 4)
