sched: roll-outs are kept in order

Each step sorted the pools with a roll-out, also long after its end. The order is now kept from one set of roll-outs to the next. go test ./sched ./entry passes.

--- a/sched/rollout.go
+++ b/sched/rollout.go
@@ -95,12 +95,12 @@
 	for _, next := range e.Rollouts {
 		s.rollouts[next.GetPool()] = s.updatedRollout(known[next.GetPool()], next)
 	}
-	for _, pool := range slices.Sorted(maps.Keys(s.rollouts)) {
-		ro := s.rollouts[pool]
-		ro.oldServers = e.OldServers[pool]
-		if known[pool] != ro || ro.applied != ro.state {
+	s.rolloutOrder = slices.SortedFunc(maps.Values(s.rollouts), func(a, b *rollout) int { return cmp.Compare(a.pool, b.pool) })
+	for _, ro := range s.rolloutOrder {
+		ro.oldServers = e.OldServers[ro.pool]
+		if known[ro.pool] != ro || ro.applied != ro.state {
 			ro.applied = ro.state
-			s.updateVersions(pool)
+			s.updateVersions(ro.pool)
 			s.recallUnstarted(ro)
 		}
 	}
@@ -352,8 +352,7 @@
 // refreshRollouts recomputes which servers of new versions may be exposed, if something changed or contact with control was
 // lost or regained since.
 func (s *Scheduler) refreshRollouts() {
-	for _, pool := range slices.Sorted(maps.Keys(s.rollouts)) {
-		ro := s.rollouts[pool]
+	for _, ro := range s.rolloutOrder {
 		open := s.mayUseNew(ro)
 		if open != ro.open {
 			s.rolloutOpened(ro, open)
@@ -468,8 +467,7 @@
 // Rollouts returns the roll-outs as of the last Step, sorted by pool.
 func (s *Scheduler) Rollouts() []RolloutStatus {
 	var all []RolloutStatus
-	for _, pool := range slices.Sorted(maps.Keys(s.rollouts)) {
-		ro := s.rollouts[pool]
+	for _, ro := range s.rolloutOrder {
 		all = append(all, RolloutStatus{
 			Pool: ro.pool, To: ro.to, ID: ro.id, State: StateName(ro.state), Sent: ro.sent, Exposed: ro.exposed,
 			Open: ro.open, Stopped: ro.stopped, Bad: ro.evidence.bad(ro.to), Servers: serverNames(ro.servers),
--- a/sched/rollout_evidence.go
+++ b/sched/rollout_evidence.go
@@ -266,19 +266,18 @@
 // RolloutEvidence returns the sums of the roll-outs in progress, sorted by pool, version and class.
 func (s *Scheduler) RolloutEvidence() []*wire.RolloutEvidence {
 	var all []*wire.RolloutEvidence
-	for _, pool := range slices.Sorted(maps.Keys(s.rollouts)) {
-		ro := s.rollouts[pool]
+	for _, ro := range s.rolloutOrder {
 		if !ro.inProgress() {
 			continue
 		}
-		all = append(all, &wire.RolloutEvidence{Pool: pool, Id: ro.id, Counts: ro.evidence.wire()})
+		all = append(all, &wire.RolloutEvidence{Pool: ro.pool, Id: ro.id, Counts: ro.evidence.wire()})
 	}
 	return all
 }
 
 // HasRolloutInProgress reports whether a roll-out is in progress as of the last Step.
 func (s *Scheduler) HasRolloutInProgress() bool {
-	for _, ro := range s.rollouts {
+	for _, ro := range s.rolloutOrder {
 		if ro.inProgress() {
 			return true
 		}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -42,6 +42,7 @@
 	poison            *poisonTable
 
 	rollouts           map[string]*rollout // last roll-out of each pool, by target
+	rolloutOrder       []*rollout          // the same, sorted by pool
 	rolloutsStale      bool                // refreshRollouts is due
 	controlConfirmedAt time.Time           // when the last poll that control confirmed was sent; zero if contact is lost
 }
