gate, chart, spec: runs are suspended for more urgent work

A run kept its slot until it ended, so that first- and second-class requests missed their objectives while long third-class runs held all slots. It is off unless Config.Suspension is enabled, the server's record has suspends and the work has abandon_ms.

--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -22,6 +22,8 @@
 	metricGateRefusals  = "carawaypitch_gate_refusals_total"
 	metricWastedPrefill = "carawaypitch_gate_wasted_prefill_tokens_total"
 	metricServedTokens  = "carawaypitch_gate_served_tokens_total"
+	metricSuspensions   = "carawaypitch_suspensions_total"
+	metricResumes       = "carawaypitch_resumes_total"
 	metricLeases        = "carawaypitch_leases_expired_total"
 	metricChartErrors   = "carawaypitch_chart_errors_total"
 	metricRuns          = "carawaypitch_engine_runs_total"
@@ -75,6 +77,10 @@
 		m.add(fmt.Sprintf(`%s{cause=%s}`, metricWastedPrefill, label), c.Add)
 	case gate.ServedTokens:
 		m.add(fmt.Sprintf(`%s{organisation=%s,tier="%s"}`, metricServedTokens, label, tier), c.Add)
+	case gate.Suspensions:
+		m.add(fmt.Sprintf(`%s{outcome=%s,tier="%s"}`, metricSuspensions, label, tier), c.Add)
+	case gate.Resumes:
+		m.add(fmt.Sprintf(`%s{reason=%s,tier="%s"}`, metricResumes, label, tier), c.Add)
 	case gate.LeasesExpired:
 		m.add(metricLeases, c.Add)
 	case gate.ChartErrors:
--- a/chart/invariants_test.go
+++ b/chart/invariants_test.go
@@ -76,7 +76,9 @@
 // cancellation proves nothing. The report is allowed only before the engine may know the attempt, and needs a tombstone.
 func TestAgentReportsNeverStartedOnlyWithProof(t *testing.T) {
 	beforeEngineCall := []string{"absent", "reserved", "offered", "admitted"}
-	terminalReports := []string{"finish", "engine_failed", "engine_cancelled", "never_sent"}
+	// An engine that has stopped a run, or doesn't hold it any more, runs it again only if it is resumed.
+	suspensionReports := []string{"suspension_confirmed", "suspension_lost", "resume_unsent"}
+	terminalReports := append([]string{"finish", "engine_failed", "engine_cancelled", "never_sent"}, suspensionReports...)
 	eachBranch(t, "attempt", func(from chart.State, event string, list []chart.Branch, i int) {
 		b, at := list[i], from.Name+" "+event
 		if slices.Contains(b.Actions, "reply_never_started") {
@@ -99,6 +101,29 @@
 	})
 }
 
+// Guards against two owners of a run that was suspended: it goes on although its attempt was reported as over, or it is
+// resumed while the call that it was stopped in is still open, so that events of both calls are mixed.
+func TestSuspendedRunIsResumedOnlyByItsAttempt(t *testing.T) {
+	eachBranch(t, "attempt", func(from chart.State, event string, list []chart.Branch, i int) {
+		b, at := list[i], from.Name+" "+event
+		if slices.Contains(b.Actions, "resume_engine") {
+			require.Equal(t, "suspended resume", at)
+			require.Contains(t, b.Guards, chart.Guard{Name: "call_over"}, at)
+			require.Contains(t, b.Guards, chart.Guard{Name: "lease_valid"}, at)
+		}
+		if from.Name == "suspended" && b.To == "tombstoned" {
+			require.Contains(t, b.Actions, "discard_suspended", at)
+		}
+		if b.To == "suspended" && from.Name != "suspended" {
+			require.Contains(t, []string{"suspension_confirmed", "resume_unsent"}, event, at)
+			require.Equal(t, []string{"release_slot"}, b.Actions, at)
+		}
+		if slices.Contains(b.Actions, "suspend_engine") {
+			require.Equal(t, "running suspend", at)
+		}
+	})
+}
+
 // Guards against new work for a backend server that is leaving: it announces itself each second, also while it drains,
 // and an announcement must not cancel the leave.
 func TestLeavingServerGetsNoNewWork(t *testing.T) {
--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -48,11 +48,13 @@
 	sequence   uint64 // order of arrival
 	arrived    time.Time
 	deadline   time.Time // zero for none
+	objective  time.Time // when the first event is due, zero for none
 
-	wait   waitState
-	run    runState
-	frames frameState
-	cancel cancelState
+	wait       waitState
+	run        runState
+	frames     frameState
+	cancel     cancelState
+	suspension suspensionState
 }
 
 // waitState is the position of an attempt in the waiting list.
@@ -127,8 +129,10 @@
 // hasStarted reports whether StartEngine was issued.
 func (a *attempt) hasStarted() bool { return !a.run.started.IsZero() }
 
-// awaitsEvents reports whether an EngineEnded or EngineCancelled of the attempt is outstanding.
-func (a *attempt) awaitsEvents() bool { return a.run.callOpen || a.cancel.unanswered > 0 }
+// awaitsEvents reports whether an EngineEnded, EngineCancelled or EngineSuspended of the attempt is outstanding.
+func (a *attempt) awaitsEvents() bool {
+	return a.run.callOpen || a.cancel.unanswered > 0 || a.suspension.unanswered > 0
+}
 
 // uncachedTokens returns the number of prompt tokens that the engine is expected to compute.
 func (a *attempt) uncachedTokens() int64 {
@@ -149,5 +153,8 @@
 	if remaining := work.GetRemainingMs(); remaining > 0 {
 		a.deadline = g.now.Add(time.Duration(remaining) * time.Millisecond)
 	}
+	if objective := work.GetObjectiveMs(); objective > 0 {
+		a.objective = g.now.Add(time.Duration(objective) * time.Millisecond)
+	}
 	return a
 }
--- a/gate/charts.go
+++ b/gate/charts.go
@@ -14,11 +14,15 @@
 	offered
 	admitted
 	running
+	suspending
+	suspended
 	cancelling
 	tombstoned
 )
 
-var attemptStates = []string{"absent", "reserved", "offered", "admitted", "running", "cancelling", "tombstoned"}
+var attemptStates = []string{
+	"absent", "reserved", "offered", "admitted", "running", "suspending", "suspended", "cancelling", "tombstoned",
+}
 
 // attemptEvent is an event of charts/attempt.jsonc.
 type attemptEvent uint8
@@ -43,12 +47,18 @@
 	onCancel
 	onPreempt
 	onExpire
+	onSuspend
+	onSuspensionConfirmed
+	onSuspensionRefused
+	onSuspensionLost
+	onResume
+	onResumeUnsent
 )
 
 var attemptEvents = []string{
 	"reserve", "withdraw", "offer", "lapse", "decline", "dispatch", "start", "refuse", "progress", "finish",
 	"engine_failed", "engine_cancelled", "engine_gone", "never_sent", "confirm", "no_answer", "cancel", "preempt",
-	"expire",
+	"expire", "suspend", "suspension_confirmed", "suspension_refused", "suspension_lost", "resume", "resume_unsent",
 }
 
 // serverState is a state of charts/server.jsonc.
@@ -147,6 +157,10 @@
 		return a.work.GetRepeatable()
 	case "engine_knows":
 		return o.engineKnew
+	case "call_open":
+		return a.run.callOpen
+	case "call_over":
+		return !a.run.callOpen
 	}
 	g.chartError("guard " + name)
 	return false
@@ -174,6 +188,14 @@
 		g.beginCancel(a, o)
 	case "back_off":
 		g.backOff(a)
+	case "suspend_engine":
+		g.askToSuspend(a)
+	case "release_slot":
+		g.releaseSuspended(a)
+	case "resume_engine":
+		g.resumeEngine(a)
+	case "discard_suspended":
+		g.discardSuspended(a, o)
 	case "keep_tombstone":
 		g.keepTombstone(a, o)
 	case "reply_never_started":
--- a/gate/charts_test.go
+++ b/gate/charts_test.go
@@ -36,6 +36,7 @@
 	a := b.gate.newAttempt(r, owner, id(r.request, 1), "", work())
 	a.dispatch = &wire.Dispatch{Attempt: id(r.request, 1), Work: work()}
 	a.frames.begin(a.dispatch)
+	a.suspension.held = &engine.Suspension{Handle: "h"}
 	a.wait.queue = b.gate.waiting.tier(2).queue(&wire.Work{Class: "summary", Organisation: "org"})
 	b.gate.attemptAction(a, name, &eventDetails{end: &EngineEnded{}})
 }
--- a/gate/config.go
+++ b/gate/config.go
@@ -28,6 +28,8 @@
 	DefaultProbeFailures     = 2
 	DefaultMaxAnswerBytes    = 1 << 20
 	DefaultMaxResendBytes    = 256 << 10
+
+	DefaultMaxSuspensionsPerRun = 2
 )
 
 // Config holds the settings of a Gate. A zero value selects the default of the same name, where there is one.
@@ -85,12 +87,22 @@
 	// TrialAtStart makes the first attempts at a server wait for the first answer, because the server may have
 	// asked an earlier process to back off.
 	TrialAtStart bool
+	// Suspension holds the settings of the suspension of runs.
+	Suspension SuspensionConfig
 	// NoPredecessor means that no earlier incarnation of this agent can have run anything at this server. Without
 	// it, a Cancel for an unknown attempt is not answered with PROOF_NEVER_STARTED while the attempt may have been
 	// run by an earlier incarnation.
 	NoPredecessor bool
 }
 
+// SuspensionConfig holds the settings of the suspension of runs, which takes effect only at servers whose record has
+// suspends. The zero value disables it.
+type SuspensionConfig struct {
+	Enabled bool
+	// MaxPerRun bounds how often one run is suspended.
+	MaxPerRun int
+}
+
 func orDefault[T comparable](value, fallback T) T {
 	var zero T
 	if value == zero {
@@ -118,5 +130,6 @@
 	c.ProbeFailures = orDefault(c.ProbeFailures, DefaultProbeFailures)
 	c.MaxAnswerBytes = orDefault(c.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	c.MaxResendBytes = orDefault(c.MaxResendBytes, DefaultMaxResendBytes)
+	c.Suspension.MaxPerRun = orDefault(c.Suspension.MaxPerRun, DefaultMaxSuspensionsPerRun)
 	return c
 }
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -102,7 +102,7 @@
 
 // exclusivityBlock returns whether an attempt has to wait because it, or another one, needs the server to itself.
 func (g *Gate) exclusivityBlock(a *attempt) blockReason {
-	if a.work.GetWatched() && len(g.held) > 0 || g.exclusiveRunHeld() {
+	if a.work.GetWatched() && len(g.held)+len(g.suspended) > 0 || g.exclusiveRunHeld() {
 		return blockedExclusive
 	}
 	return notBlocked
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -23,6 +23,8 @@
 	waiting      waitingList
 	runs         []*attempt // running, cancelling or unproven, in order of start
 	held         []*attempt // attempts that hold room: offered, admitted early or started
+	suspended    []*attempt // stopped runs whose memory the engine keeps, in order of their suspension
+	suspension   suspensionControl
 	usage        resourceUsage
 	server       server
 	clearing     clearing
@@ -52,6 +54,8 @@
 		waiting: newWaitingList(),
 		pace:    newPace(),
 		limit:   concurrencyLimiter{floor: config.SlotsFloor},
+
+		suspension: newSuspensionControl(),
 	}
 	if config.TrialAtStart {
 		g.throttle = backpressure.NewLimiter()
@@ -104,6 +108,8 @@
 		g.engineEnded(e)
 	case EngineCancelled:
 		g.engineCancelled(e)
+	case EngineSuspended:
+		g.engineSuspended(e)
 	case EngineLoad:
 		g.engineLoad(e.Load)
 	case ServerObserved:
@@ -124,7 +130,7 @@
 // room update is pending: an idle server would otherwise wake its agent 50 times a second for checks that find
 // nothing.
 func (g *Gate) NextTick() time.Duration {
-	if g.cleared() && g.waiting.count == 0 && len(g.held) == 0 && len(g.runs) == 0 && !g.room.dirty {
+	if g.cleared() && g.waiting.count == 0 && len(g.held) == 0 && len(g.runs) == 0 && len(g.suspended) == 0 && !g.room.dirty {
 		return RestInterval
 	}
 	return TickInterval
@@ -135,6 +141,7 @@
 	g.lapseOffers()
 	g.checkThrottleChange()
 	g.retryCancels()
+	g.retrySuspensions()
 	g.pace.closeWindow(g)
 	g.checkExclusive()
 	if g.now.Before(g.nextSweep) {
--- a/gate/leases.go
+++ b/gate/leases.go
@@ -125,14 +125,15 @@
 
 func (g *Gate) ownsAttempts(e *entryState) bool {
 	owned := func(a *attempt) bool { return a.owner == e }
-	return slices.ContainsFunc(g.runs, owned) || slices.ContainsFunc(g.held, owned) || g.waiting.contains(owned)
+	return slices.ContainsFunc(g.runs, owned) || slices.ContainsFunc(g.held, owned) ||
+		slices.ContainsFunc(g.suspended, owned) || g.waiting.contains(owned)
 }
 
 // endLease gives up what an entry owned. Nobody would receive the answers: the engine would work without use, and a
 // caller that retries through another entry would find its own request still running.
 func (g *Gate) endLease(e *entryState) {
 	owned := g.waiting.collect(func(a *attempt) bool { return a.owner == e })
-	for _, a := range g.held {
+	for _, a := range slices.Concat(g.held, g.suspended) {
 		if a.owner == e && !slices.Contains(owned, a) {
 			owned = append(owned, a)
 		}
--- a/gate/offers.go
+++ b/gate/offers.go
@@ -9,12 +9,14 @@
 // maxLapses is how many offers an entry may leave unanswered before its reservation is refused.
 const maxLapses = 3
 
-// schedule starts attempts whose body arrived early and gives room to waiting attempts, the best first, until there
+// schedule resumes suspended runs, starts attempts whose body arrived early and gives room to waiting attempts, the best first, until there
 // is none for the best one. Smaller attempts don't overtake it, since a large attempt could otherwise wait forever.
 func (g *Gate) schedule() {
+	g.resumeRuns()
 	g.startAdmitted(firstTier)
 	g.admitWaiting()
 	g.startAdmitted(lowestTier)
+	g.suspendForPressure()
 }
 
 func (g *Gate) admitWaiting() {
--- a/gate/pace.go
+++ b/gate/pace.go
@@ -158,6 +158,9 @@
 // observeGap records the time since the last token of a stream. While a prompt is computed, the gap is not a sample
 // of the pace.
 func (g *Gate) observeGap(a *attempt, tokens int) {
+	if a.suspension.resumed != nil {
+		return // the time that the run was suspended
+	}
 	gap := g.now.Sub(a.run.lastToken).Seconds()
 	w := &g.pace.window
 	w.gaps += gap
@@ -267,6 +270,9 @@
 		if a.run.started.After(last) {
 			last = a.run.started
 		}
+		if a.suspension.resumedAt.After(last) {
+			last = a.suspension.resumedAt
+		}
 		if a.work.GetService() {
 			wait = max(wait, g.predictRuntime(a.work).Seconds())
 		}
--- a/gate/preempt.go
+++ b/gate/preempt.go
@@ -1,6 +1,9 @@
 package gate
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A preemption wastes a prefill, while waiting for a slot that is about to be free costs nothing.
 const (
@@ -19,12 +22,8 @@
 	if g.lowestWaiting() > a.tier() {
 		return true
 	}
-	for _, held := range g.held {
-		if held.tier() > a.tier() {
-			return true
-		}
-	}
-	return false
+	lower := func(other *attempt) bool { return other.tier() > a.tier() }
+	return slices.ContainsFunc(g.held, lower) || slices.ContainsFunc(g.suspended, lower)
 }
 
 // protectFirstTier makes room for the first tier at the expense of lower ones. It first takes back unanswered
@@ -94,9 +93,9 @@
 // confirm must not block the first tier while other runs can be preempted.
 const preemptConfirmTimeout = time.Second
 
-// preemptionsInProgress returns the number of runs that are being cancelled and will free their slots.
+// preemptionsInProgress returns the number of runs that are being cancelled or suspended and will free their slots.
 func (g *Gate) preemptionsInProgress() int {
-	n := 0
+	n := g.suspensionsInProgress()
 	for _, a := range g.held {
 		if a.state == cancelling && g.now.Sub(a.cancel.requestedAt) < preemptConfirmTimeout {
 			n++
--- a/gate/receive.go
+++ b/gate/receive.go
@@ -38,6 +38,7 @@
 
 func (g *Gate) reserve(owner *entryState, m *wire.Reserve) {
 	in := arrival{owner, m.GetAttempt(), m.GetServer(), m.GetWork()}
+	g.keepSuspendTargets(in.work)
 	r := g.records.get(in.id.GetRequest())
 	if a := g.currentOf(r, in); a != nil {
 		g.fire(a, onReserve, eventDetails{work: m.GetWork()})
@@ -61,6 +62,7 @@
 // dispatch processes a body that comes in answer to an offer, after its offer lapsed, or without an offer.
 func (g *Gate) dispatch(owner *entryState, m *wire.Dispatch) {
 	in := arrival{owner, m.GetAttempt(), m.GetServer(), m.GetWork()}
+	g.keepSuspendTargets(in.work)
 	r := g.records.get(in.id.GetRequest())
 	a := g.currentOf(r, in)
 	if a == nil {
--- a/gate/retained.go
+++ b/gate/retained.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -60,7 +61,7 @@
 // resend repeats what may have been lost with the entry's link: offers, events and ends. The entry deduplicates
 // events by their offset.
 func (g *Gate) resend(e *entryState) {
-	for _, a := range g.held {
+	for _, a := range slices.Concat(g.held, g.suspended) {
 		if a.owner != e {
 			continue
 		}
--- a/gate/room.go
+++ b/gate/room.go
@@ -140,6 +140,10 @@
 	cost := int64(0)
 	if a.hasStarted() {
 		g.runs = slices.DeleteFunc(g.runs, func(other *attempt) bool { return other == a })
+		if g.removeSuspended(a) {
+			g.usage.memoryTokens -= a.run.cacheTokens
+			g.room.dirty = true
+		}
 		cost = g.settleRun(a, o)
 	}
 	if a.run.chargedCost != 0 {
@@ -227,6 +231,7 @@
 		Throttle:          throttleReasons[g.throttle.Blocked(g.now)].wire,
 		Resume:            r.GetCapabilities().GetResume(),
 		Kv:                r.GetCapabilities().GetKv(),
+		Suspended:         uint32(len(g.suspended)),
 	}
 }
 
@@ -249,6 +254,9 @@
 	for _, a := range g.runs {
 		lowest = max(lowest, a.tier())
 	}
+	for _, a := range g.suspended {
+		lowest = max(lowest, a.tier())
+	}
 	return lowest
 }
 
@@ -265,7 +273,7 @@
 func roomChanged(a, b *wire.Room) bool {
 	same := a.Server == b.Server && a.Condition == b.Condition && a.Throttle == b.Throttle && a.Free == b.Free && a.Waiting == b.Waiting &&
 		a.Running == b.Running && a.LowestRunningTier == b.LowestRunningTier &&
-		a.LowestWaitingTier == b.LowestWaitingTier && a.Resume == b.Resume && a.Kv == b.Kv &&
+		a.LowestWaitingTier == b.LowestWaitingTier && a.Resume == b.Resume && a.Kv == b.Kv && a.Suspended == b.Suspended &&
 		slices.Equal(a.Targets, b.Targets)
 	return !same || outsideTolerance(a.PrefillTokensPerS, b.PrefillTokensPerS) || outsideTolerance(a.PrefillFixedMs, b.PrefillFixedMs) ||
 		outsideTolerance(a.DecodeTokensPerS, b.DecodeTokensPerS) || backlogChanged(a.BacklogMs, b.BacklogMs)
--- a/gate/runs.go
+++ b/gate/runs.go
@@ -18,9 +18,9 @@
 
 // inFlight counts the attempts that a drain has to wait for. An attempt whose connection is lost, at a server that
 // can't be queried about it, could never be proved over, and its answer can't be delivered. It is therefore not
-// counted once its room is released.
+// counted once its room is released. Suspended runs hold no slot and are counted.
 func (g *Gate) inFlight() int {
-	n := 0
+	n := len(g.suspended)
 	for _, a := range g.runs {
 		if a.run.holdsRoom || !a.cancel.unsupported {
 			n++
@@ -38,7 +38,7 @@
 	return r.find(id.GetNumber())
 }
 
-// startEngine starts the run of an attempt. No other function does so.
+// startEngine starts the run of an attempt. No other function does so; resumeEngine continues one.
 func (g *Gate) startEngine(a *attempt) {
 	a.run.started = g.now
 	a.run.callOpen = true
@@ -70,6 +70,9 @@
 	if a.state != tombstoned {
 		g.observeProgress(a, tokens)
 	}
+	if len(e.Events) > 0 {
+		a.recordEvents(g.now)
+	}
 	g.fire(a, onProgress, eventDetails{events: e.Events, eventTokens: e.Tokens, tokens: tokens})
 }
 
@@ -102,6 +105,9 @@
 		return
 	}
 	a.run.callOpen = false
+	if g.endedBySuspension(a, e) {
+		return
+	}
 	wasCancelled := a.cancel.cause != ""
 	if !wasCancelled {
 		a.cancel.cause = endCause(e)
--- a/gate/status.go
+++ b/gate/status.go
@@ -47,6 +47,8 @@
 	Backlog time.Duration
 	// Blocked states why the best waiting attempt has no room, empty if none waits for room.
 	Blocked string
+	// Suspended lists the stopped runs whose memory the server keeps.
+	Suspended []AttemptStatus
 	// Running lists attempts that run or may run. Waiting lists the first waiting attempts by arrival.
 	Running, Waiting []AttemptStatus
 	// WaitingCount is the number of all waiting attempts.
@@ -130,6 +132,9 @@
 	for _, a := range g.runs {
 		s.Running = append(s.Running, a.status())
 	}
+	for _, a := range g.suspended {
+		s.Suspended = append(s.Suspended, a.status())
+	}
 	waiting := g.waiting.collect(func(*attempt) bool { return true })
 	for _, a := range waiting[:min(len(waiting), maxStatusWaiting)] {
 		s.Waiting = append(s.Waiting, a.status())
--- a/gate/types.go
+++ b/gate/types.go
@@ -276,4 +276,6 @@
 	ServedTokens                 // by Label (organisation) and Tier
 	LeasesExpired
 	ChartErrors
+	Suspensions // by Label (outcome) and Tier of the run
+	Resumes     // by Label (reason, or why it failed) and Tier of the run
 )
--- a/gate/waiting_list.go
+++ b/gate/waiting_list.go
@@ -41,6 +41,17 @@
 	}
 }
 
+// eachTimely visits the waiting attempts that can still meet their deadline.
+func (w *waitingList) eachTimely(visit func(*attempt)) {
+	for _, t := range w.tiers {
+		for _, q := range t.queues {
+			for _, a := range q.timely {
+				visit(a)
+			}
+		}
+	}
+}
+
 // refuseWaiting refuses an attempt that has not started.
 func (g *Gate) refuseWaiting(a *attempt, reason refusal) {
 	g.fire(a, onRefuse, eventDetails{refusal: reason})
--- a/spec/attempts.go
+++ b/spec/attempts.go
@@ -22,6 +22,8 @@
 	Losses uint8
 	// Runs bounds servers that start again under their id, knowing nothing of what they ran before.
 	Runs uint8
+	// Suspensions bounds how often runs are suspended.
+	Suspensions uint8
 	// Whole leaves out what makes answers other than whole, and broken links: engines don't fail, frames come with the
 	// end of the run, entries lose no link, and leases end only with their entry. It makes room for more of the rest.
 	Whole bool
@@ -81,6 +83,12 @@
 	stepTakeCancel
 	stepLease
 	stepPreempt
+	stepSuspend
+	stepStopRun
+	stepStopLost
+	stepStopRefused
+	stepResume
+	stepMemoryExpired
 	stepCancelAtEngine
 	stepCancelUnanswered
 	stepConnectionLost
@@ -104,7 +112,7 @@
 	"ask_cancel", "agent_lost", "agent_resumed", "caller_left", "agent_seen", "prove_at_engine", "hear_over",
 	"hear_frame", "frames_lost", "release", "complete", "entry_crash", "entry_start", "end_entry", "wrong_end",
 	"register_again", "learn_end", "take_reserve", "offer", "take_dispatch", "start", "refuse_attempt", "take_cancel",
-	"lease", "preempt", "cancel_at_engine", "cancel_unanswered", "connection_lost", "never_sent", "call_arrives",
+	"lease", "preempt", "suspend", "stop_run", "stop_lost", "stop_refused", "resume", "memory_expired", "cancel_at_engine", "cancel_unanswered", "connection_lost", "never_sent", "call_arrives",
 	"call_lost", "progress", "finish", "fail", "new_run", "agent_crash", "agent_start", "clear", "leave", "drained",
 }
 
@@ -122,6 +130,7 @@
 		leaves:       m.bounds.Leaves,
 		losses:       m.bounds.Losses,
 		runs:         m.bounds.Runs,
+		suspensions:  m.bounds.Suspensions,
 	}
 	for i := range s.entries {
 		s.entries[i] = entry{up: true, incarnation: 1, agent: noAgent, known: [agentCount]uint8{1, 1}}
@@ -195,7 +204,7 @@
 	case stepTakeReserve, stepTakeDispatch, stepTakeCancel:
 		return fmt.Sprintf("agent %d: %s of attempt %d from entry %d, incarnation %d",
 			s.A, name, s.C, entryOf(s.B), incarnationOf(s.B))
-	case stepCallArrives, stepCallLost, stepFinish, stepFail:
+	case stepCallArrives, stepCallLost, stepFinish, stepFail, stepMemoryExpired:
 		return fmt.Sprintf("engine %d: %s of attempt %d", s.A, name, s.C)
 	default:
 		return fmt.Sprintf("agent %d: %s", s.A, name)
--- a/spec/attempts_agent.go
+++ b/spec/attempts_agent.go
@@ -69,6 +69,15 @@
 			break
 		}
 		try(Step{Kind: stepPreempt, A: id}, func(t *turn) bool { return t.fireAttempt(at, attemptPreempt, occasion{}) })
+		if s.suspensions > 0 && a.open && a.running&bit(a.current) != 0 {
+			try(Step{Kind: stepSuspend, A: id}, func(t *turn) bool { return t.suspend(at) })
+		}
+	case attemptSuspending:
+		try(Step{Kind: stepStopRun, A: id}, func(t *turn) bool { return t.stopRun(at, true) })
+		try(Step{Kind: stepStopLost, A: id}, func(t *turn) bool { return t.stopRun(at, false) })
+		try(Step{Kind: stepStopRefused, A: id}, func(t *turn) bool { return t.fireAttempt(at, attemptSuspensionRefused, occasion{}) })
+	case attemptSuspended:
+		try(Step{Kind: stepResume, A: id}, func(t *turn) bool { return t.resume(at) })
 	case attemptCancelling:
 		try(Step{Kind: stepCancelAtEngine, A: id}, func(t *turn) bool { return t.cancelAtEngine(at, true) })
 		try(Step{Kind: stepCancelUnanswered, A: id}, func(t *turn) bool { return t.cancelAtEngine(at, false) })
@@ -87,7 +96,7 @@
 func (t *turn) crashAgent(at int) bool {
 	t.s.agentCrashes--
 	a := &t.s.agents[at]
-	next := agent{incarnation: a.incarnation, calls: a.calls, running: a.running, frames: a.frames, overs: a.overs}
+	next := agent{incarnation: a.incarnation, calls: a.calls, running: a.running, stopped: a.stopped, frames: a.frames, overs: a.overs}
 	if !t.guards.has(GuardSameIncarnation) {
 		next.dispatch = a.dispatch
 		next.cancel = a.cancel
@@ -155,12 +164,21 @@
 
 func (t *turn) serverGuard(a *agent, name string) bool {
 	if name == "none_in_flight" {
-		idle := a.state != attemptRunning && a.state != attemptCancelling
-		return idle || !t.guards.has(GuardNoneInFlight)
+		return !a.state.hasStarted() || !t.guards.has(GuardNoneInFlight)
 	}
 	return true
 }
 
+// hasStarted tells whether the engine has the attempt, or may have it.
+func (s attemptState) hasStarted() bool {
+	switch s {
+	case attemptRunning, attemptSuspending, attemptSuspended, attemptCancelling:
+		return true
+	default:
+		return false
+	}
+}
+
 // learnEnd: the agent hears that control ended an entry's incarnations. By a missing guard it never hears of those that
 // were ended before it started, since it only notices what vanishes from the directory.
 func (t *turn) learnEnd(at, e int) bool {
@@ -209,7 +227,7 @@
 		return t.refuseArrival(at, owner, number)
 	}
 	if a.current != 0 {
-		if a.state == attemptRunning || a.state == attemptCancelling {
+		if a.state.hasStarted() {
 			return t.refuseArrival(at, owner, number)
 		}
 		t.fireAttempt(at, attemptRefuse, occasion{}) // a later attempt of the request came
--- a/spec/attempts_attempt.go
+++ b/spec/attempts_attempt.go
@@ -42,6 +42,10 @@
 		return t.bounds.Repeatable
 	case "engine_knows":
 		return o.knows
+	case "call_open":
+		return a.open
+	case "call_over":
+		return !a.open
 	default:
 		return false
 	}
@@ -57,6 +61,15 @@
 		if t.s.live(a.owner) {
 			a.offer[entryOf(a.owner)] |= bit(a.current)
 		}
+	case "resume_engine":
+		a.stopped &^= bit(a.current)
+		a.running |= bit(a.current)
+		a.open = true
+		if t.running() > 1 {
+			t.violated(violateOneEngine)
+		}
+	case "discard_suspended":
+		a.stopped &^= bit(a.current)
 	case "keep_tombstone":
 		if t.guards.has(GuardTombstone) {
 			a.over = max(a.over, a.current, o.number)
@@ -123,6 +136,12 @@
 			}
 			try(Step{Kind: stepFail, A: id, C: number}, func(t *turn) bool { return t.endRun(at, number, proofFailed) })
 		}
+		if a.stopped&bit(number) != 0 {
+			try(Step{Kind: stepMemoryExpired, A: id, C: number}, func(t *turn) bool {
+				t.s.agents[at].stopped &^= bit(number)
+				return true
+			})
+		}
 	}
 	if s.runs > 0 {
 		try(Step{Kind: stepNewRun, A: id}, func(t *turn) bool { return t.startEngineAgain(at) })
@@ -254,7 +273,7 @@
 func (t *turn) startEngineAgain(at int) bool {
 	t.s.runs--
 	a := &t.s.agents[at]
-	a.running = 0
+	a.running, a.stopped = 0, 0
 	if !a.up || !a.open {
 		return true
 	}
--- a/spec/attempts_encode.go
+++ b/spec/attempts_encode.go
@@ -153,7 +153,7 @@
 	for _, call := range s.calls {
 		b = append(b, byte(call))
 	}
-	b = append(b, s.entryCrashes, s.agentCrashes, s.wrongEnds, s.leaves, s.losses, s.runs)
+	b = append(b, s.entryCrashes, s.agentCrashes, s.wrongEnds, s.leaves, s.losses, s.runs, s.suspensions)
 	return append(b, s.began, s.starts, s.saidNo, s.ends, byte(s.violate))
 }
 
@@ -165,7 +165,7 @@
 
 func (a *agent) encode(b []byte) []byte {
 	b = append(b, flag(a.up), a.incarnation, byte(a.server), a.current, a.owner, byte(a.state), flag(a.open), a.over)
-	b = append(b, a.ran, a.last, a.lastOwner, byte(a.lastProof), a.calls, a.running)
+	b = append(b, a.ran, a.last, a.lastOwner, byte(a.lastProof), a.calls, a.running, a.stopped)
 	b = append(b, a.ended[:]...)
 	b = append(b, a.reserve[:]...)
 	b = append(b, a.dispatch[:]...)
--- a/spec/attempts_state.go
+++ b/spec/attempts_state.go
@@ -131,6 +131,7 @@
 	// The engine. Bits are attempt numbers.
 	calls   uint8 // on their way to the engine
 	running uint8
+	stopped uint8 // suspended runs whose memory the engine keeps
 
 	// Messages, which stay once they were sent: each may be delivered any number of times, late, or never.
 	reserve  [ownerCount]uint8
@@ -150,7 +151,7 @@
 	calls   [callCount]outcome
 
 	// What is left of the bounds.
-	entryCrashes, agentCrashes, wrongEnds, leaves, losses, runs uint8
+	entryCrashes, agentCrashes, wrongEnds, leaves, losses, runs, suspensions uint8
 
 	// What the invariants look at.
 	began   uint8 // epochs of the present record of which an engine began an attempt, bits
--- a/spec/cases.go
+++ b/spec/cases.go
@@ -57,6 +57,8 @@
 	caseLost           = "connection lost, agent crash"
 	caseReservations   = "reservations, agent crash"
 	caseNewRun         = "server starts again"
+	caseSuspend        = "suspension, server starts again"
+	caseSuspendOnce    = "suspension, agent crash, not repeatable"
 	caseNewRunOnce     = "server starts again, agent crash, not repeatable"
 
 	caseTerms   = "four terms"
@@ -83,6 +85,8 @@
 		attemptCase(caseAgentCrashOnce, 80_000, AttemptBounds{Calls: 2, Attempts: 2, AgentCrashes: 1}),
 		attemptCase(caseEntryCrash, 70_000, AttemptBounds{Repeatable: true, Calls: 2, Attempts: 1, EntryCrashes: 1}),
 		attemptCase(caseTwoEntries, 10_000, AttemptBounds{Repeatable: true, Calls: 2, Attempts: 1, AgentCrashes: 1, Whole: true}),
+		attemptCase(caseSuspendOnce, 150_000, AttemptBounds{Calls: 2, Attempts: 1, Suspensions: 2, Losses: 1, AgentCrashes: 1}),
+		attemptCase(caseSuspend, 150_000, AttemptBounds{Repeatable: true, Calls: 1, Attempts: 2, Suspensions: 2, Losses: 1, Runs: 1, Leaves: 1}),
 		attemptCase(caseLost, 30_000, AttemptBounds{Repeatable: true, Calls: 1, Attempts: 2, Losses: 1, AgentCrashes: 1}),
 		attemptCase(caseNewRunOnce, 60_000, AttemptBounds{Calls: 2, Attempts: 1, Runs: 1, AgentCrashes: 1}),
 		attemptCase(caseNewRun, 5_000, AttemptBounds{Repeatable: true, Calls: 1, Attempts: 2, Runs: 2}),
--- a/spec/charts.go
+++ b/spec/charts.go
@@ -67,11 +67,15 @@
 	attemptOffered
 	attemptAdmitted
 	attemptRunning
+	attemptSuspending
+	attemptSuspended
 	attemptCancelling
 	attemptTombstoned
 )
 
-var attemptStates = []string{"absent", "reserved", "offered", "admitted", "running", "cancelling", "tombstoned"}
+var attemptStates = []string{
+	"absent", "reserved", "offered", "admitted", "running", "suspending", "suspended", "cancelling", "tombstoned",
+}
 
 // attemptEvent is an event of charts/attempt.jsonc.
 type attemptEvent uint8
@@ -96,12 +100,18 @@
 	attemptCancel
 	attemptPreempt
 	attemptExpire
+	attemptSuspend
+	attemptSuspensionConfirmed
+	attemptSuspensionRefused
+	attemptSuspensionLost
+	attemptResume
+	attemptResumeUnsent
 )
 
 var attemptEvents = []string{
 	"reserve", "withdraw", "offer", "lapse", "decline", "dispatch", "start", "refuse", "progress", "finish",
 	"engine_failed", "engine_cancelled", "engine_gone", "never_sent", "confirm", "no_answer", "cancel", "preempt",
-	"expire",
+	"expire", "suspend", "suspension_confirmed", "suspension_refused", "suspension_lost", "resume", "resume_unsent",
 }
 
 // serverState is a state of charts/server.jsonc.
--- a/spec/charts_test.go
+++ b/spec/charts_test.go
@@ -60,6 +60,14 @@
         ],`)
 		require.Equal(t, NotRunTrue, broken(t, c, caseQuiet, NotRunTrue))
 	})
+	t.Run("a suspended run goes on after it was reported as over", func(t *testing.T) {
+		c, err := openCharts()
+		require.NoError(t, err)
+		c.attempt = edited[attemptState, attemptEvent](t, "attempt", attemptStates, attemptEvents,
+			`"cancel": {"to": "tombstoned", "actions": ["discard_suspended", "release_room", "keep_tombstone", "reply_cancelled"]},`,
+			`"cancel": {"to": "running", "actions": ["reply_cancelled", "resume_engine"]},`)
+		require.Equal(t, OneEngine, broken(t, c, caseSuspend, OneEngine))
+	})
 	t.Run("a server is drained while it runs work", func(t *testing.T) {
 		c, err := openCharts()
 		require.NoError(t, err)
