sched: a request tells the gate its objective, its caller's patience and where runs may be copied

A gate needs to know which attempts are still on time, which callers tolerate a silence, and which servers may take a copy of a run's memory.

--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -200,6 +200,13 @@
 		Precedence:   r.precedence(),
 		Watched:      s.isWatched(r),
 		Overdue:      r.Overdue,
+		PauseMs:      milliseconds(r.Pause),
+		AbandonMs:    milliseconds(r.Abandon),
+
+		SuspendTargets: s.suspendTargets(r, to),
+	}
+	if !r.Objective.IsZero() {
+		w.ObjectiveMs = milliseconds(r.Objective.Sub(s.now))
 	}
 	if len(r.Prefix) > 0 {
 		w.Prefix = r.Prefix[len(r.Prefix)-1]
