--- a/gate/suspend.go
+++ b/gate/suspend.go
@@ -30,6 +30,8 @@
 	// lastResortShare is the share of the objective below which the slack counts as used up: the number of runs to
 	// suspend is then rounded up.
 	lastResortShare = 8
+	// minFraction is the least fraction of a run that counts: products with the served share are not exact.
+	minFraction = 1e-6
 	// promotedPrecedence is the precedence of requests that are served because their class is guaranteed a share.
 	promotedPrecedence = 1
 )
@@ -125,7 +127,7 @@
 // expectedRank returns how many slots the first i+1 waiting attempts will probably take here, at least one. The
 // others are served elsewhere, since each request waits at several gates.
 func (g *Gate) expectedRank(i int) int {
-	return max(int(math.Ceil(float64(i+1)*g.waiting.servedShare.value())), 1)
+	return max(int(math.Ceil(float64(i+1)*g.waiting.servedShare.value()-minFraction)), 1)
 }
 
 // suspensionCount returns how many runs to suspend for the attempts that would miss their objective: as many as will
@@ -140,7 +142,7 @@
 	}
 	count := float64(len(missing)) * g.waiting.servedShare.value()
 	whole, fraction := math.Modf(count)
-	if fraction > 0 && (g.isLastResort(missing[0]) || g.draw(missing[0]) < fraction) {
+	if fraction > minFraction && (g.isLastResort(missing[0]) || g.draw(missing[0]) < fraction) {
 		whole++
 	}
 	return int(whole)
