gate: a refused copy is tried again soon, and resumes exceed the slots by one

Runs whose time comes together now begin one after the other, so that a server has one run more than slots at most; three of them exceeded the slots by three before.

--- a/gate/resume.go
+++ b/gate/resume.go
@@ -14,8 +14,9 @@
 	// caller's silence ends only with the next event.
 	abandonMarginDivisor = 4
 	minResumeMargin      = 200 * time.Millisecond
-	// resumeGrace is how long a run whose time has come waits if another one exceeds the slots already.
-	resumeGrace = 100 * time.Millisecond
+	// lastMarginShare is the part of the margin that is left when a run resumes although another one exceeds the slots
+	// already.
+	lastMarginShare = 2
 	// defaultSuspendedValidity is how long a server is assumed to keep a stopped run if its record doesn't say.
 	defaultSuspendedValidity = time.Second
 	// resumeSlackFactor is how many times its predicted wait an attempt of a higher rank must have left, so that a
@@ -87,27 +88,46 @@
 	return ""
 }
 
-// mustResume reports whether the run's time has come. Resumed runs exceed the slots by one at most, unless the run
-// would be lost by that.
+// mustResume reports whether the run's time has come. Resumed runs exceed the slots by one: the server admits it before
+// all others once a slot is free, and the next one follows then. A run begins earlier by the time that those before it
+// take. Only a run that would be lost otherwise exceeds the slots further.
 func (g *Gate) mustResume(a *attempt) bool {
+	if !g.now.Before(g.resumeLimit(a, lastMarginShare)) {
+		return true
+	}
+	if len(g.held) > g.limit.slots() {
+		return false
+	}
 	by := g.resumeBy(a)
-	return !g.now.Before(by) && (len(g.held) <= g.limit.slots() || !g.now.Before(by.Add(resumeGrace)))
+	earlier := 0
+	for _, other := range g.suspended {
+		if other != a && g.resumeBy(other).Before(by) {
+			earlier++
+		}
+	}
+	slots := g.slotTimes()
+	return !g.now.Add(slots.waitOrZero(earlier)).Before(by)
 }
 
 // resumeBy returns the latest time at which a run, suspended or not, has to go on: before its caller leaves, before
 // the engine drops its memory, and early enough to end before its deadline. It is the zero time for a run that no
 // event was sent of.
-func (g *Gate) resumeBy(a *attempt) time.Time {
+func (g *Gate) resumeBy(a *attempt) time.Time { return g.resumeLimit(a, 1) }
+
+// resumeLimit returns the time of resumeBy with a part of its margin.
+func (g *Gate) resumeLimit(a *attempt, marginShare time.Duration) time.Time {
 	s := &a.suspension
 	if s.lastEventAt.IsZero() {
 		return time.Time{}
 	}
-	by := s.lastEventAt.Add(withMargin(time.Duration(a.work.GetAbandonMs()) * time.Millisecond))
+	abandon := time.Duration(a.work.GetAbandonMs()) * time.Millisecond
+	by := s.lastEventAt.Add(abandon - resumeMargin(abandon)/marginShare)
 	stopped := g.now
 	if s.held != nil {
 		stopped = s.stoppedAt
 	}
-	if expires := stopped.Add(withMargin(g.suspendedValidity())); expires.Before(by) {
+	validity := g.suspendedValidity()
+	if expires := stopped.Add(validity - resumeMargin(validity)/marginShare); expires.Before(by) {
 		by = expires
 	}
 	if a.deadline.IsZero() {
@@ -119,9 +139,9 @@
 	return by
 }
 
-// withMargin returns which part of a limit is used.
-func withMargin(limit time.Duration) time.Duration {
-	return limit - max(limit/abandonMarginDivisor, minResumeMargin)
+// resumeMargin returns the margin before a limit.
+func resumeMargin(limit time.Duration) time.Duration {
+	return max(limit/abandonMarginDivisor, minResumeMargin)
 }
 
 // suspendedValidity returns how long the server keeps a stopped run.
--- a/gate/suspend.go
+++ b/gate/suspend.go
@@ -244,6 +244,15 @@
 	return t.times[min(n, len(t.times))-1], t.known
 }
 
+// waitOrZero returns the time until n slots are free, 0 for none and before it is known.
+func (t *slotTimes) waitOrZero(n int) time.Duration {
+	if n == 0 {
+		return 0
+	}
+	wait, _ := t.wait(n)
+	return wait
+}
+
 // slotTime returns the time until the slot of an attempt is expected to be free.
 func (g *Gate) slotTime(a *attempt) time.Duration {
 	switch {
--- a/gate/suspension.go
+++ b/gate/suspension.go
@@ -21,9 +21,11 @@
 	suspendAnswerTimeout = 2 * time.Second
 	// refusedRunPause is how long a run is left alone after the engine did not suspend it.
 	refusedRunPause = time.Second
-	// noRoomPause is how long nothing is suspended after no target had room, and failedPause after another failure:
-	// an unreachable target is answered only after 300 ms.
-	noRoomPause = 100 * time.Millisecond
+	// noRoomPause is how long a run is left alone, and nothing else is suspended, after no target had room. That is
+	// answered after a millisecond, and under load a slot at another server is free for a few milliseconds only.
+	noRoomPause = 10 * time.Millisecond
+	// failedPause is how long nothing is suspended after another failure. An unreachable target is answered only after
+	// 300 ms.
 	failedPause = time.Second
 	// maxResumeTries is how often a resume that was not sent is repeated before the run counts as lost.
 	maxResumeTries = 3
@@ -153,14 +155,15 @@
 // refuseSuspension gives up a suspension that the engine didn't confirm.
 func (g *Gate) refuseSuspension(a *attempt, err error) {
 	outcome := suspensionOutcome(err)
+	g.countSuspension(a, outcome)
+	a.suspension.notBefore = g.now.Add(refusedRunPause)
 	switch outcome {
 	case SuspensionNoRoom:
 		g.suspension.notBefore = g.now.Add(noRoomPause)
+		a.suspension.notBefore = g.suspension.notBefore
 	case SuspensionFailed, SuspensionUnknown:
 		g.suspension.notBefore = g.now.Add(failedPause)
 	}
-	g.countSuspension(a, outcome)
-	a.suspension.notBefore = g.now.Add(refusedRunPause)
 	a.suspension.nextTryAt = time.Time{}
 	g.fire(a, onSuspensionRefused, eventDetails{cause: CauseEngineLost})
 }
