--- a/gate/resume.go
+++ b/gate/resume.go
@@ -66,6 +66,7 @@
 	if reason == "" {
 		return
 	}
+	a.suspension.resumeReason = reason
 	g.countResume(a, reason)
 	g.fire(a, onResume, eventDetails{})
 }
--- a/gate/suspend.go
+++ b/gate/suspend.go
@@ -92,6 +92,7 @@
 		if run == nil || len(g.suspended)+g.suspensionsInProgress() >= g.limit.slots() {
 			return
 		}
+		run.suspension.askedFor = a.id()
 		g.fire(run, onSuspend, eventDetails{})
 	}
 }
--- a/gate/suspend_test.go
+++ b/gate/suspend_test.go
@@ -168,6 +168,8 @@
 	memory := b.gate.usage.memoryTokens
 	s := b.suspendOne()
 	require.Equal(t, []string{"10.0.0.2:80"}, s.Targets)
+	require.True(t, sameAttempt(id("urgent", 1), s.For))
+	require.InDelta(t, testLongTokens*testTokenTime, s.Remaining, float64(100*time.Millisecond))
 	require.Empty(t, offeredIDs(b.actions), "the run may go on")
 	require.Contains(t, offeredIDs(b.answerSuspend(s, nil)), "urgent.1")
 	b.endSuspended(s)
@@ -183,6 +185,8 @@
 	require.Len(t, resumed, 1)
 	require.Equal(t, suspensionOf(s), *resumed[0].Resume)
 	require.True(t, sameAttempt(s.Attempt, resumed[0].Dispatch.Attempt))
+	require.Equal(t, ResumeFreeSlot, resumed[0].Reason)
+	require.InDelta(t, 200*time.Millisecond, resumed[0].Suspended, float64(20*time.Millisecond))
 	before := b.gate.pace.window
 	b.progress(s.Attempt, "y")
 	require.Equal(t, before, b.gate.pace.window, "the time of the suspension is no sample of the pace")
--- a/gate/suspension.go
+++ b/gate/suspension.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/wire"
 )
 
 // Bounds of the calls that suspend and resume a run.
@@ -58,22 +59,24 @@
 
 // suspensionState tracks the suspensions of one attempt.
 type suspensionState struct {
-	count       int                // confirmed suspensions
-	try         uint32             // Try of the last SuspendEngine
-	closedTry   uint32             // answers up to this Try have no effect: the outcome is known
-	tries       int                // SuspendEngines of the present suspension
-	unanswered  int                // number of SuspendEngines without an answer
-	askedAt     time.Time          // first try of the present suspension
-	nextTryAt   time.Time          // when the next try is due, zero for none
-	held        *engine.Suspension // memory that the engine keeps, nil for none
-	resumed     *engine.Suspension // used by a resume of which no event has arrived, nil for none
-	lastHandle  string             // of the last confirmed suspension
-	stoppedAt   time.Time          // when the last suspension was confirmed
-	resumedAt   time.Time
-	resumeTries int       // resumes of the present suspension that were not sent
-	notBefore   time.Time // the run isn't suspended, or resumed again, before this time
-	lastEventAt time.Time // when the last event arrived
-	paused      bool      // a pause exceeded Work.pause_ms
+	count        int                // confirmed suspensions
+	try          uint32             // Try of the last SuspendEngine
+	closedTry    uint32             // answers up to this Try tell nothing new, unless they name another handle
+	tries        int                // SuspendEngines of the present suspension
+	unanswered   int                // number of SuspendEngines without an answer
+	askedAt      time.Time          // first try of the present suspension
+	askedFor     *wire.AttemptID    // attempt that the slot of the present suspension is for
+	nextTryAt    time.Time          // when the next try is due, zero for none
+	held         *engine.Suspension // memory that the engine keeps, nil for none
+	resumed      *engine.Suspension // used by a resume of which no event has arrived, nil for none
+	lastHandle   string             // of the last confirmed suspension
+	stoppedAt    time.Time          // when the last suspension was confirmed
+	resumedAt    time.Time
+	resumeReason string
+	resumeTries  int       // resumes of the present suspension that were not sent
+	notBefore    time.Time // the run isn't suspended, or resumed again, before this time
+	lastEventAt  time.Time // when the last event arrived
+	paused       bool      // a pause exceeded Work.pause_ms
 }
 
 // suspensionControl holds the state of the suspension decision.
@@ -106,6 +109,7 @@
 	s.nextTryAt = time.Time{}
 	g.emit(SuspendEngine{
 		Attempt: a.id(), Stream: a.engineID(), Targets: slices.Clone(g.suspension.targets), Try: s.try,
+		For: s.askedFor, Remaining: g.remainingTime(a),
 	})
 }
 
@@ -119,9 +123,10 @@
 	s := &a.suspension
 	s.unanswered--
 	switch {
-	case e.Try <= s.closedTry:
-	case e.Err == nil:
+	case e.Err == nil && e.Suspension.Handle != s.lastHandle:
+		// Possibly the call was delayed and has stopped the run after it was resumed.
 		g.confirmSuspension(a, e.Suspension)
+	case e.Try <= s.closedTry:
 	case a.state != suspending:
 		g.fire(a, onSuspensionRefused, eventDetails{})
 	case errors.Is(e.Err, engine.ErrUnknownStream):
@@ -286,7 +291,7 @@
 	s.notBefore = g.now.Add(minRunAfterResume)
 	g.room.dirty = true
 	resume := *s.resumed
-	g.emit(StartEngine{Dispatch: a.dispatch, Resume: &resume})
+	g.emit(StartEngine{Dispatch: a.dispatch, Resume: &resume, Reason: s.resumeReason, Suspended: g.now.Sub(s.stoppedAt)})
 }
 
 // removeSuspended removes an attempt from the suspended ones and reports whether it was one.
--- a/gate/types.go
+++ b/gate/types.go
@@ -168,6 +168,10 @@
 	StartEngine struct {
 		Dispatch *wire.Dispatch
 		Resume   *engine.Suspension
+		// Reason states why a suspended run resumes, one of the Resume constants, and Suspended for how long it was
+		// stopped. Both are for logs and metrics.
+		Reason    string
+		Suspended time.Duration
 	}
 
 	// SuspendEngine suspends the run of an attempt; EngineSuspended with the same Try follows. Targets are addresses
@@ -177,6 +181,10 @@
 		Stream  engine.AttemptID
 		Targets []string
 		Try     uint32
+		// For is the attempt that the slot is for, and Remaining the expected remaining time of the run. Both are for
+		// logs.
+		For       *wire.AttemptID
+		Remaining time.Duration
 	}
 
 	// DiscardSuspended frees the memory of a suspended run. No event follows.
