gate: the times of resumes are looked at every 5 ms while no slot is free

Each event of a run looked at all suspended runs. A deadline less the remaining run time now has a margin of 50 ms, which covers the interval: a run resumed exactly at that time before. go test ./gate passes.

--- a/gate/resume.go
+++ b/gate/resume.go
@@ -19,6 +19,8 @@
 	lastMarginShare = 2
 	// defaultSuspendedValidity is how long a server is assumed to keep a stopped run if its record doesn't say.
 	defaultSuspendedValidity = time.Second
+	// deadlineMargin is what a resume and the messages of the answer take, with the interval of the decisions.
+	deadlineMargin = 50 * time.Millisecond
 	// resumeSlackFactor is how many times its predicted wait an attempt of a higher rank must have left, so that a
 	// run resumes before it. A run is suspended at a factor of one: the difference keeps runs from being suspended
 	// for an attempt that they were resumed before.
@@ -30,6 +32,11 @@
 	if len(g.suspended) == 0 {
 		return
 	}
+	full := g.server.state == serverReady && len(g.held) >= g.limit.slots()
+	if full && g.now.Before(g.suspension.nextResume) {
+		return
+	}
+	g.suspension.nextResume = g.now.Add(suspensionInterval)
 	runs := slices.Clone(g.suspended)
 	slices.SortStableFunc(runs, g.compareResume)
 	for _, a := range runs {
@@ -134,7 +141,7 @@
 	if a.deadline.IsZero() {
 		return by
 	}
-	if start := a.deadline.Add(-g.remainingTime(a) - g.suspension.cost); start.Before(by) {
+	if start := a.deadline.Add(-g.remainingTime(a) - deadlineMargin); start.Before(by) {
 		by = start
 	}
 	return by
--- a/gate/suspend.go
+++ b/gate/suspend.go
@@ -15,8 +15,8 @@
 // memory and resumes it later. This file decides which runs are suspended and how many, resume.go when they go on.
 
 const (
-	// suspensionInterval is the least time between two decisions. It bounds their cost, which grows with the number of
-	// waiting attempts.
+	// suspensionInterval is the least time between two decisions while no slot is free. It bounds their cost, which
+	// grows with the number of waiting attempts.
 	suspensionInterval = 5 * time.Millisecond
 	// suspendTargetsMaxAge is how long the addresses of other servers are used after they were received.
 	suspendTargetsMaxAge = 5 * time.Second
--- a/gate/suspend_machine_test.go
+++ b/gate/suspend_machine_test.go
@@ -48,7 +48,6 @@
 	suspends []*modelSuspend
 	handles  int
 	frames   map[engine.AttemptID]uint64 // events that the entry received
-	settling bool
 }
 
 func newSuspendMachine(rt *rapid.T) *suspendMachine {
--- a/gate/suspension.go
+++ b/gate/suspension.go
@@ -84,8 +84,10 @@
 	targets   []string // last reported addresses of other servers
 	targetsAt time.Time
 	nextCheck time.Time
-	notBefore time.Time     // nothing is suspended before this time
-	cost      time.Duration // time from a SuspendEngine to its confirmation, smoothed
+	// nextResume is when it is next looked at which runs have to resume although no slot is free.
+	nextResume time.Time
+	notBefore  time.Time     // nothing is suspended before this time
+	cost       time.Duration // time from a SuspendEngine to its confirmation, smoothed
 }
 
 func newSuspensionControl() suspensionControl { return suspensionControl{cost: initialSuspensionCost} }
