gate: prompts in flight count for who may still be on time

Runs were suspended for second-class requests whose prompts then waited for others, so that their first events were late.

--- a/gate/suspend.go
+++ b/gate/suspend.go
@@ -55,9 +55,10 @@
 	)
 }
 
-// objectiveSlack returns how long an attempt can wait for its start and still send its first event in time.
+// objectiveSlack returns how long an attempt can wait for its start and still send its first event in time. Its prompt
+// waits for those in flight.
 func (g *Gate) objectiveSlack(a *attempt) time.Duration {
-	first := g.pace.timeToFirstToken(a.uncachedTokens())
+	first := g.pace.timeToFirstToken(a.uncachedTokens() + g.usage.prefillTokens)
 	return a.objective.Sub(g.now) - first - g.offerLatency.mean
 }
 
--- a/gate/suspend_failures_test.go
+++ b/gate/suspend_failures_test.go
@@ -271,6 +271,40 @@
 	noChartErrors(t, b)
 }
 
+// Guards against runs that are stopped for ever, and against new suspensions, at a server whose state is in doubt.
+func TestSuspendedRunsResumeAtASuspectServer(t *testing.T) {
+	b := newSuspendingHarness(t, 2)
+	s := b.suspendConfirmed()
+	b.dispatchOffered(entryB, id("urgent", 1), urgentWork())
+	b.actions = nil
+	for range DefaultProbeFailures {
+		b.step(Probed{OK: false})
+	}
+	resumed := resumes(b.actions)
+	require.Len(t, resumed, 1)
+	require.Equal(t, ResumeLeaving, resumed[0].Reason)
+	b.progress(s.Attempt, "x")
+	b.reserve(entryB, id("urgent-2", 1), urgentWork())
+	b.actions = nil
+	b.runFor(600 * time.Millisecond)
+	require.Empty(t, actionsOf[SuspendEngine](b.actions))
+	noChartErrors(t, b)
+}
+
+// Guards against a new incarnation of the agent that admits work beside runs of its predecessor: a suspended run isn't
+// known any more, and its memory is freed or expires.
+func TestNextIncarnationOfTheAgentClearsStoppedRuns(t *testing.T) {
+	b := newHarness(t, suspendingConfig())
+	b.step(Announced{Server: suspendingRecord(2)})
+	actions := b.step(EngineListed{Streams: []engine.StreamInfo{{ID: "long-0.1", State: engine.StreamImported}}})
+	require.Len(t, actionsOf[CancelEngine](actions), 1)
+	require.False(t, b.gate.cleared())
+	b.answerCancel(long(0), engine.CancelUnknownID)
+	b.step(EngineListed{})
+	require.True(t, b.gate.cleared())
+	require.Empty(t, b.gate.suspended)
+}
+
 // Guards against an answer to an earlier suspension that stops a resumed run a second time in the gate's accounts, and
 // against a run that a late call has stopped and that nobody resumes.
 func TestAnswersOfAnEarlierSuspension(t *testing.T) {
