--- a/gate/suspend_machine_test.go
+++ b/gate/suspend_machine_test.go
@@ -139,6 +139,7 @@
 		return
 	}
 	s.proved = true
+	require.False(m.rt, s.known && s.handle != "", "%s is over and the engine was not told to free its memory", over.Attempt)
 	if result.Code(over.Code) != result.EngineLost || s.unsent >= maxResumeTries {
 		return
 	}
