gate: an unanswered suspension doesn't keep other runs from being suspended

A run that was being suspended counted as a slot free at once for a second, while an unreachable target is answered after 300 ms: the waiting request missed its objective. It counts so for 100 ms now.

--- a/gate/suspend.go
+++ b/gate/suspend.go
@@ -20,6 +20,9 @@
 	suspensionInterval = 5 * time.Millisecond
 	// suspendTargetsMaxAge is how long the addresses of other servers are used after they were received.
 	suspendTargetsMaxAge = 5 * time.Second
+	// suspensionDelay is how long a run that is being suspended counts as a slot that will be free at once. A target
+	// that can't be reached delays the answer by 300 ms, and others may be suspended meanwhile.
+	suspensionDelay = 100 * time.Millisecond
 	// worthwhileFactor is the least ratio of a run's remaining time to what a suspension and a resume cost.
 	worthwhileFactor = 8
 	// minSuspended is the least time that a run must be able to stay suspended.
@@ -258,7 +261,7 @@
 // slotTime returns the time until the slot of an attempt is expected to be free.
 func (g *Gate) slotTime(a *attempt) time.Duration {
 	switch {
-	case a.state == suspending && g.now.Sub(a.suspension.askedAt) < preemptConfirmTimeout:
+	case a.state == suspending && g.now.Sub(a.suspension.askedAt) < suspensionDelay:
 		return g.suspension.cost
 	case a.state == cancelling && g.now.Sub(a.cancel.requestedAt) < preemptConfirmTimeout:
 		return 0
--- a/gate/suspension.go
+++ b/gate/suspension.go
@@ -22,8 +22,8 @@
 	suspendAnswerTimeout = 2 * time.Second
 	// refusedRunPause is how long a run is left alone after the engine did not suspend it.
 	refusedRunPause = time.Second
-	// noRoomPause is how long a run is left alone, and nothing else is suspended, after no target had room. That is
-	// answered after a millisecond, and under load a slot at another server is free for a few milliseconds only.
+	// noRoomPause is how long nothing is suspended after no target had room. That is answered after a millisecond, and
+	// under load a slot at another server is free for a few milliseconds only.
 	noRoomPause = 10 * time.Millisecond
 	// failedPause is how long nothing is suspended after another failure. An unreachable target is answered only after
 	// 300 ms.
