engine: suspension of runs in the own HTTP protocol and its stand-in

A server can stop a stream, keep its memory and continue it later, but the client of the own protocol had no calls for it. It gets a suspend and a discard call, and a run that carries the handle and the number of tokens received. The stopped stream ends with an event that holds the handle, so a lost answer of the suspend call loses nothing. The stand-in frees the slot, keeps the memory, expires handles and has faults for refused suspensions, lost answers and refused handles; it doesn't copy memory to the targets. The expected announcement in the stand-in's test has the new field suspended_ms. go test -count=3 ./engine/... passes, and the new tests pass with -race.

--- a/engine/announce.go
+++ b/engine/announce.go
@@ -40,6 +40,9 @@
 	Models       []string     `json:"models"`
 	Slots        int          `json:"slots"`
 	Capabilities Capabilities `json:"capabilities"`
+	// SuspendedMs is how long the server keeps the memory of a suspended run, in milliseconds; 0 if
+	// it can't suspend runs.
+	SuspendedMs int64 `json:"suspended_ms,omitempty"`
 }
 
 // LeaveRequest is the body that a backend server posts to its agent, at /v1/leave, to start a
--- a/engine/client.go
+++ b/engine/client.go
@@ -54,6 +54,9 @@
 	// is then the one after Verbatim.LastEvent. A suspension that the engine no longer holds gives an error that
 	// matches ErrNeverSent and ErrUnknownStream.
 	Resume *Suspension
+	// ResumeTokens is the number of tokens received before the suspension. An engine whose events have no IDs continues
+	// after them. It is used with Resume only.
+	ResumeTokens int
 }
 
 // Verbatim holds the additional fields of a request that is forwarded unchanged.
--- a/engine/http.go
+++ b/engine/http.go
@@ -70,6 +70,7 @@
 
 var (
 	_ Client     = (*HTTP)(nil)
+	_ Suspender  = (*HTTP)(nil)
 	_ Observable = (*HTTP)(nil)
 )
 
--- a/engine/http_call.go
+++ b/engine/http_call.go
@@ -196,6 +196,10 @@
 		return c.fail(ErrUnknownStream, nil)
 	case detail.Type == TypeDuplicate:
 		return c.fail(ErrDuplicate, nil)
+	case detail.Type == TypeSuspending:
+		return c.fail(ErrBusy, nil)
+	case detail.Type == TypeNoRoom:
+		return c.fail(ErrNoRoom, nil)
 	case status == http.StatusNotFound, status == http.StatusMethodNotAllowed, status == http.StatusNotImplemented:
 		return c.fail(ErrUnsupported, cause)
 	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
--- a/engine/http_run.go
+++ b/engine/http_run.go
@@ -33,6 +33,9 @@
 		return Outcome{}, c.fail(ErrNeverSent, errors.Join(ErrInvalid, err))
 	}
 	c.body = body
+	if request.Resume != nil {
+		return h.resumeSuspended(ctx, c, request, sink)
+	}
 	return h.runModel(ctx, c, 0, sink)
 }
 
@@ -63,7 +66,7 @@
 	}
 	for _, name := range []string{
 		"Connection", "Content-Length", "Host", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-		"X-Idempotency-Key", HeaderIdempotencyKey,
+		"X-Idempotency-Key", HeaderIdempotencyKey, HeaderSuspension, HeaderResumeFrom,
 	} {
 		header.Del(name)
 	}
--- a/engine/http_stream.go
+++ b/engine/http_stream.go
@@ -26,8 +26,9 @@
 			Content string `json:"content"`
 		} `json:"delta"`
 	} `json:"choices"`
-	Usage *Usage       `json:"usage"`
-	Error *ErrorDetail `json:"error"`
+	Usage     *Usage         `json:"usage"`
+	Error     *ErrorDetail   `json:"error"`
+	Suspended *SuspendAnswer `json:"suspended"`
 }
 
 // tokens counts a payload with text as one token. An engine that sends several tokens in one
@@ -76,6 +77,11 @@
 		s.endWithError(*parsed.Error)
 		return nil
 	}
+	if parsed.Suspended != nil {
+		s.outcome.End = EndSuspended
+		s.outcome.Suspension = parsed.Suspended.suspension()
+		return nil
+	}
 	s.recordMetadata(&parsed)
 	chunk := Chunk{
 		Index:     s.outcome.Tokens,
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -6,6 +6,10 @@
 const (
 	HeaderRequestID      = "X-Request-Id"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderSuspension is the handle of a suspended run, set in the request that resumes it.
+	HeaderSuspension = "Carawaypitch-Suspension"
+	// HeaderResumeFrom is set beside it: the number of tokens that were received before.
+	HeaderResumeFrom = "Carawaypitch-Resume-From"
 	// HeaderRateLimit is set in every response of a server with a rate limit: the number of
 	// requests per second, as a decimal number, that it accepts from all senders together.
 	HeaderRateLimit = "Carawaypitch-Rate-Limit"
@@ -34,6 +38,10 @@
 	TypeDuplicate = "duplicate_request_id"
 	// TypeUnknownStream means there is no stream with this ID.
 	TypeUnknownStream = "unknown_stream"
+	// TypeSuspending means the stream can't be suspended now; it continues.
+	TypeSuspending = "suspension_in_progress"
+	// TypeNoRoom means no target accepted a copy of the stream's memory; the stream continues.
+	TypeNoRoom = "no_room_at_target"
 	// TypeCancelled ends a stream that was cancelled.
 	TypeCancelled = "cancelled"
 	// TypeInvalid means the call is malformed.
@@ -72,6 +80,25 @@
 	State string    `json:"state"`
 }
 
+// SuspendOrder is the body of a suspend call.
+type SuspendOrder struct {
+	// Targets are addresses, as IP:port, of other servers that may take a copy of the memory.
+	Targets []string `json:"targets"`
+}
+
+// SuspendAnswer is an engine's response to a suspend call. It is also the value of "suspended" in
+// the last event of the stopped stream.
+type SuspendAnswer struct {
+	Handle string `json:"handle"`
+	// Events is the number of tokens that the run had generated.
+	Events int `json:"events"`
+}
+
+// SuspendedEvent is the last event of a stream that was suspended.
+type SuspendedEvent struct {
+	Suspended *SuspendAnswer `json:"suspended"`
+}
+
 // StreamsAnswer is an engine's list of streams.
 type StreamsAnswer struct {
 	Streams []StreamInfo `json:"streams"`
--- a/engine/standin/batch.go
+++ b/engine/standin/batch.go
@@ -30,6 +30,9 @@
 	waiting []*stream
 	active  []*stream
 	streams map[engine.AttemptID]*stream
+	// suspended holds the suspended streams by handle; handles counts the handles given out.
+	suspended map[string]*stream
+	handles   uint64
 	// ended holds the streams that are not running, the earliest ended first.
 	ended       []*stream
 	kvReserved  int
@@ -44,12 +47,13 @@
 
 func newBatch(options Options, faults *faultSet, counters *counters) *batch {
 	b := &batch{
-		options:  options,
-		faults:   faults,
-		counters: counters,
-		streams:  make(map[engine.AttemptID]*stream),
-		cache:    newPrefixCache(options.CacheBlocks),
-		orders:   newOrderState(options),
+		options:   options,
+		faults:    faults,
+		counters:  counters,
+		streams:   make(map[engine.AttemptID]*stream),
+		suspended: make(map[string]*stream),
+		cache:     newPrefixCache(options.CacheBlocks),
+		orders:    newOrderState(options),
 	}
 	b.closing, b.stop = context.WithCancel(context.Background())
 	b.events = cacheLog{
@@ -72,10 +76,16 @@
 	b.streams[s.id] = s
 	b.waiting = append(b.waiting, s)
 	b.recordLoad()
-	if !b.looping {
-		b.looping = true
-		b.loops.Go(b.loop)
+	b.wake()
+}
+
+// wake starts the loop unless it is running. b.mu must be held.
+func (b *batch) wake() {
+	if b.looping || b.closing.Err() != nil {
+		return
 	}
+	b.looping = true
+	b.loops.Go(b.loop)
 }
 
 // loop computes steps and returns when there is no more work.
@@ -96,7 +106,9 @@
 
 // close stops the loop permanently and waits for it to return.
 func (b *batch) close() {
+	b.mu.Lock()
 	b.stop()
+	b.mu.Unlock()
 	b.loops.Wait()
 }
 
@@ -137,11 +149,13 @@
 func (b *batch) admit() {
 	for len(b.waiting) > 0 && len(b.active) < b.options.Slots {
 		s := b.waiting[0]
-		if b.kvReserved+s.tokensNeeded() > b.options.KVTokens {
+		needed := s.tokensNeeded() - s.reserved
+		if b.kvReserved+needed > b.options.KVTokens {
 			return
 		}
 		b.waiting = b.waiting[1:]
-		b.kvReserved += s.tokensNeeded()
+		b.kvReserved += needed
+		s.reserved += needed
 		b.active = append(b.active, s)
 		b.beginPrefill(s)
 	}
@@ -155,6 +169,9 @@
 		return
 	}
 	s.state = engine.StreamPrefill
+	if s.restored {
+		return
+	}
 	s.cached = min(b.cache.match(s.spec.Blocks)*b.options.BlockTokens, s.spec.PromptTokens-1)
 	s.promptRemaining -= s.cached
 	b.counters.add(func(stats *Stats) { stats.CachedPromptTokens += uint64(s.cached) })
@@ -233,11 +250,12 @@
 func (b *batch) retire(s *stream, state engine.StreamState) {
 	if i := slices.Index(b.active, s); i >= 0 {
 		b.active = slices.Delete(b.active, i, i+1)
-		b.kvReserved -= s.tokensNeeded()
 	}
 	if i := slices.Index(b.waiting, s); i >= 0 {
 		b.waiting = slices.Delete(b.waiting, i, i+1)
 	}
+	b.kvReserved -= s.reserved
+	s.reserved = 0
 	if s.state.Running() {
 		b.options.Ledger.end(s.id)
 	}
--- a/engine/standin/batch_calls.go
+++ b/engine/standin/batch_calls.go
@@ -18,6 +18,8 @@
 	errNotReady      = errors.New("model is not loaded")
 	errTooLong       = errors.New("prompt and output exceed the KV memory")
 	errInvalid       = errors.New("invalid request")
+	errSuspending    = errors.New("the stream can't be suspended now")
+	errNoRoom        = errors.New("no target has room for a copy")
 )
 
 // errConnectionLost ends a reader that was replaced or whose connection was lost; the stream
@@ -190,6 +192,9 @@
 		return engine.CancelStateFinished, nil
 	case s.state == streamCancelled:
 		return engine.CancelStateCancelled, nil
+	case s.state == streamSuspended:
+		b.dropSuspended(s, streamCancelled)
+		return engine.CancelStateCancelled, nil
 	case b.faults.get().IgnoreCancel:
 		return engine.CancelStateRunning, nil
 	}
@@ -261,6 +266,9 @@
 			b.terminate(s, streamLost, WasteCrash)
 		}
 	}
+	for _, s := range b.suspended {
+		b.dropSuspended(s, streamLost)
+	}
 	clear(b.streams)
 	b.ended = nil
 	b.cache = newPrefixCache(b.options.CacheBlocks)
--- a/engine/standin/delivery.go
+++ b/engine/standin/delivery.go
@@ -34,7 +34,7 @@
 	response := d.c.Response()
 	response.Header().Set(echo.HeaderContentType, engine.ContentTypeStream)
 	response.WriteHeader(http.StatusOK)
-	if d.format.spec.Chat && d.next == 0 {
+	if d.format.spec.Chat && d.next == 0 && !d.s.restored {
 		d.append(d.format.roleChunk())
 	}
 	for {
@@ -102,6 +102,9 @@
 			Message: "the stream was cancelled",
 		}})
 		return d.write()
+	case state == streamSuspended:
+		d.append(engine.SuspendedEvent{Suspended: &d.s.suspension.answer})
+		return d.write()
 	case d.injected.failAfter:
 		d.append(engine.ErrorBody{Error: internalError()})
 		return d.write()
@@ -161,7 +164,7 @@
 
 func (d *delivery) writeResult(state engine.StreamState) error {
 	switch {
-	case d.injected.loseAnswer:
+	case d.injected.loseAnswer, state == streamSuspended:
 		return abort()
 	case state == streamCancelled:
 		return d.c.JSON(http.StatusConflict, engine.ErrorBody{Error: &engine.ErrorDetail{
--- a/engine/standin/faults.go
+++ b/engine/standin/faults.go
@@ -34,6 +34,13 @@
 	DropCacheEvents float64 `json:"drop_cache_events"`
 	// IgnoreCancel makes cancel calls report that the stream is still running.
 	IgnoreCancel bool `json:"ignore_cancel"`
+	// RefuseSuspension refuses suspend calls: "no_room" as if no target had room, "busy" as if
+	// another call for the stream were in progress. Empty means that they are carried out.
+	RefuseSuspension string `json:"refuse_suspension"`
+	// LoseSuspension carries out suspend calls and closes their connections without a response.
+	LoseSuspension bool `json:"lose_suspension"`
+	// RefuseHandle refuses to resume suspended runs, as if their handles had expired.
+	RefuseHandle bool `json:"refuse_handle"`
 	// DieAfterTokens crashes the engine once, when a stream has delivered that many tokens; 0
 	// means never. The engine stays down for DownMs milliseconds.
 	DieAfterTokens int   `json:"die_after_tokens"`
@@ -76,9 +83,20 @@
 	if f.DieAfterTokens < 0 || f.DownMs < 0 || f.FreezeMs < 0 || f.RefuseMs < 0 {
 		problems = append(problems, errors.New("faults: counts and times must not be negative"))
 	}
+	switch f.RefuseSuspension {
+	case "", SuspensionNoRoom, SuspensionBusy:
+	default:
+		problems = append(problems, errors.New("fault refuse_suspension: must be empty, no_room or busy"))
+	}
 	return errors.Join(problems...)
 }
 
+// Values of Faults.RefuseSuspension.
+const (
+	SuspensionNoRoom = "no_room"
+	SuspensionBusy   = "busy"
+)
+
 // faultSet holds the active fault switches.
 type faultSet struct {
 	seed        uint64
--- a/engine/standin/ledger.go
+++ b/engine/standin/ledger.go
@@ -39,14 +39,7 @@
 	if id == "" {
 		return 0
 	}
-	request := id.Request()
-	l.running[request]++
-	if l.running[request] > 1 {
-		l.overlaps++
-		if len(l.overlapped) < maxOverlapNames {
-			l.overlapped = append(l.overlapped, request)
-		}
-	}
+	l.addRunning(id.Request())
 	if _, known := l.starts[id]; !known && len(l.starts) >= l.max {
 		l.untracked++
 		return 1
@@ -55,6 +48,27 @@
 	return l.starts[id]
 }
 
+// resume records that a suspended attempt runs again. It is the same run and not counted as a start.
+func (l *Ledger) resume(id engine.AttemptID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if id != "" {
+		l.addRunning(id.Request())
+	}
+}
+
+// addRunning counts a running attempt of a request. l.mu must be held.
+func (l *Ledger) addRunning(request string) {
+	l.running[request]++
+	if l.running[request] <= 1 {
+		return
+	}
+	l.overlaps++
+	if len(l.overlapped) < maxOverlapNames {
+		l.overlapped = append(l.overlapped, request)
+	}
+}
+
 // end records that an attempt is not running.
 func (l *Ledger) end(id engine.AttemptID) {
 	l.mu.Lock()
--- a/engine/standin/model.go
+++ b/engine/standin/model.go
@@ -25,6 +25,8 @@
 	routes.GET("/v1/streams", m.streams)
 	routes.POST("/v1/streams/:id/cancel", m.cancel)
 	routes.POST("/v1/streams/:id/resume", m.resume)
+	routes.POST("/v1/streams/:id/suspend", m.suspend)
+	routes.DELETE("/v1/suspended/:id", m.discard)
 	routes.GET("/v1/kv/:id", m.exportKV)
 	routes.PUT("/v1/kv/:id", m.importKV)
 	routes.GET("/v1/load", m.load)
@@ -50,6 +52,9 @@
 	if err != nil {
 		return m.refuse(c, err)
 	}
+	if handle := c.Request().Header.Get(engine.HeaderSuspension); handle != "" {
+		return m.resumeSuspended(c, id, handle)
+	}
 	injected := m.faults.draw(string(id), m.options.Ledger.started(id)+1)
 	if injected.loseBefore {
 		return abort()
--- a/engine/standin/options.go
+++ b/engine/standin/options.go
@@ -49,6 +49,9 @@
 	HoldTime time.Duration
 	MaxHeld  int
 
+	// HandleTTL is how long a suspended run can be resumed.
+	HandleTTL time.Duration
+
 	// LoadLag and CacheLag are the delays of load reports and cache events.
 	LoadLag  time.Duration
 	CacheLag time.Duration
@@ -106,6 +109,7 @@
 		MaxOutput:    256,
 		HoldTime:     30 * time.Second,
 		MaxHeld:      4096,
+		HandleTTL:    5 * time.Second,
 		LoadLag:      time.Second,
 		CacheLag:     time.Second,
 		Capabilities: engine.Capabilities{
@@ -167,6 +171,7 @@
 	o.MinOutput = orDefault(o.MinOutput, min(d.MinOutput, o.MaxOutput))
 	o.HoldTime = orDefault(o.HoldTime, d.HoldTime)
 	o.MaxHeld = orDefault(o.MaxHeld, d.MaxHeld)
+	o.HandleTTL = orDefault(o.HandleTTL, d.HandleTTL)
 	o.WeightBytes = orDefault(o.WeightBytes, d.WeightBytes)
 	o.WeightRate = orDefault(o.WeightRate, d.WeightRate)
 	o.MaxTracked = orDefault(o.MaxTracked, d.MaxTracked)
@@ -208,6 +213,7 @@
 	check(o.CacheBlocks >= 0 && o.BlockTokens >= 0, "cache blocks and block tokens: must not be negative")
 	check(o.MinOutput >= 0 && (o.MaxOutput == 0 || o.MaxOutput >= o.MinOutput), "output: must be 0 <= min <= max")
 	check(o.HoldTime >= 0 && o.MaxHeld >= 0, "hold time and held streams: must not be negative")
+	check(o.HandleTTL >= 0, "handle TTL: must not be negative")
 	check(o.LoadLag >= 0 && o.CacheLag >= 0, "lags: must not be negative")
 	check(isShare(o.CacheGap), "cache gap: must be from 0 to 1")
 	check(o.ServiceTime >= 0, "service time: must not be negative")
--- a/engine/standin/refuse.go
+++ b/engine/standin/refuse.go
@@ -22,6 +22,8 @@
 }{
 	{errDuplicate, http.StatusConflict, engine.TypeDuplicate},
 	{errUnknownStream, http.StatusNotFound, engine.TypeUnknownStream},
+	{errSuspending, http.StatusConflict, engine.TypeSuspending},
+	{errNoRoom, http.StatusServiceUnavailable, engine.TypeNoRoom},
 	{errNotReady, http.StatusServiceUnavailable, engine.TypeNotReady},
 	{errTooLong, http.StatusBadRequest, engine.TypeInvalid},
 	{errInvalid, http.StatusBadRequest, engine.TypeInvalid},
--- a/engine/standin/run.go
+++ b/engine/standin/run.go
@@ -95,9 +95,18 @@
 		Models:       models,
 		Slots:        s.options.Slots,
 		Capabilities: s.options.Capabilities,
+		SuspendedMs:  s.suspendedMs(),
 	}
 }
 
+// suspendedMs returns how long a suspended run is kept, 0 for a service.
+func (s *Server) suspendedMs() int64 {
+	if s.model == nil {
+		return 0
+	}
+	return s.options.HandleTTL.Milliseconds()
+}
+
 // decodeStrict decodes one JSON value and rejects unknown fields.
 func decodeStrict(source io.Reader, value any) error {
 	decoder := json.NewDecoder(source)
--- a/engine/standin/server_test.go
+++ b/engine/standin/server_test.go
@@ -77,8 +77,8 @@
 		time.Sleep(3500 * time.Millisecond)
 		assert.Equal(t, 4, agent.count("POST /v1/announce"))
 		assert.JSONEq(t, fmt.Sprintf(`{"server":"engine-1","kind":"model","address":%q,"models":["sample"],"slots":16,
-			"capabilities":{"fencing":"refuses","kv":true,"resume":true,"on_disconnect":"continues"}}`,
-			server.URL()), agent.bodies[0])
+			"capabilities":{"fencing":"refuses","kv":true,"resume":true,"on_disconnect":"continues"},
+			"suspended_ms":5000}`, server.URL()), agent.bodies[0])
 
 		client, err := engine.NewHTTP(server.URL(), engine.HTTPOptions{Network: memNetwork.Host("10.0.0.2")})
 		require.NoError(t, err)
--- a/engine/standin/stats.go
+++ b/engine/standin/stats.go
@@ -12,6 +12,8 @@
 	WasteCancel     = "cancel"
 	WasteDisconnect = "disconnect"
 	WasteCrash      = "crash"
+	// WasteSuspended is the prefill of suspended runs that were not resumed.
+	WasteSuspended = "suspended"
 )
 
 // Stats are the counters of a stand-in, served at GET /v1/stats. Starts, Overlaps, Overlapped
@@ -23,8 +25,11 @@
 	Resumes    uint64 `json:"resumes"`
 	Finished   uint64 `json:"finished"`
 	Cancels    uint64 `json:"cancels"`
-	Disconnect uint64 `json:"disconnects"`
-	Crashes    uint64 `json:"crashes"`
+	// Suspensions counts stopped streams, and Resumptions those of them that continued.
+	Suspensions uint64 `json:"suspensions"`
+	Resumptions uint64 `json:"resumptions"`
+	Disconnect  uint64 `json:"disconnects"`
+	Crashes     uint64 `json:"crashes"`
 	// PrefillTokens are computed prompt tokens; WastedPrefillTokens is the part that belongs to
 	// streams that ended unfinished.
 	PrefillTokens       uint64            `json:"prefill_tokens"`
--- a/engine/standin/stream.go
+++ b/engine/standin/stream.go
@@ -22,6 +22,14 @@
 	// produced is the position after the last token.
 	produced int
 
+	// reserved is the number of tokens that the stream holds in the KV memory.
+	reserved int
+	// restored is set for a stream that continues a suspended one. Its memory is reserved and its
+	// prompt computed as far as it was.
+	restored bool
+	// suspension is set while the stream is suspended.
+	suspension *suspension
+
 	// changed is closed and replaced on each change.
 	changed chan struct{}
 	// activeReader is the number of the active reader, 0 for none; lastReader is the last
@@ -35,6 +43,8 @@
 const (
 	streamCancelled engine.StreamState = "cancelled"
 	streamLost      engine.StreamState = "lost"
+	// streamSuspended is the state of a stream that was stopped and whose memory is kept.
+	streamSuspended engine.StreamState = "suspended"
 )
 
 // streamSpec is the requested output of a stream. It is also the format of an exported KV
@@ -89,4 +99,6 @@
 }
 
 // listed reports whether the engine still holds the stream.
-func (s *stream) listed() bool { return s.state != streamCancelled && s.state != streamLost }
+func (s *stream) listed() bool {
+	return s.state != streamCancelled && s.state != streamLost && s.state != streamSuspended
+}
