agent: announcements say how long a server keeps a suspended run

Servers of the own protocol announce themselves without a pool record that says whether they can suspend runs. The announcement's field suspended_ms sets suspends and suspended_ms of the server record; values outside of 0 to 10 minutes are refused. go test ./agent passes.

--- a/agent/announcement.go
+++ b/agent/announcement.go
@@ -16,6 +16,8 @@
 	maxNameBytes = 128
 	maxModels    = 256
 	maxSlots     = 65536
+	// maxSuspendedMs is the longest time, in milliseconds, for which a server keeps a suspended run.
+	maxSuspendedMs = 10 * 60 * 1000
 )
 
 // schemeHTTP is prepended to an address that is only IP and port.
@@ -41,6 +43,9 @@
 	if a.Slots < 1 || a.Slots > maxSlots {
 		return nil, malformed("slots: want 1 to %d, got %d", maxSlots, a.Slots)
 	}
+	if a.SuspendedMs < 0 || a.SuspendedMs > maxSuspendedMs {
+		return nil, malformed("suspended_ms: want 0 to %d, got %d", maxSuspendedMs, a.SuspendedMs)
+	}
 	capabilities, err := checkCapabilities(a.Capabilities)
 	if err != nil {
 		return nil, err
@@ -52,6 +57,8 @@
 		Models:       a.Models,
 		Slots:        uint32(a.Slots),
 		Capabilities: capabilities,
+		Suspends:     a.SuspendedMs > 0,
+		SuspendedMs:  uint32(a.SuspendedMs),
 	}, nil
 }
 
--- a/agent/announcement_test.go
+++ b/agent/announcement_test.go
@@ -60,6 +60,8 @@
 		"slots: want 1 to":           func(a *engine.Announcement) { a.Slots = 0 },
 		"slots: want":                func(a *engine.Announcement) { a.Slots = -1 },
 		"slots":                      func(a *engine.Announcement) { a.Slots = maxSlots + 1 },
+		"suspended_ms":               func(a *engine.Announcement) { a.SuspendedMs = maxSuspendedMs + 1 },
+		"suspended_ms: want":         func(a *engine.Announcement) { a.SuspendedMs = -1 },
 		"capabilities.fencing":       func(a *engine.Announcement) { a.Capabilities.Fencing = "maybe" },
 		"capabilities.on_disconnect": func(a *engine.Announcement) { a.Capabilities.OnDisconnect = "" },
 	}
