--- a/agent/agent.go
+++ b/agent/agent.go
@@ -242,6 +242,14 @@
 	})
 }
 
+// suspensionConfig returns the settings of the gates for the suspension of runs.
+func (a *Agent) suspensionConfig() gate.SuspensionConfig {
+	return gate.SuspensionConfig{
+		Enabled:   a.settings.Suspension.Enabled,
+		MaxPerRun: a.settings.Suspension.MaxPerRun,
+	}
+}
+
 // newHTTPEngine returns the client of an engine that speaks the protocol of engine.HTTP.
 func (a *Agent) newHTTPEngine(record *wire.ServerRecord) (engine.Client, error) {
 	return engine.NewHTTP(record.GetAddress(), engine.HTTPOptions{
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -30,6 +30,8 @@
 	Log Log `json:"log"`
 	// Timing holds the intervals and timeouts of the process.
 	Timing AgentTiming `json:"timing"`
+	// Suspension configures the suspension of runs.
+	Suspension AgentSuspension `json:"suspension"`
 }
 
 // AgentListen holds the addresses, IP:port, that an agent listens on. Port 0 selects any free port.
@@ -84,6 +86,15 @@
 	Drain time.Duration `json:"drain"`
 }
 
+// AgentSuspension configures the suspension of runs: an agent may stop a long run of a less urgent request at a server
+// that keeps its memory, and resume it later.
+type AgentSuspension struct {
+	// Enabled allows it. Default false.
+	Enabled bool `json:"enabled"`
+	// MaxPerRun is the maximum number of times that one run is suspended. Default 3.
+	MaxPerRun int `json:"max_per_run"`
+}
+
 func (*Agent) expectedRole() Role { return RoleAgent }
 
 // DefaultAgent returns the default values, which apply to keys that a file omits.
@@ -111,6 +122,7 @@
 			UnprovenHold:   30 * time.Second,
 			UnlistedSettle: time.Second,
 		},
+		Suspension: AgentSuspension{MaxPerRun: 3},
 	}
 }
 
@@ -145,6 +157,7 @@
 	checkPositive(c, "timing.drain", a.Timing.Drain)
 	checkPositive(c, "timing.unproven_hold", a.Timing.UnprovenHold)
 	checkPositive(c, "timing.unlisted_settle", a.Timing.UnlistedSettle)
+	checkPositive(c, "suspension.max_per_run", a.Suspension.MaxPerRun)
 	c.checkSilenceTimeout("timing.cut_off", a.Timing.CutOff, a.Timing.Heartbeat)
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -80,6 +80,7 @@
 	agent, err := Load[Agent](writeFile(t, "a", agentText))
 	require.NoError(t, err)
 	require.Equal(t, "127.0.0.1:9002", agent.Advertise)
+	require.Equal(t, AgentSuspension{Enabled: false, MaxPerRun: 3}, agent.Suspension)
 
 	path := writeFile(t, "c", withDigest(controlText))
 	control, err := Load[Control](path)
@@ -210,6 +211,30 @@
 	}
 }
 
+// Guards against a suspension block whose invalid values are accepted, with which no run or each run for ever would be
+// suspended.
+func TestSuspensionSettings(t *testing.T) {
+	withBlock := func(block string) string {
+		return strings.Replace(agentText, `"role"`, `"suspension": `+block+`, "role"`, 1)
+	}
+	agent, err := parse[Agent]([]byte(withBlock(`{"enabled": true, "max_per_run": 1}`)), "/etc/s.jsonc", noFile)
+	require.NoError(t, err)
+	require.Equal(t, AgentSuspension{Enabled: true, MaxPerRun: 1}, agent.Suspension)
+	for block, want := range map[string]struct {
+		code result.Code
+		path string
+	}{
+		`{"max_per_run": 0}`:   {result.SettingsOutOfRange, "suspension.max_per_run"},
+		`{"max_per_run": 1.5}`: {result.SettingsWrongType, "suspension.max_per_run"},
+		`{"enabled": 1}`:       {result.SettingsWrongType, "suspension.enabled"},
+		`{"on": true}`:         {result.SettingsUnknownField, "suspension.on"},
+	} {
+		got := diagnosticsOf[Agent](t, withBlock(block))
+		require.Len(t, got.List, 1, "%s\n%s", block, got)
+		require.True(t, got.Has(want.code, want.path), "%s\n%s", block, got)
+	}
+}
+
 // Guards against a stack overflow at the start of the process. A recursive parser overflows the stack on a settings
 // file of a megabyte of opening brackets.
 func TestSyntaxErrorsAndNestingLimits(t *testing.T) {
