agent: runs are suspended, resumed and discarded for the gate

The gate's actions for suspended runs had no effect. The agent keeps the record of a stopped run with the last event received and the time of its dispatch, and a resumption continues from there. The answer of a suspension is passed on before the end of the stopped call, in whichever order they arrive; a lost answer is replaced by what the run's stream showed. Records are dropped at a discard, when the handle has expired and when the server is removed, since the gate ends such attempts without an action.

--- a/agent/engine_run.go
+++ b/agent/engine_run.go
@@ -48,6 +48,8 @@
 	arrivedAt      time.Time // when the dispatch was received
 	concurrentRuns int       // other runs of the server at that time
 	returnedAt     time.Time // when the engine call returned, zero while it runs; used by the event loop only
+	suspension     suspensionOf
+	resumption     *engine.Suspension // the suspension that the engine call resumes, nil for a call from the start
 
 	mu            sync.Mutex
 	changed       *sync.Cond
@@ -56,6 +58,7 @@
 	bufferedBytes int
 	notified      bool // whether the event loop was notified of waiting events
 	closed        bool // whether further events are refused
+	received      position
 	contentType   string
 }
 
@@ -70,6 +73,7 @@
 		canTransferKV: capabilities.GetKv(),
 		wantsUsage:    !d.GetVerbatim() && wantsUsage(d.GetBody()),
 	}
+	r.received = position{head: d.GetResumeFrom() > 0, lastEvent: d.GetLastEvent(), tokens: int(d.GetResumeTokens())}
 	r.changed = sync.NewCond(&r.mu)
 	return r
 }
@@ -88,9 +92,9 @@
 func (r *engineRun) call(ctx context.Context, sink engine.Sink) (engine.Outcome, error) {
 	d := r.dispatch
 	if d.GetVerbatim() {
-		return r.client.Run(ctx, r.verbatimRequest(), sink)
+		return r.client.Run(ctx, r.continueAfter(r.verbatimRequest()), sink)
 	}
-	if d.GetResumeTokens() > 0 || d.GetResumeAttempt() != "" {
+	if r.resumption == nil && (d.GetResumeTokens() > 0 || d.GetResumeAttempt() != "") {
 		return r.resume(ctx, sink)
 	}
 	request := engine.Request{
@@ -107,7 +111,7 @@
 	if contentType := d.GetContentType(); contentType != "" {
 		request.Header = map[string][]string{"Content-Type": {contentType}}
 	}
-	return r.client.Run(ctx, request, sink)
+	return r.client.Run(ctx, r.continueAfter(request), sink)
 }
 
 // verbatimRequest returns the engine request of a dispatch that is passed on as its caller sent it.
@@ -129,7 +133,7 @@
 			Host:         d.GetHost(),
 			Organisation: work.GetOrganisation(),
 			Server:       d.GetServer(),
-			Remaining:    time.Duration(work.GetRemainingMs())*time.Millisecond - time.Since(r.arrivedAt),
+			Remaining:    r.remaining(),
 			Repeatable:   work.GetRepeatable(),
 			LastEvent:    d.GetLastEvent(),
 			SkipHead:     d.GetResumeFrom() > 0,
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -35,6 +36,10 @@
 	metricAdvice        = "carawaypitch_server_advice_total"
 	metricThrottled     = "carawaypitch_throttled_total"
 	metricMalformed     = "carawaypitch_server_advice_malformed_total"
+	metricSuspensions   = "carawaypitch_suspensions_total"          // by outcome
+	metricSuspensionEnd = "carawaypitch_suspended_runs_ended_total" // by reason: resumed, or why not
+	metricSuspended     = "carawaypitch_suspended_runs"             // suspended now
+	metricSuspendedTime = "carawaypitch_suspended_seconds"          // histogram of the time that a run was suspended
 )
 
 // Reasons of retries, used as label values.
@@ -134,3 +139,19 @@
 func (m *meter) delayed() {
 	m.add(metricDelayed, 1)
 }
+
+// suspensionAnswered counts a suspension by its outcome.
+func (m *meter) suspensionAnswered(outcome string) {
+	m.add(fmt.Sprintf(`%s{outcome=%q}`, metricSuspensions, outcome), 1)
+}
+
+// suspendedRuns adds to the number of suspended runs.
+func (m *meter) suspendedRuns(n float64) {
+	m.set.GetOrCreateGauge(metricSuspended, nil).Add(n)
+}
+
+// suspensionEnded counts a run that is not suspended any more, and how long it was.
+func (m *meter) suspensionEnded(reason string, took time.Duration) {
+	m.add(fmt.Sprintf(`%s{reason=%q}`, metricSuspensionEnd, reason), 1)
+	m.set.GetOrCreateHistogram(metricSuspendedTime).Update(took.Seconds())
+}
--- a/agent/run_sink.go
+++ b/agent/run_sink.go
@@ -27,7 +27,10 @@
 	if chunk.UsageOnly && !s.run.wantsUsage {
 		return nil
 	}
-	return s.put(slices.Clone(chunk.Data), chunk.Tokens)
+	event := slices.Clone(chunk.Data)
+	return s.put(event, chunk.Tokens, func(p *position) {
+		p.receive(s.run.dispatch.GetVerbatim(), event, chunk.Index+chunk.Tokens)
+	})
 }
 
 // Answer implements engine.Sink. The body of a model engine's answer with a status other than 200 is a refusal and not
@@ -38,24 +41,24 @@
 		return nil
 	}
 	for chunk := range slices.Chunk(answer.Body, serviceChunkBytes) {
-		if err := s.put(chunk, 0); err != nil {
+		if err := s.put(chunk, 0, nil); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *runSink) put(event []byte, tokens int) error {
-	notify, err := s.run.put(event, tokens)
+func (s *runSink) put(event []byte, tokens int, record func(*position)) error {
+	notify, err := s.run.put(event, tokens, record)
 	if err != nil || !notify {
 		return err
 	}
 	return s.notify(s.run)
 }
 
-// put appends an event, and blocks while the buffer is full. It reports whether the event loop must be notified. The
-// error is errRunClosed.
-func (r *engineRun) put(event []byte, tokens int) (bool, error) {
+// put appends an event, and blocks while the buffer is full. It reports whether the event loop must be notified. record
+// records an accepted event; nil if it is not part of a stream. The error is errRunClosed.
+func (r *engineRun) put(event []byte, tokens int, record func(*position)) (bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for r.bufferedBytes > 0 && r.bufferedBytes+len(event) > runBufferBytes && !r.closed {
@@ -64,6 +67,9 @@
 	if r.closed {
 		return false, errRunClosed
 	}
+	if record != nil {
+		record(&r.received)
+	}
 	r.events = append(r.events, event)
 	r.bufferedBytes += len(event)
 	r.tokens = append(r.tokens, uint32(tokens))
--- a/agent/server.go
+++ b/agent/server.go
@@ -77,6 +77,8 @@
 	gateRecord  *wire.ServerRecord // the gate's latest record for the directory, nil until its engine is confirmed free
 	leaving     leaving
 	runs        map[attemptKey]*engineRun
+	// suspendedRuns is the number of runs that are suspended.
+	suspendedRuns int
 
 	view atomic.Pointer[serverView] // read by other goroutines
 }
--- a/agent/server_actions.go
+++ b/agent/server_actions.go
@@ -24,9 +24,13 @@
 	case gate.Broadcast:
 		s.links.Broadcast(s.hideFreeRoom(a.Message))
 	case gate.StartEngine:
-		s.startRun(a.Dispatch)
+		s.startRun(now, a)
 	case gate.CancelEngine:
 		s.cancelStream(now, a)
+	case gate.SuspendEngine:
+		s.suspendRun(now, a)
+	case gate.DiscardSuspended:
+		s.discardSuspended(a)
 	case gate.ListEngine:
 		s.listStreams()
 	case gate.VerifyServer:
@@ -79,7 +83,12 @@
 // An agent that is cut off from control or stopping takes no new work. All attempts start here, so the check covers
 // dispatches that are immediate, that follow an offer, and that come from the waiting list. The gate leaves a
 // tombstone for a refused attempt as for any call that was never sent.
-func (s *server) startRun(d *wire.Dispatch) {
+func (s *server) startRun(now time.Time, a gate.StartEngine) {
+	if a.Resume != nil {
+		s.resumeRun(now, a)
+		return
+	}
+	d := a.Dispatch
 	key := keyOf(d.GetAttempt())
 	reason := refusal{key: key, code: s.ready.refusalCode()}
 	if reason.code != 0 || s.client == nil || len(s.runs) >= maxRuns || s.runs[key] != nil {
@@ -87,10 +96,15 @@
 		return
 	}
 	r := newRun(d, s.client, s.record.GetCapabilities())
+	r.concurrentRuns = len(s.runs) - s.suspendedRuns
+	s.executeInBackground(r)
+}
+
+// executeInBackground registers a run and calls the engine in a goroutine of its own.
+func (s *server) executeInBackground(r *engineRun) {
 	callCtx, stop := context.WithCancel(s.base)
 	r.disconnect = stop
-	r.concurrentRuns = len(s.runs)
-	s.runs[key] = r
+	s.runs[r.key] = r
 	s.spawn(func(ctx context.Context) { s.executeRun(ctx, callCtx, r) })
 }
 
--- a/agent/server_loop.go
+++ b/agent/server_loop.go
@@ -44,6 +44,7 @@
 			s.sendUnsent()
 			s.updateDeparted(now)
 			s.proposeAdvice(now)
+			s.dropExpired(now)
 			s.step(now, gate.Tick{})
 			ticks.Rearm(s.nextTick())
 		}
@@ -104,6 +105,7 @@
 
 // closeRuns disconnects the attempts that still run when the agent ends.
 func (s *server) closeRuns() {
+	s.dropAllSuspended()
 	for _, r := range s.runs {
 		r.close()
 		r.disconnect()
--- a/agent/server_runs.go
+++ b/agent/server_runs.go
@@ -57,9 +57,17 @@
 func (in runEnded) apply(s *server, now time.Time) {
 	r := in.run
 	s.forwardEvents(now, r)
+	if in.holdBack() {
+		return
+	}
 	r.close()
 	r.returnedAt = now
-	s.logEnd(r, in.outcome, in.err)
+	if in.isSuspension() {
+		s.keepSuspended(now, r, in.outcome)
+	} else {
+		s.logLostHandle(r, in.err)
+		s.logEnd(r, in.outcome, in.err)
+	}
 	s.step(now, gate.EngineEnded{
 		Attempt:     r.dispatch.GetAttempt(),
 		Outcome:     in.outcome,
@@ -72,8 +80,8 @@
 		leaveRequested{reason: "replaced"}.apply(s, now)
 	}
 	// A service's call can't be cancelled, so there will be no later proof.
-	if provesEnd(in.err) || r.isService {
-		s.removeRun(r)
+	if !in.isSuspension() && (provesEnd(in.err) || r.isService) {
+		s.removeRun(r, endCancelled)
 	}
 }
 
@@ -100,9 +108,11 @@
 	entry.Info("attempt_ended")
 }
 
-func (s *server) removeRun(r *engineRun) {
+// removeRun drops the record of a run. reason is why it is not suspended any more, if it is suspended.
+func (s *server) removeRun(r *engineRun, reason string) {
 	if s.runs[r.key] == r {
 		delete(s.runs, r.key)
+		s.endSuspended(time.Now(), r, reason)
 	}
 }
 
@@ -143,7 +153,8 @@
 
 func (in cancelResult) apply(s *server, now time.Time) {
 	r := in.run
-	if r != nil && in.err == nil && in.result == engine.CancelUnknownID && !r.unknownIDProvesEnd(in.sentAt) {
+	resumed := r != nil && s.runs[r.key] != nil && s.runs[r.key] != r
+	if r != nil && in.err == nil && in.result == engine.CancelUnknownID && (resumed || !r.unknownIDProvesEnd(in.sentAt)) {
 		in.result, in.err = engine.CancelNone, errDispatchInFlight
 	}
 	s.meter.cancelled(in.result.String())
@@ -152,7 +163,7 @@
 	}
 	s.step(now, in.event())
 	if r != nil && in.err == nil && !r.returnedAt.IsZero() {
-		s.removeRun(r)
+		s.removeRun(r, endCancelled)
 	}
 }
 
--- a/agent/timing.go
+++ b/agent/timing.go
@@ -15,6 +15,13 @@
 	maxDispatchDelay = 250 * time.Millisecond
 	// cancelledRunGrace is how long an engine has to end a stream after it confirmed the cancel.
 	cancelledRunGrace = time.Second
+	// discardTries and discardInterval bound the calls that free the memory of a suspended run.
+	discardTries    = 3
+	discardInterval = 200 * time.Millisecond
+	// defaultSuspendedTime is how long a suspended run is kept at a server that doesn't say for how long it keeps one.
+	defaultSuspendedTime = 30 * time.Second
+	// expiryGrace is how much longer the record of a suspended run is kept than its handle, for a resumption in flight.
+	expiryGrace = time.Second
 	// returnDelay is how long after a server was told that it is drained its announcements count as a return. The last
 	// announcement of a stopping server may be in flight until then.
 	returnDelay = 2 * time.Second
