agent: a cancelled run that was suspended frees its memory

A server that doesn't know a cancel of a suspended run only says that it runs no such stream, and kept the memory until the handle expired. The agent discards it with the record. A resumption whose server can't be reached is logged as a failed one too. A test read what another goroutine had written without a happens-before edge; -race reported it, and it waits for the goroutine now. go test ./agent passes, and the tests of suspension pass 3 times with -race.

--- a/agent/server_runs.go
+++ b/agent/server_runs.go
@@ -65,7 +65,7 @@
 	if in.isSuspension() {
 		s.keepSuspended(now, r, in.outcome)
 	} else {
-		s.logLostHandle(r, in.err)
+		s.logFailedResumption(r, in.err)
 		s.logEnd(r, in.outcome, in.err)
 	}
 	s.step(now, gate.EngineEnded{
@@ -163,6 +163,7 @@
 	}
 	s.step(now, in.event())
 	if r != nil && in.err == nil && !r.returnedAt.IsZero() {
+		s.discardCancelled(r)
 		s.removeRun(r, endCancelled)
 	}
 }
--- a/agent/suspension.go
+++ b/agent/suspension.go
@@ -22,8 +22,10 @@
 	suspendUnsupported = "unsupported"
 	suspendNotSent     = "never_sent"
 	suspendUnknown     = "unknown"
-	// resumeLost means that the engine didn't hold the memory any more, and discardFailed that it may still hold it.
+	// resumeLost means that the engine didn't hold the memory any more, resumeNotSent that it could not be reached, and
+	// discardFailed that it may still hold the memory.
 	resumeLost    = "handle_lost"
+	resumeNotSent = "resumption_never_sent"
 	discardFailed = "discard_failed"
 )
 
@@ -267,6 +269,14 @@
 	})
 }
 
+// discardCancelled frees the memory of a suspended run that was cancelled, unless the gate had it freed. An engine that
+// knows no cancel of suspended runs would keep it until the handle expires.
+func (s *server) discardCancelled(r *engineRun) {
+	if suspended := r.suspension.suspended; suspended != nil {
+		s.discardSuspended(gate.DiscardSuspended{Attempt: r.dispatch.GetAttempt(), Suspension: suspended.suspension})
+	}
+}
+
 // discard calls Discard until it succeeds or the memory is known to be gone, at most discardTries times.
 func discard(ctx context.Context, client engine.Suspender, suspension engine.Suspension) error {
 	var err error
@@ -350,12 +360,15 @@
 		Warn("suspension_failed")
 }
 
-// logLostHandle counts and logs a resumption that failed because the engine didn't hold the run's memory.
-func (s *server) logLostHandle(r *engineRun, err error) {
-	if r.resumption == nil || !errors.Is(err, engine.ErrUnknownStream) {
-		return
+// logFailedResumption counts and logs a resumption that the engine did not carry out.
+func (s *server) logFailedResumption(r *engineRun, err error) {
+	switch {
+	case r.resumption == nil:
+	case errors.Is(err, engine.ErrUnknownStream):
+		s.logSuspensionFailed(r.dispatch.GetAttempt(), resumeLost, err)
+	case errors.Is(err, engine.ErrNeverSent):
+		s.logSuspensionFailed(r.dispatch.GetAttempt(), resumeNotSent, err)
 	}
-	s.logSuspensionFailed(r.dispatch.GetAttempt(), resumeLost, err)
 }
 
 func (s *server) logSuspensionFailed(id *wire.AttemptID, outcome string, err error) {
--- a/agent/suspension_test.go
+++ b/agent/suspension_test.go
@@ -400,6 +400,29 @@
 	})
 }
 
+// Guards against memory of a suspended run that is kept after its cancellation, where the engine only says that it runs
+// no such stream.
+func TestCancelOfASuspendedRunFreesItsMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := &suspendableEngine{
+			runRequest: func(context.Context, engine.Request, engine.Sink) (engine.Outcome, error) {
+				return suspendedOutcome(), nil
+			},
+			suspend: func(context.Context) (engine.Suspension, error) { return testSuspension, nil },
+		}
+		client.cancel = func() (engine.CancelResult, error) { return engine.CancelUnknownID, nil }
+		s, recorder := newTestServer(t.Context(), client)
+		s.do(recorder, gate.StartEngine{Dispatch: completionDispatch("r1", 1)})
+		s.applyInputs()
+		time.Sleep(maxDispatchDelay)
+		s.do(recorder, gate.CancelEngine{Attempt: &wire.AttemptID{Request: "r1", Number: 1}, Stream: "r1.1", Try: 1})
+		s.applyInputs()
+		require.NoError(t, recorder.cancels()[0].Err)
+		require.Equal(t, []engine.Suspension{testSuspension}, client.discarded)
+		s.requireNoSuspendedRuns(t)
+	})
+}
+
 // Guards against a discard that is given up after one lost call, or repeated for ever.
 func TestDiscardIsRepeatedAFewTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -407,6 +430,7 @@
 		s, recorder := newTestServer(t.Context(), client)
 		s.do(recorder, gate.DiscardSuspended{Attempt: &wire.AttemptID{Request: "r1", Number: 1}, Suspension: testSuspension})
 		time.Sleep(time.Minute)
+		synctest.Wait()
 		require.Len(t, client.discarded, discardTries)
 		require.Contains(t, s.metricsText(), metricSuspensions+`{outcome="discard_failed"} 1`)
 	})
--- a/engine/suspend.go
+++ b/engine/suspend.go
@@ -17,8 +17,9 @@
 	// which the engine places a copy of the run's memory briefly. After a confirmed Suspend, the Run call of the stream
 	// returns EndSuspended.
 	//
-	// It fails with ErrUnknownStream if the run has ended, ErrBusy if a call for it is in progress, ErrNoRoom if no
-	// target accepted the copy and the run continues, and ErrOutcomeUnknown if the run may have been stopped.
+	// It fails with ErrUnknownStream if the run has ended, ErrBusy if a call for it is in progress or the engine can't
+	// stop it at present, ErrNoRoom if no target accepted the copy and the run continues, and ErrOutcomeUnknown if the
+	// run may have been stopped.
 	Suspend(ctx context.Context, id AttemptID, targets []string) (Suspension, error)
 	// Discard frees the memory of a stopped run. It fails with ErrUnknownStream if the engine doesn't hold it.
 	Discard(ctx context.Context, s Suspension) error
