agent: a repeated suspension of a suspended run has the same answer

The gate asks again after a lost answer. The agent said then that the run has ended, although it holds its handle. The tests run the event loop until a handle expires and until a server is removed. The tests of ./agent for suspension pass, the new ones with -race.

--- a/agent/suspension.go
+++ b/agent/suspension.go
@@ -74,6 +74,11 @@
 func (s *server) suspendRun(now time.Time, a gate.SuspendEngine) {
 	answer := suspendResult{action: a, run: s.runs[keyOf(a.Attempt)], sentAt: now}
 	r := answer.run
+	if r != nil && r.suspension.suspended != nil {
+		answer.suspension = r.suspension.suspended.suspension
+		s.enqueue(answer.event(), refusal{})
+		return
+	}
 	if r == nil || !r.returnedAt.IsZero() {
 		s.refuseSuspension(now, answer, engine.ErrUnknownStream)
 		return
--- a/agent/suspension_test.go
+++ b/agent/suspension_test.go
@@ -222,6 +222,35 @@
 	})
 }
 
+// Guards against an event loop that never looks for expired suspensions, and one that leaves the records of suspended runs
+// when its server is removed.
+func TestEventLoopDropsSuspendedRuns(t *testing.T) {
+	cases := map[string]struct {
+		runsFor time.Duration
+		reason  string
+	}{
+		"the handle expires":    {runsFor: 5*time.Second + expiryGrace + gate.TickInterval, reason: endExpired},
+		"the server is removed": {runsFor: time.Second, reason: endRemoved},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			withSuspendedRun(t, func(s *server, _ *gateRecorder, _ *standin.Server) {
+				ctx, stop := context.WithCancel(context.Background())
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					s.run(ctx)
+				}()
+				time.Sleep(c.runsFor)
+				stop()
+				<-ended
+				s.requireNoSuspendedRuns(t)
+				assert.Contains(t, s.metricsText(), metricSuspensionEnd+`{reason="`+c.reason+`"} 1`)
+			})
+		})
+	}
+}
+
 // Guards against memory and records that are kept for a caller who left while the run was suspended.
 func TestDiscardedRunIsForgotten(t *testing.T) {
 	withSuspendedRun(t, func(s *server, recorder *gateRecorder, _ *standin.Server) {
@@ -255,6 +284,20 @@
 	})
 }
 
+// Guards against a repeated suspension that hears that the run has ended, although it is suspended: the gate asks again
+// after a lost answer.
+func TestSuspensionOfASuspendedRun(t *testing.T) {
+	withSuspendedRun(t, func(s *server, recorder *gateRecorder, model *standin.Server) {
+		s.do(recorder, suspendAction(2))
+		answers := eventsOf[gate.EngineSuspended](recorder)
+		require.Len(t, answers, 2)
+		require.NoError(t, answers[1].Err)
+		require.Equal(t, uint32(2), answers[1].Try)
+		require.Equal(t, answers[0].Suspension, answers[1].Suspension)
+		require.EqualValues(t, 1, model.Stats().Suspensions)
+	})
+}
+
 // Guards against suspended runs that are lost when the agent stops: it takes no new work, but a resumption is none.
 func TestStoppingAgentResumesRuns(t *testing.T) {
 	withSuspendedRun(t, func(s *server, recorder *gateRecorder, _ *standin.Server) {
