agent: test that the head of an answer is no event of its stream

No test failed when the head of a verbatim answer was taken for the last event received. This one does. go test ./agent -run HeadIsNot passes.

--- a/agent/suspension_test.go
+++ b/agent/suspension_test.go
@@ -541,3 +541,38 @@
 	a.settings.Suspension.Enabled, a.settings.Suspension.MaxPerRun = true, 2
 	require.Equal(t, gate.SuspensionConfig{Enabled: true, MaxPerRun: 2}, a.suspensionConfig())
 }
+
+// Guards against the head of a verbatim answer that is named as the last event of its stream, or sent twice.
+func TestHeadIsNotTheLastEvent(t *testing.T) {
+	head := engine.Chunk{Data: []byte("head")}
+	event := engine.Chunk{Tokens: 1, Data: []byte("id: 1\n\n")}
+	cases := map[string]struct {
+		resumed   bool // the dispatch resumes an earlier attempt, whose head the caller has
+		chunks    []engine.Chunk
+		lastEvent string
+		skipHead  bool
+	}{
+		"nothing received":  {},
+		"only the head":     {chunks: []engine.Chunk{head}, skipHead: true},
+		"an event":          {chunks: []engine.Chunk{head, event}, lastEvent: "id: 1\n\n", skipHead: true},
+		"resumed attempt":   {resumed: true, lastEvent: "id: 0\n\n", skipHead: true},
+		"resumed and event": {resumed: true, chunks: []engine.Chunk{event}, lastEvent: "id: 1\n\n", skipHead: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			dispatch := verbatimDispatch()
+			if c.resumed {
+				dispatch.ResumeFrom, dispatch.LastEvent = 2, []byte("id: 0\n\n")
+			}
+			r := newRun(dispatch, nil, nil)
+			sink := &runSink{run: r, notify: func(*engineRun) error { return nil }}
+			for _, chunk := range c.chunks {
+				require.NoError(t, sink.Chunk(chunk))
+			}
+			next := r.resumed(testSuspension)
+			request := next.continueAfter(next.verbatimRequest())
+			require.Equal(t, c.lastEvent, string(request.Verbatim.LastEvent))
+			require.Equal(t, c.skipHead, request.Verbatim.SkipHead)
+		})
+	}
+}
