--- a/agent/announcement.go
+++ b/agent/announcement.go
@@ -16,6 +16,8 @@
 	maxNameBytes = 128
 	maxModels    = 256
 	maxSlots     = 65536
+	// maxSuspendedMs is the longest time, in milliseconds, for which a server keeps a suspended run.
+	maxSuspendedMs = 10 * 60 * 1000
 )
 
 // schemeHTTP is prepended to an address that is only IP and port.
@@ -46,6 +48,9 @@
 			return nil, err
 		}
 	}
+	if a.SuspendedMs < 0 || a.SuspendedMs > maxSuspendedMs {
+		return nil, malformed("suspended_ms: want 0 to %d, got %d", maxSuspendedMs, a.SuspendedMs)
+	}
 	capabilities, err := checkCapabilities(a.Capabilities)
 	if err != nil {
 		return nil, err
@@ -58,6 +63,8 @@
 		Slots:        uint32(a.Slots),
 		Capabilities: capabilities,
 		Version:      a.Version,
+		Suspends:     a.SuspendedMs > 0,
+		SuspendedMs:  uint32(a.SuspendedMs),
 	}, nil
 }
 
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -22,8 +23,8 @@
 	metricGateRefusals  = "carawaypitch_gate_refusals_total"
 	metricWastedPrefill = "carawaypitch_gate_wasted_prefill_tokens_total"
 	metricServedTokens  = "carawaypitch_gate_served_tokens_total"
-	metricSuspensions   = "carawaypitch_suspensions_total"
-	metricResumes       = "carawaypitch_resumes_total"
+	metricGateSuspended = "carawaypitch_gate_suspensions_total"
+	metricGateResumes   = "carawaypitch_gate_resumes_total"
 	metricLeases        = "carawaypitch_leases_expired_total"
 	metricChartErrors   = "carawaypitch_chart_errors_total"
 	metricRuns          = "carawaypitch_engine_runs_total"
@@ -37,6 +38,10 @@
 	metricAdvice        = "carawaypitch_server_advice_total"
 	metricThrottled     = "carawaypitch_throttled_total"
 	metricMalformed     = "carawaypitch_server_advice_malformed_total"
+	metricSuspensions   = "carawaypitch_suspensions_total"          // by outcome
+	metricSuspensionEnd = "carawaypitch_suspended_runs_ended_total" // by reason: resumed, or why not
+	metricSuspended     = "carawaypitch_suspended_runs"             // suspended now
+	metricSuspendedTime = "carawaypitch_suspended_seconds"          // histogram of the time that a run was suspended
 )
 
 // Reasons of retries, used as label values.
@@ -78,9 +83,9 @@
 	case gate.ServedTokens:
 		m.add(fmt.Sprintf(`%s{organisation=%s,tier="%s"}`, metricServedTokens, label, tier), c.Add)
 	case gate.Suspensions:
-		m.add(fmt.Sprintf(`%s{outcome=%s,tier="%s"}`, metricSuspensions, label, tier), c.Add)
+		m.add(fmt.Sprintf(`%s{outcome=%s,tier="%s"}`, metricGateSuspended, label, tier), c.Add)
 	case gate.Resumes:
-		m.add(fmt.Sprintf(`%s{reason=%s,tier="%s"}`, metricResumes, label, tier), c.Add)
+		m.add(fmt.Sprintf(`%s{reason=%s,tier="%s"}`, metricGateResumes, label, tier), c.Add)
 	case gate.LeasesExpired:
 		m.add(metricLeases, c.Add)
 	case gate.ChartErrors:
@@ -140,3 +145,19 @@
 func (m *meter) delayed() {
 	m.add(metricDelayed, 1)
 }
+
+// suspensionAnswered counts a suspension by its outcome.
+func (m *meter) suspensionAnswered(outcome string) {
+	m.add(fmt.Sprintf(`%s{outcome=%q}`, metricSuspensions, outcome), 1)
+}
+
+// suspendedRuns adds to the number of suspended runs.
+func (m *meter) suspendedRuns(n float64) {
+	m.set.GetOrCreateGauge(metricSuspended, nil).Add(n)
+}
+
+// suspensionEnded counts a run that is not suspended any more, and how long it was.
+func (m *meter) suspensionEnded(reason string, took time.Duration) {
+	m.add(fmt.Sprintf(`%s{reason=%q}`, metricSuspensionEnd, reason), 1)
+	m.set.GetOrCreateHistogram(metricSuspendedTime).Update(took.Seconds())
+}
--- a/engine/announce.go
+++ b/engine/announce.go
@@ -42,6 +42,9 @@
 	Capabilities Capabilities `json:"capabilities"`
 	// Version is the version of the server's software, empty if it doesn't say.
 	Version string `json:"version,omitempty"`
+	// SuspendedMs is how long the server keeps the memory of a suspended run, in milliseconds; 0 if
+	// it can't suspend runs.
+	SuspendedMs int64 `json:"suspended_ms,omitempty"`
 }
 
 // LeaveRequest is the body that a backend server posts to its agent, at /v1/leave, to start a
