sched: requests are refused or held by a forecast of their wait

Requests of long overloaded classes waited for their whole objective before they were refused, and were given up although a late answer still has value. The wait is now forecast from the work ahead and the slots that this entry gets, less what arriving requests of higher rank occupy. Requests that will not begin while their caller waits are refused on arrival; those that will begin late are held behind the others of their tier.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -251,6 +251,7 @@
 		RetryRatio:       e.settings.Limits.RetryRatio,
 		RetryWindow:      e.settings.Timing.RetryWindow,
 		RetryAllowance:   e.settings.Limits.RetryAllowance,
+		Forecast:         e.settings.Admission.Forecast,
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -27,6 +27,7 @@
 	metricMessagesDropped = "carawaypitch_link_dropped_total"
 	metricProofs          = "carawaypitch_engine_proofs_total"
 	metricCommits         = "carawaypitch_operation_commits_total"
+	metricForecasts       = "carawaypitch_forecasts_total" // requests forecast to be late, by outcome
 	metricRingRefused     = "carawaypitch_ring_refused_total"
 	metricRingLength      = "carawaypitch_ring_length"
 	metricActive          = "carawaypitch_active_calls"
@@ -84,6 +85,8 @@
 		m.add(fmt.Sprintf(`%s{cause=%s}`, metricWastedPrefill, label), c.Add)
 	case sched.ServedTokens:
 		m.add(fmt.Sprintf(`%s{organisation=%s,tier="%s"}`, metricServedTokens, label, tier), c.Add)
+	case sched.Forecasts:
+		m.add(fmt.Sprintf(`%s{outcome=%s,tier="%s",class=%s}`, metricForecasts, label, tier, class), c.Add)
 	case sched.ChartErrors:
 		m.add(fmt.Sprintf(`%s{reason=%s}`, metricChartErrors, label), c.Add)
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -149,5 +149,8 @@
 		"roomy":       t.ServersWithRoom,
 		"room_age_ms": t.RoomAge.Milliseconds(),
 		"pool_pace":   int(t.PoolDispatchRate),
+		"forecast_ms": t.ForecastWait.Milliseconds(),
+		"rank":        t.Rank,
+		"held_ms":     t.HeldFor.Milliseconds(),
 	})
 }
--- a/gate/order.go
+++ b/gate/order.go
@@ -108,7 +108,8 @@
 	g.room.dirty = true
 }
 
-// renewWork updates the urgency of a waiting attempt's class, and the attempt's precedence.
+// renewWork updates the urgency of a waiting attempt's class, and the attempt's precedence. A request that became late
+// while it waited comes with another precedence.
 func (g *Gate) renewWork(a *attempt, w *wire.Work) {
 	a.wait.queue.class.observe(w)
 	if a.wait.heap == nil || w.GetPrecedence() == a.wait.queue.precedence {
@@ -116,6 +117,7 @@
 	}
 	g.dequeue(a)
 	a.work.Precedence = w.GetPrecedence()
+	a.work.Overdue = w.GetOverdue()
 	g.enqueue(a)
 }
 
--- a/sched/admission.go
+++ b/sched/admission.go
@@ -46,6 +46,9 @@
 	if r.pool.inBackoff() && !s.now.Add(s.shortestBacklog(r)).Before(r.dueAt()) {
 		return result.New(result.ServerBackoff, "")
 	}
+	if err, decided := s.admitByForecast(r); decided {
+		return err
+	}
 	if !r.hasEstimate() || !s.prefillRateKnown(r) {
 		return nil
 	}
--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -135,6 +135,8 @@
 	to.agent.attempts[r] = struct{}{}
 	to.attemptSent(a)
 	r.pool.noteDispatch(s.now)
+	r.pool.load.attemptBegan(s.now, r.class, r.pool.tiers[r.tier].count > 0)
+	s.holdEnded(r, forecastServedLate)
 	s.settleCredits(r)
 	s.send(to.agent, dispatchMessage(s, r, a, offered))
 	s.prefixes.addAll(to.name, r.Prefix)
@@ -197,9 +199,9 @@
 		MayBeLate:    r.mayBeLate,
 		Preemptible:  r.Class.GetRepeatable() && r.Class.GetPreempt() != preemptNever,
 		WaitedMs:     milliseconds(s.now.Sub(r.Arrived)),
-		Precedence:   r.precedence(),
+		Precedence:   r.gatePrecedence(),
 		Watched:      s.isWatched(r),
-		Overdue:      r.Overdue,
+		Overdue:      r.Overdue || r.late,
 	}
 	if len(r.Prefix) > 0 {
 		w.Prefix = r.Prefix[len(r.Prefix)-1]
@@ -211,6 +213,10 @@
 func (s *Scheduler) release(r *request) {
 	a := r.attempt
 	r.attempt = nil
+	r.pool.load.attemptEnded(r.class)
+	if rec := r.currentRecord(); rec.provedOver && rec.proof != wire.Proof_PROOF_NEVER_STARTED {
+		r.pool.load.addOccupancy(r.class, s.now.Sub(a.sentAt))
+	}
 	delete(a.agent.attempts, r)
 	a.server.attemptOver(a)
 	s.updateReadiness(a.server)
--- a/sched/options.go
+++ b/sched/options.go
@@ -69,6 +69,9 @@
 	RetryRatio     float64
 	RetryWindow    time.Duration
 	RetryAllowance int
+	// Forecast enables the forecast of the wait: requests that won't begin while their callers wait are refused on arrival,
+	// and those that will begin late are held.
+	Forecast bool
 	// MaxRoomAge is the age up to which a Room report counts as current.
 	MaxRoomAge time.Duration
 }
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -37,6 +37,8 @@
 	arrivalRate  rate     // requests per second
 	classes      []*class // classes that requests arrived in
 	retryBudget  retryBudget
+	lateReserved [tierCount]int // late requests with reservations, by tier; not in reserved
+	load         poolLoad
 	nextReturn   time.Time // latest time at which a refused caller was told to retry
 }
 
@@ -98,6 +100,7 @@
 	t := &r.pool.tiers[tier]
 	r.queue = t.organisationQueue(class, organisation)
 	r.queue.listFor(r).add(r)
+	*r.reservedCount() += min(len(r.reservations), 1)
 	t.count++
 	t.clock.Enter(organisation)
 	s.queued[tier]++
@@ -113,7 +116,7 @@
 	t := q.class.tier
 	q.listFor(r).remove(r)
 	if len(r.reservations) > 0 {
-		r.pool.reserved[r.tier]--
+		*r.reservedCount()--
 	}
 	r.queue = nil
 	t.count--
@@ -136,6 +139,9 @@
 		return 0, s.classes[baselineClass], ""
 	}
 	r.rank = r.dueAt()
+	if r.late {
+		r.rank = r.Arrived.Add(lateRank)
+	}
 	if r.Overdue {
 		r.rank = r.rank.Add(overdueRank)
 	}
@@ -216,9 +222,9 @@
 	}
 	s.scan++
 	skipped := 0
-	for skipped < maxSkipped && (tier == 0 || p.reserved[tier] < s.maxReserved(p)) {
+	for skipped < maxSkipped {
 		r := p.tiers[tier].next(s.now, s.scan, true)
-		if r == nil {
+		if r == nil || !s.mayReserveMore(r) {
 			return
 		}
 		r.lastScan = s.scan
--- a/sched/precedence.go
+++ b/sched/precedence.go
@@ -39,6 +39,14 @@
 	return r.class.precedence()
 }
 
+// gatePrecedence returns the precedence that gates are told: late requests go after all others of the tier.
+func (r *request) gatePrecedence() uint32 {
+	if r.late {
+		return latePrecedence + r.class.precedence()
+	}
+	return r.precedence()
+}
+
 // priority returns the position of the class among those of its tier, given its next request: higher goes first.
 // Classes ordered by their targets rank by urgency, before all classes with a precedence.
 func (c *class) priority(now, due time.Time, next *request) int {
@@ -98,6 +106,7 @@
 	if !slices.Contains(p.classes, r.class) {
 		removed := func(c *class) bool { return s.classes[c.name] != c }
 		p.classes = append(slices.DeleteFunc(p.classes, removed), r.class)
+		p.load.forget(removed)
 	}
 	if r.Overdue {
 		return
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -205,9 +205,12 @@
 	tag      int64 // of its organisation; lower goes first
 }
 
-// precedes reports whether a goes before b: by the priority of its class, then requests that aren't overdue, then
+// precedes reports whether a goes before b: requests that aren't late, then by the priority of its class, then requests that aren't overdue, then
 // the organisation with the lower tag, then the earlier rank.
 func (a queuePosition) precedes(b queuePosition) bool {
+	if a.request.late != b.request.late {
+		return b.request.late
+	}
 	if a.priority != b.priority {
 		return a.priority > b.priority
 	}
@@ -239,7 +242,7 @@
 		if r == nil {
 			continue
 		}
-		if earliest.IsZero() || r.dueAt().Before(earliest) {
+		if !r.late && (earliest.IsZero() || r.dueAt().Before(earliest)) {
 			earliest = r.dueAt()
 		}
 		p := queuePosition{request: r, tag: c.tier.clock.Tag(q.organisation)}
@@ -251,6 +254,9 @@
 		}
 	}
 	if best.request != nil {
+		if earliest.IsZero() {
+			earliest = best.request.dueAt()
+		}
 		best.priority = c.class.priority(now, earliest, best.request)
 	}
 	return best
--- a/sched/request.go
+++ b/sched/request.go
@@ -34,6 +34,7 @@
 	pool      *pool
 	mayBeLate bool
 	promoted  bool // goes before the other classes of its tier
+	late      bool // not expected to be in time; goes after the others of its tier
 
 	// Queueing.
 	queue        *organisationQueue // nil when not queued, for example in back-off
@@ -44,6 +45,15 @@
 	reservations []reservation
 	reservedAt   time.Time
 
+	// Forecast.
+	expectedFirst time.Duration // until the first event, from the start
+	expectedRun   time.Duration
+	forecastWait  time.Duration // last forecast
+	forecastAt    time.Time     // of the next forecast
+	unfavourable  int           // successive forecasts by which its caller would not wait long enough
+	heldAt        time.Time     // when it became late
+	heldUntil     time.Time     // when it was sent or ended
+
 	// Attempts.
 	attempt    *attempt // sent and not proved over; nil if none
 	attempts   []attemptRecord
@@ -112,6 +122,7 @@
 		s.refuse(r, err)
 		return
 	}
+	s.noteArrival(r)
 	s.enqueue(r)
 }
 
@@ -123,6 +134,7 @@
 		return
 	}
 	r.queuedAt = s.now
+	r.forecastAt = s.now.Add(forecastInterval)
 	s.addToQueue(r)
 	s.shed()
 	s.setTimer(r)
@@ -168,6 +180,8 @@
 func (r *request) expiresAt() time.Time {
 	allowed := r.Deadline.Sub(r.Arrived)
 	switch {
+	case r.late && r.objectiveApplies():
+		return r.latestBegin()
 	case r.objectiveApplies() && r.Objective.Before(r.Deadline):
 		return r.Objective
 	case r.mayBeLate:
@@ -243,6 +257,7 @@
 // failCaller ends a request with r.err, reporting about ran only what is proved.
 func (s *Scheduler) failCaller(r *request) {
 	err := s.withProvedRan(r, r.err)
+	s.holdEnded(r, forecastHeldInVain)
 	s.emit(Fail{Request: r.ID, Err: err, Trace: s.trace(r)})
 	s.emit(Count{Counter: Refusals, Code: err.Code, Tier: r.Class.GetTier(), Class: r.Class.GetName(), Add: 1})
 	if !r.callerGone && err.Code != result.RequestQuarantined {
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -37,7 +37,7 @@
 func (s *Scheduler) setReservations(r *request, servers []*server) {
 	if r.queue != nil {
 		r.queue.listFor(r).remove(r)
-		r.pool.reserved[r.tier] -= min(len(r.reservations), 1)
+		*r.reservedCount() -= min(len(r.reservations), 1)
 	}
 	r.reservations = r.reservations[:0]
 	for _, v := range servers {
@@ -46,7 +46,7 @@
 	}
 	if r.queue != nil {
 		r.queue.listFor(r).add(r)
-		r.pool.reserved[r.tier] += min(len(r.reservations), 1)
+		*r.reservedCount() += min(len(r.reservations), 1)
 	}
 }
 
@@ -186,7 +186,11 @@
 		s.decline(a, m)
 		return
 	}
-	if better := s.higherTierFor(r, v); better != nil {
+	better := s.higherTierFor(r, v)
+	if better == nil {
+		better = s.timelyFor(r, v)
+	}
+	if better != nil {
 		s.decline(a, m)
 		s.forgetReservation(r, v)
 		s.reservationLost(r)
--- a/sched/timers.go
+++ b/sched/timers.go
@@ -110,7 +110,9 @@
 // timerFired performs the action that is due for one request.
 func (s *Scheduler) timerFired(r *request) {
 	if !s.now.Before(r.expiresAt()) {
-		s.deadlinePassed(r)
+		if !s.holdPastObjective(r) {
+			s.deadlinePassed(r)
+		}
 		return
 	}
 	if r.attempt != nil {
@@ -131,6 +133,8 @@
 		s.markDirty(r.pool)
 	case s.isDue(r.reservationDue()):
 		s.renewReservations(r)
+	case s.isDue(s.forecastDue(r)):
+		s.forecastAgain(r)
 	}
 }
 
@@ -161,7 +165,7 @@
 	if a := r.attempt; a != nil {
 		at = earliest(at, a.gapDue(), a.silenceDue(r), a.cancelDue(), s.engineProofDue(a))
 	} else {
-		at = earliest(at, r.backoffDue(s.now), r.widen.notBefore, r.reservationDue(), r.earlierDue())
+		at = earliest(at, r.backoffDue(s.now), r.widen.notBefore, r.reservationDue(), r.earlierDue(), s.forecastDue(r))
 	}
 	s.timers.set(r, at)
 }
--- a/sched/trace.go
+++ b/sched/trace.go
@@ -38,6 +38,12 @@
 	RoomAge time.Duration
 	// PoolDispatchRate is the rate, per second, at which this entry dispatches requests of the pool, as of the end.
 	PoolDispatchRate float64
+	// ForecastWait is the last forecast of the time until the request begins, 0 without one.
+	ForecastWait time.Duration
+	// Rank is the request's position by class within its tier, 1 for the first.
+	Rank uint32
+	// HeldFor is how long the request was queued as one that would begin late.
+	HeldFor time.Duration
 }
 
 // trace returns the Trace of a request as of the current time.
@@ -57,6 +63,10 @@
 
 		LongestPause:     r.longestPause,
 		PoolDispatchRate: r.pool.dispatchRate.value(s.now),
+
+		ForecastWait: r.forecastWait,
+		Rank:         r.precedence(),
+		HeldFor:      r.heldFor(s.now),
 	}
 	if len(r.attempts) > 0 {
 		t.Server = r.currentRecord().server
--- a/sched/types.go
+++ b/sched/types.go
@@ -251,4 +251,5 @@
 	WastedPrefill                // tokens, by Label (cause)
 	ServedTokens                 // by Label (organisation) and Tier
 	ChartErrors
+	Forecasts // requests forecast to be late, by Label (outcome), Tier and Class
 )
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -31,6 +31,8 @@
 	Operators []OperatorAccount `json:"operators"`
 	// Limits holds the resource limits of the process.
 	Limits EntryLimits `json:"limits"`
+	// Admission configures which requests are accepted under overload.
+	Admission Admission `json:"admission"`
 	// TLS secures the connections to other processes. If it is empty, they are plain TCP.
 	TLS TLS `json:"tls"`
 	// CallerTLS secures the listener for callers. If it is empty, callers use plain HTTP.
@@ -69,6 +71,14 @@
 	MaxReservations int `json:"max_reservations"`
 }
 
+// Admission configures which requests an entry instance accepts under overload.
+type Admission struct {
+	// Forecast enables the forecast of the wait. A request that won't begin while its caller waits is refused on arrival,
+	// and one that will begin late is held behind those that will be in time. Default false: every request waits until
+	// its objective.
+	Forecast bool `json:"forecast"`
+}
+
 // EntryTiming holds the intervals and timeouts of an entry instance.
 type EntryTiming struct {
 	// Heartbeat is the interval between messages on a connection without other traffic. Default 250ms.
