sched: the forecast counts the load of all entries and admits behind promised requests

An entry gets some 20 requests a second, so that its own backlog and rates vary by a third, and requests that were queued as on time were refused at their objective. The backlog is now averaged over the entries, a request that misses its objective is promised a slot ahead of new requests of its rank, and a class whose load fits into what is left is queued.

--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -19,9 +19,15 @@
 	slotsWeight = 0.1
 	// occupancyWeight is the weight of a new sample of the time for which an attempt occupies a slot.
 	occupancyWeight = 0.05
+	// backlogWeight is the weight of a new sample of the backlog that requests find: an entry gets 5 to 15 requests of a class
+	// a second, so that the mean follows a burst within a second.
+	backlogWeight = 0.15
 	// minFreeShare is the share of the slots below which higher ranks count as taking all of them: the difference of two
 	// estimated rates is not known more precisely.
 	minFreeShare = 0.03
+	// passingMargin is the factor by which the load of a class must fit into what higher ranks leave to it for its backlog to
+	// count as a passing one: at 7 requests of a class a second its rate is known to within a third.
+	passingMargin = 1.5
 	// neverWait is the forecast of a request that is not expected to begin.
 	neverWait = time.Hour
 )
@@ -30,6 +36,9 @@
 type forecast struct {
 	wait  time.Duration
 	known bool
+	// passing reports whether the requests of the class that arrive need less than what higher ranks leave to it. Its backlog
+	// is then a passing one, and a request that waits too long for its objective will begin soon after.
+	passing bool
 }
 
 // flow is a rate of events that decays over forecastWindow. Unlike rate it is unbiased from its first event on.
@@ -67,8 +76,11 @@
 // classLoad is what the forecast knows about a class in a pool.
 type classLoad struct {
 	class     *class
+	offered   flow    // requests that arrived, also those refused
 	arrivals  flow    // requests that were queued as on time or overdue
+	promised  int     // queued requests that became late after they had been queued as on time
 	occupancy float64 // mean time, in seconds, for which an attempt occupies a slot; 0 without samples
+	usual     backlog // mean backlog that a request of the class finds as it arrives
 	running   int     // attempts of this entry
 }
 
@@ -99,7 +111,7 @@
 func (l *poolLoad) forget(removed func(*class) bool) {
 	kept := l.classes[:0]
 	for _, load := range l.classes {
-		if load.running > 0 || !removed(load.class) {
+		if load.running > 0 || load.promised > 0 || !removed(load.class) {
 			kept = append(kept, load)
 		}
 	}
@@ -216,14 +228,52 @@
 	probe.late = late
 	s.queueKeys(&probe)
 	ahead := s.backlogAhead(&probe)
+	if !late {
+		ahead = s.overAllEntries(ahead, p.load.of(r.class).usual)
+	}
 	wait := neverWait.Seconds()
-	if free := slots - s.higherLoad(&probe); free >= minFreeShare*slots {
-		wait = max((ahead.requests+1)/slotRate, ahead.work/free)
+	free := slots - s.higherLoad(&probe)
+	if free >= minFreeShare*slots {
+		wait = max((ahead.requests+1)/slotRate, (ahead.work+s.occupancy(p, r.class))/free)
 	}
 	if !late {
 		wait = min(wait, s.guaranteedWait(&probe, ahead.own, slotRate))
 	}
-	return forecast{wait: time.Duration(min(wait, neverWait.Seconds()) * float64(time.Second)), known: true}
+	own := p.load.of(r.class)
+	return forecast{
+		wait:    time.Duration(min(wait, neverWait.Seconds()) * float64(time.Second)),
+		known:   true,
+		passing: passingMargin*own.offered.perSecond(s.now)*p.load.occupancyOf(own) < free,
+	}
+}
+
+// overAllEntries returns the backlog that counts for a request, given the backlog of this entry and the usual one.
+//
+// Gates serve the requests of all entries in one order. A request therefore waits for those of other entries, whose number
+// is about what requests usually find here, and a backlog that happens to be longer here than elsewhere is served at more
+// than this entry's part of the slots. At 20 requests a second that is most of the variation.
+func (s *Scheduler) overAllEntries(here, usual backlog) backlog {
+	n := float64(s.entryCount)
+	return backlog{
+		requests: (here.requests + (n-1)*usual.requests) / n,
+		work:     (here.work + (n-1)*usual.work) / n,
+		own:      here.own,
+	}
+}
+
+// noteBacklog adds the backlog that a request finds as it arrives to the mean of its class.
+func (s *Scheduler) noteBacklog(r *request) {
+	if !s.options.Forecast || s.options.Policy != PolicyTargets {
+		return
+	}
+	var found backlog
+	if r.pool.withRoom == 0 {
+		s.queueKeys(r)
+		found = s.backlogAhead(r)
+	}
+	usual := &r.pool.load.of(r.class).usual
+	usual.requests += backlogWeight * (found.requests - usual.requests)
+	usual.work += backlogWeight * (found.work - usual.work)
 }
 
 // guaranteedWait returns the wait, in seconds, if the class gets no more than its guaranteed share.
@@ -243,19 +293,30 @@
 	load := 0.0
 	for _, c := range r.pool.load.classes {
 		if s.arrivesBefore(c.class, r) {
-			load += c.arrivals.perSecond(s.now) * r.pool.load.occupancyOf(c)
+			load += s.arrivalLoad(c, r) * r.pool.load.occupancyOf(c)
 		}
 	}
 	return load
 }
 
-// arrivesBefore reports whether requests of a class that arrive later go before the request.
+// arrivalLoad returns the rate at which requests of a class arrive that go before the request. A late request that was
+// never expected to be in time gets only what no other takes: all that arrive count, also those that are refused because
+// there is no room for them.
+func (s *Scheduler) arrivalLoad(c *classLoad, r *request) float64 {
+	if r.late && !r.promised {
+		return c.offered.perSecond(s.now)
+	}
+	return c.arrivals.perSecond(s.now)
+}
+
+// arrivesBefore reports whether requests of a class that arrive later go before the request. Those of the same and of lower
+// rank are admitted only if there is room for them behind the promised requests.
 func (s *Scheduler) arrivesBefore(c *class, r *request) bool {
 	tier := tierIndex(c.spec.GetTier())
 	switch {
 	case tier != r.tier:
 		return tier < r.tier
-	case r.late:
+	case r.late && !r.promised:
 		return true
 	case c == r.class:
 		return r.Overdue
@@ -277,6 +338,9 @@
 	}
 	for _, c := range r.pool.tiers[r.tier].classes {
 		s.addClassAhead(&b, c, r)
+		if load := r.pool.load.of(c.class); !r.late && c.class.precedence() <= r.class.precedence() {
+			b.add(load.promised, r.pool.load.occupancyOf(load))
+		}
 	}
 	return b
 }
@@ -364,11 +428,24 @@
 	if r.pool.load.since.IsZero() {
 		r.pool.load.since = s.now
 	}
+	r.pool.load.of(r.class).offered.add(s.now)
+	s.noteBacklog(r)
+}
+
+// noteAdmitted counts a request that is queued as on time.
+func (s *Scheduler) noteAdmitted(r *request) {
 	if !r.late {
 		r.pool.load.of(r.class).arrivals.add(s.now)
 	}
 }
 
+// countPromised counts a request that enters or leaves the queue if it became late after it had been queued as on time.
+func (l *poolLoad) countPromised(r *request, n int) {
+	if r.late && r.promised {
+		l.of(r.class).promised += n
+	}
+}
+
 // earnedPerDispatch returns the part of a dispatch of the pool that the class is guaranteed.
 func (s *Scheduler) earnedPerDispatch(c *class, p *pool) float64 {
 	all := max(p.arrivalRate.value(s.now), math.SmallestNonzeroFloat64)
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -71,13 +71,12 @@
 	if !onTime.known {
 		return nil, false
 	}
-	if s.beginsOnTime(r, onTime) {
+	if s.beginsOnTime(r, onTime) || onTime.passing && s.beginsSafely(r, onTime) {
 		return nil, true
 	}
 	late := s.noteForecast(r, true)
-	wait := time.Duration(holdSafety * float64(late.wait))
 	switch {
-	case s.now.Add(wait).Before(r.latestBegin()):
+	case s.beginsSafely(r, late):
 		s.startHold(r)
 		return nil, true
 	case s.feasibleWithoutLowerTiers(r):
@@ -97,6 +96,12 @@
 	return f
 }
 
+// beginsSafely reports whether the request is expected to begin while its caller waits, with a margin for the error of the
+// forecast.
+func (s *Scheduler) beginsSafely(r *request, f forecast) bool {
+	return s.now.Add(time.Duration(holdSafety * float64(f.wait))).Before(r.latestBegin())
+}
+
 // beginsOnTime reports whether the first event is expected by the objective.
 func (s *Scheduler) beginsOnTime(r *request, f forecast) bool {
 	return s.now.Add(f.wait + r.expectedFirst).Before(r.dueAt())
@@ -124,7 +129,7 @@
 		servers = append(servers, res.server)
 	}
 	s.removeFromQueue(r)
-	r.late = late
+	r.late, r.promised = late, true
 	s.addToQueue(r)
 	if late && len(servers) > 0 && r.pool.lateReserved[r.tier] > s.maxLateReserved(r.pool) {
 		s.withdrawAll(r)
@@ -173,8 +178,10 @@
 	r.forecastAt = s.now.Add(forecastInterval)
 	if s.now.Before(r.dueAt()) {
 		f := s.noteForecast(r, false)
-		if !f.known || s.beginsOnTime(r, f) {
+		if f.known && s.beginsOnTime(r, f) {
 			s.setLate(r, false)
+		}
+		if !r.late {
 			return
 		}
 	}
@@ -201,6 +208,7 @@
 	if r.late || r.queue == nil || !r.objectiveApplies() || !s.mayHold(r) || !s.now.Before(r.latestBegin()) {
 		return false
 	}
+	r.promised = true
 	f := s.noteForecast(r, true)
 	if !f.known || !s.now.Add(f.wait).Before(r.latestBegin()) {
 		return false
--- a/sched/request.go
+++ b/sched/request.go
@@ -35,6 +35,7 @@
 	mayBeLate bool
 	promoted  bool // goes before the other classes of its tier
 	late      bool // not expected to be in time; goes after the others of its tier
+	promised  bool // was queued as on time
 
 	// Queueing.
 	queue        *organisationQueue // nil when not queued, for example in back-off
@@ -102,6 +103,7 @@
 	r.pool.requests++
 	s.countRequest(r)
 	s.countArrival(r)
+	s.noteArrival(r)
 	r.state = s.table.Initial()
 	r.estimatedOutput = s.estimateOutput(r)
 	s.requests[in.ID] = r
@@ -122,7 +124,7 @@
 		s.refuse(r, err)
 		return
 	}
-	s.noteArrival(r)
+	s.noteAdmitted(r)
 	s.enqueue(r)
 }
 
