sched: the guaranteed share of a class counts over a minute

At each moment the last class got a third of its share also in bursts, and its long answers took slots from classes with precedence. With the forecast on, a class that was served in full may now wait for what it is guaranteed in 8 s, and is then served at a share that reaches the guaranteed one over the minute. The debt follows the present rates and is bounded.

--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -1,9 +1,6 @@
 package sched
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Parameters of the forecast.
 const (
@@ -445,9 +442,3 @@
 		l.of(r.class).promised += n
 	}
 }
-
-// earnedPerDispatch returns the part of a dispatch of the pool that the class is guaranteed.
-func (s *Scheduler) earnedPerDispatch(c *class, p *pool) float64 {
-	all := max(p.arrivalRate.value(s.now), math.SmallestNonzeroFloat64)
-	return guaranteedShare * min(c.arrivalRate.value(s.now)/all, 1)
-}
--- a/sched/precedence.go
+++ b/sched/precedence.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -90,13 +89,12 @@
 // settleCredits adds the credit that the classes of the pool earn from a dispatch, and charges the dispatched
 // request's class.
 func (s *Scheduler) settleCredits(r *request) {
-	all := max(r.pool.arrivalRate.value(s.now), math.SmallestNonzeroFloat64)
 	for _, c := range r.pool.classes {
-		share := min(c.arrivalRate.value(s.now)/all, 1)
-		c.credit = min(c.credit+guaranteedShare*share, maxCredit)
-	}
-	if !r.promoted {
-		r.class.credit = max(r.class.credit-1, -maxCredit)
+		paid := 0.0
+		if c == r.class && !r.promoted {
+			paid = 1
+		}
+		c.credit = max(min(c.credit+s.earnedPerDispatch(c, r.pool), maxCredit)-paid, -s.maxDebt(c, r.pool))
 	}
 }
 
--- a/sched/precedence_test.go
+++ b/sched/precedence_test.go
@@ -32,7 +32,11 @@
 // Guards against a class that gets no answer while an overload lasts: reviews arrive faster than they can be
 // served, and a strict order of classes would serve no chat.
 func TestStarvedClassGetsGuaranteedShare(t *testing.T) {
-	h := newHarness(t, Options{})
+	withAndWithoutForecast(t, starvedClassGetsGuaranteedShare)
+}
+
+func starvedClassGetsGuaranteedShare(t *testing.T, options Options) {
+	h := newHarness(t, options)
 	h.addServer("s1", kindModel, testModel, 0)
 	served := map[string]int{}
 	const rounds = 200
@@ -100,11 +104,15 @@
 // must get their guaranteed share only, a third of their share of the requests, and retries must not count as
 // further requests.
 func TestBurstKeepsLastClassAtGuaranteedShare(t *testing.T) {
+	withAndWithoutForecast(t, burstKeepsLastClassAtGuaranteedShare)
+}
+
+func burstKeepsLastClassAtGuaranteedShare(t *testing.T, options Options) {
 	const (
 		slotsPerPeriod = 8 // per 100 ms
 		periods        = 100
 	)
-	h := newHarness(t, Options{})
+	h := newHarness(t, options)
 	h.addServer("s1", kindModel, testModel, 0)
 	served := map[string]int{}
 	for period := range periods {
@@ -127,3 +135,11 @@
 	const share = 0.5 // of the requests of both classes
 	require.InDelta(t, guaranteedShare*share, float64(served["chat"]+served["back"])/float64(all), 0.03)
 }
+
+// withAndWithoutForecast runs a test with the options that differ in the measure of the guaranteed share.
+func withAndWithoutForecast(t *testing.T, test func(*testing.T, Options)) {
+	t.Helper()
+	for _, forecast := range []bool{false, true} {
+		t.Run(fmt.Sprintf("forecast=%v", forecast), func(t *testing.T) { test(t, Options{Forecast: forecast}) })
+	}
+}
