sched: the retry advice is a forecast

Nearly all refusals advised 10 s, so that callers returned after a third of their remaining time whatever the load, and half of them were refused again. With the forecast on, the advice is the time until a slot is expected for the caller's rank, after the callers advised before, and never above what callers follow; without such a slot it is the ceiling as before. Plain services keep their rule.

--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -73,8 +73,9 @@
 // classLoad is what the forecast knows about a class in a pool.
 type classLoad struct {
 	class     *class
-	offered   flow    // requests that arrived, also those refused
-	arrivals  flow    // requests that were queued as on time or overdue
+	offered   flow // requests that arrived, also those refused
+	arrivals  flow // requests that were queued as on time or overdue
+	returns   returnPlan
 	promised  int     // queued requests that became late after they had been queued as on time
 	occupancy float64 // mean time, in seconds, for which an attempt occupies a slot; 0 without samples
 	usual     backlog // mean backlog that a request of the class finds as it arrives
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -164,6 +164,9 @@
 // If all were told the current queueing time, all callers refused in a burst would retry together and be refused
 // together again.
 func (s *Scheduler) retryAfter(r *request) time.Duration {
+	if advice, ok := s.adviseByForecast(r); ok {
+		return advice
+	}
 	p := r.pool
 	earliest := s.now.Add(s.predictWait(r))
 	if p.nextReturn.Before(earliest) {
