--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -194,6 +194,25 @@
 	return false
 }
 
+// slotSupply returns how many slots this entry gets while requests wait, and at which rate, per second, they become free. It is
+// at least the entry's equal part of what all gates run.
+//
+// Without that part an entry that refused many requests would hold few slots, expect to get few, and refuse even more.
+func (s *Scheduler) slotSupply(p *pool) (slots, perSecond float64) {
+	slots, perSecond = p.load.slotCount(s.now), p.load.slotRate()
+	if p.load.occupancy <= 0 {
+		return slots, perSecond
+	}
+	running := 0.0
+	for _, v := range p.servers {
+		if v.ready && s.now.Sub(v.roomAt) <= s.options.MaxRoomAge {
+			running += float64(v.room.GetRunning())
+		}
+	}
+	part := running / float64(s.entryCount)
+	return max(slots, part), max(perSecond, part/p.load.occupancy)
+}
+
 // backlog is the work that goes before a request.
 type backlog struct {
 	requests float64
@@ -218,7 +237,7 @@
 	if p.withRoom > 0 {
 		return forecast{known: true}
 	}
-	slotRate, slots := p.load.slotRate(), p.load.slotCount(s.now)
+	slots, slotRate := s.slotSupply(p)
 	if slotRate <= 0 || slots <= 0 {
 		return forecast{}
 	}
--- a/sched/retry_advice.go
+++ b/sched/retry_advice.go
@@ -66,7 +66,7 @@
 	probe := *r
 	probe.Overdue, probe.late = true, false // as it will return
 	s.queueKeys(&probe)
-	slots := p.load.slotCount(s.now)
+	slots, _ := s.slotSupply(p)
 	free := slots - s.higherLoad(&probe)
 	if p.withRoom == 0 && free < minFreeShare*slots {
 		return -1
