sched: a margin for the on-time forecast, and the request itself counts once over all entries

Requests whose mean wait just fits their objective miss it half of the time. The wait must now fit 1.4 times. The request's own run was counted as if this entry's part of the slots alone served it, so that requests were refused which gates could begin.

--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -245,22 +245,24 @@
 	probe.late = late
 	s.queueKeys(&probe)
 	ahead := s.backlogAhead(&probe)
+	own := ahead.own
+	ahead.add(1, s.occupancy(p, r.class)) // the request itself
 	if !late {
 		ahead = s.overAllEntries(ahead, p.load.of(r.class).usual)
 	}
 	wait := neverWait.Seconds()
 	free := slots - s.higherLoad(&probe)
 	if free >= minFreeShare*slots {
-		wait = max((ahead.requests+1)/slotRate, (ahead.work+s.occupancy(p, r.class))/free)
+		wait = max(ahead.requests/slotRate, ahead.work/free)
 	}
 	if !late {
-		wait = min(wait, s.guaranteedWait(&probe, ahead.own, slotRate))
+		wait = min(wait, s.guaranteedWait(&probe, own, slotRate))
 	}
-	own := p.load.of(r.class)
+	class := p.load.of(r.class)
 	return forecast{
 		wait:    time.Duration(min(wait, neverWait.Seconds()) * float64(time.Second)),
 		known:   true,
-		passing: passingMargin*own.offered.perSecond(s.now)*p.load.occupancyOf(own) < free,
+		passing: passingMargin*class.offered.perSecond(s.now)*p.load.occupancyOf(class) < free,
 	}
 }
 
@@ -274,7 +276,6 @@
 	return backlog{
 		requests: (here.requests + (n-1)*usual.requests) / n,
 		work:     (here.work + (n-1)*usual.work) / n,
-		own:      here.own,
 	}
 }
 
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -16,6 +16,10 @@
 	// holdSafety is the factor by which the forecast wait of a request must fit into the time that its caller waits for it
 	// to be held. A caller that is refused at once can still retry; one that is held in vain has lost that time.
 	holdSafety = 1.5
+	// onTimeSafety is the factor by which the forecast wait must fit before the objective for a request to be queued as on time.
+	// Half of the requests whose mean wait just fits would miss it: with 1, 6.8% of the requests held in a burst over 40
+	// entries were held in vain, with 1.4 3.8%.
+	onTimeSafety = 1.4
 	// maxUnfavourable is the number of successive unfavourable forecasts after which a held request is refused. One alone
 	// may be chance: the rate left for late requests is a small difference of large ones.
 	maxUnfavourable = 2
@@ -104,7 +108,7 @@
 
 // beginsOnTime reports whether the first event is expected by the objective.
 func (s *Scheduler) beginsOnTime(r *request, f forecast) bool {
-	return s.now.Add(f.wait + r.expectedFirst).Before(r.dueAt())
+	return s.now.Add(time.Duration(onTimeSafety*float64(f.wait)) + r.expectedFirst).Before(r.dueAt())
 }
 
 // startHold makes a request late.
