--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -28,6 +28,7 @@
 	metricProofs          = "carawaypitch_engine_proofs_total"
 	metricCommits         = "carawaypitch_operation_commits_total"
 	metricForecasts       = "carawaypitch_forecasts_total" // requests forecast to be late, by outcome
+	metricHeld            = "carawaypitch_held_requests" // queued requests that will begin late, by class and organisation; as of the last sample
 	metricRingRefused     = "carawaypitch_ring_refused_total"
 	metricRingLength      = "carawaypitch_ring_length"
 	metricActive          = "carawaypitch_active_calls"
@@ -45,10 +46,11 @@
 type meter struct {
 	set         *metrics.Set
 	classCounts *classCounters
+	held        map[string]bool // names of the gauges of held requests that aren't 0
 }
 
 func newMeter() *meter {
-	return &meter{set: metrics.NewSet(), classCounts: newClassCounters()}
+	return &meter{set: metrics.NewSet(), classCounts: newClassCounters(), held: map[string]bool{}}
 }
 
 // registerGauges registers the gauges.
@@ -92,6 +94,21 @@
 	}
 }
 
+// setHeld sets the gauges of held requests. It may be called by the scheduler goroutine only.
+func (m *meter) setHeld(counts []sched.HeldCount) {
+	earlier := m.held
+	m.held = map[string]bool{}
+	for _, c := range counts {
+		name := fmt.Sprintf(`%s{class=%s,organisation=%s}`, metricHeld, strconv.Quote(c.Class), strconv.Quote(c.Organisation))
+		m.set.GetOrCreateGauge(name, nil).Set(float64(c.Requests))
+		m.held[name] = true
+		delete(earlier, name)
+	}
+	for name := range earlier {
+		m.set.GetOrCreateGauge(name, nil).Set(0)
+	}
+}
+
 // countRefusal counts a refusal by the entry itself. Refusals by the scheduler are included in its own counts.
 func (m *meter) countRefusal(code result.Code, tier uint32) {
 	m.count(sched.Count{Counter: sched.Refusals, Code: code, Tier: tier, Add: 1})
--- a/entry/metrics_declare.go
+++ b/entry/metrics_declare.go
@@ -37,5 +37,8 @@
 		for _, counter := range []sched.Counter{sched.Goodput, sched.Late, sched.Lost} {
 			m.count(sched.Count{Counter: counter, Tier: class.GetTier(), Class: name})
 		}
+		for _, outcome := range sched.ForecastOutcomes() {
+			m.count(sched.Count{Counter: sched.Forecasts, Tier: class.GetTier(), Class: name, Label: outcome})
+		}
 	}
 }
--- a/entry/report.go
+++ b/entry/report.go
@@ -86,6 +86,7 @@
 func (e *Entry) sampleQueues() {
 	queues := e.scheduler.TargetQueues()
 	e.targetQueues.Store(&queues)
+	e.meter.setHeld(e.scheduler.HeldRequests())
 }
 
 // report returns the counts by class and the state of the queues, for control. It reads recorded values and never waits
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -40,6 +40,11 @@
 	forecastHeldInVain    = "held_in_vain"
 )
 
+// ForecastOutcomes returns all labels of the counter Forecasts.
+func ForecastOutcomes() []string {
+	return []string{forecastRefusedAtOnce, forecastServedLate, forecastHeldInVain}
+}
+
 // mayHold reports whether a request may be queued past its objective. Callers of a stream whose tolerance isn't known are
 // given up at the objective, and a class that tolerates lateness rather than loss is queued past it in any case.
 func (s *Scheduler) mayHold(r *request) bool {
--- a/sched/waiting.go
+++ b/sched/waiting.go
@@ -42,3 +42,30 @@
 	})
 	return all
 }
+
+// HeldCount counts the requests of an organisation in one class that are held as late.
+type HeldCount struct {
+	Class        string
+	Organisation string
+	Requests     int
+}
+
+// HeldRequests returns the requests that are held as late as of the last Step, sorted by class and organisation. They are
+// also counted by TargetQueues.
+func (s *Scheduler) HeldRequests() []HeldCount {
+	type key struct{ class, organisation string }
+	counts := map[key]int{}
+	for _, r := range s.requests {
+		if r.late && (r.state == queued || r.state == reserved) {
+			counts[key{r.class.name, r.Organisation}]++
+		}
+	}
+	all := make([]HeldCount, 0, len(counts))
+	for k, n := range counts {
+		all = append(all, HeldCount{Class: k.class, Organisation: k.organisation, Requests: n})
+	}
+	slices.SortFunc(all, func(a, b HeldCount) int {
+		return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Organisation, b.Organisation))
+	})
+	return all
+}
