sched: overdue requests get what is left by those in time

Overdue requests now count all arriving requests of their class and higher ones, and are queued if they will begin while their callers wait.

--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -73,7 +73,7 @@
 // classLoad is what the forecast knows about a class in a pool.
 type classLoad struct {
 	class     *class
-	offered   flow // requests that arrived, also those refused
+	offered   flow // requests that arrived for the first time, also those refused, and overdue ones that were queued
 	arrivals  flow // requests that were queued as on time or overdue
 	returns   returnPlan
 	promised  int     // queued requests that became late after they had been queued as on time
@@ -317,11 +317,11 @@
 	return load
 }
 
-// arrivalLoad returns the rate at which requests of a class arrive that go before the request. A late request that was
-// never expected to be in time gets only what no other takes: all that arrive count, also those that are refused because
-// there is no room for them.
+// arrivalLoad returns the rate at which requests of a class arrive that go before the request. An overdue request, and a late
+// one that was never expected to be in time, get only what no other takes: all that arrive count, also those that are refused
+// because there is no room for them. Otherwise late answers would take the slots of those in time.
 func (s *Scheduler) arrivalLoad(c *classLoad, r *request) float64 {
-	if r.late && !r.promised {
+	if r.Overdue || r.late && !r.promised {
 		return c.offered.perSecond(s.now)
 	}
 	return c.arrivals.perSecond(s.now)
@@ -446,14 +446,21 @@
 	if r.pool.load.since.IsZero() {
 		r.pool.load.since = s.now
 	}
-	r.pool.load.of(r.class).offered.add(s.now)
+	if !r.Overdue {
+		r.pool.load.of(r.class).offered.add(s.now)
+	}
 	s.noteBacklog(r)
 }
 
 // noteAdmitted counts a request that is queued as on time.
 func (s *Scheduler) noteAdmitted(r *request) {
-	if !r.late {
-		r.pool.load.of(r.class).arrivals.add(s.now)
+	if r.late {
+		return
+	}
+	load := r.pool.load.of(r.class)
+	load.arrivals.add(s.now)
+	if r.Overdue {
+		load.offered.add(s.now)
 	}
 }
 
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -80,7 +80,7 @@
 	if !onTime.known {
 		return nil, false
 	}
-	if s.beginsOnTime(r, onTime) || onTime.passing && s.beginsSafely(r, onTime) {
+	if s.beginsOnTime(r, onTime) || (onTime.passing || r.Overdue) && s.beginsSafely(r, onTime) {
 		return nil, true
 	}
 	late := s.noteForecast(r, true)
