sched: tests of held requests and of forecasts without evidence

They guard against requests that are held in vain or beyond their callers' patience, late requests that take slots or reservations of timely ones, runs for callers who left, and refusals by forecast without reports of gates, right after a start, or with a clock that stands still.

--- a/sched/forecast_harness_test.go
+++ b/sched/forecast_harness_test.go
@@ -4,8 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -27,7 +25,8 @@
 		h.arrive(nameOf("running", i), lastClass)
 	}
 	for i := range forecastTestSlots {
-		require.Len(t, h.dispatches(nameOf("running", i)), 1)
+		sent := h.lastDispatch(nameOf("running", i), 1)
+		h.receive("s1", &wire.AgentMessage{Kind: &wire.AgentMessage_Started{Started: &wire.Started{Attempt: sent.id, Server: "s1"}}})
 	}
 	h.reportRoom("s1", kindModel, testModel, 0)
 	for range minSamples {
@@ -55,6 +54,16 @@
 	load.offered, load.arrivals = steady(offered), steady(admitted)
 }
 
+// hold makes a queued request late.
+func (h *harness) hold(id string) {
+	h.t.Helper()
+	h.s.actions = h.s.actions[:0]
+	h.s.startHold(h.s.requests[id])
+	for _, a := range h.s.actions {
+		h.recordAction(a)
+	}
+}
+
 // stream returns a request for a stream whose caller leaves after the silence.
 func (h *harness) stream(id string, class *wire.Class, objective, abandon time.Duration) *Request {
 	r := h.request(id, class)
