--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -525,6 +525,24 @@
 	require.Equal(t, []string{"back.1"}, offeredIDs(b.actions), "before the class with the lower precedence")
 }
 
+// Guards against giving room to a request that became late while it waited, before one of a lower class that can be in time:
+// the entry reserves again with a higher precedence number, and among late requests overdue must count as well.
+func TestReservationThatBecomesLateGoesLast(t *testing.T) {
+	const late = 1 << 16
+	b := newReadyHarnessWith(t, Config{NoPredecessor: true}, sampleRecord(1))
+	b.start(entryA, id("running", 1), work())
+	b.reserve(entryA, id("held", 1), workOf(func(w *wire.Work) { w.Precedence, w.RemainingMs = 1, 4000 }))
+	b.reserve(entryB, id("timely", 1), workOf(func(w *wire.Work) { w.Class, w.Precedence, w.RemainingMs = "lower", 3, 9000 }))
+	b.reserve(entryA, id("held", 1), workOf(func(w *wire.Work) { w.Overdue, w.Precedence, w.RemainingMs = true, late+1, 3000 }))
+	b.actions = nil
+	b.finish(id("running", 1))
+	require.Equal(t, []string{"timely.1"}, offeredIDs(b.actions))
+	b.start(entryB, id("timely", 1), workOf(func(w *wire.Work) { w.Class, w.Precedence = "lower", 3 }))
+	b.actions = nil
+	b.finish(id("timely", 1))
+	require.Equal(t, []string{"held.1"}, offeredIDs(b.actions))
+}
+
 // Guards against serving long answers of the last class before the first class at all gates. If the last class is
 // starved at one entry, its raised precedence must not apply to the reservations of other entries.
 func TestPrecedenceAppliesToTheReservationOnly(t *testing.T) {
