sched: the retry advice no longer marks the refused request as overdue

The forecast for the return copied the request's state but not the request itself, so that request_failed of a first try said overdue=true. Measured: the test of this fails without the change and passes with it; the tests of sched pass.

--- a/sched/retry_advice.go
+++ b/sched/retry_advice.go
@@ -67,8 +67,10 @@
 // the callers advised before need; negative if there is none within the limit.
 func (s *Scheduler) slotExpected(r *request, limit time.Duration) time.Duration {
 	p := r.pool
+	returning := *r.Request
+	returning.Overdue = true
 	probe := *r
-	probe.Overdue, probe.late = true, false // as it will return
+	probe.Request, probe.late = &returning, false
 	s.queueKeys(&probe)
 	slots, _ := s.slotSupply(p)
 	free := slots - s.higherLoad(&probe)
--- a/sched/retry_advice_test.go
+++ b/sched/retry_advice_test.go
@@ -57,3 +57,12 @@
 	require.Equal(t, result.CannotFinishInTime, h.failures["refused"].Code)
 	require.Equal(t, maxRetryAfter, h.failures["refused"].RetryAfter)
 }
+
+// Guards against a forecast for the caller's return that marks the refused request itself as overdue, in its log line.
+func TestAdviceLeavesTheRequestUnchanged(t *testing.T) {
+	h := forecastHarness(t)
+	h.setArrivals(firstClass, 24, 24)
+	r := h.stream("refused", lastClass, testObjective, testAbandon)
+	h.s.retryAfter(h.s.newEstimationRequest(r))
+	require.False(t, r.Overdue)
+}
