sched: lower classes do not overtake promised requests until their callers leave

Requests that were queued as on time and missed their objective waited for two seconds although a slot was forecast within half of one: requests of lower classes that might be in time were queued ahead of them one after another. After 0.4 of a promised request's patience no lower class is queued ahead of it as on time.

--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -1,6 +1,9 @@
 package sched
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Parameters of the forecast.
 const (
@@ -76,10 +79,10 @@
 	offered   flow // requests that arrived for the first time, also those refused, and overdue ones that were queued
 	arrivals  flow // requests that were queued as on time or overdue
 	returns   returnPlan
-	promised  int     // queued requests that became late after they had been queued as on time
-	occupancy float64 // mean time, in seconds, for which an attempt occupies a slot; 0 without samples
-	usual     backlog // mean backlog that a request of the class finds as it arrives
-	running   int     // attempts of this entry
+	promised  []*request // queued requests that became late after they had been queued as on time
+	occupancy float64    // mean time, in seconds, for which an attempt occupies a slot; 0 without samples
+	usual     backlog    // mean backlog that a request of the class finds as it arrives
+	running   int        // attempts of this entry
 }
 
 // poolLoad is what the forecast knows about a pool.
@@ -109,7 +112,7 @@
 func (l *poolLoad) forget(removed func(*class) bool) {
 	kept := l.classes[:0]
 	for _, load := range l.classes {
-		if load.running > 0 || load.promised > 0 || !removed(load.class) {
+		if load.running > 0 || len(load.promised) > 0 || !removed(load.class) {
 			kept = append(kept, load)
 		}
 	}
@@ -402,7 +405,7 @@
 	for _, q := range c.organisations {
 		late += min(q.countBands(s.now).late, own+1)
 	}
-	b.add(min(late, load.promised), r.pool.load.occupancyOf(load))
+	b.add(min(late, len(load.promised)), r.pool.load.occupancyOf(load))
 }
 
 // countOwn returns how many requests of the class and of the request's organisation, in the same band, go before it.
@@ -476,9 +479,17 @@
 	}
 }
 
-// countPromised counts a request that enters or leaves the queue if it became late after it had been queued as on time.
-func (l *poolLoad) countPromised(r *request, n int) {
+// addPromised notes a request that enters the queue if it became late after it had been queued as on time.
+func (l *poolLoad) addPromised(r *request) {
+	if r.late && r.promised {
+		load := l.of(r.class)
+		load.promised = append(load.promised, r)
+	}
+}
+
+func (l *poolLoad) removePromised(r *request) {
 	if r.late && r.promised {
-		l.of(r.class).promised += n
+		load := l.of(r.class)
+		load.promised = slices.DeleteFunc(load.promised, func(other *request) bool { return other == r })
 	}
 }
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -20,6 +20,9 @@
 	// Half of the requests whose mean wait just fits would miss it: with 1, 6.8% of the requests held in a burst over 40
 	// entries were held in vain, with 1.4 3.8%.
 	onTimeSafety = 1.4
+	// endangeredAfter is the part of its caller's patience after which a promised request keeps requests of lower classes from
+	// being queued ahead of it.
+	endangeredAfter = 0.4
 	// maxUnfavourable is the number of successive unfavourable forecasts after which a held request is refused. The rate left
 	// for late requests is a small difference of large ones: with 2, 5.7% of the requests held in bursts of K ended in vain,
 	// with 4 1.1%.
@@ -81,7 +84,8 @@
 	if !onTime.known {
 		return nil, false
 	}
-	if s.beginsOnTime(r, onTime) || (onTime.passing || r.Overdue) && s.beginsSafely(r, onTime) {
+	endangered := s.endangersPromised(r)
+	if !endangered && s.beginsOnTime(r, onTime) || (onTime.passing || r.Overdue) && s.beginsSafely(r, onTime) {
 		return nil, true
 	}
 	late := s.noteForecast(r, true)
@@ -97,6 +101,23 @@
 		r.latestBegin().Sub(s.now).Milliseconds()), true
 }
 
+// endangersPromised reports whether the request would be queued ahead of a promised one of a higher class that has used much of
+// its caller's patience. Otherwise requests that are each expected to be in time would go ahead of it until its caller leaves.
+func (s *Scheduler) endangersPromised(r *request) bool {
+	for _, load := range r.pool.load.classes {
+		if tierIndex(load.class.spec.GetTier()) != r.tier || load.class.precedence() >= r.class.precedence() {
+			continue
+		}
+		for _, p := range load.promised {
+			patience := p.latestBegin().Sub(p.Arrived)
+			if s.now.Sub(p.Arrived) > time.Duration(endangeredAfter*float64(patience)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // noteForecast forecasts the wait and records it for the log.
 func (s *Scheduler) noteForecast(r *request, late bool) forecast {
 	f := s.forecastWait(r, late)
--- a/sched/hold_test.go
+++ b/sched/hold_test.go
@@ -230,3 +230,23 @@
 	require.Len(t, h.declines("late"), 1)
 	require.Len(t, h.dispatches("timely"), 1)
 }
+
+// Guards against a promised request that waits until its caller leaves, because requests of a lower class that may be in time
+// are queued ahead of it one after another.
+func TestPromisedRequestIsNotOvertakenForever(t *testing.T) {
+	h := forecastHarness(t)
+	h.setArrivals(lastClass, 6, 0)
+	h.step(Arrive{Request: h.stream("promised", firstClass, testObjective, testAbandon)})
+	h.hold("promised")
+	h.step(Arrive{Request: h.stream("early", lastClass, testObjective, testAbandon)})
+	require.False(t, h.s.requests["early"].late)
+	patience := h.s.requests["promised"].latestBegin().Sub(h.now)
+	h.advance(time.Duration(endangeredAfter*float64(patience)) + MinTickInterval)
+	h.reportRoom("s1", kindModel, testModel, 0)
+	h.setArrivals(lastClass, 6, 0)
+	h.step(Arrive{Request: h.stream("overtaking", lastClass, testObjective, testAbandon)})
+	require.Contains(t, h.s.requests, "promised")
+	if r := h.s.requests["overtaking"]; r != nil {
+		require.True(t, r.late)
+	}
+}
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -101,7 +101,7 @@
 	r.queue = t.organisationQueue(class, organisation)
 	r.queue.listFor(r).add(r)
 	*r.reservedCount() += min(len(r.reservations), 1)
-	r.pool.load.countPromised(r, 1)
+	r.pool.load.addPromised(r)
 	t.count++
 	t.clock.Enter(organisation)
 	s.queued[tier]++
@@ -119,7 +119,7 @@
 	if len(r.reservations) > 0 {
 		*r.reservedCount()--
 	}
-	r.pool.load.countPromised(r, -1)
+	r.pool.load.removePromised(r)
 	r.queue = nil
 	t.count--
 	t.clock.Leave(q.organisation)
