--- a/entry/entry.go
+++ b/entry/entry.go
@@ -255,6 +255,7 @@
 		RetryAllowance:   e.settings.Limits.RetryAllowance,
 		ExposureShare:    e.settings.Rollout.ExposureShare,
 		ControlSilence:   e.controlSilence(),
+		Forecast:         e.settings.Admission.Forecast,
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -27,6 +27,8 @@
 	metricMessagesDropped = "carawaypitch_link_dropped_total"
 	metricProofs          = "carawaypitch_engine_proofs_total"
 	metricCommits         = "carawaypitch_operation_commits_total"
+	metricForecasts       = "carawaypitch_forecasts_total" // requests forecast to be late, by outcome
+	metricHeld            = "carawaypitch_held_requests" // queued requests that will begin late, by class and organisation; as of the last sample
 	metricRingRefused     = "carawaypitch_ring_refused_total"
 	metricRingLength      = "carawaypitch_ring_length"
 	metricActive          = "carawaypitch_active_calls"
@@ -48,10 +50,11 @@
 type meter struct {
 	set         *metrics.Set
 	classCounts *classCounters
+	held        map[string]bool // names of the gauges of held requests that aren't 0
 }
 
 func newMeter() *meter {
-	return &meter{set: metrics.NewSet(), classCounts: newClassCounters()}
+	return &meter{set: metrics.NewSet(), classCounts: newClassCounters(), held: map[string]bool{}}
 }
 
 // registerGauges registers the gauges.
@@ -96,6 +99,8 @@
 		m.addRollout(metricRolloutBad, c)
 	case sched.RolloutWithheld:
 		m.addRollout(metricRolloutWithheld, c)
+	case sched.Forecasts:
+		m.add(fmt.Sprintf(`%s{outcome=%s,tier="%s",class=%s}`, metricForecasts, label, tier, class), c.Add)
 	case sched.ChartErrors:
 		m.add(fmt.Sprintf(`%s{reason=%s}`, metricChartErrors, label), c.Add)
 	}
@@ -105,6 +110,21 @@
 	m.add(fmt.Sprintf(`%s{pool=%s,role=%s}`, name, strconv.Quote(c.Pool), strconv.Quote(c.Label)), c.Add)
 }
 
+// setHeld sets the gauges of held requests. It may be called by the scheduler goroutine only.
+func (m *meter) setHeld(counts []sched.HeldCount) {
+	earlier := m.held
+	m.held = map[string]bool{}
+	for _, c := range counts {
+		name := fmt.Sprintf(`%s{class=%s,organisation=%s}`, metricHeld, strconv.Quote(c.Class), strconv.Quote(c.Organisation))
+		m.set.GetOrCreateGauge(name, nil).Set(float64(c.Requests))
+		m.held[name] = true
+		delete(earlier, name)
+	}
+	for name := range earlier {
+		m.set.GetOrCreateGauge(name, nil).Set(0)
+	}
+}
+
 // countRefusal counts a refusal by the entry itself. Refusals by the scheduler are included in its own counts.
 func (m *meter) countRefusal(code result.Code, tier uint32) {
 	m.count(sched.Count{Counter: sched.Refusals, Code: code, Tier: tier, Add: 1})
--- a/sched/precedence.go
+++ b/sched/precedence.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -39,6 +38,14 @@
 	return r.class.precedence()
 }
 
+// gatePrecedence returns the precedence that gates are told: late requests go after all others of the tier.
+func (r *request) gatePrecedence() uint32 {
+	if r.late {
+		return latePrecedence + r.class.precedence()
+	}
+	return r.precedence()
+}
+
 // priority returns the position of the class among those of its tier, given its next request: higher goes first.
 // Classes ordered by their targets rank by urgency, before all classes with a precedence.
 func (c *class) priority(now, due time.Time, next *request) int {
@@ -82,13 +89,12 @@
 // settleCredits adds the credit that the classes of the pool earn from a dispatch, and charges the dispatched
 // request's class.
 func (s *Scheduler) settleCredits(r *request) {
-	all := max(r.pool.arrivalRate.value(s.now), math.SmallestNonzeroFloat64)
 	for _, c := range r.pool.classes {
-		share := min(c.arrivalRate.value(s.now)/all, 1)
-		c.credit = min(c.credit+guaranteedShare*share, maxCredit)
-	}
-	if !r.promoted {
-		r.class.credit = max(r.class.credit-1, -maxCredit)
+		paid := 0.0
+		if c == r.class && !r.promoted {
+			paid = 1
+		}
+		c.credit = max(min(c.credit+s.earnedPerDispatch(c, r.pool), maxCredit)-paid, -s.maxDebt(c, r.pool))
 	}
 }
 
@@ -98,6 +104,7 @@
 	if !slices.Contains(p.classes, r.class) {
 		removed := func(c *class) bool { return s.classes[c.name] != c }
 		p.classes = append(slices.DeleteFunc(p.classes, removed), r.class)
+		p.load.forget(removed)
 	}
 	if r.Overdue {
 		return
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -33,6 +33,8 @@
 	Limits EntryLimits `json:"limits"`
 	// Rollout bounds what a version that is being rolled out may do before it has proved good.
 	Rollout EntryRollout `json:"rollout"`
+	// Admission configures which requests are accepted under overload.
+	Admission Admission `json:"admission"`
 	// TLS secures the connections to other processes. If it is empty, they are plain TCP.
 	TLS TLS `json:"tls"`
 	// CallerTLS secures the listener for callers. If it is empty, callers use plain HTTP.
@@ -84,6 +86,14 @@
 	Rollback time.Duration `json:"rollback"`
 }
 
+// Admission configures which requests an entry instance accepts under overload.
+type Admission struct {
+	// Forecast enables the forecast of the wait. A request that won't begin while its caller waits is refused on arrival,
+	// and one that will begin late is held behind those that will be in time. Default false: every request waits until
+	// its objective.
+	Forecast bool `json:"forecast"`
+}
+
 // EntryTiming holds the intervals and timeouts of an entry instance.
 type EntryTiming struct {
 	// Heartbeat is the interval between messages on a connection without other traffic. Default 250ms.
