--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -28,7 +28,7 @@
 	metricProofs          = "carawaypitch_engine_proofs_total"
 	metricCommits         = "carawaypitch_operation_commits_total"
 	metricForecasts       = "carawaypitch_forecasts_total" // requests forecast to be late, by outcome
-	metricHeld            = "carawaypitch_held_requests" // queued requests that will begin late, by class and organisation; as of the last sample
+	metricHeld            = "carawaypitch_held_requests"   // queued requests that will begin late, by class and organisation; as of the last sample
 	metricRingRefused     = "carawaypitch_ring_refused_total"
 	metricRingLength      = "carawaypitch_ring_length"
 	metricActive          = "carawaypitch_active_calls"
--- a/sched/types.go
+++ b/sched/types.go
@@ -279,5 +279,5 @@
 	RolloutAnswers  // answers and failures of these, by Pool and Label (role)
 	RolloutBad      // those that speak against the version, by Pool and Label (role)
 	RolloutWithheld // offers of servers of a new version that were declined, by Pool and Label (role)
-	Forecasts // requests forecast to be late, by Label (outcome), Tier and Class
+	Forecasts       // requests forecast to be late, by Label (outcome), Tier and Class
 )
