--- a/entry/entry.go
+++ b/entry/entry.go
@@ -256,6 +256,8 @@
 		ExposureShare:    e.settings.Rollout.ExposureShare,
 		ControlSilence:   e.controlSilence(),
 		Forecast:         e.settings.Admission.Forecast,
+		RetryAdvice:      e.settings.Admission.RetryAdvice,
+		LongTermShare:    e.settings.Admission.LongTermShare,
 	}
 }
 
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -182,11 +182,14 @@
 	return rate
 }
 
+// forecasts reports whether waits are forecast for any purpose.
+func (s *Scheduler) forecasts() bool { return s.options.Forecast || s.options.RetryAdvice }
+
 // canForecast reports whether there is enough evidence for a forecast in the pool: completed attempts, and a current
 // report of a gate.
 func (s *Scheduler) canForecast(p *pool) bool {
 	l := &p.load
-	if !s.options.Forecast || s.options.Policy != PolicyTargets || l.samples < minSamples || s.now.Sub(l.since) < forecastWarmup {
+	if !s.forecasts() || s.options.Policy != PolicyTargets || l.samples < minSamples || s.now.Sub(l.since) < forecastWarmup {
 		return false
 	}
 	for _, v := range p.servers {
@@ -284,7 +287,7 @@
 
 // noteBacklog adds the backlog that a request finds as it arrives to the mean of its class.
 func (s *Scheduler) noteBacklog(r *request) {
-	if !s.options.Forecast || s.options.Policy != PolicyTargets {
+	if !s.forecasts() || s.options.Policy != PolicyTargets {
 		return
 	}
 	var found backlog
--- a/sched/forecast_harness_test.go
+++ b/sched/forecast_harness_test.go
@@ -19,7 +19,7 @@
 // the last class take a second and those of the first a quarter.
 func forecastHarness(t *testing.T) *harness {
 	t.Helper()
-	h := newHarness(t, Options{Forecast: true})
+	h := newHarness(t, Options{Forecast: true, RetryAdvice: true, LongTermShare: true})
 	h.addServer("s1", kindModel, testModel, forecastTestSlots)
 	for i := range forecastTestSlots {
 		h.arrive(nameOf("running", i), lastClass)
--- a/sched/guaranteed_share.go
+++ b/sched/guaranteed_share.go
@@ -24,7 +24,7 @@
 func (s *Scheduler) earnedPerDispatch(c *class, p *pool) float64 {
 	all := max(p.arrivalRate.value(s.now), math.SmallestNonzeroFloat64)
 	share := guaranteedShare * min(c.arrivalRate.value(s.now)/all, 1)
-	if s.options.Forecast {
+	if s.options.LongTermShare {
 		share *= shareWindow.Seconds() / (shareWindow - burstAllowance).Seconds()
 	}
 	return share
@@ -33,7 +33,7 @@
 // maxDebt returns the bound of the class's debt, in dispatches. It follows the present rates: a debt at the rates before a
 // burst could take several times burstAllowance to pay during it.
 func (s *Scheduler) maxDebt(c *class, p *pool) float64 {
-	if !s.options.Forecast {
+	if !s.options.LongTermShare {
 		return maxCredit
 	}
 	return max(maxCredit, s.earnedPerDispatch(c, p)*p.dispatchRate.value(s.now)*burstAllowance.Seconds())
--- a/sched/guaranteed_share_test.go
+++ b/sched/guaranteed_share_test.go
@@ -19,7 +19,7 @@
 }
 
 func newShareLoad(t *testing.T, slots int) *shareLoad {
-	h := newHarness(t, Options{Forecast: true})
+	h := newHarness(t, Options{Forecast: true, RetryAdvice: true, LongTermShare: true})
 	h.addServer("s1", kindModel, testModel, 0)
 	return &shareLoad{h: h, slots: slots}
 }
--- a/sched/load_sim_test.go
+++ b/sched/load_sim_test.go
@@ -172,7 +172,7 @@
 		}})
 	}
 	for i := range l.entries {
-		s, err := New(Options{Seed: l.seed + uint64(i), Forecast: l.forecast})
+		s, err := New(Options{Seed: l.seed + uint64(i), Forecast: l.forecast, RetryAdvice: l.forecast, LongTermShare: l.forecast})
 		require.NoError(t, err)
 		m.entries = append(m.entries, s)
 		m.live = append(m.live, map[string]*simRequest{})
--- a/sched/options.go
+++ b/sched/options.go
@@ -72,6 +72,10 @@
 	// Forecast enables the forecast of the wait: requests that won't begin while their callers wait are refused on arrival,
 	// and those that will begin late are held.
 	Forecast bool
+	// RetryAdvice enables the advice to retry by a forecast of when a slot for the caller's rank will be free.
+	RetryAdvice bool
+	// LongTermShare measures the guaranteed share of a class over a minute instead of at each moment.
+	LongTermShare bool
 	// MaxRoomAge is the age up to which a Room report counts as current.
 	MaxRoomAge time.Duration
 	// ExposureShare is the share of a pool's requests that all entries together may send to a version that is being rolled
--- a/sched/retry_advice.go
+++ b/sched/retry_advice.go
@@ -49,7 +49,7 @@
 // and the callers advised before. If none is expected in the remaining time it is maxRetryAfter. ok is false if nothing can
 // be forecast, and for plain services, whose calls take so little time that the queue is over before a caller returns.
 func (s *Scheduler) adviseByForecast(r *request) (advice time.Duration, ok bool) {
-	if r.pool.key.kind == kindService || !s.canForecast(r.pool) {
+	if !s.options.RetryAdvice || r.pool.key.kind == kindService || !s.canForecast(r.pool) {
 		return 0, false
 	}
 	left := s.remainingTime(r)
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -92,6 +92,12 @@
 	// and one that will begin late is held behind those that will be in time. Default false: every request waits until
 	// its objective.
 	Forecast bool `json:"forecast"`
+	// RetryAdvice enables the advice to retry by a forecast of when a slot for the caller's rank will be free. Default
+	// false: the advice follows from the length of the queue.
+	RetryAdvice bool `json:"retry_advice"`
+	// LongTermShare measures the guaranteed share of the class with the lowest precedence over a minute instead of at each
+	// moment, so that it can wait during a burst. Default false.
+	LongTermShare bool `json:"long_term_share"`
 }
 
 // EntryTiming holds the intervals and timeouts of an entry instance.
