--- a/sched/precedence_test.go
+++ b/sched/precedence_test.go
@@ -140,6 +140,8 @@
 func withAndWithoutForecast(t *testing.T, test func(*testing.T, Options)) {
 	t.Helper()
 	for _, forecast := range []bool{false, true} {
-		t.Run(fmt.Sprintf("forecast=%v", forecast), func(t *testing.T) { test(t, Options{Forecast: forecast, RetryAdvice: forecast, LongTermShare: forecast}) })
+		t.Run(fmt.Sprintf("forecast=%v", forecast), func(t *testing.T) {
+			test(t, Options{Forecast: forecast, RetryAdvice: forecast, LongTermShare: forecast})
+		})
 	}
 }
