state: an order of the version that is in use is completed at once

An entry sends a pool whose roll-out is in progress no more than the share of a version on trial. After an order of the version that all servers run, every server was on trial and the pool got a twentieth of its requests. Such an order is now completed when it is committed. The tests of control and of the platform that announced only servers of the new version announce one of another version too.

--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -127,9 +127,10 @@
 	return &wire.RolloutCount{Version: version, Class: "one", Answers: answers, Failures: failures, Work: answers, TimeMs: 100 * answers}
 }
 
-// startRollout puts a desired state, announces a server of version v2, and orders its roll-out within a minute.
+// startRollout puts a desired state, announces a server of each of the versions v1 and v2, and orders its roll-out within a minute.
 func (c *cluster) startRollout(n *instance) *wire.Rollout {
 	require.NoError(c.t, n.control.PutDesired(c.ctx, testDesired(1)))
+	require.NoError(c.t, n.control.Announce(c.ctx, &wire.Announcement{Server: "s1", Pool: "m", Address: "10.0.3.1:80", Slots: 4, Sequence: 1, Version: "v1"}))
 	require.NoError(c.t, n.control.Announce(c.ctx, &wire.Announcement{Server: "s2", Pool: "m", Address: "10.0.3.2:80", Slots: 4, Sequence: 1, Version: "v2"}))
 	held, err := n.control.StartRollout(c.ctx, rolloutOrder("v2"))
 	require.NoError(c.t, err)
@@ -321,6 +322,7 @@
 		defer c.stopAll()
 		n := c.leader()
 		require.NoError(t, n.control.PutDesired(t.Context(), testDesired(1)))
+		require.NoError(t, n.control.Announce(t.Context(), &wire.Announcement{Server: "s1", Pool: "m", Address: "10.0.3.1:80", Slots: 4, Sequence: 1, Version: "v1"}))
 		require.NoError(t, n.control.Announce(t.Context(), &wire.Announcement{Server: "s2", Pool: "m", Address: "10.0.3.2:80", Slots: 4, Sequence: 1, Version: "v2"}))
 		order := func(body string) answer { return c.call(n, http.MethodPost, "/v1/rollouts", body, nil) }
 		for _, refused := range []struct {
--- a/state/rollouts.go
+++ b/state/rollouts.go
@@ -64,10 +64,29 @@
 		OrderedUnixMs: s.leaderUnixMS,
 		State:         wire.RolloutState_ROLLOUT_STATE_IN_PROGRESS,
 	}
+	if s.onlyVersion(cmd.GetPool(), cmd.GetTo()) {
+		started.State = wire.RolloutState_ROLLOUT_STATE_COMPLETED
+		started.EndedUnixMs = s.leaderUnixMS
+		started.Reason = reasonInUse
+	}
 	s.setRollout(started)
 	return &wire.CommandResult{Rollout: started}
 }
 
+// reasonInUse is the reason of a roll-out of the version that all servers of the pool run already.
+const reasonInUse = "already_in_use"
+
+// onlyVersion reports whether the pool has servers that take work, and all of them run the version. Entries would send such
+// a pool only the share of a version on trial.
+func (s *State) onlyVersion(pool, version string) bool {
+	found, others := false, false
+	s.eachServer(pool, func(v string) {
+		found = found || v == version
+		others = others || v != version
+	})
+	return found && !others
+}
+
 // recordRollout raises the evidence of a roll-out in progress. It does not advance the configuration version, since only
 // control uses the evidence and each change of the configuration goes to all clients.
 func (s *State) recordRollout(cmd *wire.RecordRollout) *wire.CommandResult {
@@ -189,17 +208,26 @@
 // ServersOfVersion returns the number of servers of a pool that run the version and take work.
 func (s *State) ServersOfVersion(pool, version string) int {
 	servers := 0
-	for _, a := range s.announcements.byRun {
-		if a.GetPool() == pool && a.GetVersion() == version && !a.GetDraining() {
+	s.eachServer(pool, func(v string) {
+		if v == version {
 			servers++
 		}
+	})
+	return servers
+}
+
+// eachServer calls visit with the version of each server of a pool that takes work, in any order.
+func (s *State) eachServer(pool string, visit func(version string)) {
+	for _, a := range s.announcements.byRun {
+		if a.GetPool() == pool && !a.GetDraining() {
+			visit(a.GetVersion())
+		}
 	}
 	for _, agent := range s.agents {
 		for _, server := range agent.GetServers() {
-			if hasReadyModel(server, pool) && server.GetVersion() == version && s.announcements.byRun[server.GetServer()] == nil {
-				servers++
+			if hasReadyModel(server, pool) && s.announcements.byRun[server.GetServer()] == nil {
+				visit(server.GetVersion())
 			}
 		}
 	}
-	return servers
 }
--- a/state/rollouts_test.go
+++ b/state/rollouts_test.go
@@ -330,3 +330,31 @@
 	require.Equal(t, 2, l.state.ServersOfVersion("desk", "v2"), "a server that is known twice counts once")
 	require.Zero(t, l.state.ServersOfVersion("desk", "v3"))
 }
+
+// Guards against an outage after an order of the version that is in use: entries would send the pool only the share of a
+// version on trial. The order is completed at once; with a server of another version, or none at all, it is not.
+func TestOrderOfTheVersionInUseIsCompleted(t *testing.T) {
+	const inProgress, completed = wire.RolloutState_ROLLOUT_STATE_IN_PROGRESS, wire.RolloutState_ROLLOUT_STATE_COMPLETED
+	for _, row := range []struct {
+		name     string
+		versions []string
+		want     wire.RolloutState
+	}{
+		{"no servers", nil, inProgress},
+		{"only others", []string{"v1", "v1"}, inProgress},
+		{"both", []string{"v1", "v2"}, inProgress},
+		{"a server that doesn't say", []string{"v2", ""}, inProgress},
+		{"only this one", []string{"v2", "v2"}, completed},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			l := newRolloutLog(t)
+			for i, version := range row.versions {
+				l.accept(&wire.Command{Kind: &wire.Command_AnnounceServers{AnnounceServers: &wire.AnnounceServers{Announcements: []*wire.Announcement{
+					{Server: fmt.Sprint("s", i), Pool: "desk", Address: fmt.Sprint("10.0.0.", i, ":80"), Slots: 1, Sequence: 1, Version: version},
+				}}}})
+			}
+			l.accept(&wire.Command{Kind: &wire.Command_StartRollout{StartRollout: &wire.StartRollout{Pool: "desk", To: "v2", DurationMs: 60_000}}})
+			require.Equal(t, row.want, l.state.Rollouts()[0].GetState())
+		})
+	}
+}
