--- a/agent/suspension.go
+++ b/agent/suspension.go
@@ -48,9 +48,10 @@
 type suspensionOf struct {
 	count     int // how often the run has been suspended
 	asked     bool
-	discarded bool          // DiscardSuspended came before the end of the stopped call
-	end       *runEnded     // end of the stopped call, held back until the engine's answer is there
-	suspended *suspendedRun // nil while the run is not suspended
+	action    gate.SuspendEngine // the last one
+	discarded bool               // DiscardSuspended came before the end of the stopped call
+	end       *runEnded          // end of the stopped call, held back until the engine's answer is there
+	suspended *suspendedRun      // nil while the run is not suspended
 }
 
 // position is what has been received of a run. A resumed run continues after it. engineRun.mu guards it.
@@ -93,6 +94,7 @@
 		return
 	}
 	r.suspension.asked = true
+	r.suspension.action = a
 	s.spawn(func(ctx context.Context) {
 		callCtx, stop := context.WithTimeout(ctx, engineCallTimeout)
 		defer stop()
@@ -168,6 +170,8 @@
 		WithField("tokens", outcome.Tokens).
 		WithField("suspensions", r.suspension.count).
 		WithField("remaining_ms", r.remaining().Milliseconds()).
+		WithField("expected_ms", r.suspension.action.Remaining.Milliseconds()).
+		WithField("for", r.suspension.action.For.GetRequest()).
 		Info("run_suspended")
 	if r.suspension.discarded {
 		s.removeRun(r, endDiscarded)
@@ -211,6 +215,7 @@
 	s.runLog(r).WithField("suspended_ms", took.Milliseconds()).
 		WithField("suspensions", r.suspension.count).
 		WithField("remaining_ms", r.remaining().Milliseconds()).
+		WithField("reason", a.Reason).
 		Info("run_resumed")
 	s.executeInBackground(r)
 }
