--- a/control/http_rollouts.go
+++ b/control/http_rollouts.go
@@ -42,7 +42,7 @@
 	return rolloutJSON{
 		Service:       r.GetPool(),
 		To:            r.GetTo(),
-		State:         rolloutStateName(r.GetState()),
+		State:         r.GetState().Name(),
 		Reason:        r.GetReason(),
 		ID:            r.GetId(),
 		DurationMS:    r.GetDurationMs(),
@@ -60,19 +60,6 @@
 	return out
 }
 
-func rolloutStateName(s wire.RolloutState) string {
-	switch s {
-	case wire.RolloutState_ROLLOUT_STATE_IN_PROGRESS:
-		return "in_progress"
-	case wire.RolloutState_ROLLOUT_STATE_COMPLETED:
-		return "completed"
-	case wire.RolloutState_ROLLOUT_STATE_REVERTED:
-		return "reverted"
-	default:
-		return "unknown"
-	}
-}
-
 // answersByVersion adds up counts over the classes. Counts are sorted by version.
 func answersByVersion(counts []*wire.RolloutCount) []versionAnswersJSON {
 	out := []versionAnswersJSON{}
--- a/control/rollout_counters.go
+++ b/control/rollout_counters.go
@@ -16,7 +16,7 @@
 		wire.RolloutState_ROLLOUT_STATE_COMPLETED,
 		wire.RolloutState_ROLLOUT_STATE_REVERTED,
 	} {
-		name := fmt.Sprintf("carawaypitch_rollouts{state=%q}", rolloutStateName(s))
+		name := fmt.Sprintf("carawaypitch_rollouts{state=%q}", s.Name())
 		c.options.Metrics.GetOrCreateGauge(name, func() float64 { return float64(c.rolloutsIn(s)) })
 	}
 }
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -294,7 +294,7 @@
 		return nil, err
 	}
 	held := res.GetRollout()
-	logger.WithField("rollout", held.GetId()).WithField("state", rolloutStateName(held.GetState())).Info("rollout_ordered")
+	logger.WithField("rollout", held.GetId()).WithField("state", held.GetState().Name()).Info("rollout_ordered")
 	return held, nil
 }
 
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -170,7 +170,7 @@
 	entry := e.log.WithField("pool", a.Pool).
 		WithField("to", a.To).
 		WithField("rollout", a.ID).
-		WithField("state", sched.StateName(a.State)).
+		WithField("state", a.State.Name()).
 		WithField("sent", a.Sent).
 		WithField("exposed", a.Exposed).
 		WithField("bad", a.Bad)
--- a/sched/rollout.go
+++ b/sched/rollout.go
@@ -469,23 +469,9 @@
 	var all []RolloutStatus
 	for _, ro := range s.rolloutOrder {
 		all = append(all, RolloutStatus{
-			Pool: ro.pool, To: ro.to, ID: ro.id, State: StateName(ro.state), Sent: ro.sent, Exposed: ro.exposed,
+			Pool: ro.pool, To: ro.to, ID: ro.id, State: ro.state.Name(), Sent: ro.sent, Exposed: ro.exposed,
 			Open: ro.open, Stopped: ro.stopped, Bad: ro.evidence.bad(ro.to), Servers: serverNames(ro.servers),
 		})
 	}
 	return all
 }
-
-// StateName returns the name of a roll-out's state in reports and logs.
-func StateName(state wire.RolloutState) string {
-	switch state {
-	case wire.RolloutState_ROLLOUT_STATE_IN_PROGRESS:
-		return "in_progress"
-	case wire.RolloutState_ROLLOUT_STATE_COMPLETED:
-		return "completed"
-	case wire.RolloutState_ROLLOUT_STATE_REVERTED:
-		return "reverted"
-	default:
-		return "unknown"
-	}
-}
