--- a/state/rollouts.go
+++ b/state/rollouts.go
@@ -180,9 +180,24 @@
 }
 
 func (s *State) hasPool(name string) bool {
+	if s.desired == nil {
+		return s.isOffered(name)
+	}
 	return slices.ContainsFunc(s.desired.GetPools(), func(p *wire.Pool) bool { return p.GetName() == name })
 }
 
+// isOffered reports whether a server of a registered agent offers the model or service. Without a desired state these are
+// the pools.
+func (s *State) isOffered(name string) bool {
+	for _, agent := range s.agents {
+		offers := func(server *wire.ServerRecord) bool { return slices.Contains(server.GetModels(), name) }
+		if slices.ContainsFunc(agent.GetServers(), offers) {
+			return true
+		}
+	}
+	return false
+}
+
 // Rollout returns the last roll-out of a pool, nil if there was none.
 func (s *State) Rollout(pool string) *wire.Rollout { return s.rollouts[pool] }
 
--- a/state/rollouts_test.go
+++ b/state/rollouts_test.go
@@ -358,3 +358,17 @@
 		})
 	}
 }
+
+// Guards against roll-outs that can't be ordered where there is no desired state: the services are then those that servers
+// of agents offer.
+func TestRolloutWithoutADesiredState(t *testing.T) {
+	l := newLog(t)
+	l.replica = New()
+	order := &wire.Command{Kind: &wire.Command_StartRollout{StartRollout: &wire.StartRollout{Pool: "registry", To: "v2", DurationMs: 60_000}}}
+	require.EqualValues(t, result.InvalidRollout, l.apply(order).GetCode())
+	l.accept(&wire.Command{Kind: &wire.Command_RegisterAgent{RegisterAgent: &wire.RegisterAgent{Agent: &wire.AgentRecord{
+		Agent: "agent-1", Incarnation: 1, Servers: []*wire.ServerRecord{{Server: "a", Models: []string{"registry"}, Version: "v1"}},
+	}}}})
+	l.accept(order)
+	require.Equal(t, wire.RolloutState_ROLLOUT_STATE_IN_PROGRESS, l.state.Rollouts()[0].GetState())
+}
