--- a/cmd/carawaypitch/dev_test.go
+++ b/cmd/carawaypitch/dev_test.go
@@ -18,9 +18,10 @@
 
 // startDev runs `dev -json` as a process and returns its addresses and keys. At the end of the test it sends SIGTERM; the
 // exit code must be 0.
-func startDev(t *testing.T) dev.Info {
+func startDev(t *testing.T, flags ...string) dev.Info {
 	t.Helper()
-	command := exec.Command(binaryPath, "dev", "-json", "-entry", "127.0.0.1:0", "-control", "127.0.0.1:0", "-data", t.TempDir())
+	args := []string{"dev", "-json", "-entry", "127.0.0.1:0", "-control", "127.0.0.1:0", "-data", t.TempDir()}
+	command := exec.Command(binaryPath, append(args, flags...)...)
 	out, err := command.StdoutPipe()
 	require.NoError(t, err)
 	var log strings.Builder
