--- a/sched/hold.go
+++ b/sched/hold.go
@@ -17,20 +17,18 @@
 	// to be held. A caller that is refused at once can still retry; one that is held in vain has lost that time.
 	holdSafety = 1.5
 	// onTimeSafety is the factor by which the forecast wait must fit before the objective for a request to be queued as on time.
-	// Half of the requests whose mean wait just fits would miss it: with 1, 6.8% of the requests held in a burst over 40
-	// entries were held in vain, with 1.4 3.8%.
+	// Half of the requests whose mean wait just fits would miss it, and be held in vain.
 	onTimeSafety = 1.4
 	// endangeredAfter is the part of its caller's patience after which a promised request keeps requests of lower classes from
 	// being queued ahead of it.
 	endangeredAfter = 0.4
 	// maxUnfavourable is the number of successive unfavourable forecasts after which a held request is refused. The rate left
-	// for late requests is a small difference of large ones: with 2, 5.7% of the requests held in bursts of K ended in vain,
-	// with 4 1.1%.
+	// for late requests is a small difference of large ones, so that single forecasts vary.
 	maxUnfavourable = 4
 	// lateRank is added to the rank of late requests, which makes them go after those that may be in time and those that
 	// were overdue as they arrived.
 	lateRank = 2 * overdueRank
-	// latePrecedence is added to the precedence that gates are told of late requests. It is larger than any that operators
+	// latePrecedence is added to the precedence that gates receive for late requests. It is larger than any that operators
 	// set.
 	latePrecedence = 1 << 16
 	// lateReservedDivisor is the fraction of the bound on reservations that late requests may have in addition to it.
--- a/sched/precedence.go
+++ b/sched/precedence.go
@@ -38,7 +38,7 @@
 	return r.class.precedence()
 }
 
-// gatePrecedence returns the precedence that gates are told: late requests go after all others of the tier.
+// gatePrecedence returns the precedence that gates receive: late requests go after all others of the tier.
 func (r *request) gatePrecedence() uint32 {
 	if r.late {
 		return latePrecedence + r.class.precedence()
--- a/sched/retry_advice.go
+++ b/sched/retry_advice.go
@@ -8,8 +8,7 @@
 	// back after that part.
 	advisableShare = 1.0 / 3
 	// adviceFreeShare is the share of the slots that higher ranks must leave for a slot to be expected. With a smaller share the
-	// advice rests on the error of the rates: at 0.03, 28 of 49 callers who followed it in bursts of K were refused at once again,
-	// at 0.1 18 of 40; at 0.2 all were told the ceiling, and as many were served.
+	// advice rests on the error of the rates, and half of the callers who follow it in a burst are refused again.
 	adviceFreeShare = 0.2
 	// returnSlot is the granularity with which advised returns are remembered.
 	returnSlot = 100 * time.Millisecond
