sched: retry advice leaves time for the run where only the advice is forecast

The expected run of a request was set by the admission by forecast alone. With admission.retry_advice and without admission.forecast, as on the platform, it stayed 0, and a caller could be advised to return when its answer could not be complete any more. The advice now estimates the run itself. TestAdviceLeavesTimeForTheRun fails without it.

--- a/sched/retry_advice.go
+++ b/sched/retry_advice.go
@@ -51,6 +51,9 @@
 	if !s.options.RetryAdvice || r.pool.key.kind == kindService || !s.canForecast(r.pool) {
 		return 0, false
 	}
+	if r.expectedRun == 0 {
+		s.expectRun(r)
+	}
 	left := s.remainingTime(r)
 	wait := s.slotExpected(r, min(left-r.expectedRun, maxRetryAfter))
 	if wait < 0 {
--- a/sched/retry_advice_test.go
+++ b/sched/retry_advice_test.go
@@ -66,3 +66,31 @@
 	h.s.retryAfter(h.s.newEstimationRequest(r))
 	require.False(t, r.Overdue)
 }
+
+// Guards against advice to return when the answer can't be complete in the remaining time any more, also where only the
+// advice is forecast and no admission has estimated the run.
+func TestAdviceLeavesTimeForTheRun(t *testing.T) {
+	for _, row := range []struct {
+		name     string
+		forecast bool
+		tokens   int64
+		ceiling  bool
+	}{
+		{"short answers", false, 10, false},
+		{"long answers", false, 400, true},
+		{"long answers, with the forecast", true, 400, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			h := forecastHarness(t)
+			h.s.options.Forecast = row.forecast
+			h.setArrivals(firstClass, 24, 24)
+			h.setArrivals(lastClass, 0, 0)
+			for range minSamples {
+				h.s.classFor(lastClass).outputTokens.add(row.tokens)
+			}
+			for _, d := range adviseAll(h, 1, 3*time.Second) {
+				require.Equal(t, row.ceiling, d == maxRetryAfter, "%v", d)
+			}
+		})
+	}
+}
