--- a/sched/trace.go
+++ b/sched/trace.go
@@ -40,7 +40,7 @@
 	PoolDispatchRate float64
 	// ForecastWait is the last forecast of the time until the request begins, 0 without one.
 	ForecastWait time.Duration
-	// Rank is the request's position by class within its tier, 1 for the first.
+	// Rank is the position of the request's class within its tier, 1 for the first; 0 for a class ordered by its targets.
 	Rank uint32
 	// HeldFor is how long the request was queued as one that would begin late.
 	HeldFor time.Duration
@@ -65,7 +65,7 @@
 		PoolDispatchRate: r.pool.dispatchRate.value(s.now),
 
 		ForecastWait: r.forecastWait,
-		Rank:         r.precedence(),
+		Rank:         r.class.spec.GetPrecedence(),
 		HeldFor:      r.heldFor(s.now),
 	}
 	if len(r.attempts) > 0 {
