--- a/gate/offers.go
+++ b/gate/offers.go
@@ -9,8 +9,9 @@
 // maxLapses is how many offers an entry may leave unanswered before its reservation is refused.
 const maxLapses = 3
 
-// schedule resumes suspended runs, starts attempts whose body arrived early and gives room to waiting attempts, the best first, until there
-// is none for the best one. Smaller attempts don't overtake it, since a large attempt could otherwise wait forever.
+// schedule resumes suspended runs, starts attempts whose body arrived early and gives room to waiting attempts, the best
+// first, until there is none for the best one. Smaller attempts don't overtake it, since a large attempt could otherwise
+// wait forever.
 func (g *Gate) schedule() {
 	g.resumeRuns()
 	g.startAdmitted(firstTier)
