control: tests watch the directory once it lists their clients

A registration is acknowledged before the directory update that lists the process arrives, and the test began to watch in between: its first view had one agent and no entry (directory version 5, no time after the subscription). No client was removed and no leader had changed.

With a line printed for each such view, three of at most 3,000 runs of the old test beside a load of 25 showed it, all in the first view. With the wait 800 of 800 runs pass beside a load of 16 to 29. What the test checks afterwards is unchanged.

--- a/control/sessions_test.go
+++ b/control/sessions_test.go
@@ -36,6 +36,11 @@
 	c.eventually("clients are ready", func() bool {
 		return entry.Ready() == nil && agent.Ready() == nil && len(entry.Servers()) == 1 && len(entry.Servers()[0].GetServers()) == 2
 	})
+	// A registration is acknowledged before the update that lists it arrives.
+	c.eventually("clients are listed", func() bool {
+		view := entry.View()
+		return len(view.Agents) == 1 && len(view.Entries) == 1
+	})
 	return entry, agent, func() {
 		stopEntry()
 		stopAgent()
