demand, session, control: reports of demand and their sums

Each entry forecasts waits from its own queue, although all wait at the same gates. Nothing is sent while Config.Demand is nil, as it is until the entry sets it.

--- a/control/control.go
+++ b/control/control.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/carawaypitch/carawaypitch/demand"
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/quorum/journal"
@@ -53,6 +54,7 @@
 	sessions        *sessions
 	reports         *reports
 	usage           *quota.Ledger
+	demand          *demand.Ledger
 	usageFile       *usageFile
 	foreignMessages foreignMessages
 	leader          *leader
@@ -82,6 +84,7 @@
 	c.sessions = newSessions(c)
 	c.reports = newReports()
 	c.usage = quota.NewLedger(c.capOf, c.heldByOthers)
+	c.demand = demand.NewLedger()
 	c.usageFile = newUsageFile(s, c.options.FS)
 	c.leader = newLeader(c)
 	c.announcements = newAnnouncementBatcher(c)
--- a/control/counters.go
+++ b/control/counters.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/carawaypitch/carawaypitch/demand"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/state"
 )
@@ -32,6 +33,7 @@
 	gauge("replica_syncs_total", func() float64 { return float64(c.replica.Status().Counters.Syncs) })
 	gauge("replica_synced_bytes_total", func() float64 { return float64(c.replica.Status().Counters.SyncedBytes) })
 	addRolloutGauges(c)
+	addDemandMetrics(c)
 	return counters{
 		set:              set,
 		slowSessions:     set.GetOrCreateCounter("carawaypitch_sessions_ended_total{reason=\"slow\"}"),
@@ -61,6 +63,10 @@
 	return c.set.GetOrCreateCounter(fmt.Sprintf("carawaypitch_proposals_failed_total{code=\"%d\"}", code))
 }
 
+func (c *counters) demandReport(outcome demand.Outcome) *metrics.Counter {
+	return c.set.GetOrCreateCounter(demandReportsMetric(outcome))
+}
+
 func (c *counters) orderEnded(code result.Code) *metrics.Counter {
 	return c.set.GetOrCreateCounter(fmt.Sprintf("carawaypitch_orders_ended_total{code=\"%d\"}", code))
 }
--- a/control/session.go
+++ b/control/session.go
@@ -108,10 +108,11 @@
 	s.report(poll.GetReport())
 	s.recordEvidence(poll.GetEvidence())
 	caps := s.control.usage.Record(s.usageKey(), poll, time.Now())
+	summary := s.recordDemand(poll.GetDemand(), time.Now())
 	var answered atomic.Bool
 	answer := func(confirmed bool) {
 		if answered.CompareAndSwap(false, true) {
-			s.answerPoll(poll, confirmed, caps)
+			s.answerPoll(poll, confirmed, caps, summary)
 		}
 	}
 	timer := time.AfterFunc(pollTimeout, func() { answer(false) })
@@ -142,7 +143,7 @@
 	}
 }
 
-func (s *session) answerPoll(poll *wire.Poll, confirmed bool, caps []*wire.CapState) {
+func (s *session) answerPoll(poll *wire.Poll, confirmed bool, caps []*wire.CapState, summary *wire.DemandSummary) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.directory.applyPoll(poll)
@@ -157,6 +158,7 @@
 		Caps:             caps,
 		Controls:         controls,
 		Zones:            s.control.zonesOf(controls),
+		Demand:           summary,
 	}}})
 }
 
--- a/session/peer.go
+++ b/session/peer.go
@@ -30,6 +30,7 @@
 	pendingReplies  map[uint64]chan *wire.ProposeReply
 	reporter        reporter
 	evidence        evidenceReporter
+	demandReporter  demandReporter
 	demand          linkDemand
 	failedAt        time.Time // when the last dial or link failed
 	isPollScheduled bool      // a poll ahead of the next interval is scheduled
@@ -142,6 +143,7 @@
 	p.pendingReplies = make(map[uint64]chan *wire.ProposeReply)
 	p.reporter = reporter{source: p.session.cfg.Report, links: links}
 	p.evidence = evidenceReporter{source: p.session.cfg.Evidence}
+	p.demandReporter = demandReporter{source: p.session.cfg.Demand}
 }
 
 // close ends the link. Callers that wait for a reply find their channel closed.
@@ -191,6 +193,7 @@
 
 func (p *peer) pollMessage() *wire.ClientMessage {
 	view := p.session.View()
+	leader := p.session.Leader()
 	id := p.session.ids.Add(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -208,6 +211,7 @@
 		SinceBootMs:      uint64(sinceBoot.Milliseconds()),
 		Follow:           p.isFollowed,
 		Evidence:         p.evidence.next(now),
+		Demand:           p.demandReporter.next(now, id, leader != "" && p.instance == leader),
 	}}}
 }
 
@@ -267,6 +271,9 @@
 	}
 	s := p.session
 	s.setLeader(f.GetLeader())
+	if f.GetDemand() != nil && s.cfg.OnDemand != nil {
+		s.cfg.OnDemand(f.GetDemand(), sent.at)
+	}
 	s.mu.Lock()
 	s.freshness.RecordAnswer(p.index, sent.at, time.Now())
 	s.mu.Unlock()
--- a/session/session.go
+++ b/session/session.go
@@ -74,6 +74,11 @@
 	// Evidence returns the evidence of the roll-outs in progress, to send with polls, see evidenceReporter. It must not block.
 	// Nil means no evidence.
 	Evidence func() []*wire.RolloutEvidence
+	// Demand returns the pools of the demand report to send with polls of the leader, see demandReporter, and OnDemand is called
+	// with the sums of the other entries and the time at which the poll was sent. Neither may block. Demand returns the same slice
+	// while nothing has changed, and an empty one while there is nothing to report. Either may be nil.
+	Demand   func() []*wire.PoolDemand
+	OnDemand func(summary *wire.DemandSummary, sent time.Time)
 	// OnConfirmed is called for each answer that a quorum confirmed while the directory lists this incarnation, with the
 	// time since boot at which the poll was sent. It must not block. Nil means no calls.
 	OnConfirmed func(sinceBoot time.Duration)
@@ -167,6 +172,7 @@
 	wg.Go(func() { s.runLinkSelection(ctx) })
 	wg.Go(func() { s.register(ctx) })
 	wg.Go(func() { s.runEvidence(ctx) })
+	wg.Go(func() { s.runDemand(ctx) })
 	<-ctx.Done()
 	s.startPeers(nil)
 	wg.Wait()
--- a/state/accessors.go
+++ b/state/accessors.go
@@ -39,6 +39,9 @@
 // Entries returns all entries, sorted by name.
 func (s *State) Entries() []*wire.EntryRecord { return sortedValues(s.entries) }
 
+// EntryCount returns the number of registered entries.
+func (s *State) EntryCount() int { return len(s.entries) }
+
 // Orders returns the open orders, sorted by server.
 func (s *State) Orders() []*wire.Order { return sortedValues(s.orders) }
 
