--- a/entry/entry.go
+++ b/entry/entry.go
@@ -99,6 +99,7 @@
 	caps             *quota.Caps
 	callerTimeouts   *timeoutTracker
 	rollouts         rolloutState
+	demand           demandState
 	verbatimSequence atomic.Uint64                       // of verbatim requests
 	targetQueues     atomic.Pointer[[]sched.TargetQueue] // as of the last sampleQueues
 	highestVersion   atomic.Uint64                       // highest configuration version reported by any process
@@ -228,6 +229,8 @@
 		OnCaps:       e.caps.ApplyStates,
 		OnConfirmed:  e.controlConfirmed,
 		Evidence:     e.rolloutEvidence,
+		Demand:       e.demandSource(),
+		OnDemand:     e.applyFleetDemand,
 		UsageWindow:  e.settings.Timing.UsageWindow,
 		Log:          e.log,
 		Metrics:      e.meter.set,
@@ -258,6 +261,7 @@
 		Forecast:         e.settings.Admission.Forecast,
 		RetryAdvice:      e.settings.Admission.RetryAdvice,
 		LongTermShare:    e.settings.Admission.LongTermShare,
+		FleetDemand:      e.settings.Admission.FleetDemand,
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -43,6 +43,11 @@
 	metricRolloutAnswers  = "carawaypitch_rollout_answers_total"             // answers and failures of these, by pool and role
 	metricRolloutBad      = "carawaypitch_rollout_bad_answers_total"         // failures and slow answers among them, by pool and role
 	metricRolloutWithheld = "carawaypitch_rollout_withheld_total"            // offers declined because of a server's version, by pool and role
+	metricForecastViews   = "carawaypitch_forecast_views_total"              // forecasts on arrival, by the view that they used
+	metricOverShare       = "carawaypitch_over_share_total"                  // times that an organisation exceeded its share of a pool
+	metricFleetHeard      = "carawaypitch_fleet_demand_entries_heard"        // other entries in the last summary of demand
+	metricFleetKnown      = "carawaypitch_fleet_demand_entries_known"        // other entries that are registered, by the same summary
+	metricFleetAge        = "carawaypitch_fleet_demand_age_seconds"          // age of the reports in that summary
 	metricRoomAge         = "carawaypitch_room_age_seconds"                  // age of the oldest room report of a ready server, as of the last completed request
 )
 
@@ -63,6 +68,7 @@
 	m.set.NewGauge(metricRingLength+`{ring="scheduler"}`, func() float64 { return float64(e.inputs.Len()) })
 	m.set.NewGauge(metricActive, func() float64 { return float64(e.active.Load()) })
 	m.set.NewGauge(metricBodyBytes, func() float64 { return float64(e.bodyBytes.Load()) })
+	m.registerDemandGauges(e)
 	m.set.GetOrCreateGauge(`carawaypitch_config_version`, func() float64 { return float64(e.catalogue.Load().version) })
 }
 
@@ -101,6 +107,10 @@
 		m.addRollout(metricRolloutWithheld, c)
 	case sched.Forecasts:
 		m.add(fmt.Sprintf(`%s{outcome=%s,tier="%s",class=%s}`, metricForecasts, label, tier, class), c.Add)
+	case sched.ForecastViews:
+		m.add(fmt.Sprintf(`%s{view=%s}`, metricForecastViews, label), c.Add)
+	case sched.OverShare:
+		m.add(fmt.Sprintf(`%s{organisation=%s,tier="%s"}`, metricOverShare, label, tier), c.Add)
 	case sched.ChartErrors:
 		m.add(fmt.Sprintf(`%s{reason=%s}`, metricChartErrors, label), c.Add)
 	}
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -66,6 +66,7 @@
 		next = []sched.Event{contact, event}
 	}
 	defer e.sampleRollouts(event)
+	defer e.sampleDemand()
 	for len(next) > 0 {
 		event, next = next[0], next[1:]
 		actions := e.scheduler.Step(e.now(), event)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -133,7 +133,7 @@
 
 // withTrace adds the trace of a request to the log line about its end.
 func withTrace(fields *log.Entry, t sched.Trace) *log.Entry {
-	return fields.WithFields(log.Fields{
+	fields = fields.WithFields(log.Fields{
 		"tier":        t.Tier,
 		"fingerprint": t.Fingerprint.String(),
 		"server":      t.Server,
@@ -153,4 +153,12 @@
 		"rank":        t.Rank,
 		"held_ms":     t.HeldFor.Milliseconds(),
 	})
+	if t.ForecastView == "" {
+		return fields
+	}
+	return fields.WithFields(log.Fields{
+		"forecast_view":    t.ForecastView,
+		"forecast_view_ms": t.ForecastViewAge.Milliseconds(),
+		"over_share":       t.OverShare,
+	})
 }
--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -139,6 +139,7 @@
 	to.attemptSent(a)
 	r.pool.noteDispatch(s.now)
 	s.noteSend(r, a)
+	r.countsFor().dispatches++
 	r.pool.load.attemptBegan(s.now, r.class, r.pool.tiers[r.tier].count > 0)
 	s.holdEnded(r, forecastServedLate)
 	s.settleCredits(r)
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -39,6 +39,8 @@
 	// passing reports whether the requests of the class that arrive need less than what higher ranks leave to it. Its backlog
 	// is then a passing one, and a request that waits too long for its objective will begin soon after.
 	passing bool
+	// fleet reports whether the backlog and the slots of all entries were used.
+	fleet bool
 }
 
 // flow is a rate of events that decays over forecastWindow. Unlike rate it is unbiased from its first event on.
@@ -83,6 +85,8 @@
 	occupancy float64    // mean time, in seconds, for which an attempt occupies a slot; 0 without samples
 	usual     backlog    // mean backlog that a request of the class finds as it arrives
 	running   int        // attempts of this entry
+
+	counts [2]demandCounts // of organisations within their share, and beyond it, for reports of demand
 }
 
 // poolLoad is what the forecast knows about a pool.
@@ -243,13 +247,16 @@
 	if p.withRoom > 0 {
 		return forecast{known: true}
 	}
+	probe := *r
+	probe.late = late
+	s.queueKeys(&probe)
+	if others := s.useFleetView(r); others != nil {
+		return s.forecastOverFleet(&probe, others)
+	}
 	slots, slotRate := s.slotSupply(p)
 	if slotRate <= 0 || slots <= 0 {
 		return forecast{}
 	}
-	probe := *r
-	probe.late = late
-	s.queueKeys(&probe)
 	ahead := s.backlogAhead(&probe)
 	own := ahead.own
 	ahead.add(1, s.occupancy(p, r.class)) // the request itself
@@ -272,6 +279,32 @@
 	}
 }
 
+// forecastOverFleet forecasts when a request begins from what all entries have queued and hold.
+func (s *Scheduler) forecastOverFleet(r *request, others *fleetPool) forecast {
+	p := r.pool
+	slots, slotRate := s.fleetSupply(p, others)
+	if slotRate <= 0 || slots <= 0 {
+		return forecast{}
+	}
+	ahead := s.backlogAhead(r)
+	own := ahead.own
+	elsewhere := s.fleetAhead(r, others)
+	ahead.requests += elsewhere.requests
+	ahead.work += elsewhere.work
+	ahead.add(1, s.occupancy(p, r.class)) // the request itself
+	wait := neverWait.Seconds()
+	free := slots - s.higherLoad(r) - s.fleetHigherLoad(r, others)
+	if free >= minFreeShare*slots {
+		wait = max(ahead.requests/slotRate, ahead.work/free)
+	}
+	if !r.late && !s.overShare(r) {
+		// Each entry keeps the credit of its classes, so the guaranteed share is that of this entry's slots.
+		_, ownRate := s.slotSupply(p)
+		wait = min(wait, s.guaranteedWait(r, own, ownRate))
+	}
+	return forecast{wait: time.Duration(min(wait, neverWait.Seconds()) * float64(time.Second)), known: true, fleet: true}
+}
+
 // overAllEntries returns the backlog that counts for a request, given the backlog of this entry and the usual one.
 //
 // Gates serve the requests of all entries in one order. A request therefore waits for those of other entries, whose number
@@ -340,7 +373,7 @@
 	switch {
 	case tier != r.tier:
 		return tier < r.tier
-	case r.late && !r.promised:
+	case r.late && !r.promised, r.pool.isOverShare(r.tier, r.Organisation):
 		return true
 	case c == r.class:
 		return r.Overdue
@@ -379,7 +412,14 @@
 	occupancy := s.occupancy(r.pool, c.class)
 	mine, other := r.class.precedence(), c.class.precedence()
 	own := c.countOwn(r, s.now)
+	inExcess := s.overShare(r)
 	for _, q := range c.organisations {
+		if r.pool.isOverShare(r.tier, q.organisation) != inExcess {
+			if inExcess {
+				b.add(q.length(), occupancy)
+			}
+			continue
+		}
 		n := q.countBands(s.now)
 		first, peers := n.before(r)
 		switch {
@@ -467,6 +507,10 @@
 	if !r.Overdue {
 		r.pool.load.of(r.class).offered.add(s.now)
 	}
+	if s.overShare(r) {
+		r.arrivedInExcess = 1
+	}
+	r.countsFor().arrivals++
 	s.noteBacklog(r)
 }
 
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -82,6 +82,12 @@
 	if !onTime.known {
 		return nil, false
 	}
+	if s.options.FleetDemand {
+		s.emit(Count{Counter: ForecastViews, Label: r.forecastView, Add: 1})
+	}
+	if onTime.fleet {
+		return s.admitByFleet(r, onTime), true
+	}
 	endangered := s.endangersPromised(r)
 	if !endangered && s.beginsOnTime(r, onTime) || (onTime.passing || r.Overdue) && s.beginsSafely(r, onTime) {
 		return nil, true
@@ -195,7 +201,7 @@
 
 // forecastDue returns when the wait is forecast next, zero for a request that may not be held.
 func (s *Scheduler) forecastDue(r *request) time.Time {
-	if r.queue == nil || r.reached > 0 || !s.mayHold(r) {
+	if r.queue == nil || r.reached > 0 || !s.mayHold(r) || r.wouldRefuse {
 		return time.Time{}
 	}
 	return r.forecastAt
@@ -234,6 +240,9 @@
 // holdPastObjective makes a request late whose objective has come and which is expected to begin while its caller waits.
 // It reports whether it did.
 func (s *Scheduler) holdPastObjective(r *request) bool {
+	if s.usesFleetView(r.pool) {
+		return false
+	}
 	if r.late || r.queue == nil || !r.objectiveApplies() || !s.mayHold(r) || !s.now.Before(r.latestBegin()) {
 		return false
 	}
--- a/sched/load_sim_test.go
+++ b/sched/load_sim_test.go
@@ -57,6 +57,11 @@
 	factor        float64       // of the usual rate during the burst
 	after         time.Duration // at the usual rate after the burst
 	forecast      bool
+	uneven        bool // entries get different shares of the callers
+	holdRefused   bool // hold what would be refused at once
+	fleet         bool // entries report their demand to a control instance
+	// controlLostAt is when control stops answering, counted from the start; 0 for never.
+	controlLostAt time.Duration
 }
 
 // simRequest is a request of a simulated caller, with the state of its current try.
@@ -73,6 +78,9 @@
 	done         bool
 	served       bool
 	onTime       bool
+	firstID      string
+	wouldRefuse  bool // its first try would have been refused at once
+	refusedEarly bool // its first try was refused within an eighth of its objective
 	promised     bool // advised to return at a time at which a slot is expected
 }
 
@@ -124,6 +132,7 @@
 	all      []*simRequest
 	events   []simEvent
 	result   loadResult
+	control  simControl
 }
 
 // loadResult is what callers and entries saw. Requests count by their first try in the burst.
@@ -131,9 +140,11 @@
 	arrived, onTime, served [3]int // by class, in the burst
 	refusals, toldEarly     int    // refusals of requests that arrived in the burst, and those told within an eighth
 	held                    map[string]int
-	overHeld                int                           // requests held beyond what their callers tolerate
-	refusedAgain, returned  int                           // callers who followed advice, and those of them refused at once again
-	others                  struct{ arrived, served int } // of the organisations at their usual rate
+	overHeld                int                                   // requests held beyond what their callers tolerate
+	refusedAgain, returned  int                                   // callers who followed advice, and those of them refused at once again
+	others                  struct{ arrived, served, onTime int } // of the organisations at their usual rate
+
+	requests []*simRequest // of the burst, in order of arrival of their first try
 }
 
 // greedyOrganisation is the one that exceeds its usual rate.
@@ -172,8 +183,11 @@
 		}})
 	}
 	for i := range l.entries {
-		s, err := New(Options{Seed: l.seed + uint64(i), Forecast: l.forecast, RetryAdvice: l.forecast, LongTermShare: l.forecast})
+		s, err := New(Options{
+			Seed: l.seed + uint64(i), Forecast: l.forecast, RetryAdvice: l.forecast, LongTermShare: l.forecast, FleetDemand: l.fleet,
+		})
 		require.NoError(t, err)
+		s.holdRefused = l.holdRefused
 		m.entries = append(m.entries, s)
 		m.live = append(m.live, map[string]*simRequest{})
 		m.send(i, Directory{Agents: records, Entries: l.entries})
@@ -225,7 +239,7 @@
 	length := math.Exp(sigma*random.NormFloat64() - sigma*sigma/2)
 	m.sequence++
 	r := &simRequest{
-		class: c, organisation: fmt.Sprintf("org-%d", organisation), entry: random.IntN(m.load.entries), first: m.now,
+		class: c, organisation: fmt.Sprintf("org-%d", organisation), entry: m.drawEntry(random), first: m.now,
 		run: max(time.Duration(length*float64(c.run)), c.firstEvent),
 	}
 	m.all = append(m.all, r)
@@ -237,6 +251,9 @@
 	r.try++
 	r.id = fmt.Sprintf("r%d-%d", len(m.all), m.sequence)
 	m.sequence++
+	if r.try == 1 {
+		r.firstID = r.id
+	}
 	r.arrived = m.now
 	r.sentAt = time.Time{}
 	deadline := time.Duration(r.class.spec.GetDeadlineMs()) * time.Millisecond
@@ -257,6 +274,9 @@
 		Objective: m.now.Add(r.class.objective), Overdue: m.now.Sub(r.first) >= r.class.objective,
 		Stream: true, Pause: 400 * time.Millisecond, Abandon: loadAbandon,
 	}})
+	if live := m.entries[r.entry].requests[id]; live != nil && r.try == 1 {
+		r.wouldRefuse = live.wouldRefuse
+	}
 }
 
 func (m *simulation) after(d time.Duration, run func()) {
@@ -285,6 +305,7 @@
 	for i := range m.entries {
 		m.send(i, Tick{})
 	}
+	m.exchangeDemand()
 	if m.now.Sub(m.start)%(50*time.Millisecond) == 0 {
 		for _, g := range m.gates {
 			m.reportAll(g)
@@ -394,7 +415,7 @@
 		case Fail:
 			m.failed(entry, a)
 		case Count:
-			if a.Counter == Forecasts {
+			if a.Counter == Forecasts || a.Counter == ForecastViews || a.Counter == OverShare {
 				m.result.held[a.Label] += int(a.Add)
 			}
 		}
@@ -474,6 +495,7 @@
 		m.result.refusals++
 		if m.now.Sub(r.arrived) <= r.class.objective/8 {
 			m.result.toldEarly++
+			r.refusedEarly = true
 		}
 	}
 	left := r.first.Add(time.Duration(r.class.spec.GetDeadlineMs()) * time.Millisecond).Sub(m.now)
@@ -498,6 +520,7 @@
 			continue
 		}
 		m.result.arrived[i]++
+		m.result.requests = append(m.result.requests, r)
 		if r.served {
 			m.result.served[i]++
 		}
@@ -506,6 +529,9 @@
 		}
 		if r.organisation != greedyOrganisation {
 			m.result.others.arrived++
+			if r.onTime {
+				m.result.others.onTime++
+			}
 			if r.served {
 				m.result.others.served++
 			}
@@ -526,6 +552,7 @@
 	}
 	r.others.arrived += other.others.arrived
 	r.others.served += other.others.served
+	r.others.onTime += other.others.onTime
 	r.refusals += other.refusals
 	r.toldEarly += other.toldEarly
 	r.overHeld += other.overHeld
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -39,7 +39,9 @@
 	retryBudget  retryBudget
 	lateReserved [tierCount]int // late requests with reservations, by tier; not in reserved
 	load         poolLoad
-	nextReturn   time.Time // latest time at which a refused caller was told to retry
+	excessAt     [tierCount]time.Time // when excess changed last
+	excess       [tierCount][]string  // organisations that hold more than their share, sorted, by tier
+	nextReturn   time.Time            // latest time at which a refused caller was told to retry
 }
 
 func (s *Scheduler) pool(key poolKey) *pool {
--- a/sched/request.go
+++ b/sched/request.go
@@ -37,6 +37,8 @@
 	late      bool // not expected to be in time; goes after the others of its tier
 	promised  bool // was queued as on time
 
+	arrivedInExcess int // 1 if its organisation held more than its share as it arrived
+
 	// Queueing.
 	queue        *organisationQueue // nil when not queued, for example in back-off
 	rank         time.Time
@@ -50,6 +52,9 @@
 	expectedFirst time.Duration // until the first event, from the start
 	expectedRun   time.Duration
 	forecastWait  time.Duration // last forecast
+	wouldRefuse   bool          // would have been refused by the fleet-wide view, see Scheduler.holdRefused
+	forecastView  string        // view of its last forecast, empty without FleetDemand
+	viewAge       time.Duration // age of that view then
 	forecastAt    time.Time     // of the next forecast
 	unfavourable  int           // successive forecasts by which its caller would not wait long enough
 	heldAt        time.Time     // when it became late
@@ -262,6 +267,9 @@
 func (s *Scheduler) failCaller(r *request) {
 	err := s.withProvedRan(r, r.err)
 	s.holdEnded(r, forecastHeldInVain)
+	if len(r.attempts) == 0 {
+		r.countsFor().refusals++
+	}
 	s.emit(Fail{Request: r.ID, Err: err, Trace: s.trace(r)})
 	s.emit(Count{Counter: Refusals, Code: err.Code, Tier: r.Class.GetTier(), Class: r.Class.GetName(), Add: 1})
 	if !r.callerGone && err.Code != result.RequestQuarantined {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -40,6 +40,8 @@
 	roundRobin        int  // server index for PolicyRoundRobin
 	prefixes          *prefixTable
 	poison            *poisonTable
+	fleet             fleetView
+	holdRefused       bool // for load tests: what the fleet-wide view would refuse is held instead
 
 	rollouts           map[string]*rollout // last roll-out of each pool, by target
 	rolloutOrder       []*rollout          // the same, sorted by pool
@@ -121,6 +123,8 @@
 		s.setRollouts(e)
 	case ControlContact:
 		s.setControlContact(e.ConfirmedAt)
+	case FleetDemand:
+		s.setFleetDemand(e)
 	case CacheHint:
 		s.prefixes.applyHint(e.Server, e.Digest, e.Evicted)
 	}
--- a/sched/trace.go
+++ b/sched/trace.go
@@ -40,6 +40,12 @@
 	PoolDispatchRate float64
 	// ForecastWait is the last forecast of the time until the request begins, 0 without one.
 	ForecastWait time.Duration
+	// ForecastView says which view of the demand the forecast used, and ForecastViewAge how old it was; empty without
+	// Options.FleetDemand.
+	ForecastView    string
+	ForecastViewAge time.Duration
+	// OverShare reports whether the request's organisation holds more than its share of the pool, as of the end.
+	OverShare bool
 	// Rank is the position of the request's class within its tier, 1 for the first; 0 for a class ordered by its targets.
 	Rank uint32
 	// HeldFor is how long the request was queued as one that would begin late.
@@ -65,8 +71,13 @@
 		PoolDispatchRate: r.pool.dispatchRate.value(s.now),
 
 		ForecastWait: r.forecastWait,
-		Rank:         r.class.spec.GetPrecedence(),
-		HeldFor:      r.heldFor(s.now),
+
+		ForecastView:    r.forecastView,
+		ForecastViewAge: r.viewAge,
+		OverShare:       s.overShare(r),
+
+		Rank:    r.class.spec.GetPrecedence(),
+		HeldFor: r.heldFor(s.now),
 	}
 	if len(r.attempts) > 0 {
 		t.Server = r.currentRecord().server
--- a/sched/types.go
+++ b/sched/types.go
@@ -153,6 +153,12 @@
 	// ControlContact reports when the last poll was sent that control has confirmed. A zero time means that contact is lost.
 	ControlContact struct{ ConfirmedAt time.Time }
 
+	// FleetDemand carries the demand that the other entries have reported. At is when the poll was sent that it answers.
+	FleetDemand struct {
+		Summary *wire.DemandSummary
+		At      time.Time
+	}
+
 	// CacheHint carries a prefix cache event of a server. Such events arrive late, and some are missing.
 	CacheHint struct {
 		Server  string
@@ -174,6 +180,7 @@
 func (PoisonRecords) schedEvent()     {}
 func (Rollouts) schedEvent()          {}
 func (ControlContact) schedEvent()    {}
+func (FleetDemand) schedEvent()       {}
 func (CacheHint) schedEvent()         {}
 
 // Action is something that the entry has to do. Actions are carried out in the order given.
@@ -280,4 +287,6 @@
 	RolloutBad      // those that speak against the version, by Pool and Label (role)
 	RolloutWithheld // offers of servers of a new version that were declined, by Pool and Label (role)
 	Forecasts       // requests forecast to be late, by Label (outcome), Tier and Class
+	ForecastViews   // forecasts on arrival, by Label (view), with FleetDemand
+	OverShare       // times that an organisation exceeded its share of a pool, by Label (organisation) and Tier
 )
--- a/session/demand.go
+++ b/session/demand.go
@@ -15,9 +15,9 @@
 // all entries keep a link, and a summary of less than nine in ten entries isn't used. Polls that follow each other closely carry
 // the demand once per half interval at most.
 type demandReporter struct {
-	source func() []*wire.PoolDemand
+	source func() *wire.DemandReport
 	due    time.Time
-	sent   []*wire.PoolDemand
+	sent   *wire.DemandReport // as returned by source
 }
 
 // next returns the report to send with a poll, or nil for none. It is sent also if nothing has changed, since control drops
@@ -26,13 +26,13 @@
 	if r.source == nil || !toLeader || now.Before(r.due) {
 		return nil
 	}
-	pools := r.source()
-	if len(pools) == 0 {
+	report := r.source()
+	if report == nil {
 		return nil
 	}
 	r.due = now.Add(demandInterval / 2)
-	r.sent = pools
-	return &wire.DemandReport{Sequence: sequence, Pools: pools}
+	r.sent = report
+	return &wire.DemandReport{Sequence: sequence, Pools: report.GetPools()}
 }
 
 // runDemand polls the leader at demandInterval while the demand changes, until ctx ends.
@@ -54,21 +54,20 @@
 
 // pollChangedDemand polls the leader if the demand differs from what the leader was last told. While no leader is linked nothing
 // is sent: the others don't hear from enough entries.
-func (s *Session) pollChangedDemand(pools []*wire.PoolDemand) {
+func (s *Session) pollChangedDemand(report *wire.DemandReport) {
 	leader := s.Leader()
-	if leader == "" || len(pools) == 0 {
+	if leader == "" || report == nil {
 		return
 	}
 	for _, p := range s.knownPeers() {
-		if p.name() == leader && p.isLinked() && p.demandDiffers(pools) {
+		if p.name() == leader && p.isLinked() && p.demandDiffers(report) {
 			p.poll()
 		}
 	}
 }
 
-func (p *peer) demandDiffers(pools []*wire.PoolDemand) bool {
+func (p *peer) demandDiffers(report *wire.DemandReport) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	sent := p.demandReporter.sent
-	return len(sent) == 0 || &sent[0] != &pools[0]
+	return p.demandReporter.sent != report
 }
--- a/session/session.go
+++ b/session/session.go
@@ -74,10 +74,10 @@
 	// Evidence returns the evidence of the roll-outs in progress, to send with polls, see evidenceReporter. It must not block.
 	// Nil means no evidence.
 	Evidence func() []*wire.RolloutEvidence
-	// Demand returns the pools of the demand report to send with polls of the leader, see demandReporter, and OnDemand is called
-	// with the sums of the other entries and the time at which the poll was sent. Neither may block. Demand returns the same slice
-	// while nothing has changed, and an empty one while there is nothing to report. Either may be nil.
-	Demand   func() []*wire.PoolDemand
+	// Demand returns the demand to report with polls of the leader, without a sequence number, see demandReporter. OnDemand is
+	// called with the sums of the other entries and the time at which the poll was sent. Neither may block. Demand returns the same
+	// report while nothing has changed, and nil while there is none. Either may be nil.
+	Demand   func() *wire.DemandReport
 	OnDemand func(summary *wire.DemandSummary, sent time.Time)
 	// OnConfirmed is called for each answer that a quorum confirmed while the directory lists this incarnation, with the
 	// time since boot at which the poll was sent. It must not block. Nil means no calls.
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -98,6 +98,10 @@
 	// LongTermShare measures the guaranteed share of the class with the lowest precedence over a minute instead of at each
 	// moment, so that it can wait during a burst. Default false.
 	LongTermShare bool `json:"long_term_share"`
+	// FleetDemand enables the fleet-wide view of demand: entry instances report what they have queued, requests of an
+	// organisation that holds more than its share of a pool go behind those of others, and the forecast, where it is enabled,
+	// counts the requests of all entry instances. Default false.
+	FleetDemand bool `json:"fleet_demand"`
 }
 
 // EntryTiming holds the intervals and timeouts of an entry instance.
