--- a/entry/serve.go
+++ b/entry/serve.go
@@ -159,6 +159,6 @@
 	return fields.WithFields(log.Fields{
 		"forecast_view":    t.ForecastView,
 		"forecast_view_ms": t.ForecastViewAge.Milliseconds(),
-		"over_share":       t.OverShare,
+		"excess":           t.Excess,
 	})
 }
--- a/sched/fleet_demand.go
+++ b/sched/fleet_demand.go
@@ -25,11 +25,12 @@
 	fleetRateWindow = time.Second
 	// fleetCaution is the factor by which the forecast wait must exceed the time left for a request to be refused. The view is
 	// older than the objectives of callers, so that single forecasts are off by half. With 1.5 one refusal in twelve was wrong in
-	// the load test.
+	// bursts with and without an excess.
 	fleetCaution = 1.75
 	// fleetSettle is the time after a change of the organisations beyond their share for which nothing is refused by the
-	// view: reports made before the change show a backlog in another order.
-	fleetSettle = 500 * time.Millisecond
+	// view: reports made before the change show a backlog in another order. With half a second one refusal in eleven was wrong
+	// under an excess, with a second one in 17.
+	fleetSettle = time.Second
 )
 
 // Bands of requests within a class, added to ClassDemand.rank. They are ordered as gates order them: overdue requests after the
@@ -172,7 +173,7 @@
 
 func (s *Scheduler) bandOf(r *request) uint32 {
 	switch {
-	case s.overShare(r):
+	case r.excess:
 		return bandExcess
 	case r.late:
 		return bandLate
@@ -212,7 +213,7 @@
 	return out
 }
 
-// countsFor returns the counts that a request belongs to, by whether its organisation was beyond its share as it arrived.
+// countsFor returns the counts that a request belongs to, by whether it was in excess as it arrived.
 func (r *request) countsFor() *demandCounts {
 	return &r.pool.load.of(r.class).counts[min(r.arrivedInExcess, 1)]
 }
@@ -430,7 +431,7 @@
 	switch {
 	case s.now.Add(time.Duration(float64(f.wait)/fleetCaution) + r.expectedFirst).Before(r.dueAt()):
 		return nil
-	case s.overShare(r) || s.now.Sub(r.pool.excessAt[r.tier]) < fleetSettle:
+	case s.now.Sub(r.pool.excessAt[r.tier]) < fleetSettle:
 		// The place of the request in the order may change within half a second.
 		return nil
 	case s.feasibleWithoutLowerTiers(r):
@@ -455,7 +456,7 @@
 	}
 	before, all := uint32(0), uint32(0)
 	for _, o := range others.organisations {
-		if tierIndex(o.GetTier()) == r.tier && !r.pool.isOverShare(r.tier, o.GetOrganisation()) {
+		if tierIndex(o.GetTier()) == r.tier && r.pool.excessOf(r.tier, o.GetOrganisation()) == nil {
 			before += min(o.GetQueued(), own)
 			all += o.GetQueued()
 		}
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -297,7 +297,7 @@
 	if free >= minFreeShare*slots {
 		wait = max(ahead.requests/slotRate, ahead.work/free)
 	}
-	if !r.late && !s.overShare(r) {
+	if !r.late && !r.excess {
 		// Each entry keeps the credit of its classes, so the guaranteed share is that of this entry's slots.
 		_, ownRate := s.slotSupply(p)
 		wait = min(wait, s.guaranteedWait(r, own, ownRate))
@@ -360,7 +360,7 @@
 // one that was never expected to be in time, get only what no other takes: all that arrive count, also those that are refused
 // because there is no room for them. Otherwise late answers would take the slots of those in time.
 func (s *Scheduler) arrivalLoad(c *classLoad, r *request) float64 {
-	if r.Overdue || r.late && !r.promised {
+	if r.Overdue || r.late && !r.promised || r.excess {
 		return c.offered.perSecond(s.now)
 	}
 	return c.arrivals.perSecond(s.now)
@@ -373,7 +373,7 @@
 	switch {
 	case tier != r.tier:
 		return tier < r.tier
-	case r.late && !r.promised, r.pool.isOverShare(r.tier, r.Organisation):
+	case r.late && !r.promised, r.excess:
 		return true
 	case c == r.class:
 		return r.Overdue
@@ -412,14 +412,7 @@
 	occupancy := s.occupancy(r.pool, c.class)
 	mine, other := r.class.precedence(), c.class.precedence()
 	own := c.countOwn(r, s.now)
-	inExcess := s.overShare(r)
 	for _, q := range c.organisations {
-		if r.pool.isOverShare(r.tier, q.organisation) != inExcess {
-			if inExcess {
-				b.add(q.length(), occupancy)
-			}
-			continue
-		}
 		n := q.countBands(s.now)
 		first, peers := n.before(r)
 		switch {
@@ -462,9 +455,9 @@
 	return max(q.unreserved.search(r)+q.reserved.search(r)-first, 0)
 }
 
-// bandCounts counts the requests of a queue that may be in time, those that were overdue as they arrived, and those that
-// became late.
-type bandCounts struct{ timely, overdue, late int }
+// bandCounts counts the requests of a queue that may be in time, those that were overdue as they arrived, those that became
+// late, and those in excess of their organisation's share.
+type bandCounts struct{ timely, overdue, late, excess int }
 
 // bandMargin separates the bands of ranks. It is longer than any deadline.
 const bandMargin = overdueRank / 2
@@ -472,7 +465,8 @@
 func (q *organisationQueue) countBands(now time.Time) bandCounts {
 	timely := q.countUntil(now.Add(bandMargin))
 	notLate := q.countUntil(now.Add(lateRank - bandMargin))
-	return bandCounts{timely: timely, overdue: notLate - timely, late: q.length() - notLate}
+	notExcess := q.countUntil(now.Add(excessRank - bandMargin))
+	return bandCounts{timely: timely, overdue: notLate - timely, late: notExcess - notLate, excess: q.length() - notExcess}
 }
 
 func (q *organisationQueue) countUntil(cutoff time.Time) int {
@@ -482,6 +476,8 @@
 // before returns the requests in the bands before that of the request, and those in its band.
 func (n bandCounts) before(r *request) (first, same int) {
 	switch {
+	case r.excess:
+		return n.timely + n.overdue + n.late, n.excess
 	case r.late:
 		return n.timely + n.overdue, n.late
 	case r.Overdue:
@@ -493,10 +489,14 @@
 
 // beforeClass returns the requests that go before the request if its class goes before theirs.
 func (n bandCounts) beforeClass(r *request) int {
-	if r.late {
+	switch {
+	case r.excess:
+		return n.timely + n.overdue + n.late
+	case r.late:
 		return n.timely + n.overdue
+	default:
+		return 0
 	}
-	return 0
 }
 
 // noteArrival counts a request for the forecast.
@@ -504,19 +504,16 @@
 	if r.pool.load.since.IsZero() {
 		r.pool.load.since = s.now
 	}
-	if !r.Overdue {
+	if !r.Overdue && !r.excess {
 		r.pool.load.of(r.class).offered.add(s.now)
 	}
-	if s.overShare(r) {
-		r.arrivedInExcess = 1
-	}
 	r.countsFor().arrivals++
 	s.noteBacklog(r)
 }
 
 // noteAdmitted counts a request that is queued as on time.
 func (s *Scheduler) noteAdmitted(r *request) {
-	if r.late {
+	if r.late || r.excess {
 		return
 	}
 	load := r.pool.load.of(r.class)
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -184,7 +184,7 @@
 
 // reservedCount returns the counter of requests with reservations that the request belongs to.
 func (r *request) reservedCount() *int {
-	if r.late {
+	if r.late || r.excess {
 		return &r.pool.lateReserved[r.tier]
 	}
 	return &r.pool.reserved[r.tier]
@@ -193,7 +193,7 @@
 // mayReserveMore reports whether the request may have reservations, given the bounds. Requests of tier 1 that may be in
 // time are exempt.
 func (s *Scheduler) mayReserveMore(r *request) bool {
-	if r.late {
+	if r.late || r.excess {
 		return r.pool.lateReserved[r.tier] < s.maxLateReserved(r.pool)
 	}
 	return r.tier == 0 || r.pool.reserved[r.tier] < s.maxReserved(r.pool)
@@ -258,12 +258,12 @@
 // timelyFor returns a request of the late request's tier that may be in time and also has a reservation at the server, or
 // nil.
 func (s *Scheduler) timelyFor(r *request, v *server) *request {
-	if !r.late {
+	if !r.late && !r.excess {
 		return nil
 	}
 	s.scan++
 	best := r.pool.tiers[r.tier].next(s.now, s.scan, false)
-	if best != nil && !best.late && best.state == reserved && best.hasReservationAt(v) {
+	if best != nil && !best.late && !best.excess && best.state == reserved && best.hasReservationAt(v) {
 		return best
 	}
 	return nil
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -37,11 +37,12 @@
 	arrivalRate  rate     // requests per second
 	classes      []*class // classes that requests arrived in
 	retryBudget  retryBudget
-	lateReserved [tierCount]int // late requests with reservations, by tier; not in reserved
+	lateReserved [tierCount]int // late and excess requests with reservations, by tier; not in reserved
 	load         poolLoad
-	excessAt     [tierCount]time.Time // when excess changed last
-	excess       [tierCount][]string  // organisations that hold more than their share, sorted, by tier
-	nextReturn   time.Time            // latest time at which a refused caller was told to retry
+	excessAt     [tierCount]time.Time     // when an organisation was added to excess or removed
+	shortAt      [tierCount]time.Time     // when requests of the tier waited last, by the fleet-wide view
+	excess       [tierCount][]excessShare // organisations that hold more than their share, by tier
+	nextReturn   time.Time                // latest time at which a refused caller was told to retry
 }
 
 func (s *Scheduler) pool(key poolKey) *pool {
@@ -149,6 +150,9 @@
 	if r.Overdue {
 		r.rank = r.rank.Add(overdueRank)
 	}
+	if r.excess {
+		r.rank = r.dueAt().Add(excessRank)
+	}
 	return r.tier, r.class, r.Organisation
 }
 
--- a/sched/precedence.go
+++ b/sched/precedence.go
@@ -38,10 +38,10 @@
 	return r.class.precedence()
 }
 
-// gatePrecedence returns the precedence that gates receive: late requests go after all others of the tier, and after these the
-// requests of organisations that hold more than their share.
+// gatePrecedence returns the precedence that gates receive: late requests go after all others of the tier, and after these
+// excess ones.
 func (r *request) gatePrecedence() uint32 {
-	if r.pool.isOverShare(r.tier, r.Organisation) {
+	if r.excess {
 		return excessPrecedence + r.class.precedence()
 	}
 	if r.late {
@@ -76,7 +76,7 @@
 
 // promote gives a request precedence over the other classes of its tier if its class has credit for that.
 func (r *request) promote() {
-	if r.promoted || r.class.precedence() == 0 || !r.class.hasCredit() || r.pool.isOverShare(r.tier, r.Organisation) {
+	if r.promoted || r.class.precedence() == 0 || !r.class.hasCredit() || r.excess {
 		return
 	}
 	r.promoted = true
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -203,14 +203,13 @@
 	request  *request
 	priority int   // of its class; higher goes first
 	tag      int64 // of its organisation; lower goes first
-	excess   bool  // its organisation holds more than its share
 }
 
-// precedes reports whether a goes before b: requests of organisations within their share, then requests that aren't late, then by the priority of its class, then requests that
+// precedes reports whether a goes before b: requests that aren't in excess, then those that aren't late, then by the priority of its class, then requests that
 // aren't overdue, then the organisation with the lower tag, then the earlier rank.
 func (a queuePosition) precedes(b queuePosition) bool {
-	if a.excess != b.excess {
-		return b.excess
+	if a.request.excess != b.request.excess {
+		return b.request.excess
 	}
 	if a.request.late != b.request.late {
 		return b.request.late
@@ -249,7 +248,7 @@
 		if !r.late && (earliest.IsZero() || r.dueAt().Before(earliest)) {
 			earliest = r.dueAt()
 		}
-		p := queuePosition{request: r, tag: c.tier.clock.Tag(q.organisation), excess: r.pool.isOverShare(r.tier, q.organisation)}
+		p := queuePosition{request: r, tag: c.tier.clock.Tag(q.organisation)}
 		if unreservedOnly {
 			p.tag += q.reservedCost(r)
 		}
@@ -273,7 +272,6 @@
 		for _, q := range c.organisations {
 			r := q.last()
 			p := queuePosition{request: r, tag: t.clock.Tag(q.organisation), priority: c.class.priority(now, r.dueAt(), r)}
-			p.excess = r.pool.isOverShare(r.tier, q.organisation)
 			if worst.request == nil || worst.precedes(p) {
 				worst = p
 			}
--- a/sched/request.go
+++ b/sched/request.go
@@ -37,7 +37,8 @@
 	late      bool // not expected to be in time; goes after the others of its tier
 	promised  bool // was queued as on time
 
-	arrivedInExcess int // 1 if its organisation held more than its share as it arrived
+	excess          bool // its organisation holds more than its share; goes after all others of the tier
+	arrivedInExcess int  // 1 if it was in excess as it arrived
 
 	// Queueing.
 	queue        *organisationQueue // nil when not queued, for example in back-off
@@ -109,6 +110,7 @@
 	r.pool.requests++
 	s.countRequest(r)
 	s.countArrival(r)
+	s.markExcess(r)
 	s.noteArrival(r)
 	r.state = s.table.Initial()
 	r.estimatedOutput = s.estimateOutput(r)
--- a/sched/trace.go
+++ b/sched/trace.go
@@ -44,8 +44,8 @@
 	// Options.FleetDemand.
 	ForecastView    string
 	ForecastViewAge time.Duration
-	// OverShare reports whether the request's organisation holds more than its share of the pool, as of the end.
-	OverShare bool
+	// Excess reports whether the request went behind those of others, since its organisation held more than its share.
+	Excess bool
 	// Rank is the position of the request's class within its tier, 1 for the first; 0 for a class ordered by its targets.
 	Rank uint32
 	// HeldFor is how long the request was queued as one that would begin late.
@@ -74,7 +74,7 @@
 
 		ForecastView:    r.forecastView,
 		ForecastViewAge: r.viewAge,
-		OverShare:       s.overShare(r),
+		Excess:          r.arrivedInExcess > 0,
 
 		Rank:    r.class.spec.GetPrecedence(),
 		HeldFor: r.heldFor(s.now),
