--- a/entry/demand.go
+++ b/entry/demand.go
@@ -86,11 +86,14 @@
 	e.inputs.TryPush(input{event: sched.FleetDemand{Summary: summary, At: at}})
 }
 
-// registerDemandGauges registers the gauges of the fleet-wide view, if the setting is on.
+// registerDemandGauges registers the gauges of the fleet-wide view and declares its counters, if the setting is on.
 func (m *meter) registerDemandGauges(e *Entry) {
 	if !e.settings.Admission.FleetDemand {
 		return
 	}
+	for _, view := range sched.ForecastViewLabels() {
+		m.count(sched.Count{Counter: sched.ForecastViews, Label: view})
+	}
 	gauge := func(name string, value func(*demandView) float64) {
 		m.set.NewGauge(name, func() float64 {
 			if view := e.demand.view.Load(); view != nil {
--- /dev/null
+++ b/entry/demand_test.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/settings"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// Guards against an entry that reports demand, or keeps a view, without the setting: messages and metrics stay as they were.
+func TestNoDemandWithoutTheSetting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, 1)
+		h.addAgent(1, settings.KindService, "registry")
+		require.Equal(t, 200, h.call(1, "POST", checkPath, `{}`, gateCheckHeader).status)
+		e := h.entries[0]
+		require.Nil(t, e.demandSource())
+		require.Nil(t, e.demandReport())
+		e.applyFleetDemand(&wire.DemandSummary{EntriesHeard: 3, EntriesKnown: 3}, time.Now())
+		require.Empty(t, h.metric(metricFleetHeard))
+	})
+}
+
+// Guards against demand that is out of date or never reported, an idle entry included: the others would count it as not heard, and
+// use no view. The report must stay the same while nothing changes, so that no polls are spent on it.
+func TestDemandIsSampled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, 0)
+		e := h.addEntry(func(s *settings.Entry) { s.Admission.FleetDemand = true })
+		h.addAgent(1, settings.KindService, "registry")
+		time.Sleep(time.Second)
+		idle := e.demandReport()
+		require.NotNil(t, idle)
+		require.Empty(t, idle.GetPools())
+		time.Sleep(time.Second)
+		require.Same(t, idle, e.demandReport())
+
+		require.Equal(t, 200, h.call(1, "POST", checkPath, `{}`, gateCheckHeader).status)
+		time.Sleep(time.Second)
+		rows := e.demandReport().GetPools()[0].GetClasses()
+		require.Len(t, rows, 1)
+		require.Equal(t, uint64(1), rows[0].GetArrivals())
+		require.Equal(t, uint64(1), rows[0].GetDispatches())
+		require.Zero(t, rows[0].GetRunning())
+
+		e.applyFleetDemand(&wire.DemandSummary{EntriesHeard: 3, EntriesKnown: 4, AgeMs: 200}, time.Now().Add(-100*time.Millisecond))
+		synctest.Wait()
+		require.Equal(t, "3", h.metric(metricFleetHeard))
+		require.Equal(t, "4", h.metric(metricFleetKnown))
+		require.Equal(t, "0.3", h.metric(metricFleetAge))
+	})
+}
