session: an answer with demand counts also if the answer to a later poll came first

Two polls of the same moment were answered in the other order, and a third of the summaries of TestDemandIsReportedToTheLeader were dropped with one core.

--- a/session/demand.go
+++ b/session/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -18,6 +19,17 @@
 	source func() *wire.DemandReport
 	due    time.Time
 	sent   *wire.DemandReport // as returned by source
+	// pending are the reports without an answer, the latest maxPendingDemand. They aren't forgotten with the answer to a later poll:
+	// answers may overtake each other.
+	pending []pendingDemand
+}
+
+// maxPendingDemand bounds the reports that wait for an answer. One that is older than a few seconds is of no use.
+const maxPendingDemand = 8
+
+type pendingDemand struct {
+	sequence uint64
+	at       time.Time
 }
 
 // next returns the report to send with a poll, or nil for none. It is sent also if nothing has changed, since control drops
@@ -32,9 +44,24 @@
 	}
 	r.due = now.Add(demandInterval / 2)
 	r.sent = report
+	if len(r.pending) == maxPendingDemand {
+		r.pending = slices.Delete(r.pending, 0, 1)
+	}
+	r.pending = append(r.pending, pendingDemand{sequence, now})
 	return &wire.DemandReport{Sequence: sequence, Pools: report.GetPools()}
 }
 
+// answered returns when the poll with a report was sent that an answer belongs to, and false for an answer to none.
+func (r *demandReporter) answered(sequence uint64) (sent time.Time, ok bool) {
+	i := slices.IndexFunc(r.pending, func(p pendingDemand) bool { return p.sequence == sequence })
+	if i < 0 {
+		return time.Time{}, false
+	}
+	sent = r.pending[i].at
+	r.pending = slices.Delete(r.pending, i, i+1)
+	return sent, true
+}
+
 // runDemand polls the leader at demandInterval while the demand changes, until ctx ends.
 func (s *Session) runDemand(ctx context.Context) {
 	if s.cfg.Demand == nil {
@@ -60,14 +87,29 @@
 		return
 	}
 	for _, p := range s.knownPeers() {
-		if p.name() == leader && p.isLinked() && p.demandDiffers(report) {
+		if p.name() == leader && p.isLinked() && p.demandDue(report) {
 			p.poll()
 		}
 	}
 }
 
-func (p *peer) demandDiffers(report *wire.DemandReport) bool {
+// demandDue reports whether a poll now would tell the instance of changed demand.
+func (p *peer) demandDue(report *wire.DemandReport) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.demandReporter.sent != report
+	return p.demandReporter.sent != report && !time.Now().Before(p.demandReporter.due)
+}
+
+// handleDemand passes on the sums of the other entries that came with an answer. No quorum has to confirm them.
+func (p *peer) handleDemand(f *wire.Fresh) {
+	onDemand := p.session.cfg.OnDemand
+	if f.GetDemand() == nil || onDemand == nil {
+		return
+	}
+	p.mu.Lock()
+	sent, ok := p.demandReporter.answered(f.GetSequence())
+	p.mu.Unlock()
+	if ok {
+		onDemand(f.GetDemand(), sent)
+	}
 }
--- a/session/peer.go
+++ b/session/peer.go
@@ -254,6 +254,7 @@
 
 // handleFresh handles the answer to a poll. Only a confirmed answer whose versions are in force here counts as confirmed.
 func (p *peer) handleFresh(f *wire.Fresh) error {
+	p.handleDemand(f)
 	p.mu.Lock()
 	sent, known := p.pendingPolls[f.GetSequence()]
 	for sequence := range p.pendingPolls {
@@ -271,9 +272,6 @@
 	}
 	s := p.session
 	s.setLeader(f.GetLeader())
-	if f.GetDemand() != nil && s.cfg.OnDemand != nil {
-		s.cfg.OnDemand(f.GetDemand(), sent.at)
-	}
 	s.mu.Lock()
 	s.freshness.RecordAnswer(p.index, sent.at, time.Now())
 	s.mu.Unlock()
