--- a/sched/fleet_demand.go
+++ b/sched/fleet_demand.go
@@ -421,8 +421,8 @@
 // admitByFleet decides on a request that arrives without room, by a forecast from what all entries have queued. A request that
 // will not begin by its objective is refused. Any other waits until then, also one whose forecast is doubtful.
 //
-// Unlike by its own view, an entry doesn't hold requests past their objective here: held requests begin in slots that timely ones
-// need a moment later. In the load test a fiftieth fewer of all requests were in time with them.
+// No request is held past its objective here, unlike by the entry's own view: held requests begin in slots that timely ones need a
+// moment later. In the load test a fiftieth fewer of all requests were in time with them.
 func (s *Scheduler) admitByFleet(r *request, f forecast) *result.Error {
 	switch {
 	case s.now.Add(time.Duration(float64(f.wait)/fleetCaution) + r.expectedFirst).Before(r.dueAt()):
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -205,8 +205,8 @@
 	tag      int64 // of its organisation; lower goes first
 }
 
-// precedes reports whether a goes before b: requests that aren't in excess, then those that aren't late, then by the priority of its class, then requests that
-// aren't overdue, then the organisation with the lower tag, then the earlier rank.
+// precedes reports whether a goes before b: requests that aren't in excess, then those that aren't late, then by the priority of
+// its class, then requests that aren't overdue, then the organisation with the lower tag, then the earlier rank.
 func (a queuePosition) precedes(b queuePosition) bool {
 	if a.request.excess != b.request.excess {
 		return b.request.excess
