--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -39,6 +39,8 @@
 	// passing reports whether the requests of the class that arrive need less than what higher ranks leave to it. Its backlog
 	// is then a passing one, and a request that waits too long for its objective will begin soon after.
 	passing bool
+	// fleet reports whether the backlog and the slots of all entries were used.
+	fleet bool
 }
 
 // flow is a rate of events that decays over forecastWindow. Unlike rate it is unbiased from its first event on.
@@ -83,6 +85,8 @@
 	occupancy float64    // mean time, in seconds, for which an attempt occupies a slot; 0 without samples
 	usual     backlog    // mean backlog that a request of the class finds as it arrives
 	running   int        // attempts of this entry
+
+	counts [2]demandCounts // of organisations within their share, and beyond it, for reports of demand
 }
 
 // poolLoad is what the forecast knows about a pool.
@@ -243,13 +247,16 @@
 	if p.withRoom > 0 {
 		return forecast{known: true}
 	}
+	probe := *r
+	probe.late = late
+	s.queueKeys(&probe)
+	if others := s.useFleetView(r); others != nil {
+		return s.forecastOverFleet(&probe, others)
+	}
 	slots, slotRate := s.slotSupply(p)
 	if slotRate <= 0 || slots <= 0 {
 		return forecast{}
 	}
-	probe := *r
-	probe.late = late
-	s.queueKeys(&probe)
 	ahead := s.backlogAhead(&probe)
 	own := ahead.own
 	ahead.add(1, s.occupancy(p, r.class)) // the request itself
@@ -272,6 +279,32 @@
 	}
 }
 
+// forecastOverFleet forecasts when a request begins from what all entries have queued and hold.
+func (s *Scheduler) forecastOverFleet(r *request, others *fleetPool) forecast {
+	p := r.pool
+	slots, slotRate := s.fleetSupply(p, others)
+	if slotRate <= 0 || slots <= 0 {
+		return forecast{}
+	}
+	ahead := s.backlogAhead(r)
+	own := ahead.own
+	elsewhere := s.fleetAhead(r, others)
+	ahead.requests += elsewhere.requests
+	ahead.work += elsewhere.work
+	ahead.add(1, s.occupancy(p, r.class)) // the request itself
+	wait := neverWait.Seconds()
+	free := slots - s.higherLoad(r) - s.fleetHigherLoad(r, others)
+	if free >= minFreeShare*slots {
+		wait = max(ahead.requests/slotRate, ahead.work/free)
+	}
+	if !r.late && !r.excess {
+		// Each entry keeps the credit of its classes, so the guaranteed share is that of this entry's slots.
+		_, ownRate := s.slotSupply(p)
+		wait = min(wait, s.guaranteedWait(r, own, ownRate))
+	}
+	return forecast{wait: time.Duration(min(wait, neverWait.Seconds()) * float64(time.Second)), known: true, fleet: true}
+}
+
 // overAllEntries returns the backlog that counts for a request, given the backlog of this entry and the usual one.
 //
 // Gates serve the requests of all entries in one order. A request therefore waits for those of other entries, whose number
@@ -327,7 +360,7 @@
 // one that was never expected to be in time, get only what no other takes: all that arrive count, also those that are refused
 // because there is no room for them. Otherwise late answers would take the slots of those in time.
 func (s *Scheduler) arrivalLoad(c *classLoad, r *request) float64 {
-	if r.Overdue || r.late && !r.promised {
+	if r.Overdue || r.late && !r.promised || r.excess {
 		return c.offered.perSecond(s.now)
 	}
 	return c.arrivals.perSecond(s.now)
@@ -340,7 +373,7 @@
 	switch {
 	case tier != r.tier:
 		return tier < r.tier
-	case r.late && !r.promised:
+	case r.late && !r.promised, r.excess:
 		return true
 	case c == r.class:
 		return r.Overdue
@@ -422,9 +455,9 @@
 	return max(q.unreserved.search(r)+q.reserved.search(r)-first, 0)
 }
 
-// bandCounts counts the requests of a queue that may be in time, those that were overdue as they arrived, and those that
-// became late.
-type bandCounts struct{ timely, overdue, late int }
+// bandCounts counts the requests of a queue that may be in time, those that were overdue as they arrived, those that became
+// late, and those in excess of their organisation's share.
+type bandCounts struct{ timely, overdue, late, excess int }
 
 // bandMargin separates the bands of ranks. It is longer than any deadline.
 const bandMargin = overdueRank / 2
@@ -432,7 +465,8 @@
 func (q *organisationQueue) countBands(now time.Time) bandCounts {
 	timely := q.countUntil(now.Add(bandMargin))
 	notLate := q.countUntil(now.Add(lateRank - bandMargin))
-	return bandCounts{timely: timely, overdue: notLate - timely, late: q.length() - notLate}
+	notExcess := q.countUntil(now.Add(excessRank - bandMargin))
+	return bandCounts{timely: timely, overdue: notLate - timely, late: notExcess - notLate, excess: q.length() - notExcess}
 }
 
 func (q *organisationQueue) countUntil(cutoff time.Time) int {
@@ -442,6 +476,8 @@
 // before returns the requests in the bands before that of the request, and those in its band.
 func (n bandCounts) before(r *request) (first, same int) {
 	switch {
+	case r.excess:
+		return n.timely + n.overdue + n.late, n.excess
 	case r.late:
 		return n.timely + n.overdue, n.late
 	case r.Overdue:
@@ -453,10 +489,14 @@
 
 // beforeClass returns the requests that go before the request if its class goes before theirs.
 func (n bandCounts) beforeClass(r *request) int {
-	if r.late {
+	switch {
+	case r.excess:
+		return n.timely + n.overdue + n.late
+	case r.late:
 		return n.timely + n.overdue
+	default:
+		return 0
 	}
-	return 0
 }
 
 // noteArrival counts a request for the forecast.
@@ -464,15 +504,16 @@
 	if r.pool.load.since.IsZero() {
 		r.pool.load.since = s.now
 	}
-	if !r.Overdue {
+	if !r.Overdue && !r.excess {
 		r.pool.load.of(r.class).offered.add(s.now)
 	}
+	r.countsFor().arrivals++
 	s.noteBacklog(r)
 }
 
 // noteAdmitted counts a request that is queued as on time.
 func (s *Scheduler) noteAdmitted(r *request) {
-	if r.late {
+	if r.late || r.excess {
 		return
 	}
 	load := r.pool.load.of(r.class)
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -82,6 +82,12 @@
 	if !onTime.known {
 		return nil, false
 	}
+	if s.options.FleetDemand {
+		s.emit(Count{Counter: ForecastViews, Label: r.forecastView, Add: 1})
+	}
+	if onTime.fleet {
+		return s.admitByFleet(r, onTime), true
+	}
 	endangered := s.endangersPromised(r)
 	if !endangered && s.beginsOnTime(r, onTime) || (onTime.passing || r.Overdue) && s.beginsSafely(r, onTime) {
 		return nil, true
@@ -178,7 +184,7 @@
 
 // reservedCount returns the counter of requests with reservations that the request belongs to.
 func (r *request) reservedCount() *int {
-	if r.late {
+	if r.late || r.excess {
 		return &r.pool.lateReserved[r.tier]
 	}
 	return &r.pool.reserved[r.tier]
@@ -187,7 +193,7 @@
 // mayReserveMore reports whether the request may have reservations, given the bounds. Requests of tier 1 that may be in
 // time are exempt.
 func (s *Scheduler) mayReserveMore(r *request) bool {
-	if r.late {
+	if r.late || r.excess {
 		return r.pool.lateReserved[r.tier] < s.maxLateReserved(r.pool)
 	}
 	return r.tier == 0 || r.pool.reserved[r.tier] < s.maxReserved(r.pool)
@@ -195,7 +201,7 @@
 
 // forecastDue returns when the wait is forecast next, zero for a request that may not be held.
 func (s *Scheduler) forecastDue(r *request) time.Time {
-	if r.queue == nil || r.reached > 0 || !s.mayHold(r) {
+	if r.queue == nil || r.reached > 0 || !s.mayHold(r) || r.wouldRefuse {
 		return time.Time{}
 	}
 	return r.forecastAt
@@ -234,6 +240,9 @@
 // holdPastObjective makes a request late whose objective has come and which is expected to begin while its caller waits.
 // It reports whether it did.
 func (s *Scheduler) holdPastObjective(r *request) bool {
+	if s.usesFleetView(r.pool) {
+		return false
+	}
 	if r.late || r.queue == nil || !r.objectiveApplies() || !s.mayHold(r) || !s.now.Before(r.latestBegin()) {
 		return false
 	}
@@ -249,12 +258,12 @@
 // timelyFor returns a request of the late request's tier that may be in time and also has a reservation at the server, or
 // nil.
 func (s *Scheduler) timelyFor(r *request, v *server) *request {
-	if !r.late {
+	if !r.late && !r.excess {
 		return nil
 	}
 	s.scan++
 	best := r.pool.tiers[r.tier].next(s.now, s.scan, false)
-	if best != nil && !best.late && best.state == reserved && best.hasReservationAt(v) {
+	if best != nil && !best.late && !best.excess && best.state == reserved && best.hasReservationAt(v) {
 		return best
 	}
 	return nil
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -40,6 +40,9 @@
 	roundRobin        int  // server index for PolicyRoundRobin
 	prefixes          *prefixTable
 	poison            *poisonTable
+	fleet             fleetView
+	sharesAt          time.Time // when the shares of organisations were determined last; zero if none are in force
+	holdRefused       bool      // for load tests: what the fleet-wide view would refuse is held instead
 
 	rollouts           map[string]*rollout // last roll-out of each pool, by target
 	rolloutOrder       []*rollout          // the same, sorted by pool
@@ -96,6 +99,7 @@
 func (s *Scheduler) handle(e Event) {
 	switch e := e.(type) {
 	case Tick:
+		s.expireShares()
 	case Arrive:
 		s.arrive(e.Request)
 	case CallerLeft:
@@ -121,6 +125,8 @@
 		s.setRollouts(e)
 	case ControlContact:
 		s.setControlContact(e.ConfirmedAt)
+	case FleetDemand:
+		s.setFleetDemand(e)
 	case CacheHint:
 		s.prefixes.applyHint(e.Server, e.Digest, e.Evicted)
 	}
