sched, gate: placement by length at servers of different speeds, off by default

Cause: the expected length of an answer was the caller's hint with a fixed margin, and the pace of a server that of the moment.

Change: entry setting placement.by_length and agent setting placement.few_servers_first, both off by default. - sched/lengths.go learns, by class, how long answers are compared with hints and stated bounds, and gives a median and a value that nine of ten answers don't exceed. - sched/paces.go holds the paces of a pool: that of a server without a learned pace is the pool's median, and the pace under load, remembered for a minute, decides whether an answer will end in time. - sched/placement.go, fast_servers.go: an answer whose upper length doesn't end in time at a server, or whose prompt takes more than half of the tolerated pause there, goes there only if no server does better. While requests wait for fast servers and these are scarce, others pay for their use. - gate/few_servers.go offers slots first to what only few servers finish in time; gate/remainder.go expects the remainder of a run that has passed its expected length.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -240,6 +240,7 @@
 		ProcessStarted:     a.started,
 		TrialAtStart:       true,
 		Suspension:         a.suspensionConfig(),
+		FewServersFirst:    a.settings.Placement.FewServersFirst,
 	})
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -258,6 +258,7 @@
 		Forecast:         e.settings.Admission.Forecast,
 		RetryAdvice:      e.settings.Admission.RetryAdvice,
 		LongTermShare:    e.settings.Admission.LongTermShare,
+		ByLength:         e.settings.Placement.ByLength,
 	}
 }
 
--- a/entry/links.go
+++ b/entry/links.go
@@ -99,6 +99,9 @@
 		}
 		e.log.WithField("version", view.ConfigVersion).Info("config_applied")
 		e.meter.declareClasses(view.Classes)
+		if e.settings.Placement.ByLength {
+			e.meter.declarePlacements(view.Classes)
+		}
 	}
 	if err := e.applyRollouts(ctx, last, view); err != nil {
 		return err
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -27,8 +27,10 @@
 	metricMessagesDropped = "carawaypitch_link_dropped_total"
 	metricProofs          = "carawaypitch_engine_proofs_total"
 	metricCommits         = "carawaypitch_operation_commits_total"
-	metricForecasts       = "carawaypitch_forecasts_total" // requests forecast to be late, by outcome
-	metricHeld            = "carawaypitch_held_requests"   // queued requests that will begin late, by class and organisation; as of the last sample
+	metricForecasts       = "carawaypitch_forecasts_total"       // requests forecast to be late, by outcome
+	metricPlacements      = "carawaypitch_placements_total"      // requests placed by length, by reason
+	metricCutAtDeadline   = "carawaypitch_cut_at_deadline_total" // answers that ran until their deadline, by speed of the server
+	metricHeld            = "carawaypitch_held_requests"         // queued requests that will begin late, by class and organisation; as of the last sample
 	metricRingRefused     = "carawaypitch_ring_refused_total"
 	metricRingLength      = "carawaypitch_ring_length"
 	metricActive          = "carawaypitch_active_calls"
@@ -101,6 +103,10 @@
 		m.addRollout(metricRolloutWithheld, c)
 	case sched.Forecasts:
 		m.add(fmt.Sprintf(`%s{outcome=%s,tier="%s",class=%s}`, metricForecasts, label, tier, class), c.Add)
+	case sched.Placements:
+		m.add(fmt.Sprintf(`%s{reason=%s,tier="%s",class=%s}`, metricPlacements, label, tier, class), c.Add)
+	case sched.CutAtDeadline:
+		m.add(fmt.Sprintf(`%s{speed=%s,tier="%s",class=%s}`, metricCutAtDeadline, label, tier, class), c.Add)
 	case sched.ChartErrors:
 		m.add(fmt.Sprintf(`%s{reason=%s}`, metricChartErrors, label), c.Add)
 	}
--- a/entry/metrics_declare.go
+++ b/entry/metrics_declare.go
@@ -42,3 +42,15 @@
 		}
 	}
 }
+
+// declarePlacements does the same for the counters of placements by length.
+func (m *meter) declarePlacements(classes map[string]*wire.Class) {
+	for name, class := range classes {
+		for _, reason := range sched.PlacementReasons() {
+			m.count(sched.Count{Counter: sched.Placements, Tier: class.GetTier(), Class: name, Label: reason})
+		}
+		for _, speed := range sched.ServerSpeeds() {
+			m.count(sched.Count{Counter: sched.CutAtDeadline, Tier: class.GetTier(), Class: name, Label: speed})
+		}
+	}
+}
--- a/entry/options_test.go
+++ b/entry/options_test.go
@@ -17,3 +17,11 @@
 	require.Equal(t, 4, options.MaxOutstanding)
 	require.Equal(t, uint64(7), options.Seed)
 }
+
+// Guards against a placement setting that has no effect.
+func TestPlacementReachesTheScheduler(t *testing.T) {
+	e := new(Entry)
+	require.False(t, e.schedulerOptions(Options{}).ByLength)
+	e.settings.Placement.ByLength = true
+	require.True(t, e.schedulerOptions(Options{}).ByLength)
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -133,6 +133,15 @@
 
 // withTrace adds the trace of a request to the log line about its end.
 func withTrace(fields *log.Entry, t sched.Trace) *log.Entry {
+	if t.Placement != "" {
+		fields = fields.WithFields(log.Fields{
+			"placement":    t.Placement,
+			"expected":     t.ExpectedTokens,
+			"upper":        t.UpperTokens,
+			"run_ms":       t.ExpectedRunTime.Milliseconds(),
+			"run_slack_ms": t.DeadlineSlack.Milliseconds(),
+		})
+	}
 	return fields.WithFields(log.Fields{
 		"tier":        t.Tier,
 		"fingerprint": t.Fingerprint.String(),
--- a/gate/config.go
+++ b/gate/config.go
@@ -89,6 +89,8 @@
 	TrialAtStart bool
 	// Suspension holds the settings of the suspension of runs.
 	Suspension SuspensionConfig
+	// FewServersFirst offers slots first to attempts that only few servers can finish in time, see few_servers.go.
+	FewServersFirst bool
 	// NoPredecessor means that no earlier incarnation of this agent can have run anything at this server. Without
 	// it, a Cancel for an unknown attempt is not answered with PROOF_NEVER_STARTED while the attempt may have been
 	// run by an earlier incarnation.
--- a/gate/estimate.go
+++ b/gate/estimate.go
@@ -38,8 +38,21 @@
 	if a.run.firstToken.IsZero() || a.work.GetService() {
 		return max(g.predictRuntime(a.work)-g.now.Sub(a.run.started), 0)
 	}
-	left := max(int64(a.work.GetOutputTokens())-int64(a.run.tokens), 0)
-	return time.Duration(left) * g.pace.tokenTime(len(g.runs), g.now)
+	return g.generationTime(a, medianRemainder)
+}
+
+// upperRemainingTime is remainingTime for the upper length of the answer, if that is known.
+func (g *Gate) upperRemainingTime(a *attempt) time.Duration {
+	if a.work.GetOutputTokensUpper() == 0 || a.run.firstToken.IsZero() || a.work.GetService() {
+		return g.remainingTime(a)
+	}
+	return g.generationTime(a, upperRemainder)
+}
+
+// generationTime returns the time in which a run that generates will end with the given probability.
+func (g *Gate) generationTime(a *attempt, share float64) time.Duration {
+	left := remainingTokens(a.work, a.run.tokens, share)
+	return time.Duration(left * float64(g.pace.tokenTime(len(g.runs), g.now)))
 }
 
 // nextFree returns the time until the first slot is expected to be free. It is not known before anything is learnt.
--- a/gate/offers.go
+++ b/gate/offers.go
@@ -67,7 +67,7 @@
 	if g.server.state == serverSuspect {
 		return g.probes.candidate(g)
 	}
-	return g.bestWaiting()
+	return g.preferFewServers(g.bestWaiting())
 }
 
 // grantRoom starts an attempt whose body is here, and offers room to one whose body is at its entry.
--- a/gate/resume.go
+++ b/gate/resume.go
@@ -141,7 +141,7 @@
 	if a.deadline.IsZero() {
 		return by
 	}
-	if start := a.deadline.Add(-g.remainingTime(a) - deadlineMargin); start.Before(by) {
+	if start := a.deadline.Add(-g.upperRemainingTime(a) - deadlineMargin); start.Before(by) {
 		by = start
 	}
 	return by
--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -20,6 +20,7 @@
 	sentAt         time.Time
 	cost           int64         // tokens charged to the organisation
 	uncorrectedRun time.Duration // predicted run time at the rates that the gate reports
+	sentPace       pace          // of the server by its gate, when it was sent; 0 unless it is placed by length
 	rollout        uint64        // id of the roll-out in progress when it was sent, 0 without one
 	version        string        // of the server, when it was sent; set together with rollout
 
@@ -139,6 +140,7 @@
 	to.attemptSent(a)
 	r.pool.noteDispatch(s.now)
 	s.noteSend(r, a)
+	s.notePlacement(r, to)
 	r.pool.load.attemptBegan(s.now, r.class, r.pool.tiers[r.tier].count > 0)
 	s.holdEnded(r, forecastServedLate)
 	s.settleCredits(r)
@@ -217,6 +219,7 @@
 	if len(r.Prefix) > 0 {
 		w.Prefix = r.Prefix[len(r.Prefix)-1]
 	}
+	s.describePlacement(w, r, to)
 	return w
 }
 
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -17,7 +17,7 @@
 	var best *server
 	var bestAt time.Duration
 	for _, v := range s.sampleServers(r, s.options.SampledServers, s.canDispatch) {
-		at := s.estimateFinish(r, v)
+		at := s.rankServer(r, v)
 		if best == nil || at < bestAt {
 			if best != nil {
 				r.passOver(best, PassedSlower, bestAt)
@@ -30,13 +30,14 @@
 	return best
 }
 
-// chooseReservationServers returns the servers at which to reserve: those with the earliest estimated finish.
+// chooseReservationServers returns the servers at which to reserve: those with the earliest estimated finish, and under
+// pressure those whose use costs the others least.
 func (s *Scheduler) chooseReservationServers(r *request) []*server {
 	count := s.reservationCount(r)
 	servers := s.sampleServers(r, 2*count, s.canReserve)
 	finish := make(map[*server]time.Duration, len(servers))
 	for _, v := range servers {
-		finish[v] = s.estimateFinish(r, v)
+		finish[v] = s.rankServer(r, v)
 	}
 	slices.SortStableFunc(servers, func(a, b *server) int { return int(min(max(finish[a]-finish[b], -1), 1)) })
 	return s.addExposed(r, servers[:min(count, len(servers))])
@@ -59,7 +60,12 @@
 
 // canReserve reports whether the server currently may have the request.
 func (s *Scheduler) canReserve(r *request, v *server) bool {
-	return v.ready && r.allows(v) && r.canResumeOn(v) && !slices.Contains(r.avoided, v.name) && s.fitsDeadline(r, v)
+	return s.mayPlace(r, v) && s.fitsDeadline(r, v)
+}
+
+// mayPlace is canReserve without regard to the length of the answer.
+func (s *Scheduler) mayPlace(r *request, v *server) bool {
+	return v.ready && r.allows(v) && r.canResumeOn(v) && !slices.Contains(r.avoided, v.name)
 }
 
 // allows reports whether the request's operation record, if it has one, allows the server. An entry that takes the
@@ -153,7 +159,7 @@
 		p = &pool{key: key}
 	}
 	r := &request{Request: in, pool: p, class: s.classFor(in.Class), tier: tierIndex(in.Class.GetTier()), timerIndex: -1}
-	r.estimatedOutput = s.estimateOutput(r)
+	s.setLength(r)
 	return r
 }
 
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -125,6 +125,9 @@
 
 // estimateRunTime estimates how long the attempt takes at the server from its start.
 func (s *Scheduler) estimateRunTime(r *request, v *server) time.Duration {
+	if s.placesByLength(r) {
+		return s.expectedRunTime(r, s.paceOf(r.pool, v), s.cachedTokens(r, v))
+	}
 	return time.Duration(float64(s.uncorrectedRunTime(r, v)) * v.correction.value())
 }
 
@@ -180,8 +183,9 @@
 		r.class.outputTokens.add(int64(end.GetOutputTokens()))
 		r.class.runTimes.add(took.Milliseconds())
 	}
+	s.learnLength(r, end.GetOutputTokens())
 	if a.firstOffset == 0 {
-		a.server.correction.add(took, a.uncorrectedRun)
+		a.server.correction.add(took, s.predictedRun(r, end.GetOutputTokens()))
 	}
 }
 
--- a/sched/fits.go
+++ b/sched/fits.go
@@ -20,6 +20,9 @@
 	if r.pool.key.kind != kindModel || r.mayBeLate {
 		return true
 	}
+	if s.placesByLength(r) {
+		return s.fitsByLength(r, v)
+	}
 	run := s.estimateRunTime(r, v)
 	if time.Duration(deadlineMargin*float64(run)) <= s.remainingTime(r) {
 		return true
--- a/sched/options.go
+++ b/sched/options.go
@@ -76,6 +76,8 @@
 	RetryAdvice bool
 	// LongTermShare measures the guaranteed share of a class over a minute instead of at each moment.
 	LongTermShare bool
+	// ByLength places answers by their expected and upper length, see placement.go.
+	ByLength bool
 	// MaxRoomAge is the age up to which a Room report counts as current.
 	MaxRoomAge time.Duration
 	// ExposureShare is the share of a pool's requests that all entries together may send to a version that is being rolled
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -39,6 +39,8 @@
 	retryBudget  retryBudget
 	lateReserved [tierCount]int // late requests with reservations, by tier; not in reserved
 	load         poolLoad
+	paces        poolPaces
+	needFast     int       // queued requests that slow servers don't finish in time
 	nextReturn   time.Time // latest time at which a refused caller was told to retry
 }
 
@@ -102,6 +104,7 @@
 	r.queue.listFor(r).add(r)
 	*r.reservedCount() += min(len(r.reservations), 1)
 	r.pool.load.addPromised(r)
+	s.countNeedFast(r)
 	t.count++
 	t.clock.Enter(organisation)
 	s.queued[tier]++
@@ -120,6 +123,7 @@
 		*r.reservedCount()--
 	}
 	r.pool.load.removePromised(r)
+	r.uncountNeedFast()
 	r.queue = nil
 	t.count--
 	t.clock.Leave(q.organisation)
--- a/sched/request.go
+++ b/sched/request.go
@@ -80,6 +80,9 @@
 	resume          *resumePoint
 	passedOver      []PassedOver
 	estimatedOutput uint32 // estimated output tokens
+	upperOutput     uint32 // that 90 of 100 such answers don't exceed, 0 if not estimated
+	needsFast       bool   // when it was queued, see needsFastServer
+	placement       placement
 
 	err        *result.Error // reason for the end, set before the event that ends the request
 	lastErr    *result.Error // why the last attempt ended
@@ -106,7 +109,7 @@
 	s.countArrival(r)
 	s.noteArrival(r)
 	r.state = s.table.Initial()
-	r.estimatedOutput = s.estimateOutput(r)
+	s.setLength(r)
 	s.requests[in.ID] = r
 	s.setTimer(r)
 	if len(in.EarlierServers) > 0 {
@@ -220,6 +223,7 @@
 func (s *Scheduler) deadlinePassed(r *request) {
 	r.err = r.deadlineError()
 	s.noteCutOff(r)
+	s.noteCutAtDeadline(r)
 	_ = s.fire(r, evDeadline)
 }
 
--- a/sched/servers.go
+++ b/sched/servers.go
@@ -38,6 +38,8 @@
 	unacked        int                   // dispatched and not acknowledged by the agent
 	ackedSinceRoom int                   // acknowledged since the last Room, which may not count them
 	correction     runCorrection
+	loadedDecode   float64 // decode rate under load, by the gate's reports: the lowest, forgotten within loadedWindow
+	loadedAt       time.Time
 }
 
 // agentNamed returns the agent, creating it if it is unknown.
@@ -146,6 +148,7 @@
 	old := v.room
 	v.room = m
 	v.roomAt = s.now
+	v.noteDecodeRate(s.now)
 	v.ackedSinceRoom = 0
 	if old == nil || !slices.Equal(old.GetTargets(), m.GetTargets()) || old.GetAddressKind() != m.GetAddressKind() {
 		s.updatePools(v)
--- a/sched/trace.go
+++ b/sched/trace.go
@@ -44,6 +44,12 @@
 	Rank uint32
 	// HeldFor is how long the request was queued as one that would begin late.
 	HeldFor time.Duration
+	// Placement is why the last attempt went to its server, empty unless requests are placed by length. The others state
+	// what that was based on: the expected and the upper length in tokens, the expected run time, and the time from the end
+	// of the upper length to the deadline.
+	Placement                      string
+	ExpectedTokens, UpperTokens    uint32
+	ExpectedRunTime, DeadlineSlack time.Duration
 }
 
 // trace returns the Trace of a request as of the current time.
@@ -67,6 +73,12 @@
 		ForecastWait: r.forecastWait,
 		Rank:         r.class.spec.GetPrecedence(),
 		HeldFor:      r.heldFor(s.now),
+
+		Placement:       r.placement.reason,
+		ExpectedTokens:  r.estimatedOutput,
+		UpperTokens:     r.upperOutput,
+		ExpectedRunTime: r.placement.finish,
+		DeadlineSlack:   r.placement.slack,
 	}
 	if len(r.attempts) > 0 {
 		t.Server = r.currentRecord().server
--- a/sched/types.go
+++ b/sched/types.go
@@ -280,4 +280,6 @@
 	RolloutBad      // those that speak against the version, by Pool and Label (role)
 	RolloutWithheld // offers of servers of a new version that were declined, by Pool and Label (role)
 	Forecasts       // requests forecast to be late, by Label (outcome), Tier and Class
+	Placements      // dispatches by length, by Label (reason), Tier and Class
+	CutAtDeadline   // answers cut at their deadline, by Label (speed of the server), Tier and Class
 )
--- a/sched/urgency.go
+++ b/sched/urgency.go
@@ -36,6 +36,7 @@
 	outputTokens *runningMedian // tokens
 	serviceTimes *runningMedian // microseconds of a service call
 	runTimes     *runningMedian // milliseconds of a model's run
+	lengths      *lengthModel   // nil before it is used
 	usedShare    float64        // used share of the targets, 0..1, as of usedShareAt
 	usedShareAt  time.Time
 
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -32,6 +32,8 @@
 	Timing AgentTiming `json:"timing"`
 	// Suspension configures the suspension of runs.
 	Suspension AgentSuspension `json:"suspension"`
+	// Placement configures the order in which slots are offered.
+	Placement AgentPlacement `json:"placement"`
 }
 
 // AgentListen holds the addresses, IP:port, that an agent listens on. Port 0 selects any free port.
@@ -95,6 +97,14 @@
 	MaxPerRun int `json:"max_per_run"`
 }
 
+// AgentPlacement configures the order in which slots are offered to waiting requests.
+type AgentPlacement struct {
+	// FewServersFirst offers a slot first to a request that only few servers can finish in time, among those of the same
+	// class and organisation, if no other becomes late by that. It takes effect for entry instances with
+	// placement.by_length. Default false.
+	FewServersFirst bool `json:"few_servers_first"`
+}
+
 func (*Agent) expectedRole() Role { return RoleAgent }
 
 // DefaultAgent returns the default values, which apply to keys that a file omits.
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -35,6 +35,8 @@
 	Rollout EntryRollout `json:"rollout"`
 	// Admission configures which requests are accepted under overload.
 	Admission Admission `json:"admission"`
+	// Placement configures which backend servers requests go to.
+	Placement EntryPlacement `json:"placement"`
 	// TLS secures the connections to other processes. If it is empty, they are plain TCP.
 	TLS TLS `json:"tls"`
 	// CallerTLS secures the listener for callers. If it is empty, callers use plain HTTP.
@@ -100,6 +102,14 @@
 	LongTermShare bool `json:"long_term_share"`
 }
 
+// EntryPlacement configures which backend servers requests go to.
+type EntryPlacement struct {
+	// ByLength places an answer by its expected length and a length that nine of ten such answers don't exceed, learned by
+	// class. An answer that may not end in time at slow servers goes to fast ones, and while requests wait for these, others
+	// leave them. Default false: the expected length alone decides, with a fixed margin.
+	ByLength bool `json:"by_length"`
+}
+
 // EntryTiming holds the intervals and timeouts of an entry instance.
 type EntryTiming struct {
 	// Heartbeat is the interval between messages on a connection without other traffic. Default 250ms.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -211,6 +211,31 @@
 	}
 }
 
+// Guards against a placement block whose invalid values are accepted, or that is on by default.
+func TestPlacementSettings(t *testing.T) {
+	with := func(text, block string) string { return strings.Replace(text, `"role"`, `"placement": `+block+`, "role"`, 1) }
+	entry, err := parse[Entry]([]byte(entryText), "/etc/s.jsonc", noFile)
+	require.NoError(t, err)
+	require.False(t, entry.Placement.ByLength)
+	entry, err = parse[Entry]([]byte(with(entryText, `{"by_length": true}`)), "/etc/s.jsonc", noFile)
+	require.NoError(t, err)
+	require.True(t, entry.Placement.ByLength)
+	agent, err := parse[Agent]([]byte(agentText), "/etc/s.jsonc", noFile)
+	require.NoError(t, err)
+	require.False(t, agent.Placement.FewServersFirst)
+	agent, err = parse[Agent]([]byte(with(agentText, `{"few_servers_first": true}`)), "/etc/s.jsonc", noFile)
+	require.NoError(t, err)
+	require.True(t, agent.Placement.FewServersFirst)
+	check := func(got *Diagnostics, code result.Code, path string) {
+		require.Len(t, got.List, 1, "%s", got)
+		require.True(t, got.Has(code, path), "%s", got)
+	}
+	check(diagnosticsOf[Entry](t, with(entryText, `{"by_length": 1}`)), result.SettingsWrongType, "placement.by_length")
+	check(diagnosticsOf[Entry](t, with(entryText, `{"few_servers_first": true}`)), result.SettingsUnknownField, "placement.few_servers_first")
+	check(diagnosticsOf[Agent](t, with(agentText, `{"few_servers_first": "yes"}`)), result.SettingsWrongType, "placement.few_servers_first")
+	check(diagnosticsOf[Agent](t, with(agentText, `{"by_length": true}`)), result.SettingsUnknownField, "placement.by_length")
+}
+
 // Guards against a suspension block whose invalid values are accepted, with which no run or each run for ever would be
 // suspended.
 func TestSuspensionSettings(t *testing.T) {
