sched, gate, entry: failure tests of the placement by length; an offer out of turn makes none late

Cause: the first version of the gate's preference looked only at slots beyond the one on offer, so that with a free slot a waiting request could become late because a longer one took it first. The remainder of a run beyond the tail of the distribution was 0.

Change: the preference compares the times at which slots become free with and without the other run, and never goes before more requests than the server has slots. Paces are computed anew when a server of the pool comes, leaves, or becomes ready.

--- a/entry/options_test.go
+++ b/entry/options_test.go
@@ -1,11 +1,15 @@
 package entry
 
 import (
+	"bytes"
 	"testing"
+	"time"
 
+	"github.com/apex/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/carawaypitch/carawaypitch/sched"
+	"github.com/carawaypitch/carawaypitch/wire"
 )
 
 // A baseline would be measured with the wrong parameter if the scheduler used its default instead of the value in
@@ -25,3 +29,37 @@
 	e.settings.Placement.ByLength = true
 	require.True(t, e.schedulerOptions(Options{}).ByLength)
 }
+
+// Guards against placement fields in the log lines of an entry that doesn't place by length, and against missing ones with it.
+func TestPlacementIsLogged(t *testing.T) {
+	var fields log.Fields
+	logger := &log.Logger{Level: log.InfoLevel, Handler: log.HandlerFunc(func(e *log.Entry) error {
+		fields = e.Fields
+		return nil
+	})}
+	withTrace(logger.WithField("request", "r"), sched.Trace{}).Info("request_answered")
+	require.NotContains(t, fields, "placement")
+	require.NotContains(t, fields, "run_slack_ms")
+	withTrace(logger.WithField("request", "r"), sched.Trace{
+		Placement: "fits", ExpectedTokens: 100, UpperTokens: 200, ExpectedRunTime: time.Second, DeadlineSlack: -time.Millisecond,
+	}).Info("request_answered")
+	require.Subset(t, fields, log.Fields{
+		"placement": "fits", "expected": uint32(100), "upper": uint32(200), "run_ms": int64(1000), "run_slack_ms": int64(-1),
+	})
+}
+
+// Guards against counters of placements that appear only with their first event, or without the setting.
+func TestPlacementCounters(t *testing.T) {
+	m := newMeter()
+	classes := map[string]*wire.Class{"summary": {Name: "summary", Tier: 2}}
+	m.declareClasses(classes)
+	var text bytes.Buffer
+	m.set.WritePrometheus(&text)
+	require.NotContains(t, text.String(), metricPlacements)
+	m.declarePlacements(classes)
+	m.count(sched.Count{Counter: sched.CutAtDeadline, Tier: 2, Class: "summary", Label: "slow", Add: 1})
+	m.set.WritePrometheus(&text)
+	require.Contains(t, text.String(), `carawaypitch_placements_total{reason="fits",tier="2",class="summary"} 0`)
+	require.Contains(t, text.String(), `carawaypitch_placements_total{reason="only_fast_servers",tier="2",class="summary"} 0`)
+	require.Contains(t, text.String(), `carawaypitch_cut_at_deadline_total{speed="slow",tier="2",class="summary"} 1`)
+}
--- a/gate/few_servers.go
+++ b/gate/few_servers.go
@@ -1,6 +1,9 @@
 package gate
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // maxPassed bounds the waiting attempts that one that only few servers finish in time may go before.
 const maxPassed = 16
@@ -26,28 +29,42 @@
 		if !a.work.GetFewServers() {
 			continue
 		}
-		if a.work.GetOverdue() != head.work.GetOverdue() || g.missesDeadline(a, 0) || g.blockReasonOf(a) != notBlocked || g.makesLate(waiting[:i]) {
-			return head
+		if a.work.GetOverdue() == head.work.GetOverdue() && g.mayGoBefore(a, waiting[:i]) {
+			return a
 		}
-		return a
+		return head
 	}
 	return head
 }
 
+// mayGoBefore reports whether an attempt can be offered room, will be in time and makes none of the others late.
+func (g *Gate) mayGoBefore(a *attempt, others []*attempt) bool {
+	return !g.missesDeadline(a, 0) && g.blockReasonOf(a) == notBlocked && !g.makesLate(others, g.predictRuntime(a.work))
+}
+
 // makesLate reports whether one of the attempts, in the order in which they would be served, misses its objective or its
-// deadline because each of them waits for one slot more.
-func (g *Gate) makesLate(passed []*attempt) bool {
-	slots := g.slotTimes()
+// deadline if another takes the next slot first for the given time. It is assumed of attempts beyond the number of slots.
+func (g *Gate) makesLate(passed []*attempt, run time.Duration) bool {
+	before := g.slotTimes()
+	if !before.known || len(passed) > len(before.times) {
+		return true
+	}
+	after := before.taken(run)
 	for i, a := range passed {
 		slack := g.slackToStart(a)
-		if slack <= 0 {
-			continue // late already
-		}
-		now, known := slots.wait(1 + i)
-		later, knownLater := slots.wait(2 + i)
-		if !known || !knownLater || now <= slack && later > slack {
+		earlier, _ := before.wait(1 + i)
+		later, _ := after.wait(1 + i)
+		if earlier <= slack && later > slack {
 			return true
 		}
 	}
 	return false
 }
+
+// taken returns the times after the next slot was taken for the given time.
+func (t *slotTimes) taken(run time.Duration) slotTimes {
+	times := slices.Clone(t.times)
+	times[0] += run
+	slices.Sort(times)
+	return slotTimes{times: times, known: t.known}
+}
--- a/gate/remainder.go
+++ b/gate/remainder.go
@@ -22,7 +22,8 @@
 )
 
 // remainingTokens returns how many output tokens a run will still generate: a value that the given share of such runs doesn't
-// exceed. Without an upper length it is the difference to the expected length.
+// exceed, and at least the part overrunDivisor of what it has generated. Without an upper length it is the difference to the
+// expected length.
 func remainingTokens(w *wire.Work, generated uint32, share float64) float64 {
 	median, upper, done := float64(w.GetOutputTokens()), float64(w.GetOutputTokensUpper()), float64(generated)
 	if median < 1 || upper <= median {
@@ -34,7 +35,7 @@
 		passed = normalShare(math.Log(done/median) / deviation)
 	}
 	at := min(passed+share*(1-passed), maxLengthQuantile)
-	return max(median*math.Exp(deviation*normalQuantile(at))-done, 0)
+	return max(median*math.Exp(deviation*normalQuantile(at))-done, done/overrunDivisor)
 }
 
 // normalShare returns the share of a standard normal distribution below x.
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -21,9 +21,9 @@
 	next int
 }
 
-func newBenchHarness(b *testing.B) *benchHarness {
+func newBenchHarness(b *testing.B, byLength bool) *benchHarness {
 	b.Helper()
-	s, err := New(Options{MaxQueued: 2 * benchQueued})
+	s, err := New(Options{MaxQueued: 2 * benchQueued, ByLength: byLength})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -69,8 +69,14 @@
 
 // BenchmarkRequest measures the total cost of a request at its entry: arrival, room, dispatch, start, a frame, the
 // end.
-func BenchmarkRequest(b *testing.B) {
-	h := newBenchHarness(b)
+func BenchmarkRequest(b *testing.B) { benchmarkRequest(b, false) }
+
+// BenchmarkRequestByLength is BenchmarkRequest with the placement by length.
+func BenchmarkRequestByLength(b *testing.B) { benchmarkRequest(b, true) }
+
+func benchmarkRequest(b *testing.B, byLength bool) {
+	b.Helper()
+	h := newBenchHarness(b, byLength)
 	steps := 0
 	b.ReportAllocs()
 	for b.Loop() {
@@ -110,7 +116,7 @@
 
 // BenchmarkTick measures a tick without expired timers.
 func BenchmarkTick(b *testing.B) {
-	h := newBenchHarness(b)
+	h := newBenchHarness(b, false)
 	b.ReportAllocs()
 	for b.Loop() {
 		h.s.Step(h.now, Tick{})
--- a/sched/paces.go
+++ b/sched/paces.go
@@ -111,6 +111,10 @@
 	return &p.paces
 }
 
+// forgetPaces makes pacesOf compute anew, after the pool's servers have changed. Otherwise a request could wait for a server
+// that has just left.
+func (p *pool) forgetPaces() { p.paces.at = time.Time{} }
+
 func summarisePaces(known, loaded []pace) poolPaces {
 	if len(known) == 0 {
 		unknown := pace{decode: defaultDecodeRate, prefill: defaultPrefillRate}
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -88,7 +88,7 @@
 // fastestFor returns the pace of the server that ends the upper length first among those that the request may use, and
 // the prompt tokens that are cached there.
 func (s *Scheduler) fastestFor(r *request) (best pace, cached uint32) {
-	if len(r.Candidates) == 0 && len(r.avoided) == 0 && len(r.Prefix) == 0 {
+	if len(r.Candidates) == 0 && len(r.avoided) == 0 && len(r.Prefix) == 0 && r.eventsReceived == 0 {
 		return s.pacesOf(r.pool).fastest, 0
 	}
 	shortest := time.Duration(-1)
--- a/sched/servers.go
+++ b/sched/servers.go
@@ -204,6 +204,7 @@
 		return
 	}
 	p.servers = slices.Insert(p.servers, at, v)
+	p.forgetPaces()
 	p.adjustCounts(v, 1)
 }
 
@@ -213,6 +214,7 @@
 		return
 	}
 	p.servers = slices.Delete(p.servers, at, at+1)
+	p.forgetPaces()
 	p.adjustCounts(v, -1)
 }
 
@@ -238,14 +240,17 @@
 	if ready == v.ready && hasRoom == v.hasRoom {
 		return
 	}
-	unready := v.ready && !ready
-	s.noteReadiness(v, ready != v.ready)
+	unready, changed := v.ready && !ready, ready != v.ready
+	s.noteReadiness(v, changed)
 	for _, p := range v.pools {
 		p.adjustCounts(v, -1)
 	}
 	v.ready, v.hasRoom = ready, hasRoom
 	for _, p := range v.pools {
 		p.adjustCounts(v, 1)
+		if changed {
+			p.forgetPaces()
+		}
 		s.markDirty(p)
 	}
 	if unready {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -213,7 +213,9 @@
 
 // Guards against a placement block whose invalid values are accepted, or that is on by default.
 func TestPlacementSettings(t *testing.T) {
-	with := func(text, block string) string { return strings.Replace(text, `"role"`, `"placement": `+block+`, "role"`, 1) }
+	with := func(text, block string) string {
+		return strings.Replace(text, `"role"`, `"placement": `+block+`, "role"`, 1)
+	}
 	entry, err := parse[Entry]([]byte(entryText), "/etc/s.jsonc", noFile)
 	require.NoError(t, err)
 	require.False(t, entry.Placement.ByLength)
