--- a/entry/entry.go
+++ b/entry/entry.go
@@ -262,6 +262,7 @@
 		RetryAdvice:      e.settings.Admission.RetryAdvice,
 		LongTermShare:    e.settings.Admission.LongTermShare,
 		FleetDemand:      e.settings.Admission.FleetDemand,
+		ByLength:         e.settings.Placement.ByLength,
 	}
 }
 
--- a/sched/options.go
+++ b/sched/options.go
@@ -78,6 +78,8 @@
 	LongTermShare bool
 	// FleetDemand enables the use of what all entries have queued, see the event of that name.
 	FleetDemand bool
+	// ByLength places answers by their expected and upper length, see placement.go.
+	ByLength bool
 	// MaxRoomAge is the age up to which a Room report counts as current.
 	MaxRoomAge time.Duration
 	// ExposureShare is the share of a pool's requests that all entries together may send to a version that is being rolled
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -41,7 +41,9 @@
 	load         poolLoad
 	shortAt      [tierCount]time.Time     // when requests of the tier waited last, by the fleet-wide view
 	excess       [tierCount][]excessShare // organisations that hold more than their share, by tier
-	nextReturn   time.Time                // latest time at which a refused caller was told to retry
+	paces        poolPaces
+	needFast     int       // queued requests that slow servers don't finish in time
+	nextReturn   time.Time // latest time at which a refused caller was told to retry
 }
 
 func (s *Scheduler) pool(key poolKey) *pool {
@@ -104,6 +106,7 @@
 	r.queue.listFor(r).add(r)
 	*r.reservedCount() += min(len(r.reservations), 1)
 	r.pool.load.addPromised(r)
+	s.countNeedFast(r)
 	t.count++
 	t.clock.Enter(organisation)
 	s.queued[tier]++
@@ -122,6 +125,7 @@
 		*r.reservedCount()--
 	}
 	r.pool.load.removePromised(r)
+	r.uncountNeedFast()
 	r.queue = nil
 	t.count--
 	t.clock.Leave(q.organisation)
--- a/sched/servers.go
+++ b/sched/servers.go
@@ -38,6 +38,8 @@
 	unacked        int                   // dispatched and not acknowledged by the agent
 	ackedSinceRoom int                   // acknowledged since the last Room, which may not count them
 	correction     runCorrection
+	loadedDecode   float64 // decode rate under load, by the gate's reports: the lowest, forgotten within loadedWindow
+	loadedAt       time.Time
 }
 
 // agentNamed returns the agent, creating it if it is unknown.
@@ -146,6 +148,7 @@
 	old := v.room
 	v.room = m
 	v.roomAt = s.now
+	v.noteDecodeRate(s.now)
 	v.ackedSinceRoom = 0
 	if old == nil || !slices.Equal(old.GetTargets(), m.GetTargets()) || old.GetAddressKind() != m.GetAddressKind() {
 		s.updatePools(v)
@@ -201,6 +204,7 @@
 		return
 	}
 	p.servers = slices.Insert(p.servers, at, v)
+	p.forgetPaces()
 	p.adjustCounts(v, 1)
 }
 
@@ -210,6 +214,7 @@
 		return
 	}
 	p.servers = slices.Delete(p.servers, at, at+1)
+	p.forgetPaces()
 	p.adjustCounts(v, -1)
 }
 
@@ -235,14 +240,17 @@
 	if ready == v.ready && hasRoom == v.hasRoom {
 		return
 	}
-	unready := v.ready && !ready
-	s.noteReadiness(v, ready != v.ready)
+	unready, changed := v.ready && !ready, ready != v.ready
+	s.noteReadiness(v, changed)
 	for _, p := range v.pools {
 		p.adjustCounts(v, -1)
 	}
 	v.ready, v.hasRoom = ready, hasRoom
 	for _, p := range v.pools {
 		p.adjustCounts(v, 1)
+		if changed {
+			p.forgetPaces()
+		}
 		s.markDirty(p)
 	}
 	if unready {
--- a/sched/types.go
+++ b/sched/types.go
@@ -289,4 +289,6 @@
 	Forecasts       // requests forecast to be late, by Label (outcome), Tier and Class
 	ForecastViews   // forecasts on arrival, by Label (view), with FleetDemand
 	OverShare       // times that an organisation exceeded its share of a pool, by Label (organisation) and Tier
+	Placements      // dispatches by length, by Label (reason), Tier and Class
+	CutAtDeadline   // answers cut at their deadline, by Label (speed of the server), Tier and Class
 )
