--- a/result/codes.go
+++ b/result/codes.go
@@ -33,6 +33,7 @@
 	OverUsageCap          Code = 1208
 	ServerRateLimited     Code = 1209
 	ServerBackoff         Code = 1210
+	OverMemoryShare       Code = 1211
 )
 
 // 13xx: an attempt ended without a complete answer, or its outcome is not known.
@@ -48,6 +49,8 @@
 	AttemptSuperseded         Code = 1309
 	LeaseExpired              Code = 1310
 	UnprovenAttemptAtDeadline Code = 1311
+	CallerReadsNothing        Code = 1312
+	EndedToFreeMemory         Code = 1313
 )
 
 // 14xx: the state of a process prevents it from handling the request.
--- a/result/table.go
+++ b/result/table.go
@@ -117,6 +117,11 @@
 		ServerBackoff, "server_backoff", http.StatusServiceUnavailable, onlyNo, "the backend server asks to keep away for a while",
 		"Retry after the time given; operators: the server turned requests away and said for how long.",
 	},
+	{
+		OverMemoryShare, "over_memory_share", http.StatusServiceUnavailable, onlyNo,
+		"the instance holds as much for callers as it may, or more than a share for this organisation",
+		"Retry after the time given; read answers as they come. Operators: see memory in the settings and docs/OPERATIONS.md.",
+	},
 
 	{
 		RefusedNeverStarted, "refused_never_started", http.StatusServiceUnavailable, onlyNo, "the agent refused the attempt; it never started and never will",
@@ -161,6 +166,14 @@
 	{
 		UnprovenAttemptAtDeadline, "unproven_attempt_at_deadline", http.StatusGatewayTimeout, onlyUnknown, "the deadline passed and no proof came that the attempt is over",
 		"Find out by other means whether it ran; retry a repeatable request.",
+	}, {
+		CallerReadsNothing, "caller_reads_nothing", statusClientClosed, anyValue, "the caller read nothing of its answer",
+		"Read the answer as it comes; a slow but steady caller is served to the end.",
+	},
+	{
+		EndedToFreeMemory, "ended_to_free_memory", http.StatusBadGateway, yesOrUnknown,
+		"the call was ended because the instance held too much for callers",
+		"Read answers as they come; retry if the class is repeatable.",
 	},
 
 	{
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -32,6 +32,8 @@
 	Timing AgentTiming `json:"timing"`
 	// Suspension configures the suspension of runs.
 	Suspension AgentSuspension `json:"suspension"`
+	// Memory bounds what the agent and its backend server hold.
+	Memory AgentMemory `json:"memory"`
 }
 
 // AgentListen holds the addresses, IP:port, that an agent listens on. Port 0 selects any free port.
@@ -95,6 +97,18 @@
 	MaxPerRun int `json:"max_per_run"`
 }
 
+// AgentMemory bounds what an agent holds for backend servers and entry instances, and what its backend server holds.
+type AgentMemory struct {
+	// HeldBytes is the maximum total size of bodies and answers, in bytes. Attempts whose bodies don't fit are refused, and
+	// answers are read more slowly. Default 0: nothing is counted, and ReaderTimeout has no effect.
+	HeldBytes Size `json:"held_bytes"`
+	// ReaderTimeout is how long a backend server may read nothing of a body. Then the attempt is ended. Default 2s.
+	ReaderTimeout time.Duration `json:"reader_timeout"`
+	// UpperOutput counts the uncertainty of the expected lengths of answers against the memory of the backend server, and
+	// refuses requests that are larger than it. Default false.
+	UpperOutput bool `json:"upper_output"`
+}
+
 func (*Agent) expectedRole() Role { return RoleAgent }
 
 // DefaultAgent returns the default values, which apply to keys that a file omits.
@@ -123,6 +137,7 @@
 			UnlistedSettle: time.Second,
 		},
 		Suspension: AgentSuspension{MaxPerRun: 3},
+		Memory:     AgentMemory{ReaderTimeout: defaultReaderTimeout},
 	}
 }
 
@@ -158,6 +173,10 @@
 	checkPositive(c, "timing.unproven_hold", a.Timing.UnprovenHold)
 	checkPositive(c, "timing.unlisted_settle", a.Timing.UnlistedSettle)
 	checkPositive(c, "suspension.max_per_run", a.Suspension.MaxPerRun)
+	checkPositive(c, "memory.reader_timeout", a.Memory.ReaderTimeout)
+	if a.Memory.HeldBytes < 0 || a.Memory.HeldBytes > 0 && a.Memory.HeldBytes < a.Limits.MaxBody {
+		c.report(result.SettingsOutOfRange, "memory.held_bytes", "want at least limits.max_body, %d bytes, or 0", a.Limits.MaxBody)
+	}
 	c.checkSilenceTimeout("timing.cut_off", a.Timing.CutOff, a.Timing.Heartbeat)
 }
 
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -35,6 +35,8 @@
 	Rollout EntryRollout `json:"rollout"`
 	// Admission configures which requests are accepted under overload.
 	Admission Admission `json:"admission"`
+	// Memory bounds what the process holds for callers.
+	Memory EntryMemory `json:"memory"`
 	// TLS secures the connections to other processes. If it is empty, they are plain TCP.
 	TLS TLS `json:"tls"`
 	// CallerTLS secures the listener for callers. If it is empty, callers use plain HTTP.
@@ -100,6 +102,21 @@
 	LongTermShare bool `json:"long_term_share"`
 }
 
+// EntryMemory bounds what an entry instance holds for callers: bodies, and answers that wait to be read.
+type EntryMemory struct {
+	// HeldBytes is the maximum total size, in bytes. When it is reached, the call that holds most of the organisation that
+	// holds most is ended. Default 0: nothing is counted, and the other settings of this group have no effect.
+	HeldBytes Size `json:"held_bytes"`
+	// OrganisationShare is the share of HeldBytes, above 0 and up to 1, that one organisation may hold while others hold
+	// anything too. New requests of an organisation above it are refused. Default 0.25.
+	OrganisationShare float64 `json:"organisation_share"`
+	// ReaderWindowBytes is how much of an answer is fetched from the backend server beyond what its caller has read, in
+	// bytes. Default 64 KiB.
+	ReaderWindowBytes Size `json:"reader_window_bytes"`
+	// ReaderTimeout is how long a caller may read nothing while this much waits for it. Then its call is ended. Default 2s.
+	ReaderTimeout time.Duration `json:"reader_timeout"`
+}
+
 // EntryTiming holds the intervals and timeouts of an entry instance.
 type EntryTiming struct {
 	// Heartbeat is the interval between messages on a connection without other traffic. Default 250ms.
@@ -128,6 +145,13 @@
 	Drain time.Duration `json:"drain"`
 }
 
+// Defaults of EntryMemory.
+const (
+	defaultOrganisationShare = 0.25
+	defaultReaderWindow      = 64 * KiB
+	defaultReaderTimeout     = 2 * time.Second
+)
+
 // Defaults of EntryRollout.
 const (
 	defaultExposureShare     = 0.1
@@ -154,6 +178,11 @@
 			ExposureAllowance: defaultExposureAllowance,
 			Rollback:          defaultRollback,
 		},
+		Memory: EntryMemory{
+			OrganisationShare: defaultOrganisationShare,
+			ReaderWindowBytes: defaultReaderWindow,
+			ReaderTimeout:     defaultReaderTimeout,
+		},
 		Timing: EntryTiming{
 			Heartbeat: defaultHeartbeat,
 			CutOff:    defaultCutOff,
@@ -196,6 +225,7 @@
 		c.report(result.SettingsOutOfRange, "timing.start_wait", "want timing.start_wait and timing.leave of at least 0")
 	}
 	e.Rollout.validate(c)
+	e.Memory.validate(c)
 	c.checkSilenceTimeout("timing.cut_off", e.Timing.CutOff, e.Timing.Heartbeat)
 	c.checkSilenceTimeout("timing.lease", e.Timing.Lease, e.Timing.Heartbeat)
 }
@@ -210,6 +240,20 @@
 	checkPositive(c, "rollout.rollback", r.Rollback)
 }
 
+func (m EntryMemory) validate(c *checker) {
+	checkPositive(c, "memory.reader_window_bytes", m.ReaderWindowBytes)
+	checkPositive(c, "memory.reader_timeout", m.ReaderTimeout)
+	if m.OrganisationShare <= 0 || m.OrganisationShare > 1 {
+		c.report(result.SettingsOutOfRange, "memory.organisation_share", "want a share above 0 and up to 1, got %g", m.OrganisationShare)
+	}
+	if m.HeldBytes < 0 {
+		c.report(result.SettingsOutOfRange, "memory.held_bytes", "want a size of at least 0")
+	}
+	if m.HeldBytes > 0 && m.HeldBytes < m.ReaderWindowBytes {
+		c.report(result.SettingsOutOfRange, "memory.held_bytes", "want at least memory.reader_window_bytes, %d bytes, or 0", m.ReaderWindowBytes)
+	}
+}
+
 func controlPath(i int) string {
 	return fmt.Sprintf("controls[%d]", i)
 }
