entry: held bytes are counted and bounded, callers that read nothing are ended

An entry of 112 MB is ended by ten callers that read nothing of long answers: each may hold limits.max_answer, and nothing is counted by organisation. With memory.held_bytes set, bodies, waiting events and assembled answers are counted by package holding; credits tell agents what was written; a call ends whose caller reads nothing for memory.reader_timeout while its window is full.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -117,11 +117,18 @@
 	if c.Request().ContentLength > bound {
 		return nil, result.New(result.BodyTooLarge, "want at most %d bytes", bound)
 	}
+	if err := heldCallOf(c.Request().Context()).admitBody(bound); err != nil {
+		return nil, err
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, bound))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, result.New(result.BodyTooLarge, "want at most %d bytes", bound)
 	}
+	var refused *result.Error
+	if errors.As(err, &refused) {
+		return nil, refused
+	}
 	if err != nil {
 		return nil, result.Wrap(err, result.MalformedBody, "the body can't be read to its end")
 	}
@@ -146,11 +153,15 @@
 }
 
 // submit passes a request to the scheduler. If it returns an error, the scheduler has not received the request.
-func (e *Entry) submit(r *sched.Request) (*call, *result.Error) {
+func (e *Entry) submit(r *sched.Request, held *heldCall) (*call, *result.Error) {
+	if held.wasEnded() {
+		return nil, e.memory.refusal("the call was ended while its body was read")
+	}
+	held.assign(r.ID, r.Organisation)
 	if end := e.drainDeadline.Load(); end != nil {
 		r.EntryStopsBy = *end
 	}
-	call := newCall(r, int(e.settings.Limits.MaxAnswer))
+	call := newCall(r, int(e.settings.Limits.MaxAnswer), held)
 	if !e.calls.register(call) {
 		return nil, result.New(result.Internal, "the request's identity is in use").WithRan(result.RanUnknown)
 	}
--- a/entry/call.go
+++ b/entry/call.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"time"
 
+	"github.com/carawaypitch/carawaypitch/holding"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -25,6 +28,11 @@
 	err      *result.Error   // set on failure
 	attempts attemptSummary
 	trace    sched.Trace // set in both cases
+
+	held       *heldCall  // nil if nothing is counted
+	flow       readerFlow // not followed if nothing is counted
+	creditedAt time.Time
+	cut        *result.Error // why the call was ended by this process, nil if it wasn't
 }
 
 // attemptSummary is the state of the attempts of a failed request.
@@ -33,8 +41,11 @@
 	allEnded bool // all attempts are proven to have ended
 }
 
-func newCall(request *sched.Request, maxBytes int) *call {
-	return &call{request: request, maxBytes: maxBytes, wake: make(chan struct{}, 1)}
+func newCall(request *sched.Request, maxBytes int, held *heldCall) *call {
+	c := &call{request: request, maxBytes: maxBytes, wake: make(chan struct{}, 1), held: held}
+	c.flow.window = held.window()
+	held.follow(c)
+	return c
 }
 
 // delivery holds the events and the outcome added to a call since the previous delivery.
@@ -64,15 +75,39 @@
 func (c *call) poll() (delivery, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.cut != nil {
+		return delivery{ended: true, err: c.cut}, true
+	}
 	if c.overflow {
 		return delivery{ended: true, err: result.New(result.AnswerTooLarge, "the caller reads too slowly").WithRan(result.RanYes)}, true
 	}
-	d := delivery{events: c.events, ended: c.ended, end: c.end, err: c.err, attempts: c.attempts, trace: c.trace}
-	c.events = nil
-	c.bytes = 0
+	d := delivery{events: c.takeEvents()}
+	if len(c.events) == 0 {
+		d.ended, d.end, d.err, d.attempts, d.trace = c.ended, c.end, c.err, c.attempts, c.trace
+	}
 	return d, len(d.events) > 0 || d.ended
 }
 
+// takeEvents removes the waiting events, or the first of them if they are counted. The lock must be held.
+func (c *call) takeEvents() [][]byte {
+	if c.held == nil {
+		events := c.events
+		c.events, c.bytes = nil, 0
+		return events
+	}
+	size, n := 0, 0
+	for n < len(c.events) && (n == 0 || size+len(c.events[n]) <= maxWriteBytes) {
+		size += len(c.events[n])
+		n++
+	}
+	events := slices.Clone(c.events[:n])
+	clear(c.events[:n])
+	c.events = c.events[n:]
+	c.bytes -= size
+	c.held.move(c.held.kind(holding.Waiting), holding.Pinned, size)
+	return events
+}
+
 // update changes the call, unless it has ended, and wakes the goroutine that follows it.
 func (c *call) update(change func()) {
 	c.mu.Lock()
@@ -95,9 +130,11 @@
 	if c.bytes > c.maxBytes {
 		c.overflow = true
 		c.events = nil
+		c.held.release(c.held.kind(holding.Waiting), c.bytes)
 		return
 	}
 	c.events = append(c.events, events...)
+	c.flow.deliver(events)
 }
 
 func (c *call) overflowed() bool {
@@ -106,6 +143,13 @@
 	return c.overflow
 }
 
+// endedHere reports whether the call was ended by this process, so that the scheduler has to be told.
+func (c *call) endedHere() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.overflow || c.cut != nil
+}
+
 // calls holds the requests known to the scheduler, by ID.
 type calls struct {
 	mu  sync.Mutex
@@ -153,7 +197,7 @@
 }
 
 func (c *calls) deliver(id string, events [][]byte) {
-	if call := c.get(id); call != nil {
+	if call := c.get(id); call != nil && call.holdEvents(events) {
 		call.update(func() { call.add(events) })
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -98,6 +98,7 @@
 	catalogue        atomic.Pointer[catalogue]
 	caps             *quota.Caps
 	callerTimeouts   *timeoutTracker
+	memory           *callMemory // nil if what is held is not counted
 	rollouts         rolloutState
 	verbatimSequence atomic.Uint64                       // of verbatim requests
 	targetQueues     atomic.Pointer[[]sched.TargetQueue] // as of the last sampleQueues
@@ -158,6 +159,7 @@
 		callerTimeouts:  newTimeoutTracker(),
 		backgroundSlots: make(chan struct{}, maxBackground),
 	}
+	e.memory = newCallMemory(s.Memory, e.log, e.meter, e.now)
 	clocks := quota.Clock{Now: options.Now, SinceBoot: clock.SinceBoot}
 	e.caps = quota.NewCaps(s.Instance, e.incarnation, clocks, usageTolerance(s))
 	for _, organisation := range s.Organisations {
@@ -286,6 +288,9 @@
 	e.addActor(&group, e.runShares)
 	e.addActor(&group, e.outbox.Run)
 	e.addActor(&group, e.runHTTP)
+	if e.memory != nil {
+		e.addActor(&group, e.runReaders)
+	}
 	if e.localAgent != nil {
 		e.addActor(&group, e.localAgent.run)
 	}
--- a/entry/http.go
+++ b/entry/http.go
@@ -42,6 +42,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "entry: listen")
 	}
+	if e.memory != nil {
+		listener = callerListener{Listener: listener, bufferBytes: int(e.settings.Memory.ReaderWindowBytes)}
+	}
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
@@ -51,11 +54,12 @@
 // runHTTP serves callers until ctx ends.
 func (e *Entry) runHTTP(ctx context.Context) error {
 	server := &http.Server{
-		Handler:           e.closeConnectionsWhenStopping(e.handler()),
+		Handler:           e.closeConnectionsWhenStopping(e.memory.countRequests(e.handler())),
 		ReadHeaderTimeout: httpHeaderTimeout,
 		ReadTimeout:       httpReadTimeout,
 		IdleTimeout:       httpIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       withCallerConn,
 	}
 	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -58,7 +58,7 @@
 // this continues in the background.
 func (e *Entry) runKeyed(c echo.Context, op *operation, w *reply) error {
 	r := op.request
-	call, err := e.submit(r)
+	call, err := e.submit(r, heldCallOf(c.Request().Context()))
 	if err != nil {
 		out := op.refuse(c.Request().Context(), err)
 		op.finish()
@@ -69,7 +69,11 @@
 	out, followErr := e.follow(c.Request().Context(), call, w, collected)
 	if followErr != nil {
 		e.callerLeft(r)
-		e.background.Go(func() { op.finishDetached(call, collected) })
+		held := e.detach(call, collected.counted)
+		e.background.Go(func() {
+			defer held.close()
+			op.finishDetached(call, collected)
+		})
 		return nil
 	}
 	out = op.close(c.Request().Context(), out)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/carawaypitch/carawaypitch/holding"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -43,6 +44,10 @@
 	metricRolloutAnswers  = "carawaypitch_rollout_answers_total"             // answers and failures of these, by pool and role
 	metricRolloutBad      = "carawaypitch_rollout_bad_answers_total"         // failures and slow answers among them, by pool and role
 	metricRolloutWithheld = "carawaypitch_rollout_withheld_total"            // offers declined because of a server's version, by pool and role
+	metricMemoryHeld      = "carawaypitch_memory_held_bytes"                 // held for callers, by kind
+	metricMemoryByOrg     = "carawaypitch_memory_organisation_bytes"         // held for callers, by organisation; as of the last check
+	metricCallsEnded      = "carawaypitch_memory_calls_ended_total"          // calls ended by this process, by cause
+	metricCreditsRepeated = "carawaypitch_memory_credits_repeated_total"     // credits sent again because an agent may wait for them
 	metricRoomAge         = "carawaypitch_room_age_seconds"                  // age of the oldest room report of a ready server, as of the last completed request
 )
 
@@ -51,10 +56,11 @@
 	set         *metrics.Set
 	classCounts *classCounters
 	held        map[string]bool // names of the gauges of held requests that aren't 0
+	heldBytes   map[string]bool // organisations whose gauges of held bytes aren't 0
 }
 
 func newMeter() *meter {
-	return &meter{set: metrics.NewSet(), classCounts: newClassCounters(), held: map[string]bool{}}
+	return &meter{set: metrics.NewSet(), classCounts: newClassCounters(), held: map[string]bool{}, heldBytes: map[string]bool{}}
 }
 
 // registerGauges registers the gauges.
@@ -63,6 +69,15 @@
 	m.set.NewGauge(metricRingLength+`{ring="scheduler"}`, func() float64 { return float64(e.inputs.Len()) })
 	m.set.NewGauge(metricActive, func() float64 { return float64(e.active.Load()) })
 	m.set.NewGauge(metricBodyBytes, func() float64 { return float64(e.bodyBytes.Load()) })
+	if e.memory != nil {
+		for _, kind := range holding.Kinds() {
+			m.set.NewGauge(fmt.Sprintf(`%s{kind=%q}`, metricMemoryHeld, kind), func() float64 { return float64(e.memory.heldOf(kind)) })
+		}
+		for _, cause := range []endCause{endedForReading, endedForMemory} {
+			m.add(fmt.Sprintf(`%s{cause=%q}`, metricCallsEnded, cause), 0)
+		}
+		m.add(metricCreditsRepeated, 0)
+	}
 	m.set.GetOrCreateGauge(`carawaypitch_config_version`, func() float64 { return float64(e.catalogue.Load().version) })
 }
 
@@ -125,6 +140,28 @@
 	}
 }
 
+// setHeldByOrganisation sets the gauges of what is held by organisation. It may be called by one goroutine only.
+func (m *meter) setHeldByOrganisation(held map[string]int64) {
+	earlier := m.heldBytes
+	m.heldBytes = map[string]bool{}
+	for organisation, n := range held {
+		if n == 0 {
+			continue
+		}
+		m.set.GetOrCreateGauge(fmt.Sprintf(`%s{organisation=%q}`, metricMemoryByOrg, organisation), nil).Set(float64(n))
+		m.heldBytes[organisation] = true
+		delete(earlier, organisation)
+	}
+	for organisation := range earlier {
+		m.set.GetOrCreateGauge(fmt.Sprintf(`%s{organisation=%q}`, metricMemoryByOrg, organisation), nil).Set(0)
+	}
+}
+
+// countCallEnded counts a call that this process ended.
+func (m *meter) countCallEnded(cause endCause) {
+	m.add(fmt.Sprintf(`%s{cause=%q}`, metricCallsEnded, cause), 1)
+}
+
 // countRefusal counts a refusal by the entry itself. Refusals by the scheduler are included in its own counts.
 func (m *meter) countRefusal(code result.Code, tier uint32) {
 	m.count(sched.Count{Counter: sched.Refusals, Code: code, Tier: tier, Add: 1})
--- a/entry/outcome.go
+++ b/entry/outcome.go
@@ -39,6 +39,7 @@
 	stream         bytes.Buffer
 	size           int
 	dropped        bool
+	counted        int // bytes of them that are counted as held
 }
 
 // newCollector returns a collector that keeps all of a non-streamed answer, whose size the scheduler bounds, and up to
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -68,6 +68,7 @@
 	defer e.sampleRollouts(event)
 	for len(next) > 0 {
 		event, next = next[0], next[1:]
+		e.noteReceived(event)
 		actions := e.scheduler.Step(e.now(), event)
 		e.count(actions)
 		for _, action := range actions {
@@ -75,6 +76,7 @@
 				next = append(next, resulting)
 			}
 		}
+		e.noteBuffered(event)
 	}
 }
 
@@ -92,6 +94,7 @@
 	switch a := action.(type) {
 	case sched.Send:
 		e.links.send(a)
+		e.noteSent(a)
 	case sched.Deliver:
 		e.calls.deliver(a.Request, a.Events)
 	case sched.Answer:
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -22,6 +22,10 @@
 	if err != nil {
 		return e.refuse(c, nil, err)
 	}
+	heldCallOf(c.Request().Context()).assign(requestID(c), organisation)
+	if err := e.memory.admitsNew(organisation); err != nil {
+		return e.refuse(c, nil, refusalWithoutRecord(c, err))
+	}
 	r, err := e.admit(c, organisation, kind)
 	if err != nil {
 		return e.refuse(c, nil, refusalWithoutRecord(c, err))
@@ -39,7 +43,7 @@
 
 // serveOnce serves a call without a key.
 func (e *Entry) serveOnce(c echo.Context, r *sched.Request) error {
-	call, err := e.submit(r)
+	call, err := e.submit(r, heldCallOf(c.Request().Context()))
 	if err != nil {
 		return e.refuse(c, r, err)
 	}
@@ -118,16 +122,20 @@
 		if w != nil && call.request.Stream && w.writeEvents(d.events) != nil {
 			return nil, errCallerLeft
 		}
+		e.consumed(call, d.events, collected)
 		if !d.ended {
 			continue
 		}
 		if d.err != nil {
-			if call.overflowed() {
+			if call.cutError() != nil && call.request.Key != "" {
+				return nil, errCallerLeft
+			}
+			if call.endedHere() {
 				_ = e.postEvent(e.runContext, sched.CallerLeft{Request: call.request.ID})
 			}
 			return &outcome{err: d.err, attempts: d.attempts, trace: d.trace}, nil
 		}
-		return collected.outcome(d.end), nil
+		return e.assembled(call, collected.outcome(d.end), collected), nil
 	}
 }
 
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carawaypitch/carawaypitch/holding"
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/quota"
@@ -77,12 +78,12 @@
 	}
 	admission := &Admission{Limits: table.limits, route: found}
 	if !table.requiresKey {
-		return admission, nil
+		return e.admitHeld(ctx, admission, call)
 	}
 	admission.member = table.members[call.Key]
 	switch {
 	case admission.member != nil || found.GetPublic():
-		return admission, nil
+		return e.admitHeld(ctx, admission, call)
 	case call.Key == "":
 		return nil, e.refuseCall(call, admission, result.New(result.MissingKey, ""))
 	default:
@@ -90,6 +91,22 @@
 	}
 }
 
+// admitHeld reserves room for the body of an admitted call. It refuses the call if there is none, or if its organisation
+// holds more than its share already.
+func (e *Entry) admitHeld(ctx context.Context, admission *Admission, call *Call) (*Admission, *result.Error) {
+	organisation := admission.member.GetName()
+	held := heldCallOf(ctx)
+	held.assign(call.ID, organisation)
+	err := e.memory.admitsNew(organisation)
+	if err == nil {
+		err = held.admitBody(int64(admission.Limits.GetBodyBytes()))
+	}
+	if err != nil {
+		return nil, e.refuseCall(call, admission, err)
+	}
+	return admission, nil
+}
+
 // startWaitDivisor bounds the wait for the process to start to 1/startWaitDivisor of the caller's timeout. The rest is
 // left for a retry at another entry.
 const startWaitDivisor = 4
@@ -137,19 +154,39 @@
 		return e.refuseCall(call, admission, err)
 	}
 	defer e.releaseBody(r)
-	accepted, err := e.submit(r)
+	held, err := e.heldBody(ctx, r)
+	if err != nil {
+		return e.refuseCall(call, admission, err)
+	}
+	if held != heldCallOf(ctx) {
+		defer held.close()
+	}
+	accepted, err := e.submit(r, held)
 	if err != nil {
 		return e.refuseCall(call, admission, err)
 	}
 	out := e.relay(ctx, accepted, w)
 	if out == nil {
 		e.callerLeft(r)
-		return nil
+		return accepted.cutError()
 	}
 	e.logEnd(r, out)
 	return out.err
 }
 
+// heldBody returns the account of a call with its body, an own one if the call didn't come over a connection of this entry.
+func (e *Entry) heldBody(ctx context.Context, r *sched.Request) (*heldCall, *result.Error) {
+	if held := heldCallOf(ctx); held != nil || e.memory == nil {
+		return held, nil
+	}
+	held := e.memory.open(r.ID, r.Organisation, nil)
+	if !held.admit(holding.Body, int64(len(r.Body))) {
+		held.close()
+		return nil, e.memory.refusal("a body of %d bytes doesn't fit", len(r.Body))
+	}
+	return held, nil
+}
+
 // refuseCall counts and logs a refusal by the entry itself.
 func (e *Entry) refuseCall(call *Call, admission *Admission, err *result.Error) *result.Error {
 	var tier uint32
@@ -346,7 +383,7 @@
 		if err != nil {
 			return nil
 		}
-		for _, part := range d.events {
+		for i, part := range d.events {
 			out.size += len(part)
 			if headWritten {
 				err = w.WriteBody(part)
@@ -356,9 +393,11 @@
 			if err != nil {
 				return nil
 			}
+			d.events[i] = nil // a part that was written needs no memory while the next one is
+			e.wrote(accepted, len(part))
 		}
 		if d.ended {
-			if accepted.overflowed() {
+			if accepted.endedHere() {
 				_ = e.postEvent(e.runContext, sched.CallerLeft{Request: accepted.request.ID})
 			}
 			out.err, out.attempts, out.trace = d.err, d.attempts, d.trace
--- a/holding/holding.go
+++ b/holding/holding.go
@@ -17,14 +17,15 @@
 	Waiting
 	// Assembled is an answer that is collected until it is whole.
 	Assembled
-	// Writing is what a blocked write may still refer to. It stays counted after the end of a call, until Close.
-	Writing
+	// Pinned is what ending the call doesn't free at once: what a blocked write refers to, and what an operation needs
+	// that goes on without its caller. It stays counted until Close.
+	Pinned
 
 	kinds
 )
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return []Kind{Body, Waiting, Assembled, Writing} }
+func Kinds() []Kind { return []Kind{Body, Waiting, Assembled, Pinned} }
 
 // String returns the name used in metrics and logs.
 func (k Kind) String() string {
@@ -36,7 +37,7 @@
 	case Assembled:
 		return "assembled"
 	default:
-		return "writing"
+		return "pinned"
 	}
 }
 
@@ -55,6 +56,7 @@
 	organisation string
 	bytes        [kinds]int64
 	ended        bool
+	heldAtEnd    int64
 	closed       bool
 }
 
@@ -79,12 +81,15 @@
 // Ended reports whether the call was ended to make room.
 func (a *Account) Ended() bool { return a.ended }
 
+// HeldAtEnd returns what an ended call held before it was ended.
+func (a *Account) HeldAtEnd() int64 { return a.heldAtEnd }
+
 // freeable returns what ending the call frees at once.
 func (a *Account) freeable() int64 {
 	if a.ended {
 		return 0
 	}
-	return a.Bytes() - a.bytes[Writing]
+	return a.Bytes() - a.bytes[Pinned]
 }
 
 // Ledger holds the accounts of all calls. It is not safe for concurrent use.
@@ -238,7 +243,7 @@
 	l.change(a, to, n)
 }
 
-// End ends a call for another reason than a lack of room. What Close would free later, except for Writing, is free at
+// End ends a call for another reason than a lack of room. What Close would free later, except for Pinned, is free at
 // once.
 func (l *Ledger) End(a *Account) {
 	if !a.closed && !a.ended {
@@ -248,8 +253,9 @@
 
 func (l *Ledger) end(a *Account) {
 	a.ended = true
+	a.heldAtEnd = a.Bytes()
 	for kind := range kinds {
-		if kind != Writing {
+		if kind != Pinned {
 			l.change(a, kind, -a.bytes[kind])
 		}
 	}
--- a/holding/holding_test.go
+++ b/holding/holding_test.go
@@ -30,14 +30,15 @@
 
 // A write that blocks keeps its bytes after the end of its call. If they counted as free, the process would hold more
 // than it counts.
-func TestBytesBeingWrittenStayCountedUntilClose(t *testing.T) {
+func TestPinnedBytesStayCountedUntilClose(t *testing.T) {
 	l := New(Limits{Bytes: 100, OrganisationShare: 0.25})
 	a, b := l.Open("1", "a"), l.Open("2", "b")
 	_, _ = l.Hold(a, Waiting, 90)
-	l.Move(a, Waiting, Writing, 10)
+	l.Move(a, Waiting, Pinned, 10)
 	ended, ok := l.Hold(b, Waiting, 90)
 	require.True(t, ok)
 	require.Equal(t, []*Account{a}, ended)
+	require.EqualValues(t, 90, a.HeldAtEnd())
 	require.EqualValues(t, 100, l.Total())
 	ended, ok = l.Hold(b, Waiting, 1)
 	require.False(t, ok, "nothing but the own call is left to end")
--- a/sched/frames.go
+++ b/sched/frames.go
@@ -141,9 +141,10 @@
 	}
 	if r.firstEventAt.IsZero() {
 		r.firstEventAt = now
-	} else {
+	} else if !r.readerWaited {
 		r.longestPause = max(r.longestPause, now.Sub(r.lastEventAt))
 	}
+	r.readerWaited = false
 	r.lastEventAt = now
 }
 
--- a/sched/request.go
+++ b/sched/request.go
@@ -75,6 +75,7 @@
 	firstEventAt    time.Time
 	lastEventAt     time.Time
 	longestPause    time.Duration // between two events of the answer
+	readerWaited    bool          // the server may have waited for the caller since the last event
 	buffer          [][]byte
 	bufferSize      int
 	resume          *resumePoint
