entry: load and failure tests of callers that read nothing

The first credit goes before the body: sent after it, a fast server had sent 434 KB of a 64 KiB window.

--- a/entry/credits.go
+++ b/entry/credits.go
@@ -29,7 +29,8 @@
 	}
 }
 
-// noteSent begins the credits of an attempt that is dispatched. The first one tells the agent the window.
+// noteSent begins the credits of an attempt that is about to be dispatched. The first one tells the agent the window. It
+// goes before the body, so that the agent knows the window when the answer begins.
 func (e *Entry) noteSent(a sched.Send) {
 	d := a.Message.GetDispatch()
 	if e.memory == nil || d == nil {
@@ -47,8 +48,7 @@
 
 // noteReceived handles what an event means for the bytes held. It is called before the scheduler's step.
 //
-// The first credit may reach the agent before the body does, on another stream of the link, or be lost; so it is repeated
-// when the attempt begins, and when the link has opened again.
+// The first credit may be lost; so it is repeated when the attempt begins, and when the link has opened again.
 func (e *Entry) noteReceived(event sched.Event) {
 	if e.memory == nil {
 		return
--- a/entry/fake_agent_test.go
+++ b/entry/fake_agent_test.go
@@ -34,11 +34,13 @@
 	mu         sync.Mutex
 	dispatches []*receivedDispatch
 	cancels    []*wire.Cancel
+	credits    []*wire.Credit
 
 	// onDispatch and onCancel handle messages. If nil, a service echoes the body, and a Cancel is answered with a
 	// proof: cancelled if the attempt was dispatched here, otherwise never started.
 	onDispatch func(*receivedDispatch)
 	onCancel   func(link.EntryID, *wire.Cancel)
+	onCredit   func(*wire.Credit)
 }
 
 // receivedDispatch is an attempt dispatched to the agent.
@@ -149,10 +151,29 @@
 		a.dispatch(&receivedDispatch{agent: a, entry: id, message: kind.Dispatch})
 	case *wire.EntryMessage_Cancel:
 		a.cancel(id, kind.Cancel)
+	case *wire.EntryMessage_Credit:
+		a.credit(kind.Credit)
 	}
 	return nil
 }
 
+func (a *fakeAgent) credit(c *wire.Credit) {
+	a.mu.Lock()
+	a.credits = append(a.credits, c)
+	handle := a.onCredit
+	a.mu.Unlock()
+	if handle != nil {
+		handle(c)
+	}
+}
+
+// creditList returns the credits in order of arrival.
+func (a *fakeAgent) creditList() []*wire.Credit {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.credits)
+}
+
 func (a *fakeAgent) dispatch(d *receivedDispatch) {
 	a.mu.Lock()
 	a.dispatches = append(a.dispatches, d)
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -186,11 +186,12 @@
 	entries []*Entry
 	stops   []func() error
 	client  *http.Client
+	logs    log.Handler // of entries that are added later
 }
 
 func newHarness(t *testing.T, entries int) *harness {
 	t.Helper()
-	r := &harness{t: t, net: memory.New(), control: newFakeControl()}
+	r := &harness{t: t, net: memory.New(), control: newFakeControl(), logs: discard.Default}
 	r.setCallerHost(callerHost)
 	for range entries {
 		r.addEntry(nil)
@@ -224,7 +225,7 @@
 	}
 	e, err := New(s, Options{
 		Network: h.net.Host(entryHost(n)),
-		Log:     &log.Logger{Handler: discard.Default, Level: log.DebugLevel},
+		Log:     &log.Logger{Handler: h.logs, Level: log.DebugLevel},
 		Seed:    uint64(n),
 		Control: h.control,
 	})
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -441,6 +441,7 @@
 	for _, event := range events {
 		size += len(event)
 	}
+	e.wrote(c, size)
 	if kept := collected.keptBytes(); kept > collected.counted {
 		held.hold(held.kind(holding.Assembled), kept-collected.counted)
 		collected.counted = kept
@@ -448,7 +449,6 @@
 		held.release(held.kind(holding.Assembled), collected.counted-kept)
 		collected.counted = kept
 	}
-	e.wrote(c, size)
 }
 
 // keptBytes returns how many bytes the collector holds.
--- /dev/null
+++ b/entry/memory_test.go
@@ -0,0 +1,529 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	memorylog "github.com/apex/log/handlers/memory"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/session"
+	"github.com/carawaypitch/carawaypitch/settings"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// windowedServer answers the dispatches of a fakeAgent with long streams, and sends no more than its credits allow.
+type windowedServer struct {
+	events   []string
+	delay    time.Duration // before the first event
+	interval time.Duration // between two events
+	loses    func(n int) bool
+	over     <-chan struct{} // closed at the end of the test
+
+	mu      sync.Mutex
+	credits int // received
+	limits  map[string]*sendLimit
+	stopped map[string]bool
+}
+
+type sendLimit struct {
+	bytes, window uint64
+	changed       chan struct{}
+}
+
+func newWindowedServer(a *fakeAgent, events int, size int) *windowedServer {
+	s := &windowedServer{limits: map[string]*sendLimit{}, stopped: map[string]bool{}, loses: func(int) bool { return false }}
+	s.over = a.harness.t.Context().Done()
+	for i := range events {
+		s.events = append(s.events, chatEvent(strings.Repeat(strconv.Itoa(i%10), size)))
+	}
+	s.events = append(s.events, chatEnd)
+	a.setHandlers(func(d *receivedDispatch) { go s.answer(d) }, func(id link.EntryID, c *wire.Cancel) {
+		s.stop(c.GetAttempt())
+		over := &wire.Over{Attempt: c.GetAttempt(), Server: a.server, Proof: wire.Proof_PROOF_CANCELLED, Began: true}
+		a.send(id, &wire.AgentMessage{Kind: &wire.AgentMessage_Over{Over: over}})
+	})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.onCredit = s.credit
+	return s
+}
+
+func attemptName(id *wire.AttemptID) string {
+	return id.GetRequest() + "." + strconv.FormatUint(id.GetNumber(), 10)
+}
+
+// limit returns the limit of an attempt. The lock must be held.
+func (s *windowedServer) limit(id *wire.AttemptID) *sendLimit {
+	name := attemptName(id)
+	if s.limits[name] == nil {
+		s.limits[name] = &sendLimit{changed: make(chan struct{}, 1)}
+	}
+	return s.limits[name]
+}
+
+func (s *windowedServer) credit(c *wire.Credit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.credits++
+	if s.loses(s.credits) {
+		return
+	}
+	l := s.limit(c.GetAttempt())
+	l.bytes, l.window = max(l.bytes, c.GetBytes()), c.GetWindow()
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (s *windowedServer) stop(id *wire.AttemptID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped[attemptName(id)] = true
+	select {
+	case s.limit(id).changed <- struct{}{}:
+	default:
+	}
+}
+
+// answer streams the events, each once the credits have room for it.
+func (s *windowedServer) answer(d *receivedDispatch) {
+	time.Sleep(s.delay)
+	sent := uint64(0)
+	for i, event := range s.events {
+		if !s.await(d.message.GetAttempt(), sent, uint64(len(event))) {
+			return
+		}
+		d.sendFrame(uint64(i), event)
+		sent += uint64(len(event))
+		time.Sleep(s.interval)
+	}
+	d.sendEnd("text/event-stream", s.events...)
+}
+
+// await waits until an event may be sent. It returns false if the attempt was cancelled.
+func (s *windowedServer) await(id *wire.AttemptID, sent, size uint64) bool {
+	for {
+		s.mu.Lock()
+		l, stopped := s.limit(id), s.stopped[attemptName(id)]
+		allowed := l.window == 0 || sent <= l.bytes || sent+size <= l.bytes+l.window
+		s.mu.Unlock()
+		if stopped {
+			return false
+		}
+		if allowed {
+			return true
+		}
+		select {
+		case <-l.changed:
+		case <-s.over:
+			return false
+		}
+	}
+}
+
+// text returns what a caller of a whole answer receives.
+func (s *windowedServer) text() string {
+	var text strings.Builder
+	for _, event := range s.events {
+		text.WriteString(eventPrefix + event + eventEnd)
+	}
+	return text.String() + streamEnd
+}
+
+const testHeldBytes = 6 * settings.MiB
+
+// newMemoryHarness returns a harness with an entry that counts what it holds, and its log.
+func newMemoryHarness(t *testing.T, change func(*settings.Entry)) (*harness, *memorylog.Handler) {
+	t.Helper()
+	h := newHarness(t, 0)
+	logs := memorylog.New()
+	h.logs = logs
+	h.addEntry(func(s *settings.Entry) {
+		s.Memory.HeldBytes = testHeldBytes
+		if change != nil {
+			change(s)
+		}
+	})
+	return h, logs
+}
+
+// logged returns the lines with a message.
+func logged(logs *memorylog.Handler, message string) []*log.Entry {
+	var found []*log.Entry
+	for _, entry := range logs.Entries {
+		if entry.Message == message {
+			found = append(found, entry)
+		}
+	}
+	return found
+}
+
+// openStream begins a stream of an organisation and reads nothing of it.
+func (h *harness) openStream(ctx context.Context, key string) *http.Response {
+	request := h.request(ctx, 1, http.MethodPost, chatPath, streamBody, "Authorization: Bearer "+key, "Carawaypitch-Class: summary")
+	response, err := h.client.Do(request)
+	require.NoError(h.t, err)
+	return response
+}
+
+func (h *harness) held() int64 {
+	m := h.entries[0].memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ledger.Total()
+}
+
+func (h *harness) heldBy(organisation string) int64 {
+	m := h.entries[0].memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ledger.Organisation(organisation)
+}
+
+// Load test: 200 callers read nothing of long answers beside 50 that read. Without the bound each of the 200 holds what
+// limits.max_answer allows, and the process ends.
+func TestCallersThatReadNothingDontHarmThoseThatRead(t *testing.T) {
+	const readers, others = 50, 200
+	alone := readersLoad(t, readers, 0)
+	beside := readersLoad(t, readers, others)
+	require.Equal(t, alone.took, beside.took, "each answer arrives as without the others")
+	require.LessOrEqual(t, beside.peak, int64(testHeldBytes))
+	require.Greater(t, beside.peak, int64(testHeldBytes)*9/10, "the load reaches the bound")
+	require.Len(t, beside.ended, others)
+	for _, entry := range beside.ended {
+		require.Equal(t, "yatai", entry.Fields["organisation"])
+	}
+	require.LessOrEqual(t, beside.last, 3*time.Second, "reader_timeout + 1 s after the first window was full")
+	t.Logf("peak %d bytes of %d; ended by cause %v; last after %s; readers took up to %s, alone %s",
+		beside.peak, int64(testHeldBytes), beside.causes, beside.last, beside.took[readers-1], alone.took[readers-1])
+}
+
+// readersResult is what a run of readersLoad showed.
+type readersResult struct {
+	took   []time.Duration // of each reader's whole answer
+	peak   int64           // bytes held
+	ended  []*log.Entry
+	causes map[any]int
+	last   time.Duration // between the first full window and the last end
+}
+
+func readersLoad(t *testing.T, readers, others int) readersResult {
+	t.Helper()
+	r := readersResult{took: make([]time.Duration, readers), causes: map[any]int{}}
+	synctest.Test(t, func(t *testing.T) {
+		h, logs := newMemoryHarness(t, nil)
+		server := newWindowedServer(h.addModel(1), 300, 2000)
+		server.delay, server.interval = time.Second, 10*time.Millisecond
+		began := time.Now()
+		ctx, leave := context.WithCancel(t.Context())
+		var reading, waiting sync.WaitGroup
+		for range others {
+			waiting.Go(func() {
+				response := h.openStream(ctx, yataiKey)
+				<-ctx.Done()
+				_ = response.Body.Close()
+			})
+		}
+		for i := range readers {
+			reading.Go(func() {
+				response := h.openStream(t.Context(), compostKey)
+				body, err := io.ReadAll(response.Body)
+				_ = response.Body.Close()
+				require.NoError(t, err)
+				require.True(t, server.text() == string(body), "the answer is whole")
+				r.took[i] = time.Since(began)
+			})
+		}
+		fullSince, done := time.Time{}, false
+		for !done {
+			time.Sleep(time.Millisecond)
+			r.peak = max(r.peak, h.held())
+			if fullSince.IsZero() && anyFull(h.entries[0]) {
+				fullSince = time.Now()
+			}
+			done = time.Since(began) > 8*time.Second
+		}
+		reading.Wait()
+		leave()
+		waiting.Wait()
+		r.ended = logged(logs, "call_ended_early")
+		for _, entry := range r.ended {
+			r.causes[entry.Fields["cause"]]++
+			r.last = max(r.last, entry.Timestamp.Sub(fullSince))
+		}
+		synctest.Wait()
+		require.Zero(t, h.held(), "all is freed")
+	})
+	return r
+}
+
+func anyFull(e *Entry) bool {
+	for _, h := range e.memory.submitted() {
+		h.call.mu.Lock()
+		full := h.call.flow.isFull()
+		h.call.mu.Unlock()
+		if full {
+			return true
+		}
+	}
+	return false
+}
+
+// A caller on a slow line must not lose its answer to a rule against callers that read nothing: it takes several times
+// reader_timeout for each window.
+func TestSlowButSteadyReaderIsServedToTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, logs := newMemoryHarness(t, nil)
+		patient := proto.CloneOf(testClasses["summary"])
+		patient.Name, patient.DeadlineMs = "patient", 60_000
+		h.control.publish(func(v *session.View) {
+			v.ConfigVersion = 2
+			v.Classes = map[string]*wire.Class{"patient": patient}
+		})
+		server := newWindowedServer(h.addModel(1), 110, 4000)
+		request := h.request(t.Context(), 1, http.MethodPost, chatPath, streamBody, "Carawaypitch-Class: patient")
+		response, err := h.client.Do(request)
+		require.NoError(t, err)
+		defer response.Body.Close()
+		began := time.Now()
+		var body strings.Builder
+		piece := make([]byte, 4000)
+		for {
+			n, err := response.Body.Read(piece)
+			body.Write(piece[:n])
+			if err == io.EOF {
+				break
+			}
+			require.NoError(t, err)
+			time.Sleep(300 * time.Millisecond)
+		}
+		require.Greater(t, time.Since(began), 15*time.Second)
+		require.True(t, server.text() == body.String(), "the answer is whole")
+		require.Empty(t, logged(logs, "call_ended_early"))
+	})
+}
+
+// The server has to be told at once that nobody reads: it cuts a response off that is unread for some seconds, and works
+// for nothing until then.
+func TestCallThatReadsNothingIsCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, logs := newMemoryHarness(t, nil)
+		agent := h.addModel(1)
+		newWindowedServer(agent, 200, 4000)
+		response := h.openStream(t.Context(), compostKey)
+		defer response.Body.Close()
+		synctest.Wait()
+		require.LessOrEqual(t, h.held(), int64(64*settings.KiB)+4200, "one window and the body")
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		require.Equal(t, 1, agent.cancelCount())
+		require.Zero(t, h.held())
+		lines := logged(logs, "call_ended_early")
+		require.Len(t, lines, 1)
+		require.Equal(t, "compost", lines[0].Fields["organisation"])
+		require.Equal(t, agent.dispatchList()[0].message.GetAttempt().GetRequest(), lines[0].Fields["request"])
+		require.Equal(t, "reads_nothing", lines[0].Fields["cause"])
+		require.Greater(t, lines[0].Fields["held"], int64(50_000))
+		_, err := io.ReadAll(response.Body)
+		require.Error(t, err, "what comes after a pause isn't taken for a whole answer")
+	})
+}
+
+// Without a repeat, a credit lost after everything was read would be the last one, and the answer would never go on.
+func TestLostCreditIsRepairedByTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newMemoryHarness(t, nil)
+		agent := h.addModel(1)
+		server := newWindowedServer(agent, 100, 4000)
+		server.loses = func(n int) bool { return n > 1 && n%3 != 0 || n > 8 && n < 16 }
+		response := h.openStream(t.Context(), compostKey)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.True(t, server.text() == string(body), "the answer is whole")
+	})
+}
+
+// After a link broke, the agent may not have received the last credits. It must learn them once the link is back, or the
+// attempt waits although its caller has read everything.
+func TestCreditStartsAnewAfterALostLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newMemoryHarness(t, nil)
+		agent := h.addModel(1)
+		newWindowedServer(agent, 100, 4000).interval = 20 * time.Millisecond
+		response := h.openStream(t.Context(), compostKey)
+		defer response.Body.Close()
+		reader := bufio.NewReader(response.Body)
+		_, err := io.ReadFull(reader, make([]byte, 40_000))
+		require.NoError(t, err)
+		synctest.Wait()
+		before := len(agent.creditList())
+		h.net.Reset(agent.host)
+		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
+		after := agent.creditList()[before:]
+		require.NotEmpty(t, after)
+		require.Greater(t, after[0].GetBytes(), uint64(30_000))
+		require.EqualValues(t, 64*settings.KiB, after[0].GetWindow())
+	})
+}
+
+// Bytes that stay counted after their caller has left would end the calls of others.
+func TestCallerThatLeavesFreesItsBytesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, logs := newMemoryHarness(t, nil)
+		newWindowedServer(h.addModel(1), 200, 4000)
+		ctx, leave := context.WithCancel(t.Context())
+		response := h.openStream(ctx, compostKey)
+		defer response.Body.Close()
+		time.Sleep(time.Second)
+		require.Greater(t, h.held(), int64(50_000))
+		leave()
+		synctest.Wait()
+		require.Zero(t, h.held())
+		require.Empty(t, logged(logs, "call_ended_early"))
+	})
+}
+
+// A process that ends must not wait for callers that read nothing, and has nothing to free elsewhere.
+func TestEntryStopsWhileItHoldsBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newMemoryHarness(t, func(s *settings.Entry) { s.Timing.Drain = time.Second })
+		newWindowedServer(h.addModel(1), 200, 4000)
+		response := h.openStream(t.Context(), compostKey)
+		defer response.Body.Close()
+		synctest.Wait()
+		require.Greater(t, h.held(), int64(50_000))
+		require.NoError(t, h.stops[0]())
+		synctest.Wait()
+		require.Zero(t, h.held())
+	})
+}
+
+// An organisation whose callers hold more than its share would take the rest too if it got new work. A refusal has to be
+// true: nothing of it may be dispatched.
+func TestNewWorkOfOrganisationOverItsShareIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newMemoryHarness(t, func(s *settings.Entry) { s.Memory.HeldBytes = 512 * settings.KiB })
+		agent := h.addModel(1)
+		newWindowedServer(agent, 200, 4000)
+		var open []*http.Response
+		for _, key := range []string{yataiKey, yataiKey, yataiKey, compostKey} {
+			open = append(open, h.openStream(t.Context(), key))
+			synctest.Wait()
+		}
+		require.Greater(t, h.heldBy("yatai"), int64(128*settings.KiB))
+		dispatched := agent.dispatchCount("")
+		refused := h.call(1, http.MethodPost, chatPath, streamBody, "Authorization: Bearer "+yataiKey, "Carawaypitch-Class: summary")
+		require.Equal(t, http.StatusServiceUnavailable, refused.status)
+		require.Equal(t, result.OverMemoryShare, refused.code(t).Code)
+		require.Equal(t, result.RanNo, refused.code(t).Ran)
+		require.Equal(t, "2", refused.header.Get("Retry-After"))
+		require.Equal(t, dispatched, agent.dispatchCount(""))
+		open = append(open, h.openStream(t.Context(), compostKey))
+		time.Sleep(3 * time.Second)
+		served := h.openStream(t.Context(), yataiKey)
+		require.Equal(t, http.StatusOK, served.StatusCode, "the share is free once the calls that read nothing have ended")
+		for _, response := range append(open, served) {
+			_ = response.Body.Close()
+		}
+	})
+}
+
+// An operation with a key goes on without its caller: its record needs the whole answer, also if the caller that began it
+// reads nothing.
+func TestKeyedOperationOutlivesACallerThatReadsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, logs := newMemoryHarness(t, nil)
+		agent := h.addModel(1)
+		newWindowedServer(agent, 130, 4000)
+		request := h.request(t.Context(), 1, http.MethodPost, chatPath, streamBody, keyHeader("k"), "Carawaypitch-Class: summary")
+		response, err := h.client.Do(request)
+		require.NoError(t, err)
+		defer response.Body.Close()
+		time.Sleep(4 * time.Second)
+		synctest.Wait()
+		require.Len(t, logged(logs, "call_ended_early"), 1)
+		require.Equal(t, []string{"begin", "release"}, h.control.commands(), "a repeatable operation is cancelled and its key released")
+		require.Zero(t, h.held())
+	})
+}
+
+// An answer in one piece is counted while it is collected, and its caller has to read it too.
+func TestAssembledAnswerIsCountedAndItsCallerMustRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, logs := newMemoryHarness(t, nil)
+		server := newWindowedServer(h.addModel(1), 200, 4000)
+		server.interval = time.Millisecond
+		request := h.request(t.Context(), 1, http.MethodPost, chatPath, chatBody, "Carawaypitch-Class: summary")
+		done := make(chan *http.Response, 1)
+		go func() {
+			response, err := h.client.Do(request)
+			require.NoError(t, err)
+			done <- response
+		}()
+		time.Sleep(100 * time.Millisecond)
+		require.Greater(t, h.held(), int64(300_000), "half of the answer is collected")
+		response := <-done
+		synctest.Wait()
+		require.Greater(t, h.held(), int64(800_000))
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		lines := logged(logs, "call_ended_early")
+		require.Len(t, lines, 1)
+		require.Zero(t, h.held())
+		_ = response.Body.Close()
+
+		whole := h.call(1, http.MethodPost, chatPath, chatBody, "Carawaypitch-Class: summary")
+		require.Equal(t, http.StatusOK, whole.status)
+		require.NoError(t, whole.err)
+		synctest.Wait()
+		require.Zero(t, h.held())
+	})
+}
+
+// The body of a request counts from its announcement until its end, under its organisation.
+func TestBodiesAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newMemoryHarness(t, func(s *settings.Entry) { s.Memory.HeldBytes = 160 * settings.KiB })
+		service := h.addService(1)
+		service.holdDispatches()
+		body := `"` + strings.Repeat("x", 60_000) + `"`
+		first := h.callAsync(1, checkPath, body, gateCheckHeader)
+		synctest.Wait()
+		require.EqualValues(t, len(body), h.heldBy("compost"))
+		second := h.call(1, http.MethodPost, checkPath, `"`+strings.Repeat("x", 120_000)+`"`, gateCheckHeader)
+		require.Equal(t, result.OverMemoryShare, second.code(t).Code)
+		require.Equal(t, result.RanNo, second.code(t).Ran)
+		service.dispatchList()[0].sendDefaultAnswer()
+		answered := <-first
+		require.Equal(t, http.StatusOK, answered.status, answered.body[:min(len(answered.body), 200)])
+		synctest.Wait()
+		require.Zero(t, h.held())
+	})
+}
+
+// With the setting off, no message may differ from that of an earlier version.
+func TestNoCreditsWithoutTheSetting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, 1)
+		agent := h.addModel(1)
+		require.Contains(t, h.call(1, http.MethodPost, chatPath, streamBody).body, "[DONE]")
+		require.Empty(t, agent.creditList())
+		require.Nil(t, h.entries[0].memory)
+	})
+}
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -93,8 +93,8 @@
 func (e *Entry) execute(action sched.Action) sched.Event {
 	switch a := action.(type) {
 	case sched.Send:
-		e.links.send(a)
 		e.noteSent(a)
+		e.links.send(a)
 	case sched.Deliver:
 		e.calls.deliver(a.Request, a.Events)
 	case sched.Answer:
