agent, engine, network, gate: windows of readers, bounded bytes, uncertain output

An agent read an answer as fast as the server sent it, whatever its caller read. Credits of the entry now bound what is read beyond what was written to the caller; the window is lifted once the run is cancelled or suspended, since the end of its stream must be read. memory.held_bytes of an agent bounds bodies and waiting answers, and with it a server that reads nothing of a body for memory.reader_timeout ends the attempt; it has never started only if no byte of it was sent. memory.upper_output counts the uncertainty of expected lengths against the server's memory. A run that waited for its caller is no sample of the server's pace.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -71,6 +71,8 @@
 	linkTLS      *tls.Config
 
 	meter   *meter
+	credits *credits
+	held    *held // nil if nothing is counted
 	ready   *readiness
 	session Control
 	links   *link.EntryServer
@@ -103,6 +105,8 @@
 		incarnation:    uint64(time.Now().UnixNano()),
 		started:        time.Now(),
 		meter:          newMeter(),
+		credits:        newCredits(),
+		held:           newHeld(int64(s.Memory.HeldBytes)),
 		recovered:      make(chan struct{}),
 		serversChanged: make(chan struct{}, 1),
 		viewChanged:    make(chan struct{}, 1),
@@ -189,6 +193,7 @@
 func (a *Agent) initComponents(newEngine func(*wire.ServerRecord) (engine.Client, error), serverLimit int) {
 	a.ready = &readiness{control: a.session.Ready}
 	a.links = a.newEntryServer()
+	a.meter.registerHeld(a.held)
 	a.reports = outbox.New(outbox.Options{
 		Log:       a.log,
 		Propose:   a.session.Propose,
@@ -209,6 +214,8 @@
 		propose:            a.session.Propose,
 		advice:             func(server string) *wire.ServerAdvice { return a.session.View().Advice[server] },
 		uniqueNamePerStart: a.follow.selectServers != nil,
+		credits:            a.credits,
+		held:               a.held,
 		senderCount:        func() int { return a.senders(a.session.View()) },
 	}, a.startServer, serverLimit)
 	a.orders = newOrders(orderDeps{
@@ -240,6 +247,7 @@
 		ProcessStarted:     a.started,
 		TrialAtStart:       true,
 		Suspension:         a.suspensionConfig(),
+		UpperOutput:        a.settings.Memory.UpperOutput,
 	})
 }
 
@@ -256,9 +264,18 @@
 	return engine.NewHTTP(record.GetAddress(), engine.HTTPOptions{
 		MaxAnswerBytes: int64(a.settings.Limits.MaxAnswer),
 		Network:        a.network,
+		WriteTimeout:   a.writeTimeout(),
 	})
 }
 
+// writeTimeout returns how long a server may read nothing of a body, 0 for no bound.
+func (a *Agent) writeTimeout() time.Duration {
+	if a.held == nil {
+		return 0
+	}
+	return a.settings.Memory.ReaderTimeout
+}
+
 func (a *Agent) sessionConfig(clientTLS *tls.Config, serverAddress string) session.Config {
 	config := session.Config{
 		Instance:    a.settings.Instance,
--- a/agent/engine_run.go
+++ b/agent/engine_run.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/holding"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -56,8 +57,10 @@
 	events        [][]byte
 	tokens        []uint32 // in each of events
 	bufferedBytes int
-	notified      bool // whether the event loop was notified of waiting events
-	closed        bool // whether further events are refused
+	window        runWindow
+	account       *holding.Account // nil if nothing is counted; set before the run begins
+	notified      bool             // whether the event loop was notified of waiting events
+	closed        bool             // whether further events are refused
 	received      position
 	contentType   string
 }
--- a/agent/entries.go
+++ b/agent/entries.go
@@ -75,6 +75,10 @@
 		a.servers.broadcast(ctx, gateEvent{gate.MessageReceived{Entry: entry, Message: message}})
 		return nil
 	}
+	if credit := message.GetCredit(); credit != nil {
+		a.credits.receive(credit)
+		return nil
+	}
 	name, attempt := serverAndAttempt(message)
 	if attempt == nil {
 		return nil
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/carawaypitch/carawaypitch/backpressure"
 	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/holding"
 	"github.com/carawaypitch/carawaypitch/result"
 )
 
@@ -38,6 +39,8 @@
 	metricAdvice        = "carawaypitch_server_advice_total"
 	metricThrottled     = "carawaypitch_throttled_total"
 	metricMalformed     = "carawaypitch_server_advice_malformed_total"
+	metricMemoryHeld    = "carawaypitch_memory_held_bytes" // held for servers and entries, by kind
+	metricWaitedRuns    = "carawaypitch_runs_waited_for_reader_total"
 	metricSuspensions   = "carawaypitch_suspensions_total"          // by outcome
 	metricSuspensionEnd = "carawaypitch_suspended_runs_ended_total" // by reason: resumed, or why not
 	metricSuspended     = "carawaypitch_suspended_runs"             // suspended now
@@ -61,6 +64,16 @@
 	return &meter{set: metrics.NewSet()}
 }
 
+// registerHeld registers the gauges of what is held.
+func (m *meter) registerHeld(h *held) {
+	if h == nil {
+		return
+	}
+	for _, kind := range holding.Kinds() {
+		m.set.NewGauge(fmt.Sprintf(`%s{kind=%q}`, metricMemoryHeld, kind), func() float64 { return float64(h.ofKind(kind)) })
+	}
+}
+
 func (m *meter) write(w io.Writer) {
 	m.set.WritePrometheus(w)
 }
--- a/agent/run_sink.go
+++ b/agent/run_sink.go
@@ -18,6 +18,9 @@
 	run *engineRun
 	// notify puts an input on the event loop's ring. It blocks while the ring is full, which slows the engine down.
 	notify func(*engineRun) error
+	// waits tells the event loop that the run has to wait for its caller. It is called once at most; nil means never.
+	waits func(*engineRun) error
+	held  *held
 }
 
 var _ engine.Sink = (*runSink)(nil)
@@ -49,19 +52,24 @@
 }
 
 func (s *runSink) put(event []byte, tokens int, record func(*position)) error {
-	notify, err := s.run.put(event, tokens, record)
+	if s.waits != nil && s.run.beginsToWait(len(event)) {
+		if err := s.waits(s.run); err != nil {
+			return err
+		}
+	}
+	notify, err := s.run.put(event, tokens, record, s.held)
 	if err != nil || !notify {
 		return err
 	}
 	return s.notify(s.run)
 }
 
-// put appends an event, and blocks while the buffer is full. It reports whether the event loop must be notified. record
+// put appends an event, and blocks while the buffer or the caller's window is full, or the agent holds too much. It reports whether the event loop must be notified. record
 // records an accepted event; nil if it is not part of a stream. The error is errRunClosed.
-func (r *engineRun) put(event []byte, tokens int, record func(*position)) (bool, error) {
+func (r *engineRun) put(event []byte, tokens int, record func(*position), held *held) (bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for r.bufferedBytes > 0 && r.bufferedBytes+len(event) > runBufferBytes && !r.closed {
+	for !r.closed && (r.isBufferFull(len(event)) || r.window.isFull(len(event)) || !held.holdEvent(r, len(event))) {
 		r.changed.Wait()
 	}
 	if r.closed {
@@ -72,23 +80,34 @@
 	}
 	r.events = append(r.events, event)
 	r.bufferedBytes += len(event)
+	r.window.position += uint64(len(event))
 	r.tokens = append(r.tokens, uint32(tokens))
 	notify := !r.notified
 	r.notified = true
 	return notify, nil
 }
 
+func (r *engineRun) isBufferFull(size int) bool {
+	return r.bufferedBytes > 0 && r.bufferedBytes+size > runBufferBytes
+}
+
 // take returns and clears the waiting events, and the number of tokens in each.
 func (r *engineRun) take() ([][]byte, []uint32) {
+	events, tokens, _ := r.takeCounted()
+	return events, tokens
+}
+
+// takeCounted is take, with the number of bytes.
+func (r *engineRun) takeCounted() ([][]byte, []uint32, int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	events, tokens := r.events, r.tokens
+	events, tokens, size := r.events, r.tokens, r.bufferedBytes
 	r.events = nil
 	r.tokens = nil
 	r.bufferedBytes = 0
 	r.notified = false
 	r.changed.Broadcast()
-	return events, tokens
+	return events, tokens, size
 }
 
 // close makes put return errRunClosed.
--- a/agent/server.go
+++ b/agent/server.go
@@ -49,6 +49,8 @@
 	uniqueNamePerStart bool
 	// senderCount returns the number of agents that send to the same servers, including this one.
 	senderCount func() int
+	credits     *credits // nil in tests
+	held        *held    // nil if nothing is counted
 	// linkedEntries returns the entries with an open link.
 	linkedEntries func() []gate.EntryID
 }
@@ -114,6 +116,7 @@
 	s.adviceState.observeEmpty.Store(true)
 	s.lifetime, s.endLifetime = context.WithCancel(context.Background())
 	s.log = deps.log.WithField("server", name)
+	s.unsent.held, s.unsent.account = deps.held, deps.held.openUnsent(name)
 	s.view.Store(&serverView{})
 	return s
 }
--- a/agent/server_actions.go
+++ b/agent/server_actions.go
@@ -10,6 +10,7 @@
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/gate"
 	"github.com/carawaypitch/carawaypitch/outbox"
+	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -96,6 +97,10 @@
 		return
 	}
 	r := newRun(d, s.client, s.record.GetCapabilities())
+	if !s.held.admitBody(r) {
+		s.enqueue(notDispatched(d.GetAttempt()), refusal{key: key, code: result.OverMemoryShare})
+		return
+	}
 	r.concurrentRuns = len(s.runs) - s.suspendedRuns
 	s.executeInBackground(r)
 }
@@ -105,6 +110,7 @@
 	callCtx, stop := context.WithCancel(s.base)
 	r.disconnect = stop
 	s.runs[r.key] = r
+	s.credits.add(r)
 	s.spawn(func(ctx context.Context) { s.executeRun(ctx, callCtx, r) })
 }
 
--- a/agent/server_runs.go
+++ b/agent/server_runs.go
@@ -23,6 +23,8 @@
 	sink := &runSink{
 		run:    r,
 		notify: func(r *engineRun) error { return s.push(ctx, runProgress{run: r}) },
+		waits:  func(r *engineRun) error { return s.push(ctx, runWaited{run: r}) },
+		held:   s.held,
 	}
 	outcome, err := r.call(callCtx, sink)
 	_ = s.push(ctx, runEnded{run: r, outcome: outcome, err: err})
@@ -36,7 +38,8 @@
 }
 
 func (s *server) forwardEvents(now time.Time, r *engineRun) {
-	events, tokens := r.take()
+	events, tokens, size := r.takeCounted()
+	s.held.releaseEvents(r, size)
 	if len(events) == 0 {
 		return
 	}
@@ -112,6 +115,8 @@
 func (s *server) removeRun(r *engineRun, reason string) {
 	if s.runs[r.key] == r {
 		delete(s.runs, r.key)
+		s.credits.remove(r)
+		s.held.closeRun(r)
 		s.endSuspended(time.Now(), r, reason)
 	}
 }
@@ -120,6 +125,9 @@
 // call as needed.
 func (s *server) cancelStream(now time.Time, a gate.CancelEngine) {
 	answer := cancelResult{action: a, run: s.runs[keyOf(a.Attempt)], sentAt: now, err: errNotDispatched}
+	if answer.run != nil {
+		answer.run.liftWindow()
+	}
 	client := s.client
 	if client == nil {
 		s.enqueue(answer.event(), refusal{})
--- a/agent/suspension.go
+++ b/agent/suspension.go
@@ -95,6 +95,7 @@
 	}
 	r.suspension.asked = true
 	r.suspension.action = a
+	r.liftWindow()
 	s.spawn(func(ctx context.Context) {
 		callCtx, stop := context.WithTimeout(ctx, engineCallTimeout)
 		defer stop()
@@ -233,6 +234,9 @@
 	defer r.mu.Unlock()
 	next.received = r.received
 	next.contentType = r.contentType
+	next.account = r.account
+	next.window = r.window
+	next.window.lifted = false
 	return next
 }
 
--- a/agent/unsent.go
+++ b/agent/unsent.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/holding"
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -26,6 +27,8 @@
 	entries  map[gate.EntryID][]*wire.AgentMessage
 	messages int
 	bytes    int
+	held     *held            // nil if nothing is counted
+	account  *holding.Account // set together with held
 }
 
 // needsDelivery reports whether a message isn't repeated while its link stays open. Room is repeated at each
@@ -54,6 +57,7 @@
 	u.entries[id] = append(u.entries[id], message)
 	u.messages++
 	u.bytes += size
+	u.held.addUnsent(u.account, size)
 	return true
 }
 
@@ -68,8 +72,10 @@
 // removeFirst removes the oldest message for the entry.
 func (u *unsent) removeFirst(id gate.EntryID) {
 	list := u.entries[id]
+	size := proto.Size(list[0])
 	u.messages--
-	u.bytes -= proto.Size(list[0])
+	u.bytes -= size
+	u.held.releaseUnsent(u.account, size)
 	list[0] = nil
 	if len(list) == 1 {
 		delete(u.entries, id)
--- a/engine/http.go
+++ b/engine/http.go
@@ -35,6 +35,8 @@
 	IdleTimeout time.Duration
 	// Network makes the connections; nil means network.TCP.
 	Network network.Network
+	// WriteTimeout bounds the time for which the server may read nothing of a request; 0 means no bound.
+	WriteTimeout time.Duration
 }
 
 func (o HTTPOptions) withDefaults() HTTPOptions {
@@ -102,7 +104,11 @@
 	return &http.Transport{
 		Proxy: nil,
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return options.Network.Dial(ctx, address)
+			conn, err := options.Network.Dial(ctx, address)
+			if err != nil || options.WriteTimeout <= 0 {
+				return conn, err
+			}
+			return network.BoundWrites(conn, options.WriteTimeout), nil
 		},
 		Protocols:             protocols,
 		DisableCompression:    true,
--- a/engine/http_call.go
+++ b/engine/http_call.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -14,6 +15,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/network"
 )
 
 // call is one HTTP request to the backend server.
@@ -65,8 +68,12 @@
 		return nil, c.fail(ErrNeverSent, errors.Join(ErrInvalid, err))
 	}
 	var connected atomic.Bool
+	var sent sentBytes
 	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			sent.begin(info.Conn)
+			connected.Store(true)
+		},
 	}
 	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
 	// The transport is used directly because an http.Client follows redirects, which would run
@@ -83,9 +90,33 @@
 		}
 		return nil, c.fail(ErrNeverSent, err)
 	}
+	if sent.isNothing(err) {
+		return nil, c.fail(ErrNeverSent, err)
+	}
 	return nil, c.readError(err)
 }
 
+// sentBytes determines whether any byte of a call was sent on its connection.
+type sentBytes struct {
+	conn   atomic.Pointer[network.BoundedConn]
+	before atomic.Int64
+}
+
+// begin records the connection of the call before anything is sent.
+func (s *sentBytes) begin(conn net.Conn) {
+	if bounded, ok := conn.(*network.BoundedConn); ok {
+		s.before.Store(bounded.Accepted())
+		s.conn.Store(bounded)
+	}
+}
+
+// isNothing reports whether the error proves that nothing of the call was sent, nor will be. Only a stalled write does:
+// it has returned, and its connection is closed. After any other error a write may still be in progress.
+func (s *sentBytes) isNothing(err error) bool {
+	conn := s.conn.Load()
+	return conn != nil && errors.Is(err, network.ErrWriteStalled) && conn.Accepted() == s.before.Load()
+}
+
 func (h *HTTP) newRequest(c call) (*http.Request, error) {
 	target, err := h.target(c.path)
 	if err != nil {
--- a/entry/caller_conn.go
+++ b/entry/caller_conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/carawaypitch/carawaypitch/network"
 )
 
 // maxWriteBytes bounds one write to a caller's connection, so that the bytes accepted so far show progress.
@@ -40,7 +42,7 @@
 	if c == nil {
 		return readerProgress{}
 	}
-	return readerProgress{accepted: c.accepted.Load(), unsent: unacknowledged(c.Conn)}
+	return readerProgress{accepted: c.accepted.Load(), unsent: network.Unacknowledged(c.Conn)}
 }
 
 // Write implements net.Conn.
--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -77,10 +77,12 @@
 	started        time.Time
 	firstToken     time.Time
 	lastToken      time.Time
+	readerWaited   bool   // the run had to wait for its caller at least once
 	tokens         uint32 // produced by this attempt
 	pendingPrefill int64  // its uncached prompt tokens in flight that are not computed yet
 	prefillAtStart int64  // uncached prompt tokens in flight when it started, its own included
 	cacheTokens    int64  // tokens of cache memory
+	cacheVariance  int64  // square of the uncertainty of cacheTokens
 	chargedCost    int64  // cost charged at the start
 	concurrency    int    // runs at its start, its own included
 	wastedPrefill  uint32 // prompt tokens computed without use
--- a/gate/config.go
+++ b/gate/config.go
@@ -89,6 +89,9 @@
 	TrialAtStart bool
 	// Suspension holds the settings of the suspension of runs.
 	Suspension SuspensionConfig
+	// UpperOutput counts the uncertainty of the expected lengths of answers against the server's memory, and refuses
+	// requests that are larger than the whole of it.
+	UpperOutput bool
 	// NoPredecessor means that no earlier incarnation of this agent can have run anything at this server. Without
 	// it, a Cancel for an unknown attempt is not answered with PROOF_NEVER_STARTED while the attempt may have been
 	// run by an earlier incarnation.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -104,6 +104,8 @@
 		g.engineListed(e)
 	case EngineProgress:
 		g.engineProgress(e)
+	case ReaderWaits:
+		g.readerWaits(e)
 	case EngineEnded:
 		g.engineEnded(e)
 	case EngineCancelled:
--- a/gate/pace.go
+++ b/gate/pace.go
@@ -158,8 +158,8 @@
 // observeGap records the time since the last token of a stream. While a prompt is computed, the gap is not a sample
 // of the pace.
 func (g *Gate) observeGap(a *attempt, tokens int) {
-	if a.suspension.resumed != nil {
-		return // the time that the run was suspended
+	if a.suspension.resumed != nil || a.run.readerWaited {
+		return // the time that the run was suspended, or waited for its caller
 	}
 	gap := g.now.Sub(a.run.lastToken).Seconds()
 	w := &g.pace.window
@@ -263,7 +263,12 @@
 // seconds.
 func (g *Gate) lastProgress() (last time.Time, wait float64, known bool) {
 	wait = g.pace.tokenTime(len(g.runs), g.now).Seconds()
+	judged := 0
 	for _, a := range g.runs {
+		if a.run.readerWaited {
+			continue // its silence may be its caller's
+		}
+		judged++
 		if a.run.lastToken.After(last) {
 			last = a.run.lastToken
 		}
@@ -277,7 +282,7 @@
 			wait = max(wait, g.predictRuntime(a.work).Seconds())
 		}
 	}
-	known = wait > 0 && (g.usage.prefillTokens == 0 || g.pace.prefill.rate > 0)
+	known = judged > 0 && wait > 0 && (g.usage.prefillTokens == 0 || g.pace.prefill.rate > 0)
 	return last, wait + g.pace.prefillTime(g.usage.prefillTokens).Seconds(), known
 }
 
@@ -295,6 +300,9 @@
 
 // observeService records the time of a service call.
 func (g *Gate) observeService(a *attempt) {
+	if a.run.readerWaited {
+		return
+	}
 	s := g.pace.service(a.work.GetTarget())
 	if s == nil {
 		s = &serviceTime{target: a.work.GetTarget()}
--- a/gate/receive.go
+++ b/gate/receive.go
@@ -176,6 +176,8 @@
 		return refuseLeaving, true
 	case !g.serves(a.work):
 		return refuseUnknownTarget, true
+	case g.exceedsServer(a.work):
+		return refuseTooLarge, true
 	case g.records.len() > g.config.MaxRecords:
 		return refuseRecordsFull, true
 	case a.record.current != nil:
--- a/gate/refusals.go
+++ b/gate/refusals.go
@@ -24,6 +24,7 @@
 	refuseStarting      = refusal{result.Starting, "the agent has not yet proved its backend server free", retryLater}
 	refuseLeaving       = refusal{result.NoServer, "the backend server is leaving or gone", 0}
 	refuseUnknownTarget = refusal{result.NoServer, "the backend server does not have this model or service", 0}
+	refuseTooLarge      = refusal{result.LargerThanServer, "the request needs more memory than the backend server has", 0}
 	refuseConcurrent    = refusal{result.AttemptSuperseded, "another attempt of the request is not over here", retryLater}
 	refuseSuperseded    = refusal{result.AttemptSuperseded, "a later attempt of the request came", 0}
 	refuseEnded         = refusal{result.LeaseExpired, "this incarnation of the entry has ended", 0}
--- a/gate/room.go
+++ b/gate/room.go
@@ -15,6 +15,7 @@
 type resourceUsage struct {
 	prefillTokens  int64 // uncached prompt tokens in flight that are not computed yet
 	memoryTokens   int64 // tokens of cache memory
+	memoryVariance int64 // sum of the squares of their uncertainties
 	memoryCapacity int64 // in tokens, 0 if not known
 }
 
@@ -90,12 +91,43 @@
 	if g.usage.memoryCapacity <= 0 || len(g.held) == 0 || a.work.GetService() {
 		return notBlocked
 	}
-	if float64(g.usage.memoryTokens+memoryNeed(a.work)) > memoryShare*float64(g.usage.memoryCapacity) {
+	if g.memoryAtEnd(a.work) > memoryShare*float64(g.usage.memoryCapacity) {
 		return blockedMemory
 	}
 	return notBlocked
 }
 
+// memoryDeviations is how many deviations of the sum are added to the expected memory. The lengths of answers are
+// independent of each other, so their deviations add up as squares: the sum of n answers is much less uncertain than n
+// times one of them.
+const memoryDeviations = 2
+
+// memoryAtEnd returns the memory that all attempts and one more need at their end.
+func (g *Gate) memoryAtEnd(w *wire.Work) float64 {
+	expected := float64(g.usage.memoryTokens + memoryNeed(w))
+	return expected + memoryDeviations*math.Sqrt(float64(g.usage.memoryVariance+g.memoryVariance(w)))
+}
+
+// maxUncertainty bounds the uncertainty of one answer in tokens, so that the sum of the squares doesn't overflow.
+const maxUncertainty = 1 << 24
+
+// memoryVariance returns the square of the uncertainty of an attempt's memory. Without an upper length the expected one
+// counts as certain.
+func (g *Gate) memoryVariance(w *wire.Work) int64 {
+	upper, expected := int64(w.GetOutputTokensUpper()), int64(w.GetOutputTokens())
+	if !g.config.UpperOutput || upper <= expected {
+		return 0
+	}
+	uncertainty := min(upper-expected, maxUncertainty)
+	return uncertainty * uncertainty
+}
+
+// exceedsServer reports whether a request is larger than the server's whole memory. It would never have room.
+func (g *Gate) exceedsServer(w *wire.Work) bool {
+	capacity := g.usage.memoryCapacity
+	return g.config.UpperOutput && capacity > 0 && !w.GetService() && memoryNeed(w) > capacity
+}
+
 // prefillBlock bounds the prompt tokens in flight that the next prompt would wait for. Engines compute prompts in
 // order of arrival: beyond the bound, further prompts would only wait inside the engine, regardless of their tier.
 // The first tier is admitted if it still ends in time.
@@ -123,9 +155,11 @@
 	a.run.holdsRoom = true
 	a.run.pendingPrefill = a.uncachedTokens()
 	a.run.cacheTokens = memoryNeed(a.work)
+	a.run.cacheVariance = g.memoryVariance(a.work)
 	a.run.chargedCost = g.estimateCost(a.work)
 	g.usage.prefillTokens += a.run.pendingPrefill
 	g.usage.memoryTokens += a.run.cacheTokens
+	g.usage.memoryVariance += a.run.cacheVariance
 	g.held = append(g.held, a)
 	g.takePermit(a)
 	if a.tier() <= firstTier && len(g.held) > g.limit.slots()-g.headroom.slots() {
@@ -141,7 +175,7 @@
 	if a.hasStarted() {
 		g.runs = slices.DeleteFunc(g.runs, func(other *attempt) bool { return other == a })
 		if g.removeSuspended(a) {
-			g.usage.memoryTokens -= a.run.cacheTokens
+			g.freeMemory(a)
 			g.room.dirty = true
 		}
 		cost = g.settleRun(a, o)
@@ -160,11 +194,16 @@
 	a.run.holdsRoom = false
 	g.returnPermit(a)
 	g.endPrefill(a)
-	g.usage.memoryTokens -= a.run.cacheTokens
+	g.freeMemory(a)
 	g.held = slices.DeleteFunc(g.held, func(other *attempt) bool { return other == a })
 	g.room.dirty = true
 }
 
+func (g *Gate) freeMemory(a *attempt) {
+	g.usage.memoryTokens -= a.run.cacheTokens
+	g.usage.memoryVariance -= a.run.cacheVariance
+}
+
 func (g *Gate) endPrefill(a *attempt) {
 	if a.run.pendingPrefill == 0 {
 		return
--- a/gate/runs.go
+++ b/gate/runs.go
@@ -76,6 +76,12 @@
 	g.fire(a, onProgress, eventDetails{events: e.Events, eventTokens: e.Tokens, tokens: tokens})
 }
 
+func (g *Gate) readerWaits(e ReaderWaits) {
+	if a := g.find(e.Attempt); a != nil {
+		a.run.readerWaited = true
+	}
+}
+
 // tokenCount returns the number of tokens that arrived. An engine that doesn't report counts sends one token in
 // each event. An engine that reports none has sent the opening of an answer, which precedes the computation of its
 // prompt.
--- a/gate/types.go
+++ b/gate/types.go
@@ -87,6 +87,10 @@
 		Tokens  []uint32 // tokens in each event; empty for a service, or if the engine doesn't report them
 	}
 
+	// ReaderWaits reports that a run had to wait for its caller to read. Its times say nothing about the server from now
+	// on: events that were held back arrive in bursts.
+	ReaderWaits struct{ Attempt *wire.AttemptID }
+
 	// EngineEnded reports how a run ended. Err is nil only with a complete outcome. Exactly one follows each
 	// StartEngine, and only after the connection of the run is closed.
 	EngineEnded struct {
@@ -141,6 +145,7 @@
 func (Probed) gateEvent()            {}
 func (EngineListed) gateEvent()      {}
 func (EngineProgress) gateEvent()    {}
+func (ReaderWaits) gateEvent()       {}
 func (EngineEnded) gateEvent()       {}
 func (EngineCancelled) gateEvent()   {}
 func (EngineLoad) gateEvent()        {}
--- a/holding/holding.go
+++ b/holding/holding.go
@@ -225,6 +225,13 @@
 	return nil, true
 }
 
+// Add adds n bytes to an account whether they fit or not, for what can neither be refused nor dropped.
+func (l *Ledger) Add(a *Account, kind Kind, n int64) {
+	if !a.closed {
+		l.change(a, kind, n)
+	}
+}
+
 // Release subtracts up to n bytes.
 func (l *Ledger) Release(a *Account, kind Kind, n int64) {
 	if a.closed {
--- a/entry/unacknowledged_linux.go
+++ b/network/unacknowledged_linux.go
@@ -1,4 +1,4 @@
-package entry
+package network
 
 import (
 	"net"
@@ -7,8 +7,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// unacknowledged returns how many bytes sent on a connection its peer has not acknowledged, 0 if unknown.
-func unacknowledged(conn net.Conn) int {
+// Unacknowledged returns how many bytes sent on a connection its peer has not acknowledged, 0 if unknown.
+func Unacknowledged(conn net.Conn) int {
 	system, ok := conn.(syscall.Conn)
 	if !ok {
 		return 0
--- a/result/codes.go
+++ b/result/codes.go
@@ -34,6 +34,7 @@
 	ServerRateLimited     Code = 1209
 	ServerBackoff         Code = 1210
 	OverMemoryShare       Code = 1211
+	LargerThanServer      Code = 1212
 )
 
 // 13xx: an attempt ended without a complete answer, or its outcome is not known.
--- a/result/table.go
+++ b/result/table.go
@@ -122,6 +122,11 @@
 		"the instance holds as much for callers as it may, or more than a share for this organisation",
 		"Retry after the time given; read answers as they come. Operators: see memory in the settings and docs/OPERATIONS.md.",
 	},
+	{
+		LargerThanServer, "larger_than_server", http.StatusServiceUnavailable, onlyNo,
+		"prompt and expected output exceed the memory of the backend server",
+		"Shorten the prompt or ask for less output; operators: see which servers have more memory.",
+	},
 
 	{
 		RefusedNeverStarted, "refused_never_started", http.StatusServiceUnavailable, onlyNo, "the agent refused the attempt; it never started and never will",
