--- a/entry/caller_conn.go
+++ b/entry/caller_conn.go
@@ -56,6 +56,9 @@
 		if err != nil {
 			return written, err
 		}
+		if written < len(b) {
+			_ = c.extendDeadline() // false if none is in force, or the last one is
+		}
 	}
 	return written, nil
 }
--- a/entry/fake_agent_test.go
+++ b/entry/fake_agent_test.go
@@ -35,6 +35,7 @@
 	dispatches []*receivedDispatch
 	cancels    []*wire.Cancel
 	credits    []*wire.Credit
+	linksOpen  int // opened
 
 	// onDispatch and onCancel handle messages. If nil, a service echoes the body, and a Cancel is answered with a
 	// proof: cancelled if the attempt was dispatched here, otherwise never started.
@@ -123,6 +124,9 @@
 
 func (a *fakeAgent) up(_ context.Context, hello *wire.EntryHello) {
 	id := link.EntryID{Name: hello.GetEntry(), Incarnation: hello.GetIncarnation()}
+	a.mu.Lock()
+	a.linksOpen++
+	a.mu.Unlock()
 	a.send(id, &wire.AgentMessage{Kind: &wire.AgentMessage_Room{Room: a.room()}})
 }
 
@@ -167,6 +171,13 @@
 	}
 }
 
+// linkCount returns how many links were opened.
+func (a *fakeAgent) linkCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.linksOpen
+}
+
 // creditList returns the credits in order of arrival.
 func (a *fakeAgent) creditList() []*wire.Credit {
 	a.mu.Lock()
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -101,7 +101,7 @@
 
 // answer streams the events, each once the credits have room for it.
 func (s *windowedServer) answer(d *receivedDispatch) {
-	time.Sleep(s.delay)
+	s.wait(s.delay)
 	sent := uint64(0)
 	for i, event := range s.events {
 		if !s.await(d.message.GetAttempt(), sent, uint64(len(event))) {
@@ -109,11 +109,19 @@
 		}
 		d.sendFrame(uint64(i), event)
 		sent += uint64(len(event))
-		time.Sleep(s.interval)
+		s.wait(s.interval)
 	}
 	d.sendEnd("text/event-stream", s.events...)
 }
 
+// wait waits, until the end of the test at most.
+func (s *windowedServer) wait(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-s.over:
+	}
+}
+
 // await waits until an event may be sent. It returns false if the attempt was cancelled.
 func (s *windowedServer) await(id *wire.AttemptID, sent, size uint64) bool {
 	for {
@@ -373,8 +381,10 @@
 		synctest.Wait()
 		before := len(agent.creditList())
 		h.net.Reset(agent.host)
-		time.Sleep(500 * time.Millisecond)
-		synctest.Wait()
+		for agent.linkCount() < 2 {
+			time.Sleep(time.Millisecond)
+			synctest.Wait()
+		}
 		after := agent.creditList()[before:]
 		require.NotEmpty(t, after)
 		require.Greater(t, after[0].GetBytes(), uint64(30_000))
