cmd, engine, agent: a test of callers that read nothing with real processes

The first trial showed that the system's receive buffers take 400 KB of an answer from the server before it notices anything; an agent with held_bytes bounds them to 128 KiB for each connection.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -261,19 +261,15 @@
 
 // newHTTPEngine returns the client of an engine that speaks the protocol of engine.HTTP.
 func (a *Agent) newHTTPEngine(record *wire.ServerRecord) (engine.Client, error) {
-	return engine.NewHTTP(record.GetAddress(), engine.HTTPOptions{
+	options := engine.HTTPOptions{
 		MaxAnswerBytes: int64(a.settings.Limits.MaxAnswer),
 		Network:        a.network,
-		WriteTimeout:   a.writeTimeout(),
-	})
-}
-
-// writeTimeout returns how long a server may read nothing of a body, 0 for no bound.
-func (a *Agent) writeTimeout() time.Duration {
-	if a.held == nil {
-		return 0
 	}
-	return a.settings.Memory.ReaderTimeout
+	if a.held != nil {
+		options.WriteTimeout = a.settings.Memory.ReaderTimeout
+		options.ReadBufferBytes = engineReadBuffer
+	}
+	return engine.NewHTTP(record.GetAddress(), options)
 }
 
 func (a *Agent) sessionConfig(clientTLS *tls.Config, serverAddress string) session.Config {
--- a/agent/timing.go
+++ b/agent/timing.go
@@ -58,6 +58,9 @@
 	maxInputBatch = 256
 	// runBufferBytes bounds the buffered events of one attempt, in bytes.
 	runBufferBytes = 1 << 20
+	// engineReadBuffer bounds what the network buffers of each answer that is not read, if the agent's memory is bounded.
+	// The system's own bound is several megabytes, which count towards the process.
+	engineReadBuffer = 128 << 10
 	// serviceChunkBytes is the size of the chunks in which a service's answer is passed on.
 	serviceChunkBytes = 32 << 10
 	// maxAnnouncementBytes bounds the body of an announcement or leave.
--- a/cmd/carawaypitch/cluster_test.go
+++ b/cmd/carawaypitch/cluster_test.go
@@ -108,6 +108,8 @@
 	operatorKey, callerKey                        string
 
 	tls settings.TLS // of the links between all processes
+	// change changes the settings of an entry or an engine before they are written; nil for none.
+	change func(settings any)
 }
 
 const controlInstances = 3
@@ -262,6 +264,9 @@
 	s.TLS = c.tls
 	s.Organisations = c.organisations()
 	s.Operators = []settings.OperatorAccount{{Name: "operator", KeyDigests: keyDigests(c.operatorKey)}}
+	if c.change != nil {
+		c.change(&s)
+	}
 	c.entries = append(c.entries, c.writeSettings("entry", s.Instance, s))
 	c.entryURLs = append(c.entryURLs, "http://"+s.Listen.Callers)
 }
@@ -285,6 +290,9 @@
 	e.Listen = freeAddress(c.t)
 	e.Agent = a.Listen.HTTP
 	e.Models = models
+	if c.change != nil {
+		c.change(&e)
+	}
 	c.engines = append(c.engines, c.writeSettings("engine", "engine-"+name, e))
 	c.engineURLs = append(c.engineURLs, "http://"+e.Listen)
 }
--- a/engine/http.go
+++ b/engine/http.go
@@ -35,6 +35,8 @@
 	IdleTimeout time.Duration
 	// Network makes the connections; nil means network.TCP.
 	Network network.Network
+	// ReadBufferBytes bounds what the network buffers of a response that is not read; 0 leaves it to the system.
+	ReadBufferBytes int
 	// WriteTimeout bounds the time for which the server may read nothing of a request; 0 means no bound.
 	WriteTimeout time.Duration
 }
@@ -105,8 +107,14 @@
 		Proxy: nil,
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			conn, err := options.Network.Dial(ctx, address)
-			if err != nil || options.WriteTimeout <= 0 {
-				return conn, err
+			if err != nil {
+				return nil, err
+			}
+			if buffered, ok := conn.(interface{ SetReadBuffer(bytes int) error }); ok && options.ReadBufferBytes > 0 {
+				_ = buffered.SetReadBuffer(options.ReadBufferBytes)
+			}
+			if options.WriteTimeout <= 0 {
+				return conn, nil
 			}
 			return network.BoundWrites(conn, options.WriteTimeout), nil
 		},
