--- a/cmd/carawaypitch/requests.go
+++ b/cmd/carawaypitch/requests.go
@@ -5,7 +5,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -113,9 +115,21 @@
 			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\n",
 				r.Request, r.Organisation, r.Class, r.Tier, r.State, age, r.Target, strings.Join(r.Reservations, ","))
 		}
+		memoryTable(w, list.Memory)
 	})
 }
 
+// memoryTable writes what an entry holds for callers, by organisation.
+func memoryTable(w io.Writer, m *operator.Memory) {
+	if m == nil {
+		return
+	}
+	fmt.Fprintf(w, "\nheld for callers\t%d of %d bytes\n", m.Held, m.Limit)
+	for _, name := range slices.Sorted(maps.Keys(m.Organisations)) {
+		fmt.Fprintf(w, "%s\t%d bytes\n", orDash(name), m.Organisations[name])
+	}
+}
+
 func (c *requestsCommand) explain(ctx context.Context, client *operator.Client, id string) error {
 	r, err := client.Request(ctx, id)
 	if err != nil {
--- a/entry/http_requests.go
+++ b/entry/http_requests.go
@@ -16,6 +16,8 @@
 type requestList struct {
 	Entry    string              `json:"entry"`
 	Requests []sched.Explanation `json:"requests"`
+	// Memory is what the entry holds for callers, for operators only; nil if it is not counted.
+	Memory *memoryStatus `json:"memory,omitempty"`
 }
 
 // requestViewer identifies who asks about requests: an organisation may see its own, an operator all.
@@ -56,6 +58,9 @@
 		return e.refuse(c, nil, err)
 	}
 	list := requestList{Entry: e.settings.Instance, Requests: []sched.Explanation{}}
+	if viewer.isOperator {
+		list.Memory = e.memory.status()
+	}
 	visible := e.calls.visibleTo(viewer)
 	queryErr := e.queryScheduler(c.Request().Context(), func(s *sched.Scheduler) {
 		for _, r := range visible {
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -480,3 +481,31 @@
 	c.flow.beginFinal(len(out.body))
 	return out
 }
+
+// memoryStatus is what an entry holds for callers.
+type memoryStatus struct {
+	Held          int64            `json:"held_bytes"`
+	Limit         int64            `json:"limit_bytes"`
+	Kinds         map[string]int64 `json:"kinds"`
+	Organisations map[string]int64 `json:"organisations"`
+}
+
+// status returns what is held, nil if it is not counted.
+func (m *callMemory) status() *memoryStatus {
+	if m == nil {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := &memoryStatus{
+		Held:          m.ledger.Total(),
+		Limit:         int64(m.limits.HeldBytes),
+		Kinds:         make(map[string]int64),
+		Organisations: m.ledger.Organisations(),
+	}
+	maps.DeleteFunc(s.Organisations, func(_ string, held int64) bool { return held == 0 })
+	for _, kind := range holding.Kinds() {
+		s.Kinds[kind.String()] = m.ledger.OfKind(kind)
+	}
+	return s
+}
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -190,11 +190,28 @@
 
 func (h *harness) held() int64 {
 	m := h.entries[0].memory
+	if m == nil {
+		return 0
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.ledger.Total()
 }
 
+// waitingBytes returns what waits for callers, whether it is counted or not.
+func (h *harness) waitingBytes() int64 {
+	calls := h.entries[0].calls
+	calls.mu.Lock()
+	defer calls.mu.Unlock()
+	total := int64(0)
+	for _, c := range calls.all {
+		c.mu.Lock()
+		total += int64(c.bytes)
+		c.mu.Unlock()
+	}
+	return total
+}
+
 func (h *harness) heldBy(organisation string) int64 {
 	m := h.entries[0].memory
 	m.mu.Lock()
@@ -206,8 +223,11 @@
 // limits.max_answer allows, and the process ends.
 func TestCallersThatReadNothingDontHarmThoseThatRead(t *testing.T) {
 	const readers, others = 50, 200
-	alone := readersLoad(t, readers, 0)
-	beside := readersLoad(t, readers, others)
+	without := readersLoad(t, 0, readers, others)
+	require.Greater(t, without.peak, 10*int64(testHeldBytes))
+	require.Empty(t, without.ended)
+	alone := readersLoad(t, testHeldBytes, readers, 0)
+	beside := readersLoad(t, testHeldBytes, readers, others)
 	require.Equal(t, alone.took, beside.took, "each answer arrives as without the others")
 	require.LessOrEqual(t, beside.peak, int64(testHeldBytes))
 	require.Greater(t, beside.peak, int64(testHeldBytes)*9/10, "the load reaches the bound")
@@ -216,8 +236,8 @@
 		require.Equal(t, "yatai", entry.Fields["organisation"])
 	}
 	require.LessOrEqual(t, beside.last, 3*time.Second, "reader_timeout + 1 s after the first window was full")
-	t.Logf("peak %d bytes of %d; ended by cause %v; last after %s; readers took up to %s, alone %s",
-		beside.peak, int64(testHeldBytes), beside.causes, beside.last, beside.took[readers-1], alone.took[readers-1])
+	t.Logf("peak %d bytes, without the setting %d, bound %d; ended by cause %v; last after %s; readers took up to %s, alone %s",
+		beside.peak, without.peak, int64(testHeldBytes), beside.causes, beside.last, beside.took[readers-1], alone.took[readers-1])
 }
 
 // readersResult is what a run of readersLoad showed.
@@ -229,11 +249,11 @@
 	last   time.Duration // between the first full window and the last end
 }
 
-func readersLoad(t *testing.T, readers, others int) readersResult {
+func readersLoad(t *testing.T, heldBytes settings.Size, readers, others int) readersResult {
 	t.Helper()
 	r := readersResult{took: make([]time.Duration, readers), causes: map[any]int{}}
 	synctest.Test(t, func(t *testing.T) {
-		h, logs := newMemoryHarness(t, nil)
+		h, logs := newMemoryHarness(t, func(s *settings.Entry) { s.Memory.HeldBytes = heldBytes })
 		server := newWindowedServer(h.addModel(1), 300, 2000)
 		server.delay, server.interval = time.Second, 10*time.Millisecond
 		began := time.Now()
@@ -259,8 +279,8 @@
 		fullSince, done := time.Time{}, false
 		for !done {
 			time.Sleep(time.Millisecond)
-			r.peak = max(r.peak, h.held())
-			if fullSince.IsZero() && anyFull(h.entries[0]) {
+			r.peak = max(r.peak, h.held(), h.waitingBytes())
+			if heldBytes > 0 && fullSince.IsZero() && anyFull(h.entries[0]) {
 				fullSince = time.Now()
 			}
 			done = time.Since(began) > 8*time.Second
@@ -527,6 +547,28 @@
 	})
 }
 
+// An operator has to see who holds the memory before calls are ended for it. Organisations may not see each other's.
+func TestOperatorsSeeWhatIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const operatorKey = "key-of-an-operator"
+		h, _ := newMemoryHarness(t, func(s *settings.Entry) {
+			s.Operators = []settings.OperatorAccount{{Name: "night", KeyDigests: []string{settings.NewDigest(operatorKey, settings.NewSalt())}}}
+		})
+		newWindowedServer(h.addModel(1), 200, 4000)
+		response := h.openStream(t.Context(), yataiKey)
+		defer response.Body.Close()
+		time.Sleep(time.Second)
+		seen := h.call(1, http.MethodGet, "/v1/requests", "", "Authorization: Bearer "+operatorKey).body
+		require.Contains(t, seen, `"limit_bytes":6291456`)
+		require.Contains(t, seen, `"organisations":{"yatai":`+strconv.FormatInt(h.held(), 10)+`}`)
+		require.NotContains(t, h.call(1, http.MethodGet, "/v1/requests", "", "Authorization: Bearer "+yataiKey).body, "limit_bytes")
+		metrics := h.call(1, http.MethodGet, "/metrics", "").body
+		for _, name := range []string{metricMemoryHeld, metricMemoryByOrg, metricCallsEnded, metricCreditsRepeated} {
+			require.Contains(t, metrics, name)
+		}
+	})
+}
+
 // With the setting off, no message may differ from that of an earlier version.
 func TestNoCreditsWithoutTheSetting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/operator/requests.go
+++ b/operator/requests.go
@@ -10,6 +10,16 @@
 type Requests struct {
 	Entry    string    `json:"entry"`
 	Requests []Request `json:"requests"`
+	// Memory is what the entry holds for callers; nil if it is not counted, or if the key is not an operator's.
+	Memory *Memory `json:"memory,omitempty"`
+}
+
+// Memory is what an entry holds for callers, in bytes.
+type Memory struct {
+	Held          int64            `json:"held_bytes"`
+	Limit         int64            `json:"limit_bytes"`
+	Kinds         map[string]int64 `json:"kinds"`
+	Organisations map[string]int64 `json:"organisations"`
 }
 
 // Request describes one request: where it is queued, which servers were rejected for it and why, and its attempts with
--- a/result/table.go
+++ b/result/table.go
@@ -171,7 +171,8 @@
 	{
 		UnprovenAttemptAtDeadline, "unproven_attempt_at_deadline", http.StatusGatewayTimeout, onlyUnknown, "the deadline passed and no proof came that the attempt is over",
 		"Find out by other means whether it ran; retry a repeatable request.",
-	}, {
+	},
+	{
 		CallerReadsNothing, "caller_reads_nothing", statusClientClosed, anyValue, "the caller read nothing of its answer",
 		"Read the answer as it comes; a slow but steady caller is served to the end.",
 	},
