entry, sched, settings: tests of verbatim calls, pauses of readers and checks of settings

An agent's held_bytes has to be a third more than limits.max_body: bodies may take three quarters of it, and a body at the limit would otherwise be refused forever.

--- a/agent/held.go
+++ b/agent/held.go
@@ -42,7 +42,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	size := int64(len(r.dispatch.GetBody()))
-	if h.ledger.OfKind(holding.Body)+size > h.limit/bodyShareDivisor*bodyShare {
+	if h.ledger.OfKind(holding.Body)+size > h.limit*bodyShare/bodyShareDivisor {
 		return false
 	}
 	a := h.ledger.Open(string(engineID(r.dispatch.GetAttempt())), r.dispatch.GetWork().GetOrganisation())
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -579,3 +579,71 @@
 		require.Nil(t, h.entries[0].memory)
 	})
 }
+
+// blockedWriter receives nothing of an answer after its head until it is released.
+type blockedWriter struct {
+	recordingWriter
+	released chan struct{}
+}
+
+// WriteBody implements AnswerWriter.
+func (w *blockedWriter) WriteBody(data []byte) error {
+	<-w.released
+	return w.recordingWriter.WriteBody(data)
+}
+
+// Calls that are forwarded byte for byte take another way to the caller than those of the product's own interface. They are
+// counted, bounded and refused the same way.
+func TestVerbatimCallsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newVerbatimHarnessWith(t, func(s *settings.Entry) { s.Memory.HeldBytes = 1 * settings.MiB })
+		agent := h.addModel(1)
+		part, head := strings.Repeat("x", 4000), headEvent(t, 200)
+		agent.setHandlers(func(d *receivedDispatch) {
+			d.sendFrame(0, head)
+			for i := range 15 {
+				d.sendFrame(uint64(i+1), part)
+			}
+		}, nil)
+		w := &blockedWriter{released: make(chan struct{})}
+		done, otherDone := make(chan *result.Error, 1), make(chan *result.Error, 1)
+		e := h.entries[0]
+		call := verbatimCall("/stream/", "k2")
+		go func() { done <- e.Exchange(t.Context(), admitted(t, e, call), call, w) }()
+		synctest.Wait()
+		require.EqualValues(t, 15*len(part)+len(call.Body), h.heldBy("yatai"), "body and answer; the head is written")
+		credits := agent.creditList()
+		require.EqualValues(t, 64*settings.KiB, credits[0].GetWindow())
+
+		other := verbatimCall("/stream/", "k1")
+		for i := range 20 {
+			agent.dispatchList()[0].sendFrame(uint64(i+16), strings.Repeat("y", 40_000)) // an agent that knows no credits
+		}
+		time.Sleep(100 * time.Millisecond)
+		require.Greater(t, h.heldBy("yatai"), int64(256*settings.KiB))
+		admitted(t, e, verbatimCall("/stream/", "k2")) // nobody else holds anything
+		go func() {
+			otherDone <- e.Exchange(t.Context(), admitted(t, e, other), other, &blockedWriter{released: w.released})
+		}()
+		synctest.Wait()
+		_, err := e.Admit(t.Context(), verbatimCall("/stream/", "k2"))
+		require.Equal(t, result.OverMemoryShare, err.Code)
+		require.Equal(t, result.RanNo, err.Ran)
+		require.Equal(t, 2*time.Second, err.RetryAfter)
+
+		time.Sleep(3 * time.Second)
+		close(w.released)
+		require.Equal(t, result.CallerReadsNothing, (<-done).Code, "an answer that was cut off isn't taken for a whole one")
+		<-otherDone
+		synctest.Wait()
+		require.Zero(t, h.held())
+		require.Equal(t, 2, agent.cancelCount())
+	})
+}
+
+func admitted(t *testing.T, e *Entry, call *Call) *Admission {
+	t.Helper()
+	admission, err := e.Admit(t.Context(), call)
+	require.Nil(t, err)
+	return admission
+}
--- a/entry/verbatim_test.go
+++ b/entry/verbatim_test.go
@@ -48,9 +48,17 @@
 // newVerbatimHarness returns a harness whose entries route by a desired state: /stream/ to the model, /check/ and
 // /hold/ to the service.
 func newVerbatimHarness(t *testing.T) *harness {
+	t.Helper()
+	return newVerbatimHarnessWith(t, func(*settings.Entry) {})
+}
+
+func newVerbatimHarnessWith(t *testing.T, change func(*settings.Entry)) *harness {
 	t.Helper()
 	h := newHarness(t, 0)
-	h.addEntry(func(s *settings.Entry) { s.Timing.VersionWait, s.Timing.StartWait = 0, 500*time.Millisecond })
+	h.addEntry(func(s *settings.Entry) {
+		s.Timing.VersionWait, s.Timing.StartWait = 0, 500*time.Millisecond
+		change(s)
+	})
 	stream := testRoute("stream", "a.example", "/stream/", &wire.WeightedPool{Pool: "m", Weight: 1})
 	stream.Class.Kind, stream.Class.Repeatable, stream.PauseMs, stream.MaxAttempts = settings.KindModel, true, 400, 2
 	stream.ObjectiveMs = 500
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -174,8 +174,9 @@
 	checkPositive(c, "timing.unlisted_settle", a.Timing.UnlistedSettle)
 	checkPositive(c, "suspension.max_per_run", a.Suspension.MaxPerRun)
 	checkPositive(c, "memory.reader_timeout", a.Memory.ReaderTimeout)
-	if a.Memory.HeldBytes < 0 || a.Memory.HeldBytes > 0 && a.Memory.HeldBytes < a.Limits.MaxBody {
-		c.report(result.SettingsOutOfRange, "memory.held_bytes", "want at least limits.max_body, %d bytes, or 0", a.Limits.MaxBody)
+	// Bodies may take three quarters of it.
+	if least := (4*a.Limits.MaxBody + 2) / 3; a.Memory.HeldBytes < 0 || a.Memory.HeldBytes > 0 && a.Memory.HeldBytes < least {
+		c.report(result.SettingsOutOfRange, "memory.held_bytes", "want at least %d bytes, a third more than limits.max_body, or 0", least)
 	}
 	c.checkSilenceTimeout("timing.cut_off", a.Timing.CutOff, a.Timing.Heartbeat)
 }
