--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/apex/log"
-	memorylog "github.com/apex/log/handlers/memory"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
@@ -155,10 +154,10 @@
 const testHeldBytes = 6 * settings.MiB
 
 // newMemoryHarness returns a harness with an entry that counts what it holds, and its log.
-func newMemoryHarness(t *testing.T, change func(*settings.Entry)) (*harness, *memorylog.Handler) {
+func newMemoryHarness(t *testing.T, change func(*settings.Entry)) (*harness, *logRecorder) {
 	t.Helper()
 	h := newHarness(t, 0)
-	logs := memorylog.New()
+	logs := new(logRecorder)
 	h.logs = logs
 	h.addEntry(func(s *settings.Entry) {
 		s.Memory.HeldBytes = testHeldBytes
@@ -169,10 +168,26 @@
 	return h, logs
 }
 
+// logRecorder keeps log lines. The handler of the log library can't be read while others write.
+type logRecorder struct {
+	mu      sync.Mutex
+	entries []*log.Entry
+}
+
+// HandleLog implements log.Handler.
+func (r *logRecorder) HandleLog(entry *log.Entry) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.entries = append(r.entries, entry)
+	return nil
+}
+
 // logged returns the lines with a message.
-func logged(logs *memorylog.Handler, message string) []*log.Entry {
+func logged(logs *logRecorder, message string) []*log.Entry {
+	logs.mu.Lock()
+	defer logs.mu.Unlock()
 	var found []*log.Entry
-	for _, entry := range logs.Entries {
+	for _, entry := range logs.entries {
 		if entry.Message == message {
 			found = append(found, entry)
 		}
--- a/gate/machine_test.go
+++ b/gate/machine_test.go
@@ -220,18 +220,21 @@
 
 // checkSums compares the gate's running totals with totals computed from scratch.
 func (m *machine) checkSums() {
-	var prefill, memory int64
+	var prefill, memory, variance int64
 	for _, a := range m.gate.held {
 		prefill += a.run.pendingPrefill
 		memory += a.run.cacheTokens
+		variance += a.run.cacheVariance
 	}
 	for _, a := range m.gate.suspended {
 		memory += a.run.cacheTokens
+		variance += a.run.cacheVariance
 	}
 	waiting := 0
 	m.gate.waiting.each(func(*attempt) { waiting++ })
 	require.Equal(m.rt, prefill, m.gate.usage.prefillTokens)
 	require.Equal(m.rt, memory, m.gate.usage.memoryTokens)
+	require.Equal(m.rt, variance, m.gate.usage.memoryVariance)
 	require.Equal(m.rt, waiting, m.gate.waiting.count)
 }
 
--- a/gate/suspend_machine_test.go
+++ b/gate/suspend_machine_test.go
@@ -53,10 +53,11 @@
 func newSuspendMachine(rt *rapid.T) *suspendMachine {
 	m := &suspendMachine{machine: newMachine(rt), stopped: map[engine.AttemptID]*modelStopped{}, frames: map[engine.AttemptID]uint64{}}
 	m.gate.config.Suspension = SuspensionConfig{Enabled: true, MaxPerRun: 3}
+	m.gate.config.UpperOutput = true
 	m.apply(Announced{Server: m.record()})
 	m.extend = m.processSuspendAction
 	m.change = func(w *wire.Work) {
-		w.Precedence, w.OutputTokens = 1+w.Tier, modelEvents
+		w.Precedence, w.OutputTokens, w.OutputTokensUpper = 1+w.Tier, modelEvents, 2*modelEvents+w.Tier
 		w.AbandonMs, w.PauseMs, w.ObjectiveMs = uint32(modelAbandon/time.Millisecond), 100, 500
 		w.SuspendTargets = []string{"10.0.0.2:80"}
 	}
