--- a/settings/entry.go
+++ b/settings/entry.go
@@ -225,7 +225,7 @@
 		c.report(result.SettingsOutOfRange, "timing.start_wait", "want timing.start_wait and timing.leave of at least 0")
 	}
 	e.Rollout.validate(c)
-	e.Memory.validate(c)
+	e.Memory.validate(c, e.Limits.MaxBody)
 	c.checkSilenceTimeout("timing.cut_off", e.Timing.CutOff, e.Timing.Heartbeat)
 	c.checkSilenceTimeout("timing.lease", e.Timing.Lease, e.Timing.Heartbeat)
 }
@@ -240,17 +240,15 @@
 	checkPositive(c, "rollout.rollback", r.Rollback)
 }
 
-func (m EntryMemory) validate(c *checker) {
+func (m EntryMemory) validate(c *checker, maxBody Size) {
 	checkPositive(c, "memory.reader_window_bytes", m.ReaderWindowBytes)
 	checkPositive(c, "memory.reader_timeout", m.ReaderTimeout)
 	if m.OrganisationShare <= 0 || m.OrganisationShare > 1 {
 		c.report(result.SettingsOutOfRange, "memory.organisation_share", "want a share above 0 and up to 1, got %g", m.OrganisationShare)
 	}
-	if m.HeldBytes < 0 {
-		c.report(result.SettingsOutOfRange, "memory.held_bytes", "want a size of at least 0")
-	}
-	if m.HeldBytes > 0 && m.HeldBytes < m.ReaderWindowBytes {
-		c.report(result.SettingsOutOfRange, "memory.held_bytes", "want at least memory.reader_window_bytes, %d bytes, or 0", m.ReaderWindowBytes)
+	if least := max(m.ReaderWindowBytes, maxBody); m.HeldBytes != 0 && m.HeldBytes < least {
+		c.report(result.SettingsOutOfRange, "memory.held_bytes",
+			"want at least %d bytes, which a body of limits.max_body and a window of memory.reader_window_bytes fit into, or 0", least)
 	}
 }
 
--- a/settings/memory_test.go
+++ b/settings/memory_test.go
@@ -24,7 +24,7 @@
 		`"organisation_share": 1.1`:   "memory.organisation_share",
 		`"reader_window_bytes": "0B"`: "memory.reader_window_bytes",
 		`"reader_timeout": "0s"`:      "memory.reader_timeout",
-		`"held_bytes": "63KiB"`:       "memory.held_bytes",
+		`"held_bytes": "4095KiB"`:     "memory.held_bytes",
 	} {
 		got := diagnosticsOf[Entry](t, withMemory(setting))
 		require.Len(t, got.List, 1, setting)
