--- a/engine/http.go
+++ b/engine/http.go
@@ -35,6 +35,10 @@
 	IdleTimeout time.Duration
 	// Network makes the connections; nil means network.TCP.
 	Network network.Network
+	// ReadBufferBytes bounds what the network buffers of a response that is not read; 0 leaves it to the system.
+	ReadBufferBytes int
+	// WriteTimeout bounds the time for which the server may read nothing of a request; 0 means no bound.
+	WriteTimeout time.Duration
 }
 
 func (o HTTPOptions) withDefaults() HTTPOptions {
@@ -102,7 +106,17 @@
 	return &http.Transport{
 		Proxy: nil,
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return options.Network.Dial(ctx, address)
+			conn, err := options.Network.Dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			if buffered, ok := conn.(interface{ SetReadBuffer(bytes int) error }); ok && options.ReadBufferBytes > 0 {
+				_ = buffered.SetReadBuffer(options.ReadBufferBytes)
+			}
+			if options.WriteTimeout <= 0 {
+				return conn, nil
+			}
+			return network.BoundWrites(conn, options.WriteTimeout), nil
 		},
 		Protocols:             protocols,
 		DisableCompression:    true,
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -34,6 +34,8 @@
 	Suspension AgentSuspension `json:"suspension"`
 	// Placement configures the order in which slots are offered.
 	Placement AgentPlacement `json:"placement"`
+	// Memory bounds what the agent and its backend server hold.
+	Memory AgentMemory `json:"memory"`
 }
 
 // AgentListen holds the addresses, IP:port, that an agent listens on. Port 0 selects any free port.
@@ -105,6 +107,18 @@
 	FewServersFirst bool `json:"few_servers_first"`
 }
 
+// AgentMemory bounds what an agent holds for backend servers and entry instances, and what its backend server holds.
+type AgentMemory struct {
+	// HeldBytes is the maximum total size of bodies and answers, in bytes. Attempts whose bodies don't fit are refused, and
+	// answers are read more slowly. Default 0: nothing is counted, and ReaderTimeout has no effect.
+	HeldBytes Size `json:"held_bytes"`
+	// ReaderTimeout is how long a backend server may read nothing of a body. Then the attempt is ended. Default 2s.
+	ReaderTimeout time.Duration `json:"reader_timeout"`
+	// UpperOutput counts the uncertainty of the expected lengths of answers against the memory of the backend server, and
+	// refuses requests that are larger than it. Default false.
+	UpperOutput bool `json:"upper_output"`
+}
+
 func (*Agent) expectedRole() Role { return RoleAgent }
 
 // DefaultAgent returns the default values, which apply to keys that a file omits.
@@ -133,6 +147,7 @@
 			UnlistedSettle: time.Second,
 		},
 		Suspension: AgentSuspension{MaxPerRun: 3},
+		Memory:     AgentMemory{ReaderTimeout: defaultReaderTimeout},
 	}
 }
 
@@ -168,6 +183,11 @@
 	checkPositive(c, "timing.unproven_hold", a.Timing.UnprovenHold)
 	checkPositive(c, "timing.unlisted_settle", a.Timing.UnlistedSettle)
 	checkPositive(c, "suspension.max_per_run", a.Suspension.MaxPerRun)
+	checkPositive(c, "memory.reader_timeout", a.Memory.ReaderTimeout)
+	// Bodies may take three quarters of it.
+	if least := (4*a.Limits.MaxBody + 2) / 3; a.Memory.HeldBytes < 0 || a.Memory.HeldBytes > 0 && a.Memory.HeldBytes < least {
+		c.report(result.SettingsOutOfRange, "memory.held_bytes", "want at least %d bytes, a third more than limits.max_body, or 0", least)
+	}
 	c.checkSilenceTimeout("timing.cut_off", a.Timing.CutOff, a.Timing.Heartbeat)
 }
 
