spec: roll-outs, with three instances, an entry and repeated orders

The specification had no model of roll-outs, so that order, verdict and change of leader were covered by tests only.

A fourth model explores orders, evidence, verdicts and changes of leader over logs of three instances, with lost disks, crashes and leaders that don't know that they were replaced.

--- a/spec/cases.go
+++ b/spec/cases.go
@@ -7,6 +7,7 @@
 	modelAttempts = "attempts"
 	modelLog      = "log"
 	modelOrders   = "orders"
+	modelRollouts = "rollouts"
 )
 
 // maxStates bounds one exploration, and so its memory. A case with more of them fails.
@@ -41,6 +42,12 @@
 	}}
 }
 
+func rolloutCase(name string, floor int, bounds RolloutBounds) Case {
+	return Case{modelRollouts, name, floor, func(_ *charts, guards Guards, want Invariant) (*Result, error) {
+		return Explore(&rolloutModel{bounds: bounds, guards: guards, want: want}, maxStates, want)
+	}}
+}
+
 // Names of the cases.
 const (
 	caseQuiet          = "no fault"
@@ -69,6 +76,12 @@
 
 	caseIgnores = "engine ignores fences"
 	caseRefuses = "engine refuses"
+
+	caseEvidence = "evidence, entry crash"
+	caseDiskLost = "three leaders, lost disk"
+	caseHeard    = "verdict at the entry, instance crash"
+	caseVersions = "two versions"
+	caseEarly    = "second order while in progress"
 )
 
 // Cases returns all cases, the largest ones first.
@@ -98,6 +111,11 @@
 		logCase(caseReads, 15_000, LogBounds{Terms: 2, Entries: 2, Data: true, Reads: true}),
 		orderCase(caseIgnores, 30_000, OrderBounds{Fences: 3, Crashes: 1}),
 		orderCase(caseRefuses, 30_000, OrderBounds{Fences: 3, Crashes: 1, EngineRefuses: true}),
+		rolloutCase(caseDiskLost, 900_000, RolloutBounds{Terms: 3, Log: 6, Versions: 1, Copies: 2, Losses: 1}),
+		rolloutCase(caseEvidence, 600_000, RolloutBounds{Terms: 2, Log: 5, Versions: 1, Copies: 1, Entry: true, Evidence: true, EntryCrashes: 1}),
+		rolloutCase(caseEarly, 450_000, RolloutBounds{Terms: 2, Log: 6, Versions: 2, Copies: 1, Early: true}),
+		rolloutCase(caseVersions, 250_000, RolloutBounds{Terms: 2, Log: 6, Versions: 2, Copies: 1}),
+		rolloutCase(caseHeard, 350_000, RolloutBounds{Terms: 2, Log: 5, Versions: 1, Copies: 2, Entry: true, Crashes: 1}),
 	}
 }
 
@@ -146,6 +164,15 @@
 		{GuardFenceAtStart, caseIgnores, FenceHolds},
 		{GuardFenceAtCall, caseIgnores, NoStale},
 		{GuardSettledOrders, caseIgnores, FenceHolds},
+		{GuardCommitBeforeAcknowledge, caseDiskLost, OrderKept},
+		{GuardSameVersion, caseHeard, RepeatStartsNone},
+		{GuardOneRollout, caseEarly, OneRollout},
+		{GuardFirstVerdict, caseDiskLost, VerdictFinal},
+		{GuardVerdictID, caseVersions, OwnVerdict},
+		{GuardCommittedVerdict, caseHeard, ToldIsCommitted},
+		{GuardEvidenceFromLog, caseEvidence, EvidenceKept},
+		{GuardAppliedBeforeComplete, caseEvidence, EvidenceKept},
+		{GuardKnownVerdict, caseHeard, NoneAfterRevert},
 	}
 }
 
--- a/spec/cases_test.go
+++ b/spec/cases_test.go
@@ -32,6 +32,7 @@
 // notTaken lists what can't happen in the models with all guards.
 var notTaken = map[string]string{
 	"register_again": "control registers no ended incarnation again",
+	"hear_leader":    "entries hear only what is committed",
 	"engine_refuses": "the agent's own check leaves the engine no older fence to refuse",
 	"outcome idle":   "no call ends so",
 	"outcome open":   "no call ends so",
@@ -109,7 +110,7 @@
 // Each guard has its removal, and each of the invariants is violated by one.
 func TestRemovalsAreComplete(t *testing.T) {
 	guards := map[Guard]bool{}
-	invariants := map[Invariant]bool{CallEnds: true, OrderEnds: true}
+	invariants := map[Invariant]bool{CallEnds: true, OrderEnds: true, RolloutEnds: true}
 	for _, removal := range Removals() {
 		require.False(t, guards[removal.Guard], removal.Guard)
 		guards[removal.Guard] = true
@@ -127,4 +128,7 @@
 	for _, invariant := range orderViolations {
 		require.True(t, invariants[invariant], invariant)
 	}
+	for _, invariant := range rolloutViolations {
+		require.True(t, invariants[invariant], invariant)
+	}
 }
--- a/spec/doc.go
+++ b/spec/doc.go
@@ -1,7 +1,7 @@
 // Package spec is a small specification of the core protocols and its exhaustive check.
 //
-// Three models are explored: the attempts of a request (an operation that a caller may send again at another entry),
-// the replicated log, and orders with a fence number. An explorer visits every state that a model can reach within its
+// Four models are explored: the attempts of a request (an operation that a caller may send again at another entry),
+// the replicated log, orders with a fence number, and roll-outs of a version. An explorer visits every state that a model can reach within its
 // bounds, breadth first, and looks at the invariants in each of them, so that the first violation found has a shortest
 // trace. It then looks whether from every state some path leads to where the model is done.
 //
--- a/spec/guards.go
+++ b/spec/guards.go
@@ -77,6 +77,25 @@
 	// GuardSettledOrders: a call for an order that was given up is waited for before the next order's call.
 	GuardSettledOrders
 
+	// GuardCommitBeforeAcknowledge: an order of a roll-out is acknowledged once it is committed.
+	GuardCommitBeforeAcknowledge
+	// GuardSameVersion: an order of the version that the pool's last roll-out is for changes nothing, also after its end.
+	GuardSameVersion
+	// GuardOneRollout: an order of another version is refused while a roll-out is in progress.
+	GuardOneRollout
+	// GuardFirstVerdict: a verdict changes only a roll-out in progress.
+	GuardFirstVerdict
+	// GuardVerdictID: a verdict names the roll-out that it was given for.
+	GuardVerdictID
+	// GuardCommittedVerdict: entries hear of a verdict only once it is committed.
+	GuardCommittedVerdict
+	// GuardEvidenceFromLog: a leader counts the evidence of the log besides what it has heard itself.
+	GuardEvidenceFromLog
+	// GuardAppliedBeforeComplete: a new leader completes nothing before it has applied what was committed before its term.
+	GuardAppliedBeforeComplete
+	// GuardKnownVerdict: an entry that knows a verdict takes no earlier state of that roll-out, nor an earlier roll-out.
+	GuardKnownVerdict
+
 	guardCount
 )
 
@@ -89,6 +108,8 @@
 	"persist_vote", "sync_before_acknowledge", "up_to_date_vote", "own_term_commit", "one_vote",
 	"new_identity_for_wiped_disk", "one_change_at_a_time", "learner_caught_up", "highest_version",
 	"fence", "fence_at_start", "fence_at_call", "settled_orders",
+	"commit_before_acknowledge", "same_version", "one_rollout", "first_verdict", "verdict_id", "committed_verdict",
+	"evidence_from_log", "applied_before_complete", "known_verdict",
 }
 
 // String returns the guard's name in snake case.
