control: a new leader completes a roll-out only by the whole log

A leader completed nothing in its first 2 s, counted since it was first seen leading. One that cannot commit for longer, or that was replaced and elected again between two rounds of 250 ms, could complete a version by its own sums and a state that lacks evidence which an earlier leader had committed. The model of roll-outs in spec found it (guard applied_before_complete).

The wait now starts anew with each term, and the log as of the start of the term has to be applied. TestNewLeaderCompletesOnlyByTheWholeLog fails without either. go test ./control -run 'Rollout|Evidence|NewLeader' passes.

--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -8,6 +8,8 @@
 
 	"github.com/apex/log"
 
+	"github.com/carawaypitch/carawaypitch/quorum"
+	"github.com/carawaypitch/carawaypitch/quorum/replica"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/rollout"
 	"github.com/carawaypitch/carawaypitch/state"
@@ -40,8 +42,35 @@
 	ledger *rollout.Ledger
 
 	// The fields below are accessed only by the goroutine of run.
-	trials     map[string]*trial // by pool
-	leadsSince time.Time         // zero at a follower
+	trials map[string]*trial // by pool
+	leads  leadership
+}
+
+// leadership is the time for which this instance has led in its present term. Its zero value is that of a follower.
+type leadership struct {
+	since time.Time
+	term  uint64
+	// last is the last index of the log when the instance was first seen leading. All that was committed in earlier terms is
+	// at or below it.
+	last uint64
+}
+
+// observe takes in the replica's status.
+func (l *leadership) observe(status replica.Status, isLeader bool, now time.Time) {
+	switch {
+	case !isLeader:
+		*l = leadership{}
+	case !l.holds() || l.term != status.Term:
+		*l = leadership{since: now, term: status.Term, last: status.Last}
+	}
+}
+
+func (l *leadership) holds() bool { return !l.since.IsZero() }
+
+// mayComplete reports whether a version may be completed: the evidence that earlier leaders have committed is applied, and the
+// entries have had time to report to this one.
+func (l *leadership) mayComplete(status replica.Status, now time.Time) bool {
+	return l.holds() && status.Applied >= l.last && now.Sub(l.since) >= completionDelay
 }
 
 // trial is a roll-out as seen by this instance.
@@ -104,12 +133,9 @@
 }
 
 func (r *rollouts) round(ctx context.Context, now time.Time) {
-	switch leads := r.control.isLeader() && !r.control.stopping.Load(); {
-	case !leads:
-		r.leadsSince = time.Time{}
-	case r.leadsSince.IsZero():
-		r.leadsSince = now
-	}
+	status := r.control.replica.Status() // before the state, which may then be newer
+	r.leads.observe(status, status.Role == quorum.RoleLeader && !r.control.stopping.Load(), now)
+	mayComplete := r.leads.mayComplete(status, now)
 	var records []*wire.Rollout
 	servers := make(map[string]int)
 	unixMS := uint64(now.UnixMilli())
@@ -130,7 +156,7 @@
 		}
 		counts := rollout.Merge(record.GetCounts(), r.heard(record.GetId()))
 		verdict := t.judge.Decide(rollout.Observation{Counts: counts, UnixMS: unixMS, Servers: servers[record.GetPool()]})
-		r.act(ctx, t, counts, verdict, now)
+		r.act(ctx, t, counts, verdict, mayComplete, now)
 	}
 }
 
@@ -171,7 +197,7 @@
 		t = &trial{judge: rollout.NewJudge(record), metricNames: make(map[string]bool)}
 		r.trials[record.GetPool()] = t
 	}
-	if isInProgress(t.record) && !isInProgress(record) && !r.leadsSince.IsZero() {
+	if isInProgress(t.record) && !isInProgress(record) && r.leads.holds() {
 		r.reportEnd(record)
 	}
 	if t.record != record {
@@ -183,7 +209,7 @@
 
 // act commits what the evidence requires: at the leader a verdict, or the evidence itself; at a follower nothing, unless
 // the leader does not hear the same entries.
-func (r *rollouts) act(ctx context.Context, t *trial, counts []*wire.RolloutCount, verdict rollout.Verdict, now time.Time) {
+func (r *rollouts) act(ctx context.Context, t *trial, counts []*wire.RolloutCount, verdict rollout.Verdict, mayComplete bool, now time.Time) {
 	isBehind := rollout.Exceeds(counts, t.record.GetCounts())
 	switch {
 	case !isBehind:
@@ -191,8 +217,7 @@
 	case t.behindSince.IsZero():
 		t.behindSince = now
 	}
-	leads := !r.leadsSince.IsZero()
-	mayComplete := leads && now.Sub(r.leadsSince) >= completionDelay
+	leads := r.leads.holds()
 	switch {
 	case leads && verdict.Decision == rollout.Revert, mayComplete && verdict.Decision == rollout.Complete:
 		r.end(ctx, t, counts, verdict)
