--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -9,29 +9,14 @@
 	"github.com/apex/log"
 
 	"github.com/carawaypitch/carawaypitch/quorum"
-	"github.com/carawaypitch/carawaypitch/quorum/replica"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/rollout"
 	"github.com/carawaypitch/carawaypitch/state"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
-// Timing of roll-outs.
-const (
-	// rolloutInterval is the time between two looks at the evidence. A bad version has to be reverted within 5 s, of which
-	// the reports of the entries take one and the way of the verdict to them another.
-	rolloutInterval = 250 * time.Millisecond
-	// recordInterval is the least time between two records of the evidence of one roll-out in the log.
-	recordInterval = time.Second
-	// recordLag is the time after which a follower hands its evidence to the leader: the log is still behind what the
-	// follower has heard, so the leader does not hear the same entries.
-	recordLag = 3 * time.Second
-	// completionDelay is how long a new leader completes nothing. Entries report each second, and a leader that has just
-	// started may not have heard of bad answers yet.
-	completionDelay = 2 * time.Second
-	// evidenceLogInterval is the least time between two log lines with the evidence of one roll-out.
-	evidenceLogInterval = 10 * time.Second
-)
+// evidenceLogInterval is the least time between two log lines with the evidence of one roll-out.
+const evidenceLogInterval = 10 * time.Second
 
 // rollouts holds the evidence of the roll-outs in progress and decides on them. Each instance hears the polls of all
 // entries and compares the versions; only the leader commits evidence and verdicts.
@@ -43,42 +28,13 @@
 
 	// The fields below are accessed only by the goroutine of run.
 	trials map[string]*trial // by pool
-	leads  leadership
-}
-
-// leadership is the time for which this instance has led in its present term. Its zero value is that of a follower.
-type leadership struct {
-	since time.Time
-	term  uint64
-	// last is the last index of the log when the instance was first seen leading. All that was committed in earlier terms is
-	// at or below it.
-	last uint64
-}
-
-// observe takes in the replica's status.
-func (l *leadership) observe(status replica.Status, isLeader bool, now time.Time) {
-	switch {
-	case !isLeader:
-		*l = leadership{}
-	case !l.holds() || l.term != status.Term:
-		*l = leadership{since: now, term: status.Term, last: status.Last}
-	}
-}
-
-func (l *leadership) holds() bool { return !l.since.IsZero() }
-
-// mayComplete reports whether a version may be completed: the evidence that earlier leaders have committed is applied, and the
-// entries have had time to report to this one.
-func (l *leadership) mayComplete(status replica.Status, now time.Time) bool {
-	return l.holds() && status.Applied >= l.last && now.Sub(l.since) >= completionDelay
+	leads  rollout.Leadership
 }
 
 // trial is a roll-out as seen by this instance.
 type trial struct {
+	*rollout.Trial
 	record       *wire.Rollout
-	judge        *rollout.Judge
-	behindSince  time.Time // when the log was first seen behind the evidence; zero if it isn't
-	lastRecord   time.Time
 	lastEvidence time.Time // of the last log line
 	metricNames  map[string]bool
 }
@@ -120,7 +76,7 @@
 
 // run is the loop that looks at the evidence.
 func (r *rollouts) run(ctx context.Context) error {
-	ticker := time.NewTicker(rolloutInterval)
+	ticker := time.NewTicker(rollout.RoundInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -134,8 +90,11 @@
 
 func (r *rollouts) round(ctx context.Context, now time.Time) {
 	status := r.control.replica.Status() // before the state, which may then be newer
-	r.leads.observe(status, status.Role == quorum.RoleLeader && !r.control.stopping.Load(), now)
-	mayComplete := r.leads.mayComplete(status, now)
+	standing := rollout.Standing{
+		Leads: status.Role == quorum.RoleLeader && !r.control.stopping.Load(),
+		Term:  status.Term, Last: status.Last, Applied: status.Applied,
+	}
+	r.leads.Observe(standing, now)
 	var records []*wire.Rollout
 	servers := make(map[string]int)
 	unixMS := uint64(now.UnixMilli())
@@ -154,9 +113,16 @@
 		if !isInProgress(record) {
 			continue
 		}
-		counts := rollout.Merge(record.GetCounts(), r.heard(record.GetId()))
-		verdict := t.judge.Decide(rollout.Observation{Counts: counts, UnixMS: unixMS, Servers: servers[record.GetPool()]})
-		r.act(ctx, t, counts, verdict, mayComplete, now)
+		step := t.Next(rollout.Look{
+			Record: record, Heard: r.heard(record.GetId()), Servers: servers[record.GetPool()], UnixMS: unixMS,
+			Leads: r.leads.Holds(), MayComplete: r.leads.MayComplete(standing, now),
+		}, now)
+		switch {
+		case step.Verdict.Decision != rollout.Continue:
+			r.end(ctx, t, step)
+		case step.Record:
+			r.recordCounts(ctx, t, step, now)
+		}
 	}
 }
 
@@ -194,10 +160,10 @@
 		if t != nil {
 			r.control.counters.forgetRollout(t.metricNames)
 		}
-		t = &trial{judge: rollout.NewJudge(record), metricNames: make(map[string]bool)}
+		t = &trial{Trial: rollout.NewTrial(record), metricNames: make(map[string]bool)}
 		r.trials[record.GetPool()] = t
 	}
-	if isInProgress(t.record) && !isInProgress(record) && r.leads.holds() {
+	if isInProgress(t.record) && !isInProgress(record) && r.leads.Holds() {
 		r.reportEnd(record)
 	}
 	if t.record != record {
@@ -207,42 +173,16 @@
 	return t
 }
 
-// act commits what the evidence requires: at the leader a verdict, or the evidence itself; at a follower nothing, unless
-// the leader does not hear the same entries.
-func (r *rollouts) act(ctx context.Context, t *trial, counts []*wire.RolloutCount, verdict rollout.Verdict, mayComplete bool, now time.Time) {
-	isBehind := rollout.Exceeds(counts, t.record.GetCounts())
-	switch {
-	case !isBehind:
-		t.behindSince = time.Time{}
-	case t.behindSince.IsZero():
-		t.behindSince = now
-	}
-	leads := r.leads.holds()
-	switch {
-	case leads && verdict.Decision == rollout.Revert, mayComplete && verdict.Decision == rollout.Complete:
-		r.end(ctx, t, counts, verdict)
-	case isBehind && now.Sub(t.lastRecord) >= recordInterval && (leads || now.Sub(t.behindSince) >= recordLag):
-		t.lastRecord = now
-		r.recordCounts(ctx, t, counts, now)
-	}
-}
-
 // end commits a verdict. If that fails, the next round decides again.
-func (r *rollouts) end(ctx context.Context, t *trial, counts []*wire.RolloutCount, verdict rollout.Verdict) {
+func (r *rollouts) end(ctx context.Context, t *trial, step rollout.Step) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	_, res, err := r.control.propose(ctx, &wire.Command{Kind: &wire.Command_EndRollout{EndRollout: &wire.EndRollout{
-		Pool:   t.record.GetPool(),
-		Id:     t.record.GetId(),
-		State:  verdict.Decision.State(),
-		Reason: verdict.String(),
-		Counts: counts,
-	}}})
+	_, res, err := r.control.propose(ctx, step.Command(t.record))
 	if err == nil {
 		err = resultError(res)
 	}
 	if err != nil {
-		r.logger(t.record).WithField("reason", verdict.String()).WithError(err).Warn("rollout_verdict_not_committed")
+		r.logger(t.record).WithField("reason", step.Verdict.String()).WithError(err).Warn("rollout_verdict_not_committed")
 		return
 	}
 	if held := res.GetRollout(); held != nil {
@@ -251,14 +191,10 @@
 }
 
 // recordCounts commits evidence.
-func (r *rollouts) recordCounts(ctx context.Context, t *trial, counts []*wire.RolloutCount, now time.Time) {
+func (r *rollouts) recordCounts(ctx context.Context, t *trial, step rollout.Step, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	res, err := r.control.proposeOrForward(ctx, &wire.Command{Kind: &wire.Command_RecordRollout{RecordRollout: &wire.RecordRollout{
-		Pool:   t.record.GetPool(),
-		Id:     t.record.GetId(),
-		Counts: counts,
-	}}})
+	res, err := r.control.proposeOrForward(ctx, step.Command(t.record))
 	if err == nil {
 		err = resultError(res)
 	}
@@ -271,7 +207,7 @@
 		return
 	}
 	t.lastEvidence = now
-	for _, v := range answersByVersion(counts) {
+	for _, v := range answersByVersion(step.Counts) {
 		logger.WithField("of_version", v.Version).
 			WithField("answers", v.Answers).
 			WithField("failures", v.Failures).
