rollout: failures count also while the answers that came with them are hidden

After a restart of all control instances the log holds the answers of dead entries as well, so the answers of living ones show only once there are more of them. A version that became bad meanwhile raised its failures but not its answers; the judge took a step without answers for empty and dropped the failures.

A bad answer now counts as an answer also where the sum of answers has not risen. TestFailuresCountWhileAnswersAreHidden fails without it. go test ./rollout, with TestVerdictErrors, passes.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -61,15 +61,18 @@
 }
 
 // since returns the difference to earlier sums, 0 where a sum has not risen. Merged evidence can lag behind after a
-// change of leader.
+// change of leader. Bad answers are answers, also where the sum of answers has not risen: after a restart of all control
+// instances the answers of living entries are hidden until there are more of them than the log has of dead ones.
 func (s sums) since(o sums) sums {
-	return sums{
+	fresh := sums{
 		s.answers - min(s.answers, o.answers),
 		s.failures - min(s.failures, o.failures),
 		s.slow - min(s.slow, o.slow),
 		s.work - min(s.work, o.work),
 		s.timeMS - min(s.timeMS, o.timeMS),
 	}
+	fresh.answers = max(fresh.answers, fresh.failures+fresh.slow)
+	return fresh
 }
 
 func (s sums) timePerWork() float64 { return float64(s.timeMS) / float64(s.work) }
--- a/rollout/trial_test.go
+++ b/rollout/trial_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/wire"
 )
 
 // Guards against a new leader that completes a version by evidence older than that of the log: one that cannot commit for
@@ -32,3 +34,22 @@
 	l.Observe(standing, now)
 	require.False(t, l.MayComplete(standing, now.Add(completionDelay)))
 }
+
+// Guards against failures that are dropped since no answers seem to have come with them: after a restart of all control
+// instances, the answers of the living entries stay hidden until there are more of them than the log has of dead ones.
+func TestFailuresCountWhileAnswersAreHidden(t *testing.T) {
+	record := &wire.Rollout{Pool: "p", To: "v2", OrderedUnixMs: 1000, DurationMs: 60_000, Counts: []*wire.RolloutCount{
+		{Version: "v1", Class: "one", Answers: 2000, Work: 2000, TimeMs: 2000},
+		{Version: "v2", Class: "one", Answers: 100, Work: 100, TimeMs: 100},
+	}}
+	trial := NewTrial(record)
+	now := time.UnixMilli(2000)
+	var step Step
+	for failures := uint64(0); failures <= 20 && step.Verdict.Decision == Continue; failures++ {
+		heard := []*wire.RolloutCount{{Version: "v2", Class: "one", Answers: 4 * failures, Failures: failures}}
+		step = trial.Next(Look{Record: record, Heard: heard, Servers: 1, UnixMS: uint64(now.UnixMilli()), Leads: true}, now)
+		now = now.Add(time.Second)
+	}
+	require.Equal(t, Revert, step.Verdict.Decision)
+	require.Equal(t, ReasonFailures, step.Verdict.Reason)
+}
