rollout: the failures of the whole time count before a version is completed

In each step of the scores the expected share of failures is the larger one of the share so far and the share in the step. Chance raises the latter where the other versions have few answers in half a second, so a version that failed twice as often as the others, or in bursts, could be completed.

The likelihood ratio of the failures since the order, over all classes, now keeps a version from being completed early and reverts it at the end. TestFailuresOfTheWholeTimeCount fails without it.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -16,6 +16,10 @@
 	certain = 14
 	// suspicious keeps a version from being completed early, and reverts it at the end.
 	suspicious = 5
+	// suspiciousOverall does the same with the failures of the whole time. In each step of the scores the expected share is the
+	// larger one of two, which chance raises where the other versions have few answers; over the whole time that evens out. A
+	// good version reaches it with each of the alternatives at most once in e^5 = 150 roll-outs.
+	suspiciousOverall = 5
 	// suspiciousOfFew reverts a version at the end that got too few answers to compare.
 	suspiciousOfFew = 2.5
 )
@@ -237,6 +241,23 @@
 	return slices.MaxFunc(findings, func(a, b finding) int { return cmp.Compare(a.score, b.score) })
 }
 
+// overall returns how strongly the failures since the order speak against the version, over all classes.
+func (j *Judge) overall() finding {
+	var total sums
+	for _, c := range j.classes {
+		total = total.plus(c.old)
+	}
+	var score shareScores
+	for _, c := range j.classes {
+		old := trials{c.old.answers, c.old.failures}
+		base := baseline(old, old, trials{total.answers, total.failures}, unknownFailures)
+		for i, gain := range gainOf(trials{c.new.answers, c.new.failures}, base) {
+			score[i] += gain
+		}
+	}
+	return finding{score.highest(), ReasonFailures, func(Reason) string { return "since the order: " + j.describeAnswers() }}
+}
+
 func (t *tests) findings(describe func(Reason) string) []finding {
 	return []finding{
 		{t.failures.highest(), ReasonFailures, describe},
--- a/rollout/trial_test.go
+++ b/rollout/trial_test.go
@@ -53,3 +53,25 @@
 	require.Equal(t, Revert, step.Verdict.Decision)
 	require.Equal(t, ReasonFailures, step.Verdict.Reason)
 }
+
+// Guards against a version that fails twice as often as the others and is completed, since in each single step the failures of
+// the others may have been more than on average.
+func TestFailuresOfTheWholeTimeCount(t *testing.T) {
+	j := NewJudge(&wire.Rollout{To: "v2", OrderedUnixMs: startMS, DurationMs: 100_000})
+	var answers, failures, others uint64
+	var v Verdict
+	for second := uint64(1); second <= 97; second++ {
+		answers += 4
+		if second%2 == 0 {
+			failures, others = failures+1, others+8
+		}
+		v = j.Decide(Observation{UnixMS: startMS + 1000*second, Servers: 1, Counts: []*wire.RolloutCount{
+			testCount("v1", 20*answers, others), testCount("v2", answers, failures),
+		}})
+		if second < 97 {
+			require.Equal(t, Verdict{}, v, "second %d", second)
+		}
+	}
+	require.Equal(t, Revert, v.Decision)
+	require.Contains(t, v.String(), "suspicion: since the order")
+}
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -119,7 +119,7 @@
 	case last:
 		return j.lastVerdict(o, worst)
 	case elapsed < j.durationMS/completionDenominator*completionNumerator,
-		o.Servers == 0, j.answers() < minAnswers, worst.score >= suspicious:
+		o.Servers == 0, j.answers() < minAnswers, worst.score >= suspicious, j.overall().score >= suspiciousOverall:
 		return Verdict{}
 	}
 	return Verdict{Complete, ReasonNothingAgainst, j.describeAnswers()}
@@ -138,6 +138,8 @@
 		return Verdict{Revert, ReasonNoServers, j.describeAnswers()}
 	case worst.score >= suspicious, !enough && worst.score >= suspiciousOfFew:
 		return Verdict{Revert, ReasonSuspicion, worst.String()}
+	case j.overall().score >= suspiciousOverall:
+		return Verdict{Revert, ReasonSuspicion, j.overall().String()}
 	case enough:
 		return Verdict{Complete, ReasonNothingAgainst, j.describeAnswers()}
 	default:
