standin, dev: runs and spoiled runs are logged, servers can be killed, all four ways of a bad version

The stand-ins already announced a version and had its fault. Experiments need when runs reached the servers of a version and when its fault spoiled one (RunLog), and old servers that stop at once at the end of a roll-out (Server.Kill; Run then returns without leaving the agent). dev gets flags for the faults under load and on one route.

--- a/cmd/carawaypitch/dev.go
+++ b/cmd/carawaypitch/dev.go
@@ -55,6 +55,8 @@
 	flags.Float64Var(&c.options.NewFault.Failures, "new-failures", 0, "share of requests, 0 to 1, that fail at the new version")
 	flags.Float64Var(&c.options.NewFault.Slow, "new-slow", 0, "how many times as long a request takes at the new version")
 	flags.DurationVar(&c.options.NewFault.After, "new-fault-after", 0, "time from the start at which the new version goes bad")
+	flags.IntVar(&c.options.NewFault.MinRunning, "new-fault-running", 0, "running requests at a server from which on the new version is bad")
+	flags.StringVar(&c.options.NewFault.PathPrefix, "new-fault-path", "", "beginning of the paths on which the new version is bad (default: all)")
 	flags.BoolVar(&c.json, "json", false, "print one line of JSON once ready, and nothing else on standard output")
 	flags.BoolVar(&c.verbose, "v", false, "log every event instead of warnings and errors")
 }
--- a/cmd/carawaypitch/dev_rollout_test.go
+++ b/cmd/carawaypitch/dev_rollout_test.go
@@ -54,12 +54,19 @@
 // requests to the new version, evidence that reaches control, a verdict, and entries that go by it. A version that fails half
 // of its requests must be reverted after few of them, and a good one completed within its time.
 func TestRolloutAcrossProcessesOfDev(t *testing.T) {
-	for _, row := range []struct{ name, failures, want string }{
-		{"bad", "0.5", "reverted"},
-		{"good", "0", "completed"},
+	for _, row := range []struct {
+		name  string
+		fault []string
+		want  string
+	}{
+		{"good", nil, "completed"},
+		{"fails", []string{"-new-failures", "0.5"}, "reverted"},
+		{"slow", []string{"-new-slow", "8"}, "reverted"},
+		{"fails on the route that is called", []string{"-new-failures", "0.5", "-new-fault-path", "/check"}, "reverted"},
+		{"fails on another route", []string{"-new-failures", "0.5", "-new-fault-path", "/issue"}, "completed"},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			info := startDev(t, "-version", "v1", "-new-version", "v2", "-new-services", "2", "-new-failures", row.failures)
+			info := startDev(t, append([]string{"-version", "v1", "-new-version", "v2", "-new-services", "2"}, row.fault...)...)
 			stop := make(chan struct{})
 			calls := callUntil(info, stop)
 			defer calls.Wait()
--- a/engine/standin/options.go
+++ b/engine/standin/options.go
@@ -78,6 +78,8 @@
 	ServiceTime   time.Duration
 	ServiceJitter float64
 
+	// RunLog records when runs arrive and which of them VersionFault spoils. Nil records nothing.
+	RunLog *RunLog
 	// Ledger counts starts and overlaps. Stand-ins that share one detect a request that runs on
 	// two of them at the same time. Nil means a ledger of its own.
 	Ledger *Ledger
--- a/engine/standin/run.go
+++ b/engine/standin/run.go
@@ -17,7 +17,7 @@
 
 // Run listens and announces until ctx ends. Then it leaves its agent, waits until the agent
 // reports it as drained, waits for running calls to finish and returns nil; LeaveTimeout limits
-// each of the two waits. It fails if the options are invalid, if it cannot listen, or if calls
+// each of the two waits. After Kill it returns at once. It fails if the options are invalid, if it cannot listen, or if calls
 // are still running at the end.
 func (s *Server) Run(ctx context.Context) error {
 	if err := s.options.Validate(); err != nil {
@@ -39,6 +39,10 @@
 	case err := <-served:
 		stopAnnouncing(context.Background(), false)
 		return errors.Wrap(err, "serve")
+	case <-s.killed:
+		stopAnnouncing(context.Background(), false)
+		s.Close()
+		return server.Close()
 	case <-ctx.Done():
 	}
 	return s.shutdown(server, stopAnnouncing)
--- a/engine/standin/server.go
+++ b/engine/standin/server.go
@@ -32,6 +32,7 @@
 	cancelRun context.CancelFunc
 	downUntil time.Time
 	closed    bool
+	killed    chan struct{} // closed by Kill
 	listener  *refusingListener
 	ready     chan struct{}
 }
@@ -44,6 +45,7 @@
 		options: options,
 		faults:  &faultSet{seed: options.Seed},
 		routes:  echo.New(),
+		killed:  make(chan struct{}),
 		ready:   make(chan struct{}),
 	}
 	s.runCtx, s.cancelRun = context.WithCancel(context.Background())
@@ -241,6 +243,18 @@
 	}
 }
 
+// Kill ends the stand-in as killing the process would: everything that is running ends, and Run
+// returns without leaving the agent. Only the first call has an effect.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	first := !s.closed
+	s.closed = true
+	s.mu.Unlock()
+	if first {
+		close(s.killed)
+	}
+}
+
 func (s *Server) down() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/engine/standin/version_fault.go
+++ b/engine/standin/version_fault.go
@@ -65,12 +65,17 @@
 			}
 			now := running.Add(1)
 			defer running.Add(-1)
+			s.options.RunLog.began()
 			if !fault.applies(c.Request().URL.Path, int(now), time.Since(started)) {
 				return next(c)
 			}
 			if fault.Failures > 0 && s.faults.random("version_failure", uint64(requests.Add(1))) < fault.Failures {
+				defer s.options.RunLog.spoiled()
 				return respondInternalError(c)
 			}
+			if fault.Slow > 1 {
+				defer s.options.RunLog.spoiled()
+			}
 			if err := s.delayRun(c, fault.Slow); err != nil {
 				return abort()
 			}
--- a/engine/standin/version_fault_test.go
+++ b/engine/standin/version_fault_test.go
@@ -118,6 +118,54 @@
 	})
 }
 
+// Guards against experiments that measure the exposure of a version wrongly: each run counts when it arrives, and a run that the
+// fault spoils also when it ends.
+func TestRunLogRecordsRunsAndSpoiledOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const path = "/v1/services/registry/check"
+		log := NewRunLog(100)
+		call := func(fault VersionFault, log *RunLog, n int) {
+			options := ServiceDefaults()
+			options.ServiceTime = 10 * time.Millisecond
+			options.VersionFault, options.RunLog = fault, log
+			_, client := startServer(t, options)
+			for i := range n {
+				callService(t, client, fmt.Sprint(i), path)
+			}
+		}
+		call(VersionFault{}, nil, 1)
+		call(VersionFault{}, log, 3)
+		require.Len(t, log.Runs(), 3)
+		require.Empty(t, log.Bad())
+		call(VersionFault{Slow: 4}, log, 1)
+		require.Len(t, log.Runs(), 4)
+		require.Equal(t, 40*time.Millisecond, log.Bad()[0].Sub(log.Runs()[3]))
+		call(VersionFault{Failures: 1, PathPrefix: "/other"}, log, 2)
+		call(VersionFault{Failures: 1}, log, 2)
+		require.Len(t, log.Runs(), 8)
+		require.Len(t, log.Bad(), 3)
+		call(VersionFault{Failures: 1}, log, 100)
+		require.Len(t, log.Runs(), 100, "the limit")
+	})
+}
+
+// Guards against old servers of an experiment that drain at the end of a roll-out, though the platform stops them at once.
+func TestKillEndsRunsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		options := ServiceDefaults()
+		options.ServiceTime = time.Hour
+		server, client := startServer(t, options)
+		start := time.Now()
+		time.AfterFunc(time.Second, func() {
+			server.Kill()
+			server.Kill()
+		})
+		_, err := client.Run(t.Context(), serviceRequest("a.1", ""), &statusSink{})
+		require.Error(t, err)
+		require.Equal(t, time.Second, time.Since(start))
+	})
+}
+
 // Guards against a fault that has no effect because of a value out of range.
 func TestVersionFaultValidation(t *testing.T) {
 	for _, fault := range []VersionFault{{Failures: 1.1}, {Failures: -1}, {Slow: 0.5}, {After: -1}, {MinRunning: -1}} {
