--- a/experiment/deploy/deploy.go
+++ b/experiment/deploy/deploy.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +54,8 @@
 type Options struct {
 	Plan   *plan.Plan
 	Policy plan.Policy
+	// Rollout is the roll-out that RunRollout runs; nil for none.
+	Rollout *plan.Rollout
 	// Log receives the daemons' events; nil drops them.
 	Log log.Interface
 }
@@ -68,6 +71,7 @@
 	keys          []string
 	organisations []settings.Organisation
 	ledger        *standin.Ledger
+	rollout       *rollout // nil without one
 	probe         *http.Client
 
 	mu       sync.Mutex // guards what follows once Start has returned
@@ -92,6 +96,7 @@
 		log:     options.Log,
 		folder:  folder,
 		ledger:  standin.NewLedger(maxStarts),
+		rollout: newRollout(options.Rollout),
 	}
 	d.fabric = fabric.New(d.delay)
 	if d.log == nil {
@@ -239,12 +244,19 @@
 	for _, e := range d.entries {
 		add(e.url())
 	}
-	for _, s := range d.servers {
+	for _, s := range d.serverList() {
 		add(s.agentURL())
 	}
 	return all
 }
 
+// serverList returns the backend servers, those that are gone included.
+func (d *Deployment) serverList() []*serverInstance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.servers)
+}
+
 // Stop stops everything, entries first, and removes the data folder. It waits for all instances, bounded.
 func (d *Deployment) Stop() error {
 	var errs []error
@@ -254,18 +266,19 @@
 	for _, e := range d.entries {
 		errs = append(errs, e.wait(stopBound))
 	}
+	running := slices.DeleteFunc(d.serverList(), func(s *serverInstance) bool { return s.gone })
 	// A stand-in that leaves asks its agent until that says drained, so the agent stays until then. One that was stopped
 	// beside it was gone before it had said so, and the stand-in asked on beyond stopBound.
-	for _, s := range d.servers {
+	for _, s := range running {
 		s.standin.cancel()
 	}
-	for _, s := range d.servers {
+	for _, s := range running {
 		errs = append(errs, s.standin.wait(stopBound))
 	}
-	for _, s := range d.servers {
+	for _, s := range running {
 		s.agent.cancel()
 	}
-	for _, s := range d.servers {
+	for _, s := range running {
 		errs = append(errs, s.agent.wait(stopBound))
 	}
 	for _, i := range d.leaving {
--- a/experiment/deploy/faults.go
+++ b/experiment/deploy/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,7 +21,7 @@
 	case plan.Straggler:
 		return d.switchFaults(d.named(f.Target), func(s *standin.Faults) { s.Slow = f.Factor }, func(s *standin.Faults) { s.Slow = 1 })
 	case plan.CacheEvents:
-		return d.switchFaults(d.servers, func(s *standin.Faults) { s.DropCacheEvents = f.Factor }, func(s *standin.Faults) { s.DropCacheEvents = 0 })
+		return d.switchFaults(d.serverList(), func(s *standin.Faults) { s.DropCacheEvents = f.Factor }, func(s *standin.Faults) { s.DropCacheEvents = 0 })
 	case plan.EngineCrash:
 		d.named(f.Target)[0].server.Crash(f.For.Std())
 		return noFault, nil
@@ -33,6 +34,16 @@
 		return noFault, nil
 	case plan.ControlCut:
 		return d.cutLeader(ctx)
+	case plan.ControlDeath:
+		leader, err := d.leader(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return d.killControl(leader), nil
+	case plan.EntryCut:
+		return d.cutEntry(f.Entry - 1), nil
+	case plan.ZoneLoss:
+		return d.loseZone(ctx, f), nil
 	case plan.PoisonRequest:
 		return d.beginPoison(ctx, f)
 	case plan.RateLimit:
@@ -48,7 +59,7 @@
 
 // named returns the backend server of a name, which the plan's check has found.
 func (d *Deployment) named(name string) []*serverInstance {
-	for _, s := range d.servers {
+	for _, s := range d.serverList() {
 		if s.Name == name {
 			return []*serverInstance{s}
 		}
@@ -77,6 +88,9 @@
 	return func() error {
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		if s.gone {
+			return nil
+		}
 		return d.startAgent(s)
 	}
 }
@@ -136,6 +150,73 @@
 	}, nil
 }
 
+// killControl ends a control instance as the death of its process does, but for writes to its disk that are under way. It starts
+// again with its disk.
+func (d *Deployment) killControl(c *controlInstance) func() error {
+	d.mu.Lock()
+	killed := c.instance
+	d.mu.Unlock()
+	killed.host.Kill()
+	d.abandon(killed)
+	return func() error {
+		// The disk has one owner at a time.
+		if err := killed.wait(stopBound); errors.Is(err, errStillRuns) {
+			return err
+		}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.startControl(slices.Index(d.controls, c), c)
+	}
+}
+
+// cutEntry cuts an entry off from all control instances, silently.
+func (d *Deployment) cutEntry(number int) func() error {
+	entry := d.entries[number]
+	for _, c := range d.controls {
+		d.fabric.Part(entry.ip, c.ip)
+	}
+	return func() error {
+		for _, c := range d.controls {
+			d.fabric.Join(entry.ip, c.ip)
+		}
+		return nil
+	}
+}
+
+// loseZone kills everything in an availability zone.
+func (d *Deployment) loseZone(ctx context.Context, f plan.Fault) func() error {
+	var restarts []func() error
+	for i, c := range d.controls {
+		if d.controlZone(i) == f.Target {
+			restarts = append(restarts, d.killControl(c))
+		}
+	}
+	for _, s := range d.serverList() {
+		if s.Zone == f.Target && !d.isGone(s) {
+			s.server.Crash(f.For.Std())
+			restarts = append(restarts, d.killAgent(s))
+		}
+	}
+	for i := range d.entries {
+		if d.plan.Entries[i].Zone == f.Target {
+			restarts = append(restarts, d.killEntry(ctx, i))
+		}
+	}
+	return func() error {
+		var errs []error
+		for _, restart := range restarts {
+			errs = append(errs, restart())
+		}
+		return errors.Join(errs...)
+	}
+}
+
+func (d *Deployment) isGone(s *serverInstance) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return s.gone
+}
+
 func (d *Deployment) leader(ctx context.Context) (*controlInstance, error) {
 	for _, asked := range d.controls {
 		body, err := d.get(ctx, asked.url()+"/v1/status")
@@ -148,8 +229,8 @@
 		if err := json.Unmarshal(body, &status); err != nil {
 			return nil, errors.Wrap(err, "control status")
 		}
-		for _, c := range d.controls {
-			if c.name == status.Leader {
+		for i, c := range d.controls {
+			if instanceName("control", i) == status.Leader {
 				return c, nil
 			}
 		}
--- a/experiment/deploy/instances.go
+++ b/experiment/deploy/instances.go
@@ -58,7 +58,7 @@
 func (d *Deployment) startControl(number int, c *controlInstance) error {
 	s := settings.DefaultControl()
 	s.Instance = instanceName("control", number)
-	s.AvailabilityZone = d.plan.Zones[number%len(d.plan.Zones)]
+	s.AvailabilityZone = d.controlZone(number)
 	s.Listen = settings.ControlListen{Operators: net.JoinHostPort(c.ip, portOperators), Links: c.links()}
 	s.Advertise = c.links()
 	s.Bootstrap = true
@@ -82,6 +82,8 @@
 	return nil
 }
 
+func (d *Deployment) controlZone(number int) string { return d.plan.Zones[number%len(d.plan.Zones)] }
+
 func (d *Deployment) controlLinks() []string {
 	var addresses []string
 	for _, c := range d.controls {
@@ -147,6 +149,8 @@
 	agent   *instance
 	// agentHost dies with the agent; the stand-in lives on.
 	agentHost *fabric.Host
+	// isNew says that it was started for a roll-out, gone that it was killed for good.
+	isNew, gone bool
 }
 
 func (s *serverInstance) agentURL() string { return "http://" + net.JoinHostPort(s.ip, portHTTP) }
@@ -192,6 +196,7 @@
 	options.Network = host
 	options.Agent = s.agentURL()
 	options.Ledger = d.ledger
+	d.rollout.prepare(&options, s.Serves, s.isNew)
 	s.server = standin.New(options)
 	s.standin = launch(s.Name, host, s.server.Run)
 }
@@ -216,6 +221,7 @@
 	options.LoadLag = s.LoadLag.Std()
 	options.CacheLag = s.CacheLag.Std()
 	options.CacheGap = s.CacheGap
+	options.Version = s.Version
 	options.LeaveTimeout = leaveTimeout
 	options.MaxTracked = maxStarts
 	if s.IgnoresFence {
--- a/experiment/deploy/poison.go
+++ b/experiment/deploy/poison.go
@@ -46,7 +46,7 @@
 			p.class = class.Name
 		}
 	}
-	mend, err := d.switchFaults(d.servers,
+	mend, err := d.switchFaults(d.serverList(),
 		func(s *standin.Faults) { s.CrashOn, s.DownMs = poisonText, poisonDown.Milliseconds() },
 		func(s *standin.Faults) { s.CrashOn = "" })
 	if err != nil {
@@ -129,7 +129,7 @@
 // crashes is how often backend servers have crashed.
 func (d *Deployment) crashes() int64 {
 	var total int64
-	for _, s := range d.servers {
+	for _, s := range d.serverList() {
 		total += int64(s.server.Stats().Crashes)
 	}
 	return total
--- a/experiment/deploy/stats.go
+++ b/experiment/deploy/stats.go
@@ -18,7 +18,7 @@
 // Prefill returns the sums over all model engines.
 func (d *Deployment) Prefill() Prefill {
 	sum := Prefill{Wasted: map[string]uint64{}}
-	for _, s := range d.servers {
+	for _, s := range d.serverList() {
 		if s.Kind != settings.KindModel {
 			continue
 		}
@@ -53,7 +53,7 @@
 // Runs returns how often each Idempotency-Key ran, over all services.
 func (d *Deployment) Runs() map[string]int {
 	runs := map[string]int{}
-	for _, s := range d.servers {
+	for _, s := range d.serverList() {
 		for key, count := range s.server.Runs() {
 			runs[key] += count
 		}
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -55,6 +55,7 @@
 			return r, err
 		}
 	}
+	r.SetRolloutCosts(p)
 	return r, broken
 }
 
@@ -108,6 +109,9 @@
 		}
 	}
 	group.Goals = report.Judge(s.Goals, p.Goals, group)
+	for _, run := range group.Runs {
+		group.Goals = append(group.Goals, run.Rollout.Goals()...)
+	}
 	return group, broken
 }
 
--- a/experiment/fabric/fabric.go
+++ b/experiment/fabric/fabric.go
@@ -28,6 +28,7 @@
 	mu       sync.Mutex
 	places   map[string]place // by address within the fabric
 	assigned int              // IP numbers given out
+	parted   map[[2]string]chan struct{}
 }
 
 // place is where a listener is.
@@ -38,7 +39,7 @@
 
 // New returns a fabric whose one-way delay between two zones is given by delay.
 func New(delay func(from, to string) time.Duration) *Fabric {
-	return &Fabric{delay: delay, places: make(map[string]place)}
+	return &Fabric{delay: delay, places: make(map[string]place), parted: make(map[[2]string]chan struct{})}
 }
 
 // NewIP returns an IP number that no host has.
@@ -64,6 +65,40 @@
 	}
 }
 
+// Part stops all bytes between two IP numbers, in both directions, without an error to anybody. Join lets them go on.
+func (f *Fabric) Part(a, b string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if pair := pairOf(a, b); f.parted[pair] == nil {
+		f.parted[pair] = make(chan struct{})
+	}
+}
+
+// Join ends Part.
+func (f *Fabric) Join(a, b string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	pair := pairOf(a, b)
+	if joined := f.parted[pair]; joined != nil {
+		close(joined)
+		delete(f.parted, pair)
+	}
+}
+
+func pairOf(a, b string) [2]string { return [2]string{min(a, b), max(a, b)} }
+
+// whenJoined returns a channel that is closed once the two IP numbers are not parted.
+func (f *Fabric) whenJoined(a, b string) <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if joined := f.parted[pairOf(a, b)]; joined != nil {
+		return joined
+	}
+	return joinedAlready
+}
+
+var joinedAlready = closed()
+
 func closed() chan struct{} {
 	c := make(chan struct{})
 	close(c)
@@ -171,9 +206,9 @@
 func (h *Host) handshake(ctx context.Context, to *Host, delay time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, network.DialTimeout)
 	defer cancel()
-	for _, end := range []*Host{h, to} {
+	for _, open := range []<-chan struct{}{h.whenHealed(), to.whenHealed(), h.fabric.whenJoined(h.ip, to.ip)} {
 		select {
-		case <-end.whenHealed():
+		case <-open:
 		case <-ctx.Done():
 			return &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
 		}
--- a/experiment/fabric/fabric_test.go
+++ b/experiment/fabric/fabric_test.go
@@ -101,3 +101,27 @@
 	require.NoError(t, err)
 	assert.Equal(t, "held", string(got))
 }
+
+// Guards against a partition that cuts a host off from all others instead of one, or that loses bytes.
+func TestPartHoldsBytesBackBetweenTwoHosts(t *testing.T) {
+	f, a, b := twoHosts()
+	c := f.Host(f.NewIP(), "zone-1")
+	dialled, accepted, address := connect(t, a, b)
+	f.Part(b.ip, a.ip)
+	f.Part(a.ip, b.ip)
+	_, err := dialled.Write([]byte("held"))
+	require.NoError(t, err)
+	impatient, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = a.Dial(impatient, address)
+	require.Error(t, err)
+	other, err := c.Dial(context.Background(), address)
+	require.NoError(t, err)
+	require.NoError(t, other.Close())
+	f.Join(a.ip, b.ip)
+	got := make([]byte, 4)
+	_, err = io.ReadFull(accepted, got)
+	require.NoError(t, err)
+	assert.Equal(t, "held", string(got))
+	f.Join(a.ip, b.ip)
+}
--- a/experiment/fabric/pipe.go
+++ b/experiment/fabric/pipe.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// wait returns true once a piece is due and neither host is cut off, false if the connection ends first.
+// wait returns true once a piece is due and the hosts are neither cut off nor parted, false if the connection ends first.
 func (p *pipe) wait(due time.Time) bool {
 	if early := time.Until(due); early > 0 {
 		timer := time.NewTimer(early)
@@ -91,9 +91,9 @@
 			return false
 		}
 	}
-	for _, end := range []*Host{p.from, p.to} {
+	for _, open := range []<-chan struct{}{p.from.whenHealed(), p.to.whenHealed(), p.from.fabric.whenJoined(p.from.ip, p.to.ip)} {
 		select {
-		case <-end.whenHealed():
+		case <-open:
 		case <-p.done:
 			return false
 		}
--- a/experiment/plan/check_faults.go
+++ b/experiment/plan/check_faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -18,6 +19,9 @@
 		if s.Burst != nil {
 			r.checkBurst(p, at+"burst.", s.Burst)
 		}
+		if s.Rollout != nil {
+			r.checkRollout(p, at+"rollout.", s)
+		}
 		for j, f := range s.Faults {
 			r.checkFault(p, fmt.Sprintf("%sfaults[%d].", at, j), f)
 		}
@@ -30,6 +34,41 @@
 	r.require(b.Times > 0 && b.Times <= maxMultiple, at+"times", "want a factor, up to %d", maxMultiple)
 }
 
+func (r *reader) checkRollout(p *Plan, at string, s Scenario) {
+	o := s.Rollout
+	found := false
+	for _, servers := range p.Servers {
+		found = found || servers.Serves == o.Service
+		r.require(o.To == "" || servers.Serves != o.Service || servers.Version != o.To, at+"to", "the servers %q have this version already", servers.Name)
+	}
+	r.require(found, at+"service", "no backend servers of %q", o.Service)
+	r.require(o.To != "", at+"to", "want a version")
+	r.require(o.At >= 0, at+"at", "must not be negative")
+	r.require(o.For >= minRollout, at+"for", "want at least %s", minRollout.Std())
+	r.require(o.At+o.For <= p.Measured, at+"for", "want an end within measured")
+	if bad := o.Bad; bad != nil {
+		r.require(isShare(bad.Failures), at+"bad.failures", "want a share from 0 to 1")
+		r.require(bad.Slow == 0 || bad.Slow >= 1 && bad.Slow <= maxMultiple, at+"bad.slow", "want 1 to %d", maxMultiple)
+		r.require(bad.Failures > 0 || bad.Slow > 1, at+"bad", "want failures or slow")
+		r.require(bad.After >= 0 && bad.After < o.For, at+"bad.after", "want a time within for")
+		r.require(bad.MinRunning >= 0, at+"bad.min_running", "must not be negative")
+	}
+	if other := p.Scenario(o.CostAgainst); o.CostAgainst != "" {
+		ok := other != nil && other.Rollout == nil && other.Load == s.Load && sameBurst(other.Burst, s.Burst)
+		r.require(ok, at+"cost_against", "want a scenario with the same load and without a roll-out")
+	}
+}
+
+// minRollout is the shortest time of a roll-out that control accepts.
+const minRollout = Duration(time.Second)
+
+func sameBurst(a, b *Burst) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
 func (r *reader) checkFault(p *Plan, at string, f Fault) {
 	r.require(f.At >= 0 && f.At < p.Measured, at+"at", "want a time within measured")
 	r.require(f.For >= 0, at+"for", "must not be negative")
@@ -58,6 +97,14 @@
 		r.checkTarget(p, at, f)
 	case ControlCut:
 		r.require(p.Controls >= 3, at+"kind", "want at least 3 control instances")
+	case ControlDeath:
+		r.require(p.Controls >= 3, at+"kind", "want at least 3 control instances")
+		r.require(f.For > 0, at+"for", "want a time above zero")
+	case EntryCut:
+		r.require(f.Entry >= 1 && f.Entry <= len(p.Entries), at+"entry", "want 1 to %d", len(p.Entries))
+	case ZoneLoss:
+		r.require(slices.Contains(p.Zones, f.Target), at+"target", "no availability zone %q", f.Target)
+		r.require(f.For > 0, at+"for", "want a time above zero")
 	default:
 		r.add(at+"kind", "no fault %q", f.Kind)
 	}
--- a/experiment/plan/plan.go
+++ b/experiment/plan/plan.go
@@ -3,6 +3,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/settings"
@@ -103,6 +104,8 @@
 	LoadLag  Duration `json:"load_lag"`
 	CacheLag Duration `json:"cache_lag"`
 	CacheGap float64  `json:"cache_gap"`
+	// Version is the version that they announce; empty announces none.
+	Version string `json:"version"`
 	// IgnoresFence makes them obey orders that carry an old fence number.
 	IgnoresFence bool `json:"ignores_fence"`
 }
@@ -151,10 +154,40 @@
 	Burst *Burst `json:"burst"`
 	// Faults come at times after the end of the warm-up.
 	Faults []Fault `json:"faults"`
+	// Rollout moves a service to another version; nil for none.
+	Rollout *Rollout `json:"rollout"`
 	// Goals is "overload", "underload" or empty.
 	Goals GoalKind `json:"goals"`
 }
 
+// Rollout starts as many servers of a new version as a service has, beside them, and orders that the service be moved to them.
+// When it is completed the old servers stop at once; when it is reverted the new ones leave.
+type Rollout struct {
+	// Service is the model or service, To the new version.
+	Service string `json:"service"`
+	To      string `json:"to"`
+	// At is the time of the order after the end of the warm-up, For the time within which the roll-out has to end.
+	At  Duration `json:"at"`
+	For Duration `json:"for"`
+	// Bad says how the version is bad; nil for a good one.
+	Bad *BadVersion `json:"bad"`
+	// CostAgainst names a scenario with the same load and without a roll-out, by which the cost to the callers is measured.
+	CostAgainst string `json:"cost_against"`
+}
+
+// BadVersion is a version that fails or is slow, always or under the conditions of the other fields.
+type BadVersion struct {
+	// Failures is the share of requests that fail, Slow how many times as long a request takes; 0 for no effect.
+	Failures float64 `json:"failures"`
+	Slow     float64 `json:"slow"`
+	// After is the time from the order at which it begins.
+	After Duration `json:"after"`
+	// MinRunning limits it to times at which a server runs at least as many requests, Path to paths that begin with it, as the
+	// servers see them.
+	MinRunning int    `json:"min_running"`
+	Path       string `json:"path"`
+}
+
 // Burst multiplies the load between At and At+For after the end of the warm-up.
 type Burst struct {
 	At    Duration `json:"at"`
@@ -181,6 +214,13 @@
 	CacheEvents FaultKind = "cache_events"
 	// ControlCut cuts the control leader off from all others, silently.
 	ControlCut FaultKind = "control_cut"
+	// ControlDeath kills the control leader; it starts again with its disk after For.
+	ControlDeath FaultKind = "control_death"
+	// EntryCut cuts entry number Entry off from the control instances, silently. Its links to agents and callers stay.
+	EntryCut FaultKind = "entry_cut"
+	// ZoneLoss kills every process in availability zone Target, as the loss of a rack does; they start again after For, control
+	// instances with their disks.
+	ZoneLoss FaultKind = "zone_loss"
 	// PoisonRequest has the first organisation repeat, Factor times a second, a request for what backend server Target has that
 	// crashes each server that begins to run it.
 	PoisonRequest FaultKind = "poison_request"
@@ -203,6 +243,13 @@
 	Factor float64  `json:"factor"`
 }
 
+// DisturbsControl tells whether a fault of the scenario kills or cuts off a control instance.
+func (s *Scenario) DisturbsControl() bool {
+	return slices.ContainsFunc(s.Faults, func(f Fault) bool {
+		return f.Kind == ControlCut || f.Kind == ControlDeath || f.Kind == ZoneLoss
+	})
+}
+
 // Policy is one policy to run.
 type Policy struct {
 	// Policy is "targets", "round_robin", "least_load" or "random_fifo".
--- a/experiment/plan/plan_test.go
+++ b/experiment/plan/plan_test.go
@@ -20,7 +20,7 @@
 }
 
 func TestExamplesAreGood(t *testing.T) {
-	for _, name := range []string{"quick", "compost", "festival"} {
+	for _, name := range []string{"quick", "compost", "festival", "rollout"} {
 		p, err := Load(filepath.Join(examples, name+".jsonc"))
 		require.NoError(t, err, name)
 		assert.Equal(t, name, p.Name)
@@ -55,6 +55,25 @@
 			"scenarios[0].faults[0].target", "no backend server",
 		},
 		{`"load": 2,`, `"load": 2, "faults": [{"kind": "control_cut", "at": "1s"}],`, "scenarios[0].faults[0].kind", "at least 3 control"},
+		{`"load": 2,`, `"load": 2, "faults": [{"kind": "control_death", "at": "1s", "for": "1s"}],`, "scenarios[0].faults[0].kind", "at least 3 control"},
+		{`"load": 2,`, `"load": 2, "faults": [{"kind": "entry_cut", "at": "1s", "entry": 3}],`, "scenarios[0].faults[0].entry", "want 1 to 2"},
+		{`"load": 2,`, `"load": 2, "faults": [{"kind": "zone_loss", "at": "1s", "for": "1s", "target": "x"}],`, "scenarios[0].faults[0].target", "no availability zone"},
+		{`"load": 2,`, `"load": 2, "rollout": {"service": "x", "to": "v2", "at": "0s", "for": "2s"},`, "scenarios[0].rollout.service", "no backend servers"},
+		{`"load": 2,`, `"load": 2, "rollout": {"service": "registry", "at": "0s", "for": "2s"},`, "scenarios[0].rollout.to", "want a version"},
+		{`"load": 2,`, `"load": 2, "rollout": {"service": "registry", "to": "v2", "at": "2s", "for": "2s"},`, "scenarios[0].rollout.for", "within measured"},
+		{`"load": 2,`, `"load": 2, "rollout": {"service": "registry", "to": "v2", "at": "0s", "for": "0s"},`, "scenarios[0].rollout.for", "at least 1s"},
+		{
+			`"load": 2,`, `"load": 2, "rollout": {"service": "registry", "to": "v2", "for": "2s", "bad": {"after": "1s"}},`,
+			"scenarios[0].rollout.bad", "want failures or slow",
+		},
+		{
+			`"load": 2,`, `"load": 2, "rollout": {"service": "registry", "to": "v2", "for": "2s", "bad": {"failures": 1, "after": "2s"}},`,
+			"scenarios[0].rollout.bad.after", "within for",
+		},
+		{
+			`"load": 2,`, `"load": 2, "rollout": {"service": "registry", "to": "v2", "for": "2s", "cost_against": "2x"},`,
+			"scenarios[0].rollout.cost_against", "without a roll-out",
+		},
 		{`"goals": "overload"`, `"goals": "all"`, "scenarios[0].goals", "want"},
 		{`"random_fifo"`, `"best"`, "policies[1].policy", "want one of"},
 	}
--- a/experiment/report/report.go
+++ b/experiment/report/report.go
@@ -65,6 +65,8 @@
 	Metrics  []Metric `json:"metrics"`
 	// Asked is what backend servers asked of their senders, and what they got.
 	Asked []Asked `json:"asked"`
+	// Rollout is the roll-out of the scenario, nil for none.
+	Rollout *Rollout `json:"rollout,omitempty"`
 	// Violations are promises that were broken.
 	Violations []string `json:"violations"`
 	// Faults are those that were let happen, and their errors.
--- a/experiment/report/text.go
+++ b/experiment/report/text.go
@@ -21,6 +21,9 @@
 		text += fmt.Sprintf(", tier %d %s", t.Tier, percent(t.GoodRate))
 	}
 	text += fmt.Sprintf("; wasted prefill %s, spread %s", percent(r.Prefill.WastedShare), percent(r.Shares.Spread))
+	if r.Rollout != nil {
+		text += "; " + r.Rollout.Line()
+	}
 	if r.Invalid != "" {
 		text += "; INVALID: " + r.Invalid
 	}
@@ -89,6 +92,7 @@
 		}
 		fmt.Fprintln(w)
 	}
+	r.Rollout.print(w)
 	for _, v := range r.Violations {
 		fmt.Fprintf(w, "  VIOLATION: %s\n", v)
 	}
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -40,7 +40,7 @@
 
 // runPolicy starts a deployment, sends the requests and stops it.
 func runPolicy(ctx context.Context, p *plan.Plan, s *plan.Scenario, policy plan.Policy, arrivals []*load.Arrival, options Options) (report.Run, error) {
-	d, err := deploy.Start(ctx, deploy.Options{Plan: p, Policy: policy, Log: options.Log})
+	d, err := deploy.Start(ctx, deploy.Options{Plan: p, Policy: policy, Rollout: s.Rollout, Log: options.Log})
 	if err != nil {
 		return report.Run{}, err
 	}
@@ -54,6 +54,10 @@
 	for _, asked := range d.Asked() {
 		run.Asked = append(run.Asked, report.Asked(asked))
 	}
+	if rollout := d.Rollout(); rollout != nil {
+		run.Rollout = report.NewRollout(*rollout, s.DisturbsControl())
+		run.Violations = append(run.Violations, run.Rollout.Violations()...)
+	}
 	run.Violations = append(run.Violations, o.violations(outcomes)...)
 	run.Invalid = o.invalid(run)
 	if err := d.Stop(); err != nil {
@@ -86,6 +90,9 @@
 	for _, f := range o.scenario.Faults {
 		duties.Go(func() { o.fault(ctx, f) })
 	}
+	if o.scenario.Rollout != nil {
+		duties.Go(func() { o.rollout(ctx, o.scenario.Rollout) })
+	}
 	outcomes := o.driver.Run(ctx, o.begin, arrivals)
 	duties.Wait()
 	return outcomes
@@ -136,11 +143,26 @@
 	o.noteFault(f, "ended", end())
 }
 
+// rollout runs the roll-out of the scenario at its time.
+func (o *one) rollout(ctx context.Context, r *plan.Rollout) {
+	if !pause.For(ctx, time.Until(o.measuredFrom().Add(r.At.Std()))) {
+		return
+	}
+	name := fmt.Sprintf("roll-out of %s to %s", r.Service, r.To)
+	o.noteEvent(name, "began", nil)
+	err := o.deployment.RunRollout(ctx)
+	o.noteEvent(name, "ended", err)
+}
+
 func (o *one) noteFault(f plan.Fault, what string, err error) {
 	name := string(f.Kind)
 	if f.Target != "" {
 		name += " of " + f.Target
 	}
+	o.noteEvent(name, what, err)
+}
+
+func (o *one) noteEvent(name, what string, err error) {
 	text := fmt.Sprintf("%.1fs: %s %s", time.Since(o.measuredFrom()).Seconds(), name, what)
 	if err != nil {
 		text += ": " + err.Error()
