cmd, control: servers lists the version of each server

Nothing that an operator can read told which servers run the version that was reverted. The list has a column VERSION, and JSON a field, once a server announces one; without versions the output is as before.

--- a/cmd/carawaypitch/rollout_test.go
+++ b/cmd/carawaypitch/rollout_test.go
@@ -30,6 +30,19 @@
 	require.Contains(t, out.String(), "desk\tv3\tin_progress\t-\t0\t0\t0\t-\n")
 }
 
+// Guards against a list of servers that doesn't tell those of a version that was reverted from the others.
+func TestServersShowVersions(t *testing.T) {
+	var out bytes.Buffer
+	servers := []operator.Server{{Server: "registry-01", Kind: "service", Condition: "ready"}}
+	serversTable(&out, servers)
+	require.NotContains(t, out.String(), "VERSION")
+	out.Reset()
+	serversTable(&out, append(servers, operator.Server{Server: "registry-02", Version: "v2"}))
+	require.Contains(t, out.String(), "ORDER\tVERSION\n")
+	require.Contains(t, out.String(), "-\t-\nregistry-02")
+	require.Contains(t, out.String(), "-\tv2\n")
+}
+
 // Guards against a script that takes a reverted roll-out for a completed one, and a watch that never ends or prints the
 // same line again and again.
 func TestWatchEndsWithTheRollout(t *testing.T) {
--- a/cmd/carawaypitch/servers.go
+++ b/cmd/carawaypitch/servers.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	"github.com/google/subcommands"
@@ -47,13 +48,20 @@
 	if err != nil {
 		return exit(err)
 	}
-	return exit(c.print(servers, func(w io.Writer) {
-		fmt.Fprintln(w, "SERVER\tKIND\tCONDITION\tSERVES\tSLOTS\tZONE\tAGENT\tORDER")
-		for _, s := range servers.Servers {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", s.Server, s.Kind, s.Condition,
-				strings.Join(s.Models, ","), s.Slots, s.AvailabilityZone, s.Agent, orderText(s.Order))
-		}
-	}))
+	return exit(c.print(servers, func(w io.Writer) { serversTable(w, servers.Servers) }))
+}
+
+// serversTable writes servers, with their versions if any announces one.
+func serversTable(w io.Writer, servers []operator.Server) {
+	version := func(string) string { return "" }
+	if slices.ContainsFunc(servers, func(s operator.Server) bool { return s.Version != "" }) {
+		version = func(text string) string { return "\t" + text }
+	}
+	fmt.Fprintf(w, "SERVER\tKIND\tCONDITION\tSERVES\tSLOTS\tZONE\tAGENT\tORDER%s\n", version("VERSION"))
+	for _, s := range servers {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s%s\n", s.Server, s.Kind, s.Condition,
+			strings.Join(s.Models, ","), s.Slots, s.AvailabilityZone, s.Agent, orderText(s.Order), version(orDash(s.Version)))
+	}
 }
 
 // orderText formats the order in progress at a backend server; nil, which is no order, gives "-".
--- a/control/http_servers.go
+++ b/control/http_servers.go
@@ -22,6 +22,7 @@
 	Address          string           `json:"address"`
 	Models           []string         `json:"models"`
 	Slots            uint32           `json:"slots"`
+	Version          string           `json:"version,omitempty"`
 	Condition        string           `json:"condition"`
 	Capabilities     capabilitiesJSON `json:"capabilities"`
 	Agent            string           `json:"agent"`
@@ -72,6 +73,7 @@
 		Address:          s.GetAddress(),
 		Models:           append([]string{}, s.GetModels()...),
 		Slots:            s.GetSlots(),
+		Version:          s.GetVersion(),
 		Condition:        conditionName(s.GetCondition()),
 		Agent:            agent.GetAgent(),
 		AvailabilityZone: agent.GetAvailabilityZone(),
--- a/operator/status.go
+++ b/operator/status.go
@@ -129,6 +129,7 @@
 	Address          string       `json:"address"`
 	Models           []string     `json:"models"`
 	Slots            uint32       `json:"slots"`
+	Version          string       `json:"version,omitempty"` // of its software, empty if it announces none
 	Condition        string       `json:"condition"`
 	Capabilities     Capabilities `json:"capabilities"`
 	Agent            string       `json:"agent"`
