experiment: the cost of a roll-out is measured without other faults

A first run of the example compared a scenario with an entry cut off against one without: 7.94% of the answers were missing, nearly all for the cut; and in a burst the new servers' capacity showed as a gain of 10%.

--- a/experiment/plan/check_faults.go
+++ b/experiment/plan/check_faults.go
@@ -54,8 +54,8 @@
 		r.require(bad.MinRunning >= 0, at+"bad.min_running", "must not be negative")
 	}
 	if other := p.Scenario(o.CostAgainst); o.CostAgainst != "" {
-		ok := other != nil && other.Rollout == nil && other.Load == s.Load && sameBurst(other.Burst, s.Burst)
-		r.require(ok, at+"cost_against", "want a scenario with the same load and without a roll-out")
+		ok := other != nil && other.Rollout == nil && other.Load == s.Load && sameBurst(other.Burst, s.Burst) && slices.Equal(other.Faults, s.Faults)
+		r.require(ok, at+"cost_against", "want a scenario with the same load and faults and without a roll-out")
 	}
 }
 
--- a/experiment/plan/plan.go
+++ b/experiment/plan/plan.go
@@ -171,7 +171,8 @@
 	For Duration `json:"for"`
 	// Bad says how the version is bad; nil for a good one.
 	Bad *BadVersion `json:"bad"`
-	// CostAgainst names a scenario with the same load and without a roll-out, by which the cost to the callers is measured.
+	// CostAgainst names a scenario with the same load and faults and without a roll-out, by which the cost to the callers is
+	// measured. Under a burst the servers of the new version are capacity that the other scenario lacks.
 	CostAgainst string `json:"cost_against"`
 }
 
