--- a/engine/standin/version_fault_test.go
+++ b/engine/standin/version_fault_test.go
@@ -166,6 +166,34 @@
 	})
 }
 
+// Guards against a slow version of a loaded engine that is slower by less than it is set to: with other runs in the batch, each run
+// takes longer than alone, and its delay must grow with that.
+func TestSlowVersionUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		took := func(fault VersionFault) time.Duration {
+			options := ModelDefaults()
+			options.DecodePace, options.DecodeSlope, options.VersionFault = 10*time.Millisecond, 10*time.Millisecond, fault
+			_, client := startServer(t, options)
+			var last time.Duration
+			for round := range 3 { // the first one teaches the pace
+				start := time.Now()
+				var runs sync.WaitGroup
+				for i := range 4 {
+					runs.Go(func() {
+						_, err := client.Run(t.Context(), completionRequest(engine.AttemptID(fmt.Sprint(round, ".", i)), 8, 20), tokenSink{})
+						require.NoError(t, err)
+					})
+				}
+				runs.Wait()
+				last = time.Since(start)
+			}
+			return last
+		}
+		usual := took(VersionFault{})
+		require.InDelta(t, 4*usual.Seconds(), took(VersionFault{Slow: 4}).Seconds(), usual.Seconds()/4)
+	})
+}
+
 // Guards against a fault that has no effect because of a value out of range.
 func TestVersionFaultValidation(t *testing.T) {
 	for _, fault := range []VersionFault{{Failures: 1.1}, {Failures: -1}, {Slow: 0.5}, {After: -1}, {MinRunning: -1}} {
