entry: requests that were never sent are logged with their expected length too

The fields of the placement were written only for requests that had been dispatched, so the log didn't show whether long answers are refused more often than short ones.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -141,7 +141,7 @@
 
 // withTrace adds the trace of a request to the log line about its end.
 func withTrace(fields *log.Entry, t sched.Trace) *log.Entry {
-	if t.Placement != "" {
+	if t.UpperTokens > 0 {
 		fields = fields.WithFields(log.Fields{
 			"placement":    t.Placement,
 			"expected":     t.ExpectedTokens,
