entry: don't end callers whose answer waits for its commit

A whole answer began its final write before the commit, and the window of a stream stayed full after its end, since no credit follows the last event. A commit that took longer than reader_timeout thus ended callers that had nothing to read.

--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -78,6 +78,7 @@
 	}
 	out = op.close(c.Request().Context(), out)
 	op.finish()
+	call.beginFinal(out)
 	e.finish(w, r, out)
 	return nil
 }
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -389,7 +389,8 @@
 	for _, h := range m.submitted() {
 		c := h.call
 		c.mu.Lock()
-		full, written := c.flow.isFull() && c.cut == nil, c.flow.written
+		allWritten := c.ended && c.flow.delivered == c.flow.written // no credit follows the last event
+		full, written := c.flow.isFull() && c.cut == nil && !allWritten, c.flow.written
 		c.mu.Unlock()
 		seen := readingState{since: now, written: written, network: h.conn.progress()}
 		if !full || h.reading.since.IsZero() || seen.written != h.reading.written || seen.network != h.reading.network {
@@ -476,10 +477,18 @@
 		}
 		return &outcome{err: err, attempts: attemptSummary{anySent: true, allEnded: true}}
 	}
+	return out
+}
+
+// beginFinal records that a whole answer is about to be written. Until then its caller has nothing to read: an answer of
+// an operation with a key waits for its commit.
+func (c *call) beginFinal(out *outcome) {
+	if c.request.Stream || out.err != nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.flow.beginFinal(len(out.body))
-	return out
 }
 
 // memoryStatus is what an entry holds for callers.
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -508,6 +508,32 @@
 	})
 }
 
+// A commit may take longer than reader_timeout. Nothing is offered to the caller meanwhile, so a caller that reads must not
+// be ended as one that reads nothing.
+func TestCallerIsNotEndedWhileItsAnswerWaitsForTheCommit(t *testing.T) {
+	for name, body := range map[string]string{"whole answer": chatBody, "stream": streamBody} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, logs := newMemoryHarness(t, func(s *settings.Entry) { s.Memory.ReaderWindowBytes = 16 * settings.KiB })
+				h.control.update(func() {
+					h.control.delay = func(command *wire.Command) time.Duration {
+						if kindOf(command) == "complete" {
+							return 4 * time.Second
+						}
+						return 0
+					}
+				})
+				newWindowedServer(h.addModel(1), 10, 16_200) // no room for another event before the next credit
+				answer := h.call(1, http.MethodPost, chatPath, body, keyHeader("k"), "Carawaypitch-Class: summary")
+				require.NoError(t, answer.err)
+				require.Equal(t, http.StatusOK, answer.status)
+				require.Empty(t, logged(logs, "call_ended_early"))
+				require.Equal(t, []string{"begin", "complete"}, h.control.commands())
+			})
+		})
+	}
+}
+
 // An answer in one piece is counted while it is collected, and its caller has to read it too.
 func TestAssembledAnswerIsCountedAndItsCallerMustRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -53,6 +53,7 @@
 		e.callerLeft(r)
 		return nil
 	}
+	call.beginFinal(out)
 	e.finish(w, r, out)
 	return nil
 }
