entry: don't end callers that have read everything

After an event as large as the window, the window counted as full although nothing waited for the caller. A pause of the server then ended the call. The window is full only if something is not written or not acknowledged.

--- a/entry/memory.go
+++ b/entry/memory.go
@@ -387,12 +387,12 @@
 // checkReaders ends the calls whose callers have read nothing for the timeout while their window was full.
 func (m *callMemory) checkReaders(now time.Time) {
 	for _, h := range m.submitted() {
-		c := h.call
+		c, network := h.call, h.conn.progress()
 		c.mu.Lock()
-		allWritten := c.ended && c.flow.delivered == c.flow.written // no credit follows the last event
-		full, written := c.flow.isFull() && c.cut == nil && !allWritten, c.flow.written
+		// No credit follows the last event, so the window of an ended stream that was written stays full.
+		full, written := c.flow.isFull(network.unsent > 0 && !c.ended) && c.cut == nil, c.flow.written
 		c.mu.Unlock()
-		seen := readingState{since: now, written: written, network: h.conn.progress()}
+		seen := readingState{since: now, written: written, network: network}
 		if !full || h.reading.since.IsZero() || seen.written != h.reading.written || seen.network != h.reading.network {
 			h.reading = seen
 			if !full {
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -317,7 +317,7 @@
 func anyFull(e *Entry) bool {
 	for _, h := range e.memory.submitted() {
 		h.call.mu.Lock()
-		full := h.call.flow.isFull()
+		full := h.call.flow.isFull(false)
 		h.call.mu.Unlock()
 		if full {
 			return true
@@ -534,6 +534,33 @@
 	}
 }
 
+// A server may pause for longer than reader_timeout after an event as large as the window. A caller that has read
+// everything must not be ended as one that reads nothing.
+func TestCallerThatHasReadEverythingIsNotEndedWhileTheServerPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, logs := newMemoryHarness(t, func(s *settings.Entry) { s.Memory.ReaderWindowBytes = 16 * settings.KiB })
+		server := newWindowedServer(h.addModel(1), 2, 20_000)
+		server.interval = 3 * time.Second
+		response := h.openStream(t.Context(), compostKey)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.True(t, server.text() == string(body), "the answer is whole")
+		require.Empty(t, logged(logs, "call_ended_early"))
+	})
+}
+
+// A caller whose side acknowledges nothing of what was written has not read it; one with nothing outstanding has.
+func TestWindowIsFullOnlyIfTheCallerHasSomethingToRead(t *testing.T) {
+	f := readerFlow{window: 1000, attempt: new(wire.AttemptID)}
+	f.deliver([][]byte{make([]byte, 1001)})
+	require.True(t, f.isFull(false), "nothing was written yet")
+	f.wrote(1001)
+	f.credit()
+	require.True(t, f.isFull(true))
+	require.False(t, f.isFull(false))
+}
+
 // An answer in one piece is counted while it is collected, and its caller has to read it too.
 func TestAssembledAnswerIsCountedAndItsCallerMustRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/reader_flow.go
+++ b/entry/reader_flow.go
@@ -36,7 +36,7 @@
 		f.delivered += uint64(len(event))
 		f.largest = max(f.largest, uint64(len(event)))
 	}
-	f.hasWaited = f.isFull()
+	f.hasWaited = f.isFull(false)
 }
 
 // beginFinal adds an answer that is written in one piece.
@@ -55,9 +55,11 @@
 	return f.written-f.credited >= max(f.window/creditsPerWindow, 1)
 }
 
-// isFull reports whether the window has no room for another event, as far as the agent knows from the credits sent.
-func (f *readerFlow) isFull() bool {
-	return f.window > 0 && f.delivered-f.credited+f.largest > f.window
+// isFull reports whether the window has no room for another event, as far as the agent knows from the credits sent, and
+// the caller has something to read. unacknowledged reports whether its side has yet to acknowledge what was written: a
+// caller that has read everything waits for the server, however large the last event was.
+func (f *readerFlow) isFull(unacknowledged bool) bool {
+	return f.window > 0 && (f.delivered > f.written || unacknowledged) && f.delivered-f.credited+f.largest > f.window
 }
 
 // mayBeBlocked reports whether the agent may wait for a credit that was lost.
