entry: send credits that an agent waits for, and fewer repeats

An agent that holds a large event back behind a small one waited for ever: the small one is less than an eighth of the window, so no credit followed it. What was written is now confirmed after one interval of repeats. Repeats without news are sent only while no frame arrives, and at a growing interval.

--- a/entry/call.go
+++ b/entry/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/carawaypitch/carawaypitch/holding"
 	"github.com/carawaypitch/carawaypitch/result"
@@ -29,10 +28,9 @@
 	attempts attemptSummary
 	trace    sched.Trace // set in both cases
 
-	held       *heldCall  // nil if nothing is counted
-	flow       readerFlow // not followed if nothing is counted
-	creditedAt time.Time
-	cut        *result.Error // why the call was ended by this process, nil if it wasn't
+	held *heldCall     // nil if nothing is counted
+	flow readerFlow    // not followed if nothing is counted
+	cut  *result.Error // why the call was ended by this process, nil if it wasn't
 }
 
 // attemptSummary is the state of the attempts of a failed request.
--- a/entry/credits.go
+++ b/entry/credits.go
@@ -67,13 +67,13 @@
 			}
 		}
 		if frame := event.Message.GetFrame(); frame != nil {
-			e.noteSlowReader(frame.GetAttempt().GetRequest())
+			e.noteFrame(frame.GetAttempt().GetRequest())
 		}
 	}
 }
 
-// noteSlowReader tells the scheduler that the next pause in an answer is the caller's own.
-func (e *Entry) noteSlowReader(request string) {
+// noteFrame records that the agent sends, and tells the scheduler if the pause before was the caller's own.
+func (e *Entry) noteFrame(request string) {
 	c := e.calls.get(request)
 	if c == nil {
 		return
@@ -81,6 +81,7 @@
 	c.mu.Lock()
 	waited := c.flow.hasWaited
 	c.flow.hasWaited = false
+	c.flow.heardAt = e.now()
 	c.mu.Unlock()
 	if waited {
 		e.scheduler.ReaderWaited(request)
@@ -120,8 +121,7 @@
 		c.mu.Unlock()
 		return
 	}
-	credit, agent, incarnation := c.flow.credit(), c.flow.agent, c.flow.incarnation
-	c.creditedAt = e.now()
+	credit, agent, incarnation := c.flow.credit(e.now()), c.flow.agent, c.flow.incarnation
 	c.mu.Unlock()
 	message := &wire.EntryMessage{Kind: &wire.EntryMessage_Credit{Credit: credit}}
 	e.links.send(sched.Send{Agent: agent, Incarnation: incarnation, Message: message})
@@ -143,13 +143,14 @@
 }
 
 // repeatCredits sends the credits again that an agent may be waiting for although they were sent. Without it, an attempt
-// whose last credit was lost would never go on: the caller has read everything, so nothing new is written.
+// whose last credit was lost, or too small to be sent, would never go on: the caller has read everything, so nothing new
+// is written.
 func (e *Entry) repeatCredits() {
-	before := e.now().Add(-e.settings.Memory.ReaderTimeout / readerChecks)
+	now, interval := e.now(), e.settings.Memory.ReaderTimeout/readerChecks
 	for _, h := range e.memory.submitted() {
 		c := h.call
 		c.mu.Lock()
-		due := c.flow.mayBeBlocked() && !c.ended && !c.creditedAt.After(before)
+		due := !c.ended && c.flow.repeatIsDue(now, interval)
 		c.mu.Unlock()
 		if due {
 			e.meter.add(metricCreditsRepeated, 1)
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -556,11 +556,54 @@
 	f.deliver([][]byte{make([]byte, 1001)})
 	require.True(t, f.isFull(false), "nothing was written yet")
 	f.wrote(1001)
-	f.credit()
+	f.credit(time.Now())
 	require.True(t, f.isFull(true))
 	require.False(t, f.isFull(false))
 }
 
+// The agent holds a large event back while it doesn't know that a small one before it was written. Without a credit for the
+// small one, which is less than an eighth of the window, the attempt would wait until its deadline.
+func TestLargeEventAfterASmallOneIsNotHeldBackForEver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newMemoryHarness(t, func(s *settings.Entry) { s.Memory.ReaderWindowBytes = 16 * settings.KiB })
+		server := newWindowedServer(h.addModel(1), 0, 0)
+		server.events = []string{chatEvent(strings.Repeat("a", 300)), chatEvent(strings.Repeat("b", 32<<10)), chatEnd}
+		response := h.openStream(t.Context(), compostKey)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.True(t, server.text() == string(body), "the answer is whole")
+	})
+}
+
+// A stream that isn't blocked needs no repeats: with them each would cost four messages a second.
+func TestRepeatsOfCreditsStopWhileFramesArriveAndGrowRare(t *testing.T) {
+	const interval = 250 * time.Millisecond
+	now := time.Unix(0, 0)
+	f := readerFlow{window: 1000}
+	f.begin(new(wire.AttemptID), "", 0)
+	f.deliver([][]byte{make([]byte, 600)})
+	f.wrote(600)
+	f.credit(now)
+	require.True(t, f.repeatIsDue(now.Add(interval), interval), "the credit may have been lost")
+	f.heardAt = now.Add(interval)
+	require.False(t, f.repeatIsDue(now.Add(interval), interval), "a frame came")
+	require.True(t, f.repeatIsDue(now.Add(2*interval), interval))
+	var gaps []int
+	for step, last := 1, 0; step <= 20; step++ {
+		at := f.heardAt.Add(time.Duration(step) * interval)
+		if f.repeatIsDue(at, interval) {
+			f.credit(at)
+			gaps = append(gaps, step-last)
+			last = step
+		}
+	}
+	require.Equal(t, []int{1, 2, 4, 4, 4, 4}, gaps)
+	f.deliver([][]byte{make([]byte, 10)})
+	f.wrote(10)
+	require.True(t, f.repeatIsDue(f.creditedAt.Add(interval), interval), "a credit with news doesn't wait longer")
+}
+
 // An answer in one piece is counted while it is collected, and its caller has to read it too.
 func TestAssembledAnswerIsCountedAndItsCallerMustRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/reader_flow.go
+++ b/entry/reader_flow.go
@@ -1,6 +1,14 @@
 package entry
 
-import "github.com/carawaypitch/carawaypitch/wire"
+import (
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+// maxRepeatDoublings bounds the interval of repeats to four times the first one. With the default reader_timeout that is
+// a second, so that an attempt goes on before its server cuts off a response that is unread for some seconds.
+const maxRepeatDoublings = 2
 
 // creditsPerWindow is the number of credits sent while a window is read. With more the agent learns sooner that it may
 // send; each costs a message of some 40 bytes.
@@ -21,6 +29,10 @@
 	base        uint64 // position at which the attempt began
 	reduced     bool   // it began with a smaller window
 	hasWaited   bool   // the window was full since the last event
+
+	creditedAt time.Time
+	heardAt    time.Time // when the last frame arrived
+	repeats    int       // credits without news since the last one with news
 }
 
 // begin makes an attempt the present one.
@@ -28,6 +40,7 @@
 	f.attempt, f.agent, f.incarnation = attempt, agent, incarnation
 	f.base = f.delivered
 	f.reduced = f.base > f.written
+	f.repeats = 0
 }
 
 // deliver adds events that were delivered.
@@ -67,8 +80,33 @@
 	return f.attempt != nil && (f.reduced || f.delivered-f.base+f.largest >= f.window/2)
 }
 
+// repeatIsDue reports whether a credit has to be sent although none is due for what was written. While frames arrive, the
+// agent isn't waiting.
+//
+// The agent may wait for less than an eighth of the window: it holds an event back that doesn't fit beside a small one
+// which it doesn't know to be written. A credit with news is therefore sent after one interval. One without news only
+// repairs a loss, so its interval grows.
+func (f *readerFlow) repeatIsDue(now time.Time, interval time.Duration) bool {
+	quiet := now.Sub(f.creditedAt)
+	if f.heardAt.After(f.creditedAt) {
+		quiet = now.Sub(f.heardAt)
+	}
+	if f.attempt == nil {
+		return false
+	}
+	if f.written > f.credited {
+		return quiet >= interval
+	}
+	return f.mayBeBlocked() && quiet >= interval<<min(f.repeats, maxRepeatDoublings)
+}
+
 // credit returns the credit for the present attempt. What waits of earlier attempts takes a part of the window.
-func (f *readerFlow) credit() *wire.Credit {
+func (f *readerFlow) credit(now time.Time) *wire.Credit {
+	f.creditedAt = now
+	f.repeats++
+	if f.written > f.credited {
+		f.repeats = 0
+	}
 	f.credited = f.written
 	credit := &wire.Credit{Attempt: f.attempt, Window: f.window}
 	if f.written >= f.base {
