entry: never end an answer whose events were dropped as a whole one

The ledger ends an account before its call learns of it. Events that arrived in between, or that nothing could make room for, were dropped, and a call that completed at the same time ended as a whole answer. An account that ended before its call was submitted was not noticed at all: follow now reports it.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -154,14 +154,14 @@
 
 // submit passes a request to the scheduler. If it returns an error, the scheduler has not received the request.
 func (e *Entry) submit(r *sched.Request, held *heldCall) (*call, *result.Error) {
-	if held.wasEnded() {
-		return nil, e.memory.refusal("the call was ended while its body was read")
-	}
 	held.assign(r.ID, r.Organisation)
 	if end := e.drainDeadline.Load(); end != nil {
 		r.EntryStopsBy = *end
 	}
 	call := newCall(r, int(e.settings.Limits.MaxAnswer), held)
+	if !held.follow(call) {
+		return nil, e.memory.refusal("the call was ended while its body was read")
+	}
 	if !e.calls.register(call) {
 		return nil, result.New(result.Internal, "the request's identity is in use").WithRan(result.RanUnknown)
 	}
--- a/entry/call.go
+++ b/entry/call.go
@@ -42,7 +42,6 @@
 func newCall(request *sched.Request, maxBytes int, held *heldCall) *call {
 	c := &call{request: request, maxBytes: maxBytes, wake: make(chan struct{}, 1), held: held}
 	c.flow.window = held.window()
-	held.follow(c)
 	return c
 }
 
@@ -195,9 +194,16 @@
 }
 
 func (c *calls) deliver(id string, events [][]byte) {
-	if call := c.get(id); call != nil && call.holdEvents(events) {
+	call := c.get(id)
+	if call == nil {
+		return
+	}
+	if call.holdEvents(events) {
 		call.update(func() { call.add(events) })
+		return
 	}
+	call.dropEvents()
+	call.account().end(endedForMemory, 0) // unless it has ended
 }
 
 func (c *calls) complete(a sched.Answer) {
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -40,8 +40,9 @@
 	bodySize int64
 
 	// Guarded by callMemory.mu.
-	call  *call // nil until the call is submitted
-	ended bool
+	call     *call // nil until the call is submitted
+	ended    bool
+	endedFor endCause // set if end was called
 
 	reading readingState // used by checkReaders only
 }
@@ -82,27 +83,22 @@
 	h.memory.ledger.Assign(h.account, id, organisation)
 }
 
-// follow makes the account that of a submitted call.
-func (h *heldCall) follow(c *call) {
+// follow makes the account that of a call that is about to be submitted. It returns false if the account was ended before:
+// the call must not be submitted then, since nothing could end it any more.
+func (h *heldCall) follow(c *call) bool {
 	if h == nil {
-		return
+		return true
 	}
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
+	if h.ended || h.account.Ended() {
+		return false
+	}
 	h.call = c
 	if c.request.Key != "" {
 		h.memory.ledger.Move(h.account, holding.Body, holding.Pinned, h.account.Of(holding.Body))
 	}
-}
-
-// wasEnded reports whether the call was ended before it was submitted.
-func (h *heldCall) wasEnded() bool {
-	if h == nil {
-		return false
-	}
-	h.memory.mu.Lock()
-	defer h.memory.mu.Unlock()
-	return h.ended
+	return true
 }
 
 // account returns the call's account.
@@ -119,7 +115,7 @@
 		return nil
 	}
 	h := e.memory.open(c.request.ID, c.request.Organisation, nil)
-	h.follow(c)
+	_ = h.follow(c) // the account is new
 	h.hold(holding.Pinned, len(c.request.Body)+collected)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -224,6 +220,24 @@
 	endedForMemory  endCause = "memory"
 )
 
+// code returns the code of the failure that a caller receives.
+func (c endCause) code() result.Code {
+	if c == endedForReading {
+		return result.CallerReadsNothing
+	}
+	return result.EndedToFreeMemory
+}
+
+// cause returns why the call was ended, endedForMemory if it wasn't.
+func (h *heldCall) cause() endCause {
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	if h.endedFor == "" {
+		return endedForMemory
+	}
+	return h.endedFor
+}
+
 // end ends a call: what waits for its caller is dropped, and the goroutine that serves it tells the scheduler. unread is
 // how long the caller has read nothing, if that is the cause.
 func (h *heldCall) end(cause endCause, unread time.Duration) {
@@ -233,7 +247,7 @@
 		m.mu.Unlock()
 		return
 	}
-	h.ended = true
+	h.ended, h.endedFor = true, cause
 	m.ledger.End(h.account)
 	c, organisation, id, held := h.call, h.account.Organisation(), h.account.ID(), h.account.HeldAtEnd()
 	total := m.ledger.Total()
@@ -266,11 +280,9 @@
 	if delivered > 0 {
 		ran = result.RanYes
 	}
-	code := result.EndedToFreeMemory
-	if cause == endedForReading {
-		code = result.CallerReadsNothing
+	if c.cut == nil {
+		c.cut = result.New(cause.code(), "").WithRan(ran)
 	}
-	c.cut = result.New(code, "").WithRan(ran)
 	if c.request.Key == "" {
 		c.events, c.bytes = nil, 0
 	}
@@ -281,6 +293,16 @@
 	return delivered, written
 }
 
+// dropEvents records that events of the answer were dropped, so that it can't end as a whole one. The ledger ends an
+// account before the call learns of it.
+func (c *call) dropEvents() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut == nil {
+		c.cut = result.New(c.held.cause().code(), "").WithRan(result.RanYes)
+	}
+}
+
 // cutError returns why the call was ended by this process, nil if it wasn't.
 func (c *call) cutError() *result.Error {
 	c.mu.Lock()
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -16,8 +16,10 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carawaypitch/carawaypitch/holding"
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/settings"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -604,6 +606,53 @@
 	require.True(t, f.repeatIsDue(f.creditedAt.Add(interval), interval), "a credit with news doesn't wait longer")
 }
 
+// The ledger ends an account before its call learns of it. If events that arrive in between were dropped without a word, a
+// call that completes at the same time would end as a whole answer that lacks them.
+func TestAnswerWithDroppedEventsIsNotWhole(t *testing.T) {
+	for name, other := range map[string]int{"ended to make room": 500, "nothing could make room": 0} {
+		t.Run(name, func(t *testing.T) {
+			m := newTestMemory(1000)
+			h := m.open("r1", "a", nil)
+			c := newCall(&sched.Request{ID: "r1", Stream: true}, 1<<20, h)
+			require.True(t, h.follow(c))
+			all := newCalls()
+			require.True(t, all.register(c))
+			pinned := m.open("r2", "b", nil)
+			if other > 0 {
+				require.True(t, h.hold(holding.Waiting, other))
+				_, ok := m.ledger.Hold(pinned.account, holding.Pinned, 900) // the account has ended, its call has not
+				require.True(t, ok)
+			} else {
+				require.True(t, pinned.hold(holding.Pinned, 1000))
+			}
+			all.deliver("r1", [][]byte{make([]byte, 100)})
+			all.complete(sched.Answer{Request: "r1", End: new(wire.AnswerEnd)})
+			d, ok := c.poll()
+			require.True(t, ok)
+			require.NotNil(t, d.err)
+			require.Equal(t, result.EndedToFreeMemory, d.err.Code)
+		})
+	}
+}
+
+// A call whose account ended before it is submitted can't be ended any more, so it must not run.
+func TestFollowReportsThatTheAccountHasEnded(t *testing.T) {
+	m := newTestMemory(1000)
+	h := m.open("r1", "a", nil)
+	require.True(t, h.admit(holding.Body, 500))
+	ended, ok := m.ledger.Hold(m.open("r2", "b", nil).account, holding.Waiting, 900)
+	require.True(t, ok)
+	require.Len(t, ended, 1)
+	require.False(t, h.follow(newCall(&sched.Request{ID: "r1"}, 1<<20, h)))
+	require.Nil(t, h.call)
+}
+
+// newTestMemory returns a callMemory without an entry.
+func newTestMemory(bytes settings.Size) *callMemory {
+	return newCallMemory(settings.EntryMemory{HeldBytes: bytes, OrganisationShare: 1, ReaderTimeout: 2 * time.Second},
+		&log.Logger{Handler: new(logRecorder)}, newMeter(), time.Now)
+}
+
 // An answer in one piece is counted while it is collected, and its caller has to read it too.
 func TestAssembledAnswerIsCountedAndItsCallerMustRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
