entry: end only calls that are open and have their caller

The ledger or the check of readers may choose a call that closes or loses its caller before it is cut off. The operation that went on was then cut off with its record open, and the next request on the connection got a write deadline in the past. Operations without their caller are never ended now, and what a failed write left counts as written, or their agent would wait for credits.

--- a/entry/caller_conn.go
+++ b/entry/caller_conn.go
@@ -101,13 +101,18 @@
 	return c.Conn.SetWriteDeadline(t)
 }
 
-// endWrites fails a write in progress at once. Without one, what is still written has to be read within the time given.
-func (c *callerConn) endWrites(within time.Duration) {
+// endWrites fails a write in progress at once. Without one, what is still written has to be read within the time given. It
+// does nothing if the request that it is meant for is over, since the next one may use the connection by then. isOver is
+// called with the lock held, so a request that ends later is followed by resumeWrites.
+func (c *callerConn) endWrites(within time.Duration, isOver func() bool) {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if isOver() {
+		return
+	}
 	if c.writes.Load() > 0 {
 		within = 0
 	}
--- a/entry/caller_conn_test.go
+++ b/entry/caller_conn_test.go
@@ -54,7 +54,7 @@
 			done <- err
 		}()
 		synctest.Wait()
-		conn.endWrites(time.Hour)
+		conn.endWrites(time.Hour, func() bool { return false })
 		require.ErrorIs(t, <-done, os.ErrDeadlineExceeded)
 		require.NoError(t, conn.SetWriteDeadline(time.Now().Add(time.Hour)))
 		_, err := conn.Write(make([]byte, 100))
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -38,10 +38,14 @@
 	conn    *callerConn // nil if the call didn't come over a connection of this entry
 	// bodySize is the announced size of the body, negative if it is not known.
 	bodySize int64
+	// detached is set for an operation that goes on without its caller. Nobody could read, and its record has to be closed,
+	// so it is never ended.
+	detached bool
 
 	// Guarded by callMemory.mu.
 	call     *call // nil until the call is submitted
 	ended    bool
+	closed   bool
 	endedFor endCause // set if end was called
 
 	reading readingState // used by checkReaders only
@@ -66,9 +70,18 @@
 	if m == nil {
 		return nil
 	}
+	return m.add(&heldCall{memory: m, conn: conn, bodySize: -1}, id, organisation)
+}
+
+// openDetached opens the account of an operation that goes on without its caller. It has to be closed.
+func (m *callMemory) openDetached(id, organisation string) *heldCall {
+	return m.add(&heldCall{memory: m, bodySize: -1, detached: true}, id, organisation)
+}
+
+func (m *callMemory) add(h *heldCall, id, organisation string) *heldCall {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h := &heldCall{memory: m, account: m.ledger.Open(id, organisation), conn: conn, bodySize: -1}
+	h.account = m.ledger.Open(id, organisation)
 	m.calls[h.account] = h
 	return h
 }
@@ -114,16 +127,19 @@
 	if c.account() == nil {
 		return nil
 	}
-	h := e.memory.open(c.request.ID, c.request.Organisation, nil)
+	h := e.memory.openDetached(c.request.ID, c.request.Organisation)
 	_ = h.follow(c) // the account is new
 	h.hold(holding.Pinned, len(c.request.Body)+collected)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.held, c.cut = h, nil
+	if waiting := uint64(c.bytes); waiting < c.flow.delivered {
+		c.flow.written = c.flow.delivered - waiting // what a failed write left is collected
+	}
 	return h
 }
 
-// close frees all that the call holds.
+// close frees all that the call holds. It can't be ended afterwards.
 func (h *heldCall) close() {
 	if h == nil {
 		return
@@ -131,9 +147,17 @@
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
 	h.memory.ledger.Close(h.account)
+	h.ended, h.closed = true, true
 	delete(h.memory.calls, h.account)
 }
 
+// isClosed reports whether the request that the account was opened for is over.
+func (h *heldCall) isClosed() bool {
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	return h.closed
+}
+
 // hold counts n more bytes. If they don't fit, it ends other calls. It returns false if the bytes may not be held; the
 // call has then ended.
 func (h *heldCall) hold(kind holding.Kind, n int) bool {
@@ -243,7 +267,7 @@
 func (h *heldCall) end(cause endCause, unread time.Duration) {
 	m := h.memory
 	m.mu.Lock()
-	if h.ended {
+	if h.ended || h.detached {
 		m.mu.Unlock()
 		return
 	}
@@ -254,7 +278,10 @@
 	m.mu.Unlock()
 	delivered, written := uint64(0), uint64(0)
 	if c != nil {
-		delivered, written = c.cutOff(cause)
+		owned := false
+		if delivered, written, owned = c.cutOff(h, cause); !owned {
+			return
+		}
 	}
 	m.meter.countCallEnded(cause)
 	m.log.WithField("request", id).
@@ -267,14 +294,18 @@
 		WithField("held_by_all", total).
 		WithField("limit", int64(m.limits.HeldBytes)).
 		Warn("call_ended_early")
-	h.conn.endWrites(m.limits.ReaderTimeout)
+	h.conn.endWrites(m.limits.ReaderTimeout, h.isClosed)
 }
 
 // cutOff drops what waits for the caller and makes the goroutine that serves it end the call. It returns the bytes that
-// were delivered for the caller and written to it.
-func (c *call) cutOff(cause endCause) (delivered, written uint64) {
+// were delivered for the caller and written to it. It does nothing and returns false if the call has another account by
+// now: it goes on without the caller whose account held is.
+func (c *call) cutOff(held *heldCall, cause endCause) (delivered, written uint64, owned bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.held != held {
+		return 0, 0, false
+	}
 	delivered, written = c.flow.delivered, c.flow.written
 	ran := result.RanUnknown
 	if delivered > 0 {
@@ -290,7 +321,7 @@
 	case c.wake <- struct{}{}:
 	default:
 	}
-	return delivered, written
+	return delivered, written, true
 }
 
 // dropEvents records that events of the answer were dropped, so that it can't end as a whole one. The ledger ends an
@@ -409,6 +440,9 @@
 // checkReaders ends the calls whose callers have read nothing for the timeout while their window was full.
 func (m *callMemory) checkReaders(now time.Time) {
 	for _, h := range m.submitted() {
+		if h.detached {
+			continue
+		}
 		c, network := h.call, h.conn.progress()
 		c.mu.Lock()
 		// No credit follows the last event, so the window of an ended stream that was written stays full.
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -647,6 +648,69 @@
 	require.Nil(t, h.call)
 }
 
+// The ledger, or a check of readers, may choose a call that closes or loses its caller before it is cut off. The record of
+// an operation that goes on would stay open, and the next request on the connection could not be answered.
+func TestEndOfAClosedOrDetachedAccountChangesNothing(t *testing.T) {
+	m := newTestMemory(1000)
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	conn := &callerConn{Conn: near}
+	closed := m.open("r1", "a", conn)
+	c := newCall(&sched.Request{ID: "r1", Stream: true}, 1<<20, closed)
+	require.True(t, closed.follow(c))
+	closed.close()
+	closed.end(endedForReading, 0)
+	require.Nil(t, c.cutError())
+	require.False(t, conn.final)
+
+	detached := m.open("r2", "a", conn)
+	keyed := newCall(&sched.Request{ID: "r2", Key: "k", Organisation: "a"}, 1<<20, detached)
+	require.True(t, detached.follow(keyed))
+	e := &Entry{memory: m}
+	own := e.detach(keyed, 0)
+	detached.end(endedForReading, 0)
+	require.Nil(t, keyed.cutError(), "the operation goes on without its caller")
+	require.False(t, conn.final)
+	own.end(endedForMemory, 0)
+	require.Nil(t, keyed.cutError(), "its record has to be closed")
+}
+
+// A write that fails when its caller leaves takes events along. If they never counted as written, the window of the
+// operation that goes on would stay full, and its agent would wait for credits that never come.
+func TestEventsOfAFailedWriteLeaveTheWindowOfADetachedCall(t *testing.T) {
+	m := newTestMemory(1 << 20)
+	h := m.open("r1", "a", nil)
+	c := newCall(&sched.Request{ID: "r1", Key: "k", Organisation: "a", Stream: true}, 1<<20, h)
+	c.flow.window = 16 << 10
+	require.True(t, h.follow(c))
+	c.flow.begin(new(wire.AttemptID), "", 0)
+	c.add([][]byte{make([]byte, 12<<10), make([]byte, 12<<10)})
+	d, ok := c.poll()
+	require.True(t, ok)
+	require.Len(t, d.events, 1)
+	(&Entry{memory: m}).detach(c, 0)
+	require.EqualValues(t, 12<<10, c.flow.written, "the event that was taken; the other one waits")
+	require.True(t, c.flow.repeatIsDue(time.Now(), time.Second))
+}
+
+// The request may be over between the decision to end its writes and their end.
+func TestWritesAreEndedOnlyForTheRequestThatWasChosen(t *testing.T) {
+	m := newTestMemory(1000)
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	conn := &callerConn{Conn: near}
+	first := m.open("r1", "a", conn)
+	first.close()
+	conn.resumeWrites() // the next request
+	conn.endWrites(0, first.isClosed)
+	require.False(t, conn.final)
+	second := m.open("r2", "a", conn)
+	conn.endWrites(0, second.isClosed)
+	require.True(t, conn.final)
+}
+
 // newTestMemory returns a callMemory without an entry.
 func newTestMemory(bytes settings.Size) *callMemory {
 	return newCallMemory(settings.EntryMemory{HeldBytes: bytes, OrganisationShare: 1, ReaderTimeout: 2 * time.Second},
