agent: bound a run's window again after a refused suspension

An engine that was busy, had no room or gave no answer left the run going on with its window lifted: the rest of the answer was read and sent regardless of its caller. The window stays lifted only if the run was stopped or is being cancelled.

--- a/agent/credits.go
+++ b/agent/credits.go
@@ -84,6 +84,7 @@
 	credited uint64
 	position uint64
 	lifted   bool // the rest is read regardless of the caller
+	keepLift bool // the run is being cancelled
 	waited   bool // the run had to wait for its caller at least once
 }
 
@@ -112,6 +113,24 @@
 	r.changed.Broadcast()
 }
 
+// liftWindowForCancel is liftWindow for a run that is being cancelled. The window stays lifted, whatever becomes of a
+// suspension.
+func (r *engineRun) liftWindowForCancel() {
+	r.mu.Lock()
+	r.window.keepLift = true
+	r.mu.Unlock()
+	r.liftWindow()
+}
+
+// restoreWindow bounds again what is sent, after a suspension that did not stop the run.
+func (r *engineRun) restoreWindow() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.window.keepLift {
+		r.window.lifted = false
+	}
+}
+
 // beginsToWait reports whether an event has to wait for the caller, for the first time in this run.
 func (r *engineRun) beginsToWait(size int) bool {
 	r.mu.Lock()
--- a/agent/server_runs.go
+++ b/agent/server_runs.go
@@ -126,7 +126,7 @@
 func (s *server) cancelStream(now time.Time, a gate.CancelEngine) {
 	answer := cancelResult{action: a, run: s.runs[keyOf(a.Attempt)], sentAt: now, err: errNotDispatched}
 	if answer.run != nil {
-		answer.run.liftWindow()
+		answer.run.liftWindowForCancel()
 	}
 	client := s.client
 	if client == nil {
--- a/agent/suspension.go
+++ b/agent/suspension.go
@@ -138,6 +138,9 @@
 		// The answer was lost, but the run's own stream has shown that it was stopped.
 		in.suspension, in.err = end.outcome.Suspension, nil
 	}
+	if in.err != nil {
+		in.run.restoreWindow()
+	}
 	s.logSuspendResult(now, in)
 	s.step(now, in.event())
 	if end != nil {
@@ -236,7 +239,7 @@
 	next.contentType = r.contentType
 	next.account = r.account
 	next.window = r.window
-	next.window.lifted = false
+	next.window.lifted, next.window.keepLift = false, false
 	return next
 }
 
--- a/agent/suspension_test.go
+++ b/agent/suspension_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -202,6 +203,50 @@
 	})
 }
 
+// Guards against a run that is sent regardless of what its caller reads after its engine refused to suspend it, and against
+// a cancel whose stream end is not read because a refused suspension came between.
+func TestRefusedSuspensionRestoresTheWindow(t *testing.T) {
+	refusals := map[string]error{
+		"busy":    &engine.CallError{Call: "suspend", Class: engine.ErrBusy},
+		"no room": &engine.CallError{Call: "suspend", Class: engine.ErrNoRoom},
+		"unknown": &engine.CallError{Call: "suspend", Class: engine.ErrOutcomeUnknown},
+		"stopped": nil,
+	}
+	for name, refusal := range refusals {
+		for _, cancelled := range []bool{false, true} {
+			t.Run(name+" cancelled="+strconv.FormatBool(cancelled), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					stop, answer := make(chan struct{}), make(chan struct{})
+					client := &suspendableEngine{
+						runRequest: func(context.Context, engine.Request, engine.Sink) (engine.Outcome, error) {
+							<-stop
+							return engine.Outcome{End: engine.EndCompleted}, nil
+						},
+						suspend: func(context.Context) (engine.Suspension, error) {
+							<-answer
+							return testSuspension, refusal
+						},
+					}
+					client.cancel = func() (engine.CancelResult, error) { return engine.CancelNone, nil }
+					s, recorder := newTestServer(t.Context(), client)
+					s.do(recorder, gate.StartEngine{Dispatch: completionDispatch("r1", 1)})
+					s.do(recorder, suspendAction(1))
+					r := s.runs[attemptKey{"r1", 1}]
+					assert.True(t, r.window.lifted)
+					if cancelled {
+						s.do(recorder, gate.CancelEngine{Attempt: r.dispatch.GetAttempt(), Stream: "r1.1", Try: 1})
+					}
+					close(answer)
+					s.applyInputs()
+					assert.Equal(t, refusal == nil || cancelled, r.window.lifted)
+					close(stop)
+					s.applyInputs()
+				})
+			})
+		}
+	}
+}
+
 // Guards against records of suspended runs that stay for ever, because the gate ended the attempt without an action or
 // was replaced. A resumption after that must not start the run anew.
 func TestExpiredSuspensionLeavesNoRecord(t *testing.T) {
