--- a/entry/call.go
+++ b/entry/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/carawaypitch/carawaypitch/holding"
 	"github.com/carawaypitch/carawaypitch/result"
@@ -29,10 +28,9 @@
 	attempts attemptSummary
 	trace    sched.Trace // set in both cases
 
-	held       *heldCall  // nil if nothing is counted
-	flow       readerFlow // not followed if nothing is counted
-	creditedAt time.Time
-	cut        *result.Error // why the call was ended by this process, nil if it wasn't
+	held *heldCall     // nil if nothing is counted
+	flow readerFlow    // not followed if nothing is counted
+	cut  *result.Error // why the call was ended by this process, nil if it wasn't
 }
 
 // attemptSummary is the state of the attempts of a failed request.
@@ -44,7 +42,6 @@
 func newCall(request *sched.Request, maxBytes int, held *heldCall) *call {
 	c := &call{request: request, maxBytes: maxBytes, wake: make(chan struct{}, 1), held: held}
 	c.flow.window = held.window()
-	held.follow(c)
 	return c
 }
 
@@ -197,9 +194,16 @@
 }
 
 func (c *calls) deliver(id string, events [][]byte) {
-	if call := c.get(id); call != nil && call.holdEvents(events) {
+	call := c.get(id)
+	if call == nil {
+		return
+	}
+	if call.holdEvents(events) {
 		call.update(func() { call.add(events) })
+		return
 	}
+	call.dropEvents()
+	call.account().end(endedForMemory, 0) // unless it has ended
 }
 
 func (c *calls) complete(a sched.Answer) {
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -38,10 +38,15 @@
 	conn    *callerConn // nil if the call didn't come over a connection of this entry
 	// bodySize is the announced size of the body, negative if it is not known.
 	bodySize int64
+	// detached is set for an operation that goes on without its caller. Nobody could read, and its record has to be closed,
+	// so it is never ended.
+	detached bool
 
 	// Guarded by callMemory.mu.
-	call  *call // nil until the call is submitted
-	ended bool
+	call     *call // nil until the call is submitted
+	ended    bool
+	closed   bool
+	endedFor endCause // set if end was called
 
 	reading readingState // used by checkReaders only
 }
@@ -65,9 +70,18 @@
 	if m == nil {
 		return nil
 	}
+	return m.add(&heldCall{memory: m, conn: conn, bodySize: -1}, id, organisation)
+}
+
+// openDetached opens the account of an operation that goes on without its caller. It has to be closed.
+func (m *callMemory) openDetached(id, organisation string) *heldCall {
+	return m.add(&heldCall{memory: m, bodySize: -1, detached: true}, id, organisation)
+}
+
+func (m *callMemory) add(h *heldCall, id, organisation string) *heldCall {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h := &heldCall{memory: m, account: m.ledger.Open(id, organisation), conn: conn, bodySize: -1}
+	h.account = m.ledger.Open(id, organisation)
 	m.calls[h.account] = h
 	return h
 }
@@ -82,27 +96,22 @@
 	h.memory.ledger.Assign(h.account, id, organisation)
 }
 
-// follow makes the account that of a submitted call.
-func (h *heldCall) follow(c *call) {
+// follow makes the account that of a call that is about to be submitted. It returns false if the account was ended before:
+// the call must not be submitted then, since nothing could end it any more.
+func (h *heldCall) follow(c *call) bool {
 	if h == nil {
-		return
+		return true
 	}
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
+	if h.ended || h.account.Ended() {
+		return false
+	}
 	h.call = c
 	if c.request.Key != "" {
 		h.memory.ledger.Move(h.account, holding.Body, holding.Pinned, h.account.Of(holding.Body))
 	}
-}
-
-// wasEnded reports whether the call was ended before it was submitted.
-func (h *heldCall) wasEnded() bool {
-	if h == nil {
-		return false
-	}
-	h.memory.mu.Lock()
-	defer h.memory.mu.Unlock()
-	return h.ended
+	return true
 }
 
 // account returns the call's account.
@@ -118,16 +127,19 @@
 	if c.account() == nil {
 		return nil
 	}
-	h := e.memory.open(c.request.ID, c.request.Organisation, nil)
-	h.follow(c)
+	h := e.memory.openDetached(c.request.ID, c.request.Organisation)
+	_ = h.follow(c) // the account is new
 	h.hold(holding.Pinned, len(c.request.Body)+collected)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.held, c.cut = h, nil
+	if waiting := uint64(c.bytes); waiting < c.flow.delivered {
+		c.flow.written = c.flow.delivered - waiting // what a failed write left is collected
+	}
 	return h
 }
 
-// close frees all that the call holds.
+// close frees all that the call holds. It can't be ended afterwards.
 func (h *heldCall) close() {
 	if h == nil {
 		return
@@ -135,9 +147,17 @@
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
 	h.memory.ledger.Close(h.account)
+	h.ended, h.closed = true, true
 	delete(h.memory.calls, h.account)
 }
 
+// isClosed reports whether the request that the account was opened for is over.
+func (h *heldCall) isClosed() bool {
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	return h.closed
+}
+
 // hold counts n more bytes. If they don't fit, it ends other calls. It returns false if the bytes may not be held; the
 // call has then ended.
 func (h *heldCall) hold(kind holding.Kind, n int) bool {
@@ -224,23 +244,44 @@
 	endedForMemory  endCause = "memory"
 )
 
+// code returns the code of the failure that a caller receives.
+func (c endCause) code() result.Code {
+	if c == endedForReading {
+		return result.CallerReadsNothing
+	}
+	return result.EndedToFreeMemory
+}
+
+// cause returns why the call was ended, endedForMemory if it wasn't.
+func (h *heldCall) cause() endCause {
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	if h.endedFor == "" {
+		return endedForMemory
+	}
+	return h.endedFor
+}
+
 // end ends a call: what waits for its caller is dropped, and the goroutine that serves it tells the scheduler. unread is
 // how long the caller has read nothing, if that is the cause.
 func (h *heldCall) end(cause endCause, unread time.Duration) {
 	m := h.memory
 	m.mu.Lock()
-	if h.ended {
+	if h.ended || h.detached {
 		m.mu.Unlock()
 		return
 	}
-	h.ended = true
+	h.ended, h.endedFor = true, cause
 	m.ledger.End(h.account)
 	c, organisation, id, held := h.call, h.account.Organisation(), h.account.ID(), h.account.HeldAtEnd()
 	total := m.ledger.Total()
 	m.mu.Unlock()
 	delivered, written := uint64(0), uint64(0)
 	if c != nil {
-		delivered, written = c.cutOff(cause)
+		owned := false
+		if delivered, written, owned = c.cutOff(h, cause); !owned {
+			return
+		}
 	}
 	m.meter.countCallEnded(cause)
 	m.log.WithField("request", id).
@@ -253,24 +294,26 @@
 		WithField("held_by_all", total).
 		WithField("limit", int64(m.limits.HeldBytes)).
 		Warn("call_ended_early")
-	h.conn.endWrites(m.limits.ReaderTimeout)
+	h.conn.endWrites(m.limits.ReaderTimeout, h.isClosed)
 }
 
 // cutOff drops what waits for the caller and makes the goroutine that serves it end the call. It returns the bytes that
-// were delivered for the caller and written to it.
-func (c *call) cutOff(cause endCause) (delivered, written uint64) {
+// were delivered for the caller and written to it. It does nothing and returns false if the call has another account by
+// now: it goes on without the caller whose account held is.
+func (c *call) cutOff(held *heldCall, cause endCause) (delivered, written uint64, owned bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.held != held {
+		return 0, 0, false
+	}
 	delivered, written = c.flow.delivered, c.flow.written
 	ran := result.RanUnknown
 	if delivered > 0 {
 		ran = result.RanYes
 	}
-	code := result.EndedToFreeMemory
-	if cause == endedForReading {
-		code = result.CallerReadsNothing
+	if c.cut == nil {
+		c.cut = result.New(cause.code(), "").WithRan(ran)
 	}
-	c.cut = result.New(code, "").WithRan(ran)
 	if c.request.Key == "" {
 		c.events, c.bytes = nil, 0
 	}
@@ -278,7 +321,17 @@
 	case c.wake <- struct{}{}:
 	default:
 	}
-	return delivered, written
+	return delivered, written, true
+}
+
+// dropEvents records that events of the answer were dropped, so that it can't end as a whole one. The ledger ends an
+// account before the call learns of it.
+func (c *call) dropEvents() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut == nil {
+		c.cut = result.New(c.held.cause().code(), "").WithRan(result.RanYes)
+	}
 }
 
 // cutError returns why the call was ended by this process, nil if it wasn't.
@@ -387,11 +440,15 @@
 // checkReaders ends the calls whose callers have read nothing for the timeout while their window was full.
 func (m *callMemory) checkReaders(now time.Time) {
 	for _, h := range m.submitted() {
-		c := h.call
+		if h.detached {
+			continue
+		}
+		c, network := h.call, h.conn.progress()
 		c.mu.Lock()
-		full, written := c.flow.isFull() && c.cut == nil, c.flow.written
+		// No credit follows the last event, so the window of an ended stream that was written stays full.
+		full, written := c.flow.isFull(network.unsent > 0 && !c.ended) && c.cut == nil, c.flow.written
 		c.mu.Unlock()
-		seen := readingState{since: now, written: written, network: h.conn.progress()}
+		seen := readingState{since: now, written: written, network: network}
 		if !full || h.reading.since.IsZero() || seen.written != h.reading.written || seen.network != h.reading.network {
 			h.reading = seen
 			if !full {
@@ -476,10 +533,18 @@
 		}
 		return &outcome{err: err, attempts: attemptSummary{anySent: true, allEnded: true}}
 	}
+	return out
+}
+
+// beginFinal records that a whole answer is about to be written. Until then its caller has nothing to read: an answer of
+// an operation with a key waits for its commit.
+func (c *call) beginFinal(out *outcome) {
+	if c.request.Stream || out.err != nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.flow.beginFinal(len(out.body))
-	return out
 }
 
 // memoryStatus is what an entry holds for callers.
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,8 +17,10 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carawaypitch/carawaypitch/holding"
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/settings"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -317,7 +320,7 @@
 func anyFull(e *Entry) bool {
 	for _, h := range e.memory.submitted() {
 		h.call.mu.Lock()
-		full := h.call.flow.isFull()
+		full := h.call.flow.isFull(false)
 		h.call.mu.Unlock()
 		if full {
 			return true
@@ -508,6 +511,212 @@
 	})
 }
 
+// A commit may take longer than reader_timeout. Nothing is offered to the caller meanwhile, so a caller that reads must not
+// be ended as one that reads nothing.
+func TestCallerIsNotEndedWhileItsAnswerWaitsForTheCommit(t *testing.T) {
+	for name, body := range map[string]string{"whole answer": chatBody, "stream": streamBody} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, logs := newMemoryHarness(t, func(s *settings.Entry) { s.Memory.ReaderWindowBytes = 16 * settings.KiB })
+				h.control.update(func() {
+					h.control.delay = func(command *wire.Command) time.Duration {
+						if kindOf(command) == "complete" {
+							return 4 * time.Second
+						}
+						return 0
+					}
+				})
+				newWindowedServer(h.addModel(1), 10, 16_200) // no room for another event before the next credit
+				answer := h.call(1, http.MethodPost, chatPath, body, keyHeader("k"), "Carawaypitch-Class: summary")
+				require.NoError(t, answer.err)
+				require.Equal(t, http.StatusOK, answer.status)
+				require.Empty(t, logged(logs, "call_ended_early"))
+				require.Equal(t, []string{"begin", "complete"}, h.control.commands())
+			})
+		})
+	}
+}
+
+// A server may pause for longer than reader_timeout after an event as large as the window. A caller that has read
+// everything must not be ended as one that reads nothing.
+func TestCallerThatHasReadEverythingIsNotEndedWhileTheServerPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, logs := newMemoryHarness(t, func(s *settings.Entry) { s.Memory.ReaderWindowBytes = 16 * settings.KiB })
+		server := newWindowedServer(h.addModel(1), 2, 20_000)
+		server.interval = 3 * time.Second
+		response := h.openStream(t.Context(), compostKey)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.True(t, server.text() == string(body), "the answer is whole")
+		require.Empty(t, logged(logs, "call_ended_early"))
+	})
+}
+
+// A caller whose side acknowledges nothing of what was written has not read it; one with nothing outstanding has.
+func TestWindowIsFullOnlyIfTheCallerHasSomethingToRead(t *testing.T) {
+	f := readerFlow{window: 1000, attempt: new(wire.AttemptID)}
+	f.deliver([][]byte{make([]byte, 1001)})
+	require.True(t, f.isFull(false), "nothing was written yet")
+	f.wrote(1001)
+	f.credit(time.Now())
+	require.True(t, f.isFull(true))
+	require.False(t, f.isFull(false))
+}
+
+// The agent holds a large event back while it doesn't know that a small one before it was written. Without a credit for the
+// small one, which is less than an eighth of the window, the attempt would wait until its deadline.
+func TestLargeEventAfterASmallOneIsNotHeldBackForEver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newMemoryHarness(t, func(s *settings.Entry) { s.Memory.ReaderWindowBytes = 16 * settings.KiB })
+		server := newWindowedServer(h.addModel(1), 0, 0)
+		server.events = []string{chatEvent(strings.Repeat("a", 300)), chatEvent(strings.Repeat("b", 32<<10)), chatEnd}
+		response := h.openStream(t.Context(), compostKey)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.True(t, server.text() == string(body), "the answer is whole")
+	})
+}
+
+// A stream that isn't blocked needs no repeats: with them each would cost four messages a second.
+func TestRepeatsOfCreditsStopWhileFramesArriveAndGrowRare(t *testing.T) {
+	const interval = 250 * time.Millisecond
+	now := time.Unix(0, 0)
+	f := readerFlow{window: 1000}
+	f.begin(new(wire.AttemptID), "", 0)
+	f.deliver([][]byte{make([]byte, 600)})
+	f.wrote(600)
+	f.credit(now)
+	require.True(t, f.repeatIsDue(now.Add(interval), interval), "the credit may have been lost")
+	f.heardAt = now.Add(interval)
+	require.False(t, f.repeatIsDue(now.Add(interval), interval), "a frame came")
+	require.True(t, f.repeatIsDue(now.Add(2*interval), interval))
+	var gaps []int
+	for step, last := 1, 0; step <= 20; step++ {
+		at := f.heardAt.Add(time.Duration(step) * interval)
+		if f.repeatIsDue(at, interval) {
+			f.credit(at)
+			gaps = append(gaps, step-last)
+			last = step
+		}
+	}
+	require.Equal(t, []int{1, 2, 4, 4, 4, 4}, gaps)
+	f.deliver([][]byte{make([]byte, 10)})
+	f.wrote(10)
+	require.True(t, f.repeatIsDue(f.creditedAt.Add(interval), interval), "a credit with news doesn't wait longer")
+}
+
+// The ledger ends an account before its call learns of it. If events that arrive in between were dropped without a word, a
+// call that completes at the same time would end as a whole answer that lacks them.
+func TestAnswerWithDroppedEventsIsNotWhole(t *testing.T) {
+	for name, other := range map[string]int{"ended to make room": 500, "nothing could make room": 0} {
+		t.Run(name, func(t *testing.T) {
+			m := newTestMemory(1000)
+			h := m.open("r1", "a", nil)
+			c := newCall(&sched.Request{ID: "r1", Stream: true}, 1<<20, h)
+			require.True(t, h.follow(c))
+			all := newCalls()
+			require.True(t, all.register(c))
+			pinned := m.open("r2", "b", nil)
+			if other > 0 {
+				require.True(t, h.hold(holding.Waiting, other))
+				_, ok := m.ledger.Hold(pinned.account, holding.Pinned, 900) // the account has ended, its call has not
+				require.True(t, ok)
+			} else {
+				require.True(t, pinned.hold(holding.Pinned, 1000))
+			}
+			all.deliver("r1", [][]byte{make([]byte, 100)})
+			all.complete(sched.Answer{Request: "r1", End: new(wire.AnswerEnd)})
+			d, ok := c.poll()
+			require.True(t, ok)
+			require.NotNil(t, d.err)
+			require.Equal(t, result.EndedToFreeMemory, d.err.Code)
+		})
+	}
+}
+
+// A call whose account ended before it is submitted can't be ended any more, so it must not run.
+func TestFollowReportsThatTheAccountHasEnded(t *testing.T) {
+	m := newTestMemory(1000)
+	h := m.open("r1", "a", nil)
+	require.True(t, h.admit(holding.Body, 500))
+	ended, ok := m.ledger.Hold(m.open("r2", "b", nil).account, holding.Waiting, 900)
+	require.True(t, ok)
+	require.Len(t, ended, 1)
+	require.False(t, h.follow(newCall(&sched.Request{ID: "r1"}, 1<<20, h)))
+	require.Nil(t, h.call)
+}
+
+// The ledger, or a check of readers, may choose a call that closes or loses its caller before it is cut off. The record of
+// an operation that goes on would stay open, and the next request on the connection could not be answered.
+func TestEndOfAClosedOrDetachedAccountChangesNothing(t *testing.T) {
+	m := newTestMemory(1000)
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	conn := &callerConn{Conn: near}
+	closed := m.open("r1", "a", conn)
+	c := newCall(&sched.Request{ID: "r1", Stream: true}, 1<<20, closed)
+	require.True(t, closed.follow(c))
+	closed.close()
+	closed.end(endedForReading, 0)
+	require.Nil(t, c.cutError())
+	require.False(t, conn.final)
+
+	detached := m.open("r2", "a", conn)
+	keyed := newCall(&sched.Request{ID: "r2", Key: "k", Organisation: "a"}, 1<<20, detached)
+	require.True(t, detached.follow(keyed))
+	e := &Entry{memory: m}
+	own := e.detach(keyed, 0)
+	detached.end(endedForReading, 0)
+	require.Nil(t, keyed.cutError(), "the operation goes on without its caller")
+	require.False(t, conn.final)
+	own.end(endedForMemory, 0)
+	require.Nil(t, keyed.cutError(), "its record has to be closed")
+}
+
+// A write that fails when its caller leaves takes events along. If they never counted as written, the window of the
+// operation that goes on would stay full, and its agent would wait for credits that never come.
+func TestEventsOfAFailedWriteLeaveTheWindowOfADetachedCall(t *testing.T) {
+	m := newTestMemory(1 << 20)
+	h := m.open("r1", "a", nil)
+	c := newCall(&sched.Request{ID: "r1", Key: "k", Organisation: "a", Stream: true}, 1<<20, h)
+	c.flow.window = 16 << 10
+	require.True(t, h.follow(c))
+	c.flow.begin(new(wire.AttemptID), "", 0)
+	c.add([][]byte{make([]byte, 12<<10), make([]byte, 12<<10)})
+	d, ok := c.poll()
+	require.True(t, ok)
+	require.Len(t, d.events, 1)
+	(&Entry{memory: m}).detach(c, 0)
+	require.EqualValues(t, 12<<10, c.flow.written, "the event that was taken; the other one waits")
+	require.True(t, c.flow.repeatIsDue(time.Now(), time.Second))
+}
+
+// The request may be over between the decision to end its writes and their end.
+func TestWritesAreEndedOnlyForTheRequestThatWasChosen(t *testing.T) {
+	m := newTestMemory(1000)
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	conn := &callerConn{Conn: near}
+	first := m.open("r1", "a", conn)
+	first.close()
+	conn.resumeWrites() // the next request
+	conn.endWrites(0, first.isClosed)
+	require.False(t, conn.final)
+	second := m.open("r2", "a", conn)
+	conn.endWrites(0, second.isClosed)
+	require.True(t, conn.final)
+}
+
+// newTestMemory returns a callMemory without an entry.
+func newTestMemory(bytes settings.Size) *callMemory {
+	return newCallMemory(settings.EntryMemory{HeldBytes: bytes, OrganisationShare: 1, ReaderTimeout: 2 * time.Second},
+		&log.Logger{Handler: new(logRecorder)}, newMeter(), time.Now)
+}
+
 // An answer in one piece is counted while it is collected, and its caller has to read it too.
 func TestAssembledAnswerIsCountedAndItsCallerMustRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
