--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -21,6 +21,7 @@
 	cost           int64         // tokens charged to the organisation
 	uncorrectedRun time.Duration // predicted run time at the rates that the gate reports
 	sentPace       pace          // of the server by its gate, when it was sent; 0 unless it is placed by length
+	sentCached     uint32        // prompt tokens that were expected to be cached there, with sentPace
 	rollout        uint64        // id of the roll-out in progress when it was sent, 0 without one
 	version        string        // of the server, when it was sent; set together with rollout
 
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -129,7 +129,7 @@
 		return
 	}
 	if s.hasPace(to) {
-		r.attempt.sentPace = to.reportedPace()
+		r.attempt.sentPace, r.attempt.sentCached = to.reportedPace(), s.cachedTokens(r, to)
 	}
 	upper := s.upperRunTime(r, s.loadedPaceOf(r.pool, to), s.cachedTokens(r, to))
 	r.placement = placement{finish: s.estimateRunTime(r, to), slack: s.remainingTime(r) - upper, reason: placementFits}
@@ -176,5 +176,5 @@
 	if a.sentPace.decode <= 0 {
 		return 0
 	}
-	return a.sentPace.runTime(float64(r.PromptTokens), float64(tokens))
+	return a.sentPace.runTime(float64(r.PromptTokens)-float64(a.sentCached), float64(tokens))
 }
--- a/sched/placement_test.go
+++ b/sched/placement_test.go
@@ -285,6 +285,27 @@
 	require.InDelta(t, 1, h.s.servers["fast"].correction.value(), 0.05)
 }
 
+// Guards against a server with cached prefixes that is taken for a fast one: the predicted run must not count the prompt
+// tokens that were cached when the request was sent.
+func TestCorrectionLeavesOutCachedPromptTokens(t *testing.T) {
+	h := placementHarness(t)
+	prefix := make([]uint64, 4000/PrefixBlockTokens)
+	for i := range prefix {
+		prefix[i] = uint64(i + 1)
+	}
+	h.s.prefixes.addAll("fast", prefix)
+	h.arriveWith("a", 1000, 0, func(r *Request) { r.PromptTokens, r.Prefix = 4000, prefix })
+	sent := h.lastDispatch("a", 1)
+	require.Equal(t, "fast", sent.server)
+	h.frame("fast", sent.id, 0, "x")
+	h.now = h.now.Add(4032 * time.Millisecond)
+	end := answerEndOf(0, "x")
+	end.OutputTokens = 1000
+	h.over("fast", &wire.Over{Attempt: sent.id, Proof: wire.Proof_PROOF_COMPLETED, Answer: end})
+	require.NotNil(t, h.answers["a"])
+	require.InDelta(t, 1, h.s.servers["fast"].correction.value(), 0.01)
+}
+
 // Guards against new fields in messages, counters and the trace while the setting is off.
 func TestNothingIsPlacedByLengthWithoutTheSetting(t *testing.T) {
 	h := newHarness(t, Options{})
