--- a/gate/few_servers_test.go
+++ b/gate/few_servers_test.go
@@ -1,6 +1,9 @@
 package gate
 
 import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -63,6 +66,49 @@
 	require.Equal(t, []string{"any.1"}, b.nextOffer(), "a slot after this one is free only in about a second")
 }
 
+// Guards against attempts of other organisations and classes that become late because a long attempt takes the turn of a
+// short head: they wait for the same slots.
+func TestNoneOfAnotherQueueBecomesLateForWhatFewServersFinish(t *testing.T) {
+	for name, change := range map[string]func(*wire.Work){
+		"organisation": func(w *wire.Work) { w.Organisation = "another" },
+		"class":        func(w *wire.Work) { w.Class = "another" },
+	} {
+		for tokens, want := range map[uint32]string{400: "head.1", 50: "few.1"} {
+			t.Run(fmt.Sprint(name, "/", tokens), func(t *testing.T) {
+				b := fewServersHarness(t, true)
+				b.waitFor("head", 30*time.Second, 20*time.Second, func(w *wire.Work) { w.Precedence, w.OutputTokens = 2, 20 })
+				b.waitFor("other", 30*time.Second, 1500*time.Millisecond, func(w *wire.Work) {
+					w.Precedence, w.OutputTokens = 2, 20
+					change(w)
+				})
+				b.waitFor("few", 40*time.Second, 30*time.Second, func(w *wire.Work) {
+					w.Precedence, w.FewServers, w.OutputTokens = 2, true, tokens
+				})
+				require.Equal(t, []string{want}, b.nextOffer())
+			})
+		}
+	}
+}
+
+// Guards against a heap that is not visited in the order of its attempts.
+func TestHeapOrderIsThatOfTheAttempts(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for n := range 40 {
+		var h attemptHeap
+		for i := range n {
+			a := &attempt{sequence: uint64(i), deadline: time.Unix(random.Int64N(10), 0), work: &wire.Work{Overdue: random.IntN(4) == 0}}
+			heap.Push(&h, a)
+		}
+		order := newHeapOrder(h)
+		visited := 0
+		for last, a := order.pop(), order.pop(); last != nil; last, a = a, order.pop() {
+			visited++
+			require.True(t, a == nil || earlier(last, a))
+		}
+		require.Equal(t, n, visited)
+	}
+}
+
 // Guards against an order of organisations, classes or overdue requests that the preference changes.
 func TestFewServersKeepsTheOrderOfOthers(t *testing.T) {
 	for name, change := range map[string]func(*wire.Work){
