gate: bound how often a waiting attempt is passed

A steady flow of attempts that only few servers finish in time kept the head of their queue waiting without bound. Passes are counted for each attempt, and one that was passed four times is served in its turn.

--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -62,6 +62,7 @@
 	queue      *queue
 	heap       *attemptHeap
 	index      int
+	passes     int  // times that one behind it in its queue went first, see preferFewServers
 	late       bool // can't meet its deadline, or let an offer lapse
 	lapses     int
 	offerUntil time.Time
--- a/gate/few_servers.go
+++ b/gate/few_servers.go
@@ -8,6 +8,10 @@
 // maxPassed bounds the waiting attempts that one that only few servers finish in time may go before.
 const maxPassed = 16
 
+// maxPasses bounds how often attempts behind it in its queue may go before a waiting one. Without a bound a steady flow of
+// attempts that only few servers finish in time keeps a head waiting until it would be late.
+const maxPasses = 4
+
 // preferFewServers returns the attempt to serve next instead of the head of a queue: the first of the same class,
 // organisation and lateness that only few servers can finish in time, if all that it goes before stay in time. It
 // takes the turn of the head, so the order of classes and organisations doesn't change.
@@ -22,6 +26,9 @@
 			return head
 		}
 		if !a.work.GetFewServers() {
+			if a.wait.passes >= maxPasses {
+				return head
+			}
 			continue
 		}
 		if g.mayGoFirst(a) {
@@ -32,6 +39,21 @@
 	return head
 }
 
+// countPasses counts that an attempt that is about to be served goes before others of its queue.
+func (g *Gate) countPasses(a *attempt) {
+	if !g.config.FewServersFirst || !a.work.GetFewServers() || a.wait.heap == nil {
+		return
+	}
+	order := newHeapOrder(*a.wait.heap)
+	for range maxPassed {
+		passed := order.pop()
+		if passed == nil || passed == a {
+			return
+		}
+		passed.wait.passes++
+	}
+}
+
 // mayGoFirst reports whether an attempt can be offered room, will be in time and makes none of the others late.
 func (g *Gate) mayGoFirst(a *attempt) bool {
 	return !g.missesDeadline(a, 0) && g.blockReasonOf(a) == notBlocked && !g.makesLate(a)
--- a/gate/few_servers_test.go
+++ b/gate/few_servers_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,6 +91,29 @@
 	}
 }
 
+// Guards against a head that a steady flow of attempts which few servers finish in time keeps waiting without bound.
+func TestHeadIsPassedABoundedNumberOfTimes(t *testing.T) {
+	b := fewServersHarness(t, true)
+	b.waitFor("head", 60*time.Second, 50*time.Second, nil)
+	b.waitFor("second", 61*time.Second, 50*time.Second, nil)
+	var order []string
+	running := "running"
+	for i := range maxPasses + 3 {
+		b.waitFor(fmt.Sprint("few-", i), 70*time.Second, 60*time.Second, few)
+		b.actions = nil
+		b.finish(id(running, 1))
+		offers := offeredIDs(b.actions)
+		require.Len(t, offers, 1)
+		order = append(order, offers[0])
+		running = strings.TrimSuffix(offers[0], ".1")
+		b.dispatchOffered(entryA, id(running, 1), work())
+	}
+	require.Equal(t, []string{"head.1", "second.1"}, order[maxPasses:maxPasses+2], "the second was passed as often: %v", order)
+	for i, request := range append(order[:maxPasses:maxPasses], order[maxPasses+2:]...) {
+		require.Equal(t, fmt.Sprint("few-", i, ".1"), request)
+	}
+}
+
 // Guards against a heap that is not visited in the order of its attempts.
 func TestHeapOrderIsThatOfTheAttempts(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
--- a/gate/offers.go
+++ b/gate/offers.go
@@ -36,6 +36,7 @@
 			}
 			return
 		}
+		g.countPasses(a)
 		if !g.grantRoom(a) {
 			return
 		}
