--- a/sched/placement_test.go
+++ b/sched/placement_test.go
@@ -278,13 +278,39 @@
 	h := placementHarness(t)
 	h.arriveWith("a", 10, 0, nil)
 	sent := h.lastDispatch("a", 1)
+	h.frame("fast", sent.id, 0, "x")
 	h.now = h.now.Add(4100 * time.Millisecond)
 	end := answerEndOf(0, "x")
 	end.OutputTokens = 1000
 	h.over("fast", &wire.Over{Attempt: sent.id, Server: "fast", Proof: wire.Proof_PROOF_COMPLETED, Answer: end})
+	require.NotNil(t, h.answers["a"])
 	require.InDelta(t, 1, h.s.servers["fast"].correction.value(), 0.05)
 }
 
+// Guards against complete answers that are not learned: the upper length of the next request must follow from their actual
+// lengths instead of its hint.
+func TestCompleteAnswersAreLearned(t *testing.T) {
+	h := placementHarness(t)
+	for i := range minSamples {
+		name := fmt.Sprint("a", i)
+		h.report("fast", 250, nil)
+		h.report("slow", 90, nil)
+		h.arriveWith(name, 100, 0, nil)
+		require.EqualValues(t, 200, h.workOf(name).GetOutputTokensUpper(), "before enough answers are known")
+		sent := h.lastDispatch(name, 1)
+		h.frame(sent.server, sent.id, 0, "x")
+		h.now = h.now.Add(time.Second)
+		end := answerEndOf(0, "x")
+		end.OutputTokens = 400
+		h.over(sent.server, &wire.Over{Attempt: sent.id, Proof: wire.Proof_PROOF_COMPLETED, Answer: end})
+		require.NotNil(t, h.answers[name])
+	}
+	h.report("fast", 250, nil)
+	h.arriveWith("next", 100, 0, nil)
+	require.InEpsilon(t, 400, h.workOf("next").GetOutputTokensUpper(), lengthBinWidth)
+	require.InEpsilon(t, 400, h.workOf("next").GetOutputTokens(), lengthBinWidth)
+}
+
 // Guards against a server with cached prefixes that is taken for a fast one: the predicted run must not count the prompt
 // tokens that were cached when the request was sent.
 func TestCorrectionLeavesOutCachedPromptTokens(t *testing.T) {
