--- a/sched/lengths.go
+++ b/sched/lengths.go
@@ -113,7 +113,7 @@
 // setLength sets the request's expected output tokens.
 func (s *Scheduler) setLength(r *request) {
 	r.estimatedOutput = s.estimateOutput(r)
-	if !s.options.ByLength || r.pool.key.kind != kindModel {
+	if !s.placesByLength(r) {
 		return
 	}
 	length := r.class.lengthModel().expect(r.OutputTokens, r.MaxTokens)
@@ -129,7 +129,7 @@
 
 // learnLength adds the length of a complete answer.
 func (s *Scheduler) learnLength(r *request, tokens uint32) {
-	if s.options.ByLength && r.pool.key.kind == kindModel && tokens > 0 {
+	if s.placesByLength(r) && tokens > 0 {
 		r.class.lengthModel().add(r.OutputTokens, r.MaxTokens, tokens)
 	}
 }
--- a/sched/placement_test.go
+++ b/sched/placement_test.go
@@ -346,3 +346,18 @@
 		require.NotEqual(t, Placements, c.Counter)
 	}
 }
+
+// Guards against baseline policies that expect other lengths with the setting: measurements compare them as they are.
+func TestBaselinePoliciesExpectLengthsByTheHint(t *testing.T) {
+	for _, policy := range []Policy{PolicyRoundRobin, PolicyLeastLoad, PolicyRandomFIFO} {
+		h := newHarness(t, Options{ByLength: true, Policy: policy})
+		for range minSamples {
+			h.s.classFor(longChat).lengthModel().add(100, 0, 400)
+		}
+		r := h.request("a", longChat)
+		r.OutputTokens = 100
+		estimated := h.s.newEstimationRequest(r)
+		require.EqualValues(t, 100, estimated.estimatedOutput)
+		require.Zero(t, estimated.upperOutput)
+	}
+}
