sched: forget the decode rate under load at a restart of the agent

The rate of the former incarnation limited the pace of the new one for minutes. The comment on loadedWindow now says that the rate approaches a higher one exponentially.

--- a/sched/links.go
+++ b/sched/links.go
@@ -16,6 +16,11 @@
 	if a.up {
 		s.linkLost(a)
 	}
+	if hello.GetIncarnation() > a.incarnation {
+		for _, v := range a.servers {
+			v.forgetDecodeRate() // the agent may have been restarted with another engine
+		}
+	}
 	a.incarnation = hello.GetIncarnation()
 	a.zone = hello.GetAvailabilityZone()
 	a.up = true
--- a/sched/paces.go
+++ b/sched/paces.go
@@ -11,8 +11,9 @@
 	poolPaceInterval = 250 * time.Millisecond
 	// slowQuantile is the share of a pool's servers that count as its slow ones.
 	slowQuantile = 0.25
-	// loadedWindow is the time in which the decode rate under load follows a server that has become faster. It spans the
-	// waves of load during which a long answer runs.
+	// loadedWindow is the time constant with which the decode rate under load approaches the rate of a server that has
+	// become faster: with frequent reports, 63% of the difference are made up after one window and 95% after three. It
+	// spans the waves of load during which a long answer runs.
 	loadedWindow = time.Minute
 	// paceTolerance is the ratio of two paces, or run times, up to which they count as equal: the learned pace of a server
 	// varies with what runs there.
@@ -65,7 +66,8 @@
 	return pace{decode: p.decode / correction, prefill: p.prefill / correction, fixed: p.fixed * correction}
 }
 
-// noteDecodeRate updates the decode rate under load by a report.
+// noteDecodeRate updates the decode rate under load by a report. A lower rate counts at once, a higher one is approached
+// exponentially, see loadedWindow.
 func (v *server) noteDecodeRate(now time.Time) {
 	rate := float64(v.room.GetDecodeTokensPerS())
 	if rate <= 0 {
@@ -78,6 +80,9 @@
 	v.loadedDecode, v.loadedAt = rate, now
 }
 
+// forgetDecodeRate makes the next report alone decide the decode rate under load.
+func (v *server) forgetDecodeRate() { v.loadedDecode = 0 }
+
 // loadedPace is pace with the decode rate under load.
 func (v *server) loadedPace() pace {
 	p := v.pace()
--- a/sched/placement_test.go
+++ b/sched/placement_test.go
@@ -225,6 +225,34 @@
 	require.Equal(t, "slow", h.lastDispatch("b", 1).server)
 }
 
+// Guards against a decode rate under load that survives a restart of the agent, or is lost when only its link is.
+func TestPaceUnderLoadIsForgottenAtARestart(t *testing.T) {
+	h := placementHarness(t)
+	p := h.s.pool(poolKey{kind: kindModel, target: testModel})
+	loaded := func() float64 { return h.s.loadedPaceOf(p, h.s.servers["slow"]).decode }
+	h.report("slow", 60, nil)
+	h.linkDown("slow")
+	h.linkUp("slow", 1)
+	h.report("slow", 300, nil)
+	require.EqualValues(t, 60, loaded(), "the same incarnation")
+	h.linkUp("slow", 2)
+	h.report("slow", 300, nil)
+	require.EqualValues(t, 300, loaded())
+}
+
+// Guards against a decode rate under load that is forgotten faster or more slowly than loadedWindow says.
+func TestPaceUnderLoadApproachesAHigherRate(t *testing.T) {
+	v, now := &server{}, time.Unix(1_700_000_000, 0)
+	for at := time.Duration(0); at <= loadedWindow; at += time.Second {
+		v.room = &wire.Room{DecodeTokensPerS: 200}
+		if at == 0 {
+			v.room.DecodeTokensPerS = 100
+		}
+		v.noteDecodeRate(now.Add(at))
+	}
+	require.InDelta(t, 163, v.loadedDecode, 1)
+}
+
 // Guards against short answers that take the scarce fast servers from waiting ones that end in time nowhere else, and
 // against short answers that avoid them although nothing waits.
 func TestShortAnswersLeaveScarceFastServers(t *testing.T) {
--- a/sched/servers.go
+++ b/sched/servers.go
@@ -38,7 +38,7 @@
 	unacked        int                   // dispatched and not acknowledged by the agent
 	ackedSinceRoom int                   // acknowledged since the last Room, which may not count them
 	correction     runCorrection
-	loadedDecode   float64 // decode rate under load, by the gate's reports: the lowest, forgotten within loadedWindow
+	loadedDecode   float64 // decode rate under load, by the gate's reports, see noteDecodeRate
 	loadedAt       time.Time
 }
 
