--- a/sched/choose.go
+++ b/sched/choose.go
@@ -7,6 +7,7 @@
 
 // chooseServer returns the server for a dispatch without an Offer, or nil if no server with room suits the request.
 func (s *Scheduler) chooseServer(r *request) *server {
+	defer s.endChoice(s.beginChoice(r))
 	r.passedOver = r.passedOver[:0]
 	if v := s.exposeTo(r); v != nil {
 		return v
@@ -33,6 +34,7 @@
 // chooseReservationServers returns the servers at which to reserve: those with the earliest estimated finish, and under
 // pressure those whose use costs the others least.
 func (s *Scheduler) chooseReservationServers(r *request) []*server {
+	defer s.endChoice(s.beginChoice(r))
 	count := s.reservationCount(r)
 	servers := s.sampleServers(r, 2*count, s.canReserve)
 	finish := make(map[*server]time.Duration, len(servers))
@@ -78,6 +80,7 @@
 // With delayed reports a small random sample does as well as the best of all servers, and it keeps the entries from
 // all choosing the same server.
 func (s *Scheduler) sampleServers(r *request, n int, suits func(*request, *server) bool) []*server {
+	defer s.endChoice(s.beginChoice(r))
 	picked := s.prefixServers(r, suits)
 	if len(r.Candidates) > 0 {
 		return s.addCandidates(r, picked, suits)
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -42,6 +42,31 @@
 	slack  time.Duration // from the end of the upper length to the deadline
 }
 
+// placementChoice holds what is computed once for all servers considered in a choice for a request. Neither the servers
+// nor the request change meanwhile.
+type placementChoice struct {
+	request *request // nil outside of a choice
+	known   bool     // fastest and cached are set
+	fastest pace
+	cached  uint32
+}
+
+// beginChoice begins a choice among servers for a request, possibly within another one. The result is for endChoice.
+func (s *Scheduler) beginChoice(r *request) (outer *request) {
+	outer = s.choice.request
+	if outer != r {
+		s.choice = placementChoice{request: r}
+	}
+	return outer
+}
+
+// endChoice ends a choice and returns to the one around it, if there is one.
+func (s *Scheduler) endChoice(outer *request) {
+	if s.choice.request != outer {
+		s.choice = placementChoice{request: outer}
+	}
+}
+
 // placesByLength reports whether the request is placed by its length.
 func (s *Scheduler) placesByLength(r *request) bool {
 	return s.options.ByLength && s.options.Policy == PolicyTargets && r.pool.key.kind == kindModel
@@ -86,11 +111,23 @@
 }
 
 // fastestFor returns the pace of the server that ends the upper length first among those that the request may use, and
-// the prompt tokens that are cached there.
+// the prompt tokens that are cached there. During a choice it is computed once.
 func (s *Scheduler) fastestFor(r *request) (best pace, cached uint32) {
 	if len(r.Candidates) == 0 && len(r.avoided) == 0 && len(r.Prefix) == 0 && r.eventsReceived == 0 {
 		return s.pacesOf(r.pool).fastest, 0
 	}
+	if s.choice.request != r {
+		return s.scanFastest(r)
+	}
+	if !s.choice.known {
+		s.choice.fastest, s.choice.cached = s.scanFastest(r)
+		s.choice.known = true
+	}
+	return s.choice.fastest, s.choice.cached
+}
+
+// scanFastest is fastestFor by a scan of all servers of the pool.
+func (s *Scheduler) scanFastest(r *request) (best pace, cached uint32) {
 	shortest := time.Duration(-1)
 	for _, v := range r.pool.servers {
 		if !v.ready || !s.mayPlace(r, v) {
--- a/sched/placement_test.go
+++ b/sched/placement_test.go
@@ -375,6 +375,38 @@
 	}
 }
 
+// Guards against a scan of all servers for each server that is considered, and against one choice's fastest server that
+// counts in the next.
+func TestFastestServerIsComputedOncePerChoice(t *testing.T) {
+	h := placementHarness(t)
+	in := h.request("a", longChat)
+	in.Prefix = []uint64{1}
+	r := h.s.newEstimationRequest(in)
+	fastest := func() float64 {
+		best, _ := h.s.fastestFor(r)
+		return best.decode
+	}
+	require.EqualValues(t, 250, fastest())
+	considered := 0
+	h.s.sampleServers(r, 2, func(r *request, v *server) bool {
+		considered++
+		require.EqualValues(t, 250, fastest())
+		h.s.servers["fast"].loadedDecode = 50 // a scan would see this
+		return true
+	})
+	require.Equal(t, 2, considered)
+	require.EqualValues(t, 90, fastest(), "after the choice")
+	outer := h.s.beginChoice(r)
+	require.EqualValues(t, 90, fastest())
+	other := h.s.newEstimationRequest(in)
+	within := h.s.beginChoice(other)
+	h.s.servers["slow"].loadedDecode = 40
+	h.s.endChoice(within)
+	require.EqualValues(t, 50, fastest(), "after a choice for another request")
+	h.s.endChoice(outer)
+	require.Equal(t, placementChoice{}, h.s.choice)
+}
+
 // Guards against baseline policies that expect other lengths with the setting: measurements compare them as they are.
 func TestBaselinePoliciesExpectLengthsByTheHint(t *testing.T) {
 	for _, policy := range []Policy{PolicyRoundRobin, PolicyLeastLoad, PolicyRandomFIFO} {
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -142,6 +142,7 @@
 }
 
 func (s *Scheduler) anyServerSuits(r *request) bool {
+	defer s.endChoice(s.beginChoice(r))
 	return slices.ContainsFunc(r.pool.servers, func(v *server) bool { return s.canReserve(r, v) })
 }
 
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -38,6 +38,7 @@
 	directoryReceived bool // a directory was received
 	entryCount        int  // in the deployment
 	roundRobin        int  // server index for PolicyRoundRobin
+	choice            placementChoice
 	prefixes          *prefixTable
 	poison            *poisonTable
 	fleet             fleetView
--- a/sched/widen.go
+++ b/sched/widen.go
@@ -31,6 +31,7 @@
 }
 
 func (s *Scheduler) anyCandidateSuits(r *request) bool {
+	defer s.endChoice(s.beginChoice(r))
 	return slices.ContainsFunc(r.Candidates, func(name string) bool {
 		v := s.servers[name]
 		return v != nil && r.pool.has(v) && s.canReserve(r, v)
