--- a/sched/placement_test.go
+++ b/sched/placement_test.go
@@ -225,6 +225,34 @@
 	require.Equal(t, "slow", h.lastDispatch("b", 1).server)
 }
 
+// Guards against a decode rate under load that survives a restart of the agent, or is lost when only its link is.
+func TestPaceUnderLoadIsForgottenAtARestart(t *testing.T) {
+	h := placementHarness(t)
+	p := h.s.pool(poolKey{kind: kindModel, target: testModel})
+	loaded := func() float64 { return h.s.loadedPaceOf(p, h.s.servers["slow"]).decode }
+	h.report("slow", 60, nil)
+	h.linkDown("slow")
+	h.linkUp("slow", 1)
+	h.report("slow", 300, nil)
+	require.EqualValues(t, 60, loaded(), "the same incarnation")
+	h.linkUp("slow", 2)
+	h.report("slow", 300, nil)
+	require.EqualValues(t, 300, loaded())
+}
+
+// Guards against a decode rate under load that is forgotten faster or more slowly than loadedWindow says.
+func TestPaceUnderLoadApproachesAHigherRate(t *testing.T) {
+	v, now := &server{}, time.Unix(1_700_000_000, 0)
+	for at := time.Duration(0); at <= loadedWindow; at += time.Second {
+		v.room = &wire.Room{DecodeTokensPerS: 200}
+		if at == 0 {
+			v.room.DecodeTokensPerS = 100
+		}
+		v.noteDecodeRate(now.Add(at))
+	}
+	require.InDelta(t, 163, v.loadedDecode, 1)
+}
+
 // Guards against short answers that take the scarce fast servers from waiting ones that end in time nowhere else, and
 // against short answers that avoid them although nothing waits.
 func TestShortAnswersLeaveScarceFastServers(t *testing.T) {
@@ -278,13 +306,60 @@
 	h := placementHarness(t)
 	h.arriveWith("a", 10, 0, nil)
 	sent := h.lastDispatch("a", 1)
+	h.frame("fast", sent.id, 0, "x")
 	h.now = h.now.Add(4100 * time.Millisecond)
 	end := answerEndOf(0, "x")
 	end.OutputTokens = 1000
 	h.over("fast", &wire.Over{Attempt: sent.id, Server: "fast", Proof: wire.Proof_PROOF_COMPLETED, Answer: end})
+	require.NotNil(t, h.answers["a"])
 	require.InDelta(t, 1, h.s.servers["fast"].correction.value(), 0.05)
 }
 
+// Guards against complete answers that are not learned: the upper length of the next request must follow from their actual
+// lengths instead of its hint.
+func TestCompleteAnswersAreLearned(t *testing.T) {
+	h := placementHarness(t)
+	for i := range minSamples {
+		name := fmt.Sprint("a", i)
+		h.report("fast", 250, nil)
+		h.report("slow", 90, nil)
+		h.arriveWith(name, 100, 0, nil)
+		require.EqualValues(t, 200, h.workOf(name).GetOutputTokensUpper(), "before enough answers are known")
+		sent := h.lastDispatch(name, 1)
+		h.frame(sent.server, sent.id, 0, "x")
+		h.now = h.now.Add(time.Second)
+		end := answerEndOf(0, "x")
+		end.OutputTokens = 400
+		h.over(sent.server, &wire.Over{Attempt: sent.id, Proof: wire.Proof_PROOF_COMPLETED, Answer: end})
+		require.NotNil(t, h.answers[name])
+	}
+	h.report("fast", 250, nil)
+	h.arriveWith("next", 100, 0, nil)
+	require.InEpsilon(t, 400, h.workOf("next").GetOutputTokensUpper(), lengthBinWidth)
+	require.InEpsilon(t, 400, h.workOf("next").GetOutputTokens(), lengthBinWidth)
+}
+
+// Guards against a server with cached prefixes that is taken for a fast one: the predicted run must not count the prompt
+// tokens that were cached when the request was sent.
+func TestCorrectionLeavesOutCachedPromptTokens(t *testing.T) {
+	h := placementHarness(t)
+	prefix := make([]uint64, 4000/PrefixBlockTokens)
+	for i := range prefix {
+		prefix[i] = uint64(i + 1)
+	}
+	h.s.prefixes.addAll("fast", prefix)
+	h.arriveWith("a", 1000, 0, func(r *Request) { r.PromptTokens, r.Prefix = 4000, prefix })
+	sent := h.lastDispatch("a", 1)
+	require.Equal(t, "fast", sent.server)
+	h.frame("fast", sent.id, 0, "x")
+	h.now = h.now.Add(4032 * time.Millisecond)
+	end := answerEndOf(0, "x")
+	end.OutputTokens = 1000
+	h.over("fast", &wire.Over{Attempt: sent.id, Proof: wire.Proof_PROOF_COMPLETED, Answer: end})
+	require.NotNil(t, h.answers["a"])
+	require.InDelta(t, 1, h.s.servers["fast"].correction.value(), 0.01)
+}
+
 // Guards against new fields in messages, counters and the trace while the setting is off.
 func TestNothingIsPlacedByLengthWithoutTheSetting(t *testing.T) {
 	h := newHarness(t, Options{})
@@ -299,3 +374,50 @@
 		require.NotEqual(t, Placements, c.Counter)
 	}
 }
+
+// Guards against a scan of all servers for each server that is considered, and against one choice's fastest server that
+// counts in the next.
+func TestFastestServerIsComputedOncePerChoice(t *testing.T) {
+	h := placementHarness(t)
+	in := h.request("a", longChat)
+	in.Prefix = []uint64{1}
+	r := h.s.newEstimationRequest(in)
+	fastest := func() float64 {
+		best, _ := h.s.fastestFor(r)
+		return best.decode
+	}
+	require.EqualValues(t, 250, fastest())
+	considered := 0
+	h.s.sampleServers(r, 2, func(r *request, v *server) bool {
+		considered++
+		require.EqualValues(t, 250, fastest())
+		h.s.servers["fast"].loadedDecode = 50 // a scan would see this
+		return true
+	})
+	require.Equal(t, 2, considered)
+	require.EqualValues(t, 90, fastest(), "after the choice")
+	outer := h.s.beginChoice(r)
+	require.EqualValues(t, 90, fastest())
+	other := h.s.newEstimationRequest(in)
+	within := h.s.beginChoice(other)
+	h.s.servers["slow"].loadedDecode = 40
+	h.s.endChoice(within)
+	require.EqualValues(t, 50, fastest(), "after a choice for another request")
+	h.s.endChoice(outer)
+	require.Equal(t, placementChoice{}, h.s.choice)
+}
+
+// Guards against baseline policies that expect other lengths with the setting: measurements compare them as they are.
+func TestBaselinePoliciesExpectLengthsByTheHint(t *testing.T) {
+	for _, policy := range []Policy{PolicyRoundRobin, PolicyLeastLoad, PolicyRandomFIFO} {
+		h := newHarness(t, Options{ByLength: true, Policy: policy})
+		for range minSamples {
+			h.s.classFor(longChat).lengthModel().add(100, 0, 400)
+		}
+		r := h.request("a", longChat)
+		r.OutputTokens = 100
+		estimated := h.s.newEstimationRequest(r)
+		require.EqualValues(t, 100, estimated.estimatedOutput)
+		require.Zero(t, estimated.upperOutput)
+	}
+}
