sched: a request that few servers suit reserves at as many servers as others

Cause: servers are sampled at random, twelve picks for six servers wanted, and what was found sufficed. Of thirty servers with three that suit a long answer these picks found one or two, so it waited at fewer gates than a short one.

Change: if the random picks don't find enough, all servers are searched for a request that needs a fast one.

Result: sched.TestLongAnswerReservesAtAllServersThatSuitIt, which fails without the change.

--- a/sched/choose.go
+++ b/sched/choose.go
@@ -102,6 +102,10 @@
 			picked = append(picked, v)
 		}
 	}
+	if s.needsFastServer(r) {
+		// Random picks rarely find the few servers that suit it, and with fewer reservations it would wait longer than others.
+		return s.addSuitable(r, picked, all, start, n, suits)
+	}
 	if len(picked) > 0 {
 		return picked
 	}
--- a/sched/placement_test.go
+++ b/sched/placement_test.go
@@ -421,3 +421,28 @@
 		require.Zero(t, estimated.upperOutput)
 	}
 }
+
+// Guards against long answers that get fewer reservations than others: random picks among thirty servers find the three that
+// suit them only now and then.
+func TestLongAnswerReservesAtAllServersThatSuitIt(t *testing.T) {
+	h := newHarness(t, Options{ByLength: true})
+	for i := range 30 {
+		name, rate := fmt.Sprintf("slow-%d", i), float32(90)
+		if i < 3 {
+			name, rate = fmt.Sprintf("fast-%d", i), 250
+		}
+		h.addServerAtRate(name, rate)
+		h.report(name, rate, func(room *wire.Room) { room.Free, room.Running = 0, 1 })
+	}
+	for i := range 10 {
+		id := fmt.Sprintf("long-%d", i)
+		h.arriveWith(id, 1000, 2000, nil)
+		var servers []string
+		for _, sent := range h.sent {
+			if m := sent.Message.GetReserve(); m.GetAttempt().GetRequest() == id {
+				servers = append(servers, m.GetServer())
+			}
+		}
+		require.ElementsMatch(t, []string{"fast-0", "fast-1", "fast-2"}, servers, id)
+	}
+}
