demand: count only what present entries add

The sums of arrivals, dispatches and refusals were those of all entries heard, and rates compared only the number of entries. A pool that dropped out of a report and returned, or an entry that left while one with larger counts joined, gave rates a thousand times too high. The ledger now adds what an entry counted between two successive reports, and PoolDemand.entries tells how many reports are in the sums of a pool.

TestSummaryHasTheSumsOfTheOthers expected sums of whole counts. It now expects the same numbers as sums of what second reports added.

--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -43,6 +43,13 @@
 			Organisation: "org", Tier: 2, Queued: uint32(i + 1), Running: 1,
 		}), at))
 	}
+	// Counts are those since the first report that is known: the second ones add 10, 8 and 1, and the others' are summed.
+	for i := range 3 {
+		at := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		require.Equal(t, Recorded, l.Record(entry(i), report(2, uint32(i+1), 1, &wire.OrganisationDemand{
+			Organisation: "org", Tier: 2, Queued: uint32(i + 1), Running: 1,
+		}), at))
+	}
 	s := l.Summary(entry(0), 2, start.Add(400*time.Millisecond))
 	require.Equal(t, uint32(2), s.GetEntriesHeard())
 	require.Equal(t, uint32(2), s.GetEntriesKnown())
@@ -185,3 +192,64 @@
 		}
 	}
 }
+
+// Guards against rates that follow from entries which leave and join: a pool that drops out of a report and returns, an entry that
+// leaves while another with larger counts joins, a restart, and an instance that leads again must not raise the counts by what was
+// counted meanwhile.
+func TestCountsRiseOnlyByWhatPresentEntriesAdd(t *testing.T) {
+	l := NewLedger()
+	now, sequence := start, uint64(0)
+	send := func(from Incarnation, arrivals uint64, pools ...string) {
+		sequence++
+		r := &wire.DemandReport{Sequence: sequence}
+		for _, name := range pools {
+			r.Pools = append(r.Pools, &wire.PoolDemand{Pool: name, Entries: 1, Classes: []*wire.ClassDemand{{
+				Class: "first", Rank: 1, Tier: 2, Arrivals: arrivals, Dispatches: arrivals,
+			}}})
+		}
+		require.Equal(t, Recorded, l.Record(from, r, now))
+	}
+	var entries uint32
+	asked := uint64(0)
+	arrivals := func() uint64 {
+		asked += 10
+		send(entry(0), asked, testPool)
+		p := l.Summary(entry(0), 3, now).GetPools()[0]
+		entries = p.GetEntries()
+		require.Len(t, p.GetClasses(), 1)
+		require.Equal(t, p.GetClasses()[0].GetArrivals(), p.GetClasses()[0].GetDispatches())
+		return p.GetClasses()[0].GetArrivals()
+	}
+	next := func() { now = now.Add(500 * time.Millisecond) }
+	send(entry(1), 1000, testPool)
+	send(entry(2), 40_000, testPool, "model/other")
+	require.Zero(t, arrivals())
+	require.Equal(t, uint32(2), entries)
+	next()
+	send(entry(1), 1010, testPool)
+	send(entry(2), 40_010, "model/other") // the pool is trimmed
+	require.Equal(t, uint64(10), arrivals())
+	require.Equal(t, uint32(1), entries)
+	next()
+	send(entry(1), 1020, testPool)
+	send(entry(2), 40_020, testPool) // and returns
+	require.Equal(t, uint64(20), arrivals())
+	require.Equal(t, uint32(2), entries)
+	next()
+	send(entry(1), 1030, testPool)
+	send(entry(2), 40_030, testPool)
+	require.Equal(t, uint64(40), arrivals())
+	for range 8 { // entry 1 ends, and another with larger counts joins
+		next()
+		send(entry(2), 40_030, testPool)
+		send(entry(3), 90_000, testPool)
+		require.Equal(t, uint64(40), arrivals())
+	}
+	require.Equal(t, uint32(2), entries)
+	next()
+	send(Incarnation{Instance: "entry-3", Number: 2}, 95_000, testPool)
+	require.Equal(t, uint64(40), arrivals(), "a restart")
+	now = now.Add(silenceReset)
+	send(entry(2), 50_000, testPool)
+	require.Zero(t, arrivals(), "another instance has led")
+}
--- a/demand/ledger.go
+++ b/demand/ledger.go
@@ -18,6 +18,9 @@
 	evictionInterval = 100 * time.Millisecond
 	// forgetAfter is the time after which it is forgotten which reports of a silent entry have been seen.
 	forgetAfter = time.Minute
+	// silenceReset is the time without any report after which counts begin at zero again. Another instance has led since, and an
+	// entry would take the difference between the counts of two instances for requests.
+	silenceReset = 1500 * time.Millisecond
 	// rankInterval is the least time between two searches for the organisations with most requests. A search for each answer
 	// would cost the leader of 390 entries two of its hundredths of a core.
 	rankInterval = 100 * time.Millisecond
@@ -53,6 +56,7 @@
 	reportedSum time.Duration // sum, over the entries that are heard, of when they reported since start
 	start       time.Time
 	evictedAt   time.Time
+	recordedAt  time.Time
 }
 
 // entryReport is the newest report of an entry.
@@ -62,6 +66,37 @@
 	at          time.Time
 	counted     bool // it is in the sums
 	pools       []*wire.PoolDemand
+	// added is the entry's part of the counts, by pool, since the counts of the pool began.
+	added map[string]*addedCounts
+}
+
+// addedCounts is the part of an entry in the counts of a pool.
+type addedCounts struct {
+	to   *poolCounts // the part is void once the pool has others
+	rows poolCounts
+}
+
+// poolCounts are the counts of a pool by row. They rise only by what an entry has added between two successive reports of the pool, and
+// never fall: their differences are requests also if entries leave, join or trim the pool in between.
+type poolCounts map[classKey]counts
+
+type counts struct{ arrivals, dispatches, refusals uint64 }
+
+func countsOf(c *wire.ClassDemand) counts {
+	return counts{c.GetArrivals(), c.GetDispatches(), c.GetRefusals()}
+}
+
+func (c counts) plus(d counts) counts {
+	return counts{c.arrivals + d.arrivals, c.dispatches + d.dispatches, c.refusals + d.refusals}
+}
+
+func (c counts) minus(d counts) counts {
+	return counts{c.arrivals - d.arrivals, c.dispatches - d.dispatches, c.refusals - d.refusals}
+}
+
+// atLeast reports whether no count is lower than that of d.
+func (c counts) atLeast(d counts) bool {
+	return c.arrivals >= d.arrivals && c.dispatches >= d.dispatches && c.refusals >= d.refusals
 }
 
 type classKey struct {
@@ -76,10 +111,9 @@
 
 // classSum is the sum of a class over entries. The occupancy is weighted by attempts, and each report has a weight of at least one.
 type classSum struct {
-	arrivals, dispatches, refusals uint64
-	queued, running                uint64
-	occupancy, weight              uint64
-	entries                        int
+	queued, running   uint64
+	occupancy, weight uint64
+	entries           int
 }
 
 type organisationSum struct {
@@ -88,6 +122,8 @@
 }
 
 type poolSum struct {
+	entries       int
+	counts        *poolCounts
 	classes       map[classKey]*classSum
 	organisations map[organisationKey]*organisationSum
 	largest       []organisationKey // as of rankedAt
@@ -110,7 +146,15 @@
 		l.start = now
 	}
 	l.evict(now)
+	silent := now.Sub(l.recordedAt) >= silenceReset
+	if silent {
+		for _, sums := range l.pools {
+			sums.counts = &poolCounts{}
+		}
+	}
+	l.recordedAt = now
 	known := l.entries[from.Instance]
+	continues := !silent && known != nil && known.counted && known.incarnation == from.Number
 	if known != nil {
 		if cmp.Or(cmp.Compare(from.Number, known.incarnation), cmp.Compare(report.GetSequence(), known.sequence)) <= 0 {
 			return Outdated
@@ -120,6 +164,9 @@
 	e := &entryReport{incarnation: from.Number, sequence: report.GetSequence(), at: now, pools: report.GetPools()}
 	l.entries[from.Instance] = e
 	l.add(e)
+	if continues {
+		l.count(known, e)
+	}
 	return Recorded
 }
 
@@ -145,7 +192,7 @@
 	}
 	for _, p := range own.pools {
 		if sums := l.pools[p.GetPool()]; sums != nil {
-			summary.Pools = append(summary.Pools, sums.without(p, now))
+			summary.Pools = append(summary.Pools, sums.without(p, own.added[p.GetPool()], now))
 		}
 	}
 	return summary
@@ -183,9 +230,10 @@
 	for _, p := range e.pools {
 		sums := l.pools[p.GetPool()]
 		if sums == nil {
-			sums = &poolSum{classes: make(map[classKey]*classSum), organisations: make(map[organisationKey]*organisationSum)}
+			sums = &poolSum{counts: &poolCounts{}, classes: make(map[classKey]*classSum), organisations: make(map[organisationKey]*organisationSum)}
 			l.pools[p.GetPool()] = sums
 		}
+		sums.entries++
 		for _, c := range p.GetClasses() {
 			sums.class(c).add(c)
 		}
@@ -208,6 +256,7 @@
 		if sums == nil {
 			continue
 		}
+		sums.entries--
 		for _, c := range p.GetClasses() {
 			if sum := sums.class(c); sum.subtract(c) {
 				delete(sums.classes, keyOf(c))
@@ -218,12 +267,41 @@
 				delete(sums.organisations, organisationKeyOf(o))
 			}
 		}
-		if len(sums.classes) == 0 && len(sums.organisations) == 0 {
+		if sums.entries == 0 {
 			delete(l.pools, p.GetPool())
 		}
 	}
 }
 
+// count adds what an entry has counted between two successive reports, for the pools and rows that are in both. The caller holds
+// the lock.
+func (l *Ledger) count(last, e *entryReport) {
+	e.added = make(map[string]*addedCounts, len(e.pools))
+	for _, p := range e.pools {
+		i := slices.IndexFunc(last.pools, func(q *wire.PoolDemand) bool { return q.GetPool() == p.GetPool() })
+		if i < 0 {
+			continue
+		}
+		to := l.pools[p.GetPool()].counts
+		added := last.added[p.GetPool()]
+		if added == nil || added.to != to {
+			added = &addedCounts{to: to, rows: make(poolCounts)}
+		}
+		e.added[p.GetPool()] = added
+		before := make(poolCounts, len(last.pools[i].GetClasses()))
+		for _, c := range last.pools[i].GetClasses() {
+			before[keyOf(c)] = countsOf(c)
+		}
+		for _, c := range p.GetClasses() {
+			key, now := keyOf(c), countsOf(c)
+			if from, ok := before[key]; ok && now.atLeast(from) {
+				added.rows[key] = added.rows[key].plus(now.minus(from))
+				(*to)[key] = (*to)[key].plus(now.minus(from))
+			}
+		}
+	}
+}
+
 func keyOf(c *wire.ClassDemand) classKey { return classKey{c.GetClass(), c.GetRank(), c.GetTier()} }
 
 func organisationKeyOf(o *wire.OrganisationDemand) organisationKey {
@@ -255,9 +333,6 @@
 
 func (s *classSum) add(c *wire.ClassDemand) {
 	s.entries++
-	s.arrivals += c.GetArrivals()
-	s.dispatches += c.GetDispatches()
-	s.refusals += c.GetRefusals()
 	s.queued += uint64(c.GetQueued())
 	s.running += uint64(c.GetRunning())
 	s.occupancy += occupancyWeight(c) * uint64(c.GetOccupancyMs())
@@ -267,9 +342,6 @@
 // subtract takes a row out and reports whether it was the last.
 func (s *classSum) subtract(c *wire.ClassDemand) bool {
 	s.entries--
-	s.arrivals -= c.GetArrivals()
-	s.dispatches -= c.GetDispatches()
-	s.refusals -= c.GetRefusals()
 	s.queued -= uint64(c.GetQueued())
 	s.running -= uint64(c.GetRunning())
 	s.occupancy -= occupancyWeight(c) * uint64(c.GetOccupancyMs())
@@ -290,9 +362,9 @@
 	return s.entries <= 0
 }
 
-// without returns the sums of a pool without the part that one entry has reported.
-func (s *poolSum) without(own *wire.PoolDemand, now time.Time) *wire.PoolDemand {
-	out := &wire.PoolDemand{Pool: own.GetPool()}
+// without returns the sums of a pool without the part that one entry has reported. added is its part of the counts.
+func (s *poolSum) without(own *wire.PoolDemand, added *addedCounts, now time.Time) *wire.PoolDemand {
+	out := &wire.PoolDemand{Pool: own.GetPool(), Entries: uint32(s.entries - 1)}
 	for key, sum := range s.classes {
 		rest := *sum
 		for _, c := range own.GetClasses() {
@@ -301,7 +373,11 @@
 			}
 		}
 		if rest.entries > 0 {
-			out.Classes = append(out.Classes, rest.row(key))
+			others := (*s.counts)[key]
+			if added != nil && added.to == s.counts {
+				others = others.minus(added.rows[key])
+			}
+			out.Classes = append(out.Classes, rest.row(key, others))
 		}
 	}
 	slices.SortFunc(out.Classes, func(a, b *wire.ClassDemand) int {
@@ -327,10 +403,10 @@
 	return out
 }
 
-func (s *classSum) row(key classKey) *wire.ClassDemand {
+func (s *classSum) row(key classKey, n counts) *wire.ClassDemand {
 	row := &wire.ClassDemand{
 		Class: key.class, Rank: key.rank, Tier: key.tier,
-		Arrivals: s.arrivals, Dispatches: s.dispatches, Refusals: s.refusals,
+		Arrivals: n.arrivals, Dispatches: n.dispatches, Refusals: n.refusals,
 		Queued: uint32(s.queued), Running: uint32(s.running),
 	}
 	if s.weight > 0 {
--- a/demand/report.go
+++ b/demand/report.go
@@ -39,7 +39,7 @@
 	left := MaxReportBytes - reportOverhead
 	kept := make([]*wire.PoolDemand, 0, len(ordered))
 	for _, p := range ordered {
-		without := &wire.PoolDemand{Pool: p.GetPool(), Classes: p.GetClasses()}
+		without := &wire.PoolDemand{Pool: p.GetPool(), Classes: p.GetClasses(), Entries: p.GetEntries()}
 		// The length of the pool's message grows by a byte once organisations are added.
 		size := proto.Size(without) + rowOverhead
 		if size > left {
--- a/sched/fleet_demand.go
+++ b/sched/fleet_demand.go
@@ -67,7 +67,8 @@
 	rows          []*fleetRow
 	running       float64
 	organisations []*wire.OrganisationDemand
-	rated         bool // the rates of all rows with arrivals are known
+	entries       uint32 // whose reports are in the sums
+	rated         bool   // the rates of all rows with arrivals are known
 }
 
 // fleetRow is a row of the summary, with the rates that follow from successive ones.
@@ -196,7 +197,7 @@
 }
 
 func (d *demandRows) pool(name string) *wire.PoolDemand {
-	out := &wire.PoolDemand{Pool: name}
+	out := &wire.PoolDemand{Pool: name, Entries: 1}
 	for _, row := range d.classes {
 		out.Classes = append(out.Classes, row)
 	}
@@ -235,18 +236,18 @@
 }
 
 func newFleetPool(view *fleetView, p *wire.PoolDemand, last *fleetView) *fleetPool {
-	out := &fleetPool{organisations: p.GetOrganisations(), rated: true}
-	sameEntries := last.heard == view.heard
+	out := &fleetPool{organisations: p.GetOrganisations(), entries: p.GetEntries(), rated: true}
+	before := last.pools[p.GetPool()]
+	sameEntries := last.heard == view.heard && before != nil && before.entries == out.entries
 	for _, c := range p.GetClasses() {
 		row := &fleetRow{
 			ClassDemand: c, tier: tierIndex(c.GetTier()), precedence: c.GetRank() & (1<<rankBandShift - 1), band: c.GetRank() >> rankBandShift,
 			occupancy: float64(c.GetOccupancyMs()) / 1000,
 		}
-		before := last.pools[p.GetPool()]
 		row.rate(view.takenAt, before.find(c), sameEntries)
-		if before != nil && sameEntries && before.find(c) == nil {
-			// Nothing of the row was counted until then.
-			row.base, row.baseAt, row.rated = demandCounts{}, last.takenAt, before.rated
+		if before != nil && before.find(c) == nil {
+			// The row may have been missing for some views, so that its counts aren't those of the time since the last one.
+			row.rated = before.rated
 		}
 		out.rated = out.rated && (row.rated || c.GetArrivals() == 0)
 		out.running += float64(c.GetRunning())
--- a/sched/fleet_demand_test.go
+++ b/sched/fleet_demand_test.go
@@ -168,6 +168,25 @@
 	require.Greater(t, rate(), 120.0, "the load has doubled")
 }
 
+// Guards against a row that is missing in some views and whose whole count is then taken for requests since the last one.
+func TestRatesSurviveRowsThatComeAndGo(t *testing.T) {
+	h := fleetHarness(t)
+	next := func(rows []*wire.ClassDemand) {
+		h.now = h.now.Add(500 * time.Millisecond)
+		h.reportRoom("s1", kindModel, testModel, 0)
+		h.view(0, 3, 3, rows)
+	}
+	next(ratedRows(1000, 1000, 0))
+	next(ratedRows(1020, 1020, 0))
+	next(ratedRows(0, 0, 0)[1:])
+	next(ratedRows(1040, 1040, 0))
+	_, view := h.forecastOf(lastClass)
+	require.Equal(t, viewFleet, view)
+	require.LessOrEqual(t, h.s.fleet.pools[testPoolName].rows[0].arrivals, 41.0)
+	next(ratedRows(1060, 1060, 0))
+	require.LessOrEqual(t, h.s.fleet.pools[testPoolName].rows[0].arrivals, 41.0)
+}
+
 // Guards against a backlog that is extrapolated for as long as control is silent: rates are taken to go on for a second at most.
 func TestExtrapolationIsBounded(t *testing.T) {
 	h := fleetHarness(t)
