sched: require nine in ten entries for each pool

An entry whose report had no room for a pool was heard, but its queue was missing in the sums of the pool. The number of reports in these sums now decides. Entries report pools without demand by name, after all others, so that they don't make the view of a pool incomplete.

--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -140,6 +140,27 @@
 	require.Equal(t, "organisation-099", one[0].GetOrganisations()[0].GetOrganisation())
 }
 
+// Guards against pools without demand that crowd out organisations in a report, or that make the answer grow.
+func TestPoolsWithoutDemandComeLast(t *testing.T) {
+	busy := report(1, 3, 2, organisations(32)...).GetPools()
+	alone := Trim(busy)
+	pools := busy
+	for i := range 100 {
+		pools = append(pools, &wire.PoolDemand{Pool: fmt.Sprintf("a/idle-%02d", i), Entries: 1})
+	}
+	kept := Trim(pools)
+	require.LessOrEqual(t, proto.Size(&wire.DemandReport{Sequence: 1 << 63, Pools: kept}), MaxReportBytes)
+	require.True(t, proto.Equal(alone[0], kept[len(kept)-1]))
+
+	l := NewLedger()
+	idle := &wire.DemandReport{Sequence: 1, Pools: []*wire.PoolDemand{{Pool: testPool, Entries: 1}}}
+	l.Record(entry(0), idle, start)
+	l.Record(entry(1), report(1, 3, 2), start)
+	l.Record(entry(2), report(1, 3, 2), start)
+	require.Empty(t, l.Summary(entry(0), 2, start).GetPools())
+	require.Equal(t, uint32(2), l.Summary(entry(1), 2, start).GetPools()[0].GetEntries(), "also the one without demand")
+}
+
 // Guards against an answer that grows with the number of entries or organisations.
 func TestSummaryIsBounded(t *testing.T) {
 	size := func(entries, perEntry int) int {
--- a/demand/ledger.go
+++ b/demand/ledger.go
@@ -191,7 +191,8 @@
 		return summary
 	}
 	for _, p := range own.pools {
-		if sums := l.pools[p.GetPool()]; sums != nil {
+		// An entry without demand for a pool needs no sums of it. They would multiply the size of answers.
+		if sums := l.pools[p.GetPool()]; sums != nil && len(p.GetClasses()) > 0 {
 			summary.Pools = append(summary.Pools, sums.without(p, own.added[p.GetPool()], now))
 		}
 	}
--- a/demand/report.go
+++ b/demand/report.go
@@ -25,7 +25,8 @@
 )
 
 // Trim returns the part of the pools that fits into a report: whole pools, those with most requests first, then the organisations
-// with most requests, at most MaxOrganisations of a pool. Classes and organisations keep their order by name.
+// with most requests, at most MaxOrganisations of a pool, then pools without demand. Classes and organisations keep their order by
+// name.
 //
 // A pool is never reported with some of its classes, since its backlog would then appear shorter than it is.
 func Trim(pools []*wire.PoolDemand) []*wire.PoolDemand {
@@ -38,7 +39,12 @@
 	})
 	left := MaxReportBytes - reportOverhead
 	kept := make([]*wire.PoolDemand, 0, len(ordered))
+	var idle []*wire.PoolDemand
 	for _, p := range ordered {
+		if len(p.GetClasses()) == 0 {
+			idle = append(idle, p)
+			continue
+		}
 		without := &wire.PoolDemand{Pool: p.GetPool(), Classes: p.GetClasses(), Entries: p.GetEntries()}
 		// The length of the pool's message grows by a byte once organisations are added.
 		size := proto.Size(without) + rowOverhead
@@ -48,13 +54,20 @@
 		left -= size
 		kept = append(kept, without)
 	}
-	addOrganisations(kept, pools, left)
+	left = addOrganisations(kept, pools, left)
+	for _, p := range idle {
+		if size := proto.Size(p) + rowOverhead; size <= left {
+			left -= size
+			kept = append(kept, p)
+		}
+	}
 	slices.SortFunc(kept, func(a, b *wire.PoolDemand) int { return cmp.Compare(a.GetPool(), b.GetPool()) })
 	return kept
 }
 
-// addOrganisations adds the organisations of the kept pools with most requests, as many as fit into the given size.
-func addOrganisations(kept, pools []*wire.PoolDemand, left int) {
+// addOrganisations adds the organisations of the kept pools with most requests, as many as fit into the given size, and returns the
+// size that is left.
+func addOrganisations(kept, pools []*wire.PoolDemand, left int) int {
 	type candidate struct {
 		pool         *wire.PoolDemand
 		organisation *wire.OrganisationDemand
@@ -73,6 +86,7 @@
 			c.pool.Organisations = append(c.pool.Organisations, c.organisation)
 		}
 	}
+	return left
 }
 
 // largest returns the MaxOrganisations organisations with most requests.
--- a/sched/fleet_demand.go
+++ b/sched/fleet_demand.go
@@ -44,7 +44,7 @@
 	viewFleet         = "fleet"
 	viewOwnNone       = "own_no_view"    // no summary has been received, or it has no rates yet
 	viewOwnOld        = "own_old_view"   // older than fleetMaxAge
-	viewOwnIncomplete = "own_incomplete" // of less than nine in ten entries
+	viewOwnIncomplete = "own_incomplete" // of less than nine in ten entries, in all or for the pool
 )
 
 // ForecastViewLabels returns all labels of the counter ForecastViews.
@@ -106,6 +106,8 @@
 	var pools []*wire.PoolDemand
 	for key, p := range s.pools {
 		if p.load.since.IsZero() {
+			// Without it the others would take the view of the pool for incomplete.
+			pools = append(pools, &wire.PoolDemand{Pool: key.poolName(), Entries: 1})
 			continue
 		}
 		of := rows[p]
@@ -306,16 +308,30 @@
 		return nil, viewOwnNone
 	case s.now.Sub(s.fleet.takenAt) > fleetMaxAge:
 		return nil, viewOwnOld
-	case s.fleet.heard*fleetMinHeardDenominator < s.fleet.known*fleetMinHeardNumerator:
+	case !enoughHeard(s.fleet.heard, s.fleet.known):
 		return nil, viewOwnIncomplete
 	}
 	demand = s.fleet.pools[p.key.poolName()]
-	if demand == nil || !demand.rated {
+	switch {
+	case demand == nil:
+		return nil, viewOwnNone
+	case demand.entriesKnown() && !enoughHeard(int(demand.entries), s.fleet.known):
+		return nil, viewOwnIncomplete
+	case !demand.rated:
 		return nil, viewOwnNone
 	}
 	return demand, viewFleet
 }
 
+// enoughHeard reports whether the sums over the entries heard include enough of those known.
+func enoughHeard(heard, known int) bool {
+	return heard*fleetMinHeardDenominator >= known*fleetMinHeardNumerator
+}
+
+// entriesKnown reports whether it is known how many entries are in the sums of the pool. Control instances of an earlier version
+// don't tell.
+func (p *fleetPool) entriesKnown() bool { return p.entries > 0 || len(p.rows) == 0 }
+
 // fleetAge returns the age of the view of the other entries.
 func (s *Scheduler) fleetAge() time.Duration { return s.now.Sub(s.fleet.takenAt) }
 
--- a/sched/fleet_demand_test.go
+++ b/sched/fleet_demand_test.go
@@ -117,6 +117,35 @@
 	require.Equal(t, viewOwnOld, view, "the age of the reports counts")
 }
 
+// Guards against a view that is used for a pool although more than one in ten of the entries heard have left the pool out of their
+// reports: their queues are missing in its sums.
+func TestViewOfAPoolThatEntriesLeaveOut(t *testing.T) {
+	h := fleetHarness(t)
+	viewOf := func(rows []*wire.ClassDemand, entries uint32) string {
+		h.step(FleetDemand{At: h.now, Summary: &wire.DemandSummary{
+			EntriesHeard: 10, EntriesKnown: 10, Pools: []*wire.PoolDemand{{Pool: testPoolName, Classes: rows, Entries: entries}},
+		}})
+		_, view := h.forecastOf(lastClass)
+		return view
+	}
+	require.Equal(t, viewFleet, viewOf(fleetRows(0, 1000, 24), 9))
+	require.Equal(t, viewOwnIncomplete, viewOf(fleetRows(0, 1000, 24), 8))
+	require.Equal(t, viewOwnIncomplete, viewOf(nil, 0))
+	require.Equal(t, viewFleet, viewOf(nil, 10), "no other entry has demand")
+	require.Equal(t, viewFleet, viewOf(fleetRows(0, 1000, 24), 0), "control of an earlier version")
+}
+
+// Guards against a pool whose view is incomplete for others because this entry has had no request for it.
+func TestDemandReportHasPoolsWithoutDemand(t *testing.T) {
+	h := fleetHarness(t)
+	h.s.pool(poolKey{kind: kindModel, target: "idle"})
+	pools := h.s.DemandReport()
+	require.Len(t, pools, 2)
+	require.True(t, proto.Equal(&wire.PoolDemand{Pool: kindModel + "/idle", Entries: 1}, pools[0]))
+	require.Equal(t, uint32(1), pools[1].GetEntries())
+	require.NotEmpty(t, pools[1].GetClasses())
+}
+
 // Guards against an answer that arrives late and replaces a newer one.
 func TestOlderViewChangesNothing(t *testing.T) {
 	h := fleetHarness(t)
