sched: keep a complete view until it is 2 s old

The empty summary of a control instance that had just started replaced a complete view of 300 ms, so that all entries forecast by their own queues until the instance had heard from nine in ten entries. No rate is computed across the summaries that are left out.

--- a/sched/fleet_demand.go
+++ b/sched/fleet_demand.go
@@ -60,6 +60,8 @@
 	takenAt      time.Time // mean time of the reports; zero without a view
 	heard, known int
 	pools        map[string]*fleetPool
+	// interrupted reports whether a later summary wasn't taken over. The next one may be of other entries, even if of as many.
+	interrupted bool
 }
 
 // fleetPool is the demand of the other entries for a pool.
@@ -217,7 +219,8 @@
 	return &r.pool.load.of(r.class).counts[min(r.arrivedInExcess, 1)]
 }
 
-// setFleetDemand takes over the sums of the other entries. A summary older than the one known changes nothing.
+// setFleetDemand takes over the sums of the other entries. A summary older than the one known changes nothing, nor does an incomplete
+// one while the one known can be used: a control instance that has just started hears from all entries only after a second.
 func (s *Scheduler) setFleetDemand(e FleetDemand) {
 	if !s.options.FleetDemand {
 		return
@@ -230,6 +233,10 @@
 	if !s.fleet.takenAt.IsZero() && view.takenAt.Before(s.fleet.takenAt) {
 		return
 	}
+	if !enoughHeard(view.heard, view.known) && s.fleetUsable() {
+		s.fleet.interrupted = true
+		return
+	}
 	for _, p := range e.Summary.GetPools() {
 		view.pools[p.GetPool()] = newFleetPool(&view, p, &s.fleet)
 	}
@@ -240,7 +247,7 @@
 func newFleetPool(view *fleetView, p *wire.PoolDemand, last *fleetView) *fleetPool {
 	out := &fleetPool{organisations: p.GetOrganisations(), entries: p.GetEntries(), rated: true}
 	before := last.pools[p.GetPool()]
-	sameEntries := last.heard == view.heard && before != nil && before.entries == out.entries
+	sameEntries := !last.interrupted && last.heard == view.heard && before != nil && before.entries == out.entries
 	for _, c := range p.GetClasses() {
 		row := &fleetRow{
 			ClassDemand: c, tier: tierIndex(c.GetTier()), precedence: c.GetRank() & (1<<rankBandShift - 1), band: c.GetRank() >> rankBandShift,
@@ -323,6 +330,11 @@
 	return demand, viewFleet
 }
 
+// fleetUsable reports whether the view of the other entries is complete and recent enough.
+func (s *Scheduler) fleetUsable() bool {
+	return !s.fleet.takenAt.IsZero() && s.fleetAge() <= fleetMaxAge && enoughHeard(s.fleet.heard, s.fleet.known)
+}
+
 // enoughHeard reports whether the sums over the entries heard include enough of those known.
 func enoughHeard(heard, known int) bool {
 	return heard*fleetMinHeardDenominator >= known*fleetMinHeardNumerator
--- a/sched/fleet_demand_test.go
+++ b/sched/fleet_demand_test.go
@@ -146,6 +146,27 @@
 	require.NotEmpty(t, pools[1].GetClasses())
 }
 
+// Guards against a control instance that has just started and whose empty summary replaces a complete view: that view is used until
+// it is 2 s old, and then the incomplete one takes its place.
+func TestIncompleteViewReplacesOnlyAnOldOne(t *testing.T) {
+	h := fleetHarness(t)
+	taken := h.now
+	empty := func(after time.Duration) string {
+		h.now = taken.Add(after)
+		h.reportRoom("s1", kindModel, testModel, 0)
+		h.step(FleetDemand{At: h.now, Summary: &wire.DemandSummary{EntriesKnown: 9}})
+		_, view := h.forecastOf(lastClass)
+		return view
+	}
+	h.view(0, 9, 9, fleetRows(0, 0, 24))
+	require.Equal(t, viewFleet, empty(300*time.Millisecond))
+	require.Equal(t, viewFleet, empty(fleetMaxAge))
+	require.Equal(t, viewOwnIncomplete, empty(fleetMaxAge+time.Millisecond))
+	h.view(0, 9, 9, fleetRows(0, 0, 24))
+	_, view := h.forecastOf(lastClass)
+	require.Equal(t, viewFleet, view)
+}
+
 // Guards against an answer that arrives late and replaces a newer one.
 func TestOlderViewChangesNothing(t *testing.T) {
 	h := fleetHarness(t)
