sched: end excess of requests in back-off

A request in back-off has no queue, so it stayed behind others when its organisation came within its share. It takes its usual place when it is queued again.

--- a/sched/fleet_demand_test.go
+++ b/sched/fleet_demand_test.go
@@ -366,6 +366,29 @@
 	require.Greater(t, len(h.reserves("greedy-1")), reserved, "gates are told")
 }
 
+// Guards against a request that stays behind others since its organisation came within its share during the request's back-off.
+func TestExcessEndsAfterABackOff(t *testing.T) {
+	h := fleetHarness(t)
+	h.shortOf(81)
+	p := h.s.pool(poolKey{kind: kindModel, target: testModel})
+	require.Len(t, p.excess[1], 1)
+	p.excess[1][0].withheld = 1
+	greedy := h.stream("greedy-1", firstClass, testObjective, testAbandon)
+	greedy.Organisation = "greedy"
+	h.step(Arrive{Request: greedy})
+	r := h.s.requests["greedy-1"]
+	require.True(t, r.excess)
+	h.s.removeFromQueue(r)
+	r.notBefore = h.now.Add(time.Minute)
+	h.s.setExcess(p, 1, nil)
+	require.Nil(t, r.queue)
+	r.notBefore = h.now
+	h.s.addToQueue(r)
+	require.NotNil(t, r.queue)
+	require.False(t, r.excess)
+	require.Less(t, r.gatePrecedence(), uint32(latePrecedence))
+}
+
 // Guards against organisations that stay behind others after control is lost or the shortage is over.
 func TestExcessEndsWithoutAView(t *testing.T) {
 	h := fleetHarness(t)
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -100,6 +100,8 @@
 	if r.queue != nil || s.now.Before(r.notBefore) {
 		return
 	}
+	// Its organisation may have come within its share during the back-off.
+	r.excess = r.excess && r.pool.excessOf(r.tier, r.Organisation) != nil
 	tier, class, organisation := s.queueKeys(r)
 	t := &r.pool.tiers[tier]
 	r.queue = t.organisationQueue(class, organisation)
