entry: log excess and shares with the fleet-wide view

excess was logged only if a wait had been forecast on arrival, so that requests which went behind others later didn't show it. It is now on all lines of ends with fleet_demand, and organisation_over_share and organisation_within_share tell when an organisation exceeds its share, 30 times a minute at most.

--- a/entry/demand.go
+++ b/entry/demand.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/carawaypitch/carawaypitch/sched"
@@ -20,12 +21,25 @@
 	// demandSampleMaxAge is the age from which a sample isn't reported. An entry whose scheduler stands still is then silent, so
 	// that the others don't count its demand as present.
 	demandSampleMaxAge = time.Second
+	// maxShareLines bounds the lines of organisations that exceed their share in each shareLinesInterval. An organisation may go over
+	// its share and back with each view, twice a second, in every pool and tier.
+	maxShareLines      = 30
+	shareLinesInterval = time.Minute
 )
 
 // demandState is what an entry holds of the fleet-wide view besides the scheduler's state.
 type demandState struct {
 	sample atomic.Pointer[demandSample]
 	view   atomic.Pointer[demandView]
+	shares shareLog
+}
+
+// shareLog bounds the log lines of organisations that exceed their share. It belongs to the scheduler goroutine.
+type shareLog struct {
+	logged  map[sched.ShareChanged]bool // those over their share whose line was written, with Over set
+	since   time.Time                   // begin of the interval
+	lines   int                         // in the interval
+	omitted int                         // since the last line
 }
 
 // demandSample is the demand of this entry. The report stays the same while nothing changes.
@@ -86,6 +100,37 @@
 	e.inputs.TryPush(input{event: sched.FleetDemand{Summary: summary, At: at}})
 }
 
+// logShare logs that an organisation exceeds its share of a pool, or that it no longer does if the first was logged.
+func (e *Entry) logShare(a sched.ShareChanged) {
+	l, over := &e.demand.shares, a
+	over.Over = true
+	if !a.Over {
+		if l.logged[over] {
+			delete(l.logged, over)
+			e.shareFields(a).Info("organisation_within_share")
+		}
+		return
+	}
+	if now := e.now(); now.Sub(l.since) >= shareLinesInterval {
+		l.since, l.lines = now, 0
+	}
+	if l.lines >= maxShareLines {
+		l.omitted++
+		return
+	}
+	if l.logged == nil {
+		l.logged = make(map[sched.ShareChanged]bool)
+	}
+	l.logged[over] = true
+	l.lines++
+	e.shareFields(a).WithField("omitted", l.omitted).Info("organisation_over_share")
+	l.omitted = 0
+}
+
+func (e *Entry) shareFields(a sched.ShareChanged) *log.Entry {
+	return e.log.WithField("pool", a.Pool).WithField("tier", a.Tier).WithField("organisation", a.Organisation)
+}
+
 // registerDemandGauges registers the gauges of the fleet-wide view and declares its counters, if the setting is on.
 func (m *meter) registerDemandGauges(e *Entry) {
 	if !e.settings.Admission.FleetDemand {
--- a/entry/demand_test.go
+++ b/entry/demand_test.go
@@ -1,12 +1,15 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/stretchr/testify/require"
 
+	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/settings"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -57,3 +60,52 @@
 		require.Equal(t, "0.3", h.metric(metricFleetAge))
 	})
 }
+
+// Guards against requests whose excess isn't logged since no wait was forecast for them, and against the field without the setting.
+func TestExcessIsLogged(t *testing.T) {
+	var fields log.Fields
+	logger := &log.Logger{Level: log.InfoLevel, Handler: log.HandlerFunc(func(e *log.Entry) error {
+		fields = e.Fields
+		return nil
+	})}
+	withTrace(log.NewEntry(logger), sched.Trace{Excess: true}, true).Info("request_answered")
+	require.Equal(t, true, fields["excess"])
+	require.NotContains(t, fields, "forecast_view")
+	withTrace(log.NewEntry(logger), sched.Trace{ForecastView: "fleet"}, true).Info("request_answered")
+	require.Equal(t, false, fields["excess"])
+	withTrace(log.NewEntry(logger), sched.Trace{}, false).Info("request_answered")
+	require.NotContains(t, fields, "excess")
+}
+
+// Guards against organisations that exceed their share without a line, a line about the end without one about the begin, and lines
+// without bound.
+func TestSharesAreLogged(t *testing.T) {
+	var lines []*log.Entry
+	e := &Entry{log: &log.Logger{Level: log.InfoLevel, Handler: log.HandlerFunc(func(e *log.Entry) error {
+		lines = append(lines, e)
+		return nil
+	})}}
+	now := time.Unix(1_700_000_000, 0)
+	e.now = func() time.Time { return now }
+	change := func(organisation string, over bool) {
+		e.execute(sched.ShareChanged{Pool: "model/m", Tier: 2, Organisation: organisation, Over: over})
+	}
+	change("a", true)
+	change("a", false)
+	require.Len(t, lines, 2)
+	require.Equal(t, "organisation_over_share", lines[0].Message)
+	require.Equal(t, "organisation_within_share", lines[1].Message)
+	require.Equal(t, log.Fields{"pool": "model/m", "tier": uint32(2), "organisation": "a"}, lines[1].Fields)
+	for i := range 100 {
+		change(fmt.Sprintf("b-%d", i), true)
+	}
+	require.Len(t, lines, 1+maxShareLines)
+	for i := range 100 {
+		change(fmt.Sprintf("b-%d", i), false)
+	}
+	require.Len(t, lines, 2*maxShareLines)
+	require.Empty(t, e.demand.shares.logged)
+	now = now.Add(shareLinesInterval)
+	change("a", true)
+	require.Equal(t, 100-maxShareLines+1, lines[len(lines)-1].Fields["omitted"])
+}
--- a/entry/options_test.go
+++ b/entry/options_test.go
@@ -37,12 +37,12 @@
 		fields = e.Fields
 		return nil
 	})}
-	withTrace(logger.WithField("request", "r"), sched.Trace{}).Info("request_answered")
+	withTrace(logger.WithField("request", "r"), sched.Trace{}, false).Info("request_answered")
 	require.NotContains(t, fields, "placement")
 	require.NotContains(t, fields, "run_slack_ms")
 	withTrace(logger.WithField("request", "r"), sched.Trace{
 		Placement: "fits", ExpectedTokens: 100, UpperTokens: 200, ExpectedRunTime: time.Second, DeadlineSlack: -time.Millisecond,
-	}).Info("request_answered")
+	}, false).Info("request_answered")
 	require.Subset(t, fields, log.Fields{
 		"placement": "fits", "expected": uint32(100), "upper": uint32(200), "run_ms": int64(1000), "run_slack_ms": int64(-1),
 	})
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -87,7 +87,7 @@
 		WithField("prompt", r.PromptTokens).
 		WithField("most_output", r.MaxTokens).
 		WithField("ms", e.now().Sub(r.Arrived).Milliseconds())
-	fields = withTrace(fields, out.trace)
+	fields = withTrace(fields, out.trace, e.settings.Admission.FleetDemand)
 	if out.err != nil {
 		fields.WithField("code", uint16(out.err.Code)).
 			WithField("ran", out.err.Ran.String()).
@@ -139,8 +139,8 @@
 	}
 }
 
-// withTrace adds the trace of a request to the log line about its end.
-func withTrace(fields *log.Entry, t sched.Trace) *log.Entry {
+// withTrace adds the trace of a request to the log line about its end, with excess if the entry has the fleet-wide view of demand.
+func withTrace(fields *log.Entry, t sched.Trace, fleetDemand bool) *log.Entry {
 	if t.Placement != "" {
 		fields = fields.WithFields(log.Fields{
 			"placement":    t.Placement,
@@ -170,12 +170,14 @@
 		"rank":        t.Rank,
 		"held_ms":     t.HeldFor.Milliseconds(),
 	})
+	if fleetDemand {
+		fields = fields.WithField("excess", t.Excess)
+	}
 	if t.ForecastView == "" {
 		return fields
 	}
 	return fields.WithFields(log.Fields{
 		"forecast_view":    t.ForecastView,
 		"forecast_view_ms": t.ForecastViewAge.Milliseconds(),
-		"excess":           t.Excess,
 	})
 }
--- a/sched/fleet_demand_test.go
+++ b/sched/fleet_demand_test.go
@@ -336,6 +336,8 @@
 	require.Len(t, p.excess[1], 1)
 	require.InDelta(t, 0.7, p.excess[1][0].withheld, 0.08, "it holds some three times its share")
 	require.Contains(t, h.counts, Count{Counter: OverShare, Tier: 2, Label: "greedy", Add: 1})
+	change := ShareChanged{Pool: testPoolName, Tier: 2, Organisation: "greedy", Over: true}
+	require.Equal(t, []ShareChanged{change}, h.shareChanges)
 	p.excess[1][0].withheld = 1
 
 	greedy := h.stream("greedy-1", firstClass, testObjective, testAbandon)
@@ -361,6 +363,9 @@
 		}
 	}
 	require.Empty(t, p.excess[1])
+	within := change
+	within.Over = false
+	require.Equal(t, []ShareChanged{change, within}, h.shareChanges, "once each")
 	require.False(t, excess.excess, "it takes its usual place again")
 	require.Less(t, excess.gatePrecedence(), uint32(latePrecedence))
 	require.Greater(t, len(h.reserves("greedy-1")), reserved, "gates are told")
--- a/sched/harness_test.go
+++ b/sched/harness_test.go
@@ -41,6 +41,7 @@
 	widened      []WidenCandidates
 	engineProofs []ProveAtEngine
 	counts       []Count
+	shareChanges []ShareChanged
 }
 
 func newHarness(t *testing.T, options Options) *harness {
@@ -83,6 +84,8 @@
 		h.engineProofs = append(h.engineProofs, a)
 	case Count:
 		h.counts = append(h.counts, a)
+	case ShareChanged:
+		h.shareChanges = append(h.shareChanges, a)
 	}
 }
 
--- a/sched/organisation_share.go
+++ b/sched/organisation_share.go
@@ -204,11 +204,13 @@
 	for _, e := range excess {
 		if !slices.ContainsFunc(before, func(b excessShare) bool { return b.organisation == e.organisation }) {
 			s.emit(Count{Counter: OverShare, Tier: uint32(tier) + 1, Label: e.organisation, Add: 1})
+			s.emit(ShareChanged{Pool: p.key.poolName(), Tier: uint32(tier) + 1, Organisation: e.organisation, Over: true})
 		}
 	}
 	for _, e := range before {
 		if p.excessOf(tier, e.organisation) == nil {
 			s.endExcess(p, tier, e.organisation)
+			s.emit(ShareChanged{Pool: p.key.poolName(), Tier: uint32(tier) + 1, Organisation: e.organisation})
 		}
 	}
 }
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -62,6 +62,9 @@
 // caller invents.
 func (s *Scheduler) removeIfUnused(p *pool) {
 	if p.requests == 0 && len(p.servers) == 0 && !p.dirty {
+		for tier := range tierCount {
+			s.setExcess(p, tier, nil)
+		}
 		delete(s.pools, p.key)
 	}
 }
--- a/sched/types.go
+++ b/sched/types.go
@@ -246,6 +246,14 @@
 		Sent, Exposed, Bad uint64
 	}
 
+	// ShareChanged reports that an organisation exceeds its share of a pool over all entries, or no longer does, for the log.
+	ShareChanged struct {
+		Pool         string
+		Tier         uint32
+		Organisation string
+		Over         bool
+	}
+
 	// Count adds to a counter.
 	Count struct {
 		Counter Counter
@@ -267,6 +275,7 @@
 func (ReportCrash) schedAction()     {}
 func (ClearPoison) schedAction()     {}
 func (RolloutChanged) schedAction()  {}
+func (ShareChanged) schedAction()    {}
 func (Count) schedAction()           {}
 
 // Counter identifies a counter of the scheduler.
