session: report demand each 500 ms

Regular polls between two others carried a third report each second, since a report was due again after half the interval. The interval is now kept whole, and checked each 100 ms: a check each 500 ms would come just before a report is due.

--- a/session/demand.go
+++ b/session/demand.go
@@ -12,9 +12,13 @@
 // seconds, and a view that is older than two isn't used.
 const demandInterval = 500 * time.Millisecond
 
+// demandCheckInterval is how often it is checked whether a report is due. A check each demandInterval would come just before a report
+// is due, and double the time between two.
+const demandCheckInterval = demandInterval / 5
+
 // demandReporter decides which polls of one link carry the demand. Only polls of the leader do: it is the one instance to which
 // all entries keep a link, and a summary of less than nine in ten entries isn't used. Polls that follow each other closely carry
-// the demand once per half interval at most.
+// the demand once per demandInterval at most.
 type demandReporter struct {
 	source func() *wire.DemandReport
 	due    time.Time
@@ -42,7 +46,7 @@
 	if report == nil {
 		return nil
 	}
-	r.due = now.Add(demandInterval / 2)
+	r.due = now.Add(demandInterval)
 	r.sent = report
 	if len(r.pending) == maxPendingDemand {
 		r.pending = slices.Delete(r.pending, 0, 1)
@@ -62,12 +66,12 @@
 	return sent, true
 }
 
-// runDemand polls the leader at demandInterval while the demand changes, until ctx ends.
+// runDemand polls the leader each demandInterval while the demand changes, until ctx ends.
 func (s *Session) runDemand(ctx context.Context) {
 	if s.cfg.Demand == nil {
 		return
 	}
-	ticker := time.NewTicker(demandInterval)
+	ticker := time.NewTicker(demandCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/session/demand_test.go
+++ b/session/demand_test.go
@@ -52,6 +52,7 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		require.InDelta(t, 25, len(demandOf(f.controls[1]))-before, 7, "twice a second besides the regular polls")
+		require.InDelta(t, 20, len(demandOf(f.controls[1]))-before, 2, "each 500 ms, regular polls included")
 		last := uint64(0)
 		for _, r := range demandOf(f.controls[1]) {
 			require.Greater(t, r.GetSequence(), last)
@@ -78,6 +79,20 @@
 	})
 }
 
+// Guards against reports that follow each other in less than the interval, as when a regular poll comes between two others.
+func TestReportsAreAnIntervalApart(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	r := demandReporter{source: func() *wire.DemandReport { return new(wire.DemandReport) }}
+	var sent []time.Duration
+	for i := range 51 {
+		after := time.Duration(i) * 20 * time.Millisecond
+		if r.next(start.Add(after), uint64(i), true) != nil {
+			sent = append(sent, after)
+		}
+	}
+	require.Equal(t, []time.Duration{0, demandInterval, 2 * demandInterval}, sent)
+}
+
 // Guards against a session without demand, of an old entry, that sends any.
 func TestNoDemandWithoutASource(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
