--- a/sched/fleet_demand.go
+++ b/sched/fleet_demand.go
@@ -24,8 +24,7 @@
 	// a second, so that a second suffices to know the rate to within a tenth.
 	fleetRateWindow = time.Second
 	// fleetCaution is the factor by which the forecast wait must exceed the time left for a request to be refused. The view is
-	// older than the objectives of callers, so that single forecasts are off by half. With 1.25, 12 of 183 refusals in bursts were
-	// wrong, with 1.75 10 of 253.
+	// older than the objectives of callers, so that single forecasts are off by half, and a wrong refusal costs more than a late one.
 	fleetCaution = 1.75
 )
 
