--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -43,6 +43,13 @@
 			Organisation: "org", Tier: 2, Queued: uint32(i + 1), Running: 1,
 		}), at))
 	}
+	// Counts are those since the first report that is known: the second ones add 10, 8 and 1, and the others' are summed.
+	for i := range 3 {
+		at := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		require.Equal(t, Recorded, l.Record(entry(i), report(2, uint32(i+1), 1, &wire.OrganisationDemand{
+			Organisation: "org", Tier: 2, Queued: uint32(i + 1), Running: 1,
+		}), at))
+	}
 	s := l.Summary(entry(0), 2, start.Add(400*time.Millisecond))
 	require.Equal(t, uint32(2), s.GetEntriesHeard())
 	require.Equal(t, uint32(2), s.GetEntriesKnown())
@@ -133,6 +140,27 @@
 	require.Equal(t, "organisation-099", one[0].GetOrganisations()[0].GetOrganisation())
 }
 
+// Guards against pools without demand that crowd out organisations in a report, or that make the answer grow.
+func TestPoolsWithoutDemandComeLast(t *testing.T) {
+	busy := report(1, 3, 2, organisations(32)...).GetPools()
+	alone := Trim(busy)
+	pools := busy
+	for i := range 100 {
+		pools = append(pools, &wire.PoolDemand{Pool: fmt.Sprintf("a/idle-%02d", i), Entries: 1})
+	}
+	kept := Trim(pools)
+	require.LessOrEqual(t, proto.Size(&wire.DemandReport{Sequence: 1 << 63, Pools: kept}), MaxReportBytes)
+	require.True(t, proto.Equal(alone[0], kept[len(kept)-1]))
+
+	l := NewLedger()
+	idle := &wire.DemandReport{Sequence: 1, Pools: []*wire.PoolDemand{{Pool: testPool, Entries: 1}}}
+	l.Record(entry(0), idle, start)
+	l.Record(entry(1), report(1, 3, 2), start)
+	l.Record(entry(2), report(1, 3, 2), start)
+	require.Empty(t, l.Summary(entry(0), 2, start).GetPools())
+	require.Equal(t, uint32(2), l.Summary(entry(1), 2, start).GetPools()[0].GetEntries(), "also the one without demand")
+}
+
 // Guards against an answer that grows with the number of entries or organisations.
 func TestSummaryIsBounded(t *testing.T) {
 	size := func(entries, perEntry int) int {
@@ -185,3 +213,64 @@
 		}
 	}
 }
+
+// Guards against rates that follow from entries which leave and join: a pool that drops out of a report and returns, an entry that
+// leaves while another with larger counts joins, a restart, and an instance that leads again must not raise the counts by what was
+// counted meanwhile.
+func TestCountsRiseOnlyByWhatPresentEntriesAdd(t *testing.T) {
+	l := NewLedger()
+	now, sequence := start, uint64(0)
+	send := func(from Incarnation, arrivals uint64, pools ...string) {
+		sequence++
+		r := &wire.DemandReport{Sequence: sequence}
+		for _, name := range pools {
+			r.Pools = append(r.Pools, &wire.PoolDemand{Pool: name, Entries: 1, Classes: []*wire.ClassDemand{{
+				Class: "first", Rank: 1, Tier: 2, Arrivals: arrivals, Dispatches: arrivals,
+			}}})
+		}
+		require.Equal(t, Recorded, l.Record(from, r, now))
+	}
+	var entries uint32
+	asked := uint64(0)
+	arrivals := func() uint64 {
+		asked += 10
+		send(entry(0), asked, testPool)
+		p := l.Summary(entry(0), 3, now).GetPools()[0]
+		entries = p.GetEntries()
+		require.Len(t, p.GetClasses(), 1)
+		require.Equal(t, p.GetClasses()[0].GetArrivals(), p.GetClasses()[0].GetDispatches())
+		return p.GetClasses()[0].GetArrivals()
+	}
+	next := func() { now = now.Add(500 * time.Millisecond) }
+	send(entry(1), 1000, testPool)
+	send(entry(2), 40_000, testPool, "model/other")
+	require.Zero(t, arrivals())
+	require.Equal(t, uint32(2), entries)
+	next()
+	send(entry(1), 1010, testPool)
+	send(entry(2), 40_010, "model/other") // the pool is trimmed
+	require.Equal(t, uint64(10), arrivals())
+	require.Equal(t, uint32(1), entries)
+	next()
+	send(entry(1), 1020, testPool)
+	send(entry(2), 40_020, testPool) // and returns
+	require.Equal(t, uint64(20), arrivals())
+	require.Equal(t, uint32(2), entries)
+	next()
+	send(entry(1), 1030, testPool)
+	send(entry(2), 40_030, testPool)
+	require.Equal(t, uint64(40), arrivals())
+	for range 8 { // entry 1 ends, and another with larger counts joins
+		next()
+		send(entry(2), 40_030, testPool)
+		send(entry(3), 90_000, testPool)
+		require.Equal(t, uint64(40), arrivals())
+	}
+	require.Equal(t, uint32(2), entries)
+	next()
+	send(Incarnation{Instance: "entry-3", Number: 2}, 95_000, testPool)
+	require.Equal(t, uint64(40), arrivals(), "a restart")
+	now = now.Add(silenceReset)
+	send(entry(2), 50_000, testPool)
+	require.Zero(t, arrivals(), "another instance has led")
+}
--- a/sched/fleet_demand.go
+++ b/sched/fleet_demand.go
@@ -24,8 +24,7 @@
 	// a second, so that a second suffices to know the rate to within a tenth.
 	fleetRateWindow = time.Second
 	// fleetCaution is the factor by which the forecast wait must exceed the time left for a request to be refused. The view is
-	// older than the objectives of callers, so that single forecasts are off by half. With 1.25, 12 of 183 refusals in bursts were
-	// wrong, with 1.75 10 of 253.
+	// older than the objectives of callers, so that single forecasts are off by half, and a wrong refusal costs more than a late one.
 	fleetCaution = 1.75
 )
 
@@ -44,7 +43,7 @@
 	viewFleet         = "fleet"
 	viewOwnNone       = "own_no_view"    // no summary has been received, or it has no rates yet
 	viewOwnOld        = "own_old_view"   // older than fleetMaxAge
-	viewOwnIncomplete = "own_incomplete" // of less than nine in ten entries
+	viewOwnIncomplete = "own_incomplete" // of less than nine in ten entries, in all or for the pool
 )
 
 // ForecastViewLabels returns all labels of the counter ForecastViews.
@@ -60,6 +59,8 @@
 	takenAt      time.Time // mean time of the reports; zero without a view
 	heard, known int
 	pools        map[string]*fleetPool
+	// interrupted reports whether a later summary wasn't taken over. The next one may be of other entries, even if of as many.
+	interrupted bool
 }
 
 // fleetPool is the demand of the other entries for a pool.
@@ -67,7 +68,8 @@
 	rows          []*fleetRow
 	running       float64
 	organisations []*wire.OrganisationDemand
-	rated         bool // the rates of all rows with arrivals are known
+	entries       uint32 // whose reports are in the sums
+	rated         bool   // the rates of all rows with arrivals are known
 }
 
 // fleetRow is a row of the summary, with the rates that follow from successive ones.
@@ -105,6 +107,8 @@
 	var pools []*wire.PoolDemand
 	for key, p := range s.pools {
 		if p.load.since.IsZero() {
+			// Without it the others would take the view of the pool for incomplete.
+			pools = append(pools, &wire.PoolDemand{Pool: key.poolName(), Entries: 1})
 			continue
 		}
 		of := rows[p]
@@ -196,7 +200,7 @@
 }
 
 func (d *demandRows) pool(name string) *wire.PoolDemand {
-	out := &wire.PoolDemand{Pool: name}
+	out := &wire.PoolDemand{Pool: name, Entries: 1}
 	for _, row := range d.classes {
 		out.Classes = append(out.Classes, row)
 	}
@@ -214,7 +218,8 @@
 	return &r.pool.load.of(r.class).counts[min(r.arrivedInExcess, 1)]
 }
 
-// setFleetDemand takes over the sums of the other entries. A summary older than the one known changes nothing.
+// setFleetDemand takes over the sums of the other entries. A summary older than the one known changes nothing, nor does an incomplete
+// one while the one known can be used: a control instance that has just started hears from all entries only after a second.
 func (s *Scheduler) setFleetDemand(e FleetDemand) {
 	if !s.options.FleetDemand {
 		return
@@ -227,6 +232,10 @@
 	if !s.fleet.takenAt.IsZero() && view.takenAt.Before(s.fleet.takenAt) {
 		return
 	}
+	if !enoughHeard(view.heard, view.known) && s.fleetUsable() {
+		s.fleet.interrupted = true
+		return
+	}
 	for _, p := range e.Summary.GetPools() {
 		view.pools[p.GetPool()] = newFleetPool(&view, p, &s.fleet)
 	}
@@ -235,18 +244,18 @@
 }
 
 func newFleetPool(view *fleetView, p *wire.PoolDemand, last *fleetView) *fleetPool {
-	out := &fleetPool{organisations: p.GetOrganisations(), rated: true}
-	sameEntries := last.heard == view.heard
+	out := &fleetPool{organisations: p.GetOrganisations(), entries: p.GetEntries(), rated: true}
+	before := last.pools[p.GetPool()]
+	sameEntries := !last.interrupted && last.heard == view.heard && before != nil && before.entries == out.entries
 	for _, c := range p.GetClasses() {
 		row := &fleetRow{
 			ClassDemand: c, tier: tierIndex(c.GetTier()), precedence: c.GetRank() & (1<<rankBandShift - 1), band: c.GetRank() >> rankBandShift,
 			occupancy: float64(c.GetOccupancyMs()) / 1000,
 		}
-		before := last.pools[p.GetPool()]
 		row.rate(view.takenAt, before.find(c), sameEntries)
-		if before != nil && sameEntries && before.find(c) == nil {
-			// Nothing of the row was counted until then.
-			row.base, row.baseAt, row.rated = demandCounts{}, last.takenAt, before.rated
+		if before != nil && before.find(c) == nil {
+			// The row may have been missing for some views, so that its counts aren't those of the time since the last one.
+			row.rated = before.rated
 		}
 		out.rated = out.rated && (row.rated || c.GetArrivals() == 0)
 		out.running += float64(c.GetRunning())
@@ -305,16 +314,35 @@
 		return nil, viewOwnNone
 	case s.now.Sub(s.fleet.takenAt) > fleetMaxAge:
 		return nil, viewOwnOld
-	case s.fleet.heard*fleetMinHeardDenominator < s.fleet.known*fleetMinHeardNumerator:
+	case !enoughHeard(s.fleet.heard, s.fleet.known):
 		return nil, viewOwnIncomplete
 	}
 	demand = s.fleet.pools[p.key.poolName()]
-	if demand == nil || !demand.rated {
+	switch {
+	case demand == nil:
+		return nil, viewOwnNone
+	case demand.entriesKnown() && !enoughHeard(int(demand.entries), s.fleet.known):
+		return nil, viewOwnIncomplete
+	case !demand.rated:
 		return nil, viewOwnNone
 	}
 	return demand, viewFleet
 }
 
+// fleetUsable reports whether the view of the other entries is complete and recent enough.
+func (s *Scheduler) fleetUsable() bool {
+	return !s.fleet.takenAt.IsZero() && s.fleetAge() <= fleetMaxAge && enoughHeard(s.fleet.heard, s.fleet.known)
+}
+
+// enoughHeard reports whether the sums over the entries heard include enough of those known.
+func enoughHeard(heard, known int) bool {
+	return heard*fleetMinHeardDenominator >= known*fleetMinHeardNumerator
+}
+
+// entriesKnown reports whether it is known how many entries are in the sums of the pool. Control instances of an earlier version
+// don't tell.
+func (p *fleetPool) entriesKnown() bool { return p.entries > 0 || len(p.rows) == 0 }
+
 // fleetAge returns the age of the view of the other entries.
 func (s *Scheduler) fleetAge() time.Duration { return s.now.Sub(s.fleet.takenAt) }
 
--- a/sched/fleet_demand_test.go
+++ b/sched/fleet_demand_test.go
@@ -117,6 +117,56 @@
 	require.Equal(t, viewOwnOld, view, "the age of the reports counts")
 }
 
+// Guards against a view that is used for a pool although more than one in ten of the entries heard have left the pool out of their
+// reports: their queues are missing in its sums.
+func TestViewOfAPoolThatEntriesLeaveOut(t *testing.T) {
+	h := fleetHarness(t)
+	viewOf := func(rows []*wire.ClassDemand, entries uint32) string {
+		h.step(FleetDemand{At: h.now, Summary: &wire.DemandSummary{
+			EntriesHeard: 10, EntriesKnown: 10, Pools: []*wire.PoolDemand{{Pool: testPoolName, Classes: rows, Entries: entries}},
+		}})
+		_, view := h.forecastOf(lastClass)
+		return view
+	}
+	require.Equal(t, viewFleet, viewOf(fleetRows(0, 1000, 24), 9))
+	require.Equal(t, viewOwnIncomplete, viewOf(fleetRows(0, 1000, 24), 8))
+	require.Equal(t, viewOwnIncomplete, viewOf(nil, 0))
+	require.Equal(t, viewFleet, viewOf(nil, 10), "no other entry has demand")
+	require.Equal(t, viewFleet, viewOf(fleetRows(0, 1000, 24), 0), "control of an earlier version")
+}
+
+// Guards against a pool whose view is incomplete for others because this entry has had no request for it.
+func TestDemandReportHasPoolsWithoutDemand(t *testing.T) {
+	h := fleetHarness(t)
+	h.s.pool(poolKey{kind: kindModel, target: "idle"})
+	pools := h.s.DemandReport()
+	require.Len(t, pools, 2)
+	require.True(t, proto.Equal(&wire.PoolDemand{Pool: kindModel + "/idle", Entries: 1}, pools[0]))
+	require.Equal(t, uint32(1), pools[1].GetEntries())
+	require.NotEmpty(t, pools[1].GetClasses())
+}
+
+// Guards against a control instance that has just started and whose empty summary replaces a complete view: that view is used until
+// it is 2 s old, and then the incomplete one takes its place.
+func TestIncompleteViewReplacesOnlyAnOldOne(t *testing.T) {
+	h := fleetHarness(t)
+	taken := h.now
+	empty := func(after time.Duration) string {
+		h.now = taken.Add(after)
+		h.reportRoom("s1", kindModel, testModel, 0)
+		h.step(FleetDemand{At: h.now, Summary: &wire.DemandSummary{EntriesKnown: 9}})
+		_, view := h.forecastOf(lastClass)
+		return view
+	}
+	h.view(0, 9, 9, fleetRows(0, 0, 24))
+	require.Equal(t, viewFleet, empty(300*time.Millisecond))
+	require.Equal(t, viewFleet, empty(fleetMaxAge))
+	require.Equal(t, viewOwnIncomplete, empty(fleetMaxAge+time.Millisecond))
+	h.view(0, 9, 9, fleetRows(0, 0, 24))
+	_, view := h.forecastOf(lastClass)
+	require.Equal(t, viewFleet, view)
+}
+
 // Guards against an answer that arrives late and replaces a newer one.
 func TestOlderViewChangesNothing(t *testing.T) {
 	h := fleetHarness(t)
@@ -168,6 +218,25 @@
 	require.Greater(t, rate(), 120.0, "the load has doubled")
 }
 
+// Guards against a row that is missing in some views and whose whole count is then taken for requests since the last one.
+func TestRatesSurviveRowsThatComeAndGo(t *testing.T) {
+	h := fleetHarness(t)
+	next := func(rows []*wire.ClassDemand) {
+		h.now = h.now.Add(500 * time.Millisecond)
+		h.reportRoom("s1", kindModel, testModel, 0)
+		h.view(0, 3, 3, rows)
+	}
+	next(ratedRows(1000, 1000, 0))
+	next(ratedRows(1020, 1020, 0))
+	next(ratedRows(0, 0, 0)[1:])
+	next(ratedRows(1040, 1040, 0))
+	_, view := h.forecastOf(lastClass)
+	require.Equal(t, viewFleet, view)
+	require.LessOrEqual(t, h.s.fleet.pools[testPoolName].rows[0].arrivals, 41.0)
+	next(ratedRows(1060, 1060, 0))
+	require.LessOrEqual(t, h.s.fleet.pools[testPoolName].rows[0].arrivals, 41.0)
+}
+
 // Guards against a backlog that is extrapolated for as long as control is silent: rates are taken to go on for a second at most.
 func TestExtrapolationIsBounded(t *testing.T) {
 	h := fleetHarness(t)
@@ -267,6 +336,8 @@
 	require.Len(t, p.excess[1], 1)
 	require.InDelta(t, 0.7, p.excess[1][0].withheld, 0.08, "it holds some three times its share")
 	require.Contains(t, h.counts, Count{Counter: OverShare, Tier: 2, Label: "greedy", Add: 1})
+	change := ShareChanged{Pool: testPoolName, Tier: 2, Organisation: "greedy", Over: true}
+	require.Equal(t, []ShareChanged{change}, h.shareChanges)
 	p.excess[1][0].withheld = 1
 
 	greedy := h.stream("greedy-1", firstClass, testObjective, testAbandon)
@@ -292,11 +363,37 @@
 		}
 	}
 	require.Empty(t, p.excess[1])
+	within := change
+	within.Over = false
+	require.Equal(t, []ShareChanged{change, within}, h.shareChanges, "once each")
 	require.False(t, excess.excess, "it takes its usual place again")
 	require.Less(t, excess.gatePrecedence(), uint32(latePrecedence))
 	require.Greater(t, len(h.reserves("greedy-1")), reserved, "gates are told")
 }
 
+// Guards against a request that stays behind others since its organisation came within its share during the request's back-off.
+func TestExcessEndsAfterABackOff(t *testing.T) {
+	h := fleetHarness(t)
+	h.shortOf(81)
+	p := h.s.pool(poolKey{kind: kindModel, target: testModel})
+	require.Len(t, p.excess[1], 1)
+	p.excess[1][0].withheld = 1
+	greedy := h.stream("greedy-1", firstClass, testObjective, testAbandon)
+	greedy.Organisation = "greedy"
+	h.step(Arrive{Request: greedy})
+	r := h.s.requests["greedy-1"]
+	require.True(t, r.excess)
+	h.s.removeFromQueue(r)
+	r.notBefore = h.now.Add(time.Minute)
+	h.s.setExcess(p, 1, nil)
+	require.Nil(t, r.queue)
+	r.notBefore = h.now
+	h.s.addToQueue(r)
+	require.NotNil(t, r.queue)
+	require.False(t, r.excess)
+	require.Less(t, r.gatePrecedence(), uint32(latePrecedence))
+}
+
 // Guards against organisations that stay behind others after control is lost or the shortage is over.
 func TestExcessEndsWithoutAView(t *testing.T) {
 	h := fleetHarness(t)
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -62,6 +62,9 @@
 // caller invents.
 func (s *Scheduler) removeIfUnused(p *pool) {
 	if p.requests == 0 && len(p.servers) == 0 && !p.dirty {
+		for tier := range tierCount {
+			s.setExcess(p, tier, nil)
+		}
 		delete(s.pools, p.key)
 	}
 }
@@ -100,6 +103,8 @@
 	if r.queue != nil || s.now.Before(r.notBefore) {
 		return
 	}
+	// Its organisation may have come within its share during the back-off.
+	r.excess = r.excess && r.pool.excessOf(r.tier, r.Organisation) != nil
 	tier, class, organisation := s.queueKeys(r)
 	t := &r.pool.tiers[tier]
 	r.queue = t.organisationQueue(class, organisation)
