--- a/agent/run_sink.go
+++ b/agent/run_sink.go
@@ -64,8 +64,9 @@
 	return s.notify(s.run)
 }
 
-// put appends an event, and blocks while the buffer or the caller's window is full, or the agent holds too much. It reports whether the event loop must be notified. record
-// records an accepted event; nil if it is not part of a stream. The error is errRunClosed.
+// put appends an event, and blocks while the buffer or the caller's window is full, or the agent holds too much. It reports
+// whether the event loop must be notified. record records an accepted event; nil if it is not part of a stream. The error is
+// errRunClosed.
 func (r *engineRun) put(event []byte, tokens int, record func(*position), held *held) (bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/engine/standin/version_fault.go
+++ b/engine/standin/version_fault.go
@@ -128,8 +128,8 @@
 }
 
 // paceRatio is a running average of the time that runs took over the time that they would take alone: other runs share the
-// steps of an engine, and timers of a busy machine fire late. Without it, a version that is to take four times as long took 2.2 to
-// 2.8 times as long.
+// steps of an engine, and timers of a busy machine fire late. Without it, a version that is to take four times as long would take
+// two to three times as long.
 type paceRatio struct {
 	mu    sync.Mutex
 	ratio float64 // 0 before the first run
--- a/rollout/simtest/rollout_test.go
+++ b/rollout/simtest/rollout_test.go
@@ -24,7 +24,6 @@
 )
 
 const (
-	// ciSchedules is the number of schedules of a plain run, which may take 20 s beside a busy machine.
 	ciSchedules       = 90
 	ciUnlikeSchedules = 30
 	workers           = 3
--- a/sched/fast_servers.go
+++ b/sched/fast_servers.go
@@ -13,8 +13,8 @@
 // it is used. A request that needs a fast server itself, or wouldn't be in time at this one anyway, pays nothing.
 //
 // The price is 0 as long as the fast servers' share of the pool's speed exceeds the share of the waiting requests that need
-// them. Slow servers alone can't carry all other requests: with two thirds of the servers fast, a price that always moves
-// them there, or moves them whenever a request waits for a fast server, lost 4 to 10 of 100 requests of the last class.
+// them. Slow servers alone can't carry all other requests, so a price that always moves them there would have many of the
+// last class refused.
 func (s *Scheduler) costToOthers(r *request, v *server, use time.Duration) time.Duration {
 	p := r.pool
 	if p.needFast == 0 || !s.placesByLength(r) || s.needsFastServer(r) || !s.isFast(p, v) || !s.inTimeAt(r, v) {
--- a/sched/organisation_share.go
+++ b/sched/organisation_share.go
@@ -11,8 +11,7 @@
 const (
 	// shareMargin and shareAllowance are how far beyond its share an organisation must be for its requests to be ordered behind
 	// others, in square roots of the share and in attempts. The attempts of an organisation at its usual rate vary by about the
-	// square root of their number. With a margin of two square roots, ten of 16 organisations at their usual rate were ordered
-	// behind others in a burst.
+	// square root of their number, so that a smaller margin would order many of them behind others in a burst.
 	shareMargin, shareAllowance = 3, 2
 	// shareGain is the part of the deviation from its share by which the part of an organisation's requests that go behind is
 	// corrected with each view. A view is half a second old and attempts last as long, so that a full correction overshoots.
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -10,9 +10,8 @@
 // end in time at a server goes there only if no server of the pool does better. While requests wait, other answers leave
 // the fast servers to those that need them, see fast_servers.go.
 
-// promptPauseDivisor is the part of a tolerated pause that one prompt may take at a server, as a divisor. Others are
-// computed beside it: with all of the pause, twice as many answers of the first class were late because of prompts at slow
-// servers.
+// promptPauseDivisor is the part of a tolerated pause that one prompt may take at a server, as a divisor. Another prompt may
+// be computed at the same time.
 const promptPauseDivisor = 2
 
 // Reasons of a placement, as labels of Count with Placements.
