sched: the pause that a prompt may cause is tested in one place

fitsByLength repeated the two tests of suits, computed both times a second time and wrote the rule of the pause out again. No behaviour changes; go test ./sched passes.

--- a/sched/placement.go
+++ b/sched/placement.go
@@ -86,10 +86,15 @@
 	return time.Duration(max(float64(r.PromptTokens)-float64(cached), 0) / p.prefill * float64(time.Second))
 }
 
+// delaysOthers reports whether a prompt that takes the given time makes the answers that run beside it late.
+func (r *request) delaysOthers(prompt time.Duration) bool {
+	return r.Pause > 0 && prompt > r.Pause/promptPauseDivisor
+}
+
 // suits reports whether the upper length of the answer ends before the deadline at a pace, and the prompt doesn't make
 // the answers that run beside it late.
 func (s *Scheduler) suits(r *request, p pace, cached uint32) bool {
-	return s.upperRunTime(r, p, cached) <= s.remainingTime(r) && (r.Pause == 0 || r.promptTime(p, cached) <= r.Pause/promptPauseDivisor)
+	return s.upperRunTime(r, p, cached) <= s.remainingTime(r) && !r.delaysOthers(r.promptTime(p, cached))
 }
 
 // suitsServer is suits at a server under load.
@@ -100,13 +105,14 @@
 // fitsByLength reports whether the request may go to a server: it suits the server, or no server of the pool does better.
 func (s *Scheduler) fitsByLength(r *request, v *server) bool {
 	p, cached := s.loadedPaceOf(r.pool, v), s.cachedTokens(r, v)
-	if s.suits(r, p, cached) {
+	upper, prompt := s.upperRunTime(r, p, cached), r.promptTime(p, cached)
+	inTime, harmless := upper <= s.remainingTime(r), !r.delaysOthers(prompt)
+	if inTime && harmless {
 		return true
 	}
 	best, bestCached := s.fastestFor(r)
-	upper, prompt := s.upperRunTime(r, p, cached), r.promptTime(p, cached)
-	return (upper <= s.remainingTime(r) || float64(upper) <= paceTolerance*float64(s.upperRunTime(r, best, bestCached))) &&
-		(r.Pause == 0 || prompt <= r.Pause/promptPauseDivisor || float64(prompt) <= paceTolerance*float64(r.promptTime(best, bestCached)))
+	return (inTime || float64(upper) <= paceTolerance*float64(s.upperRunTime(r, best, bestCached))) &&
+		(harmless || float64(prompt) <= paceTolerance*float64(r.promptTime(best, bestCached)))
 }
 
 // fastestFor returns the pace of the server that ends the upper length first among those that the request may use, and
