--- a/demand/ledger.go
+++ b/demand/ledger.go
@@ -42,9 +42,6 @@
 	TooLarge Outcome = "too_large" // larger than MaxReportBytes
 )
 
-// Outcomes returns all outcomes of Record.
-func Outcomes() []Outcome { return []Outcome{Recorded, Outdated, TooLarge} }
-
 // Ledger adds up the newest report of each entry. It is held in memory only: it describes the present, and is complete again as
 // soon as each entry has reported. The sums are kept up to date with each report, so that an answer costs the same however many
 // entries there are. Its methods may be called by several goroutines at the same time.
