--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/quorum"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/rollout"
@@ -76,16 +77,8 @@
 
 // run is the loop that looks at the evidence.
 func (r *rollouts) run(ctx context.Context) error {
-	ticker := time.NewTicker(rollout.RoundInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			r.round(ctx, now)
-		}
-	}
+	pause.Every(ctx, rollout.RoundInterval, func(now time.Time) { r.round(ctx, now) })
+	return nil
 }
 
 func (r *rollouts) round(ctx context.Context, now time.Time) {
--- a/control/usage_file.go
+++ b/control/usage_file.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/quorum/journal"
 	"github.com/carawaypitch/carawaypitch/quota"
 	"github.com/carawaypitch/carawaypitch/settings"
@@ -109,16 +110,10 @@
 // runUsageFile is the loop that saves usage. If the disk refuses it, usage is inexact after a restart of all processes;
 // nothing else is affected.
 func (c *Control) runUsageFile(ctx context.Context) error {
-	ticker := time.NewTicker(quota.SaveInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			c.usageFile.logTransition(c, c.usageFile.save(c.usage, now))
-		}
-	}
+	pause.Every(ctx, quota.SaveInterval, func(now time.Time) {
+		c.usageFile.logTransition(c, c.usageFile.save(c.usage, now))
+	})
+	return nil
 }
 
 // logTransition logs when saving starts to fail, and when it works again.
--- a/pause/pause.go
+++ b/pause/pause.go
@@ -1,4 +1,4 @@
-// Package pause provides waits that end early when a context is done, and a timer that can be brought forward.
+// Package pause provides waits and loops that end early when a context is done, and a timer that can be brought forward.
 package pause
 
 import (
@@ -17,3 +17,18 @@
 		return false
 	}
 }
+
+// Every calls fn at each tick of the interval, with the time of the tick, until ctx ends. Ticks that come while fn runs are
+// dropped.
+func Every(ctx context.Context, interval time.Duration, fn func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			fn(now)
+		}
+	}
+}
--- a/session/demand.go
+++ b/session/demand.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -71,16 +72,7 @@
 	if s.cfg.Demand == nil {
 		return
 	}
-	ticker := time.NewTicker(demandCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		s.pollChangedDemand(s.cfg.Demand())
-	}
+	pause.Every(ctx, demandCheckInterval, func(time.Time) { s.pollChangedDemand(s.cfg.Demand()) })
 }
 
 // pollChangedDemand polls the leader if the demand differs from what the leader was last told. While no leader is linked nothing
--- a/session/evidence.go
+++ b/session/evidence.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -37,18 +38,11 @@
 	if s.cfg.Evidence == nil {
 		return
 	}
-	ticker := time.NewTicker(evidenceInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	pause.Every(ctx, evidenceInterval, func(time.Time) {
 		if len(s.cfg.Evidence()) > 0 {
 			s.pollLeader()
 		}
-	}
+	})
 }
 
 // pollLeader polls the leader, or all linked instances while the leader is unknown or has no link.
