--- a/agent/server_crash.go
+++ b/agent/server_crash.go
@@ -69,11 +69,13 @@
 	note := &wire.NoteCrash{Crash: a.Crash}
 	requests := make([]string, 0, len(a.Runs))
 	fingerprints := make([]string, 0, len(a.Runs))
+	parts := make([]string, 0, len(a.Runs))
 	for _, run := range a.Runs {
 		key := poison.Key{Organisation: run.Organisation, Fingerprint: run.Fingerprint}
 		note.Ran = append(note.Ran, key.NewRecord())
 		requests = append(requests, run.Request)
 		fingerprints = append(fingerprints, key.String())
+		parts = append(parts, partList(run.Parts))
 	}
 	s.report(outbox.CrashReport(note))
 	if !a.Repeated {
@@ -84,5 +86,6 @@
 		WithField("alone", a.Crash.GetAlone()).
 		WithField("requests", strings.Join(requests, ",")).
 		WithField("fingerprints", strings.Join(fingerprints, ",")).
+		WithField("parts", strings.Join(parts, ";")).
 		Warn("server_crashed")
 }
--- a/agent/server_runs.go
+++ b/agent/server_runs.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -102,6 +104,7 @@
 		WithField("end", end).
 		WithField("class", r.dispatch.GetWork().GetClass()).
 		WithField("fingerprint", poison.Fingerprint(r.dispatch.GetFingerprint()).String()).
+		WithField("parts", partList(r.dispatch.GetParts())).
 		WithField("prompt", r.dispatch.GetWork().GetPromptTokens()).
 		WithField("ms", r.returnedAt.Sub(r.arrivedAt).Milliseconds()).
 		WithField("beside", r.concurrentRuns).
@@ -117,6 +120,15 @@
 	entry.Info("attempt_ended")
 }
 
+// partList returns the IDs of parts of a prompt as in log lines.
+func partList(parts []uint64) string {
+	ids := make([]string, 0, len(parts))
+	for _, id := range parts {
+		ids = append(ids, strconv.FormatUint(id, 16))
+	}
+	return strings.Join(ids, ",")
+}
+
 // removeRun drops the record of a run. reason is why it is not suspended any more, if it is suspended.
 func (s *server) removeRun(r *engineRun, reason string) {
 	if s.runs[r.key] == r {
--- a/engine/prefix.go
+++ b/engine/prefix.go
@@ -51,10 +51,21 @@
 	Text string
 	// Chat reports whether the body has messages.
 	Chat bool
+	// Parts are the first maxPromptParts messages; nil without messages.
+	Parts []PromptPart
 	// MaxTokens limits the output; 0 means no limit was given.
 	MaxTokens int
 }
 
+// PromptPart is a message of a prompt. ID is a digest of its role and content, Tokens its estimated size.
+type PromptPart struct {
+	ID     uint64
+	Tokens int
+}
+
+// maxPromptParts bounds the parts of a prompt.
+const maxPromptParts = 32
+
 type completionBody struct {
 	Model               string          `json:"model"`
 	Prompt              json.RawMessage `json:"prompt"`
@@ -85,12 +96,22 @@
 	}
 	if prompt.Chat {
 		prompt.Text = joinMessages(parsed.Messages)
+		prompt.Parts = promptParts(parsed.Messages)
 		return prompt, nil
 	}
 	prompt.Text = plainText(parsed.Prompt)
 	return prompt, nil
 }
 
+func promptParts(messages []chatMessage) []PromptPart {
+	parts := make([]PromptPart, 0, min(len(messages), maxPromptParts))
+	for _, message := range messages[:min(len(messages), maxPromptParts)] {
+		content := plainText(message.Content)
+		parts = append(parts, PromptPart{ID: chainHash(xxhash.Sum64String(message.Role), content), Tokens: EstimateTokens(len(content))})
+	}
+	return parts
+}
+
 func joinMessages(messages []chatMessage) string {
 	var text strings.Builder
 	for _, message := range messages {
--- a/entry/http_completions.go
+++ b/entry/http_completions.go
@@ -42,6 +42,9 @@
 	r.PromptTokens = uint32(engine.EstimateTokens(len(prompt.Text)))
 	r.MaxTokens = uint32(prompt.MaxTokens)
 	r.Prefix = prefixDigests(prompt)
+	for _, part := range prompt.Parts {
+		r.Parts = append(r.Parts, sched.Part{ID: part.ID, Tokens: uint32(part.Tokens)})
+	}
 	return nil
 }
 
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -38,6 +38,8 @@
 	// PromptTokens and OutputTokens are the sizes declared by the caller; HasTokens reports whether it declared them.
 	PromptTokens, OutputTokens uint32
 	HasTokens                  bool
+	// Parts are the parts of the prompt in order, the last of which belongs to this call alone; nil if unknown.
+	Parts []sched.Part
 	// OutputEstimate is the number of output tokens that the caller expects, 0 if unknown.
 	OutputEstimate uint32
 	// LastEvent is the ID of the last event that the caller has of a stream that it resumes, empty for a new call.
@@ -349,6 +351,7 @@
 		PromptTokens: prompt,
 		MaxTokens:    call.OutputTokens,
 		OutputTokens: call.OutputEstimate,
+		Parts:        call.Parts,
 		Stream:       route.GetPauseMs() > 0,
 		Arrived:      call.Arrived,
 		Deadline:     call.Arrived.Add(timeout),
--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -42,6 +42,7 @@
 	dispatch *wire.Dispatch // nil for a reservation
 
 	fingerprint poison.Fingerprint // of the request, set at the dispatch
+	parts       []uint64           // shared parts of its prompt, set at the dispatch
 	crash       *wire.Crash        // crash of the server while the attempt ran, nil for none
 	brokenOff   framing.Cause      // why its answer isn't whole, if the server broke it off
 
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -137,6 +137,8 @@
 			Request:      a.record.request,
 			Organisation: a.work.GetOrganisation(),
 			Fingerprint:  a.fingerprint,
+			Target:       a.work.GetTarget(),
+			Parts:        a.parts,
 		})
 	}
 	g.brokenRuns.attempts = nil
--- a/gate/receive.go
+++ b/gate/receive.go
@@ -77,6 +77,7 @@
 	}
 	a.dispatch = m
 	a.fingerprint = poison.Fingerprint(m.GetFingerprint())
+	a.parts = m.GetParts()
 	if before != absent {
 		g.waiting.servedShare.observe(true)
 	}
--- a/gate/types.go
+++ b/gate/types.go
@@ -276,6 +276,8 @@
 	Request      string
 	Organisation string
 	Fingerprint  poison.Fingerprint
+	Target       string   // model or service
+	Parts        []uint64 // IDs of the prompt's parts that other requests may share
 }
 
 // Counter identifies a counter of the gate.
--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -174,6 +174,7 @@
 		Operation:       r.operationName(),
 		ResumeTokens:    r.tokensReceived,
 		Fingerprint:     uint64(r.fingerprint),
+		Parts:           r.sharedParts,
 	}
 	if v := r.Verbatim; v != nil {
 		d.Verbatim = true
--- a/sched/request.go
+++ b/sched/request.go
@@ -26,6 +26,7 @@
 type request struct {
 	*Request
 	fingerprint poison.Fingerprint
+	sharedParts []uint64 // see Request.sharedParts
 
 	state     state
 	sequence  uint64 // arrival order
@@ -110,7 +111,7 @@
 		return
 	}
 	s.lastSequence++
-	r := &request{Request: in, fingerprint: in.fingerprint(), sequence: s.lastSequence, timerIndex: -1}
+	r := &request{Request: in, fingerprint: in.fingerprint(), sharedParts: in.sharedParts(), sequence: s.lastSequence, timerIndex: -1}
 	r.class = s.classFor(in.Class)
 	r.tier = tierIndex(in.Class.GetTier())
 	r.mayBeLate = mayBeLate(in.Class)
--- a/sched/types.go
+++ b/sched/types.go
@@ -4,6 +4,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/poison"
@@ -30,6 +31,7 @@
 	MaxTokens    uint32   // bound set by the caller, 0 for none
 	OutputTokens uint32   // expected by the caller, 0 if not given
 	Prefix       []uint64 // digests of the prompt's leading blocks, shortest prefix first
+	Parts        []Part   // of the prompt, in order; the last one belongs to this request alone; nil if not known
 	Stream       bool     // events are delivered as they arrive
 	Arrived      time.Time
 	Deadline     time.Time
@@ -68,6 +70,26 @@
 	EarlierServers []string // servers whose proofs are needed first, after a takeover
 }
 
+// Part is a part of a prompt, such as a document or an earlier message of a conversation.
+type Part struct {
+	ID     uint64 // the same in all requests that share the part
+	Tokens uint32
+}
+
+// sharedParts returns the IDs of the parts that other requests may share, each once and in order.
+func (r *Request) sharedParts() []uint64 {
+	if len(r.Parts) < 2 {
+		return nil
+	}
+	ids := make([]uint64, 0, len(r.Parts)-1)
+	for _, part := range r.Parts[:len(r.Parts)-1] {
+		if part.ID != 0 && !slices.Contains(ids, part.ID) {
+			ids = append(ids, part.ID)
+		}
+	}
+	return ids
+}
+
 // IsResumable reports whether the answer is a stream that may be resumed at another server, or by another request.
 func (r *Request) IsResumable() bool { return r.Stream && r.Class.GetRepeatable() }
 
