--- a/poison/fleet_test.go
+++ b/poison/fleet_test.go
@@ -1,6 +1,7 @@
 package poison_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -215,8 +216,12 @@
 
 // chat sends a chat completion request with the given text to an entry.
 func (f *fleet) chat(index int, organisation, text string) answer {
-	body := fmt.Sprintf(`{"model":"sample","max_tokens":24,"messages":[{"role":"user","content":%q}]}`, text)
-	request, err := http.NewRequest(http.MethodPost, "http://"+f.entries[index].host+":8080/v1/chat/completions", strings.NewReader(body))
+	return f.post(index, organisation, fmt.Appendf(nil, `{"model":"sample","max_tokens":24,"messages":[{"role":"user","content":%q}]}`, text))
+}
+
+// post sends a chat completion request with the given body to an entry.
+func (f *fleet) post(index int, organisation string, body []byte) answer {
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.entries[index].host+":8080/v1/chat/completions", bytes.NewReader(body))
 	require.NoError(f.t, err)
 	request.Header.Set("Authorization", "Bearer key-of-"+organisation)
 	response, err := f.client.Do(request)
