poison, sched, state: crashes count for the parts of prompts too

Crashes counted for whole requests only, and each of these had one. Cause: the evidence was kept under a key that the next request of the same harm doesn't share.

The same records, thresholds, proposals and pushes now serve parts: a crash counts for each part but the last of all that the server ran. A whole answer clears what it carried, at whichever entry. Two crashes: requests with the part begin alone, one at a time at an entry, and entries may try one after the other. Three, one alone: refused with 1018 (not run, Retry-After not shortened), 0.3 s after an entry learnt of it, so that entries with answers can clear it first. A request without all suspects that explain the crashes is tried instead of refused. An organisation holds a part for itself only until a second one has crashed a server with it alone. A quarantined part is tried again after 5, 20, 80 minutes and so on.

An earlier answer outweighs crashes for 16 other answers of its model only, at most 10 s: a part may become harmful. A limit by crashes (4) or by time (1 s, 5 s) was tried first and failed TestUnrelatedServerFailuresDoNotQuarantine in some plays.

--- a/agent/server_crash.go
+++ b/agent/server_crash.go
@@ -64,9 +64,32 @@
 	return err
 }
 
+// partsOf returns the parts of the runs' prompts, each once for an organisation, up to poison.MaxRunParts.
+func partsOf(runs []gate.Run) []*wire.PoisonRecord {
+	type partRun struct {
+		key          poison.Key
+		organisation string
+	}
+	listed := make(map[partRun]bool)
+	var records []*wire.PoisonRecord
+	for _, run := range runs {
+		for _, id := range run.Parts {
+			one := partRun{poison.PartKey(run.Target, id), run.Organisation}
+			if listed[one] || len(records) == poison.MaxRunParts {
+				continue
+			}
+			listed[one] = true
+			record := one.key.NewRecord()
+			record.Organisation = one.organisation
+			records = append(records, record)
+		}
+	}
+	return records
+}
+
 // reportCrash reports to control and logs which requests the server ran when it crashed.
 func (s *server) reportCrash(a gate.Crashed) {
-	note := &wire.NoteCrash{Crash: a.Crash}
+	note := &wire.NoteCrash{Crash: a.Crash, Parts: partsOf(a.Runs)}
 	requests := make([]string, 0, len(a.Runs))
 	fingerprints := make([]string, 0, len(a.Runs))
 	parts := make([]string, 0, len(a.Runs))
--- a/cmd/carawaypitch/status_poison_test.go
+++ b/cmd/carawaypitch/status_poison_test.go
@@ -17,5 +17,9 @@
 	poisonTable(&out, operator.Status{Poison: []operator.Poison{{
 		Organisation: "union", Fingerprint: "000000000000002a", Standing: "quarantined", Servers: []string{"a", "b", "c"}, LeftMS: 7_199_600,
 	}}})
+	poisonTable(&out, operator.Status{Poison: []operator.Poison{{
+		Organisation: "union", Target: "sample", Fingerprint: "000000000000002b", Standing: "watched", LeftMS: 1000,
+	}}})
+	require.Contains(t, out.String(), "sample#000000000000002b\tunion\twatched\t1s\t\n")
 	require.Contains(t, out.String(), "000000000000002a\tunion\tquarantined\t2h0m0s\ta, b, c\n")
 }
--- a/entry/poison.go
+++ b/entry/poison.go
@@ -13,7 +13,7 @@
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
-// applyPoison tells the scheduler which requests are watched or quarantined, if that has changed.
+// applyPoison tells the scheduler which requests and parts are watched or quarantined, if that has changed.
 func (e *Entry) applyPoison(ctx context.Context, last, view *session.View) error {
 	var before map[string]*wire.PoisonRecord
 	if last != nil {
@@ -38,9 +38,10 @@
 	return e.postEvent(ctx, sched.PoisonRecords{Records: records})
 }
 
-// logPoison logs the new standing of a request.
+// logPoison logs the new standing of a request, or of a part if it has a target.
 func (e *Entry) logPoison(record *wire.PoisonRecord) {
 	e.log.WithField("organisation", record.GetOrganisation()).
+		WithField("target", record.GetTarget()).
 		WithField("fingerprint", poison.Fingerprint(record.GetFingerprint()).String()).
 		WithField("standing", poison.StandingOf(record).String()).
 		WithField("servers", strings.Join(poison.CrashedServers(record), ",")).
--- a/operator/status.go
+++ b/operator/status.go
@@ -47,13 +47,15 @@
 	Draining    bool    `json:"draining"`   // gets no new requests
 }
 
-// Poison is a request during which backend servers crashed. After crashes of three servers it is refused.
+// Poison is a request, or a part of prompts, during which backend servers crashed. After crashes of three servers it is
+// refused.
 type Poison struct {
-	Organisation string   `json:"organisation"`
-	Fingerprint  string   `json:"fingerprint"` // as logged with its attempts
-	Standing     string   `json:"standing"`    // "watched" or "quarantined"
-	Servers      []string `json:"servers"`     // that crashed
-	LeftMS       int64    `json:"left_ms"`     // until Standing is lowered by one level
+	Organisation string   `json:"organisation"` // of a part: the first that crashed a server with it
+	Target       string   `json:"target"`       // of a part: the model or service; empty for a request
+	Fingerprint  string   `json:"fingerprint"`  // as logged with its attempts; of a part, its ID
+	Standing     string   `json:"standing"`     // "watched" or "quarantined"
+	Servers      []string `json:"servers"`      // that crashed
+	LeftMS       int64    `json:"left_ms"`      // until Standing is lowered by one level
 }
 
 // ClassStatus compares a class with its targets over the window of the Status.
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -29,6 +29,10 @@
 	// thus reaches at most three more servers within a day.
 	initialQuarantine = 2 * time.Hour
 	maxDoublings      = 4
+	// initialPartQuarantine is the length of the first quarantine of a part, which sound requests may have too. Each
+	// further one is four times as long, with at most maxDoublings steps: in a day of requests with the part it reaches
+	// five more servers, alone.
+	initialPartQuarantine = 5 * time.Minute
 	// duplicateCrashWindow is the time within which crashes of one server count as one, since several peers connected
 	// to it may report the same crash. A crashed server takes longer than that to restart.
 	duplicateCrashWindow = 2 * time.Second
@@ -71,24 +75,45 @@
 	}
 }
 
-// Key identifies a request across its repetitions by the same organisation. The same content from another organisation
-// has another key: no organisation can cause requests of another one to be refused.
+// Key identifies what crashes are counted for: a request across its repetitions, or a part of prompts.
+//
+// A request's key has its organisation: the same content from another organisation has another key, so that no
+// organisation can cause requests of another one to be refused. A part's key has no organisation, since a part may crash
+// servers whatever else a request holds; see StandingFor for what protects organisations from each other.
 type Key struct {
+	// Organisation is the caller's, empty in the key of a part.
 	Organisation string
-	Fingerprint  Fingerprint
+	// Target is the model or service of the requests with a part, empty in the key of a request.
+	Target string
+	// Fingerprint is the digest of the request's content, or the ID of the part.
+	Fingerprint Fingerprint
 }
 
 // KeyOf returns the key of a record.
 func KeyOf(record *wire.PoisonRecord) Key {
+	if IsPart(record) {
+		return PartKey(record.GetTarget(), record.GetFingerprint())
+	}
 	return Key{Organisation: record.GetOrganisation(), Fingerprint: Fingerprint(record.GetFingerprint())}
 }
 
+// PartKey returns the key of a part of prompts for a model or service, which must not be empty.
+func PartKey(target string, id uint64) Key { return Key{Target: target, Fingerprint: Fingerprint(id)} }
+
+// IsPart reports whether a record is of a part of prompts.
+func IsPart(record *wire.PoisonRecord) bool { return record.GetTarget() != "" }
+
 // String returns the form of the key used in logs, which is unique to the key.
-func (k Key) String() string { return k.Organisation + "/" + k.Fingerprint.String() }
+func (k Key) String() string {
+	if k.Target != "" {
+		return k.Target + "#" + k.Fingerprint.String()
+	}
+	return k.Organisation + "/" + k.Fingerprint.String()
+}
 
 // NewRecord returns a record of the key without crashes.
 func (k Key) NewRecord() *wire.PoisonRecord {
-	return &wire.PoisonRecord{Organisation: k.Organisation, Fingerprint: uint64(k.Fingerprint)}
+	return &wire.PoisonRecord{Organisation: k.Organisation, Fingerprint: uint64(k.Fingerprint), Target: k.Target}
 }
 
 // CrashedServers returns the servers in a record's crashes, in the order in which the crashes were recorded.
@@ -104,25 +129,36 @@
 // changed. A crash that is already known doesn't change it, nor does a crash of a request that is quarantined: that
 // request was dispatched before the quarantine. The standing doesn't depend on the order in which crashes are added.
 func AddCrash(record *wire.PoisonRecord, crash *wire.Crash, nowMS uint64) bool {
-	if StandingOf(record) == Quarantined {
+	if isComplete(record) {
 		return false
 	}
 	for _, known := range record.GetCrashes() {
 		if isDuplicate(known, crash, nowMS) {
-			return false
+			return addOrganisations(known, crash.GetOrganisations())
 		}
 	}
+	before := StandingOf(record)
 	added := proto.CloneOf(crash)
 	added.UnixMs = nowMS
 	record.Crashes = append(record.Crashes, added)
-	record.UntilUnixMs = nowMS + milliseconds(WatchPeriod)
-	if StandingOf(record) == Quarantined {
+	if before != Quarantined {
+		record.UntilUnixMs = nowMS + milliseconds(WatchPeriod)
+	}
+	if before != Quarantined && StandingOf(record) == Quarantined {
 		record.Quarantines++
 		record.UntilUnixMs = nowMS + milliseconds(quarantineDuration(record))
 	}
 	return true
 }
 
+// isComplete reports whether no further crash changes what follows from a record.
+func isComplete(record *wire.PoisonRecord) bool {
+	if IsPart(record) {
+		return len(record.GetCrashes()) >= maxPartCrashes
+	}
+	return StandingOf(record) == Quarantined
+}
+
 // sharedCrashes counts the crashes in a record at which other requests ran on the server too.
 func sharedCrashes(record *wire.PoisonRecord) int {
 	n := 0
@@ -172,6 +208,9 @@
 // quarantineDuration returns the length of the present quarantine of a record, or of its latest one.
 func quarantineDuration(record *wire.PoisonRecord) time.Duration {
 	doublings := min(max(record.GetQuarantines(), 1)-1, maxDoublings)
+	if IsPart(record) {
+		return initialPartQuarantine << (2 * doublings)
+	}
 	return initialQuarantine << doublings
 }
 
--- a/result/codes.go
+++ b/result/codes.go
@@ -19,6 +19,7 @@
 	MethodNotAllowed       Code = 1015
 	UnknownRoute           Code = 1016
 	RequestQuarantined     Code = 1017
+	PartQuarantined        Code = 1018
 )
 
 // 12xx: the request is rejected for lack of capacity or time.
--- a/result/table.go
+++ b/result/table.go
@@ -76,6 +76,11 @@
 		"backend servers crashed while they ran this request",
 		"Don't send it again unchanged. Operators: the message names the servers; see why they crashed.",
 	},
+	{
+		PartQuarantined, "part_quarantined", http.StatusUnprocessableEntity, onlyNo,
+		"backend servers crashed while they ran requests with a part of this prompt",
+		"Don't send that part again. Operators: the message names the part and the servers; see why they crashed.",
+	},
 
 	{
 		NoServer, "no_server", http.StatusServiceUnavailable, onlyNo, "no backend server can take this work",
--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -143,6 +143,7 @@
 	to.agent.attempts[r] = struct{}{}
 	to.attemptSent(a)
 	r.pool.noteDispatch(s.now)
+	s.noteTrial(r)
 	s.noteSend(r, a)
 	r.countsFor().dispatches++
 	s.notePlacement(r, to)
@@ -174,7 +175,7 @@
 		Operation:       r.operationName(),
 		ResumeTokens:    r.tokensReceived,
 		Fingerprint:     uint64(r.fingerprint),
-		Parts:           r.sharedParts,
+		Parts:           r.sharedParts(),
 	}
 	if v := r.Verbatim; v != nil {
 		d.Verbatim = true
@@ -233,6 +234,7 @@
 func (s *Scheduler) release(r *request) {
 	a := r.attempt
 	r.attempt = nil
+	s.trialAdvanced(r)
 	r.pool.load.attemptEnded(r.class)
 	if rec := r.currentRecord(); rec.provedOver && rec.proof != wire.Proof_PROOF_NEVER_STARTED {
 		r.pool.load.addOccupancy(r.class, s.now.Sub(a.sentAt))
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -7,6 +7,9 @@
 
 // chooseServer returns the server for a dispatch without an Offer, or nil if no server with room suits the request.
 func (s *Scheduler) chooseServer(r *request) *server {
+	if !s.mayTry(r) {
+		return nil
+	}
 	defer s.endChoice(s.beginChoice(r))
 	r.passedOver = r.passedOver[:0]
 	if v := s.exposeTo(r); v != nil {
@@ -34,6 +37,9 @@
 // chooseReservationServers returns the servers at which to reserve: those with the earliest estimated finish, and under
 // pressure those whose use costs the others least.
 func (s *Scheduler) chooseReservationServers(r *request) []*server {
+	if !s.mayTry(r) {
+		return nil
+	}
 	defer s.endChoice(s.beginChoice(r))
 	count := s.reservationCount(r)
 	servers := s.sampleServers(r, 2*count, s.canReserve)
--- a/sched/frames.go
+++ b/sched/frames.go
@@ -111,6 +111,7 @@
 	r.bindVersion()
 	s.noteStreamBegan(r)
 	r.noteEventTimes(s.now)
+	s.trialAdvanced(r)
 	for _, n := range tokens {
 		r.tokensReceived += n
 	}
--- a/sched/request.go
+++ b/sched/request.go
@@ -26,7 +26,9 @@
 type request struct {
 	*Request
 	fingerprint poison.Fingerprint
-	sharedParts []uint64 // see Request.sharedParts
+	subjects    []poison.Key // what crashes count for, see subjectsOf
+	suspicion   suspicion
+	onTrial     bool // was chosen to be tried, see Scheduler.mayTry
 
 	state     state
 	sequence  uint64 // arrival order
@@ -49,6 +51,8 @@
 	notBefore    time.Time // end of the back-off
 	reservations []reservation
 	reservedAt   time.Time
+	// reservedAlone is set if the gates were told to run it alone.
+	reservedAlone bool
 
 	// Forecast.
 	expectedFirst time.Duration // until the first event, from the start
@@ -111,7 +115,7 @@
 		return
 	}
 	s.lastSequence++
-	r := &request{Request: in, fingerprint: in.fingerprint(), sharedParts: in.sharedParts(), sequence: s.lastSequence, timerIndex: -1}
+	r := &request{Request: in, fingerprint: in.fingerprint(), subjects: subjectsOf(in), sequence: s.lastSequence, timerIndex: -1}
 	r.class = s.classFor(in.Class)
 	r.tier = tierIndex(in.Class.GetTier())
 	r.mayBeLate = mayBeLate(in.Class)
@@ -287,7 +291,7 @@
 	}
 	s.emit(Fail{Request: r.ID, Err: err, Trace: s.trace(r)})
 	s.emit(Count{Counter: Refusals, Code: err.Code, Tier: r.Class.GetTier(), Class: r.Class.GetName(), Add: 1})
-	if !r.callerGone && err.Code != result.RequestQuarantined {
+	if !r.callerGone && err.Code != result.RequestQuarantined && err.Code != result.PartQuarantined {
 		// A caller who repeats a request that crashes servers must not make its class appear to miss its target,
 		// which would order the class before others.
 		r.class.window.add(s.now, false, true)
@@ -332,6 +336,7 @@
 		s.keepOrphan(r)
 		s.release(r)
 	}
+	s.forgetTrial(r)
 	s.timers.remove(r)
 	delete(s.requests, r.ID)
 	s.history.add(s.explain(r, err))
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -25,6 +25,7 @@
 	}
 	r.promote()
 	s.setReservations(r, servers)
+	s.noteTrial(r)
 	r.reservedAt = s.now
 	for _, v := range servers {
 		s.sendReserve(r, v)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -6,6 +6,7 @@
 
 	"github.com/carawaypitch/carawaypitch/chart"
 	"github.com/carawaypitch/carawaypitch/fair"
+	"github.com/carawaypitch/carawaypitch/poison"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -41,6 +42,8 @@
 	choice            placementChoice
 	prefixes          *prefixTable
 	poison            *poisonTable
+	trials            map[poison.Key]*request // request that was chosen last to be tried, by suspect
+	reconsiderAt      time.Time               // when requests that wait because of crashes are due, zero for none
 	fleet             fleetView
 	sharesAt          time.Time // when the shares of organisations were determined last; zero if none are in force
 	holdRefused       bool      // for load tests: what the fleet-wide view would refuse is held instead
@@ -74,6 +77,7 @@
 		servers:    map[string]*server{},
 		prefixes:   newPrefixTable(options.PrefixEntries),
 		poison:     newPoisonTable(),
+		trials:     map[poison.Key]*request{},
 		entryCount: 1,
 	}
 	s.classes[baselineClass] = &class{name: baselineClass, outputTokens: newRunningMedian(), serviceTimes: newRunningMedian()}
--- a/sched/timers.go
+++ b/sched/timers.go
@@ -87,10 +87,14 @@
 	if len(s.dirty) > 0 {
 		return MinTickInterval
 	}
-	if len(s.timers.items) == 0 {
+	next := s.poison.nextClear()
+	if len(s.timers.items) > 0 && (next.IsZero() || s.timers.items[0].timerAt.Before(next)) {
+		next = s.timers.items[0].timerAt
+	}
+	if next.IsZero() {
 		return MaxTickInterval
 	}
-	return min(max(s.timers.items[0].timerAt.Sub(s.now), MinTickInterval), MaxTickInterval)
+	return min(max(next.Sub(s.now), MinTickInterval), MaxTickInterval)
 }
 
 // runTimers handles every request whose timer has expired, each at most once per event: further timers of it wait
@@ -105,6 +109,7 @@
 		}
 	}
 	s.orphans.expire(s.now)
+	s.advancePoison()
 	s.endVersionWait()
 }
 
--- a/session/view.go
+++ b/session/view.go
@@ -21,7 +21,7 @@
 	Entries map[string]*wire.EntryRecord
 	// Announcements are the announcements of backend servers to control, keyed by run.
 	Announcements map[string]*wire.Announcement
-	// Poison holds the watched and quarantined requests, keyed by the text of their poison.Key.
+	// Poison holds the watched and quarantined requests and parts, keyed by the text of their poison.Key.
 	Poison map[string]*wire.PoisonRecord
 	// Advice holds the rate limits and drain notices of backend servers, keyed by server.
 	Advice map[string]*wire.ServerAdvice
--- a/state/limits.go
+++ b/state/limits.go
@@ -36,6 +36,9 @@
 	// PoisonRecords is the maximum number of records of requests that crashed servers, PoisonPerOrganisation that of
 	// one organisation.
 	PoisonRecords, PoisonPerOrganisation int
+	// PoisonParts and PoisonPartsPerOrganisation are the same for parts of prompts, which count for the organisation of
+	// their first crash.
+	PoisonParts, PoisonPartsPerOrganisation int
 	// RemovedRollouts is the maximum number of records of roll-outs whose pools are not in the desired state.
 	// RolloutCounts is the maximum number of counts in the evidence of one roll-out.
 	RemovedRollouts, RolloutCounts int
@@ -64,6 +67,9 @@
 
 	PoisonPerOrganisation: 64,
 
+	PoisonParts:                8192,
+	PoisonPartsPerOrganisation: 2048,
+
 	RemovedRollouts: 256,
 	RolloutCounts:   512,
 
--- a/state/poison.go
+++ b/state/poison.go
@@ -15,19 +15,28 @@
 // poisonPrefix marks records of poison requests in the directory history.
 const poisonPrefix = "p/"
 
-// poisonSet holds the requests that were running when servers crashed, by the text of their keys. Records are
-// replaced and never modified, since snapshots and clients share them.
+// poisonSet holds the requests that were running when servers crashed, and the parts of their prompts, by the text of
+// their keys. Records are replaced and never modified, since snapshots and clients share them.
 //
 // A request that crashes the servers that run it may be repeated at any entry. If crashes were known only where they
 // were observed, each entry would lose three servers to it, and another three after a restart. The records are
 // therefore replicated, so that they survive the loss of any entry, agent or control instance.
 type poisonSet struct {
 	records map[string]*wire.PoisonRecord
-	counts  map[string]int // number of records, by organisation
+	counts  map[string]int // number of records of requests, by organisation
+	parts   map[string]int // number of records of parts, by the organisation of the first crash
 }
 
 func newPoisonSet() poisonSet {
-	return poisonSet{records: make(map[string]*wire.PoisonRecord), counts: make(map[string]int)}
+	return poisonSet{records: make(map[string]*wire.PoisonRecord), counts: make(map[string]int), parts: make(map[string]int)}
+}
+
+// countsFor returns the numbers of records of a record's kind.
+func (p *poisonSet) countsFor(record *wire.PoisonRecord) map[string]int {
+	if poison.IsPart(record) {
+		return p.parts
+	}
+	return p.counts
 }
 
 // noteCrash records a crash for each request that the server was running.
@@ -40,26 +49,43 @@
 		return refuse(result.BadMessage, "a reporter with a long name")
 	case len(cmd.GetRan()) > s.limits.Servers:
 		return refuse(result.BadMessage, "a crash under too many requests")
+	case len(cmd.GetParts()) > poison.MaxRunParts:
+		return refuse(result.BadMessage, "a crash under too many parts")
 	}
 	for _, ran := range cmd.GetRan() {
-		if ran.GetFingerprint() != 0 && len(ran.GetOrganisation()) <= maxName {
-			s.addCrash(poison.KeyOf(ran), crash)
+		if identifiesSubject(ran) && !poison.IsPart(ran) {
+			s.addCrash(ran, crash)
+		}
+	}
+	for _, part := range cmd.GetParts() {
+		if identifiesSubject(part) && poison.IsPart(part) {
+			of := proto.CloneOf(crash)
+			of.Organisations = []string{part.GetOrganisation()}
+			s.addCrash(part, of)
 		}
 	}
 	return accepted()
 }
 
-// addCrash records a crash for one request.
-func (s *State) addCrash(key poison.Key, crash *wire.Crash) {
+// identifiesSubject reports whether a record of a crash report names a request or a part, with names of allowed lengths.
+func identifiesSubject(record *wire.PoisonRecord) bool {
+	return record.GetFingerprint() != 0 && len(record.GetOrganisation()) <= maxName && len(record.GetTarget()) <= maxName
+}
+
+// addCrash records a crash for one request or part.
+func (s *State) addCrash(ran *wire.PoisonRecord, crash *wire.Crash) {
+	key := poison.KeyOf(ran)
 	record := key.NewRecord()
-	if existing := s.poisonRecords.records[key.String()]; existing != nil {
+	record.Organisation = ran.GetOrganisation()
+	existing := s.poisonRecords.records[key.String()]
+	if existing != nil {
 		record = proto.CloneOf(existing)
 	}
 	if !poison.AddCrash(record, crash, s.leaderUnixMS) {
 		return
 	}
-	if s.poisonRecords.records[key.String()] == nil {
-		s.evictPoisonIfFull(key.Organisation)
+	if existing == nil {
+		s.evictPoisonIfFull(record)
 	}
 	s.storePoisonRecord(key, record)
 }
@@ -73,12 +99,12 @@
 	isPublished := poison.StandingOf(before) != poison.Clear || poison.StandingOf(record) != poison.Clear
 	if record == nil {
 		delete(p.records, name)
-		p.adjustCount(key.Organisation, -1)
+		p.adjustCount(before, -1)
 	} else {
 		record.Version = s.index
 		p.records[name] = record
 		if before == nil {
-			p.adjustCount(key.Organisation, 1)
+			p.adjustCount(record, 1)
 		}
 	}
 	if isPublished {
@@ -86,34 +112,51 @@
 	}
 }
 
-// adjustCount adds change to the number of records of an organisation.
-func (p *poisonSet) adjustCount(organisation string, change int) {
-	p.counts[organisation] += change
-	if p.counts[organisation] == 0 {
-		delete(p.counts, organisation)
+// adjustCount adds change to the number of records of the record's kind and organisation.
+func (p *poisonSet) adjustCount(record *wire.PoisonRecord, change int) {
+	counts, organisation := p.countsFor(record), record.GetOrganisation()
+	counts[organisation] += change
+	if counts[organisation] == 0 {
+		delete(counts, organisation)
 	}
 }
 
-// evictPoisonIfFull deletes a record if an organisation, or all of them together, has reached its limit. In the
-// latter case the record is taken from the organisation with the most records, so that no organisation can evict the
-// records of others.
-func (s *State) evictPoisonIfFull(organisation string) {
+// poisonEvictionDivisor is the part of an organisation's limit that is evicted at once, as a divisor. A crash may bring
+// hundreds of parts, and a search through all records for each would take long.
+const poisonEvictionDivisor = 32
+
+// evictPoisonIfFull deletes records of the kind of an added one if its organisation, or all of them together, has reached
+// its limit. In the latter case they are taken from the organisation with the most records, so that no organisation can
+// evict the records of others.
+func (s *State) evictPoisonIfFull(added *wire.PoisonRecord) {
 	p := &s.poisonRecords
+	counts, organisation := p.countsFor(added), added.GetOrganisation()
+	perOrganisation, all := s.limits.PoisonPerOrganisation, s.limits.PoisonRecords
+	if poison.IsPart(added) {
+		perOrganisation, all = s.limits.PoisonPartsPerOrganisation, s.limits.PoisonParts
+	}
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
 	switch {
-	case p.counts[organisation] >= s.limits.PoisonPerOrganisation:
-	case len(p.records) >= s.limits.PoisonRecords:
-		names := slices.Sorted(maps.Keys(p.counts))
-		organisation = slices.MaxFunc(names, func(a, b string) int { return cmp.Compare(p.counts[a], p.counts[b]) })
+	case counts[organisation] >= perOrganisation:
+	case total >= all:
+		names := slices.Sorted(maps.Keys(counts))
+		organisation = slices.MaxFunc(names, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
 	default:
 		return
 	}
-	var evicted *wire.PoisonRecord // independent of the iteration order
+	var candidates []*wire.PoisonRecord
 	for _, record := range p.records {
-		if record.GetOrganisation() == organisation && (evicted == nil || compareForEviction(record, evicted) < 0) {
-			evicted = record
+		if record.GetOrganisation() == organisation && poison.IsPart(record) == poison.IsPart(added) {
+			candidates = append(candidates, record)
 		}
 	}
-	s.storePoisonRecord(poison.KeyOf(evicted), nil)
+	slices.SortFunc(candidates, compareForEviction)
+	for _, evicted := range candidates[:min(max(perOrganisation/poisonEvictionDivisor, 1), len(candidates))] {
+		s.storePoisonRecord(poison.KeyOf(evicted), nil)
+	}
 }
 
 // compareForEviction orders the records of an organisation by their number of crashes, then by their last change.
@@ -122,6 +165,7 @@
 		cmp.Compare(len(a.GetCrashes()), len(b.GetCrashes())),
 		cmp.Compare(a.GetVersion(), b.GetVersion()),
 		cmp.Compare(a.GetFingerprint(), b.GetFingerprint()),
+		cmp.Compare(a.GetTarget(), b.GetTarget()),
 	)
 }
 
@@ -188,6 +232,6 @@
 func (p *poisonSet) restore(records []*wire.PoisonRecord) {
 	for _, record := range records {
 		p.records[poison.KeyOf(record).String()] = record
-		p.adjustCount(record.GetOrganisation(), 1)
+		p.adjustCount(record, 1)
 	}
 }
