entry, linkset: an entry links to more agents as more of its requests run

An entry that most new connections reach keeps the 24 links of its usual load, though servers that others don't use have room. Requests that wait don't count: with the whole fleet overloaded, links to more agents would give nobody a slot. At usual load nothing changes; a deployment of 24 agents or fewer is linked whole.

--- a/entry/agent_growth_test.go
+++ b/entry/agent_growth_test.go
@@ -30,7 +30,7 @@
 		opened := make(map[string]bool)
 		choose := func(listed []*wire.AgentRecord) {
 			among, _ := growth.settled(listed, now)
-			for _, agent := range agentSubset("entry-1", "zone-1", among, nil) {
+			for _, agent := range agentSubset("entry-1", "zone-1", among, nil, linksPerTarget) {
 				opened[agent.GetAgent()] = true
 			}
 		}
--- a/entry/agent_subset.go
+++ b/entry/agent_subset.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/carawaypitch/carawaypitch/linkset"
 	"github.com/carawaypitch/carawaypitch/rendezvous"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -15,23 +16,22 @@
 // more processor time than the requests. At that size an entry handles 16 requests a second, for which a couple of
 // dozen servers offer as good a choice as all of them.
 const (
-	// linksPerTarget is the number of agents of a model or service that an entry links to. Their servers have about 120
-	// slots, while an entry has about 30 requests in flight at twice the usual load.
-	linksPerTarget = 24
-	// sameZoneLinksPerTarget is how many of them are in the entry's own availability zone, if it has that many. The
+	// linksPerTarget is the number of agents of a model or service that an entry links to at usual load.
+	linksPerTarget = linkset.Base
+	// sameZoneDivisor is the part of them that is in the entry's own availability zone, if it has that many. The
 	// others are in other zones, so that a zone with unusually many callers or servers shares load with the rest.
-	sameZoneLinksPerTarget = 12
+	sameZoneDivisor = 2
 )
 
-// agentSubset returns the agents that an entry keeps links to: all of them if there are few, otherwise a subset for
-// each target, chosen by a hash of the entry and the agent. Each agent thus has links from about the same number of
+// agentSubset returns the agents that an entry keeps links to: all of them if there are few, otherwise a subset of count for
+// each target, which is part of any larger one, chosen by a hash of the entry and the agent. Each agent thus has links from about the same number of
 // entries, and adding or removing an agent changes few links. The agents of the servers in needed are always included.
 // The order is that of agents.
-func agentSubset(entry, zone string, agents []*wire.AgentRecord, needed map[string]bool) []*wire.AgentRecord {
-	if len(agents) <= linksPerTarget {
+func agentSubset(entry, zone string, agents []*wire.AgentRecord, needed map[string]bool, count int) []*wire.AgentRecord {
+	if len(agents) <= count {
 		return agents
 	}
-	chosen := make(map[string]bool, 2*linksPerTarget)
+	chosen := make(map[string]bool, 2*count)
 	byTarget := make(map[string][]candidate)
 	for _, agent := range agents {
 		ranked := candidate{
@@ -45,7 +45,7 @@
 		chosen[agent.GetAgent()] = slices.ContainsFunc(agent.GetServers(), func(s *wire.ServerRecord) bool { return needed[s.GetServer()] })
 	}
 	for _, ranked := range byTarget {
-		for _, agent := range chooseCandidates(ranked) {
+		for _, agent := range chooseCandidates(ranked, count) {
 			chosen[agent.name] = true
 		}
 	}
@@ -59,9 +59,9 @@
 	rank       uint64
 }
 
-// chooseCandidates takes candidates of the same zone first, up to their bound, then those of other zones, then more of
+// chooseCandidates takes count candidates: of the same zone first, up to their bound, then those of other zones, then more of
 // the same zone if the other zones have too few.
-func chooseCandidates(all []candidate) []candidate {
+func chooseCandidates(all []candidate, count int) []candidate {
 	slices.SortFunc(all, func(a, b candidate) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name)) })
 	var sameZone, otherZones []candidate
 	for _, one := range all {
@@ -71,8 +71,8 @@
 			otherZones = append(otherZones, one)
 		}
 	}
-	fromSameZone := min(len(sameZone), max(sameZoneLinksPerTarget, linksPerTarget-len(otherZones)))
-	fromOtherZones := min(len(otherZones), linksPerTarget-fromSameZone)
+	fromSameZone := min(len(sameZone), max(count/sameZoneDivisor, count-len(otherZones)))
+	fromOtherZones := min(len(otherZones), count-fromSameZone)
 	return append(sameZone[:fromSameZone:fromSameZone], otherZones[:fromOtherZones]...)
 }
 
--- a/entry/agent_subset_test.go
+++ b/entry/agent_subset_test.go
@@ -24,7 +24,7 @@
 
 func TestFewAgentsAreAllLinked(t *testing.T) {
 	agents := makeAgents(linksPerTarget, 3, "m")
-	require.Equal(t, agents, agentSubset("entry-1", "zone-0", agents, nil))
+	require.Equal(t, agents, agentSubset("entry-1", "zone-0", agents, nil, linksPerTarget))
 }
 
 // With a link from each entry to each agent, entries of a large fleet spend more processor time on links than on
@@ -37,7 +37,7 @@
 	links := make(map[string]int)
 	for i := range entries {
 		zone := fmt.Sprint("zone-", i%zones)
-		chosen := agentSubset(fmt.Sprint("entry-", i), zone, agents, nil)
+		chosen := agentSubset(fmt.Sprint("entry-", i), zone, agents, nil, linksPerTarget)
 		require.Len(t, chosen, linksPerTarget)
 		near := 0
 		for _, agent := range chosen {
@@ -46,7 +46,7 @@
 				near++
 			}
 		}
-		require.Equal(t, sameZoneLinksPerTarget, near)
+		require.Equal(t, linksPerTarget/sameZoneDivisor, near)
 	}
 	mean := entries * linksPerTarget / len(agents)
 	for _, agent := range agents {
@@ -61,10 +61,10 @@
 	for i := range 105 {
 		name, zone := fmt.Sprint("entry-", i), fmt.Sprint("zone-", i%5)
 		before := make(map[*wire.AgentRecord]bool)
-		for _, agent := range agentSubset(name, zone, agents[:180], nil) {
+		for _, agent := range agentSubset(name, zone, agents[:180], nil, linksPerTarget) {
 			before[agent] = true
 		}
-		for _, agent := range agentSubset(name, zone, agents, nil) {
+		for _, agent := range agentSubset(name, zone, agents, nil, linksPerTarget) {
 			if !before[agent] {
 				changed++
 			}
@@ -75,7 +75,7 @@
 
 func TestEachTargetHasItsAgents(t *testing.T) {
 	agents := append(makeAgents(100, 5, "m"), makeAgents(3, 3, "rare")...)
-	chosen := agentSubset("entry-1", "zone-1", agents, nil)
+	chosen := agentSubset("entry-1", "zone-1", agents, nil, linksPerTarget)
 	require.Len(t, chosen, linksPerTarget+3)
 }
 
@@ -87,19 +87,19 @@
 	for _, agent := range agents {
 		all[agent.GetServers()[0].GetServer()] = true
 	}
-	require.Len(t, agentSubset("entry-1", "zone-1", agents, all), 180)
+	require.Len(t, agentSubset("entry-1", "zone-1", agents, all, linksPerTarget), 180)
 }
 
 // A zone with few servers links to more in other zones, and a zone with many links to more of its own if the other
 // zones have few.
 func TestZonesWithFewServersLinkToOtherZones(t *testing.T) {
 	agents := makeAgents(100, 2, "m")
-	require.Len(t, agentSubset("entry-1", "zone-9", agents, nil), linksPerTarget)
+	require.Len(t, agentSubset("entry-1", "zone-9", agents, nil, linksPerTarget), linksPerTarget)
 	for _, agent := range agents[:90] {
 		agent.AvailabilityZone = "zone-0"
 	}
 	for _, agent := range agents[90:] {
 		agent.AvailabilityZone = "zone-1"
 	}
-	require.Len(t, agentSubset("entry-1", "zone-0", agents, nil), linksPerTarget)
+	require.Len(t, agentSubset("entry-1", "zone-0", agents, nil, linksPerTarget), linksPerTarget)
 }
--- a/entry/agentless_servers.go
+++ b/entry/agentless_servers.go
@@ -95,7 +95,7 @@
 	}
 	chosen := make(map[string]bool)
 	for _, ranked := range byPool {
-		for _, one := range chooseCandidates(ranked) {
+		for _, one := range chooseCandidates(ranked, linksPerTarget) {
 			chosen[one.name] = true
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -118,6 +118,7 @@
 	drainDeadline   atomic.Pointer[time.Time] // when in-flight requests are cut, nil unless leaving
 	stopping        atomic.Bool
 	active          atomic.Int64 // calls and in-flight keys
+	inFlight        atomic.Int64 // attempts at servers
 	bodyBytes       atomic.Int64
 	runContext      context.Context // ends when Run's goroutines are to end
 	cancelRun       context.CancelFunc
--- a/entry/links.go
+++ b/entry/links.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/linkset"
 	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/session"
@@ -20,8 +21,9 @@
 	entry *Entry
 	tls   *tls.Config
 	wake  chan struct{}
-	// growth is accessed only by the goroutine of run.
+	// growth and demand are accessed only by the goroutine of run.
 	growth agentGrowth
+	demand linkset.Demand
 
 	mu     sync.Mutex
 	newest *session.View
@@ -75,6 +77,8 @@
 	var last *session.View
 	unusedTicks := time.NewTicker(unusedLinkInterval)
 	defer unusedTicks.Stop()
+	demandTicks := time.NewTicker(linkDemandInterval)
+	defer demandTicks.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -82,6 +86,9 @@
 		case <-unusedTicks.C:
 			l.closeUnused(ctx)
 			continue
+		case <-demandTicks.C:
+			l.followDemand(last)
+			continue
 		case <-l.wake:
 		}
 		view := l.view()
@@ -200,13 +207,34 @@
 	}
 	needed := l.currentlyNeeded()
 	maps.Copy(needed, exposedServers(view, s.Rollout.ExposureShare))
-	agents := slices.Clip(agentSubset(s.Instance, s.AvailabilityZone, settled, needed))
+	agents := slices.Clip(agentSubset(s.Instance, s.AvailabilityZone, settled, needed, l.demand.Count()))
 	if l.entry.localAgent != nil {
 		agents = append(agents, l.entry.localAgent.record(view))
 	}
 	return agents
 }
 
+// linkDemandInterval is how often the number of links is compared with the requests that run.
+const linkDemandInterval = 100 * time.Millisecond
+
+// followDemand links to more agents, or to fewer again, as this entry has more requests at servers than usual.
+func (l *links) followDemand(view *session.View) {
+	if view == nil || len(view.Agents) <= linkset.Base {
+		return
+	}
+	slots := 0
+	for _, agent := range view.Agents {
+		for _, server := range agent.GetServers() {
+			slots += int(server.GetSlots())
+		}
+	}
+	running := int(l.entry.inFlight.Load())
+	if l.demand.Observe(time.Now(), running, float64(slots)/float64(len(view.Agents))) {
+		l.entry.log.WithField("running", running).WithField("links", l.demand.Count()).Info("links_wanted")
+		l.reapply()
+	}
+}
+
 // network returns the network on which an agent is reached: the local agent's is within this process.
 func (l *links) network(agent string) network.Network {
 	if l.entry.localAgent.is(agent) {
--- a/entry/rollouts_test.go
+++ b/entry/rollouts_test.go
@@ -151,7 +151,7 @@
 	require.Len(t, exposed, 3, "a twentieth of 46, rounded up")
 	for i := range 5 {
 		linked := map[string]bool{}
-		for _, a := range agentSubset(fmt.Sprint("entry-", i), "zone-0", sortedAgents(view), exposed) {
+		for _, a := range agentSubset(fmt.Sprint("entry-", i), "zone-0", sortedAgents(view), exposed, linksPerTarget) {
 			linked[a.GetServers()[0].GetServer()] = true
 		}
 		for name := range exposed {
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -71,6 +71,7 @@
 		event, next = next[0], next[1:]
 		e.noteReceived(event)
 		actions := e.scheduler.Step(e.now(), event)
+		e.inFlight.Store(int64(e.scheduler.InFlight()))
 		e.count(actions)
 		for _, action := range actions {
 			if resulting := e.execute(action); resulting != nil {
--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -142,6 +142,7 @@
 	r.attempts = append(r.attempts, attemptRecord{number: id.GetNumber(), server: to.name, agent: to.agent.name, sent: s.now})
 	to.agent.attempts[r] = struct{}{}
 	to.attemptSent(a)
+	s.inFlight++
 	r.pool.noteDispatch(s.now)
 	s.noteTrial(r)
 	s.noteSend(r, a)
@@ -234,6 +235,7 @@
 func (s *Scheduler) release(r *request) {
 	a := r.attempt
 	r.attempt = nil
+	s.inFlight--
 	s.trialAdvanced(r)
 	r.pool.load.attemptEnded(r.class)
 	if rec := r.currentRecord(); rec.provedOver && rec.proof != wire.Proof_PROOF_NEVER_STARTED {
--- a/sched/fleet_sim_test.go
+++ b/sched/fleet_sim_test.go
@@ -33,6 +33,9 @@
 
 // drawEntry draws the entry that a caller reaches.
 func (m *simulation) drawEntry(random *rand.Rand) int {
+	if m.inBurst(m.now) && random.Float64() < m.load.skew {
+		return 0
+	}
 	if !m.load.uneven {
 		return random.IntN(m.load.entries)
 	}
--- a/sched/load_sim_test.go
+++ b/sched/load_sim_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carawaypitch/carawaypitch/linkset"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -59,8 +60,13 @@
 	forecast      bool
 	advice        bool // retry advice and guaranteed share over a minute, also without the forecast
 	uneven        bool // entries get different shares of the callers
-	holdRefused   bool // hold what would be refused at once
-	fleet         bool // entries report their demand to a control instance
+	// skew is the share of the callers that the first entry gets during the burst, beside its usual part of the others.
+	skew float64
+	// links is the number of gates that each entry has links to at usual load, 0 for all. With fixedLinks it stays so.
+	links       int
+	fixedLinks  bool
+	holdRefused bool // hold what would be refused at once
+	fleet       bool // entries report their demand to a control instance
 	// controlLostAt is when control stops answering, counted from the start; 0 for never.
 	controlLostAt time.Duration
 }
@@ -128,6 +134,9 @@
 	start    time.Time
 	entries  []*Scheduler
 	gates    []*simGate
+	records  []*wire.AgentRecord // of the gates
+	linked   []map[*simGate]bool // by entry
+	demand   []*linkset.Demand   // by entry
 	sequence int
 	live     []map[string]*simRequest
 	all      []*simRequest
@@ -175,11 +184,10 @@
 	m := &simulation{t: t, load: l, random: rand.New(rand.NewPCG(l.seed, 7)), excess: rand.New(rand.NewPCG(l.seed, 8)), start: time.Unix(1_700_000_000, 0)}
 	m.now = m.start
 	m.result.held = map[string]int{}
-	var records []*wire.AgentRecord
 	for i := range l.gates {
 		name := fmt.Sprintf("g%d", i)
 		m.gates = append(m.gates, &simGate{name: name, free: uint32(l.slots)})
-		records = append(records, &wire.AgentRecord{Agent: agentOf(name), Incarnation: 1, Servers: []*wire.ServerRecord{
+		m.records = append(m.records, &wire.AgentRecord{Agent: agentOf(name), Incarnation: 1, Servers: []*wire.ServerRecord{
 			{Server: name, Kind: kindModel, Address: name, Models: []string{testModel}, Condition: wire.ServerCondition_SERVER_CONDITION_READY},
 		}})
 	}
@@ -192,15 +200,47 @@
 		s.holdRefused = l.holdRefused
 		m.entries = append(m.entries, s)
 		m.live = append(m.live, map[string]*simRequest{})
-		m.send(i, Directory{Agents: records, Entries: l.entries})
-		for _, g := range m.gates {
-			m.send(i, AgentUp{Hello: &wire.AgentHello{Agent: agentOf(g.name), Incarnation: 1}})
-			m.report(g, i)
-		}
+		m.demand = append(m.demand, &linkset.Demand{})
+		m.linked = append(m.linked, map[*simGate]bool{})
+		m.link(i)
 	}
 	return m
 }
 
+// link gives an entry the links that it wants.
+func (m *simulation) link(entry int) {
+	count := len(m.gates)
+	if m.load.links > 0 {
+		count = min(m.load.links*m.demand[entry].Count()/linkset.Base, len(m.gates))
+	}
+	var records []*wire.AgentRecord
+	for n := range count {
+		records = append(records, m.records[(entry*m.load.links+n)%len(m.gates)])
+	}
+	m.send(entry, Directory{Agents: records, Entries: m.load.entries})
+	for n := range count {
+		g := m.gates[(entry*m.load.links+n)%len(m.gates)]
+		if !m.linked[entry][g] {
+			m.linked[entry][g] = true
+			m.send(entry, AgentUp{Hello: &wire.AgentHello{Agent: agentOf(g.name), Incarnation: 1}})
+			m.report(g, entry)
+		}
+	}
+}
+
+// followDemand lets entries link to more gates, once it is known and the links are up.
+func (m *simulation) followDemand() {
+	const interval, delay = 100 * time.Millisecond, 50 * time.Millisecond
+	if m.load.links == 0 || m.load.fixedLinks || m.now.Sub(m.start)%interval != 0 {
+		return
+	}
+	for i, s := range m.entries {
+		if m.demand[i].Observe(m.now, s.InFlight(), float64(m.load.slots)) {
+			m.after(delay, func() { m.link(i) })
+		}
+	}
+}
+
 func (m *simulation) inBurst(at time.Time) bool {
 	from := m.start.Add(m.load.warm)
 	return !at.Before(from) && at.Before(from.Add(m.load.burst))
@@ -308,6 +348,7 @@
 		m.send(i, Tick{})
 	}
 	m.exchangeDemand()
+	m.followDemand()
 	if m.now.Sub(m.start)%(50*time.Millisecond) == 0 {
 		for _, g := range m.gates {
 			m.reportAll(g)
@@ -388,7 +429,9 @@
 	g.free = free
 	g.turn++
 	for i := range m.entries {
-		m.report(g, i)
+		if m.linked[i][g] {
+			m.report(g, i)
+		}
 	}
 }
 
@@ -568,6 +611,17 @@
 	}
 }
 
+// servedAtFirstTry returns the share of the requests that were served without a retry of their callers.
+func (r *loadResult) servedAtFirstTry() float64 {
+	n := 0
+	for _, one := range r.requests {
+		if one.served && one.try == 1 {
+			n++
+		}
+	}
+	return share(n, len(r.requests))
+}
+
 // servedShare returns the share of all requests that were served, on time or late.
 func (r *loadResult) servedShare() float64 {
 	return share(sum(r.served), sum(r.arrived))
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -42,6 +42,7 @@
 	choice            placementChoice
 	prefixes          *prefixTable
 	poison            *poisonTable
+	inFlight          int                     // attempts that were sent and aren't over
 	trials            map[poison.Key]*request // request that was chosen last to be tried, by suspect
 	reconsiderAt      time.Time               // when requests that wait because of crashes are due, zero for none
 	fleet             fleetView
@@ -161,6 +162,9 @@
 	}
 }
 
+// InFlight returns the number of attempts that were sent and aren't known to be over.
+func (s *Scheduler) InFlight() int { return s.inFlight }
+
 func (s *Scheduler) emit(a Action) {
 	s.actions = append(s.actions, a)
 }
