entry: a congested entry turns new connections away unread

An entry that is handed most new connections of a zone or region gets more than its processor does: a third of the fleet's at 100 entries. What it reads then is late. Inputs of its scheduler that all waited 50 ms or more through 300 ms show a standing queue; new connections are then closed unread, if the directory lists other entries. Bursts and a process that stood still don't count.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -167,7 +167,7 @@
 		return nil, result.New(result.Internal, "the request's identity is in use").WithRan(result.RanUnknown)
 	}
 	full := float64(e.inputs.Len()) > float64(e.inputs.Cap())*tierFraction(r.Class)
-	if full || !e.inputs.TryPush(input{event: sched.Arrive{Request: r}}) {
+	if full || !e.inputs.TryPush(input{event: sched.Arrive{Request: r}, at: time.Now()}) {
 		e.calls.remove(r.ID)
 		return nil, result.New(result.RingFull, "").WithRetryAfter(controlRetryAfter)
 	}
--- /dev/null
+++ b/entry/congestion.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds by which an entry counts as congested: inputs of the scheduler have waited for it all through a window. A burst, or
+// a process that stood still, makes inputs wait for a moment only.
+const (
+	congestionWindow  = 300 * time.Millisecond
+	congestionLag     = 50 * time.Millisecond
+	congestionSamples = 8 // fewest inputs in a window
+)
+
+// congestion observes how long inputs wait for the scheduler goroutine. observe is for that goroutine alone.
+type congestion struct {
+	windowEnd time.Time
+	shortest  time.Duration // wait in the window
+	samples   int
+
+	until atomic.Int64 // Unix time in nanoseconds until which the entry counts as congested
+}
+
+// observe notes that an input was taken at a time, and how long it had waited.
+func (c *congestion) observe(now time.Time, waited time.Duration) {
+	if now.After(c.windowEnd) {
+		if c.samples >= congestionSamples && c.shortest >= congestionLag && now.Sub(c.windowEnd) < congestionWindow {
+			c.until.Store(now.Add(congestionWindow).UnixNano())
+		}
+		c.windowEnd, c.shortest, c.samples = now.Add(congestionWindow), waited, 0
+	}
+	c.shortest = min(c.shortest, waited)
+	c.samples++
+}
+
+// isCongested reports whether the entry has more work than its processor does.
+func (c *congestion) isCongested(now time.Time) bool { return now.UnixNano() < c.until.Load() }
+
+// turnsAway reports whether new connections are closed without being read: this entry is congested, and there are others.
+// Callers that connect again probably reach another one; a request that was read here would be late.
+func (e *Entry) turnsAway() bool {
+	return e.congestion.isCongested(time.Now()) && len(e.control.View().Entries) > 1
+}
+
+// turningListener closes connections unread while turnsAway reports true. turnedAway is called for each.
+type turningListener struct {
+	net.Listener
+	turnsAway  func() bool
+	turnedAway func()
+}
+
+// Accept implements net.Listener.
+func (l turningListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil || !l.turnsAway() {
+			return conn, err
+		}
+		conn.Close()
+		l.turnedAway()
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,6 +119,7 @@
 	stopping        atomic.Bool
 	active          atomic.Int64 // calls and in-flight keys
 	inFlight        atomic.Int64 // attempts at servers
+	congestion      congestion
 	bodyBytes       atomic.Int64
 	runContext      context.Context // ends when Run's goroutines are to end
 	cancelRun       context.CancelFunc
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -35,6 +35,7 @@
 	metricRingRefused     = "carawaypitch_ring_refused_total"
 	metricRingLength      = "carawaypitch_ring_length"
 	metricActive          = "carawaypitch_active_calls"
+	metricTurnedAway      = "carawaypitch_connections_turned_away_total"
 	metricBodyBytes       = "carawaypitch_body_bytes"
 	metricFirstEvent      = "carawaypitch_first_event_seconds"               // from arrival; histogram by tier
 	metricAnswer          = "carawaypitch_answer_seconds"                    // from arrival to the complete answer; histogram by tier
@@ -77,6 +78,7 @@
 	m.set.NewGauge(metricRingLength+`{ring="scheduler"}`, func() float64 { return float64(e.inputs.Len()) })
 	m.set.NewGauge(metricActive, func() float64 { return float64(e.active.Load()) })
 	m.set.NewGauge(metricBodyBytes, func() float64 { return float64(e.bodyBytes.Load()) })
+	m.add(metricTurnedAway, 0)
 	m.registerDemandGauges(e)
 	if e.memory != nil {
 		for _, kind := range holding.Kinds() {
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -14,6 +14,7 @@
 type input struct {
 	event sched.Event
 	query func(*sched.Scheduler)
+	at    time.Time // when it was queued, zero if that doesn't matter
 }
 
 // runScheduler runs the scheduler until ctx ends. No other goroutine accesses the scheduler.
@@ -51,6 +52,10 @@
 }
 
 func (e *Entry) handleInput(in input) {
+	if !in.at.IsZero() {
+		now := time.Now()
+		e.congestion.observe(now, now.Sub(in.at))
+	}
 	if in.query != nil {
 		in.query(e.scheduler)
 		return
@@ -147,7 +152,7 @@
 
 // postEvent passes an event to the scheduler goroutine. While the ring is full it waits, until ctx ends.
 func (e *Entry) postEvent(ctx context.Context, event sched.Event) error {
-	return e.inputs.Push(ctx, input{event: event})
+	return e.inputs.Push(ctx, input{event: event, at: time.Now()})
 }
 
 // queryScheduler runs query in the scheduler goroutine and waits until it returns.
