experiment: faults poison_part and skewed_callers

Requests of which no two are alike share a part that crashes the servers, and most calls reach one entry for a while.

--- a/experiment/deploy/faults.go
+++ b/experiment/deploy/faults.go
@@ -51,7 +51,9 @@
 		return d.cutEntry(f.Entry - 1), nil
 	case plan.ZoneLoss:
 		return d.loseZone(ctx, f), nil
-	case plan.PoisonRequest:
+	case plan.SkewedCallers:
+		return noFault, nil // the load's arrivals have it
+	case plan.PoisonRequest, plan.PoisonPart:
 		return d.beginPoison(ctx, f)
 	case plan.RateLimit:
 		return d.beginAsking(ctx, f, func(s *standin.Faults) { s.RateLimit = decimal(f.Factor) }, func(s *standin.Faults) { s.RateLimit = "" })
--- a/experiment/deploy/poison.go
+++ b/experiment/deploy/poison.go
@@ -27,7 +27,8 @@
 	poisonRetries = 3
 )
 
-// poison is a caller that repeats a request which crashes each backend server that begins to run it.
+// poison is a caller that sends requests which crash each backend server that begins to run them: the same one again and
+// again, or different ones that share a part of their prompts.
 type poison struct {
 	deployment *Deployment
 	fault      plan.Fault
@@ -79,7 +80,7 @@
 			return
 		case <-send.C:
 			entry := p.deployment.entries[n%len(p.deployment.entries)]
-			p.sends.Go(func() { p.send(ctx, entry.url()) })
+			p.sends.Go(func() { p.send(ctx, entry.url(), n) })
 			n++
 		case now := <-sample.C:
 			for range p.deployment.crashes() - p.before - int64(len(p.crashes)) {
@@ -89,13 +90,17 @@
 	}
 }
 
-// send sends the request once. What its caller hears doesn't matter: the crashes tell whether it reached a server.
-func (p *poison) send(ctx context.Context, entry string) {
+// send sends the nth request. What its caller hears doesn't matter: the crashes tell whether it reached a server.
+func (p *poison) send(ctx context.Context, entry string, n int) {
 	path, body := "/v1/services/"+p.target.Serves+"/check", fmt.Sprintf("%q", poisonText)
 	if p.target.Kind == settings.KindModel {
 		path = "/v1/chat/completions"
 		body = fmt.Sprintf(`{"model":%q,"max_tokens":8,"messages":[{"role":"user","content":%q}]}`, p.target.Serves, poisonText)
 	}
+	if p.fault.Kind == plan.PoisonPart {
+		body = fmt.Sprintf(`{"model":%q,"max_tokens":8,"messages":[{"role":"system","content":"check permits"},{"role":"system","content":%q},`+
+			`{"role":"user","content":"question %d"}]}`, p.target.Serves, poisonText, n)
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return
@@ -122,7 +127,7 @@
 	if late <= poisonRetries {
 		return ""
 	}
-	return fmt.Sprintf("a request that had crashed %d servers crashed %d more, later than %s after the third",
+	return fmt.Sprintf("a request, or a part of some, that had crashed %d servers crashed %d more, later than %s after the third",
 		poisonCrashes, late, poisonContact)
 }
 
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -73,6 +73,7 @@
 		{Kind: plan.CacheEvents, At: at, For: lasts, Factor: 1},
 		{Kind: plan.ControlCut, At: at, For: lasts},
 		{Kind: plan.PoisonRequest, At: at, For: lasts, Target: "fast-01", Factor: 20},
+		{Kind: plan.SkewedCallers, At: at, For: lasts, Entry: 1, Factor: 0.9},
 	}
 	r, err := Run(context.Background(), p, Options{})
 	require.NoError(t, err)
@@ -86,6 +87,20 @@
 	}
 }
 
+// Guards against a part of prompts that goes on to crash servers while requests with it, no two alike, are sent.
+func TestPoisonPartIsHeldInAnExperiment(t *testing.T) {
+	p := tiny(t)
+	p.Controls = 3
+	p.Servers[0].Count = 8
+	p.Measured = plan.Duration(13 * time.Second)
+	p.Scenarios[0].Faults = []plan.Fault{
+		{Kind: plan.PoisonPart, At: 0, For: plan.Duration(12 * time.Second), Target: "fast-01", Factor: 8},
+	}
+	r, err := Run(context.Background(), p, Options{})
+	require.NoError(t, err)
+	require.Empty(t, r.Scenarios[0].Runs[0].Violations)
+}
+
 func TestUnknownNamesAreRefused(t *testing.T) {
 	_, err := Run(context.Background(), tiny(t), Options{Scenarios: []string{"none"}})
 	require.ErrorContains(t, err, `no scenario "none"`)
--- a/experiment/load/arrival.go
+++ b/experiment/load/arrival.go
@@ -138,12 +138,27 @@
 			entries := g.plan.Organisations[organisation].Entries
 			a.Entry = entries[count%len(entries)] - 1
 			a.At = at + time.Duration(offsets.Float64()*float64(displacement)) - displacement/2
+			a.Entry = g.skew(a.Entry, a.At, count)
 			g.add(a)
 		}
 		count++
 	}
 }
 
+// skewParts is into how many parts calls are divided of which skewed callers take a share.
+const skewParts = 100
+
+// skew returns the entry that a call reaches, given that of its caller. Skewed callers reach another one.
+func (g *generator) skew(entry int, at time.Duration, count int) int {
+	since := at - g.plan.WarmUp.Std()
+	for _, f := range g.scenario.Faults {
+		if f.Kind == plan.SkewedCallers && since >= f.At.Std() && since < (f.At+f.For).Std() && float64(count%skewParts) < f.Factor*skewParts {
+			return f.Entry - 1
+		}
+	}
+	return entry
+}
+
 func (g *generator) add(a Arrival) {
 	if a.At < 0 || a.At >= g.plan.Length() {
 		return
--- a/experiment/plan/check_faults.go
+++ b/experiment/plan/check_faults.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/carawaypitch/carawaypitch/settings"
 )
 
 func (r *reader) checkScenarios(p *Plan) {
@@ -86,8 +88,14 @@
 		r.require(f.For > 0, at+"for", "want a time above zero")
 	case CacheEvents:
 		r.require(isShare(f.Factor), at+"factor", "want a share from 0 to 1")
-	case PoisonRequest:
+	case SkewedCallers:
+		r.require(f.Entry >= 1 && f.Entry <= len(p.Entries), at+"entry", "want 1 to %d", len(p.Entries))
+		r.require(f.For > 0, at+"for", "want a time above zero")
+		r.require(isShare(f.Factor), at+"factor", "want a share from 0 to 1")
+	case PoisonRequest, PoisonPart:
 		r.checkTarget(p, at, f)
+		isModel := slices.ContainsFunc(p.ServerList(), func(s Server) bool { return s.Name == f.Target && s.Kind == settings.KindModel })
+		r.require(f.Kind == PoisonRequest || isModel, at+"target", "want a model server, only its prompts have parts")
 		r.require(f.For > 0, at+"for", "want a time above zero")
 		r.require(f.Factor > 0 && f.Factor <= maxMultiple, at+"factor", "want repeats a second, up to %d", maxMultiple)
 	case RateLimit, Backoff:
--- a/experiment/plan/plan.go
+++ b/experiment/plan/plan.go
@@ -225,6 +225,11 @@
 	// PoisonRequest has the first organisation repeat, Factor times a second, a request for what backend server Target has that
 	// crashes each server that begins to run it.
 	PoisonRequest FaultKind = "poison_request"
+	// PoisonPart is PoisonRequest with requests of which no two are alike, and that share a part of their prompts which crashes
+	// the server once it has begun to answer.
+	PoisonPart FaultKind = "poison_part"
+	// SkewedCallers has the share Factor of all calls reach entry number Entry.
+	SkewedCallers FaultKind = "skewed_callers"
 	// RateLimit has backend server Target name Factor requests a second in its answers.
 	RateLimit FaultKind = "rate_limit"
 	// Backoff has backend server Target turn everything away and ask to keep away for Factor seconds.
