cmd: the soak overlaps faults, crashes engines on a part of prompts and skews callers

Two series of faults overlap; a process has one at a time. The last check reads the runs of all passes once; it read them for each pass. The end of broken answers did nothing, since an engine's switches are changed by name: it does now.

--- a/cmd/carawaypitch/cluster_request_test.go
+++ b/cmd/carawaypitch/cluster_request_test.go
@@ -29,6 +29,20 @@
 	return total
 }
 
+// allPassRuns returns how often each pass was issued.
+func (c *cluster) allPassRuns() map[string]int {
+	c.t.Helper()
+	total := map[string]int{}
+	for _, i := range registries {
+		runs := map[string]int{}
+		getJSON(c.t, c.engineURLs[i]+"/v1/runs", &runs)
+		for key, n := range runs {
+			total[key] += n
+		}
+	}
+	return total
+}
+
 // setRegistryFaults sets the simulated faults of all registries.
 func (c *cluster) setRegistryFaults(faults any) {
 	for _, i := range registries {
--- a/cmd/carawaypitch/soak_test.go
+++ b/cmd/carawaypitch/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -29,6 +30,7 @@
 	soakSeconds  = 20
 	soakCallers  = 4 // of each kind at each entry
 	soakTokens   = 40
+	soakSeries   = 2                     // of faults, which overlap
 	soakPause    = 50 * time.Millisecond // of a caller between two calls
 	maxSoakFault = 2 * time.Second
 )
@@ -46,13 +48,44 @@
 // soak plays faults against a cluster while callers stream and issue passes, and collects broken promises.
 type soak struct {
 	*cluster
-	random *rand.Rand
+	seed uint64
 
 	mu       sync.Mutex
 	ends     map[soakEnd]int
 	problems []string
 	keys     []string // of passes that were asked for
 	answered map[string]bool
+	busy     map[any]bool // processes and engines with a fault
+	skewedTo string       // entry that callers reach instead of their own, empty for none
+}
+
+// take reserves what a fault is to happen to. It returns false if that has one already.
+func (s *soak) take(subject any) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken := !s.busy[subject]
+	s.busy[subject] = true
+	return taken
+}
+
+func (s *soak) release(subject any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.busy, subject)
+}
+
+// skew lets callers reach an entry instead of their own, or their own again if it is empty.
+func (s *soak) skew(entry string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.skewedTo = entry
+}
+
+// reached returns the entry that a caller of an entry reaches.
+func (s *soak) reached(entry string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return cmp.Or(s.skewedTo, entry)
 }
 
 func (s *soak) problem(format string, args ...any) {
@@ -188,7 +221,7 @@
 	client := soakClient()
 	defer client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
-		once(ctx, client, entry, fmt.Sprintf("k%d-%s-%d", kind, entry[len("http://127."):], n))
+		once(ctx, client, s.reached(entry), fmt.Sprintf("k%d-%s-%d", kind, entry[len("http://127."):], n))
 		select {
 		case <-time.After(soakPause):
 		case <-ctx.Done():
@@ -199,53 +232,111 @@
 // models are the indexes of the model engines of a soak, the registries are not among them: their counts of runs must survive.
 var soakModels = []int{0, 3, 4, 5}
 
-// fault begins a drawn fault and returns the function that ends it.
-func (s *soak) fault() (name string, end func()) {
-	restart := func(p *process) func() { return func() { p.start() } }
-	pick := func(group []*process) *process { return group[s.random.IntN(len(group))] }
-	switch s.random.IntN(7) {
+// harmfulPart is the part of prompts that crashes the engines with the fault.
+const harmfulPart = "a part that crashes engines"
+
+// sendHarmful sends requests with the harmful part, no two alike, at all entries until ctx ends.
+func (s *soak) sendHarmful(ctx context.Context) {
+	client := soakClient()
+	defer client.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		body := fmt.Sprintf(`{"model":"sample","max_tokens":3,"messages":[{"role":"system","content":%q},{"role":"user","content":"question %d"}]}`, harmfulPart, n)
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, s.entryURLs[n%len(s.entryURLs)]+"/v1/chat/completions", strings.NewReader(body))
+		if err != nil {
+			s.problem("harmful request: %v", err)
+			return
+		}
+		request.Header.Set("Authorization", "Bearer "+s.callerKey)
+		if got, err := client.Do(request); err == nil {
+			_ = got.Body.Close()
+		}
+		select {
+		case <-time.After(4 * soakPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// fault begins a drawn fault and returns the function that ends it, nil if what it is drawn for has one already.
+func (s *soak) fault(ctx context.Context, random *rand.Rand) (end func()) {
+	pick := func(group []*process) *process { return group[random.IntN(len(group))] }
+	stop := func(p *process, begin, end func()) func() {
+		if !s.take(p) {
+			return nil
+		}
+		begin()
+		return func() { end(); s.release(p) }
+	}
+	killed := func(p *process) func() { return stop(p, p.kill, func() { p.start() }) }
+	frozen := func(p *process) func() {
+		return stop(p, func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
+	}
+	switched := func(url, faults string) func() {
+		if !s.take(url) {
+			return nil
+		}
+		set := func(faults string) { _, _ = caller{entry: url}.post("/v1/faults", nil, faults) }
+		set(faults)
+		return func() { set(`{"unframed":0,"cut_share":0,"cut_after":0,"crash_on":""}`); s.release(url) }
+	}
+	model := soakModels[random.IntN(len(soakModels))]
+	switch random.IntN(9) {
 	case 0:
-		p := pick(s.entries)
-		p.kill()
-		return "entry killed", restart(p)
+		return killed(pick(s.entries))
 	case 1:
-		p := pick(s.entries)
-		p.signal(syscall.SIGSTOP)
-		return "entry stands still", func() { p.signal(syscall.SIGCONT) }
+		return frozen(pick(s.entries))
 	case 2:
-		p := pick(s.controls)
-		p.kill()
-		return "control killed", restart(p)
+		return killed(pick(s.controls))
 	case 3:
-		p := s.agents[soakModels[s.random.IntN(len(soakModels))]]
-		p.kill()
-		return "agent killed", restart(p)
+		return killed(s.agents[model])
 	case 4:
-		p := s.engines[soakModels[s.random.IntN(len(soakModels))]]
-		p.kill()
-		return "engine killed", restart(p)
+		return killed(s.engines[model])
 	case 5:
-		p := pick(s.controls)
-		p.signal(syscall.SIGSTOP)
-		return "control stands still", func() { p.signal(syscall.SIGCONT) }
+		return frozen(pick(s.controls))
+	case 6:
+		return switched(s.engineURLs[model], `{"unframed":0.5,"cut_share":0.5,"cut_after":6000}`)
+	case 7:
+		if !s.take(harmfulPart) {
+			return nil
+		}
+		var ends []func()
+		for _, i := range soakModels {
+			if end := switched(s.engineURLs[i], fmt.Sprintf(`{"crash_on":%q,"down_ms":500}`, harmfulPart)); end != nil {
+				ends = append(ends, end)
+			}
+		}
+		ctx, stop := context.WithCancel(ctx)
+		var sender sync.WaitGroup
+		sender.Go(func() { s.sendHarmful(ctx) })
+		return func() {
+			stop()
+			sender.Wait()
+			for _, end := range ends {
+				end()
+			}
+			s.release(harmfulPart)
+		}
 	default:
-		url := s.engineURLs[soakModels[s.random.IntN(len(soakModels))]]
-		set := func(faults string) { _, _ = caller{entry: url}.post("/v1/faults", nil, faults) }
-		set(`{"unframed":0.5,"cut_share":0.5,"cut_after":6000}`)
-		return "engine breaks answers off", func() { set(`{}`) }
+		s.skew(s.entryURLs[random.IntN(len(s.entryURLs))])
+		return func() { s.skew("") }
 	}
 }
 
-// play plays faults, one after the other, until ctx ends.
-func (s *soak) play(ctx context.Context) {
+// play plays faults in series until ctx ends. Several series overlap.
+func (s *soak) play(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
-		_, end := s.fault()
-		lasts := time.Duration(s.random.Int64N(int64(maxSoakFault)))
+		end := s.fault(ctx, random)
+		lasts := time.Duration(random.Int64N(int64(maxSoakFault)))
+		if end == nil {
+			lasts = soakPause
+		}
 		select {
 		case <-time.After(lasts):
 		case <-ctx.Done():
 		}
-		end()
+		if end != nil {
+			end()
+		}
 		select {
 		case <-time.After(lasts / 4):
 		case <-ctx.Done():
@@ -265,7 +356,7 @@
 		}
 	}
 	c.startAll("model-2", "model-3", "model-4")
-	return &soak{cluster: c, random: rand.New(rand.NewPCG(seed, 0)), ends: map[soakEnd]int{}, answered: map[string]bool{}}
+	return &soak{cluster: c, seed: seed, ends: map[soakEnd]int{}, answered: map[string]bool{}, busy: map[any]bool{}}
 }
 
 func soakNumber(t *testing.T, variable string, otherwise int) int {
@@ -280,8 +371,8 @@
 }
 
 // Guards, over real processes, against streams that aren't whole and look so, streams of two software versions or with a hole, passes
-// that are issued twice, and a service that doesn't come back. Processes are killed and stand still meanwhile, and engines break
-// their answers off.
+// that are issued twice, and a service that doesn't come back. Meanwhile, overlapping, processes are killed and stand still, engines
+// break their answers off, a part of prompts crashes engines, and one entry gets all callers.
 func TestSoak(t *testing.T) {
 	seconds := soakNumber(t, "SOAK_SECONDS", soakSeconds)
 	for seed := range soakNumber(t, "SOAK_SEEDS", 1) {
@@ -296,14 +387,19 @@
 					callers.Go(func() { s.call(ctx, entry, soakCallers+n, s.issueOnce) })
 				}
 			}
-			s.play(ctx)
+			var series sync.WaitGroup
+			for n := range soakSeries {
+				series.Go(func() { s.play(ctx, rand.New(rand.NewPCG(s.seed, uint64(n)))) })
+			}
+			series.Wait()
 			callers.Wait()
 			s.eventually(func() bool {
 				got, err := s.caller(0).post("/v1/chat/completions", nil, `{"model":"sample","max_tokens":3,"messages":[{"role":"user","content":"x"}]}`)
 				return err == nil && got.Status == http.StatusOK
 			}, "the service doesn't come back")
+			passes := s.allPassRuns()
 			for _, key := range s.keys {
-				runs := s.passRuns(key)
+				runs := passes[key]
 				if runs > 1 || s.answered[key] && runs == 0 {
 					s.problem("%s: issued %d times, answered: %t", key, runs, s.answered[key])
 				}
