control, cmd: operators clear the crashes under a request or part

POST /v1/poison/clear and 'carawaypitch clear', with the names that the status shows. A part is freed before its time (poison.TestOperatorClearsHeldPart).

--- a/cmd/carawaypitch/main.go
+++ b/cmd/carawaypitch/main.go
@@ -49,7 +49,7 @@
 		}},
 		{"settings", []subcommands.Command{&checkCommand{}, &digestCommand{}, &codesCommand{}}},
 		{"operators", []subcommands.Command{
-			&classCommand{}, &targetCommand{}, &statusCommand{}, &serversCommand{}, &requestsCommand{}, &drainCommand{}, &rolloutCommand{}, &explainCommand{}, &lossesCommand{},
+			&classCommand{}, &targetCommand{}, &statusCommand{}, &serversCommand{}, &requestsCommand{}, &drainCommand{}, &clearCommand{}, &rolloutCommand{}, &explainCommand{}, &lossesCommand{},
 		}},
 		{"experiments", []subcommands.Command{&benchCommand{}}},
 	}
--- a/control/http.go
+++ b/control/http.go
@@ -36,6 +36,7 @@
 	e.GET("/v1/status", c.getStatus, c.authenticate)
 	e.GET("/v1/servers", c.getServers, c.authenticate)
 	e.POST("/v1/servers/:name/drain", c.drainServer, c.authenticate)
+	e.POST("/v1/poison/clear", c.clearPoison, c.authenticate)
 	e.GET("/v1/rollouts", c.getRollouts, c.authenticate)
 	e.POST("/v1/rollouts", c.postRollout, c.authenticate)
 	e.GET("/v1/rollouts/:service", c.getRollout, c.authenticate)
--- a/control/operators_test.go
+++ b/control/operators_test.go
@@ -88,6 +88,8 @@
 		{"unknown class", "GET", "/v1/classes/a", "", nil, result.UnknownClass, ""},
 		{"delete unknown class", "DELETE", "/v1/classes/a", "", headers("0", "d"), result.UnknownClass, ""},
 		{"delete default class", "DELETE", "/v1/classes/kept", "", headers("0", "c"), result.ClassInUse, "union"},
+		{"clear unknown crashes", "POST", "/v1/poison/clear", `{"organisation":"union","fingerprint":"2a"}`, nil, result.NotFound, ""},
+		{"clear without a number", "POST", "/v1/poison/clear", `{"target":"sample","fingerprint":"x"}`, nil, result.FieldRefused, ""},
 		{"drain unknown server", "POST", "/v1/servers/a/drain", "", nil, result.UnknownServer, ""},
 		{"unknown path", "GET", "/v1/weights", "", nil, result.NotFound, ""},
 		{"wrong method", "POST", "/v1/classes", "", nil, result.MethodNotAllowed, ""},
--- a/control/permissions.go
+++ b/control/permissions.go
@@ -37,14 +37,14 @@
 }
 
 // mayForward reports whether a follower may forward a command: changes by operators, announcements and ends of backend
-// servers, and the evidence of a roll-out.
+// servers, the evidence of a roll-out, and that crashes are cleared.
 func mayForward(cmd *wire.Command) bool {
 	switch cmd.GetKind().(type) {
 	case *wire.Command_PutClass, *wire.Command_DeleteClass, *wire.Command_DrainServer:
 		return true
 	case *wire.Command_PutDesiredState, *wire.Command_AnnounceServers, *wire.Command_EndServer:
 		return true
-	case *wire.Command_StartRollout, *wire.Command_RecordRollout:
+	case *wire.Command_StartRollout, *wire.Command_RecordRollout, *wire.Command_ClearPoison:
 		return true
 	default:
 		return false
--- a/operator/client.go
+++ b/operator/client.go
@@ -124,6 +124,16 @@
 	return c.change(ctx, http.MethodPost, path, nil, 0, changeID)
 }
 
+// ClearPoison makes control forget the crashes under a request or part, named as in Status.Poison.
+func (c *Client) ClearPoison(ctx context.Context, name Poison) error {
+	body, err := json.Marshal(map[string]string{"organisation": name.Organisation, "target": name.Target, "fingerprint": name.Fingerprint})
+	if err != nil {
+		return errors.Wrap(err, "encode the name")
+	}
+	_, err = c.change(ctx, http.MethodPost, "/v1/poison/clear", body, 0, NewChangeID())
+	return err
+}
+
 // Get requests a path and decodes the JSON reply into out.
 func (c *Client) Get(ctx context.Context, path string, out any) error {
 	return c.call(ctx, apiCall{method: http.MethodGet, path: path}, out)
--- a/poison/fleet_test.go
+++ b/poison/fleet_test.go
@@ -130,6 +130,8 @@
 	{Name: "yatai", DefaultClass: "review", KeyDigests: []string{settings.NewDigest("key-of-yatai", settings.NewSalt())}},
 }
 
+const operatorKey = "key-of-olga"
+
 func (f *fleet) startControl(i int) {
 	p := f.controls[i]
 	s := settings.DefaultControl()
@@ -140,6 +142,7 @@
 	s.Bootstrap = true
 	s.DataDir = "/data"
 	s.Organisations = organisations
+	s.Operators = []settings.OperatorAccount{{Name: "olga", KeyDigests: []string{settings.NewDigest(operatorKey, settings.NewSalt())}}}
 	s.InitialClasses = []settings.Class{{
 		Name: "review", Tier: 2, DeadlineMS: 6000, LateMax: 0.01, LostMax: 0.01, Repeatable: true, Kind: settings.KindModel,
 	}}
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/operator"
 )
 
 const (
@@ -228,3 +230,27 @@
 		require.Zero(f.t, held, "of %d served", served)
 	})
 }
+
+// Guards against a part that an operator can't free before its time once its cause is gone.
+func TestOperatorClearsHeldPart(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.sendHarmful(20, 250*time.Millisecond, poisonDocument)
+		require.True(f.t, f.ask(0, "compost", []string{poisonDocument}, "held").isHeldForPart())
+		f.disableFaults()
+		urls := make([]string, 0, controls)
+		for _, c := range f.controls {
+			urls = append(urls, "http://"+c.host+":8090")
+		}
+		client := operator.New(urls, operatorKey, f.client.Transport)
+		status, err := client.Status(f.t.Context())
+		require.NoError(f.t, err)
+		for _, held := range status.Poison {
+			require.NoError(f.t, client.ClearPoison(f.t.Context(), held))
+		}
+		require.NotEmpty(f.t, status.Poison)
+		time.Sleep(propagationDelay)
+		for i := range entries {
+			require.Equal(f.t, http.StatusOK, f.ask(i, "compost", []string{poisonDocument}, "freed").status, "entry %d", i)
+		}
+	})
+}
--- a/state/poison.go
+++ b/state/poison.go
@@ -202,6 +202,11 @@
 // PoisonRecords returns all requests that were running when servers crashed, sorted by key.
 func (s *State) PoisonRecords() []*wire.PoisonRecord { return sortedValues(s.poisonRecords.records) }
 
+// PoisonRecord returns the record of a request or part, nil for none.
+func (s *State) PoisonRecord(key poison.Key) *wire.PoisonRecord {
+	return s.poisonRecords.records[key.String()]
+}
+
 // PublishedPoisonRecords returns the watched and quarantined records, which clients receive, sorted by key.
 func (s *State) PublishedPoisonRecords() []*wire.PoisonRecord {
 	return slices.DeleteFunc(s.PoisonRecords(), func(record *wire.PoisonRecord) bool {
