--- a/entry/congestion.go
+++ b/entry/congestion.go
@@ -44,6 +44,25 @@
 	return e.congestion.isCongested(time.Now()) && len(e.control.View().Entries) > 1
 }
 
+// turnedAwayLogInterval is the shortest time between two log lines about connections that were turned away.
+const turnedAwayLogInterval = time.Second
+
+// turnedAwayLog counts the connections that were turned away since the last log line. Only the accepting goroutine uses it.
+type turnedAwayLog struct {
+	at    time.Time
+	count int
+}
+
+// noteTurnedAway counts a connection that was turned away, and logs how many there were.
+func (e *Entry) noteTurnedAway(since *turnedAwayLog) {
+	e.meter.add(metricTurnedAway, 1)
+	since.count++
+	if now := time.Now(); now.Sub(since.at) >= turnedAwayLogInterval {
+		e.log.WithField("connections", since.count).WithField("running", e.inFlight.Load()).WithField("active", e.active.Load()).Warn("connections_turned_away")
+		*since = turnedAwayLog{at: now}
+	}
+}
+
 // turningListener closes connections unread while turnsAway reports true. turnedAway is called for each.
 type turningListener struct {
 	net.Listener
--- a/entry/http.go
+++ b/entry/http.go
@@ -42,9 +42,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "entry: listen")
 	}
-	listener = turningListener{
-		Listener: listener, turnsAway: e.turnsAway, turnedAway: func() { e.meter.add(metricTurnedAway, 1) },
-	}
+	turned := new(turnedAwayLog)
+	listener = turningListener{Listener: listener, turnsAway: e.turnsAway, turnedAway: func() { e.noteTurnedAway(turned) }}
 	if e.memory != nil {
 		listener = callerListener{Listener: listener, bufferBytes: int(e.settings.Memory.ReaderWindowBytes)}
 	}
