--- a/poison/fleet_test.go
+++ b/poison/fleet_test.go
@@ -245,6 +245,55 @@
 	return answer{response.StatusCode, string(data)}
 }
 
+// timedAnswer is an answer and when its request was sent.
+type timedAnswer struct {
+	answer
+	at time.Time
+}
+
+// repeat lets callers send requests, each the next one a callerPause after an answer, until the returned function is called,
+// which returns all answers.
+func (f *fleet) repeat(callers int, send func(caller, n int) answer) (end func() []timedAnswer) {
+	var mu sync.Mutex
+	var all []timedAnswer
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	for c := range callers {
+		running.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(callerPause):
+				}
+				at := time.Now()
+				got := send(c, n)
+				mu.Lock()
+				all = append(all, timedAnswer{got, at})
+				mu.Unlock()
+			}
+		})
+	}
+	return func() []timedAnswer {
+		close(stop)
+		running.Wait()
+		return all
+	}
+}
+
+// countHeld returns how many requests were refused because of crashes, and how many were served.
+func countHeld(all []timedAnswer) (held, served int) {
+	for _, one := range all {
+		if one.isQuarantined() || one.isHeldForPart() {
+			held++
+		}
+		if one.status == http.StatusOK {
+			served++
+		}
+	}
+	return held, served
+}
+
 func (f *fleet) eventually(what string, condition func() bool) {
 	f.t.Helper()
 	require.Eventually(f.t, condition, time.Minute, 20*time.Millisecond, what)
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -42,34 +42,11 @@
 // soundCallers send requests, no two alike, until the returned function is called, which returns how many there were and
 // how many were served from recoveryDelay after the last crash on.
 func (f *fleet) soundCallers(callers int, organisation string, parts []string) (stop func(lastCrash time.Time) (sent, served int)) {
-	type sound struct {
-		at     time.Time
-		status int
-	}
-	var mu sync.Mutex
-	var all []sound
-	done := make(chan struct{})
-	var running sync.WaitGroup
-	for c := range callers {
-		running.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-done:
-					return
-				case <-time.After(callerPause):
-				}
-				at := time.Now()
-				got := f.ask((c+n)%entries, organisation, parts, fmt.Sprintf("question %d of caller %d", n, c))
-				mu.Lock()
-				all = append(all, sound{at, got.status})
-				mu.Unlock()
-			}
-		})
-	}
+	end := f.repeat(callers, func(c, n int) answer {
+		return f.ask((c+n)%entries, organisation, parts, fmt.Sprintf("question %d of caller %d", n, c))
+	})
 	return func(lastCrash time.Time) (sent, served int) {
-		close(done)
-		running.Wait()
-		for _, one := range all {
+		for _, one := range end() {
 			if one.at.Before(lastCrash.Add(recoveryDelay)) {
 				continue
 			}
@@ -82,6 +59,16 @@
 	}
 }
 
+// sendHarmful sends n requests with a harmful part, no two alike, every interval at changing entries.
+func (f *fleet) sendHarmful(n int, interval time.Duration, parts ...string) {
+	var senders sync.WaitGroup
+	for i := range n {
+		senders.Go(func() { f.ask(i%entries, "compost", parts, fmt.Sprint("harmful question ", i, " ", parts)) })
+		time.Sleep(interval)
+	}
+	senders.Wait()
+}
+
 // Guards against requests, no two alike, that share a part which crashes the engines that begin to answer it, and crash one
 // engine after the other because each of them has one crash only. Requests without the part are served beside them, also
 // those that share the caller and the other parts.
@@ -97,12 +84,7 @@
 			runFleet(t, func(f *fleet) {
 				stopRecording := f.recordCrashTimes()
 				stopCallers := f.soundCallers(4, "compost", []string{system, tools})
-				var senders sync.WaitGroup
-				for i := range 40 {
-					senders.Go(func() { f.ask(i%entries, "compost", parts, fmt.Sprint("harmful question ", i)) })
-					time.Sleep(250 * time.Millisecond)
-				}
-				senders.Wait()
+				f.sendHarmful(40, 250*time.Millisecond, parts...)
 				times := stopRecording()
 				sent, served := stopCallers(slices.MaxFunc(append(times, time.Time{}), time.Time.Compare))
 				require.GreaterOrEqual(f.t, len(times), 3, "the part reaches engines until its crashes are known")
@@ -120,16 +102,6 @@
 	}
 }
 
-// sendHarmful sends n requests with a harmful part, no two alike, every interval at changing entries.
-func (f *fleet) sendHarmful(n int, interval time.Duration, parts ...string) {
-	var senders sync.WaitGroup
-	for i := range n {
-		senders.Go(func() { f.ask(i%entries, "compost", parts, fmt.Sprint("harmful question ", i, " ", parts)) })
-		time.Sleep(interval)
-	}
-	senders.Wait()
-}
-
 // Guards against two harmful parts at once that keep each other, or a sound part beside them, from being told apart.
 func TestTwoHarmfulPartsAreHeld(t *testing.T) {
 	runFleet(t, func(f *fleet) {
@@ -191,30 +163,9 @@
 // Guards against a part that many requests share and that is held because many engines end at once for another reason.
 func TestUnrelatedServerFailuresHoldNoPart(t *testing.T) {
 	runFleet(t, func(f *fleet) {
-		stop := make(chan struct{})
-		var callers sync.WaitGroup
-		var mu sync.Mutex
-		held, served := 0, 0
-		for c := range 24 {
-			callers.Go(func() {
-				for n := 0; ; n++ {
-					select {
-					case <-stop:
-						return
-					case <-time.After(callerPause):
-					}
-					got := f.ask((c+n)%entries, "yatai", []string{"system", fmt.Sprint("document ", n%5)}, fmt.Sprintf("question %d of %d", n, c))
-					mu.Lock()
-					if got.isHeldForPart() || got.isQuarantined() {
-						held++
-					}
-					if got.status == http.StatusOK {
-						served++
-					}
-					mu.Unlock()
-				}
-			})
-		}
+		end := f.repeat(24, func(c, n int) answer {
+			return f.ask((c+n)%entries, "yatai", []string{"system", fmt.Sprint("document ", n%5)}, fmt.Sprintf("question %d of %d", n, c))
+		})
 		for i := range 12 {
 			time.Sleep(time.Second)
 			f.engines[i%engines].Crash(engineDowntime / 2)
@@ -224,8 +175,7 @@
 				}
 			}
 		}
-		close(stop)
-		callers.Wait()
+		held, served := countHeld(end())
 		require.Positive(f.t, served)
 		require.Zero(f.t, held, "of %d served", served)
 	})
--- a/poison/quarantine_test.go
+++ b/poison/quarantine_test.go
@@ -171,39 +171,14 @@
 // was answered a moment before.
 func TestUnrelatedServerFailuresDoNotQuarantine(t *testing.T) {
 	runFleet(t, func(f *fleet) {
-		stop := make(chan struct{})
-		var callers sync.WaitGroup
-		var mu sync.Mutex
-		quarantined, served := 0, 0
-		for c := range 24 {
-			callers.Go(func() {
-				for {
-					select {
-					case <-stop:
-						return
-					default:
-					}
-					time.Sleep(callerPause)
-					got := f.chat(c%entries, "yatai", "what many ask")
-					mu.Lock()
-					if got.isQuarantined() {
-						quarantined++
-					}
-					if got.status == http.StatusOK {
-						served++
-					}
-					mu.Unlock()
-				}
-			})
-		}
+		end := f.repeat(24, func(c, _ int) answer { return f.chat(c%entries, "yatai", "what many ask") })
 		for i := range 8 {
 			time.Sleep(time.Second)
 			for j := range engines / 2 {
 				f.engines[(i%2)*engines/2+j].Crash(engineDowntime / 2)
 			}
 		}
-		close(stop)
-		callers.Wait()
+		quarantined, served := countHeld(end())
 		require.Positive(f.t, served)
 		require.Zero(f.t, quarantined, "of %d served", served)
 	})
--- a/sched/poison.go
+++ b/sched/poison.go
@@ -195,12 +195,14 @@
 			}
 			continue
 		}
-		next := committedPoison{record: record, tryFrom: before[key].tryFrom}
-		if next.tryFrom.IsZero() || record.GetQuarantines() != before[key].record.GetQuarantines() || !before[key].heldSince.IsZero() {
+		known, isKnown := before[key]
+		next := committedPoison{record: record, tryFrom: known.tryFrom}
+		hasNewQuarantine := record.GetQuarantines() != known.record.GetQuarantines()
+		if !isKnown || hasNewQuarantine || !known.heldSince.IsZero() {
 			next.tryFrom = tryFrom(record)
 		}
 		if poison.StandingOf(record) == poison.Quarantined {
-			next.heldSince = before[key].heldSince
+			next.heldSince = known.heldSince
 			if next.heldSince.IsZero() {
 				next.heldSince = now
 			}
--- a/sched/request.go
+++ b/sched/request.go
@@ -115,7 +115,8 @@
 		return
 	}
 	s.lastSequence++
-	r := &request{Request: in, fingerprint: in.fingerprint(), subjects: subjectsOf(in), sequence: s.lastSequence, timerIndex: -1}
+	subjects := subjectsOf(in)
+	r := &request{Request: in, fingerprint: subjects[0].Fingerprint, subjects: subjects, sequence: s.lastSequence, timerIndex: -1}
 	r.class = s.classFor(in.Class)
 	r.tier = tierIndex(in.Class.GetTier())
 	r.mayBeLate = mayBeLate(in.Class)
