sched, entry: a log line and a counter for each decision of the retry budget

A refused retry looked like any failure of a server in request_failed, and no line had the counts that decided. retry_taken and retry_refused have this entry's requests and retries in the window, its budget, and the number of entries and its age; retries_refused_total counts refusals. No decision is changed.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -17,6 +17,7 @@
 const (
 	metricRefusals        = "carawaypitch_refusals_total"
 	metricRetries         = "carawaypitch_retries_total"
+	metricRetriesRefused  = "carawaypitch_retries_refused_total"
 	metricGoodput         = "carawaypitch_goodput_total"
 	metricLate            = "carawaypitch_late_total"
 	metricLost            = "carawaypitch_lost_total"
@@ -107,6 +108,8 @@
 		m.add(fmt.Sprintf(`%s{code="%d",tier="%s"}`, metricRefusals, c.Code, tier), c.Add)
 	case sched.Retries:
 		m.add(fmt.Sprintf(`%s{reason=%s}`, metricRetries, label), c.Add)
+	case sched.RetriesRefused:
+		m.add(fmt.Sprintf(`%s{reason=%s}`, metricRetriesRefused, label), c.Add)
 	case sched.Goodput:
 		m.add(fmt.Sprintf(`%s{tier="%s",class=%s}`, metricGoodput, tier, class), c.Add)
 	case sched.Late:
--- a/entry/metrics_declare.go
+++ b/entry/metrics_declare.go
@@ -27,6 +27,7 @@
 	}
 	for _, reason := range sched.RetryReasons() {
 		m.count(sched.Count{Counter: sched.Retries, Label: reason})
+		m.count(sched.Count{Counter: sched.RetriesRefused, Label: reason})
 		m.count(sched.Count{Counter: sched.WastedPrefill, Label: reason})
 	}
 }
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -122,6 +122,8 @@
 		}
 	case sched.RolloutChanged:
 		e.logRollout(a)
+	case sched.RetryDecided:
+		e.logRetry(a)
 	case sched.ShareChanged:
 		e.logShare(a)
 	case sched.Count:
--- a/sched/retries.go
+++ b/sched/retries.go
@@ -54,8 +54,14 @@
 	w := &r.pool.retryBudget
 	slot := w.advance(s.now, s.options.RetryWindow)
 	requests, retries := w.totals()
-	budget := s.options.RetryRatio*float64(requests) + float64(s.options.RetryAllowance)/float64(s.entryCount)
-	if float64(retries+1) > usedBudgetShare*budget {
+	budget := usedBudgetShare * (s.options.RetryRatio*float64(requests) + float64(s.options.RetryAllowance)/float64(s.entryCount))
+	decision := RetryDecided{
+		Request: r.ID, Pool: r.pool.key.target, Reason: r.currentRecord().reason, Allowed: float64(retries+1) <= budget,
+		Requests: requests, Retries: retries, Budget: budget, Entries: s.entryCount, DirectoryAge: s.now.Sub(s.entryCountAt),
+	}
+	s.emit(decision)
+	if !decision.Allowed {
+		s.emit(Count{Counter: RetriesRefused, Tier: r.Class.GetTier(), Class: r.Class.GetName(), Label: decision.Reason, Add: 1})
 		return false
 	}
 	w.retries[slot]++
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -38,6 +38,7 @@
 	servers           map[string]*server
 	directoryReceived bool // a directory was received
 	entryCount        int  // in the deployment
+	entryCountAt      time.Time
 	roundRobin        int  // server index for PolicyRoundRobin
 	choice            placementChoice
 	prefixes          *prefixTable
@@ -120,7 +121,7 @@
 		s.handleMessage(e)
 	case Directory:
 		s.setDirectory(e.Agents)
-		s.entryCount = max(e.Entries, 1)
+		s.entryCount, s.entryCountAt = max(e.Entries, 1), s.now
 	case Config:
 		s.setClasses(e.Classes)
 	case CandidatesWidened:
--- a/sched/types.go
+++ b/sched/types.go
@@ -278,6 +278,21 @@
 		Sent, Exposed, Bad uint64
 	}
 
+	// RetryDecided reports whether a request may be tried again within the retry budget, and the counts that decided, for the
+	// log. It isn't emitted without a budget.
+	RetryDecided struct {
+		Request  string
+		Pool     string
+		Reason   string // why the last attempt ended
+		Allowed  bool
+		Requests int     // of this entry in the window
+		Retries  int     // of this entry in the window, without this one
+		Budget   float64 // how many retries this entry may make in the window
+		Entries  int     // among which the allowance is divided
+		// DirectoryAge is the age of the last change of the directory, which gave Entries.
+		DirectoryAge time.Duration
+	}
+
 	// ShareChanged reports that an organisation exceeds its share of a pool over all entries, or no longer does, for the log.
 	ShareChanged struct {
 		Pool         string
@@ -308,6 +323,7 @@
 func (ReportCrash) schedAction()     {}
 func (ClearPoison) schedAction()     {}
 func (RolloutChanged) schedAction()  {}
+func (RetryDecided) schedAction()    {}
 func (ShareChanged) schedAction()    {}
 func (Count) schedAction()           {}
 
@@ -318,6 +334,7 @@
 const (
 	Refusals      Counter = iota // by Code and Tier
 	Retries                      // by Label (reason)
+	RetriesRefused               // for lack of retry budget, by Label (reason)
 	Goodput                      // by Tier and Class
 	Late                         // by Tier and Class
 	Lost                         // by Tier and Class
