--- a/sched/retries_test.go
+++ b/sched/retries_test.go
@@ -83,3 +83,19 @@
 	}
 	require.NotEmpty(t, h.dispatches("r19"))
 }
+
+// Guards against retries beyond the budget when an entry is killed again and again within a window: each new process must not
+// have the part of the allowance that its predecessors have used.
+func TestKilledEntryStaysWithinRetryBudget(t *testing.T) {
+	options := Options{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryAllowance: 40}
+	const entries, lives, requests = 4, 4, 20
+	retries := 0
+	for life := range lives {
+		h := newHarness(t, options)
+		h.addServer("s1", kindService, testService, 4)
+		h.step(Directory{Agents: h.records, Entries: entries})
+		h.step(ControlContact{ConfirmedAt: h.now})
+		retries += failAll(h, fmt.Sprint("life", life, "-"), requests)
+	}
+	require.LessOrEqual(t, retries, int(options.RetryRatio*lives*requests)+options.RetryAllowance/entries)
+}
