retry, sched: retry budgets hold over kills, lost reports, cuts and freezes

Cause: the budget lived in the process, and each process of an entry had a whole part of the allowance at once, though its predecessor had used the same part in the same window. Of the same class: a pool without servers dropped its budget; windows went by the time of day; entries that left the directory gave their part to the others at once; an attempt whose Started was lost with its link was followed by a free one; a frozen entry credited the requests of its freeze to a later window.

Now a repeat is charged before it is sent, counts as pending in all windows until it has arrived, and is charged again after a quarter of a window without a server. Every window that ends now must have room: the part of the allowance if the window began after the process, and the ratio of the requests that this process received in it (half) and in the one that began half a window earlier (half). Both are windows that the bound may refer to, so the sums over all processes are within it, without a margin: the unused fifth is gone. The allowance is divided by the highest number of entries of the last window and a half; a part needs contact with control within half a window. The directory says whether an entry has had an earlier incarnation; one that has not begins without debt.

--- a/entry/links.go
+++ b/entry/links.go
@@ -122,7 +122,11 @@
 		return err
 	}
 	agents := l.agents(view)
-	if err := e.postEvent(ctx, sched.Directory{Agents: agents, Entries: len(view.Entries)}); err != nil {
+	own := view.Entries[e.settings.Instance]
+	directory := sched.Directory{
+		Agents: agents, Entries: len(view.Entries), First: own.GetFirst() && own.GetIncarnation() == e.incarnation,
+	}
+	if err := e.postEvent(ctx, directory); err != nil {
 		return err
 	}
 	if err := e.applyPoison(ctx, last, view); err != nil {
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -23,6 +23,9 @@
 	// confirmed answer of control. The rest is left to control for its verdict: half a second until it has the evidence, a
 	// second until it decides, and an election in between.
 	controlSilenceShare = 0.4
+	// contactTolerance is by how much the age of the contact with control may rise unnoticed by the scheduler's clock before the
+	// scheduler is told: the machine was suspended.
+	contactTolerance = 50 * time.Millisecond
 )
 
 // rolloutState is what an entry holds of its roll-outs besides the scheduler's state.
@@ -32,7 +35,8 @@
 
 	// The fields below are accessed by the scheduler goroutine only.
 	inProgress bool
-	toldSent   int64 // the value of confirmed of which the scheduler knows; 0 if it was told that contact is lost
+	toldSent   int64     // the value of confirmed of which the scheduler knows
+	toldAt     time.Time // the same by its clock
 	sampledAt  time.Time
 }
 
@@ -54,30 +58,25 @@
 }
 
 // contactEvent returns the event that tells the scheduler how old its contact with control is, if it doesn't know. It is asked
-// before each event while a roll-out is in progress.
+// before each event while a roll-out is in progress, and always with a bound of retries.
 //
 // The age is measured by the clock that goes on while the machine is suspended. By the scheduler's own clock, an entry that
 // wakes up after a minute would send to a version that was withdrawn meanwhile.
 func (e *Entry) contactEvent(event sched.Event) (sched.ControlContact, bool) {
 	r := &e.rollouts
-	if _, isNews := event.(sched.Rollouts); !r.inProgress && !isNews {
+	if _, isNews := event.(sched.Rollouts); !r.inProgress && !isNews && e.settings.Limits.RetryRatio <= 0 {
 		return sched.ControlContact{}, false
 	}
 	sent := r.confirmed.Load()
 	if sent == 0 {
 		return sched.ControlContact{}, false
 	}
-	age := clock.SinceBoot() - time.Duration(sent)
-	if age > e.controlSilence() {
-		wasKnown := r.toldSent == 0
-		r.toldSent = 0
-		return sched.ControlContact{}, !wasKnown
-	}
-	if sent == r.toldSent {
+	at := e.now().Add(time.Duration(sent) - clock.SinceBoot())
+	if sent == r.toldSent && r.toldAt.Sub(at) < contactTolerance {
 		return sched.ControlContact{}, false
 	}
-	r.toldSent = sent
-	return sched.ControlContact{ConfirmedAt: e.now().Add(-age)}, true
+	r.toldSent, r.toldAt = sent, at
+	return sched.ControlContact{ConfirmedAt: at}, true
 }
 
 // sampleRollouts copies the scheduler's evidence for the polls. It may be called by the scheduler goroutine only.
--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -26,6 +26,10 @@
 	rollout        uint64        // id of the roll-out in progress when it was sent, 0 without one
 	version        string        // software version of the server, when it was sent
 
+	reached       bool      // has reached, or may have reached, the server
+	isRetry       bool      // is counted as an arrival by the retry budget
+	retrySlot     int64     // of the budget, with isRetry
+	linkLost      bool      // the link was lost since it was sent, and reports with it
 	started       bool      // the agent reports that it asked the engine to begin
 	startedAt     time.Time // when it reported that
 	acked         bool      // the agent has replied since the link was last opened
@@ -115,6 +119,13 @@
 		s.countDropped(droppedAttempt)
 		return
 	}
+	if !s.renewRetry(r) {
+		if offered {
+			s.decline(to.agent, &wire.Offer{Attempt: r.nextAttemptID(), Server: to.name})
+		}
+		s.refuse(r, r.lastErr)
+		return
+	}
 	e := evDispatch
 	if offered && r.state == reserved {
 		e = evTake
@@ -260,7 +271,7 @@
 	}
 	if !r.attempt.started {
 		r.attempt.started, r.attempt.startedAt = true, s.now
-		r.reached++
+		s.noteReached(r)
 	}
 	s.acknowledge(r)
 }
--- a/sched/links.go
+++ b/sched/links.go
@@ -50,7 +50,7 @@
 		s.updatePools(v)
 	}
 	for _, r := range sortedRequests(a.attempts) {
-		r.attempt.acked = false
+		r.attempt.acked, r.attempt.linkLost = false, true
 		r.attempt.downSince = s.now
 		_ = s.fire(r, evAgentLost)
 		s.setTimer(r)
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -30,10 +30,9 @@
 	reserved     [tierCount]int // queued requests with reservations, by tier
 	requests     int            // live requests, queued or not
 	dirty        bool
-	dispatchRate rate     // dispatches per second
-	arrivalRate  rate     // requests per second
-	classes      []*class // classes that requests arrived in
-	retryBudget  retryBudget
+	dispatchRate rate           // dispatches per second
+	arrivalRate  rate           // requests per second
+	classes      []*class       // classes that requests arrived in
 	lateReserved [tierCount]int // late and excess requests with reservations, by tier; not in reserved
 	load         poolLoad
 	shortAt      [tierCount]time.Time     // when requests of the tier waited last, by the fleet-wide view
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -85,7 +85,7 @@
 	if r.callerGone && !r.wanted() {
 		return result.New(result.CallerLeft, "")
 	}
-	if r.reached > 0 && !s.takeRetry(r) {
+	if !s.chargeRetry(r) {
 		return r.lastErr
 	}
 	if r.refusals < maxRefusals || r.mayBeLate || !s.mayRefuse(r) || s.options.Policy != PolicyTargets {
--- a/sched/request.go
+++ b/sched/request.go
@@ -72,8 +72,9 @@
 	lastNumber uint64 // number of the last attempt sent, without the epoch
 	refusals   int    // attempts proved never started
 	reached    int    // attempts that reached, or may have reached, a server
-	begun      int    // attempts that may have begun, see maxBegunAttempts
-	brokenOff  int    // attempts whose answers servers broke off
+	retry      retryState
+	begun      int // attempts that may have begun, see maxBegunAttempts
+	brokenOff  int // attempts whose answers servers broke off
 	avoided    []string
 	exposed    bool // an attempt was sent to a version that was being rolled out
 	earlier    *earlierProofs
@@ -333,6 +334,7 @@
 	s.removeFromQueue(r)
 	s.withdrawAll(r)
 	r.returnCredit()
+	s.settleRetry(r)
 	if r.attempt != nil {
 		s.keepOrphan(r)
 		s.release(r)
--- a/sched/retries.go
+++ b/sched/retries.go
@@ -1,69 +1,188 @@
 package sched
 
-import "time"
+import (
+	"time"
 
-// retrySlots is the number of slots in which retries are counted. They cover one slot more than the window.
-const retrySlots = 11
+	"github.com/carawaypitch/carawaypitch/retry"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
 
-// usedBudgetShare is the fraction of the budget that is used. The rest covers what the previous incarnation of an
-// entry used before it crashed.
-const usedBudgetShare = 0.8
+const (
+	// retryDelayShare is the share of the window for which a charged retry may wait for a server before it is charged again.
+	retryDelayShare = 0.25
+	// stallThreshold is the time between two steps from which on the process counts as stalled. An idle one gets ticks.
+	stallThreshold = MaxTickInterval + 300*time.Millisecond
+	// maxBacklogTime is how long a process that was stalled takes at most to read the requests sent to it meanwhile.
+	maxBacklogTime = time.Second
+)
 
-// retryBudget counts a pool's requests and retries at this entry.
-//
-// When backend servers fail, each retry adds load, and all entries together can keep a service down that would
-// otherwise recover. The budget is divided using only what each entry observes itself: the ratio applies to its own
-// requests, and the allowance is split evenly among the entries of the deployment. The entries therefore exchange
-// nothing, and one that is partitioned still keeps to its part.
-type retryBudget struct {
-	newestSlot int64
-	requests   [retrySlots]int
-	retries    [retrySlots]int
+// retryBudgets holds the retry budgets of this entry, by model or service. They outlive the pools, which are
+// removed as soon as they have neither servers nor requests.
+type retryBudgets struct {
+	byTarget  map[string]*retry.Budget
+	members   *retry.Members
+	started   time.Time // of the first step
+	steppedAt time.Time // of the last step
+	// noCreditUntil is until when requests earn no retries, because they were sent earlier.
+	noCreditUntil time.Time
+}
+
+func (b *retryBudgets) begin(now time.Time, window time.Duration) {
+	b.byTarget, b.members, b.started = map[string]*retry.Budget{}, retry.NewMembers(window, now), now
+}
+
+// step notes the time of a step. The requests that a stalled process reads at once were sent in earlier windows than that in
+// which they would be counted, so they earn nothing.
+func (b *retryBudgets) step(now time.Time) {
+	if stalled := now.Sub(b.steppedAt); stalled > stallThreshold && !b.steppedAt.IsZero() {
+		b.noCreditUntil = now.Add(min(stalled, maxBacklogTime))
+	}
+	b.steppedAt = now
+}
+
+func (b *retryBudgets) listed(now time.Time, directory Directory) {
+	b.members.Listed(now, directory.Entries)
+	if directory.First {
+		b.members.First()
+	}
+}
+
+// retryState is what a request has charged to its retry budget.
+type retryState struct {
+	pending   bool // the next attempt, or the current one, is charged and isn't known to have reached a server
+	chargedAt time.Time
+}
+
+func (s *Scheduler) retryLimits() retry.Limits {
+	return retry.Limits{Ratio: s.options.RetryRatio, Window: s.options.RetryWindow, Allowance: float64(s.options.RetryAllowance)}
 }
 
-// advance clears the slots that have expired and returns the index of the current one.
-func (b *retryBudget) advance(now time.Time, window time.Duration) int64 {
-	current := now.UnixNano() / int64(window/(retrySlots-1))
-	for i := max(b.newestSlot+1, current-retrySlots+1); i <= current; i++ {
-		b.requests[i%retrySlots], b.retries[i%retrySlots] = 0, 0
+// retryBudget returns the budget for a model or service. There must be a bound of retries.
+func (s *Scheduler) retryBudget(target string) *retry.Budget {
+	b := s.retries.byTarget[target]
+	if b == nil {
+		s.removeIdleBudgets()
+		b = retry.New(s.retryLimits(), s.retries.started)
+		s.retries.byTarget[target] = b
 	}
-	b.newestSlot = max(b.newestSlot, current)
-	return b.newestSlot % retrySlots
+	return b
 }
 
-func (b *retryBudget) totals() (requests, retries int) {
-	for i := range b.requests {
-		requests += b.requests[i]
-		retries += b.retries[i]
+// removeIdleBudgets removes the budgets that count nothing. Otherwise one would remain for each target name that a caller
+// invents.
+func (s *Scheduler) removeIdleBudgets() {
+	for target, b := range s.retries.byTarget {
+		if b.Idle(s.now) {
+			delete(s.retries.byTarget, target)
+		}
 	}
-	return requests, retries
 }
 
-// countRequest counts a request for its pool's retry budget.
+// countRequest counts a request for its retry budget.
 func (s *Scheduler) countRequest(r *request) {
-	if s.options.RetryRatio > 0 {
-		r.pool.retryBudget.requests[r.pool.retryBudget.advance(s.now, s.options.RetryWindow)]++
+	if s.options.RetryRatio > 0 && !s.now.Before(s.retries.noCreditUntil) {
+		s.retryBudget(r.Target).Request(s.now)
 	}
 }
 
-// takeRetry takes one retry from the pool's budget, and reports whether there was one.
-func (s *Scheduler) takeRetry(r *request) bool {
-	if s.options.RetryRatio <= 0 {
+// chargeRetry charges the next attempt of a request to its retry budget, if it is a retry that isn't charged yet, and reports
+// whether there was room for it. A retry that no server has got stays charged.
+func (s *Scheduler) chargeRetry(r *request) bool {
+	if s.options.RetryRatio <= 0 || r.reached == 0 || r.retry.pending {
 		return true
 	}
-	w := &r.pool.retryBudget
-	slot := w.advance(s.now, s.options.RetryWindow)
-	requests, retries := w.totals()
-	budget := usedBudgetShare * (s.options.RetryRatio*float64(requests) + float64(s.options.RetryAllowance)/float64(s.entryCount))
-	decision := RetryDecided{
-		Request: r.ID, Pool: r.pool.key.target, Reason: r.currentRecord().reason, Allowed: float64(retries+1) <= budget,
-		Requests: requests, Retries: retries, Budget: budget, Entries: s.entryCount, DirectoryAge: s.now.Sub(s.entryCountAt),
-	}
-	s.emit(decision)
+	decision := s.retryBudget(r.Target).Charge(s.now, s.retries.members.Part(s.now, float64(s.options.RetryAllowance)))
+	s.emit(RetryDecided{
+		Request: r.ID, Pool: r.pool.key.target, Reason: r.currentRecord().reason, Decision: decision,
+		Entries: s.retries.members.Entries(s.now), ContactAge: s.retries.members.ContactAge(s.now),
+	})
 	if !decision.Allowed {
-		s.emit(Count{Counter: RetriesRefused, Tier: r.Class.GetTier(), Class: r.Class.GetName(), Label: decision.Reason, Add: 1})
+		s.emit(Count{
+			Counter: RetriesRefused, Tier: r.Class.GetTier(), Class: r.Class.GetName(), Label: r.currentRecord().reason, Add: 1,
+		})
 		return false
 	}
-	w.retries[slot]++
+	r.retry = retryState{pending: true, chargedAt: s.now}
 	return true
 }
+
+// renewRetry charges a retry again that has waited for a server for long: it arrives in other windows than those in which it
+// was decided. It reports whether the request may be sent.
+func (s *Scheduler) renewRetry(r *request) bool {
+	bound := time.Duration(retryDelayShare * float64(s.options.RetryWindow))
+	if !r.retry.pending || s.now.Sub(r.retry.chargedAt) <= bound {
+		return true
+	}
+	s.releaseRetry(r)
+	return s.chargeRetry(r)
+}
+
+// noteReached records that the current attempt has reached, or may have reached, a server.
+func (s *Scheduler) noteReached(r *request) {
+	a := r.attempt
+	if a.reached {
+		return
+	}
+	a.reached = true
+	r.reached++
+	if r.retry.pending {
+		r.retry.pending = false
+		a.isRetry, a.retrySlot = true, s.retryBudget(r.Target).Arrived(s.now)
+	}
+}
+
+// noteUnsent takes back that the current attempt may have reached a server: nothing was sent. An agent reports an attempt as
+// started before it calls the server, and the attempts at a crashed server would otherwise use up the budget.
+func (s *Scheduler) noteUnsent(r *request) {
+	a := r.attempt
+	if !a.reached {
+		return
+	}
+	a.reached = false
+	r.reached--
+	if a.isRetry {
+		a.isRetry = false
+		r.retry.pending = true
+		s.retryBudget(r.Target).TakeBack(a.retrySlot)
+	}
+}
+
+// noteReachedByProof records whether the attempt that has just ended reached a server, as far as the proof tells.
+//
+// Started is lost with the link. An attempt that ended otherwise than as never started may have reached a server all the
+// same, and so may one that never started if its Started may be lost: servers reject requests that they have read.
+func (s *Scheduler) noteReachedByProof(r *request, proof wire.Proof, unsent bool) {
+	switch {
+	case unsent:
+		s.noteUnsent(r)
+	case proof != wire.Proof_PROOF_NEVER_STARTED || r.attempt.linkLost:
+		s.noteReached(r)
+	}
+}
+
+// releaseRetry gives back a charge whose attempt will not be sent.
+func (s *Scheduler) releaseRetry(r *request) {
+	if r.retry.pending {
+		r.retry.pending = false
+		s.retryBudget(r.Target).Release()
+	}
+}
+
+// settleRetry ends the charge of a request that ends. An attempt that isn't proved over may have reached a server.
+func (s *Scheduler) settleRetry(r *request) {
+	if r.attempt != nil && !r.currentRecord().provedOver {
+		s.noteReached(r)
+	}
+	s.releaseRetry(r)
+}
+
+// retryContact tells the retry budgets of contact with control. A contact before the last known one means that the machine
+// was suspended.
+func (s *Scheduler) retryContact(at, last time.Time) {
+	s.retries.members.Confirmed(at)
+	if at.Before(last) {
+		for _, b := range s.retries.byTarget {
+			b.DropRequests()
+		}
+	}
+}
--- a/sched/rollout.go
+++ b/sched/rollout.go
@@ -429,11 +429,11 @@
 	s.markRolloutDirty(ro)
 }
 
-// setControlContact records when the last poll that control has confirmed was sent. A zero time means that contact is lost.
+// setControlContact records when the last poll that control has confirmed was sent. A zero time means that contact is lost. A
+// time before the last one means that the machine was suspended, which the scheduler's clock doesn't count.
 func (s *Scheduler) setControlContact(at time.Time) {
-	if at.IsZero() || at.After(s.controlConfirmedAt) {
-		s.controlConfirmedAt = at
-	}
+	s.retryContact(at, s.controlConfirmedAt)
+	s.controlConfirmedAt = at
 }
 
 func (s *Scheduler) emitRolloutStep(step RolloutStep, ro *rollout, reason string) {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -38,8 +38,8 @@
 	servers           map[string]*server
 	directoryReceived bool // a directory was received
 	entryCount        int  // in the deployment
-	entryCountAt      time.Time
-	roundRobin        int  // server index for PolicyRoundRobin
+	retries           retryBudgets
+	roundRobin        int // server index for PolicyRoundRobin
 	choice            placementChoice
 	prefixes          *prefixTable
 	poison            *poisonTable
@@ -97,6 +97,10 @@
 	if now.After(s.now) {
 		s.now = now
 	}
+	if s.retries.members == nil {
+		s.retries.begin(s.now, s.options.RetryWindow)
+	}
+	s.retries.step(s.now)
 	s.refreshRollouts()
 	s.handle(e)
 	s.runTimers()
@@ -121,7 +125,8 @@
 		s.handleMessage(e)
 	case Directory:
 		s.setDirectory(e.Agents)
-		s.entryCount, s.entryCountAt = max(e.Entries, 1), s.now
+		s.entryCount = max(e.Entries, 1)
+		s.retries.listed(s.now, e)
 	case Config:
 		s.setClasses(e.Classes)
 	case CandidatesWidened:
--- a/sched/types.go
+++ b/sched/types.go
@@ -9,6 +9,7 @@
 
 	"github.com/carawaypitch/carawaypitch/poison"
 	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/retry"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -145,6 +146,9 @@
 		Agents []*wire.AgentRecord
 		// Entries is the number of entries in the deployment. The retry allowance is divided among them.
 		Entries int
+		// First reports that the directory lists this process, and that no earlier one of this entry is known, which might have
+		// used the entry's part.
+		First bool
 	}
 
 	// Config carries all committed classes.
@@ -279,18 +283,14 @@
 	}
 
 	// RetryDecided reports whether a request may be tried again within the retry budget, and the counts that decided, for the
-	// log. It isn't emitted without a budget.
+	// log. It isn't emitted without a bound of retries.
 	RetryDecided struct {
-		Request  string
-		Pool     string
-		Reason   string // why the last attempt ended
-		Allowed  bool
-		Requests int     // of this entry in the window
-		Retries  int     // of this entry in the window, without this one
-		Budget   float64 // how many retries this entry may make in the window
-		Entries  int     // among which the allowance is divided
-		// DirectoryAge is the age of the last change of the directory, which gave Entries.
-		DirectoryAge time.Duration
+		Request    string
+		Pool       string
+		Reason     string // why the last attempt ended
+		Decision   retry.Decision
+		Entries    int           // among which the allowance is divided
+		ContactAge time.Duration // of the last answer that control confirmed, negative without one
 	}
 
 	// ShareChanged reports that an organisation exceeds its share of a pool over all entries, or no longer does, for the log.
@@ -332,14 +332,14 @@
 
 // The counters of the scheduler.
 const (
-	Refusals      Counter = iota // by Code and Tier
-	Retries                      // by Label (reason)
-	RetriesRefused               // for lack of retry budget, by Label (reason)
-	Goodput                      // by Tier and Class
-	Late                         // by Tier and Class
-	Lost                         // by Tier and Class
-	WastedPrefill                // tokens, by Label (cause)
-	ServedTokens                 // by Label (organisation) and Tier
+	Refusals       Counter = iota // by Code and Tier
+	Retries                       // by Label (reason)
+	RetriesRefused                // for lack of retry budget, by Label (reason)
+	Goodput                       // by Tier and Class
+	Late                          // by Tier and Class
+	Lost                          // by Tier and Class
+	WastedPrefill                 // tokens, by Label (cause)
+	ServedTokens                  // by Label (organisation) and Tier
 	ChartErrors
 	RolloutSends    // requests sent to a pool with a roll-out in progress, by Pool and Label (role)
 	RolloutAnswers  // answers and failures of these, by Pool and Label (role)
--- a/state/directory.go
+++ b/state/directory.go
@@ -134,15 +134,31 @@
 	if old == nil && len(s.entries) >= s.limits.Instances {
 		return refuse(result.QueueFull, "there are %d entries already", len(s.entries))
 	}
-	if proto.Equal(old, entry) {
+	record := proto.CloneOf(entry)
+	record.First = s.isFirst(entry, ended)
+	if proto.Equal(old, record) {
 		return accepted()
 	}
-	s.entries[entry.GetEntry()] = proto.CloneOf(entry)
+	s.entries[entry.GetEntry()] = record
 	s.endReplacedHolders(entry.GetEntry(), entry.GetIncarnation())
 	s.advanceDirectoryVersion(entryPrefix + entry.GetEntry())
 	return accepted()
 }
 
+// isFirst reports whether no earlier incarnation of an entry is known. The only entry of a deployment that has had others may
+// have taken the place of one under another name, so it isn't first.
+func (s *State) isFirst(entry *wire.EntryRecord, ended uint64) bool {
+	old := s.entries[entry.GetEntry()]
+	switch {
+	case old != nil:
+		return old.GetFirst() && old.GetIncarnation() == entry.GetIncarnation()
+	case len(s.entries) == 0:
+		return !s.ended.hasAny(wire.Role_ROLE_ENTRY)
+	default:
+		return ended == 0
+	}
+}
+
 // endEntry removes an entry only if its current incarnation is the named one, see removeAgent.
 func (s *State) endEntry(cmd *wire.EndEntry) *wire.CommandResult {
 	old := s.entries[cmd.GetEntry()]
--- a/state/directory_test.go
+++ b/state/directory_test.go
@@ -151,3 +151,25 @@
 	require.Equal(t, "y", l.state.AgentOf("s"), "the agent with the newer incarnation takes precedence")
 	require.Empty(t, l.state.AgentOf("t"))
 }
+
+// Guards against a process that takes itself for the first of its entry and uses once more what its predecessor may have used
+// of the retry allowance.
+func TestOnlyFirstIncarnationOfAnEntryIsFirst(t *testing.T) {
+	l := newLog(t)
+	isFirst := func(name string, incarnation uint64) bool {
+		l.accept(entry(name, incarnation))
+		l.restart()
+		return l.state.Entry(name).GetFirst()
+	}
+	require.True(t, isFirst("a", 1))
+	require.True(t, isFirst("a", 1), "registered again")
+	require.True(t, isFirst("b", 1))
+	require.False(t, isFirst("a", 2), "replaced")
+	l.accept(endEntry("a", 2))
+	require.False(t, isFirst("a", 3), "ended")
+	require.True(t, isFirst("c", 1))
+	l.accept(endEntry("a", 3))
+	l.accept(endEntry("b", 1))
+	l.accept(endEntry("c", 1))
+	require.False(t, isFirst("d", 1), "the only one, after others")
+}
--- a/state/ended_incarnations.go
+++ b/state/ended_incarnations.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// hasAny reports whether an instance of a role is known to have ended.
+func (e *endedIncarnations) hasAny(role wire.Role) bool {
+	for key := range e.last {
+		if key.role == role {
+			return true
+		}
+	}
+	return false
+}
+
 // latest returns the last ended incarnation of an instance, 0 if none is known.
 func (e *endedIncarnations) latest(role wire.Role, instance string) uint64 {
 	return e.last[instanceKey{role, instance}]
