--- a/sched/retries_test.go
+++ b/sched/retries_test.go
@@ -115,3 +115,104 @@
 	}
 	require.LessOrEqual(t, retries, int(options.RetryRatio*lives*requests)+options.RetryAllowance/entries)
 }
+
+// noRetries allows each request its first attempt only.
+var noRetries = Options{RetryRatio: 1e-6, RetryWindow: 10 * time.Second}
+
+// Guards against free repeats after the loss of a report: an agent called a server, its Started was lost with it, and the attempt
+// is proved over by the agent's next incarnation.
+func TestAttemptWithoutReportCountsAsArrived(t *testing.T) {
+	h := newHarness(t, noRetries)
+	h.addServer("s1", kindModel, testModel, 4)
+	h.settle(1)
+	h.reportRoom("s1", kindModel, testModel, 4)
+	h.arrive("r", summary)
+	h.lastDispatch("r", 1)
+	h.linkDown("s1")
+	h.restart("s1")
+	h.reportRoom("s1", kindModel, testModel, 4)
+	h.lastDispatch("r", 1)
+	require.NotNil(t, h.failures["r"])
+}
+
+// Guards against free repeats if a report was dropped while the link stayed: the proof says that the attempt was cancelled, so the
+// server may have had it.
+func TestCancelledAttemptWithoutReportCountsAsArrived(t *testing.T) {
+	h := newHarness(t, noRetries)
+	h.addServer("s1", kindModel, testModel, 4)
+	h.settle(1)
+	h.reportRoom("s1", kindModel, testModel, 4)
+	h.arrive("r", summary)
+	h.prove("s1", h.lastDispatch("r", 1).id, wire.Proof_PROOF_CANCELLED)
+	h.reportRoom("s1", kindModel, testModel, 4)
+	h.lastDispatch("r", 1)
+	require.NotNil(t, h.failures["r"])
+}
+
+// Guards against free repeats after a rejection: a server read the request and rejected it, and only the rejection came over
+// the link, which was lost between.
+func TestRejectedAttemptWithLostReportCountsAsArrived(t *testing.T) {
+	for _, unsent := range []bool{false, true} {
+		h := newHarness(t, noRetries)
+		h.addServer("s1", kindModel, testModel, 4)
+		h.settle(1)
+		h.reportRoom("s1", kindModel, testModel, 4)
+		h.arrive("r", summary)
+		d := h.lastDispatch("r", 1)
+		h.linkDown("s1")
+		h.linkUp("s1", 1)
+		h.over("s1", &wire.Over{Attempt: d.id, Proof: wire.Proof_PROOF_NEVER_STARTED, Unsent: unsent})
+		h.advance(time.Second)
+		h.reportRoom("s1", kindModel, testModel, 4)
+		require.Equal(t, unsent, h.failures["r"] == nil, "unsent %v", unsent)
+	}
+}
+
+// Guards against a budget that is forgotten while no server of the model or service is left.
+func TestRetryBudgetOutlivesItsPool(t *testing.T) {
+	h := newHarness(t, Options{RetryRatio: 0.01, RetryWindow: 10 * time.Second, RetryAllowance: 5})
+	h.addServer("s1", kindService, testService, 4)
+	h.settle(1)
+	require.Equal(t, 5, failAll(h, "a", 10))
+	h.linkDown("s1")
+	h.records = nil
+	h.step(Directory{Entries: 1})
+	h.advance(time.Second)
+	require.Empty(t, h.s.pools)
+	h.addServer("s2", kindService, testService, 4)
+	require.Zero(t, failAll(h, "b", 10))
+}
+
+// Guards against credit for requests that a process reads after it was frozen: they were sent in windows that are over.
+func TestRequestsReadAfterAStallEarnNoRetries(t *testing.T) {
+	for _, stalled := range []time.Duration{0, 3 * time.Second} {
+		h := newHarness(t, Options{RetryRatio: 0.2, RetryWindow: 10 * time.Second})
+		h.addServer("s1", kindService, testService, 4)
+		h.settle(1)
+		h.now = h.now.Add(stalled)
+		for i := range 100 {
+			h.arrive(fmt.Sprint("r", i), gateCheck)
+		}
+		require.Equal(t, stalled == 0, !h.s.retryBudget(testService).Idle(h.now), "stalled for %v", stalled)
+	}
+}
+
+// Guards against retries that were decided in one window and are sent in another: while no server has room they wait, and
+// arrive beside those that were decided meanwhile.
+func TestRetryThatWaitedIsChargedAgain(t *testing.T) {
+	options := Options{RetryRatio: 0.01, RetryWindow: 10 * time.Second, RetryAllowance: 1}
+	h := newHarness(t, options)
+	h.addServer("s1", kindModel, testModel, 1)
+	h.settle(1)
+	h.reportRoom("s1", kindModel, testModel, 1)
+	h.arrive("r", summary)
+	d := h.lastDispatch("r", 1)
+	h.receive("s1", &wire.AgentMessage{Kind: &wire.AgentMessage_Started{Started: &wire.Started{Attempt: d.id, Server: "s1"}}})
+	h.prove("s1", d.id, wire.Proof_PROOF_FAILED)
+	h.advance(4 * time.Second)
+	h.lastDispatch("r", 1)
+	h.step(Directory{Agents: h.records, Entries: 10}) // its part is a tenth by now
+	h.reportRoom("s1", kindModel, testModel, 1)
+	h.lastDispatch("r", 1)
+	require.NotNil(t, h.failures["r"])
+}
