cmd, engine/standin: the soak checks the retries that reached the engines

The stand-in logs each run that it receives; its log outlives the process. The soak compares arrivals beyond the first of each request with the bound in all windows.

--- a/cmd/carawaypitch/engine.go
+++ b/cmd/carawaypitch/engine.go
@@ -37,8 +37,9 @@
 
 func (c *engineCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	level := func(s *settings.Engine) log.Level { return s.Log.Level }
-	return runDaemon(ctx, c.file, level, func(s *settings.Engine, _ log.Interface) (*standin.Server, error) {
+	return runDaemon(ctx, c.file, level, func(s *settings.Engine, logger log.Interface) (*standin.Server, error) {
 		options := engineOptions(s)
+		options.Log = logger
 		return standin.New(options), options.Validate()
 	})
 }
--- a/cmd/carawaypitch/soak_test.go
+++ b/cmd/carawaypitch/soak_test.go
@@ -33,6 +33,9 @@
 	soakSeries   = 2                     // of faults, which overlap
 	soakPause    = 50 * time.Millisecond // of a caller between two calls
 	maxSoakFault = 2 * time.Second
+	// Bounds of retries. Without a budget in the entries, the faults exceed them.
+	soakRetryRatio     = 0.01
+	soakRetryAllowance = 3
 )
 
 // soakEnd is how a call of a soak ended for its caller.
@@ -57,6 +60,7 @@
 	answered map[string]bool
 	busy     map[any]bool // processes and engines with a fault
 	skewedTo string       // entry that callers reach instead of their own, empty for none
+	sent     []time.Time  // requests for the model
 }
 
 // take reserves what a fault is to happen to. It returns false if that has one already.
@@ -115,6 +119,7 @@
 		return
 	}
 	request.Header.Set("Authorization", "Bearer "+s.callerKey)
+	s.asked()
 	got, err := client.Do(request)
 	if err != nil {
 		s.ended(soakUnheard)
@@ -247,6 +252,7 @@
 			return
 		}
 		request.Header.Set("Authorization", "Bearer "+s.callerKey)
+		s.asked()
 		if got, err := client.Do(request); err == nil {
 			_ = got.Body.Close()
 		}
@@ -350,6 +356,9 @@
 	c := newCluster(t)
 	engines := 0
 	c.change = func(value any) {
+		if e, ok := value.(*settings.Entry); ok {
+			e.Limits.RetryRatio, e.Limits.RetryAllowance = soakRetryRatio, soakRetryAllowance
+		}
 		if e, ok := value.(*settings.Engine); ok && e.Kind == settings.KindModel {
 			engines++
 			e.Version = fmt.Sprintf("v%d", 1+engines%2)
@@ -371,7 +380,7 @@
 }
 
 // Guards, over real processes, against streams that aren't whole and look so, streams of two software versions or with a hole, passes
-// that are issued twice, and a service that doesn't come back. Meanwhile, overlapping, processes are killed and stand still, engines
+// that are issued twice, more retries at the engines than the deployment's bound, and a service that doesn't come back. Meanwhile, overlapping, processes are killed and stand still, engines
 // break their answers off, a part of prompts crashes engines, and one entry gets all callers.
 func TestSoak(t *testing.T) {
 	seconds := soakNumber(t, "SOAK_SECONDS", soakSeconds)
@@ -404,7 +413,8 @@
 					s.problem("%s: issued %d times, answered: %t", key, runs, s.answered[key])
 				}
 			}
-			t.Logf("%v", s.ends)
+			s.checkRetries()
+			t.Logf("%v, %d requests for the model", s.ends, len(s.sent))
 			require.Empty(t, s.problems)
 			require.Positive(t, s.ends[soakWhole])
 		})
--- a/engine/standin/options.go
+++ b/engine/standin/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
 	"github.com/carawaypitch/carawaypitch/engine"
@@ -78,6 +79,8 @@
 	ServiceTime   time.Duration
 	ServiceJitter float64
 
+	// Log gets a line for each run that arrives. Nil means none.
+	Log log.Interface
 	// RunLog records when runs arrive and which of them VersionFault spoils. Nil records nothing.
 	RunLog *RunLog
 	// Ledger counts starts and overlaps. Stand-ins that share one detect a request that runs on
