--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -26,6 +26,8 @@
 	// contactTolerance is by how much the age of the contact with control may rise unnoticed by the scheduler's clock before the
 	// scheduler is told: the machine was suspended.
 	contactTolerance = 50 * time.Millisecond
+	// contactCheckInterval is how often the two clocks are compared while no roll-out is in progress: reading one is a system call.
+	contactCheckInterval = 100 * time.Millisecond
 )
 
 // rolloutState is what an entry holds of its roll-outs besides the scheduler's state.
@@ -37,6 +39,7 @@
 	inProgress bool
 	toldSent   int64     // the value of confirmed of which the scheduler knows
 	toldAt     time.Time // the same by its clock
+	checkedAt  time.Time // when the two clocks were compared last
 	sampledAt  time.Time
 }
 
@@ -58,20 +61,24 @@
 }
 
 // contactEvent returns the event that tells the scheduler how old its contact with control is, if it doesn't know. It is asked
-// before each event while a roll-out is in progress, and always with a bound of retries.
+// before each event while a roll-out is in progress, and every contactCheckInterval with a bound of retries.
 //
 // The age is measured by the clock that goes on while the machine is suspended. By the scheduler's own clock, an entry that
 // wakes up after a minute would send to a version that was withdrawn meanwhile.
 func (e *Entry) contactEvent(event sched.Event) (sched.ControlContact, bool) {
 	r := &e.rollouts
-	if _, isNews := event.(sched.Rollouts); !r.inProgress && !isNews && e.settings.Limits.RetryRatio <= 0 {
-		return sched.ControlContact{}, false
+	sent, now := r.confirmed.Load(), e.now()
+	if _, isNews := event.(sched.Rollouts); !r.inProgress && !isNews {
+		isDue := sent != r.toldSent || now.Sub(r.checkedAt) >= contactCheckInterval
+		if e.settings.Limits.RetryRatio <= 0 || !isDue {
+			return sched.ControlContact{}, false
+		}
 	}
-	sent := r.confirmed.Load()
 	if sent == 0 {
 		return sched.ControlContact{}, false
 	}
-	at := e.now().Add(time.Duration(sent) - clock.SinceBoot())
+	r.checkedAt = now
+	at := now.Add(time.Duration(sent) - clock.SinceBoot())
 	if sent == r.toldSent && r.toldAt.Sub(at) < contactTolerance {
 		return sched.ControlContact{}, false
 	}
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -229,3 +229,21 @@
 		require.LessOrEqual(t, l.worst(bound), 0.0, "seed %d", seed)
 	}
 }
+
+func BenchmarkRequest(b *testing.B) {
+	budget, now := retry.New(limits, start), start
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		budget.Request(now)
+	}
+}
+
+func BenchmarkCharge(b *testing.B) {
+	budget, now := retry.New(limits, start), start
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		if budget.Charge(now, units(8)).Allowed {
+			budget.Arrived(now)
+		}
+	}
+}
