sched, retry: no budget for names of models without servers; contact in the log lines of retries

Each invented name of a model would have had a budget, and each new one looked through all others. A slot that a removed budget counted can't be taken back from its successor.

--- a/entry/retry_log.go
+++ b/entry/retry_log.go
@@ -19,6 +19,7 @@
 		WithField("limit", math.Round(10*d.Limit)/10).
 		WithField("part", math.Round(10*d.Part)/10).
 		WithField("entries", a.Entries).
+		WithField("in_contact", a.InContact).
 		WithField("contact_age_ms", a.ContactAge.Milliseconds())
 	if d.Allowed {
 		fields.Info("retry_taken")
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -88,7 +88,7 @@
 // TakeBack makes a repeat that was counted as arrived pending again, since it is proved that it was not sent.
 func (b *Budget) TakeBack(number int64) {
 	b.pending++
-	if b.newest-number < slotCount {
+	if number <= b.newest && b.newest-number < slotCount {
 		b.slot(number).arrivals--
 	}
 }
--- a/retry/members.go
+++ b/retry/members.go
@@ -94,12 +94,12 @@
 	return part
 }
 
-// ContactAge returns the age of the last confirmed contact, negative without one.
-func (m *Members) ContactAge(now time.Time) time.Duration {
+// ContactAge returns the age of the last confirmed contact. known is false without one.
+func (m *Members) ContactAge(now time.Time) (age time.Duration, known bool) {
 	if m.lastSeen.IsZero() {
-		return -1
+		return 0, false
 	}
-	return now.Sub(m.lastSeen)
+	return now.Sub(m.lastSeen), true
 }
 
 func (m *Members) hasPart(now time.Time) bool {
--- a/sched/retries.go
+++ b/sched/retries.go
@@ -68,8 +68,7 @@
 	return b
 }
 
-// removeIdleBudgets removes the budgets that count nothing. Otherwise one would remain for each target name that a caller
-// invents.
+// removeIdleBudgets removes the budgets that count nothing, of models and services that are gone.
 func (s *Scheduler) removeIdleBudgets() {
 	for target, b := range s.retries.byTarget {
 		if b.Idle(s.now) {
@@ -78,9 +77,9 @@
 	}
 }
 
-// countRequest counts a request for its retry budget.
+// countRequest counts a request for its retry budget. One that no server can take has no budget: callers invent names of models.
 func (s *Scheduler) countRequest(r *request) {
-	if s.options.RetryRatio > 0 && !s.now.Before(s.retries.noCreditUntil) {
+	if s.options.RetryRatio > 0 && len(r.pool.servers) > 0 && !s.now.Before(s.retries.noCreditUntil) {
 		s.retryBudget(r.Target).Request(s.now)
 	}
 }
@@ -92,9 +91,10 @@
 		return true
 	}
 	decision := s.retryBudget(r.Target).Charge(s.now, s.retries.members.Part(s.now, float64(s.options.RetryAllowance)))
+	contactAge, inContact := s.retries.members.ContactAge(s.now)
 	s.emit(RetryDecided{
 		Request: r.ID, Pool: r.pool.key.target, Reason: r.currentRecord().reason, Decision: decision,
-		Entries: s.retries.members.Entries(s.now), ContactAge: s.retries.members.ContactAge(s.now),
+		Entries: s.retries.members.Entries(s.now), InContact: inContact, ContactAge: contactAge,
 	})
 	if !decision.Allowed {
 		s.emit(Count{
--- a/sched/retries_test.go
+++ b/sched/retries_test.go
@@ -216,3 +216,14 @@
 	h.lastDispatch("r", 1)
 	require.NotNil(t, h.failures["r"])
 }
+
+// Guards against a budget for each name of a model that a caller invents.
+func TestUnknownTargetsHaveNoRetryBudget(t *testing.T) {
+	h := newHarness(t, noRetries)
+	for i := range 10 {
+		r := h.request(fmt.Sprint("r", i), summary)
+		r.Target = fmt.Sprint("invented-", i)
+		h.step(Arrive{Request: r})
+	}
+	require.Empty(t, h.s.retries.byTarget)
+}
--- a/sched/types.go
+++ b/sched/types.go
@@ -290,7 +290,8 @@
 		Reason     string // why the last attempt ended
 		Decision   retry.Decision
 		Entries    int           // among which the allowance is divided
-		ContactAge time.Duration // of the last answer that control confirmed, negative without one
+		InContact  bool          // control has confirmed an answer
+		ContactAge time.Duration // of the last such answer
 	}
 
 	// ShareChanged reports that an organisation exceeds its share of a pool over all entries, or no longer does, for the log.
