sched: a retry that is answered counts as arrived though its Started was lost

A retry whose Started was lost with the link, and of which the whole answer was the first that the entry heard, was taken for one that was never sent: its charge was given back at the end of the request, so the service got one retry more than the budget knew. Found by reading the change again. Any attempt that a request ends with now counts as arrived unless it is proved that it never started.

--- a/sched/retries.go
+++ b/sched/retries.go
@@ -168,9 +168,10 @@
 	}
 }
 
-// settleRetry ends the charge of a request that ends. An attempt that isn't proved over may have reached a server.
+// settleRetry ends the charge of a request that ends. Its attempt, if it has one, may have reached a server unless it is proved
+// that it never started.
 func (s *Scheduler) settleRetry(r *request) {
-	if r.attempt != nil && !r.currentRecord().provedOver {
+	if r.attempt != nil && r.currentRecord().proof != wire.Proof_PROOF_NEVER_STARTED {
 		s.noteReached(r)
 	}
 	s.releaseRetry(r)
--- a/sched/retries_test.go
+++ b/sched/retries_test.go
@@ -227,3 +227,26 @@
 	}
 	require.Empty(t, h.s.retries.byTarget)
 }
+
+// Guards against a retry that is given back though it was answered: its Started was lost with the link, and the whole answer is
+// the first that is heard of it.
+func TestAnsweredRetryWithLostReportCountsAsArrived(t *testing.T) {
+	h := newHarness(t, Options{RetryRatio: 0.01, RetryWindow: 10 * time.Second, RetryAllowance: 1})
+	h.addServer("s1", kindModel, testModel, 4)
+	h.settle(1)
+	h.reportRoom("s1", kindModel, testModel, 4)
+	h.arrive("r", summary)
+	h.prove("s1", h.lastDispatch("r", 1).id, wire.Proof_PROOF_CANCELLED)
+	h.reportRoom("s1", kindModel, testModel, 4)
+	d := h.lastDispatch("r", 2)
+	h.linkDown("s1")
+	h.linkUp("s1", 1)
+	h.frame("s1", d.id, 0, "x")
+	h.complete("s1", d.id, 0, "x")
+	require.NotNil(t, h.answers["r"])
+	h.reportRoom("s1", kindModel, testModel, 4)
+	h.arrive("next", summary)
+	h.prove("s1", h.lastDispatch("next", 1).id, wire.Proof_PROOF_CANCELLED)
+	h.reportRoom("s1", kindModel, testModel, 4)
+	h.lastDispatch("next", 1)
+}
