retry/audit, sched, retry, cmd: one check of arrivals against the bound of retries

The simulation of the schedulers, the test of the budgets and the soak each had a copy of the record of arrivals and of the rule's three windows; the first also had maps.Keys again, and the soak engine.AttemptID.Request. All three use package audit now.

--- a/cmd/carawaypitch/soak_retries_test.go
+++ b/cmd/carawaypitch/soak_retries_test.go
@@ -3,8 +3,12 @@
 import (
 	"regexp"
 	"slices"
-	"strings"
 	"time"
+
+	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/retry"
+	"github.com/carawaypitch/carawaypitch/retry/audit"
+	"github.com/carawaypitch/carawaypitch/settings"
 )
 
 // soakArrival is a line of an engine's log about a run that it received.
@@ -17,14 +21,18 @@
 	s.sent = append(s.sent, time.Now())
 }
 
-// checkRetries compares what reached the model engines beyond the first attempt of each request with the bound of retries, in
-// all windows. The engines' logs outlive their processes.
+// checkRetries compares what reached the model engines beyond the first attempt of each request with the bound of retries. The
+// engines' logs outlive their processes.
 func (s *soak) checkRetries() {
+	var record audit.Record
+	for _, at := range s.sent {
+		record.Sent(at)
+	}
 	type arrival struct {
 		at      time.Time
-		request string
+		attempt engine.AttemptID
 	}
-	var all []arrival
+	var arrivals []arrival
 	for _, i := range soakModels {
 		for _, match := range soakArrival.FindAllStringSubmatch(s.engines[i].log.String(), -1) {
 			at, err := time.Parse(time.RFC3339Nano, match[1])
@@ -32,29 +40,17 @@
 				s.problem("an engine's log: %v", err)
 				return
 			}
-			all = append(all, arrival{at, match[2][:strings.LastIndexByte(match[2], '.')]})
+			arrivals = append(arrivals, arrival{at, engine.AttemptID(match[2])})
 		}
 	}
-	slices.SortStableFunc(all, func(a, b arrival) int { return a.at.Compare(b.at) })
-	seen := map[string]bool{}
-	var repeats []time.Time
-	for _, a := range all {
-		if seen[a.request] {
-			repeats = append(repeats, a.at)
-		}
-		seen[a.request] = true
+	slices.SortStableFunc(arrivals, func(a, b arrival) int { return a.at.Compare(b.at) })
+	for _, a := range arrivals {
+		record.Arrived(a.at, a.attempt.Request())
 	}
-	window := 10 * time.Second
-	within := func(times []time.Time, from time.Time) int {
-		return len(slices.DeleteFunc(slices.Clone(times), func(at time.Time) bool { return at.Before(from) || !at.Before(from.Add(window)) }))
-	}
-	for _, from := range repeats {
-		requests := max(within(s.sent, from), within(s.sent, from.Add(-window)), within(s.sent, from.Add(-window/2)))
-		allowed := soakRetryRatio*float64(requests) + soakRetryAllowance
-		if n := within(repeats, from); float64(n) > allowed {
-			s.problem("%d retries reached the engines in %v from %v, for %d requests; allowed %.1f", n, window, from, requests, allowed)
-			return
-		}
+	limits := retry.Limits{Ratio: soakRetryRatio, Window: settings.DefaultEntry().Timing.RetryWindow, Allowance: soakRetryAllowance}
+	if worst, _ := record.Worst(limits); worst.Excess > 0 {
+		s.problem("%d retries reached the engines in %v from %v, for %d requests: %.1f too many",
+			worst.Repeats, limits.Window, worst.From, worst.Requests, worst.Excess)
 	}
-	s.t.Logf("%d runs reached the engines, %d of them retries", len(all), len(repeats))
+	s.t.Logf("%d runs reached the engines, %d of them retries", len(arrivals), record.Repeats())
 }
--- a/cmd/carawaypitch/soak_test.go
+++ b/cmd/carawaypitch/soak_test.go
@@ -380,8 +380,9 @@
 }
 
 // Guards, over real processes, against streams that aren't whole and look so, streams of two software versions or with a hole, passes
-// that are issued twice, more retries at the engines than the deployment's bound, and a service that doesn't come back. Meanwhile, overlapping, processes are killed and stand still, engines
-// break their answers off, a part of prompts crashes engines, and one entry gets all callers.
+// that are issued twice, more retries at the engines than the deployment's bound, and a service that doesn't come back. Meanwhile,
+// overlapping, processes are killed and stand still, engines break their answers off, a part of prompts crashes engines, and one
+// entry gets all callers.
 func TestSoak(t *testing.T) {
 	seconds := soakNumber(t, "SOAK_SECONDS", soakSeconds)
 	for seed := range soakNumber(t, "SOAK_SEEDS", 1) {
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carawaypitch/carawaypitch/retry"
+	"github.com/carawaypitch/carawaypitch/retry/audit"
 )
 
 const window = 10 * time.Second
@@ -138,36 +139,6 @@
 	require.Zero(t, m.Part(at, 1).After, "nothing was used before")
 }
 
-// ledger holds when requests were sent and repeats arrived, and checks the bound in windows at every offset.
-type ledger struct {
-	requests, repeats []time.Duration // in order
-}
-
-func count(times []time.Duration, from, to time.Duration) int {
-	n := 0
-	for _, at := range times {
-		if at >= from && at < to {
-			n++
-		}
-	}
-	return n
-}
-
-// worst returns by how much the repeats of the worst window exceed the bound.
-func (l *ledger) worst(limits retry.Limits) float64 {
-	worst := -limits.Allowance
-	for _, from := range l.repeats {
-		requests := max(
-			count(l.requests, from, from+limits.Window),
-			count(l.requests, from-limits.Window, from),
-			count(l.requests, from-limits.Window/2, from+limits.Window/2),
-		)
-		excess := float64(count(l.repeats, from, from+limits.Window)) - limits.Ratio*float64(requests) - limits.Allowance
-		worst = max(worst, excess)
-	}
-	return worst
-}
-
 // Guards against budgets that each keep to their part and together break the bound: processes of several entries are
 // killed in series, requests move between entries, and each process repeats as often as its budget permits, with repeats that
 // arrive late. All windows are checked, whenever they begin.
@@ -189,7 +160,7 @@
 			parts[i].Units = bound.Allowance / float64(entries)
 		}
 		killing := random.Float64()
-		var l ledger
+		var record audit.Record
 		type late struct {
 			budget *retry.Budget
 			at     time.Duration
@@ -206,7 +177,7 @@
 			for i := range budgets {
 				for range int(weights[i]*perSecond*step.Seconds() + random.Float64()) {
 					budgets[i].Request(now)
-					l.requests = append(l.requests, since)
+					record.Sent(now)
 				}
 				if random.Float64() < killing*step.Seconds() {
 					budgets[i], parts[i].After = retry.New(bound, now), now
@@ -222,11 +193,12 @@
 					continue
 				}
 				p.budget.Arrived(now)
-				l.repeats = append(l.repeats, since)
+				record.Repeated(now)
 			}
 			pending = kept
 		}
-		require.LessOrEqual(t, l.worst(bound), 0.0, "seed %d", seed)
+		worst, _ := record.Worst(bound)
+		require.LessOrEqual(t, worst.Excess, 0.0, "seed %d", seed)
 	}
 }
 
--- a/sched/retries.go
+++ b/sched/retries.go
@@ -53,8 +53,8 @@
 	chargedAt time.Time
 }
 
-func (s *Scheduler) retryLimits() retry.Limits {
-	return retry.Limits{Ratio: s.options.RetryRatio, Window: s.options.RetryWindow, Allowance: float64(s.options.RetryAllowance)}
+func (o *Options) retryLimits() retry.Limits {
+	return retry.Limits{Ratio: o.RetryRatio, Window: o.RetryWindow, Allowance: float64(o.RetryAllowance)}
 }
 
 // retryBudget returns the budget for a model or service. There must be a bound of retries.
@@ -62,7 +62,7 @@
 	b := s.retries.byTarget[target]
 	if b == nil {
 		s.removeIdleBudgets()
-		b = retry.New(s.retryLimits(), s.retries.started)
+		b = retry.New(s.options.retryLimits(), s.retries.started)
 		s.retries.byTarget[target] = b
 	}
 	return b
@@ -90,7 +90,7 @@
 	if s.options.RetryRatio <= 0 || r.reached == 0 || r.retry.pending {
 		return true
 	}
-	decision := s.retryBudget(r.Target).Charge(s.now, s.retries.members.Part(s.now, float64(s.options.RetryAllowance)))
+	decision := s.retryBudget(r.Target).Charge(s.now, s.retries.members.Part(s.now, s.options.retryLimits().Allowance))
 	contactAge, inContact := s.retries.members.ContactAge(s.now)
 	s.emit(RetryDecided{
 		Request: r.ID, Pool: r.pool.key.target, Reason: r.currentRecord().reason, Decision: decision,
--- a/sched/retry_sim_test.go
+++ b/sched/retry_sim_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -13,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carawaypitch/carawaypitch/retry/audit"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -42,7 +44,10 @@
 	listed   map[int]uint64
 	perSec   float64
 	sequence int
-	ledger   retryLedger
+	audit    audit.Record
+	bearable audit.Record // with the retries that were refused though the bound would have borne them
+	refused  int          // retries that the budget refused
+	answered int
 }
 
 type retryEvents []retryEvent
@@ -110,16 +115,6 @@
 	over        *wire.Over // nil while it runs
 }
 
-// retryLedger holds what the rule counts.
-type retryLedger struct {
-	sent     []time.Duration
-	repeats  []time.Duration
-	arrived  map[string]bool // requests of which an attempt has arrived
-	refused  int             // retries that the budget refused
-	bearable []time.Duration // of these, those that would have kept all windows within the bound beside all others
-	answered int
-}
-
 func newRetrySim(t *testing.T, seed uint64) *retrySim {
 	random := rand.New(rand.NewPCG(seed, 57))
 	m := &retrySim{
@@ -128,7 +123,6 @@
 		perSec:  []float64{4, 30, 60, 150}[random.IntN(4)],
 	}
 	m.now = m.start.Add(-16 * time.Second)
-	m.ledger.arrived = map[string]bool{}
 	for i := range 3 + random.IntN(5) {
 		m.gates = append(m.gates, &retryGate{name: fmt.Sprint("g", i), incarnation: 1, up: true, cutFrom: map[int]bool{}, runs: map[string]*retryRun{}})
 	}
@@ -142,8 +136,6 @@
 	return m
 }
 
-func (m *retrySim) since() time.Duration { return m.now.Sub(m.start) }
-
 func (m *retrySim) after(d time.Duration, run func()) {
 	m.order++
 	heap.Push(&m.due, retryEvent{m.now.Add(d), m.order, run})
@@ -268,10 +260,13 @@
 			life, incarnation := e.life, a.Incarnation
 			m.after(time.Millisecond, func() { m.gateReceives(g, incarnation, e, life, a.Message) })
 		case Answer:
-			m.ledger.answered++
+			m.answered++
 		case Count:
 			if a.Counter == RetriesRefused {
-				m.ledger.refusal(m.since(), m.options)
+				m.refused++
+				if m.bearable.Bears(m.options.retryLimits(), m.now) {
+					m.bearable.Repeated(m.now)
+				}
 			}
 		}
 	}
@@ -283,23 +278,13 @@
 	}
 	m.give(e, AgentUp{Hello: &wire.AgentHello{Agent: agentOf(g.name), Incarnation: g.incarnation}})
 	m.reportTo(g, e)
-	for _, id := range slices.Sorted(mapKeys(g.runs)) {
+	for _, id := range slices.Sorted(maps.Keys(g.runs)) {
 		if run := g.runs[id]; run.entry == uint64(e.number) && run.life == e.life && run.over != nil {
 			m.reply(g, run, &wire.AgentMessage{Kind: &wire.AgentMessage_Over{Over: run.over}})
 		}
 	}
 }
 
-func mapKeys(runs map[string]*retryRun) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for id := range runs {
-			if !yield(id) {
-				return
-			}
-		}
-	}
-}
-
 func (m *retrySim) report(g *retryGate) {
 	for _, e := range m.entries {
 		m.reportTo(g, e)
@@ -377,7 +362,8 @@
 		m.end(g, run, &wire.Over{Proof: wire.Proof_PROOF_NEVER_STARTED, Unsent: true})
 		return
 	}
-	m.ledger.arrival(m.since(), run.id.GetRequest())
+	m.audit.Arrived(m.now, run.id.GetRequest())
+	m.bearable.Arrived(m.now, run.id.GetRequest())
 	after := m.between(5*time.Millisecond, 300*time.Millisecond)
 	finish := func(over *wire.Over) {
 		m.after(after, func() {
@@ -463,7 +449,8 @@
 func (m *retrySim) request() {
 	m.sequence++
 	e := m.pickEntry()
-	m.ledger.sent = append(m.ledger.sent, m.since())
+	m.audit.Sent(m.now)
+	m.bearable.Sent(m.now)
 	m.give(e, Arrive{Request: &Request{
 		ID: fmt.Sprint("r", m.sequence), Organisation: "org", Target: testModel, Method: "POST", Path: "/v1/completions",
 		Class: &wire.Class{Name: "c", Tier: 2, DeadlineMs: 5000, Kind: kindModel, Repeatable: true},
@@ -574,54 +561,6 @@
 	}
 }
 
-func (l *retryLedger) arrival(at time.Duration, request string) {
-	if l.arrived[request] {
-		l.repeats = append(l.repeats, at)
-	}
-	l.arrived[request] = true
-}
-
-func countBetween(times []time.Duration, from, to time.Duration) int {
-	first, _ := slices.BinarySearch(times, from)
-	last, _ := slices.BinarySearch(times, to)
-	return last - first
-}
-
-// bound returns how many repeats the window that begins at a time may have.
-func (l *retryLedger) bound(from time.Duration, o Options) float64 {
-	requests := max(
-		countBetween(l.sent, from, from+o.RetryWindow),
-		countBetween(l.sent, from-o.RetryWindow, from),
-		countBetween(l.sent, from-o.RetryWindow/2, from+o.RetryWindow/2),
-	)
-	return o.RetryRatio*float64(requests) + float64(o.RetryAllowance)
-}
-
-// worst returns the window with the most repeats beyond its bound, and how many these are. The worst windows begin with a
-// repeat.
-func (l *retryLedger) worst(o Options) (from time.Duration, excess float64) {
-	excess = -1e9
-	for _, at := range l.repeats {
-		if over := float64(countBetween(l.repeats, at, at+o.RetryWindow)) - l.bound(at, o); over > excess {
-			from, excess = at, over
-		}
-	}
-	return from, excess
-}
-
-// refusal counts a retry that was refused now.
-func (l *retryLedger) refusal(now time.Duration, o Options) {
-	l.refused++
-	all := slices.Sorted(slices.Values(slices.Concat(l.repeats, l.bearable, []time.Duration{now})))
-	first, _ := slices.BinarySearch(all, now-o.RetryWindow)
-	for i, at := range all[first:] {
-		if float64(len(all)-first-i) > l.bound(at, o) {
-			return
-		}
-	}
-	l.bearable = append(l.bearable, now)
-}
-
 func runRetrySim(t *testing.T, seed uint64) *retrySim {
 	m := newRetrySim(t, seed)
 	m.runUntil(m.start)
@@ -647,14 +586,14 @@
 	var broken []string
 	for seed := first; seed < first+schedules; seed++ {
 		m := runRetrySim(t, uint64(seed))
-		if from, excess := m.ledger.worst(m.options); excess > 0 {
-			broken = append(broken, fmt.Sprintf("seed %d: from %v, %.1f too many", seed, from, excess))
+		if worst, found := m.audit.Worst(m.options.retryLimits()); found && worst.Excess > 0 {
+			broken = append(broken, fmt.Sprintf("seed %d: from %v, %.1f too many", seed, worst.From.Sub(m.start), worst.Excess))
 		}
-		requests += len(m.ledger.sent)
-		repeats += len(m.ledger.repeats)
-		refused += m.ledger.refused
-		bearable += len(m.ledger.bearable)
-		answered += m.ledger.answered
+		requests += m.audit.Requests()
+		repeats += m.audit.Repeats()
+		refused += m.refused
+		bearable += m.bearable.Repeats() - m.audit.Repeats()
+		answered += m.answered
 	}
 	t.Logf("%d schedules: %d requests, %d answered, %d repeats arrived, %d refused by the budget, %d of them bearable",
 		schedules, requests, answered, repeats, refused, bearable)
