--- a/sched/proofs.go
+++ b/sched/proofs.go
@@ -106,7 +106,7 @@
 		return
 	}
 	r.refusals++
-	s.noteReachedByProof(r, m.GetProof(), m.GetUnsent())
+	s.noteNeverStarted(r, m.GetUnsent())
 	r.avoidServer(r.attempt.server.name)
 	r.attempt.server.attemptRefused()
 	s.attemptEnded(r, evNeverStarted, m.GetProof(), retryNeverStarted, s.proofError(m, result.RefusedNeverStarted))
@@ -146,7 +146,7 @@
 	rec := r.currentRecord()
 	rec.over, rec.proof, rec.provedOver, rec.reason = s.now, proof, true, reason
 	if proof != wire.Proof_PROOF_NEVER_STARTED {
-		s.noteReachedByProof(r, proof, false)
+		s.noteReached(r) // its Started may be lost
 		if reason != retryPreempted {
 			r.begun++
 		}
--- a/sched/retries.go
+++ b/sched/retries.go
@@ -147,15 +147,13 @@
 	}
 }
 
-// noteReachedByProof records whether the attempt that has just ended reached a server, as far as the proof tells.
-//
-// Started is lost with the link. An attempt that ended otherwise than as never started may have reached a server all the
-// same, and so may one that never started if its Started may be lost: servers reject requests that they have read.
-func (s *Scheduler) noteReachedByProof(r *request, proof wire.Proof, unsent bool) {
+// noteNeverStarted records whether an attempt that is proved never to have started reached a server. Servers reject requests that
+// they have read, and the Started that tells of that is lost with the link.
+func (s *Scheduler) noteNeverStarted(r *request, unsent bool) {
 	switch {
 	case unsent:
 		s.noteUnsent(r)
-	case proof != wire.Proof_PROOF_NEVER_STARTED || r.attempt.linkLost:
+	case r.attempt.linkLost:
 		s.noteReached(r)
 	}
 }
