--- a/entry/entry.go
+++ b/entry/entry.go
@@ -107,6 +107,7 @@
 	callerTimeouts   *timeoutTracker
 	memory           *callMemory // nil if what is held is not counted
 	origins          *streamOrigins
+	contact          controlContact
 	rollouts         rolloutState
 	demand           demandState
 	verbatimSequence atomic.Uint64                       // of verbatim requests
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/agent"
-	"github.com/carawaypitch/carawaypitch/clock"
 	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -23,69 +22,22 @@
 	// confirmed answer of control. The rest is left to control for its verdict: half a second until it has the evidence, a
 	// second until it decides, and an election in between.
 	controlSilenceShare = 0.4
-	// contactTolerance is by how much the age of the contact with control may rise unnoticed by the scheduler's clock before the
-	// scheduler is told: the machine was suspended.
-	contactTolerance = 50 * time.Millisecond
-	// contactCheckInterval is how often the two clocks are compared while no roll-out is in progress: reading one is a system call.
-	contactCheckInterval = 100 * time.Millisecond
 )
 
 // rolloutState is what an entry holds of its roll-outs besides the scheduler's state.
 type rolloutState struct {
-	confirmed atomic.Int64                            // time since boot, in ns, at which the last confirmed poll was sent; 0 before the first
-	evidence  atomic.Pointer[[]*wire.RolloutEvidence] // as of the last sample
+	evidence atomic.Pointer[[]*wire.RolloutEvidence] // as of the last sample
 
 	// The fields below are accessed by the scheduler goroutine only.
 	inProgress bool
-	toldSent   int64     // the value of confirmed of which the scheduler knows
-	toldAt     time.Time // the same by its clock
-	checkedAt  time.Time // when the two clocks were compared last
 	sampledAt  time.Time
 }
 
-// controlConfirmed records that control has confirmed the poll that was sent at a time since boot: all that was committed by
-// then is in force here.
-func (e *Entry) controlConfirmed(sentSinceBoot time.Duration) {
-	e.caps.RenewLease(sentSinceBoot)
-	for {
-		known := e.rollouts.confirmed.Load()
-		if int64(sentSinceBoot) <= known || e.rollouts.confirmed.CompareAndSwap(known, int64(sentSinceBoot)) {
-			return
-		}
-	}
-}
-
 // controlSilence returns for how long new versions are used without a confirmed answer of control.
 func (e *Entry) controlSilence() time.Duration {
 	return time.Duration(controlSilenceShare * float64(e.settings.Rollout.Rollback))
 }
 
-// contactEvent returns the event that tells the scheduler how old its contact with control is, if it doesn't know. It is asked
-// before each event while a roll-out is in progress, and every contactCheckInterval with a bound of retries.
-//
-// The age is measured by the clock that goes on while the machine is suspended. By the scheduler's own clock, an entry that
-// wakes up after a minute would send to a version that was withdrawn meanwhile.
-func (e *Entry) contactEvent(event sched.Event) (sched.ControlContact, bool) {
-	r := &e.rollouts
-	sent, now := r.confirmed.Load(), e.now()
-	if _, isNews := event.(sched.Rollouts); !r.inProgress && !isNews {
-		isDue := sent != r.toldSent || now.Sub(r.checkedAt) >= contactCheckInterval
-		if e.settings.Limits.RetryRatio <= 0 || !isDue {
-			return sched.ControlContact{}, false
-		}
-	}
-	if sent == 0 {
-		return sched.ControlContact{}, false
-	}
-	r.checkedAt = now
-	at := now.Add(time.Duration(sent) - clock.SinceBoot())
-	if sent == r.toldSent && r.toldAt.Sub(at) < contactTolerance {
-		return sched.ControlContact{}, false
-	}
-	r.toldSent, r.toldAt = sent, at
-	return sched.ControlContact{ConfirmedAt: at}, true
-}
-
 // sampleRollouts copies the scheduler's evidence for the polls. It may be called by the scheduler goroutine only.
 func (e *Entry) sampleRollouts(event sched.Event) {
 	r := &e.rollouts
