experiment, engine/standin: an experiment compares what its servers got with a bound of retries

The file's retries set the entries' bound; each stand-in reports the runs that it reads (the soak's log line uses the same hook), and more retries in some window are a broken promise.

--- a/cmd/carawaypitch/engine.go
+++ b/cmd/carawaypitch/engine.go
@@ -39,7 +39,7 @@
 	level := func(s *settings.Engine) log.Level { return s.Log.Level }
 	return runDaemon(ctx, c.file, level, func(s *settings.Engine, logger log.Interface) (*standin.Server, error) {
 		options := engineOptions(s)
-		options.Log = logger
+		options.OnArrival = func(attempt engine.AttemptID) { logger.WithField("attempt", string(attempt)).Info("run_received") }
 		return standin.New(options), options.Validate()
 	})
 }
--- a/engine/standin/options.go
+++ b/engine/standin/options.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
 	"github.com/carawaypitch/carawaypitch/engine"
@@ -79,8 +78,8 @@
 	ServiceTime   time.Duration
 	ServiceJitter float64
 
-	// Log gets a line for each run that arrives. Nil means none.
-	Log log.Interface
+	// OnArrival is called for each run whose request was read. Nil means not.
+	OnArrival func(engine.AttemptID)
 	// RunLog records when runs arrive and which of them VersionFault spoils. Nil records nothing.
 	RunLog *RunLog
 	// Ledger counts starts and overlaps. Stand-ins that share one detect a request that runs on
--- a/engine/standin/server.go
+++ b/engine/standin/server.go
@@ -66,7 +66,7 @@
 
 func (s *Server) commonRoutes() {
 	s.routes.HTTPErrorHandler = answerError
-	s.routes.Use(s.logArrivals, s.abortWhileDown, s.delayWhileFrozen, s.limitBody, s.setBackpressureHeaders,
+	s.routes.Use(s.reportArrival, s.abortWhileDown, s.delayWhileFrozen, s.limitBody, s.setBackpressureHeaders,
 		s.applyVersionFault())
 	s.routes.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	s.routes.GET(pathStats, func(c echo.Context) error { return c.JSON(http.StatusOK, s.Stats()) })
@@ -85,12 +85,12 @@
 	return path == pathStats || path == pathFaults || path == pathRuns
 }
 
-// logArrivals is middleware that logs each run whose request was read, also of a stand-in that is down or frozen by a fault.
-func (s *Server) logArrivals(next echo.HandlerFunc) echo.HandlerFunc {
+// reportArrival is middleware that reports each run whose request was read, also of a stand-in that is down or frozen by a fault.
+func (s *Server) reportArrival(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		request := c.Request()
-		if s.options.Log != nil && (s.isRun(request) || strings.HasSuffix(request.URL.Path, "/resume")) {
-			s.options.Log.WithField("attempt", request.Header.Get(engine.HeaderRequestID)).Info("run_received")
+		if s.options.OnArrival != nil && (s.isRun(request) || strings.HasSuffix(request.URL.Path, "/resume")) {
+			s.options.OnArrival(engine.AttemptID(request.Header.Get(engine.HeaderRequestID)))
 		}
 		return next(c)
 	}
--- a/experiment/deploy/deploy.go
+++ b/experiment/deploy/deploy.go
@@ -21,6 +21,7 @@
 	"github.com/carawaypitch/carawaypitch/experiment/fabric"
 	"github.com/carawaypitch/carawaypitch/experiment/plan"
 	"github.com/carawaypitch/carawaypitch/network"
+	"github.com/carawaypitch/carawaypitch/retry/audit"
 	"github.com/carawaypitch/carawaypitch/settings"
 )
 
@@ -82,6 +83,7 @@
 
 	violations []string // that faults have seen themselves
 	asked      []Asked
+	arrivals   map[string]*audit.Record // by model or service
 }
 
 // Start starts everything and returns once callers can be served. Stop must follow.
@@ -97,6 +99,8 @@
 		folder:  folder,
 		ledger:  standin.NewLedger(maxStarts),
 		rollout: newRollout(options.Rollout),
+
+		arrivals: make(map[string]*audit.Record),
 	}
 	d.fabric = fabric.New(d.delay)
 	if d.log == nil {
--- a/experiment/deploy/instances.go
+++ b/experiment/deploy/instances.go
@@ -120,6 +120,8 @@
 	s.Controls = d.controlLinks()
 	s.Organisations = d.organisations
 	s.Timing.Drain = drain
+	limits := d.RetryLimits()
+	s.Limits.RetryRatio, s.Limits.RetryAllowance, s.Timing.RetryWindow = limits.Ratio, int(limits.Allowance), limits.Window
 	host := d.fabric.Host(e.ip, s.AvailabilityZone)
 	daemon, err := entry.New(s, d.entryOptions(host, number))
 	if err != nil {
@@ -196,6 +198,7 @@
 	options.Network = host
 	options.Agent = s.agentURL()
 	options.Ledger = d.ledger
+	options.OnArrival = func(attempt engine.AttemptID) { d.NoteArrival(s.Serves, attempt, time.Now()) }
 	d.rollout.prepare(&options, s.Serves, s.isNew)
 	s.server = standin.New(options)
 	s.standin = launch(s.Name, host, s.server.Run)
--- a/experiment/plan/check.go
+++ b/experiment/plan/check.go
@@ -78,6 +78,7 @@
 	r.checkClasses(p)
 	r.checkOrganisations(p)
 	r.checkMix(p)
+	r.require(p.Retries.Ratio >= 0 && p.Retries.Allowance >= 0 && p.Retries.Window >= 0, "retries", "must not be negative")
 	r.checkScenarios(p)
 	r.checkPolicies(p)
 }
--- a/experiment/plan/plan.go
+++ b/experiment/plan/plan.go
@@ -37,6 +37,7 @@
 	Servers       []Servers        `json:"servers"`
 	Classes       []settings.Class `json:"classes"`
 	Organisations []Organisation   `json:"organisations"`
+	Retries       Retries          `json:"retries"`
 	Mix           []Work           `json:"mix"`
 	Scenarios     []Scenario       `json:"scenarios"`
 	Policies      []Policy         `json:"policies"`
@@ -81,6 +82,13 @@
 	Zone string `json:"zone"`
 }
 
+// Retries bounds the attempts at a model or service beyond the first of each request, in any window. No ratio means no bound.
+type Retries struct {
+	Ratio     float64  `json:"ratio"`
+	Allowance int      `json:"allowance"`
+	Window    Duration `json:"window"` // 0 means the entries' default
+}
+
 // Servers are backend servers of one kind and speed, spread over the zones in turn.
 type Servers struct {
 	// Name is the prefix of their names, a number follows.
--- a/experiment/violations.go
+++ b/experiment/violations.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/carawaypitch/carawaypitch/experiment/load"
 )
@@ -17,6 +19,7 @@
 	}
 	found = append(found, o.deployment.Violations()...)
 	found = append(found, o.doubleRuns(outcomes)...)
+	found = append(found, o.excessRetries(outcomes)...)
 	return append(found, o.falseRefusals(outcomes)...)
 }
 
@@ -33,6 +36,31 @@
 	return found
 }
 
+// excessRetries looks for models and services that got more retries than the plan allows. The requests that faults send aren't
+// among the outcomes, so the bound is no larger than the entries'.
+func (o *one) excessRetries(outcomes []*load.Outcome) []string {
+	limits := o.deployment.RetryLimits()
+	if limits.Ratio == 0 {
+		return nil
+	}
+	for _, outcome := range outcomes {
+		a := outcome.Arrival
+		target := o.plan.Servers[o.plan.PoolOf(o.plan.Mix[a.Work])[0]].Serves
+		for range 1 + outcome.Resent {
+			o.deployment.NoteSent(target, o.begin.Add(a.At+outcome.Lateness))
+		}
+	}
+	var found []string
+	worst := o.deployment.WorstRetries()
+	for _, target := range slices.Sorted(maps.Keys(worst)) {
+		if w := worst[target]; w.Excess > 0 {
+			found = append(found, fmt.Sprintf("%s: %d retries in %s from %s on, for %d requests: %.1f too many",
+				target, w.Repeats, limits.Window, w.From.Sub(o.begin), w.Requests, w.Excess))
+		}
+	}
+	return found
+}
+
 // falseRefusals looks for requests that ran though their callers were told that they didn't.
 func (o *one) falseRefusals(outcomes []*load.Outcome) []string {
 	started := map[string]bool{}
