--- a/entry/caller_conn.go
+++ b/entry/caller_conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"os"
 	"sync"
@@ -159,13 +158,16 @@
 
 // withCallerConn adds a connection to the context of its requests.
 func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
-	if secured, ok := conn.(*tls.Conn); ok {
-		conn = secured.NetConn()
-	}
-	if observed, ok := conn.(*callerConn); ok {
-		return context.WithValue(ctx, callerConnKey{}, observed)
+	for {
+		if observed, ok := conn.(*callerConn); ok {
+			return context.WithValue(ctx, callerConnKey{}, observed)
+		}
+		outer, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return ctx
+		}
+		conn = outer.NetConn()
 	}
-	return ctx
 }
 
 // callerConnOf returns the connection of a request, nil if there is none.
--- a/entry/congestion.go
+++ b/entry/congestion.go
@@ -81,3 +81,39 @@
 		l.turnedAway()
 	}
 }
+
+// readListener calls began once for each connection, with the time from its acceptance until it is first read. While the
+// processor is short, that is how long the goroutine of a new connection waits to run.
+type readListener struct {
+	net.Listener
+	began func(waited time.Duration)
+}
+
+// Accept implements net.Listener.
+func (l readListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &readConn{Conn: conn, began: l.began, acceptedAt: time.Now()}, nil
+}
+
+// readConn is a connection of a readListener. Only one goroutine reads from a connection at a time.
+type readConn struct {
+	net.Conn
+	began      func(waited time.Duration)
+	acceptedAt time.Time
+	isRead     bool
+}
+
+// NetConn returns the connection that is observed.
+func (c *readConn) NetConn() net.Conn { return c.Conn }
+
+// Read implements net.Conn.
+func (c *readConn) Read(b []byte) (int, error) {
+	if !c.isRead {
+		c.isRead = true
+		c.began(time.Since(c.acceptedAt))
+	}
+	return c.Conn.Read(b)
+}
--- a/entry/http.go
+++ b/entry/http.go
@@ -47,6 +47,8 @@
 	if e.memory != nil {
 		listener = callerListener{Listener: listener, bufferBytes: int(e.settings.Memory.ReaderWindowBytes)}
 	}
+	wait := e.meter.set.GetOrCreateHistogram(metricConnectionWait)
+	listener = readListener{Listener: listener, began: func(waited time.Duration) { wait.Update(waited.Seconds()) }}
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -37,6 +37,7 @@
 	metricRingLength      = "carawaypitch_ring_length"
 	metricActive          = "carawaypitch_active_calls"
 	metricTurnedAway      = "carawaypitch_connections_turned_away_total"
+	metricConnectionWait  = "carawaypitch_connection_wait_seconds" // from the acceptance of a connection until it is read; histogram
 	metricBodyBytes       = "carawaypitch_body_bytes"
 	metricFirstEvent      = "carawaypitch_first_event_seconds"               // from arrival; histogram by tier
 	metricAnswer          = "carawaypitch_answer_seconds"                    // from arrival to the complete answer; histogram by tier
