entry: new connections are limited to what the processor does

Callers saw nearly all requests fail while most of them reached one entry: it read every connection, and served none in time.

Cause: congestion was judged by how long inputs wait for the scheduler's goroutine. The runtime runs a goroutine that another one has just woken first, so that wait stays near zero while a thousand others queue for the processor. Each step of a request, its offers and its links waited 100 to 320 ms, offers lapsed after 250 ms, and the state sustained itself until the load ended.

Change: the wait of a new connection from its acceptance until its goroutine reads is the measure. Where its average is 30 ms in two windows of 100 ms, the connections that are read are limited to less than the rate at which the processor came to them, and then to more until it is short again; the others are closed unread in the accepting goroutine. It holds for an entry that knows no others too: after the loss of all machines the view is empty. Reason and limit stand in the log line and the counter.

--- a/entry/congestion.go
+++ b/entry/congestion.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -38,82 +40,70 @@
 // isCongested reports whether the entry has more work than its processor does.
 func (c *congestion) isCongested(now time.Time) bool { return now.UnixNano() < c.until.Load() }
 
-// turnsAway reports whether new connections are closed without being read: this entry is congested, and there are others.
-// Callers that connect again probably reach another one; a request that was read here would be late.
-func (e *Entry) turnsAway() bool {
-	return e.congestion.isCongested(time.Now()) && len(e.control.View().Entries) > 1
+// turnAwayReason is why a new connection is closed unread, empty if it is read.
+type turnAwayReason string
+
+const (
+	turnAwayScheduler turnAwayReason = "scheduler" // inputs of the scheduler wait
+	turnAwayProcessor turnAwayReason = "processor" // new connections wait for the processor
+)
+
+// turnsAway returns why a connection that was just accepted is closed without being read. Callers that connect again
+// probably reach another entry; a request that was read here would be late. The only entry reads what its scheduler takes.
+func (e *Entry) turnsAway() turnAwayReason {
+	now := time.Now()
+	switch {
+	case !e.intake.admits(now):
+		return turnAwayProcessor
+	case e.congestion.isCongested(now) && len(e.control.View().Entries) > 1:
+		return turnAwayScheduler
+	default:
+		return ""
+	}
 }
 
 // turnedAwayLogInterval is the shortest time between two log lines about connections that were turned away.
 const turnedAwayLogInterval = time.Second
 
-// turnedAwayLog counts the connections that were turned away since the last log line. Only the accepting goroutine uses it.
+// turnedAwayLog counts the connections that were turned away since the last log line.
 type turnedAwayLog struct {
+	mu    sync.Mutex
 	at    time.Time
 	count int
 }
 
 // noteTurnedAway counts a connection that was turned away, and logs how many there were.
-func (e *Entry) noteTurnedAway(since *turnedAwayLog) {
-	e.meter.add(metricTurnedAway, 1)
+func (e *Entry) noteTurnedAway(since *turnedAwayLog, reason turnAwayReason) {
+	e.meter.add(fmt.Sprintf("%s{reason=%q}", metricTurnedAway, reason), 1)
+	since.mu.Lock()
+	defer since.mu.Unlock()
 	since.count++
 	if now := time.Now(); now.Sub(since.at) >= turnedAwayLogInterval {
-		e.log.WithField("connections", since.count).WithField("running", e.inFlight.Load()).WithField("active", e.active.Load()).Warn("connections_turned_away")
-		*since = turnedAwayLog{at: now}
+		e.log.WithField("connections", since.count).WithField("reason", reason).WithField("limit_per_s", int(e.intake.inForce())).
+			WithField("running", e.inFlight.Load()).WithField("active", e.active.Load()).Warn("connections_turned_away")
+		since.at, since.count = now, 0
 	}
 }
 
-// turningListener closes connections unread while turnsAway reports true. turnedAway is called for each.
+// turningListener closes connections unread for which turnsAway returns a reason. turnedAway is called for each.
 type turningListener struct {
 	net.Listener
-	turnsAway  func() bool
-	turnedAway func()
+	turnsAway  func() turnAwayReason
+	turnedAway func(turnAwayReason)
 }
 
 // Accept implements net.Listener.
 func (l turningListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
-		if err != nil || !l.turnsAway() {
-			return conn, err
+		if err != nil {
+			return nil, err
+		}
+		reason := l.turnsAway()
+		if reason == "" {
+			return conn, nil
 		}
 		conn.Close()
-		l.turnedAway()
-	}
-}
-
-// readListener calls began once for each connection, with the time from its acceptance until it is first read. While the
-// processor is short, that is how long the goroutine of a new connection waits to run.
-type readListener struct {
-	net.Listener
-	began func(waited time.Duration)
-}
-
-// Accept implements net.Listener.
-func (l readListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &readConn{Conn: conn, began: l.began, acceptedAt: time.Now()}, nil
-}
-
-// readConn is a connection of a readListener. Only one goroutine reads from a connection at a time.
-type readConn struct {
-	net.Conn
-	began      func(waited time.Duration)
-	acceptedAt time.Time
-	isRead     bool
-}
-
-// NetConn returns the connection that is observed.
-func (c *readConn) NetConn() net.Conn { return c.Conn }
-
-// Read implements net.Conn.
-func (c *readConn) Read(b []byte) (int, error) {
-	if !c.isRead {
-		c.isRead = true
-		c.began(time.Since(c.acceptedAt))
+		l.turnedAway(reason)
 	}
-	return c.Conn.Read(b)
 }
--- a/entry/congestion_test.go
+++ b/entry/congestion_test.go
@@ -41,9 +41,14 @@
 	defer listener.Close()
 	turned, asked := 0, 0
 	turning := turningListener{
-		Listener:   listener,
-		turnsAway:  func() bool { asked++; return asked <= 2 },
-		turnedAway: func() { turned++ },
+		Listener: listener,
+		turnsAway: func() turnAwayReason {
+			if asked++; asked <= 2 {
+				return turnAwayProcessor
+			}
+			return ""
+		},
+		turnedAway: func(turnAwayReason) { turned++ },
 	}
 	var conns []net.Conn
 	for range 3 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -121,6 +121,7 @@
 	active          atomic.Int64 // calls and in-flight keys
 	inFlight        atomic.Int64 // attempts at servers
 	congestion      congestion
+	intake          intake
 	bodyBytes       atomic.Int64
 	runContext      context.Context // ends when Run's goroutines are to end
 	cancelRun       context.CancelFunc
--- a/entry/http.go
+++ b/entry/http.go
@@ -43,12 +43,17 @@
 		return nil, errors.Wrap(err, "entry: listen")
 	}
 	turned := new(turnedAwayLog)
-	listener = turningListener{Listener: listener, turnsAway: e.turnsAway, turnedAway: func() { e.noteTurnedAway(turned) }}
+	listener = turningListener{Listener: listener, turnsAway: e.turnsAway, turnedAway: func(reason turnAwayReason) {
+		e.noteTurnedAway(turned, reason)
+	}}
 	if e.memory != nil {
 		listener = callerListener{Listener: listener, bufferBytes: int(e.settings.Memory.ReaderWindowBytes)}
 	}
 	wait := e.meter.set.GetOrCreateHistogram(metricConnectionWait)
-	listener = readListener{Listener: listener, began: func(waited time.Duration) { wait.Update(waited.Seconds()) }}
+	listener = intakeListener{Listener: listener, began: func(waited time.Duration) {
+		wait.Update(waited.Seconds())
+		e.intake.observe(time.Now(), waited)
+	}}
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -36,8 +36,8 @@
 	metricRingRefused     = "carawaypitch_ring_refused_total"
 	metricRingLength      = "carawaypitch_ring_length"
 	metricActive          = "carawaypitch_active_calls"
-	metricTurnedAway      = "carawaypitch_connections_turned_away_total"
-	metricConnectionWait  = "carawaypitch_connection_wait_seconds" // from the acceptance of a connection until it is read; histogram
+	metricTurnedAway      = "carawaypitch_connections_turned_away_total" // closed unread, by reason
+	metricConnectionWait  = "carawaypitch_connection_wait_seconds"       // from the acceptance of a connection until it is read; histogram
 	metricBodyBytes       = "carawaypitch_body_bytes"
 	metricFirstEvent      = "carawaypitch_first_event_seconds"               // from arrival; histogram by tier
 	metricAnswer          = "carawaypitch_answer_seconds"                    // from arrival to the complete answer; histogram by tier
@@ -80,7 +80,9 @@
 	m.set.NewGauge(metricRingLength+`{ring="scheduler"}`, func() float64 { return float64(e.inputs.Len()) })
 	m.set.NewGauge(metricActive, func() float64 { return float64(e.active.Load()) })
 	m.set.NewGauge(metricBodyBytes, func() float64 { return float64(e.bodyBytes.Load()) })
-	m.add(metricTurnedAway, 0)
+	for _, reason := range []turnAwayReason{turnAwayProcessor, turnAwayScheduler} {
+		m.add(fmt.Sprintf("%s{reason=%q}", metricTurnedAway, reason), 0)
+	}
 	m.registerDemandGauges(e)
 	if e.memory != nil {
 		for _, kind := range holding.Kinds() {
