control: shares of lost entries are held for one window, whoever leads meanwhile

All organisations were refused with 1208, whatever they asked, for as long as control's leader changed at least once a window, and a window more.

Cause: the leader kept in memory when it first saw that an entry had ended, and a new leader began anew. Now every instance notes that from its own copy of the state, from its start on, and the leader of the moment proposes what is due. An instance that applied the end later holds the share longer, so the cap is as safe as before: the use of a lost entry leaves the window one window after the first instance could know of its end.

--- a/control/usage.go
+++ b/control/usage.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/carawaypitch/carawaypitch/quorum"
 	"github.com/carawaypitch/carawaypitch/quota"
 	"github.com/carawaypitch/carawaypitch/state"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -33,25 +32,17 @@
 // releaseInterval is the time between checks for shares of ended entries that can be released.
 const releaseInterval = 100 * time.Millisecond
 
-// runReleases is the loop in which the leader releases the shares of entries that have ended.
+// runReleases is the loop in which the leader releases the shares of entries that have ended. Every instance notes when it
+// first saw that an entry had ended: what a lost entry holds is kept for a window from then on, whoever leads meanwhile.
 func (c *Control) runReleases(ctx context.Context) error {
 	ticker := time.NewTicker(releaseInterval)
 	defer ticker.Stop()
-	var releases *quota.Releaser
-	var term uint64
+	releases := quota.NewReleaser(c.usage)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			status := c.replica.Status()
-			if status.Role != quorum.RoleLeader {
-				releases = nil
-				continue
-			}
-			if releases == nil || status.Term != term {
-				releases, term = quota.NewReleaser(c.usage), status.Term
-			}
 			c.releaseShares(ctx, releases, now)
 		}
 	}
@@ -63,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	due := releases.Due(now, ended)
-	if len(due) == 0 {
+	if len(due) == 0 || !c.isLeader() {
 		return
 	}
 	commands := make([]*wire.Command, len(due))
--- a/quota/release.go
+++ b/quota/release.go
@@ -10,7 +10,7 @@
 // nothing. A command for each smaller change would cost more than the units it frees.
 const releaseDivisor = 32
 
-// Releaser releases the shares of entries that have ended, as their use leaves the window. The control leader owns it.
+// Releaser tells which shares of ended entries may be released, as their use leaves the window. Each control instance has one.
 //
 // A dead entry's share can't be released at once: its use is still in the window, and the other entries would add
 // theirs to it. Releasing all of it only after a whole window would withhold units whose use leaves the window earlier:
@@ -31,7 +31,7 @@
 	units  map[string]uint64 // units held when it was first seen as ended, by organisation
 }
 
-// NewReleaser returns the releaser of a new leader.
+// NewReleaser returns the releaser of an instance that starts.
 func NewReleaser(ledger *Ledger) *Releaser {
 	return &Releaser{ledger: ledger, holders: make(map[Incarnation]*endedEntry)}
 }
--- a/quota/sim_control_test.go
+++ b/quota/sim_control_test.go
@@ -30,6 +30,7 @@
 		}
 		c.ledger.Restore(record, s.clock())
 	}
+	c.releaser = quota.NewReleaser(c.ledger)
 	var save func()
 	save = func() {
 		if !c.up || c.incarnation != incarnation {
@@ -129,11 +130,19 @@
 	if !s.hasQuorum() {
 		leader = -1
 	}
-	if leader != s.leader || leader >= 0 && s.controls[leader].releaser != s.releaser {
-		s.leader, s.releaser = leader, nil
+	var due []*wire.ReleaseShares
+	for i, c := range s.controls {
+		if !c.up || s.now < c.frozenUntil {
+			continue
+		}
+		if releases := c.releaser.Due(s.clock(), s.state.SharesOfEndedEntries()); i == leader {
+			due = releases
+		}
+	}
+	if leader != s.leader || leader >= 0 && s.controls[leader].incarnation != s.leaderIncarnation {
+		s.leader = leader
 		if leader >= 0 {
-			s.releaser = quota.NewReleaser(s.controls[leader].ledger)
-			s.controls[leader].releaser = s.releaser
+			s.leaderIncarnation = s.controls[leader].incarnation
 			for _, e := range s.entries {
 				e.lastPoll = s.now
 			}
@@ -143,7 +152,7 @@
 	if leader < 0 {
 		return
 	}
-	for _, release := range s.releaser.Due(s.clock(), s.state.SharesOfEndedEntries()) {
+	for _, release := range due {
 		s.apply(&wire.Command{Kind: &wire.Command_ReleaseShares{ReleaseShares: release}})
 	}
 	for _, e := range s.entries {
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -86,23 +86,24 @@
 }
 
 type sim struct {
-	plan      simPlan
-	rng       *rand.Rand
-	now       time.Duration
-	queue     simQueue
-	seq       int
-	entries   []*simEntry
-	controls  []*simControl
-	links     [][]*simLink // by entry and control instance
-	caps      []capChange  // in order of time
-	state     *state.State
-	index     uint64 // index of the replicated log
-	leader    int    // number of the leading control instance, -1 for none
-	releaser  *quota.Releaser
-	commits   int
-	runs      []simRun
-	requested float64
-	refused   float64
+	plan     simPlan
+	rng      *rand.Rand
+	now      time.Duration
+	queue    simQueue
+	seq      int
+	entries  []*simEntry
+	controls []*simControl
+	links    [][]*simLink // by entry and control instance
+	caps     []capChange  // in order of time
+	state    *state.State
+	index    uint64 // index of the replicated log
+	leader   int    // number of the leading control instance, -1 for none
+	// leaderIncarnation is the incarnation of the leading instance.
+	leaderIncarnation int
+	commits           int
+	runs              []simRun
+	requested         float64
+	refused           float64
 }
 
 // capChange is a cap set by operators.
@@ -141,9 +142,8 @@
 	frozenUntil time.Duration
 	incarnation int
 	ledger      *quota.Ledger
-	// releaser is the releaser that this incarnation of the process created.
-	releaser *quota.Releaser
-	saved    []byte // latest saved usage record
+	releaser    *quota.Releaser
+	saved       []byte // latest saved usage record
 }
 
 // simLink is the link between an entry and a control instance.
