entry: a log line for each phase of a start

After a loss of many machines nothing told which step was stuck: state confirmed, shares of caps decided, first request sent, first answer. No logic is changed.

--- a/entry/contact.go
+++ b/entry/contact.go
@@ -30,6 +30,7 @@
 // then is in force here.
 func (e *Entry) controlConfirmed(sentSinceBoot time.Duration) {
 	e.caps.RenewLease(sentSinceBoot)
+	e.reached(phaseConfirmed)
 	for {
 		known := e.contact.confirmed.Load()
 		if int64(sentSinceBoot) <= known || e.contact.confirmed.CompareAndSwap(known, int64(sentSinceBoot)) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -122,6 +122,7 @@
 	inFlight        atomic.Int64 // attempts at servers
 	congestion      congestion
 	intake          intake
+	phases          phasesReached
 	bodyBytes       atomic.Int64
 	runContext      context.Context // ends when Run's goroutines are to end
 	cancelRun       context.CancelFunc
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -101,6 +101,9 @@
 	switch a := action.(type) {
 	case sched.Send:
 		e.noteSent(a)
+		if a.Message.GetDispatch() != nil {
+			e.reached(phaseDispatched)
+		}
 		e.links.send(a)
 	case sched.Deliver:
 		e.calls.deliver(a.Request, a.Events)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -101,6 +101,7 @@
 	}
 	e.meter.observeAnswer(out.trace, e.now().Sub(r.Arrived))
 	fields.WithField("bytes", out.size).Info("request_answered")
+	e.reached(phaseAnswered)
 }
 
 // callerLeft tells the scheduler that the caller has disconnected, so that no more work is spent on the request.
--- a/entry/usage_shares.go
+++ b/entry/usage_shares.go
@@ -69,5 +69,6 @@
 		return false
 	}
 	log.Info("shares_moved")
+	e.reached(phaseShare)
 	return true
 }
