sched: old times of plain services refuse no calls

Callers of a plain service were refused with 1202 at an entry for as long as it ran, after a period in which answers took nearly as long as their deadline.

Cause: the estimate of a class is the median of its answers, without a bound on their age; a refused call gives no sample. The state sustains itself although the service is fast again. Overload of the entry and the loss of all machines bring such periods about.

Change: times of plain services older than two seconds refuse nothing, and the median follows within twice that. Estimates of model work don't go by times alone and stay.

--- a/sched/admission.go
+++ b/sched/admission.go
@@ -49,7 +49,7 @@
 	if err, decided := s.admitByForecast(r); decided {
 		return err
 	}
-	if !r.hasEstimate() || !s.prefillRateKnown(r) {
+	if !s.mayRefuseByEstimate(r) || !s.prefillRateKnown(r) {
 		return nil
 	}
 	if s.canMeetDeadline(r) || s.feasibleWithoutLowerTiers(r) {
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -25,6 +25,8 @@
 	correctionWeight = 0.1     // of a new sample
 	minCorrection    = 0.2
 	maxCorrection    = 10
+	// estimateMaxAge is the age from which on times of earlier calls say nothing of the next one.
+	estimateMaxAge   = 2 * time.Second
 	crossZonePenalty = 2 * time.Millisecond // estimated cost of leaving the entry's availability zone
 )
 
@@ -75,6 +77,30 @@
 	return m.median != 0
 }
 
+// recentMedian tracks the median of samples that are at most about twice estimateMaxAge old.
+type recentMedian struct {
+	*runningMedian
+	began, last time.Time // first sample of the histogram being filled, and last sample
+}
+
+func newRecentMedian() *recentMedian { return &recentMedian{runningMedian: newRunningMedian()} }
+
+func (m *recentMedian) add(now time.Time, value int64) {
+	switch {
+	case now.Sub(m.last) > estimateMaxAge:
+		m.runningMedian, m.began = newRunningMedian(), now
+	case now.Sub(m.began) > estimateMaxAge && m.filling.TotalCount() >= minSamples:
+		m.full, m.filling, m.began = m.filling, hdrhistogram.New(1, maxSample, histogramDigits), now
+	}
+	m.last = now
+	m.runningMedian.add(value)
+}
+
+// isRecent reports whether there are enough samples to refuse work based on the median, and the last one isn't old.
+func (m *recentMedian) isRecent(now time.Time) bool {
+	return m.known() && now.Sub(m.last) <= estimateMaxAge
+}
+
 // runCorrection is a moving average of the ratio of actual to predicted run times at a server, initially 1.
 type runCorrection struct{ factor float64 }
 
@@ -117,6 +143,15 @@
 	return r.class.outputTokens.known()
 }
 
+// mayRefuseByEstimate reports whether estimates for the request's class are recent enough to refuse it. A refused call gives no
+// sample: by the times of a slow period all calls would be refused without end.
+func (s *Scheduler) mayRefuseByEstimate(r *request) bool {
+	if r.pool.key.kind == kindService {
+		return r.class.serviceTimes.isRecent(s.now)
+	}
+	return r.hasEstimate()
+}
+
 // attemptCost returns the tokens charged to the organisation for an attempt. A service call costs 1.
 func (s *Scheduler) attemptCost(r *request, to *server) int64 {
 	prompt := int64(r.PromptTokens) - int64(s.cachedTokens(r, to))
@@ -178,7 +213,7 @@
 	a := r.attempt
 	took := s.now.Sub(a.sentAt)
 	if r.pool.key.kind == kindService {
-		r.class.serviceTimes.add(took.Microseconds())
+		r.class.serviceTimes.add(s.now, took.Microseconds())
 	} else {
 		r.class.outputTokens.add(int64(end.GetOutputTokens()))
 		r.class.runTimes.add(took.Milliseconds())
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -69,7 +69,7 @@
 // refuseIfTooLate refuses a request that is about to be dispatched but can't finish in time, since its prefill
 // would be wasted. It reports whether it did.
 func (s *Scheduler) refuseIfTooLate(r *request, v *server) bool {
-	if s.options.Policy != PolicyTargets || r.mayBeLate || !r.hasEstimate() || !s.reportsPrefillRate(r, v) || r.ran() != result.RanNo {
+	if s.options.Policy != PolicyTargets || r.mayBeLate || !s.mayRefuseByEstimate(r) || !s.reportsPrefillRate(r, v) || r.ran() != result.RanNo {
 		return false
 	}
 	if s.now.Add(s.estimateRunTime(r, v)).Before(r.Deadline) || !s.mayRefuse(r) || s.feasibleWithoutLowerTiers(r) {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -82,7 +82,7 @@
 		trials:     map[poison.Key]*request{},
 		entryCount: 1,
 	}
-	s.classes[baselineClass] = &class{name: baselineClass, outputTokens: newRunningMedian(), serviceTimes: newRunningMedian()}
+	s.classes[baselineClass] = &class{name: baselineClass, outputTokens: newRunningMedian(), serviceTimes: newRecentMedian()}
 	for tier := range s.clocks {
 		s.clocks[tier] = fair.New()
 	}
--- a/sched/urgency.go
+++ b/sched/urgency.go
@@ -34,7 +34,7 @@
 	spec         *wire.Class
 	window       window
 	outputTokens *runningMedian // tokens
-	serviceTimes *runningMedian // microseconds of a service call
+	serviceTimes *recentMedian  // microseconds of a service call
 	runTimes     *runningMedian // milliseconds of a model's run
 	lengths      *lengthModel   // nil before it is used
 	usedShare    float64        // used share of the targets, 0..1, as of usedShareAt
@@ -52,7 +52,7 @@
 			name:         spec.GetName(),
 			spec:         spec,
 			outputTokens: newRunningMedian(),
-			serviceTimes: newRunningMedian(),
+			serviceTimes: newRecentMedian(),
 			runTimes:     newRunningMedian(),
 		}
 		s.classes[c.name] = c
