quorum: a learner is promoted once it has what was committed an election timeout ago

A lost voter was never replaced while changes were committed and the learner in its place answered later than the others; the next two lost disks then leave no majority, and nothing is served any more.

Cause: a learner counted as caught up only if it had on disk all that was committed at that very moment. With changes all the time, as shares of caps are after losses, a learner that answers later than the median voter never does: one on a machine short of its processor, in another zone, with a slower disk.

Change: it must have what was committed an election timeout before (Raft thesis 4.2.1); a leader of less than that asks for all, as before. The entry that makes it a voter is committed by a majority of the new voters with all entries before it, and any two majorities that follow each other by one change still share a replica, so nothing acknowledged is at risk.

--- a/control/members.go
+++ b/control/members.go
@@ -196,11 +196,9 @@
 	return v.now.Sub(lastContact)
 }
 
-// isCaughtUp reports whether a replica is active and holds all committed entries.
+// isCaughtUp reports whether a replica can be promoted.
 func isCaughtUp(status replica.Status, id quorum.ID) bool {
-	return slices.ContainsFunc(status.Progress, func(p quorum.Progress) bool {
-		return p.ID == id && p.Active && p.Match >= status.Commit
-	})
+	return slices.ContainsFunc(status.Progress, func(p quorum.Progress) bool { return p.ID == id && p.Active && p.CaughtUp })
 }
 
 // isActive reports whether the leader receives messages from a replica.
--- a/quorum/errors.go
+++ b/quorum/errors.go
@@ -27,7 +27,8 @@
 	// ReasonMembershipPending: an earlier membership change, or the first entry
 	// of the leader's term, is not committed yet.
 	ReasonMembershipPending
-	// ReasonNotCaughtUp: the learner does not have all committed entries yet.
+	// ReasonNotCaughtUp: the learner does not have all entries yet that were
+	// committed an election timeout ago.
 	ReasonNotCaughtUp
 	// ReasonInvalidChange: the change does not fit the membership or leaves no
 	// active quorum, or a transfer has no active voter as its target.
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -74,6 +74,7 @@
 			n.transferee = NoID
 		}
 	}
+	n.recordCommit()
 	n.heartbeatElapsed++
 	if n.heartbeatElapsed >= n.cfg.HeartbeatTicks {
 		n.sendHeartbeats()
@@ -182,11 +183,27 @@
 	return Position{Index: index, Term: n.term}, nil
 }
 
-// caughtUp reports whether the active learner p has every committed entry on
-// disk. A voter without them would count towards quorums, and one more failure
-// could then lose a committed entry (thesis 4.2.1).
+// caughtUp reports whether the active peer p has on disk every entry that was
+// committed an election timeout ago (thesis 4.2.1). A voter that is further
+// behind would count towards quorums before it can acknowledge anything.
+//
+// The entries committed since then needn't be there: the change that makes p a
+// voter is committed only with them. While entries are committed all the time,
+// a replica that answers later than the others never has all of them.
 func (n *Node) caughtUp(p *peer) bool {
-	return n.isActive(p) && p.match >= n.log.commit
+	wanted := n.log.commit
+	if len(n.recentCommits) == n.cfg.ElectionTicks {
+		wanted = n.recentCommits[0]
+	}
+	return n.isActive(p) && p.match >= wanted
+}
+
+// recordCommit records the commit index of this tick.
+func (n *Node) recordCommit() {
+	if len(n.recentCommits) == n.cfg.ElectionTicks {
+		n.recentCommits = append(n.recentCommits[:0], n.recentCommits[1:]...)
+	}
+	n.recentCommits = append(n.recentCommits, n.log.commit)
 }
 
 // committedInTerm reports whether an entry of the current term is committed.
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -72,6 +72,9 @@
 	peers []*peer
 	// heartbeatElapsed counts ticks since the last heartbeat.
 	heartbeatElapsed int
+	// recentCommits are the commit indexes at the last ticks, oldest first, at
+	// most ElectionTicks of them.
+	recentCommits []uint64
 	// unappliedBytes is the payload size of the proposals that are not applied
 	// yet.
 	unappliedBytes int
@@ -362,6 +365,7 @@
 			ID:       p.id,
 			Match:    p.match,
 			Active:   n.isActive(p),
+			CaughtUp: n.caughtUp(p),
 			Snapshot: p.state == peerSnapshot,
 		})
 	}
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -35,6 +35,9 @@
 	// Active is true if a message from the replica arrived within the last
 	// election timeout.
 	Active bool
+	// CaughtUp is true if the replica is active and has on disk what was
+	// committed an election timeout ago, so that it can be promoted.
+	CaughtUp bool
 	// Snapshot is true while a snapshot is being sent to the replica.
 	Snapshot bool
 }
