entry: connections turned away for the scheduler don't count as waiting to be read

Found by reading the change: turnsAway asked the limit of new connections first, which then counted the connection as one that will be read, and closed it for the scheduler's congestion.

--- a/entry/congestion.go
+++ b/entry/congestion.go
@@ -53,10 +53,10 @@
 func (e *Entry) turnsAway() turnAwayReason {
 	now := time.Now()
 	switch {
-	case !e.intake.admits(now):
-		return turnAwayProcessor
 	case e.congestion.isCongested(now) && len(e.control.View().Entries) > 1:
 		return turnAwayScheduler
+	case !e.intake.admits(now): // last, since what it admits has to be read
+		return turnAwayProcessor
 	default:
 		return ""
 	}
--- a/entry/congestion_test.go
+++ b/entry/congestion_test.go
@@ -3,9 +3,12 @@
 import (
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/carawaypitch/carawaypitch/wire"
 )
 
 // Guards against an entry that reads requests which it can't serve in time, and against one that turns callers away because
@@ -65,3 +68,20 @@
 	_, err = conns[0].Read(make([]byte, 1))
 	require.Error(t, err, "the caller learns at once")
 }
+
+// Guards against an entry that limits new connections long after its scheduler was congested: those that were turned away for that
+// are never read, and must not count as waiting for the processor.
+func TestConnectionsTurnedAwayByTheSchedulerDontWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, 1)
+		h.control.mu.Lock()
+		h.control.view.Entries["entry-2"], h.control.view.Entries["entry-3"] = &wire.EntryRecord{}, &wire.EntryRecord{}
+		h.control.mu.Unlock()
+		e := h.entries[0]
+		e.congestion.until.Store(time.Now().Add(time.Minute).UnixNano())
+		for range 2 * intakeSamples {
+			require.Equal(t, turnAwayScheduler, e.turnsAway())
+		}
+		require.Zero(t, e.intake.unread)
+	})
+}
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -53,7 +53,7 @@
 	waited                        time.Duration // sum over the samples
 }
 
-// admits reports whether a connection that has just been accepted is read.
+// admits reports whether a connection that has just been accepted is read. observe must follow for each that is.
 func (i *intake) admits(now time.Time) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
