quorum, spec: a learner that is promoted holds the membership in force

Found by reading the change: within an election timeout after it was added, a learner could be promoted without the entry that adds it. It doesn't vote then, and one more lost replica would leave no leader until it has the entry.

--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -183,9 +183,11 @@
 	return Position{Index: index, Term: n.term}, nil
 }
 
-// caughtUp reports whether the active peer p has on disk every entry that was
-// committed an election timeout ago (thesis 4.2.1). A voter that is further
-// behind would count towards quorums before it can acknowledge anything.
+// caughtUp reports whether the active peer p has on disk the membership in
+// force and every entry that was committed an election timeout ago (thesis
+// 4.2.1). A voter that is further behind would count towards quorums before it
+// can acknowledge anything, and one that doesn't know that it is a member
+// couldn't vote if another replica were lost now.
 //
 // The entries committed since then needn't be there: the change that makes p a
 // voter is committed only with them. While entries are committed all the time,
@@ -195,7 +197,7 @@
 	if len(n.recentCommits) == n.cfg.ElectionTicks {
 		wanted = n.recentCommits[0]
 	}
-	return n.isActive(p) && p.match >= wanted
+	return n.isActive(p) && p.match >= max(wanted, n.history.current().index)
 }
 
 // recordCommit records the commit index of this tick.
--- a/quorum/repair_test.go
+++ b/quorum/repair_test.go
@@ -107,6 +107,39 @@
 	require.Equal(t, l.state, learner.state)
 }
 
+// Guards against a learner that is never promoted while entries are committed all the time, since at any moment it lacks the last
+// few. It must have the membership in force, without which it wouldn't vote.
+func TestPromotionWhileEntriesAreCommitted(t *testing.T) {
+	c := newCluster(t, 4, 9)
+	l := c.elect()
+	learner := c.addReplica(quorum.MakeID("e", "disk1"), disk{})
+	c.changeMembership(l, quorum.Change{Kind: quorum.AddLearner, ID: learner.id})
+	for range 2 * quorum.DefaultElectionTicks {
+		c.tick()
+	}
+	removed := replicaID(0)
+	if l.id == removed {
+		removed = replicaID(1)
+	}
+	c.isolate(learner.id)
+	c.changeMembership(l, quorum.Change{Kind: quorum.Remove, ID: removed})
+	_, err := l.node.ProposeMembership(quorum.Change{Kind: quorum.Promote, ID: learner.id})
+	require.ErrorIs(t, err, quorum.ErrNotCaughtUp, "it doesn't know the members")
+	c.heal()
+	for range 2 * quorum.DefaultElectionTicks {
+		c.tick()
+	}
+	c.isolate(learner.id)
+	c.propose(l, 5)
+	_, err = l.node.ProposeMembership(quorum.Change{Kind: quorum.Promote, ID: learner.id})
+	require.NoError(t, err, "it lacks the last entries only")
+	c.heal()
+	for range quorum.DefaultElectionTicks {
+		c.tick()
+	}
+	require.Equal(t, l.state, learner.state)
+}
+
 // Two leaders must not commit in disjoint majorities. A leader removes one
 // replica and is partitioned before that is committed, while the others remove
 // another one; two uncommitted changes, or a change before a commit in the
--- a/spec/log_replication.go
+++ b/spec/log_replication.go
@@ -54,9 +54,20 @@
 	return r.commit == 0 || r.log[r.commit-1].term() != r.term
 }
 
-// caughtUp tells whether the learner has acknowledged all that is committed.
+// caughtUp tells whether the learner has acknowledged the members in force, and all that was committed before them. The code asks
+// for more, what was committed an election timeout ago; the model has no time.
 func (m *logModel) caughtUp(s *logState, r *member) bool {
-	return s.acks[r.term][replacement] >= r.commit || !m.guards.has(GuardLearnerCaughtUp)
+	return s.acks[r.term][replacement] >= r.log.lastChange() || !m.guards.has(GuardLearnerCaughtUp)
+}
+
+// lastChange is the index of the last change of members in the log, 0 if there is none.
+func (l *entryList) lastChange() uint8 {
+	for index := l.length(); index > 0; index-- {
+		if l[index-1].kind() != kindData {
+			return index
+		}
+	}
+	return 0
 }
 
 func (t *logTurn) appendOwn(at int, kind uint8) {
