--- a/entry/congestion.go
+++ b/entry/congestion.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -65,9 +64,8 @@
 // turnedAwayLogInterval is the shortest time between two log lines about connections that were turned away.
 const turnedAwayLogInterval = time.Second
 
-// turnedAwayLog counts the connections that were turned away since the last log line.
+// turnedAwayLog counts the connections that were turned away since the last log line. Only the accepting goroutine uses it.
 type turnedAwayLog struct {
-	mu    sync.Mutex
 	at    time.Time
 	count int
 }
@@ -75,13 +73,11 @@
 // noteTurnedAway counts a connection that was turned away, and logs how many there were.
 func (e *Entry) noteTurnedAway(since *turnedAwayLog, reason turnAwayReason) {
 	e.meter.add(fmt.Sprintf("%s{reason=%q}", metricTurnedAway, reason), 1)
-	since.mu.Lock()
-	defer since.mu.Unlock()
 	since.count++
 	if now := time.Now(); now.Sub(since.at) >= turnedAwayLogInterval {
 		e.log.WithField("connections", since.count).WithField("reason", reason).WithField("limit_per_s", int(e.intake.inForce())).
 			WithField("running", e.inFlight.Load()).WithField("active", e.active.Load()).Warn("connections_turned_away")
-		since.at, since.count = now, 0
+		*since = turnedAwayLog{at: now}
 	}
 }
 
