--- a/review/standin/main.go
+++ b/review/main.go
@@ -1,4 +1,4 @@
-// Command standin plays the cases of the review: it starts the project's programs as separate processes on loopback
+// Command review plays the cases of the review: it starts the project's programs as separate processes on loopback
 // addresses, with stand-ins of servers, requesters and the operator.
 package main
 
@@ -36,7 +36,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-standin CASE RECORD")
 		os.Exit(exitCannotRun)
 	}
 	os.Exit(play(cases[os.Args[1]], os.Args[2], os.Getenv("TROUBLE") != "0"))
