--- a/review/deployment.go
+++ b/review/platform/deployment.go
@@ -32,7 +32,7 @@
 // heartbeat is the interval of a server's pings, as in the settings of the processes.
 const heartbeat = 1200 * time.Millisecond
 
-// defaultDrainTime is drain_ms of the site kompost-pass.
+// defaultDrainTime is drain_ms of the site of cases 1 and 3.
 const defaultDrainTime = 2 * time.Second
 
 // binary is the program that the build of the deploy file makes.
@@ -90,7 +90,7 @@
 	return []string{d.address(0, portControl), d.address(1, portControl), d.address(2, portControl)}
 }
 
-// settingsText has the fields of the settings of a machine, and the values of the site kompost-pass, by fleetbench wire. Machines
+// settingsText has the fields of the settings of a machine, and the values that the bench shows for the site of cases 1 and 3. Machines
 // are in one zone.
 const settingsText = `node_name = "edge-%[1]d"
 role = "%[2]s"
@@ -98,7 +98,7 @@
 serves = [%[4]s]
 ip = "%[5]s"
 zone = "zagreb-a"
-region = "hr-kontinent"
+region = "region-a"
 port_range = [%[6]d,%[7]d]
 seeds = ["%[8]s"]
 bootstrap = %[9]t
@@ -111,7 +111,7 @@
 config_mode = "highest"
 app = "%[11]s"
 [zones]
-zagreb-a = "hr-kontinent"
+zagreb-a = "region-a"
 [listen]
 %[12]s
 [limits]
--- a/review/main.go
+++ b/review/platform/main.go
@@ -1,4 +1,4 @@
-// Command review plays the cases of the review: it starts the project's programs as separate processes on loopback
+// Command platform plays the cases of the review: it starts the project's programs as separate processes on loopback
 // addresses, with stand-ins of servers, requesters and the operator.
 package main
 
