network: no HTTP client of the product or of a measurement sends twice

The cause of the second execution on routes that run once, looked for at all other senders: every http.Transport with kept connections repeats requests that it takes for repeatable. Load generators send Idempotency-Key with a body that can be got again, so a lost answer gave one call two arrivals, and the counts of experiments and soaks were wrong in both directions; report calls to engines were left to repeat on purpose.

Change: all of them use network.SingleSend; only transports without kept connections may do without. drpc connections don't repeat calls; links and sessions resend messages themselves, by number (by reading).

--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/engine/standin"
+	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/network/memory"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/session"
@@ -61,11 +62,11 @@
 			ledger:  standin.NewLedger(1000),
 			control: newFakeControl(),
 		}
-		transport := &http.Transport{
+		transport := network.SingleSend{Transport: &http.Transport{
 			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 				return env.network.Host(agentHost).Dial(ctx, address)
 			},
-		}
+		}}
 		env.http = &http.Client{Transport: transport}
 		test(env)
 		_ = env.stopAgent()
--- a/capacity/load.go
+++ b/capacity/load.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/dev"
+	"github.com/carawaypitch/carawaypitch/network"
 )
 
 // callTimeout bounds one call of an entry.
@@ -20,7 +21,7 @@
 // load calls an entry at a constant rate: service calls, or streamed completions of o.Tokens tokens.
 func (s *side) load(o Order) (Reply, error) {
 	client := &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections},
+		Transport: network.SingleSend{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}},
 		Timeout:   callTimeout,
 	}
 	defer client.CloseIdleConnections()
--- a/capacity/path_test.go
+++ b/capacity/path_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carawaypitch/carawaypitch/entry"
+	"github.com/carawaypitch/carawaypitch/network"
 )
 
 // answerTokens is the length of a streamed answer.
@@ -102,8 +103,10 @@
 // awaitReady waits until an entry may receive calls.
 func awaitReady(b *testing.B, url string) {
 	b.Helper()
+	client := &http.Client{Transport: network.SingleSend{Transport: new(http.Transport)}}
+	defer client.CloseIdleConnections()
 	require.Eventually(b, func() bool {
-		response, err := http.Get(url + "/readyz")
+		response, err := client.Get(url + "/readyz")
 		if err != nil {
 			return false
 		}
--- a/cmd/carawaypitch/soak_test.go
+++ b/cmd/carawaypitch/soak_test.go
@@ -23,6 +23,7 @@
 
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/engine/standin"
+	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/settings"
 )
 
@@ -108,7 +109,7 @@
 
 // client returns a client that keeps its connections until the process at their other end is gone.
 func soakClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * soakCallers}, Timeout: callTimeout}
+	return &http.Client{Transport: network.SingleSend{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * soakCallers}}, Timeout: callTimeout}
 }
 
 // streamOnce asks an entry for a stream and checks it: a whole one is the answer to this request, from one software version, and a
--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carawaypitch/carawaypitch/control"
+	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/network/memory"
 	"github.com/carawaypitch/carawaypitch/quorum/journal"
 	"github.com/carawaypitch/carawaypitch/quorum/journal/journaltest"
@@ -201,9 +202,9 @@
 
 // call makes an operator's call from a separate host. The status is 0 if the connection failed.
 func (c *cluster) call(n *instance, method, path, body string, headers map[string]string) answer {
-	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+	transport := network.SingleSend{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 		return c.net.Host("10.0.9.1").Dial(ctx, address)
-	}}
+	}}}
 	defer transport.CloseIdleConnections()
 	request, err := http.NewRequestWithContext(c.ctx, method, "http://"+n.settings.Listen.Operators+path, bytes.NewReader([]byte(body)))
 	require.NoError(c.t, err)
--- a/engine/http.go
+++ b/engine/http.go
@@ -69,7 +69,7 @@
 
 	base      *url.URL
 	options   HTTPOptions
-	transport *http.Transport
+	transport network.SingleSend
 }
 
 var (
@@ -100,10 +100,10 @@
 // newTransport returns the transport. It ignores proxy settings of the environment and speaks
 // HTTP/1.1 only: HTTP/2 retries some refused streams by itself, and one lost connection would
 // end all attempts at the same time.
-func newTransport(options HTTPOptions) *http.Transport {
+func newTransport(options HTTPOptions) network.SingleSend {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{
+	return network.SingleSend{Transport: &http.Transport{
 		Proxy: nil,
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			conn, err := options.Network.Dial(ctx, address)
@@ -125,7 +125,7 @@
 		IdleConnTimeout:       options.IdleTimeout,
 		TLSHandshakeTimeout:   network.DialTimeout,
 		ExpectContinueTimeout: 0,
-	}
+	}}
 }
 
 // Close closes idle connections. Calls in progress continue.
--- a/engine/http_call.go
+++ b/engine/http_call.go
@@ -28,8 +28,6 @@
 	path   string
 	body   []byte
 	header http.Header
-	// idempotent marks a read-only call, which net/http may retry.
-	idempotent bool
 }
 
 func (c call) fail(class, cause error) error {
@@ -49,17 +47,6 @@
 	return c.fail(ErrOutcomeUnknown, cause)
 }
 
-// nonReplayableBody returns a request body that net/http cannot send twice. net/http silently
-// retries a request on another connection if an idle connection turns out to be closed and the
-// request counts as idempotent, which includes any POST with an Idempotency-Key header and
-// either no body or one with GetBody. A server that closed the connection after it read the
-// call would then run it twice. A non-nil body without GetBody, even if empty, prevents the
-// retry. The body is of a type that net/http recognises as held in memory; otherwise headers
-// and body would go out in two writes.
-func nonReplayableBody(body []byte) io.ReadCloser {
-	return io.NopCloser(bytes.NewReader(body))
-}
-
 // send sends the call once and returns the response with its body unread. The error matches
 // ErrNeverSent only if the call was never given a connection; with a connection, bytes may
 // still be in transit after send returns.
@@ -131,8 +118,8 @@
 	if request.Header == nil {
 		request.Header = make(http.Header)
 	}
-	if !c.idempotent {
-		request.Body = nonReplayableBody(c.body)
+	if len(c.body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(c.body))
 		request.ContentLength = int64(len(c.body))
 	}
 	return request, nil
--- a/engine/http_report.go
+++ b/engine/http_report.go
@@ -98,10 +98,9 @@
 
 func getCall(name, path string) call {
 	return call{
-		name:       name,
-		method:     http.MethodGet,
-		path:       path,
-		idempotent: true,
+		name:   name,
+		method: http.MethodGet,
+		path:   path,
 	}
 }
 
--- a/engine/http_test.go
+++ b/engine/http_test.go
@@ -125,6 +125,19 @@
 	}
 }
 
+// Guards against a report call that reaches the server twice, which its prices and counts would not show.
+func TestReportIsNotRetriedByTransport(t *testing.T) {
+	server := startClosingServer(t)
+	client, err := NewHTTP("http://"+server.listener.Addr().String(), HTTPOptions{})
+	require.NoError(t, err)
+	defer client.Close()
+	_, err = client.Load(t.Context())
+	require.NoError(t, err)
+	_, err = client.Load(t.Context())
+	require.ErrorIs(t, err, ErrOutcomeUnknown)
+	assert.EqualValues(t, 2, server.requests.Load())
+}
+
 // Guards against sending a model request whose body is not a JSON object.
 func TestModelBodyMustBeAnObject(t *testing.T) {
 	client, err := NewHTTP("http://127.0.0.1:1", HTTPOptions{})
--- a/engine/standin/announcer.go
+++ b/engine/standin/announcer.go
@@ -36,16 +36,16 @@
 
 // NewAnnouncer returns an announcer for the agent at a base URL. current returns the
 // announcement to send.
-func NewAnnouncer(agent string, network network.Network, current func() engine.Announcement) *Announcer {
+func NewAnnouncer(agent string, n network.Network, current func() engine.Announcement) *Announcer {
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
-		return network.Dial(ctx, address)
+		return n.Dial(ctx, address)
 	}
 	return &Announcer{
 		agent:   strings.TrimSuffix(agent, "/"),
 		current: current,
 		client: &http.Client{
 			Timeout:   announceTimeout,
-			Transport: &http.Transport{DialContext: dial},
+			Transport: network.SingleSend{Transport: &http.Transport{DialContext: dial}},
 		},
 	}
 }
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
+	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/network/memory"
 	"github.com/carawaypitch/carawaypitch/origin"
 	"github.com/carawaypitch/carawaypitch/result"
@@ -241,9 +242,9 @@
 // setCallerHost sets the host that calls come from.
 func (h *harness) setCallerHost(ip string) {
 	caller := h.net.Host(ip)
-	transport := &http.Transport{
+	transport := network.SingleSend{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return caller.Dial(ctx, address) },
-	}
+	}}
 	h.client = &http.Client{Transport: transport}
 	h.t.Cleanup(transport.CloseIdleConnections)
 }
--- a/experiment/deploy/deploy.go
+++ b/experiment/deploy/deploy.go
@@ -116,7 +116,7 @@
 
 func clientOf(n network.Network) *http.Client {
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return n.Dial(ctx, address) }
-	return &http.Client{Transport: &http.Transport{DialContext: dial}, Timeout: probeBound}
+	return &http.Client{Transport: network.SingleSend{Transport: &http.Transport{DialContext: dial}}, Timeout: probeBound}
 }
 
 // delay is the one-way delay between two zones.
--- a/experiment/drive.go
+++ b/experiment/drive.go
@@ -90,7 +90,7 @@
 
 // fetchMetrics returns the texts of those that answer.
 func fetchMetrics(ctx context.Context, urls []string) [][]byte {
-	client := &http.Client{Timeout: metricsTimeout}
+	client := &http.Client{Transport: network.SingleSend{Transport: new(http.Transport)}, Timeout: metricsTimeout}
 	defer client.CloseIdleConnections()
 	var texts [][]byte
 	for _, url := range urls {
--- a/experiment/load/driver.go
+++ b/experiment/load/driver.go
@@ -41,7 +41,7 @@
 // platform's balancer leaves out; keys are the organisations', in the plan's order. With check it compares answers with
 // those of the stand-ins.
 func NewDriver(n network.Network, callers func() []string, keys []string, check bool) *Driver {
-	transport := &http.Transport{
+	transport := network.SingleSend{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return n.Dial(ctx, address)
 		},
@@ -49,7 +49,7 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 		WriteBufferSize:     32 << 10,
-	}
+	}}
 	return &Driver{callers: callers, keys: keys, check: check, client: &http.Client{Transport: transport}}
 }
 
--- a/experiment/path_test.go
+++ b/experiment/path_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carawaypitch/carawaypitch/dev"
+	"github.com/carawaypitch/carawaypitch/network"
 )
 
 // gateCheck is the body of the calls that measure the path.
@@ -35,7 +36,7 @@
 	b.Cleanup(func() { require.NoError(b, d.Stop()) })
 	info := d.Info()
 	p := &path{
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}},
+		client: &http.Client{Transport: network.SingleSend{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}}},
 		entry:  info.Entries[0] + "/v1/services/" + dev.SampleService + "/check",
 		own:    info.Engines[0] + "/check",
 		key:    info.Organisations[0].Key,
--- a/poison/fleet_test.go
+++ b/poison/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/carawaypitch/carawaypitch/control"
 	"github.com/carawaypitch/carawaypitch/engine/standin"
 	"github.com/carawaypitch/carawaypitch/entry"
+	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/network/memory"
 	"github.com/carawaypitch/carawaypitch/quorum/journal/journaltest"
 	"github.com/carawaypitch/carawaypitch/settings"
@@ -68,11 +69,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{t: t, net: memory.New()}
 		caller := f.net.Host("10.9.0.1")
-		transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		transport := network.SingleSend{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return caller.Dial(ctx, address)
-		}}
+		}}}
 		f.client = &http.Client{Transport: transport}
-		defer f.stopAll(transport)
+		defer f.stopAll(transport.Transport)
 		for i := range controls {
 			f.controls = append(f.controls, &process{name: fmt.Sprint("control-", i), host: fmt.Sprint("10.0.0.", i+1), fs: journaltest.New()})
 		}
