--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/engine/framing"
 	"github.com/carawaypitch/carawaypitch/gate"
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/network"
@@ -119,7 +120,7 @@
 	}
 	newEngine := options.NewEngine
 	if newEngine == nil {
-		newEngine = a.newHTTPEngine
+		newEngine = a.httpEngines()
 	}
 	clientTLS, err := a.loadTLS()
 	if err != nil {
@@ -260,17 +261,23 @@
 	}
 }
 
-// newHTTPEngine returns the client of an engine that speaks the protocol of engine.HTTP.
-func (a *Agent) newHTTPEngine(record *wire.ServerRecord) (engine.Client, error) {
+// unfinishedAnswers bounds what answers take while they are read, as a number of answers of the largest size.
+const unfinishedAnswers = 4
+
+// httpEngines returns the constructor of clients of engines that speak the protocol of engine.HTTP.
+func (a *Agent) httpEngines() func(*wire.ServerRecord) (engine.Client, error) {
 	options := engine.HTTPOptions{
 		MaxAnswerBytes: int64(a.settings.Limits.MaxAnswer),
 		Network:        a.network,
+		Budget:         framing.NewBudget(unfinishedAnswers * int64(a.settings.Limits.MaxAnswer)),
 	}
 	if a.held != nil {
 		options.WriteTimeout = a.settings.Memory.ReaderTimeout
 		options.ReadBufferBytes = engineReadBuffer
 	}
-	return engine.NewHTTP(record.GetAddress(), options)
+	return func(record *wire.ServerRecord) (engine.Client, error) {
+		return engine.NewHTTP(record.GetAddress(), options)
+	}
 }
 
 func (a *Agent) sessionConfig(clientTLS *tls.Config, serverAddress string) session.Config {
--- a/engine/framing/parts.go
+++ b/engine/framing/parts.go
@@ -30,6 +30,8 @@
 	limit  int
 	raw    []byte
 	data   []byte
+
+	reservation *reservation // nil if nothing is counted
 }
 
 // NewPartReader returns a reader. limit bounds each line and the data of an event, in bytes.
@@ -80,6 +82,8 @@
 		switch {
 		case len(r.raw)-start > r.limit+len("data: \r\n"), len(r.raw) > fieldOverhead*r.limit+len("data: \r\n"):
 			return ErrTooLarge
+		case r.reservation.resize(growthFactor*int64(cap(r.raw)+cap(r.data))) != nil:
+			return ErrTooLarge
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		default:
--- a/engine/http.go
+++ b/engine/http.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/carawaypitch/carawaypitch/engine/framing"
 	"github.com/carawaypitch/carawaypitch/network"
 )
 
@@ -21,6 +22,9 @@
 	DefaultIdleTimeout    = 30 * time.Second
 )
 
+// maxHeadBytes bounds the head of an answer, together with the interim answers before it.
+const maxHeadBytes = 32 << 10
+
 // HTTPOptions are the settings of an [HTTP] adapter. Zero values mean the defaults above.
 type HTTPOptions struct {
 	// MaxAnswerBytes limits a response that is not a stream.
@@ -37,6 +41,8 @@
 	Network network.Network
 	// ReadBufferBytes bounds what the network buffers of a response that is not read; 0 leaves it to the system.
 	ReadBufferBytes int
+	// Budget bounds what the answers of all servers take while they are read; nil means no bound.
+	Budget *framing.Budget
 	// WriteTimeout bounds the time for which the server may read nothing of a request; 0 means no bound.
 	WriteTimeout time.Duration
 }
@@ -125,6 +131,8 @@
 		IdleConnTimeout:       options.IdleTimeout,
 		TLSHandshakeTimeout:   network.DialTimeout,
 		ExpectContinueTimeout: 0,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
--- a/engine/http_call.go
+++ b/engine/http_call.go
@@ -149,8 +149,8 @@
 
 // readWhole reads a response in one piece, which the service interface and all calls answer with JSON. The end is returned
 // with any error.
-func (c call) readWhole(response *http.Response, limit int64) ([]byte, framing.End, error) {
-	body, end := framing.ReadWhole(response, framing.JSON, limit)
+func (h *HTTP) readWhole(c call, response *http.Response, limit int64) ([]byte, framing.End, error) {
+	body, end := h.options.Budget.ReadWhole(response, framing.JSON, limit)
 	if err := end.Err(); err != nil {
 		return nil, end, c.fail(ErrOutcomeUnknown, err)
 	}
@@ -165,7 +165,7 @@
 		return nil, err
 	}
 	defer closeBody(response)
-	body, _, err := c.readWhole(response, limit)
+	body, _, err := h.readWhole(c, response, limit)
 	if err != nil {
 		return nil, err
 	}
--- a/engine/http_report.go
+++ b/engine/http_report.go
@@ -89,7 +89,7 @@
 		return OrderResult{}, err
 	}
 	defer closeBody(response)
-	body, _, err := c.readWhole(response, h.options.MaxAnswerBytes)
+	body, _, err := h.readWhole(c, response, h.options.MaxAnswerBytes)
 	if err != nil {
 		return OrderResult{}, err
 	}
--- a/engine/http_run.go
+++ b/engine/http_run.go
@@ -140,7 +140,7 @@
 
 // readAndDeliver reads a response to its end and then passes it to the sink.
 func (h *HTTP) readAndDeliver(c call, response *http.Response, sink Sink) (framing.End, error) {
-	body, end, err := c.readWhole(response, h.options.MaxAnswerBytes)
+	body, end, err := h.readWhole(c, response, h.options.MaxAnswerBytes)
 	if err != nil {
 		return end, err
 	}
@@ -184,7 +184,7 @@
 		sink:    sink,
 		outcome: outcome,
 	}
-	if err := stream.read(response, h.options.MaxEventBytes); err != nil {
+	if err := stream.read(response, h.options); err != nil {
 		// Close immediately: some engines cancel on disconnect, and until then they compute
 		// output that is discarded.
 		_ = response.Body.Close()
@@ -197,7 +197,7 @@
 // running; a stream unknown to the engine is reported as the error of Resume; any other status
 // ends the attempt.
 func (h *HTTP) deliverRefusal(c call, response *http.Response, outcome Outcome, sink Sink) (Outcome, error) {
-	body, end, err := c.readWhole(response, h.options.MaxAnswerBytes)
+	body, end, err := h.readWhole(c, response, h.options.MaxAnswerBytes)
 	outcome.Body = end
 	if err != nil {
 		return outcome, err
--- a/engine/http_stream.go
+++ b/engine/http_stream.go
@@ -53,8 +53,8 @@
 }
 
 // read reads a stream until the engine ends it.
-func (s *streamReader) read(response *http.Response, limit int) error {
-	s.outcome.Body = framing.ReadStream(response, framing.MarkedEvents, limit, func(part framing.Part) error {
+func (s *streamReader) read(response *http.Response, options HTTPOptions) error {
+	s.outcome.Body = options.Budget.ReadStream(response, framing.MarkedEvents, options.MaxEventBytes, func(part framing.Part) error {
 		if !part.HasData {
 			return nil
 		}
