agent: the announcement of a draining server isn't its return

A server that was absent from the directory for about three seconds, and then announced that it is draining, got work while it left. A leaving server that was silent for three seconds returns with its next announcement, and that of a draining server counted as one. Its drain had been recorded before, with the absence, so that nothing made it leave again.

Change: an announcement that says draining is no return.

--- a/agent/announcement_selection.go
+++ b/agent/announcement_selection.go
@@ -166,7 +166,7 @@
 	run := announcement.Run().String()
 	s, err := a.servers.getOrCreateAnnounced(run)
 	if err == nil {
-		err = s.announce(ctx, newServerRecord(announcement, pool))
+		err = s.announce(ctx, newServerRecord(announcement, pool), announcement.GetDraining())
 	}
 	if err != nil {
 		a.log.WithField("server", run).WithError(err).Warn("announcement_refused")
--- a/agent/announcement_selection_test.go
+++ b/agent/announcement_selection_test.go
@@ -157,3 +157,26 @@
 		})
 	}
 }
+
+// Guards against a server that gets work while it drains: it was absent from the directory for a while, and the announcement
+// that it is draining counts as its return.
+func TestServerThatDrainsAfterAbsenceGetsNoWork(t *testing.T) {
+	draining := newAnnouncement("m1", "models", followedAddress)
+	draining.Draining = true
+	for _, absence := range []time.Duration{400 * time.Millisecond, 2900 * time.Millisecond, 4 * time.Second} {
+		t.Run(absence.String(), func(t *testing.T) {
+			withEnv(t, func(env *testEnv) {
+				env.startFollowingAgent()
+				env.control.setView(followView(2, newAnnouncement("m1", "models", followedAddress)))
+				env.waitUntil("the server is ready", func() bool { return len(env.control.registered()) == 1 })
+				env.control.setView(followView(3))
+				time.Sleep(absence)
+				env.control.setView(followView(4, draining))
+				time.Sleep(5 * time.Second)
+				for _, record := range env.control.registered() {
+					require.Equal(t, wire.ServerCondition_SERVER_CONDITION_DRAINED, record.GetCondition())
+				}
+			})
+		})
+	}
+}
--- a/agent/http_announce.go
+++ b/agent/http_announce.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.announce(c.Request().Context(), record); err != nil {
+	if err := s.announce(c.Request().Context(), record, false); err != nil {
 		return err
 	}
 	return c.JSON(http.StatusOK, announceResponse{
--- a/agent/server_announce.go
+++ b/agent/server_announce.go
@@ -19,9 +19,9 @@
 // announce passes a validated announcement to the event loop and waits for the result. Errors have the code
 // server_busy (the address or kind changed while the earlier engine may still run something) or malformed_body, or are
 // those of ctx.
-func (s *server) announce(ctx context.Context, record *wire.ServerRecord) error {
+func (s *server) announce(ctx context.Context, record *wire.ServerRecord, draining bool) error {
 	reply := make(chan error, 1)
-	if err := s.push(ctx, announcementInput{record: record, reply: reply}); err != nil {
+	if err := s.push(ctx, announcementInput{record: record, draining: draining, reply: reply}); err != nil {
 		return err
 	}
 	select {
@@ -33,15 +33,16 @@
 }
 
 type announcementInput struct {
-	record *wire.ServerRecord
-	reply  chan<- error
+	record   *wire.ServerRecord
+	draining bool // the server says that it is draining, so it isn't returning
+	reply    chan<- error
 }
 
 func (in announcementInput) apply(s *server, now time.Time) {
-	in.reply <- s.applyAnnouncement(now, in.record)
+	in.reply <- s.applyAnnouncement(now, in.record, in.draining)
 }
 
-func (s *server) applyAnnouncement(now time.Time, record *wire.ServerRecord) error {
+func (s *server) applyAnnouncement(now time.Time, record *wire.ServerRecord, draining bool) error {
 	if s.engineChanged(record) {
 		if err := s.releaseEngine(now); err != nil {
 			return err
@@ -54,7 +55,7 @@
 	s.detectSilence(now)
 	s.record = record
 	s.announcedAt = now
-	if s.isReturning(now) {
+	if !draining && s.isReturning(now) {
 		s.resetAfterReturn(now)
 	}
 	s.step(now, gate.Announced{Server: record})
