agent: a server that the directory didn't list for a moment returns

A late announcement of a crashed server takes the living one at its address off the directory until its next announcement, some 0.2 to 1.2 s later; a desired state that drops a pool and the next one that has it again do the same.

Cause: the agent took the absence for the server's end and had it leave, and a server that leaves returns only after 3 s of silence, or after it was told that it is drained. The end was concluded from evidence that isn't final, and the conclusion was final. Ruled out: the directory, which lists the server again.

Change: a leave that rests on absence alone is marked. Such a server returns once the directory lists it again and its gate has been drained for 2 s. Any other reason makes the leave final as before: draining, an operator, an order, an answer of another server at the address.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -141,7 +141,7 @@
 	if a.senders = options.Senders; a.senders == nil {
 		a.senders = func(*session.View) int { return 1 }
 	}
-	a.follow = followState{selectServers: options.Select, endedAt: make(map[string]time.Time)}
+	a.follow = followState{selectServers: options.Select, ended: make(map[string]serverEnd)}
 	if a.session = options.Control; a.session == nil {
 		a.session = options.newSession(a.sessionConfig(clientTLS, options.ServerAddress))
 	}
--- a/agent/announcement_selection.go
+++ b/agent/announcement_selection.go
@@ -16,7 +16,13 @@
 // followState is the state of followLoop.
 type followState struct {
 	selectServers func(*session.View) []*wire.Announcement
-	endedAt       map[string]time.Time // when the end of each server was passed to its gate
+	ended         map[string]serverEnd // of the servers whose end was passed to their gates
+}
+
+// serverEnd is the end of a server.
+type serverEnd struct {
+	at     time.Time
+	absent bool // concluded from the server's absence from the directory, and not final
 }
 
 // AtAddress selects the servers that announced themselves with this address, IP:port, such as the server beside an
@@ -144,22 +150,29 @@
 		a.followAnnouncement(ctx, announcement, pool)
 	}
 	for _, s := range a.servers.all() {
-		if s.view.Load().announced() && !announced[s.name] && a.follow.recordEnd(s.name) {
-			_ = s.leave(ctx, "ended")
+		if s.view.Load().announced() && !announced[s.name] && a.follow.recordEnd(s.name, true) {
+			_ = s.leaveAbsent(ctx)
 		}
 	}
 	a.removeEndedServers(announced, time.Now())
 }
 
-// recordEnd records that a server ended and reports whether this is its first call for the server.
-func (f *followState) recordEnd(server string) bool {
-	if _, known := f.endedAt[server]; known {
+// recordEnd records that a server ended and reports whether its gate doesn't know that yet.
+func (f *followState) recordEnd(server string, absent bool) bool {
+	if end, known := f.ended[server]; known && (!end.absent || absent) {
 		return false
 	}
-	f.endedAt[server] = time.Now()
+	f.ended[server] = serverEnd{at: time.Now(), absent: absent}
 	return true
 }
 
+// recordReturn records that the directory lists a server that it didn't list before.
+func (f *followState) recordReturn(server string) {
+	if f.ended[server].absent {
+		delete(f.ended, server)
+	}
+}
+
 // followAnnouncement passes an announcement to the server's gate. It announces also a server that is draining, since
 // only an announced server can leave.
 func (a *Agent) followAnnouncement(ctx context.Context, announcement *wire.Announcement, pool *wire.Pool) {
@@ -172,7 +185,16 @@
 		a.log.WithField("server", run).WithError(err).Warn("announcement_refused")
 		return
 	}
-	if announcement.GetDraining() && a.follow.recordEnd(run) {
+	a.followDraining(ctx, s, announcement)
+}
+
+// followDraining has a server leave that announces that it is draining.
+func (a *Agent) followDraining(ctx context.Context, s *server, announcement *wire.Announcement) {
+	if !announcement.GetDraining() {
+		a.follow.recordReturn(s.name)
+		return
+	}
+	if a.follow.recordEnd(s.name, false) {
 		_ = s.leave(ctx, "draining")
 	}
 }
--- a/agent/announcement_selection_test.go
+++ b/agent/announcement_selection_test.go
@@ -180,3 +180,46 @@
 		})
 	}
 }
+
+// Guards against a sound server that gets no work for good, since the directory didn't list it for a moment: a late announcement
+// of its predecessor had its address, or a desired state was without its pool.
+func TestServerAbsentForAMomentReturns(t *testing.T) {
+	listed := newAnnouncement("m1", "models", followedAddress)
+	withoutPool := func(version uint64) *session.View {
+		view := followView(version, listed)
+		view.Desired.Pools = view.Desired.Pools[1:]
+		return view
+	}
+	for name, without := range map[string]*session.View{
+		"other server at its address": followView(3, newAnnouncement("m0", "models", followedAddress)),
+		"no server":                   followView(3),
+		"pool is missing":             withoutPool(3),
+	} {
+		for _, moment := range []time.Duration{400 * time.Millisecond, 1500 * time.Millisecond, 2900 * time.Millisecond} {
+			t.Run(name+" for "+moment.String(), func(t *testing.T) {
+				withEnv(t, func(env *testEnv) {
+					condition := func() wire.ServerCondition {
+						for _, record := range env.control.registered() {
+							if record.GetServer() == "m1" {
+								return record.GetCondition()
+							}
+						}
+						return wire.ServerCondition_SERVER_CONDITION_UNSPECIFIED
+					}
+					env.startFollowingAgent()
+					for round := range uint64(3) {
+						env.control.setView(followView(2+10*round, listed))
+						env.waitUntil("the server is ready", func() bool { return condition() == wire.ServerCondition_SERVER_CONDITION_READY })
+						absent := *without
+						absent.ConfigVersion, absent.DirectoryVersion = 3+10*round, 3+10*round
+						env.control.setView(&absent)
+						time.Sleep(moment)
+						env.control.setView(followView(4+10*round, listed))
+						time.Sleep(5 * time.Second)
+						require.Equal(t, wire.ServerCondition_SERVER_CONDITION_READY, condition())
+					}
+				})
+			})
+		}
+	}
+}
--- a/agent/ended_servers.go
+++ b/agent/ended_servers.go
@@ -17,11 +17,11 @@
 // go on costing a tick.
 func (a *Agent) removeEndedServers(announced map[string]bool, now time.Time) {
 	for _, s := range a.servers.all() {
-		since, ended := a.follow.endedAt[s.name]
+		end, ended := a.follow.ended[s.name]
 		view := s.view.Load()
-		if ended && !announced[s.name] && view.drained && now.Sub(since) >= endedServerRetention {
+		if ended && !announced[s.name] && view.drained && now.Sub(end.at) >= endedServerRetention {
 			a.servers.remove(s.name)
-			delete(a.follow.endedAt, s.name)
+			delete(a.follow.ended, s.name)
 			s.log.Info("server_forgotten")
 		}
 	}
--- a/agent/server_actions.go
+++ b/agent/server_actions.go
@@ -148,7 +148,11 @@
 		s.log.WithField("condition", conditionName(record.GetCondition())).Info("server_condition")
 	}
 	s.gateRecord = record
+	wasDrained := s.leaving.drained
 	s.leaving.drained = record.GetCondition() == wire.ServerCondition_SERVER_CONDITION_DRAINED
+	if s.leaving.drained && !wasDrained {
+		s.leaving.drainedAt = time.Now()
+	}
 	s.publish()
 }
 
--- a/agent/server_leave.go
+++ b/agent/server_leave.go
@@ -10,8 +10,10 @@
 // leaving is the state of a graceful leave.
 type leaving struct {
 	requested        bool
+	absent           bool // the only reason is that the directory didn't list the server
 	reportedByServer bool // an answer of the server said that it is draining
 	drained          bool
+	drainedAt        time.Time
 	wasSilent        bool      // the server stopped announcing itself for a while after the leave was requested
 	drainedReadAt    time.Time // when the server first read that it is drained, zero before
 
@@ -23,13 +25,22 @@
 	return s.push(ctx, leaveRequested{reason: reason})
 }
 
-type leaveRequested struct{ reason string }
+// leaveAbsent requests a leave from the event loop for a server that the directory doesn't list. It fails only if ctx ends.
+func (s *server) leaveAbsent(ctx context.Context) error {
+	return s.push(ctx, leaveRequested{reason: "absent", absent: true})
+}
+
+type leaveRequested struct {
+	reason string
+	absent bool
+}
 
 func (in leaveRequested) apply(s *server, now time.Time) {
 	if !s.leaving.requested {
-		s.leaving.requested = true
+		s.leaving.requested, s.leaving.absent = true, in.absent
 		s.log.WithField("reason", in.reason).Info("server_leaving")
 	}
+	s.leaving.absent = s.leaving.absent && in.absent
 	s.step(now, gate.Leaving{})
 	s.publish()
 }
@@ -57,10 +68,16 @@
 // returnDelay ago or was silent in between. A server that an operator drained never asks for its state and is never
 // silent, so it stays drained. So does a server that said in an answer that it is draining, if its next start has
 // another name.
+//
+// A server that left only because the directory didn't list it returns once it is listed again: its absence may have been due
+// to a late announcement of its predecessor at its address, or to a desired state without its pool.
 func (s *server) isReturning(now time.Time) bool {
 	if !s.leaving.drained || s.leaving.reportedByServer && s.uniqueNamePerStart {
 		return false
 	}
+	if s.leaving.absent {
+		return now.Sub(s.leaving.drainedAt) >= returnDelay
+	}
 	wasInformed := !s.leaving.drainedReadAt.IsZero() && now.Sub(s.leaving.drainedReadAt) >= returnDelay
 	return wasInformed || s.leaving.wasSilent
 }
--- a/agent/server_runs.go
+++ b/agent/server_runs.go
@@ -81,7 +81,7 @@
 		Err:         in.err,
 		ContentType: r.contentTypeOrDefault(),
 	})
-	if errors.Is(in.err, engine.ErrReplaced) && !s.leaving.requested {
+	if errors.Is(in.err, engine.ErrReplaced) && (!s.leaving.requested || s.leaving.absent) {
 		// The process with this name is gone, even if the directory still lists it: nothing more may be sent to its
 		// address under the name.
 		leaveRequested{reason: "replaced"}.apply(s, now)
