--- a/agent/engine_run.go
+++ b/agent/engine_run.go
@@ -51,6 +51,7 @@
 	returnedAt     time.Time // when the engine call returned, zero while it runs; used by the event loop only
 	suspension     suspensionOf
 	resumption     *engine.Suspension // the suspension that the engine call resumes, nil for a call from the start
+	resumedAfter   []byte             // the event after which it does; set before the run begins
 
 	mu            sync.Mutex
 	changed       *sync.Cond
--- a/agent/server_runs.go
+++ b/agent/server_runs.go
@@ -112,7 +112,8 @@
 		WithField("resumes", r.dispatch.GetResumeFrom() > 0).
 		WithField("status", outcome.Status).
 		WithField("tokens", outcome.Tokens).
-		WithFields(bodyFields(outcome.Body))
+		WithFields(bodyFields(outcome.Body)).
+		WithFields(r.eventFields())
 	if err != nil {
 		entry.WithError(err).Warn("attempt_ended")
 		return
@@ -120,6 +121,22 @@
 	entry.Info("attempt_ended")
 }
 
+// eventFields returns the positions of a verbatim stream for a log line: the IDs of the event after which this call went on, and of
+// the first and the last event that it received. They are empty where there is none.
+func (r *engineRun) eventFields() log.Fields {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	after := r.dispatch.GetLastEvent()
+	if r.resumption != nil {
+		after = r.resumedAfter
+	}
+	return log.Fields{
+		"after_event": framing.EventID(after),
+		"first_event": r.received.firstEvent,
+		"last_event":  framing.EventID(r.received.lastEvent),
+	}
+}
+
 // partList returns the IDs of parts of a prompt as in log lines.
 func partList(parts []uint64) string {
 	ids := make([]string, 0, len(parts))
--- a/agent/suspension.go
+++ b/agent/suspension.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -57,9 +58,10 @@
 
 // position is what has been received of a run. A resumed run continues after it. engineRun.mu guards it.
 type position struct {
-	head      bool // the head of a verbatim answer
-	lastEvent []byte
-	tokens    int // position after the last token
+	head       bool   // the head of a verbatim answer
+	firstEvent string // ID of the first event of this call
+	lastEvent  []byte
+	tokens     int // position after the last token
 }
 
 // receive records a payload that was accepted. The first one of a verbatim answer is its head and no event.
@@ -68,7 +70,8 @@
 		p.head = true
 		return
 	}
-	if verbatim && framing.EventID(event) != "" {
+	if id := framing.EventID(event); verbatim && id != "" {
+		p.firstEvent = cmp.Or(p.firstEvent, id)
 		p.lastEvent = event
 	}
 	p.tokens = tokens
@@ -239,6 +242,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next.received = r.received
+	next.resumedAfter = r.received.lastEvent
+	next.received.firstEvent = ""
 	next.contentType = r.contentType
 	next.account = r.account
 	next.window = r.window
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -403,7 +403,7 @@
 			if headWritten {
 				err = w.WriteBody(part)
 			} else {
-				headWritten, err = true, writeAnswerHead(part, w, out)
+				headWritten, err = true, e.writeAnswerHead(accepted.request, part, w, out)
 			}
 			if err != nil {
 				return nil
@@ -425,11 +425,15 @@
 }
 
 // writeAnswerHead writes the head of a verbatim answer, which is its first event.
-func writeAnswerHead(part []byte, w AnswerWriter, out *outcome) error {
+func (e *Entry) writeAnswerHead(r *sched.Request, part []byte, w AnswerWriter, out *outcome) error {
 	head := new(wire.AnswerHead)
 	if err := proto.Unmarshal(part, head); err != nil {
 		return err
 	}
 	out.status = int(head.GetStatus())
+	if head.GetEndsWithConnection() {
+		// Logged at the head: a process that is killed during the answer logs no end.
+		e.log.WithField("request", r.ID).WithField("class", r.Class.GetName()).Info("answer_ends_with_connection")
+	}
 	return w.WriteHead(head)
 }
