--- a/entry/caller_conn.go
+++ b/entry/caller_conn.go
@@ -154,10 +154,14 @@
 	return &callerConn{Conn: conn}, nil
 }
 
-type callerConnKey struct{}
+type (
+	callerConnKey struct{} // of the callerConn
+	rawConnKey    struct{} // of the connection as the HTTP server has it
+)
 
 // withCallerConn adds a connection to the context of its requests.
 func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	ctx = context.WithValue(ctx, rawConnKey{}, conn)
 	for {
 		if observed, ok := conn.(*callerConn); ok {
 			return context.WithValue(ctx, callerConnKey{}, observed)
@@ -175,3 +179,11 @@
 	conn, _ := ctx.Value(callerConnKey{}).(*callerConn)
 	return conn
 }
+
+// SetResetOnClose sets whether the caller of the request with the given context sees an error instead of an ordinary end when its
+// connection is closed, also by the end of this process.
+func SetResetOnClose(ctx context.Context, reset bool) {
+	if conn, ok := ctx.Value(rawConnKey{}).(net.Conn); ok {
+		network.SetResetOnClose(conn, reset)
+	}
+}
--- a/network/reset.go
+++ b/network/reset.go
@@ -15,6 +15,18 @@
 	_ = conn.Close()
 }
 
+// SetResetOnClose sets whether the peer sees an error instead of an ordinary end when the connection is closed, also by the kernel
+// when the process ends. It does nothing for a connection that can't be reset.
+func SetResetOnClose(conn net.Conn, reset bool) {
+	if tcp, ok := underlying(conn).(*net.TCPConn); ok {
+		seconds := -1
+		if reset {
+			seconds = 0
+		}
+		_ = tcp.SetLinger(seconds)
+	}
+}
+
 // wrapper is a connection that wraps another one.
 type wrapper interface{ NetConn() net.Conn }
 
