platform, framing: an answer that ends with its connection is whole only if its server still runs

Cause: for an answer without a length or chunks the ordinary end of its connection vouches for it, and the kernel closes a killed process's connections in the ordinary way.

What can't be told: a server that breaks off by itself between two events and goes on running.

Related paths, by reading: the own protocol's streams have an end marker, its JSON calls need a length, chunks or a complete value.

--- a/engine/framing/end.go
+++ b/engine/framing/end.go
@@ -58,6 +58,7 @@
 	ShortOfFrame  Cause = "short_of_frame"  // of its length, or without the last chunk
 	Reset         Cause = "reset"           // an error of the connection
 	ContentFailed Cause = "content_invalid" // the content says that a part is missing
+	SenderGone    Cause = "sender_gone"     // the connection ended in the ordinary way, and so did its sender
 )
 
 // The causes of Unknown.
@@ -95,6 +96,13 @@
 	}
 }
 
+// WithoutSender returns the description of a body that ended with its connection and whose sender can't be shown to run still. err
+// is why: the end may be that of the sender's process.
+func (e End) WithoutSender(err error) End {
+	e.Outcome, e.Cause, e.err = BrokenOff, SenderGone, err
+	return e
+}
+
 // judge completes the description of a body that was read until err: nil after the end marker of the content, io.EOF at
 // the end that the framing gives, any other error before that.
 func (e End) judge(content Content, err error) End {
