session: control instances vouch for versions only as far as a quorum confirmed lately

An entry took a pool for one of a single version, and went on with streams there, on the word of an instance that couldn't know: an unconfirmed answer counted as complete if it named any pool of several versions (an instance that has just started and replays its log), and the last answer of an instance that is gone counted for a minute beside newer ones that said they don't know. With a release before the loss of all entries, that joins streams from two versions.

VersionAnswers holds what each instance said; an unconfirmed answer can only add versions, and a complete one counts while it is at most 2 s older than the newest confirmed one. While nothing is confirmed, nothing can have changed, and what is known stays. The simulation of entry runs this code now instead of its own copy.

--- a/entry/stream_origins_sim_test.go
+++ b/entry/stream_origins_sim_test.go
@@ -67,9 +67,9 @@
 	freshness *session.Freshness
 	origins   *streamOrigins
 	calls     []*call
-	versions  map[int]*wire.PoolVersions // last answer of each control instance
-	since     map[string]time.Time       // when each version came into the view
-	inTouch   time.Time                  // since when it is linked to a majority of running instances
+	versions  session.VersionAnswers
+	since     map[string]time.Time // when each version came into the view
+	inTouch   time.Time            // since when it is linked to a majority of running instances
 }
 
 // simStream is a stream of the ledger.
@@ -179,7 +179,7 @@
 func (w *simWorld) newEntry() *simEntry {
 	e := &simEntry{
 		world: w, linked: make([]bool, simControls), freshness: session.NewFreshness(simControls, 3*time.Second, w.now),
-		versions: map[int]*wire.PoolVersions{}, inTouch: w.now,
+		inTouch: w.now,
 	}
 	e.origins = newStreamOrigins(func() time.Time { return w.now }, e, func() []*call { return e.calls })
 	e.origins.after = w.after
@@ -260,19 +260,10 @@
 		answer := c.history.Versions(w.now)
 		if w.hasQuorum() {
 			e.freshness.RecordConfirmation(w.now, w.now)
-		} else if len(answer.GetMixed()) == 0 {
-			continue
-		}
-		e.versions[i] = answer
-	}
-	merged := session.Versions{Mixed: map[string]bool{}}
-	for _, v := range e.versions {
-		merged.Complete = merged.Complete || v.GetComplete()
-		for _, pool := range v.GetMixed() {
-			merged.Mixed[pool] = true
 		}
+		e.versions.Note(fmt.Sprint(i), w.now, w.hasQuorum(), answer)
 	}
-	e.origins.versionsChanged(merged)
+	e.origins.versionsChanged(e.versions.Merged(w.now))
 }
 
 // HeardAt implements originContact.
--- a/session/fake_control_test.go
+++ b/session/fake_control_test.go
@@ -29,6 +29,7 @@
 	version      uint64
 	confirmed    bool
 	ignoresPolls bool // does not answer polls
+	versions     *wire.PoolVersions
 	propose      func(*wire.Propose) *wire.ProposeReply
 	proposals    []*wire.Command
 	results      []*wire.OrderResult
@@ -150,6 +151,7 @@
 		if !c.ignoresPolls {
 			return &wire.ControlMessage{Kind: &wire.ControlMessage_Fresh{Fresh: &wire.Fresh{
 				Sequence: kind.Poll.GetSequence(), Confirmed: c.confirmed, ConfigVersion: c.version, Leader: c.leader, Demand: summary,
+				Versions: c.versions,
 			}}}
 		}
 	case *wire.ClientMessage_Propose:
--- a/session/peer.go
+++ b/session/peer.go
@@ -35,8 +35,7 @@
 	failedAt        time.Time // when the last dial or link failed
 	isPollScheduled bool      // a poll ahead of the next interval is scheduled
 
-	isFollowed  bool // this instance is the directory source
-	versions    peerVersions
+	isFollowed  bool      // this instance is the directory source
 	confirmedAt time.Time // when the last poll that a quorum confirmed through this instance was sent
 	avoidUntil  time.Time // until when the instance is not used as the directory source
 }
--- a/session/session.go
+++ b/session/session.go
@@ -135,6 +135,9 @@
 	notifyMu    sync.Mutex
 	subscribers []func(*View)
 
+	versionsMu sync.Mutex // held while Config.OnVersions is called, so that the last call is the newest
+	versions   VersionAnswers
+
 	originQueries sync.Map // chan *wire.StreamOriginReply by ID of the query
 
 	registration *registration
--- a/session/stream_origins.go
+++ b/session/stream_origins.go
@@ -16,43 +16,73 @@
 	Complete bool
 }
 
-// peerVersions is the last answer of one control instance.
-type peerVersions struct {
-	at       time.Time // when the poll was sent that it answers
-	versions *wire.PoolVersions
+// maxVouchAge is how much older than the newest confirmed answer one may be and still show that all versions are known. Instances
+// are polled each second.
+const maxVouchAge = 2 * time.Second
+
+// VersionAnswers merges what the control instances say of software versions. It does no I/O, and callers pass in the times. The zero
+// value is empty.
+type VersionAnswers struct {
+	byInstance map[string]versionAnswer
+	confirmed  time.Time // when the last poll was sent whose answer a quorum confirmed
 }
 
-// noteVersions records what an answer says of versions, and passes on what all instances say. An instance whose answer no quorum
-// confirmed may not know of all versions, but what it knows is true.
-func (s *Session) noteVersions(p *peer, f *wire.Fresh, sent time.Time) {
-	versions := f.GetVersions()
-	if versions == nil || s.cfg.OnVersions == nil || !f.GetConfirmed() && len(versions.GetMixed()) == 0 {
-		return
+// versionAnswer is what one control instance has said.
+type versionAnswer struct {
+	mixed    []string
+	mixedAt  time.Time // when the poll was sent that it answers
+	vouching time.Time // the same for the last confirmed answer, zero if that one said that versions may be unknown
+}
+
+// Note records the answer of an instance to a poll. An instance whose answer no quorum confirmed may not know of all versions, but
+// what it knows is true.
+func (a *VersionAnswers) Note(instance string, sent time.Time, confirmed bool, versions *wire.PoolVersions) {
+	if a.byInstance == nil {
+		a.byInstance = make(map[string]versionAnswer)
+	}
+	answer := a.byInstance[instance]
+	if confirmed {
+		answer.vouching = time.Time{}
+		if versions.GetComplete() {
+			answer.vouching = sent
+		}
+		if sent.After(a.confirmed) {
+			a.confirmed = sent
+		}
 	}
-	p.mu.Lock()
-	p.versions = peerVersions{sent, versions}
-	p.mu.Unlock()
-	s.cfg.OnVersions(s.mergedVersions(sent))
+	if confirmed || len(versions.GetMixed()) > 0 {
+		answer.mixed, answer.mixedAt = versions.GetMixed(), sent
+	}
+	a.byInstance[instance] = answer
 }
 
-// mergedVersions returns what the instances that have answered lately say. One of them is enough to know of a version.
-func (s *Session) mergedVersions(now time.Time) Versions {
+// Merged returns what the instances say at the given time. One of them is enough to know of a version.
+func (a *VersionAnswers) Merged(now time.Time) Versions {
 	merged := Versions{Mixed: make(map[string]bool)}
-	for _, p := range s.knownPeers() {
-		p.mu.Lock()
-		last := p.versions
-		p.mu.Unlock()
-		if last.versions == nil || now.Sub(last.at) > origin.Retention {
+	for _, answer := range a.byInstance {
+		merged.Complete = merged.Complete || !answer.vouching.IsZero() && a.confirmed.Sub(answer.vouching) <= maxVouchAge
+		if now.Sub(answer.mixedAt) > origin.Retention {
 			continue
 		}
-		merged.Complete = merged.Complete || last.versions.GetComplete()
-		for _, pool := range last.versions.GetMixed() {
+		for _, pool := range answer.mixed {
 			merged.Mixed[pool] = true
 		}
 	}
 	return merged
 }
 
+// noteVersions records what an answer says of versions, and passes on what all instances say.
+func (s *Session) noteVersions(p *peer, f *wire.Fresh, sent time.Time) {
+	versions := f.GetVersions()
+	if versions == nil || s.cfg.OnVersions == nil || !f.GetConfirmed() && len(versions.GetMixed()) == 0 {
+		return
+	}
+	s.versionsMu.Lock()
+	defer s.versionsMu.Unlock()
+	s.versions.Note(p.address, sent, f.GetConfirmed(), versions)
+	s.cfg.OnVersions(s.versions.Merged(sent))
+}
+
 // HeardAt returns until when control can't have changed the directory unknown to this process, but for what is on its way:
 // when the last poll was sent that a quorum confirmed, or that a majority of the instances answered or refused.
 func (s *Session) HeardAt() time.Time {
