entry, origin: an entry remembers the versions that its own directory had

Where the only servers of a version were replaced within a second, streams that they had begun went on at the new version: the directory changes at once, and what control says of versions comes with the polls, one a second. Between two polls the entry put the new directory beside an old answer that named no other version.

Each entry follows its directory with the same History as control, and infers a version only if its own directory had no other one within the last minute either. origin.SoleVersions, which looked at one moment, is gone.

TestVersionReplacedBetweenPollsIsRemembered failed before: the stream went on at v2 (its directory: v1, then v1 and v2, then v2).

--- a/control/state_machine.go
+++ b/control/state_machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,7 +38,7 @@
 	m.mu.Lock()
 	res := m.state.Apply(index, cmd)
 	if changesAnnouncements(cmd) {
-		m.history.Observe(time.Now(), m.state.Announcements())
+		m.history.Observe(time.Now(), slices.Values(m.state.Announcements()))
 	}
 	m.notifyChanged()
 	m.mu.Unlock()
@@ -69,7 +70,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = state.Restore(snapshot)
-	m.history.Restart(time.Now(), m.state.Announcements())
+	m.history.Restart(time.Now(), slices.Values(m.state.Announcements()))
 	m.notifyChanged()
 	return nil
 }
--- a/entry/stream_origins.go
+++ b/entry/stream_origins.go
@@ -68,8 +68,8 @@
 	table   *origin.Table
 	pending *origin.Groups
 	control session.Versions
-	listed  map[string]string // version of each pool whose listed servers are of one version
-	sole    map[string]string // the same for pools that have had no other within origin.Retention
+	seen    *origin.History   // of this entry's directory, which changes between two answers of control
+	sole    map[string]string // version of each pool that has had no other within origin.Retention
 }
 
 // originContact is the part of Control that streamOrigins needs.
@@ -83,16 +83,15 @@
 	return &streamOrigins{
 		now: now, contact: contact, streams: streams,
 		after: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
-		table: origin.NewTable(maxEntryOrigins), pending: origin.NewGroups(),
+		table: origin.NewTable(maxEntryOrigins), pending: origin.NewGroups(), seen: origin.NewHistory(),
 	}
 }
 
 // viewChanged takes a new directory into account.
 func (o *streamOrigins) viewChanged(view *session.View) {
-	listed := origin.SoleVersions(maps.Values(view.Announcements))
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.listed = listed
+	o.seen.Observe(o.now(), maps.Values(view.Announcements))
 	o.updateSole()
 }
 
@@ -108,13 +107,10 @@
 // held.
 func (o *streamOrigins) updateSole() {
 	before := o.sole
-	o.sole = make(map[string]string, len(o.listed))
+	o.sole = nil
 	if o.control.Complete {
-		for pool, version := range o.listed {
-			if !o.control.Mixed[pool] {
-				o.sole[pool] = version
-			}
-		}
+		o.sole = o.seen.Sole(o.now())
+		maps.DeleteFunc(o.sole, func(pool, _ string) bool { return o.control.Mixed[pool] })
 	}
 	for pool := range before {
 		if _, still := o.sole[pool]; !still {
--- a/entry/stream_origins_sim_test.go
+++ b/entry/stream_origins_sim_test.go
@@ -171,7 +171,7 @@
 func (w *simWorld) applyAtControls() {
 	for _, c := range w.controls {
 		if c.up {
-			c.history.Observe(w.now, announcementsOf(w.committed))
+			c.history.Observe(w.now, slices.Values(announcementsOf(w.committed)))
 		}
 	}
 }
@@ -468,9 +468,9 @@
 		c.up, w.lastFault = true, w.now
 		c.table, c.history = origin.NewTable(10_000), origin.NewHistory()
 		if w.random.IntN(2) == 0 {
-			c.history.Restart(w.now, announcementsOf(w.committed)) // from a snapshot
+			c.history.Restart(w.now, slices.Values(announcementsOf(w.committed))) // from a snapshot
 		} else {
-			c.history.Observe(w.now, announcementsOf(w.committed)) // from the whole log, without what has left
+			c.history.Observe(w.now, slices.Values(announcementsOf(w.committed))) // from the whole log, without what has left
 		}
 		for _, e := range w.entries {
 			for i := range e.linked {
--- a/entry/stream_versions_test.go
+++ b/entry/stream_versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -248,3 +249,30 @@
 		require.Equal(t, "v1", goesOn.version)
 	})
 }
+
+// Guards against a stream of two versions where the only servers of the version that began it are replaced between two answers of
+// control about versions: the directory shows the new version alone, and the last answer is of before it came.
+func TestVersionReplacedBetweenPollsIsRemembered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newSoleVersionHarness(t)
+		old := h.versioned
+		h.versioned = append(h.versioned, h.addModelVersion(3, "v2"))
+		h.control.publish(func(v *session.View) {
+			v.Announcements = maps.Clone(v.Announcements)
+			v.Agents = maps.Clone(v.Agents)
+			for _, a := range old {
+				delete(v.Announcements, a.server)
+				delete(v.Agents, a.name)
+			}
+		})
+		synctest.Wait()
+		goesOn, err := h.resumeStream(1, "again", "elsewhere")
+		require.Nil(t, goesOn)
+		require.Equal(t, result.StreamVersionUnknown, err.Code)
+		time.Sleep(origin.Retention + time.Second)
+		h.soleVersion()
+		goesOn, err = h.resumeStream(1, "later", "elsewhere")
+		require.Nil(t, err)
+		require.Equal(t, "v2", goesOn.version)
+	})
+}
--- a/origin/history.go
+++ b/origin/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -25,15 +26,15 @@
 }
 
 // Restart begins anew with a directory whose earlier contents are not known.
-func (h *History) Restart(now time.Time, servers []*wire.Announcement) {
+func (h *History) Restart(now time.Time, servers iter.Seq[*wire.Announcement]) {
 	*h = History{since: now, listed: make(map[Origin]bool), left: make(map[Origin]time.Time)}
 	h.Observe(now, servers)
 }
 
 // Observe records the servers that are in the directory from now on.
-func (h *History) Observe(now time.Time, servers []*wire.Announcement) {
+func (h *History) Observe(now time.Time, servers iter.Seq[*wire.Announcement]) {
 	listed := make(map[Origin]bool, len(h.listed))
-	for _, server := range servers {
+	for server := range servers {
 		listed[Origin{server.GetPool(), server.GetVersion()}] = true
 	}
 	for o := range h.listed {
@@ -49,19 +50,8 @@
 
 // Versions returns the pools that have had servers of several versions within Retention.
 func (h *History) Versions(now time.Time) *wire.PoolVersions {
-	count := make(map[string]int)
-	for o := range h.listed {
-		count[o.Pool]++
-	}
-	for o, at := range h.left {
-		if now.Sub(at) > Retention {
-			delete(h.left, o)
-			continue
-		}
-		count[o.Pool]++
-	}
 	v := &wire.PoolVersions{Complete: h.since.IsZero() || now.Sub(h.since) > Retention}
-	for pool, versions := range count {
+	for pool, versions := range h.count(now) {
 		if versions > 1 {
 			v.Mixed = append(v.Mixed, pool)
 		}
@@ -70,22 +60,30 @@
 	return v
 }
 
-// SoleVersions returns the version of each pool whose servers are all of one version.
-func SoleVersions[S interface {
-	GetPool() string
-	GetVersion() string
-}](servers func(yield func(S) bool)) map[string]string {
-	sole := make(map[string]string)
-	several := make(map[string]bool)
-	for server := range servers {
-		pool, version := server.GetPool(), server.GetVersion()
-		if known, ok := sole[pool]; ok && known != version {
-			several[pool] = true
+// Sole returns the version of each pool that has servers, and has had servers of that version only within Retention.
+func (h *History) Sole(now time.Time) map[string]string {
+	count := h.count(now)
+	sole := make(map[string]string, len(count))
+	for o := range h.listed {
+		if count[o.Pool] == 1 {
+			sole[o.Pool] = o.Version
 		}
-		sole[pool] = version
-	}
-	for pool := range several {
-		delete(sole, pool)
 	}
 	return sole
 }
+
+// count returns the number of versions that each pool has had within Retention.
+func (h *History) count(now time.Time) map[string]int {
+	count := make(map[string]int)
+	for o := range h.listed {
+		count[o.Pool]++
+	}
+	for o, at := range h.left {
+		if now.Sub(at) > Retention {
+			delete(h.left, o)
+			continue
+		}
+		count[o.Pool]++
+	}
+	return count
+}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"slices"
 	"testing"
 	"time"
@@ -68,12 +69,12 @@
 	require.NotEqual(t, KeyOf("a", "bc"), KeyOf("ab", "c"))
 }
 
-func servers(versions ...string) []*wire.Announcement {
+func servers(versions ...string) iter.Seq[*wire.Announcement] {
 	var all []*wire.Announcement
 	for _, version := range versions {
 		all = append(all, &wire.Announcement{Pool: "m", Version: version})
 	}
-	return append(all, &wire.Announcement{Pool: "other", Version: "v9"})
+	return slices.Values(append(all, &wire.Announcement{Pool: "other", Version: "v9"}))
 }
 
 // Guards against a pool that counts as one of a single version while streams of another may still be resumed.
@@ -92,8 +93,15 @@
 	require.True(t, h.Versions(start.Add(2*Retention)).GetComplete())
 }
 
-// Guards against a pool of two versions that counts as one of a single version in a view of the directory.
+// Guards against a pool of two versions that counts as one of a single version, while both are listed and while streams of the one
+// that left may still be resumed.
 func TestSoleVersions(t *testing.T) {
-	require.Equal(t, map[string]string{"m": "v1", "other": "v9"}, SoleVersions(slices.Values(servers("v1", "v1"))))
-	require.Equal(t, map[string]string{"other": "v9"}, SoleVersions(slices.Values(servers("v1", "v2", "v1"))))
+	h := NewHistory()
+	h.Observe(start, servers("v1", "v1"))
+	require.Equal(t, map[string]string{"m": "v1", "other": "v9"}, h.Sole(start))
+	h.Observe(start, servers("v1", "v2", "v1"))
+	require.Equal(t, map[string]string{"other": "v9"}, h.Sole(start))
+	h.Observe(start.Add(time.Second), servers("v2"))
+	require.Equal(t, map[string]string{"other": "v9"}, h.Sole(start.Add(Retention)))
+	require.Equal(t, map[string]string{"m": "v2", "other": "v9"}, h.Sole(start.Add(Retention+2*time.Second)))
 }
