agent, control: agents remember the origins of streams and tell control instances that lost them

The machines beside the servers know what they ran. The entry sends the key of a resumable stream with its dispatch (8 bytes, none where the version was inferred); the agent keeps key and version with the first event, for a minute and 8,192 streams at most, and tells control instances that may need it: each that is linked while a pool has, or may have, several versions, and all linked ones when that begins. Agents learn of that from the answers to polls, as entries do. Nothing is told while each pool has one version; a resumption costs no message more. Weighed against it: asking all agents for each resumption (1,700 messages each), and origins on control's disks (a write for each stream).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -74,6 +74,7 @@
 	meter   *meter
 	credits *credits
 	held    *held // nil if nothing is counted
+	origins *streamOrigins
 	ready   *readiness
 	session Control
 	links   *link.EntryServer
@@ -108,6 +109,7 @@
 		meter:          newMeter(),
 		credits:        newCredits(),
 		held:           newHeld(int64(s.Memory.HeldBytes)),
+		origins:        newStreamOrigins(time.Now),
 		recovered:      make(chan struct{}),
 		serversChanged: make(chan struct{}, 1),
 		viewChanged:    make(chan struct{}, 1),
@@ -144,6 +146,7 @@
 	a.follow = followState{selectServers: options.Select, ended: make(map[string]serverEnd)}
 	if a.session = options.Control; a.session == nil {
 		a.session = options.newSession(a.sessionConfig(clientTLS, options.ServerAddress))
+		a.origins.tell = a.session.ReportStreamOrigins
 	}
 	a.initComponents(newEngine, options.MaxServers)
 	return a, nil
@@ -217,6 +220,7 @@
 		uniqueNamePerStart: a.follow.selectServers != nil,
 		credits:            a.credits,
 		held:               a.held,
+		origins:            a.origins,
 		senderCount:        func() int { return a.senders(a.session.View()) },
 	}, a.startServer, serverLimit)
 	a.orders = newOrders(orderDeps{
@@ -296,6 +300,8 @@
 		SilenceBound:  a.settings.Timing.CutOff,
 		Log:           a.log,
 		Metrics:       a.meter.set,
+		StreamOrigins: a.origins.all,
+		OnVersions:    a.origins.versionsChanged,
 	}
 	if a.follow.selectServers != nil {
 		config.RegisterAfter = a.recovered
--- a/agent/control.go
+++ b/agent/control.go
@@ -15,6 +15,7 @@
 	Propose(ctx context.Context, command *wire.Command) (*wire.CommandResult, error)
 	Orders() <-chan *wire.Order
 	Report(outcome *wire.OrderResult)
+	ReportStreamOrigins(*wire.StreamOrigins)
 	Ready() error
 	View() *session.View
 	Subscribe(fn func(*session.View))
--- a/agent/engine_run.go
+++ b/agent/engine_run.go
@@ -50,6 +50,7 @@
 	concurrentRuns int       // other runs of the server at that time
 	returnedAt     time.Time // when the engine call returned, zero while it runs; used by the event loop only
 	suspension     suspensionOf
+	originNoted    bool               // its stream's origin is kept; used by the event loop only
 	resumption     *engine.Suspension // the suspension that the engine call resumes, nil for a call from the start
 	resumedAfter   []byte             // the event after which it does; set before the run begins
 
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -272,6 +272,8 @@
 
 func (c *fakeControl) Orders() <-chan *wire.Order { return c.orders }
 
+func (*fakeControl) ReportStreamOrigins(*wire.StreamOrigins) {}
+
 func (c *fakeControl) Report(outcome *wire.OrderResult) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/agent/server.go
+++ b/agent/server.go
@@ -49,8 +49,9 @@
 	uniqueNamePerStart bool
 	// senderCount returns the number of agents that send to the same servers, including this one.
 	senderCount func() int
-	credits     *credits // nil in tests
-	held        *held    // nil if nothing is counted
+	credits     *credits       // nil in tests
+	held        *held          // nil if nothing is counted
+	origins     *streamOrigins // nil in tests
 	// linkedEntries returns the entries with an open link.
 	linkedEntries func() []gate.EntryID
 }
--- a/agent/server_runs.go
+++ b/agent/server_runs.go
@@ -12,6 +12,7 @@
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/engine/framing"
 	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/origin"
 	"github.com/carawaypitch/carawaypitch/poison"
 )
 
@@ -47,6 +48,7 @@
 	if len(events) == 0 {
 		return
 	}
+	s.noteStreamBegan(r)
 	s.step(now, gate.EngineProgress{
 		Attempt: r.dispatch.GetAttempt(),
 		Events:  events,
@@ -54,6 +56,23 @@
 	})
 }
 
+// noteStreamBegan notes which software version began a stream that its caller may resume, once an event of it has come.
+func (s *server) noteStreamBegan(r *engineRun) {
+	key := r.dispatch.GetStream()
+	if key == 0 || r.originNoted || !r.hasEvent() {
+		return
+	}
+	r.originNoted = true
+	s.origins.note(origin.Key(key), origin.Origin{Pool: r.dispatch.GetWork().GetTarget(), Version: s.record.GetVersion()})
+}
+
+// hasEvent reports whether an event with an ID has been received in this call.
+func (r *engineRun) hasEvent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.received.firstEvent != ""
+}
+
 // runEnded is the input after the engine call of a run returned.
 type runEnded struct {
 	run     *engineRun
--- a/control/stream_origins.go
+++ b/control/stream_origins.go
@@ -11,8 +11,8 @@
 // maxStreamOrigins bounds the streams whose origins a control instance keeps, at some 24 bytes each.
 const maxStreamOrigins = 1 << 19
 
-// streamOrigins holds the origins of streams that entries have told this instance. It is not replicated: each entry tells all
-// instances that it is linked to.
+// streamOrigins holds the origins of streams that entries and agents have told this instance. It is not replicated: each entry
+// tells all instances that it is linked to, and agents tell instances that may have lost what entries told.
 type streamOrigins struct {
 	mu    sync.Mutex
 	table *origin.Table
@@ -22,11 +22,8 @@
 	return &streamOrigins{table: origin.NewTable(maxStreamOrigins)}
 }
 
-// recordOrigins records what an entry tells.
+// recordOrigins records what an entry or an agent tells.
 func (s *session) recordOrigins(m *wire.StreamOrigins) {
-	if s.client.role != wire.Role_ROLE_ENTRY {
-		return
-	}
 	o := s.control.origins
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -49,10 +46,7 @@
 	s.send(&wire.ControlMessage{Kind: &wire.ControlMessage_StreamOrigin{StreamOrigin: reply}})
 }
 
-// versions returns what this instance knows of the software versions of pools, for an entry.
+// versions returns what this instance knows of the software versions of pools.
 func (s *session) versions() *wire.PoolVersions {
-	if s.client.role != wire.Role_ROLE_ENTRY {
-		return nil
-	}
 	return s.control.machine.versions(time.Now())
 }
--- a/entry/local_agent.go
+++ b/entry/local_agent.go
@@ -175,6 +175,9 @@
 // Report implements agent.Control.
 func (localControl) Report(*wire.OrderResult) {}
 
+// ReportStreamOrigins implements agent.Control. It does nothing: the entry itself tells control the origins of its streams.
+func (localControl) ReportStreamOrigins(*wire.StreamOrigins) {}
+
 // Ready implements agent.Control.
 func (c localControl) Ready() error { return c.local.entry.control.Ready() }
 
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -161,6 +161,9 @@
 	if err != nil {
 		return e.refuseCall(call, admission, err)
 	}
+	if r.IsResumable() && !stream.inferred {
+		r.StreamKey = stream.key
+	}
 	if err := e.reserveBody(r); err != nil {
 		return e.refuseCall(call, admission, err)
 	}
--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -194,6 +194,7 @@
 		d.Host = v.Host
 		d.Headers = v.Headers
 		d.LastEvent = r.lastEvent
+		d.Stream = uint64(r.StreamKey)
 	}
 	return &wire.EntryMessage{Kind: &wire.EntryMessage_Dispatch{Dispatch: d}}
 }
--- a/sched/types.go
+++ b/sched/types.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/origin"
 	"github.com/carawaypitch/carawaypitch/poison"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/retry"
@@ -61,6 +62,9 @@
 	Verbatim    *Verbatim
 	MaxAttempts int
 
+	// StreamKey identifies the stream that the request begins or resumes, for agents, see package origin. It is 0 if the caller may
+	// not resume it, or if the version that began it isn't certain.
+	StreamKey origin.Key
 	// Origin is set for a request that resumes a stream which an earlier request of the caller began.
 	Origin *StreamOrigin
 
