entry: the simulation of streams loses all entries and all control instances, and replaces all servers at once

Drawn beside the faults there were: all entries killed, all control instances killed, both, in series and overlapping, and releases that replace all servers within a second and a half. Entries see the directory of the instance that they reach. Agents tell instances that return what they keep.

--- a/entry/stream_origins_sim_test.go
+++ b/entry/stream_origins_sim_test.go
@@ -56,8 +56,13 @@
 	up      bool
 	table   *origin.Table
 	history *origin.History
+	applied int // directories of simWorld.log
 }
 
+// simAgent is what the agents beside the servers keep together. They tell control what they keep as agent.streamOrigins does: over
+// new links while versions may be several.
+type simAgent struct{ table *origin.Table }
+
 // simEntry is one start of an entry, with its view of the directory.
 type simEntry struct {
 	world     *simWorld
@@ -84,6 +89,8 @@
 type simResult struct {
 	streams, mixed   int // streams, and those with events of two versions
 	owed, goneOnWith int // tries to go on at entries in touch whose version has two servers, and those that went on
+	// The same soon after all entries and all control instances were lost at once, from a second on after an entry returned.
+	owedAfterLoss, goneOnAfterLoss int
 }
 
 type simWorld struct {
@@ -94,8 +101,11 @@
 	controls  []*simControl
 	entries   []*simEntry
 	committed []*simServer
+	log       [][]*simServer // directories in the order of their commits
+	agents    simAgent
 	nextID    int
 	lastFault time.Time // of control
+	lostAll   time.Time // when all entries and all control instances were lost at once
 	unbound   bool      // streams go on anywhere, as before versions were compared
 	result    simResult
 }
@@ -125,6 +135,8 @@
 	for range 3 + w.random.IntN(4) {
 		w.committed = append(w.committed, w.newServer("v1"))
 	}
+	w.log = [][]*simServer{w.committed}
+	w.agents.table = origin.NewTable(10_000)
 	w.applyAtControls()
 	for range simEntries {
 		w.entries = append(w.entries, w.newEntry())
@@ -162,6 +174,7 @@
 		return
 	}
 	change()
+	w.log = append(w.log, w.committed)
 	w.applyAtControls()
 	for _, e := range w.entries {
 		w.after(w.between(0, 60*time.Millisecond), e.updateView)
@@ -170,12 +183,19 @@
 
 func (w *simWorld) applyAtControls() {
 	for _, c := range w.controls {
-		if c.up {
-			c.history.Observe(w.now, slices.Values(announcementsOf(w.committed)))
+		if c.up && w.hasQuorum() {
+			c.replay(w)
 		}
 	}
 }
 
+// replay applies what the instance hasn't applied of the log.
+func (c *simControl) replay(w *simWorld) {
+	for ; c.applied < len(w.log); c.applied++ {
+		c.history.Observe(w.now, slices.Values(announcementsOf(w.log[c.applied])))
+	}
+}
+
 func (w *simWorld) newEntry() *simEntry {
 	e := &simEntry{
 		world: w, linked: make([]bool, simControls), freshness: session.NewFreshness(simControls, 3*time.Second, w.now),
@@ -214,10 +234,11 @@
 }
 
 func (e *simEntry) updateView() {
-	for i := range e.linked {
-		if e.reaches(i) {
-			e.noteVersions(e.world.committed)
-			e.view = slices.Clone(e.world.committed)
+	for i, c := range e.world.controls {
+		if e.reaches(i) && c.applied > 0 {
+			directory := e.world.log[c.applied-1]
+			e.noteVersions(directory)
+			e.view = slices.Clone(directory)
 			e.origins.viewChanged(&session.View{Announcements: announcementMap(e.view)})
 			return
 		}
@@ -336,6 +357,9 @@
 		} else if s.version != v.version {
 			w.result.mixed++
 		}
+		if !c.stream.inferred {
+			w.agents.table.Put(w.now, c.stream.key, origin.Origin{Pool: "m", Version: v.version})
+		}
 		e.origins.began(c, sched.StreamBegan{Pool: "m", Version: v.version})
 		w.after(w.between(20*time.Millisecond, 6*time.Second), func() { w.breakOff(e, c, s) })
 	})
@@ -377,6 +401,12 @@
 			w.result.goneOnWith++
 		}
 	}
+	if w.isOwedAfterLoss(e, s) {
+		w.result.owedAfterLoss++
+		if v != nil {
+			w.result.goneOnAfterLoss++
+		}
+	}
 	if v != nil {
 		c := &call{stream: streamOrigin{key: key, inferred: found.source == originSoleVersion}}
 		e.calls = append(e.calls, c)
@@ -384,15 +414,28 @@
 	}
 }
 
-// isOwed reports whether a try counts: the entry has been in touch for 3 s, control as well, and the version has two servers.
-func (w *simWorld) isOwed(e *simEntry, s *simStream) bool {
+// serversFor returns how many running servers of the stream's version the entry's view has.
+func (e *simEntry) serversFor(s *simStream) int {
 	servers := 0
 	for _, v := range e.view {
 		if v.alive && v.version == s.version {
 			servers++
 		}
 	}
-	return servers >= 2 && e.reachesMajority() && w.now.Sub(e.inTouch) >= 3*time.Second && w.now.Sub(w.lastFault) >= 3*time.Second
+	return servers
+}
+
+// isOwedAfterLoss reports whether a try counts as one after the loss of all entries and control instances: the stream began before
+// it, and the entry has been back, and in touch with control, for a second.
+func (w *simWorld) isOwedAfterLoss(e *simEntry, s *simStream) bool {
+	const back, soon = time.Second, 10 * time.Second
+	return s.began.Before(w.lostAll) && w.now.Sub(w.lostAll) <= soon && w.now.Sub(e.inTouch) >= back && w.now.Sub(w.lastFault) >= back &&
+		e.reachesMajority() && e.serversFor(s) >= 1
+}
+
+// isOwed reports whether a try counts: the entry has been in touch for 3 s, control as well, and the version has two servers.
+func (w *simWorld) isOwed(e *simEntry, s *simStream) bool {
+	return e.serversFor(s) >= 2 && e.reachesMajority() && w.now.Sub(e.inTouch) >= 3*time.Second && w.now.Sub(w.lastFault) >= 3*time.Second
 }
 
 func (w *simWorld) begin() {
@@ -414,7 +457,7 @@
 // fault draws what happens next.
 func (w *simWorld) fault() {
 	w.after(w.between(100*time.Millisecond, 2500*time.Millisecond), w.fault)
-	switch w.random.IntN(8) {
+	switch w.random.IntN(11) {
 	case 0:
 		w.crashEntry(w.random.IntN(simEntries))
 	case 1:
@@ -424,7 +467,7 @@
 	case 3, 4:
 		versions := []string{"v1", "v2", "v3"}
 		added := w.newServer(versions[w.random.IntN(len(versions))])
-		w.commit(func() { w.committed = append(w.committed, added) })
+		w.commit(func() { w.committed = append(slices.Clone(w.committed), added) })
 	case 5, 6:
 		if len(w.committed) < 3 {
 			return
@@ -434,6 +477,18 @@
 			w.committed = slices.DeleteFunc(slices.Clone(w.committed), func(v *simServer) bool { return v == left })
 		})
 		w.after(w.between(0, 3*time.Second), func() { left.alive = false })
+	case 8:
+		w.crashAllEntries()
+	case 9:
+		for _, c := range w.controls {
+			w.crashControl(c)
+		}
+		if w.random.IntN(2) == 0 {
+			w.lostAll = w.now
+			w.crashAllEntries()
+		}
+	case 10:
+		w.release()
 	case 7:
 		for _, v := range w.committed {
 			if w.random.IntN(4) == 0 {
@@ -451,6 +506,24 @@
 	}
 }
 
+// release replaces all servers by those of one version, which may be the one that serves, within a second and a half.
+func (w *simWorld) release() {
+	version := fmt.Sprint("v", 1+w.random.IntN(3))
+	old := w.committed
+	for range 3 {
+		added := w.newServer(version)
+		w.commit(func() { w.committed = append(slices.Clone(w.committed), added) })
+	}
+	w.after(w.between(50*time.Millisecond, 1500*time.Millisecond), func() {
+		for _, v := range old {
+			v.alive = false
+		}
+		w.commit(func() {
+			w.committed = slices.DeleteFunc(slices.Clone(w.committed), func(v *simServer) bool { return slices.Contains(old, v) })
+		})
+	})
+}
+
 func (w *simWorld) crashEntry(i int) {
 	if w.entries[i].dead {
 		return
@@ -459,6 +532,12 @@
 	w.after(w.between(200*time.Millisecond, 2*time.Second), func() { w.entries[i] = w.newEntry() })
 }
 
+func (w *simWorld) crashAllEntries() {
+	for i := range w.entries {
+		w.crashEntry(i)
+	}
+}
+
 func (w *simWorld) crashControl(c *simControl) {
 	if !c.up {
 		return
@@ -466,12 +545,18 @@
 	c.up, w.lastFault = false, w.now
 	w.after(w.between(200*time.Millisecond, 4*time.Second), func() {
 		c.up, w.lastFault = true, w.now
-		c.table, c.history = origin.NewTable(10_000), origin.NewHistory()
+		c.table, c.history, c.applied = origin.NewTable(10_000), origin.NewHistory(), 0
 		if w.random.IntN(2) == 0 {
-			c.history.Restart(w.now, slices.Values(announcementsOf(w.committed))) // from a snapshot
-		} else {
-			c.history.Observe(w.now, slices.Values(announcementsOf(w.committed))) // from the whole log, without what has left
+			// A snapshot of some time ago, and the log since then.
+			c.applied = w.random.IntN(len(w.log)) + 1
+			c.history.Restart(w.now, slices.Values(announcementsOf(w.log[c.applied-1])))
 		}
+		w.applyAtControls()
+		w.after(w.between(0, 500*time.Millisecond), func() {
+			if message := w.agents.table.All(w.now); message != nil && c.up {
+				c.table.Record(w.now, message)
+			}
+		})
 		for _, e := range w.entries {
 			for i := range e.linked {
 				if w.controls[i] == c && e.linked[i] {
@@ -523,9 +608,13 @@
 		total.streams += r.streams
 		total.owed += r.owed
 		total.goneOnWith += r.goneOnWith
+		total.owedAfterLoss += r.owedAfterLoss
+		total.goneOnAfterLoss += r.goneOnAfterLoss
 	}
 	t.Logf("%d schedules: %+v", schedules, total)
 	require.GreaterOrEqual(t, float64(total.goneOnWith), 0.9*float64(total.owed))
+	require.Positive(t, total.owedAfterLoss)
+	require.GreaterOrEqual(t, float64(total.goneOnAfterLoss), 0.9*float64(total.owedAfterLoss))
 }
 
 // Guards against a simulation that sees nothing: with streams that go on at any version it finds mixed ones.
