link: Serve returns after its listener is closed

Cause: the listener is closed by a goroutine at the end of the context; when a connection was accepted at that moment, Serve returned without waiting for it. Entries' and agents' links use the same code.

--- a/link/serve.go
+++ b/link/serve.go
@@ -103,8 +103,16 @@
 	defer cancel()
 	conns = context.WithValue(conns, stoppingKey{}, ctx.Done())
 
-	closeListener := context.AfterFunc(ctx, func() { listener.Close() })
-	defer closeListener()
+	closed := make(chan struct{})
+	closeListener := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		listener.Close()
+	})
+	defer func() {
+		if !closeListener() {
+			<-closed // the address is free once this returns
+		}
+	}()
 	for {
 		conn, err := listener.Accept()
 		if ctx.Err() != nil {
