entry: the version of a pool is inferred only if the route has led to that pool alone

A stream whose caller resumed it at another entry went on in another pool, and so at another version, where its route was split among pools of one version each, or had been led to another pool meanwhile: the entry inferred the version from the pool that it picked now.

A route has its only pool if it leads to one, and hasn't been changed within a minute as far as this entry knows. Otherwise origins are told and asked for; when a desired state leads routes elsewhere, entries tell the origins of all their streams. Deployments without such routes pay nothing.

TestStreamOfSplitRouteGoesOnInItsPool (v9 expected, v1 got) and TestStreamOfMovedRouteGoesOnInItsPoolOnly failed before. Left: an entry that starts within a minute after the change doesn't know of it.

--- a/entry/links.go
+++ b/entry/links.go
@@ -133,7 +133,11 @@
 		return err
 	}
 	catalogue := newCatalogue(view)
-	catalogue.routing = routingOf(view, e.catalogue.Load().routing, e.caps)
+	before := e.catalogue.Load().routing
+	catalogue.routing = routingOf(e.now(), view, before, e.caps)
+	if catalogue.routing != before && catalogue.routing != nil && catalogue.routing.poolsChanged {
+		defer e.origins.routesChanged() // once the catalogue is in force
+	}
 	e.caps.SetEntries(len(view.Entries))
 	e.catalogue.Store(catalogue)
 	e.prover.recordAddresses(view)
--- a/entry/routing.go
+++ b/entry/routing.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carawaypitch/carawaypitch/origin"
 	"github.com/carawaypitch/carawaypitch/quota"
 	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -20,6 +22,8 @@
 	members     map[string]*member           // by key
 	requiresKey bool                         // callers need a key
 	all         []*member
+	// poolsChanged is set if a route leads to other pools than before, or to several.
+	poolsChanged bool
 }
 
 // route is a route with its class for each tier that an organisation may have.
@@ -28,6 +32,7 @@
 	byTier      map[uint32]*wire.Class
 	poolKinds   map[string]string // kind of each of its pools
 	totalWeight uint64            // sum of the pools' weights
+	poolsSince  time.Time         // when its pools were last changed, zero if not while this entry has run
 }
 
 // member is an organisation and its usage cap at this entry.
@@ -121,6 +126,14 @@
 	return ok
 }
 
+// onlyPool returns the only pool in which a stream of the route can have begun within origin.Retention, "" if there may be several.
+func (r *route) onlyPool(now time.Time) string {
+	if len(r.poolKinds) != 1 || now.Sub(r.poolsSince) < origin.Retention {
+		return ""
+	}
+	return r.GetPools()[0].GetPool()
+}
+
 // class returns the route's class at an organisation's tier. The organisation's tier takes precedence over the route's.
 func (r *route) class(m *member) *wire.Class {
 	if m == nil || m.GetTier() == 0 {
@@ -142,9 +155,29 @@
 func (r *route) kindOf(pool string) string { return r.poolKinds[pool] }
 
 // routingOf returns the routing of a view. It returns old if the desired state has not changed.
-func routingOf(view *session.View, old *routing, caps *quota.Caps) *routing {
+func routingOf(now time.Time, view *session.View, old *routing, caps *quota.Caps) *routing {
 	if old != nil && view.Desired.GetVersion() == old.version {
 		return old
 	}
-	return newRouting(view.Desired, caps)
+	next := newRouting(view.Desired, caps)
+	if next != nil && old != nil {
+		next.follow(now, old)
+	}
+	return next
+}
+
+// follow records when the routes' pools were changed.
+func (r *routing) follow(now time.Time, old *routing) {
+	for host, routes := range r.hosts {
+		for prefix, next := range routes {
+			before := old.hosts[host][prefix]
+			if before == nil {
+				continue
+			}
+			next.poolsSince = before.poolsSince
+			if !maps.Equal(before.poolKinds, next.poolKinds) {
+				next.poolsSince, r.poolsChanged = now, true
+			}
+		}
+	}
 }
--- a/entry/stream_origins.go
+++ b/entry/stream_origins.go
@@ -48,6 +48,8 @@
 	key   origin.Key
 	from  origin.Origin
 	began bool
+	// isSplit is set if the route may lead to several pools: a stream may have begun in another one than its caller reaches now.
+	isSplit bool
 	// inferred is set if the call resumes a stream by what this entry knows of its pool. That the stream goes on is no proof of
 	// its origin then.
 	inferred bool
@@ -103,6 +105,14 @@
 	o.updateSole()
 }
 
+// routesChanged tells the origins of all streams: a route leads to other pools than before, so its pool's only version isn't known
+// to have begun them.
+func (o *streamOrigins) routesChanged() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reportAll()
+}
+
 // updateSole determines the pools of one version anew, and tells the origins of all streams if there are fewer. The lock must be
 // held.
 func (o *streamOrigins) updateSole() {
@@ -185,6 +195,7 @@
 // note keeps the origin of a stream and tells it, unless any entry knows it. The lock must be held.
 func (o *streamOrigins) note(s *streamOrigin, keep bool) {
 	_, isSole := o.sole[s.from.Pool]
+	isSole = isSole && !s.isSplit
 	if keep || !isSole {
 		o.table.Put(o.now(), s.key, s.from)
 	}
@@ -200,7 +211,8 @@
 	age    time.Duration // since it was noted, or since the last contact to control
 }
 
-// find returns which version began a stream, with source originUnknown if that can't be known.
+// find returns which version began a stream, with source originUnknown if that can't be known. pool is the only one in which it can
+// have begun, "" if there are several.
 func (o *streamOrigins) find(ctx context.Context, key origin.Key, pool string) foundOrigin {
 	if found := o.findHere(key, pool); found.source != originUnknown {
 		return found
@@ -238,14 +250,15 @@
 // bindResumption binds a request that resumes a stream to the pool and version that began it. It returns what is known of the
 // stream, and why the request is refused.
 func (e *Entry) bindResumption(ctx context.Context, admission *Admission, call *Call, r *sched.Request) (streamOrigin, *result.Error) {
-	stream := streamOrigin{key: streamKey(call, r)}
+	onlyPool := admission.route.onlyPool(e.now())
+	stream := streamOrigin{key: streamKey(call, r), isSplit: onlyPool == ""}
 	if call.LastEvent == "" || !r.IsResumable() {
 		return stream, nil
 	}
 	wait := min(originLookUpTimeout, max(r.Deadline.Sub(e.now()), 0)/originLookUpShare)
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	found := e.origins.find(ctx, stream.key, r.Target)
+	found := e.origins.find(ctx, stream.key, onlyPool)
 	e.meter.add(fmt.Sprintf(`%s{known_by=%q}`, metricResumed, found.source), 1)
 	e.logResumption(r, call, found)
 	if found.source == originUnknown {
--- a/entry/stream_versions_test.go
+++ b/entry/stream_versions_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/carawaypitch/carawaypitch/origin"
 	"github.com/carawaypitch/carawaypitch/result"
@@ -20,7 +21,13 @@
 // addModelVersion adds a model whose server runs a version and begins streams that it doesn't end.
 func (h *harness) addModelVersion(number int, version string) *fakeAgent {
 	h.t.Helper()
-	a := h.addModel(number)
+	return h.addPoolVersion(number, "m", version)
+}
+
+// addPoolVersion is addModelVersion for a pool.
+func (h *harness) addPoolVersion(number int, pool, version string) *fakeAgent {
+	h.t.Helper()
+	a := h.addAgent(number, settings.KindModel, pool)
 	a.version, a.resumes = version, true
 	head := headEvent(h.t, 200)
 	a.setHandlers(func(d *receivedDispatch) { d.sendFrame(0, head, "id: 1\ndata: a\n\n") }, nil)
@@ -31,7 +38,7 @@
 		for run, announcement := range v.Announcements {
 			all[run] = announcement
 		}
-		all[a.server] = &wire.Announcement{Server: a.server, Pool: "m", Version: version, Slots: 8}
+		all[a.server] = &wire.Announcement{Server: a.server, Pool: pool, Version: version, Slots: 8}
 		v.Announcements = all
 	})
 	synctest.Wait()
@@ -276,3 +283,68 @@
 		require.Equal(t, "v2", goesOn.version)
 	})
 }
+
+// Guards against a stream that goes on in another pool than the one that began it, where a route is split among pools of one version
+// each.
+func TestStreamOfSplitRouteGoesOnInItsPool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newSoleVersionHarness(t)
+		for n := range 2 {
+			h.versioned = append(h.versioned, h.addPoolVersion(n+3, "m2", "v9"))
+		}
+		h.control.publish(func(v *session.View) {
+			v.ConfigVersion++
+			v.Desired = proto.CloneOf(v.Desired)
+			v.Desired.Version++
+			v.Desired.Pools = append(v.Desired.Pools, &wire.Pool{Name: "m2", Kind: settings.KindModel})
+			v.Desired.Routes[0].Pools = []*wire.WeightedPool{{Pool: "m", Weight: 1}, {Pool: "m2", Weight: 1}}
+		})
+		h.soleVersion()
+		synctest.Wait()
+		pools := map[string]bool{}
+		for i := range 20 {
+			first := fmt.Sprintf("first-%d", i)
+			began, leave := h.beginStream(0, first)
+			leave()
+			time.Sleep(2 * originsDelay)
+			goesOn, err := h.resumeStream(1, fmt.Sprintf("again-%d", i), first)
+			require.Nil(t, err)
+			require.Equal(t, began.version, goesOn.version)
+			pools[began.target] = true
+		}
+		require.Len(t, pools, 2)
+		goesOn, err := h.resumeStream(1, "again", "elsewhere")
+		require.Nil(t, goesOn)
+		require.Equal(t, result.StreamVersionUnknown, err.Code)
+	})
+}
+
+// Guards against a stream that goes on in another pool than the one that began it, where its route was led to another pool meanwhile.
+func TestStreamOfMovedRouteGoesOnInItsPoolOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newSoleVersionHarness(t)
+		for n := range 2 {
+			h.versioned = append(h.versioned, h.addPoolVersion(n+3, "m2", "v9"))
+		}
+		h.soleVersion()
+		_, leave := h.beginStream(0, "first")
+		leave()
+		h.control.publish(func(v *session.View) {
+			v.ConfigVersion++
+			v.Desired = proto.CloneOf(v.Desired)
+			v.Desired.Version++
+			v.Desired.Pools = append(v.Desired.Pools, &wire.Pool{Name: "m2", Kind: settings.KindModel})
+			v.Desired.Routes[0].Pools = []*wire.WeightedPool{{Pool: "m2", Weight: 1}}
+		})
+		time.Sleep(2 * originsDelay)
+		for _, first := range []string{"first", "elsewhere"} {
+			goesOn, err := h.resumeStream(1, "again-"+first, first)
+			require.Nil(t, goesOn)
+			require.Equal(t, result.RanNo, err.Ran)
+		}
+		time.Sleep(origin.Retention)
+		goesOn, err := h.resumeStream(1, "later", "elsewhere")
+		require.Nil(t, err)
+		require.Equal(t, "v9", goesOn.version)
+	})
+}
