sched: a test of calls refused for times that none had

Which estimate the refusals rest on is shown here without load: a server's correction of its expected times is learnt against the default of 20 ms, or against the median of a faster time before, and then multiplied with the median of the slower calls.

Red, on both cases: after_the_start: refused "after 20 calls of 120ms, with an objective of 300ms" after_fast_calls: refused "after 48 calls of 120ms, with an objective of 300ms"

--- a/sched/estimate_recovery_test.go
+++ b/sched/estimate_recovery_test.go
@@ -53,3 +53,38 @@
 	}
 	require.Less(t, refused, 60, "%d of 600 calls refused in a minute", refused)
 }
+
+// Guards against calls that are refused for times that none had. The correction of a server was learnt against the default time, or
+// against the median of a faster time before, and then applied to the median of the slower times.
+func TestCorrectionIsNotAppliedToAnotherMedian(t *testing.T) {
+	for name, fastCalls := range map[string]int{"after the start": 0, "after fast calls": windowSamples + minSamples} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, Options{})
+			h.addServer("s1", kindService, testService, 1)
+			class := &wire.Class{Name: "hold", Tier: 2, DeadlineMs: 3000, LateMax: 0.01, LostMax: 0.01, Kind: kindService}
+			const fast, slow, objective = 20 * time.Millisecond, 120 * time.Millisecond, 300 * time.Millisecond
+			for n := range fastCalls {
+				h.serveWithObjective(fmt.Sprint("fast-", n), class, objective, fast)
+			}
+			for n := range 10 * minSamples {
+				h.serveWithObjective(fmt.Sprint("slow-", n), class, objective, slow)
+				h.reportRoom("s1", kindService, testService, 0)
+				id := fmt.Sprint("without-room-", n)
+				h.arriveWithObjective(id, class, objective)
+				require.Nil(t, h.failures[id], "after %d calls of %s, with an objective of %s", n+1, slow, objective)
+				h.step(CallerLeft{Request: id})
+			}
+		})
+	}
+}
+
+// serveWithObjective lets a call arrive while there is room, and ends it after its service time.
+func (h *harness) serveWithObjective(id string, class *wire.Class, objective, took time.Duration) {
+	h.t.Helper()
+	h.reportRoom("s1", kindService, testService, 1)
+	h.arriveWithObjective(id, class, objective)
+	sent := h.lastDispatch(id, 1)
+	h.now = h.now.Add(took)
+	h.frame("s1", sent.id, 0, "x")
+	h.complete("s1", sent.id, 0, "x")
+}
