sched: a server's correction at services is learnt against the class's mean

Callers of a sound service were refused with 1202 while no agent reported room: 78 of 100, within 54 ms, right after its first 21 calls. Without room a call is refused if its expected time is later than its objective. That time was the class's median times the server's correction, and the correction was the mean ratio of actual times to the same median as it was when the call was sent: the default of 20 ms until there are 20 samples, and later a median that follows a change up to 4 s late. Once the median had followed, the same slowness was counted twice: 120 ms were expected to take up to 1.2 s. Refused calls gave no sample; after 2 s without one the median began anew and the correction stayed, so that it went on in rounds of 20 calls.

The ratio is now that to a moving mean of the class's times, which includes the call and follows a change within some ten calls. One server has a correction of about 1 then, whatever the default, and of several each has its own part.

--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -101,6 +101,19 @@
 	return m.known() && now.Sub(m.last) <= estimateMaxAge
 }
 
+// recentMean is a moving average, in seconds, which follows a change within some ten samples.
+type recentMean struct{ seconds float64 }
+
+func (m *recentMean) add(sample time.Duration) {
+	if m.seconds == 0 {
+		m.seconds = sample.Seconds()
+		return
+	}
+	m.seconds += correctionWeight * (sample.Seconds() - m.seconds)
+}
+
+func (m *recentMean) value() time.Duration { return time.Duration(m.seconds * float64(time.Second)) }
+
 // runCorrection is a moving average of the ratio of actual to predicted run times at a server, initially 1.
 type runCorrection struct{ factor float64 }
 
@@ -214,6 +227,7 @@
 	took := s.now.Sub(a.sentAt)
 	if r.pool.key.kind == kindService {
 		r.class.serviceTimes.add(s.now, took.Microseconds())
+		r.class.meanServiceTime.add(took)
 	} else {
 		r.class.outputTokens.add(int64(end.GetOutputTokens()))
 		r.class.runTimes.add(took.Milliseconds())
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -208,10 +208,16 @@
 }
 
 // predictedRun returns the run time of the current attempt that was to be expected at the rates that the gate reported,
-// for the correction of these rates. Placed by length, it is that of the actual length: otherwise the correction would count
-// answers that were longer than expected as a slow server.
+// for the correction of these rates; 0 if it isn't known. Placed by length, it is that of the actual length: otherwise the
+// correction would count answers that were longer than expected as a slow server.
+//
+// Calls of a service are compared with the present mean of their class. Compared with its median, which is a default at first and
+// follows a change seconds later, the correction would count the same change a second time once the median has followed.
 func (s *Scheduler) predictedRun(r *request, tokens uint32) time.Duration {
 	a := r.attempt
+	if r.pool.key.kind == kindService {
+		return r.class.meanServiceTime.value()
+	}
 	if !s.placesByLength(r) {
 		return a.uncorrectedRun
 	}
--- a/sched/urgency.go
+++ b/sched/urgency.go
@@ -30,15 +30,16 @@
 
 // class is the state of a class of requests.
 type class struct {
-	name         string
-	spec         *wire.Class
-	window       window
-	outputTokens *runningMedian // tokens
-	serviceTimes *recentMedian  // microseconds of a service call
-	runTimes     *runningMedian // milliseconds of a model's run
-	lengths      *lengthModel   // nil before it is used
-	usedShare    float64        // used share of the targets, 0..1, as of usedShareAt
-	usedShareAt  time.Time
+	name            string
+	spec            *wire.Class
+	window          window
+	outputTokens    *runningMedian // tokens
+	serviceTimes    *recentMedian  // microseconds of a service call
+	meanServiceTime recentMean
+	runTimes        *runningMedian // milliseconds of a model's run
+	lengths         *lengthModel   // nil before it is used
+	usedShare       float64        // used share of the targets, 0..1, as of usedShareAt
+	usedShareAt     time.Time
 
 	arrivalRate rate
 	credit      float64 // dispatches that may be promoted, see hasCredit
