entry, sched, gate: the line at an answer's end tells the four ways to break the order apart

Cause: the agent logs event IDs, framing and cause of each attempt; the entry's line had none of them, so that a piece lost between agent and caller, a wrong join of two runs and an end that nobody vouched for could not be told apart from logs.

Change, no logic: request_answered, request_failed and caller_left have protocol, framing (to the caller), written_events, written_bytes, unnamed_events, first_event, last_event, id_gaps, write_error and complete; the first two also server_framing and cause (of the last run), runs (each run that contributed: attempt, server, version, position, the event after which it went on, first and last ID, events, gaps, framing, cause; the last 8) and runs_left_out. run_suspended has after_event, first_event and last_event.

--- a/agent/suspension.go
+++ b/agent/suspension.go
@@ -182,6 +182,7 @@
 		WithField("remaining_ms", r.remaining().Milliseconds()).
 		WithField("expected_ms", r.suspension.action.Remaining.Milliseconds()).
 		WithField("for", r.suspension.action.For.GetRequest()).
+		WithFields(r.eventFields()).
 		Info("run_suspended")
 	if r.suspension.discarded {
 		s.removeRun(r, endDiscarded)
--- a/entry/call.go
+++ b/entry/call.go
@@ -29,7 +29,8 @@
 	attempts attemptSummary
 	trace    sched.Trace // set in both cases
 
-	stream streamOrigin // what began the answer
+	stream  streamOrigin // what began the answer
+	written written      // used by the goroutine that serves the caller
 
 	held *heldCall     // nil if nothing is counted
 	flow readerFlow    // not followed if nothing is counted
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -71,7 +71,8 @@
 	collected := newCollector(r, state.DefaultLimits.AnswerBytes)
 	out, followErr := e.follow(c.Request().Context(), call, w, collected)
 	if followErr != nil {
-		e.callerLeft(r)
+		call.written = w.written
+		e.callerLeft(call)
 		held := e.detach(call, collected.counted)
 		e.background.Go(func() {
 			defer held.close()
@@ -106,7 +107,7 @@
 		e.meter.countRefusal(out.err.Code, r.Class.GetTier())
 	}
 	w.replay(out)
-	e.logEnd(r, out)
+	e.logEnd(r, out, &w.written)
 }
 
 // commitDeadline returns the time until which an answer waits for its commit.
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/engine/framing"
 	"github.com/carawaypitch/carawaypitch/process"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/sched"
@@ -23,10 +24,13 @@
 	started bool // the status and part of a stream were sent
 	ended   bool // the end of the response was sent, or it was left to net/http to send a whole one
 	control *http.ResponseController
+	written written
 }
 
 func newReply(c echo.Context, r *sched.Request) *reply {
-	return &reply{c: c, stream: r.Stream, control: http.NewResponseController(c.Response())}
+	return &reply{
+		c: c, stream: r.Stream, control: http.NewResponseController(c.Response()), written: written{protocol: c.Request().Proto},
+	}
 }
 
 // writeEvents sends events of a stream. An error means that the caller is unreachable.
@@ -39,6 +43,7 @@
 		if err := w.write(eventPrefix, string(event), eventEnd); err != nil {
 			return err
 		}
+		w.written.sequence.Events++
 	}
 	return w.control.Flush()
 }
@@ -50,6 +55,7 @@
 		return
 	}
 	w.started = true
+	w.written.framing = framingToCaller(w.c.Request())
 	w.c.Response().Header().Set(echo.HeaderContentType, engine.ContentTypeStream)
 	w.c.Response().Header().Set(echo.HeaderCacheControl, "no-cache")
 	w.c.Response().WriteHeader(http.StatusOK)
@@ -58,8 +64,10 @@
 func (w *reply) write(parts ...string) error {
 	for _, part := range parts {
 		if _, err := w.c.Response().Write([]byte(part)); err != nil {
+			w.written.err = err
 			return err
 		}
+		w.written.bytes += len(part)
 	}
 	return nil
 }
@@ -74,10 +82,11 @@
 		replyError(w.c, out.err)
 	case w.stream:
 		w.startStream()
-		_ = w.write(streamEnd)
+		w.written.complete = w.write(streamEnd) == nil
 		_ = w.control.Flush()
 	default:
 		_ = w.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+		w.written.framing, w.written.bytes, w.written.complete = framing.Length, len(out.body), true
 		writeResponse(w.c, out.status, out.contentType, out.body)
 	}
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -51,7 +51,8 @@
 	defer w.breakOffUnlessEnded()
 	out, followErr := e.follow(c.Request().Context(), call, w, nil)
 	if followErr != nil {
-		e.callerLeft(r)
+		call.written = w.written
+		e.callerLeft(call)
 		return nil
 	}
 	call.beginFinal(out)
@@ -79,17 +80,20 @@
 // finish replies with the outcome and logs it.
 func (e *Entry) finish(w *reply, r *sched.Request, out *outcome) {
 	w.finish(out)
-	e.logEnd(r, out)
+	e.logEnd(r, out, &w.written)
 }
 
-func (e *Entry) logEnd(r *sched.Request, out *outcome) {
+// logEnd logs how a request ended, and what its caller was sent.
+func (e *Entry) logEnd(r *sched.Request, out *outcome, sent *written) {
 	fields := e.log.WithField("request", r.ID).
 		WithField("organisation", r.Organisation).
 		WithField("class", r.Class.GetName()).
 		WithField("prompt", r.PromptTokens).
 		WithField("most_output", r.MaxTokens).
 		WithField("ms", e.now().Sub(r.Arrived).Milliseconds())
-	fields = withTrace(fields, out.trace, e.settings.Admission.FleetDemand)
+	fields = withTrace(fields, out.trace, e.settings.Admission.FleetDemand).
+		WithFields(sent.fields()).
+		WithFields(runFields(out.trace))
 	if out.err != nil {
 		fields.WithField("code", uint16(out.err.Code)).
 			WithField("ran", out.err.Ran.String()).
@@ -105,9 +109,9 @@
 }
 
 // callerLeft tells the scheduler that the caller has disconnected, so that no more work is spent on the request.
-func (e *Entry) callerLeft(r *sched.Request) {
-	e.log.WithField("request", r.ID).Info("caller_left")
-	_ = e.postEvent(e.runContext, sched.CallerLeft{Request: r.ID})
+func (e *Entry) callerLeft(c *call) {
+	e.log.WithField("request", c.request.ID).WithFields(c.written.fields()).Info("caller_left")
+	_ = e.postEvent(e.runContext, sched.CallerLeft{Request: c.request.ID})
 }
 
 // follow receives what the scheduler delivers until the request ends, and writes the events of a stream to w. It
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carawaypitch/carawaypitch/engine/framing"
 	"github.com/carawaypitch/carawaypitch/holding"
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/pause"
@@ -45,12 +46,14 @@
 	// LastEvent is the ID of the last event that the caller has of a stream that it resumes, empty for a new call.
 	// Resumes is the ID of the attempt that brought the first event, empty if the caller doesn't name it.
 	LastEvent, Resumes string
+	// Protocol is that of the caller, such as HTTP/1.0, for logs.
+	Protocol string
 }
 
 // AnswerWriter receives an answer as it arrives. An error means that the caller is unreachable.
 type AnswerWriter interface {
-	// WriteHead is called once, before any WriteBody.
-	WriteHead(head *wire.AnswerHead) error
+	// WriteHead is called once, before any WriteBody. It returns how the answer shows its end to the caller.
+	WriteHead(head *wire.AnswerHead) (framing.Framing, error)
 	// WriteBody writes the next bytes of the body, which must be sent without buffering.
 	WriteBody(data []byte) error
 	// Complete is called once after the last bytes of a whole answer. An answer that ends without it was broken off, and
@@ -179,15 +182,16 @@
 	if err != nil {
 		return e.refuseCall(call, admission, err)
 	}
+	accepted.written.protocol = call.Protocol
 	out := e.relay(ctx, accepted, w)
 	if out == nil || out.err != nil {
 		e.origins.endedEarly(accepted)
 	}
 	if out == nil {
-		e.callerLeft(r)
+		e.callerLeft(accepted)
 		return accepted.cutError()
 	}
-	e.logEnd(r, out)
+	e.logEnd(r, out, &accepted.written)
 	return out.err
 }
 
@@ -362,7 +366,7 @@
 		Pause:        time.Duration(route.GetPauseMs()) * time.Millisecond,
 		Abandon:      time.Duration(route.GetAbandonMs()) * time.Millisecond,
 		Overdue:      e.isOverdue(route, class, admission.member.GetName(), call),
-		Verbatim:     &sched.Verbatim{Host: call.Host, Headers: call.Headers},
+		Verbatim:     &sched.Verbatim{Host: call.Host, Headers: call.Headers, LastEvent: call.LastEvent},
 		MaxAttempts:  int(route.GetMaxAttempts()),
 	}
 }
@@ -404,11 +408,12 @@
 		for i, part := range d.events {
 			out.size += len(part)
 			if headWritten {
-				err = w.WriteBody(part)
+				err = accepted.written.writeBody(w, part, accepted.request.Stream)
 			} else {
-				headWritten, err = true, e.writeAnswerHead(accepted.request, part, w, out)
+				headWritten, err = true, e.writeAnswerHead(accepted, part, w, out)
 			}
 			if err != nil {
+				accepted.written.err = err
 				return nil
 			}
 			d.events[i] = nil // a part that was written needs no memory while the next one is
@@ -421,6 +426,7 @@
 			out.err, out.attempts, out.trace = d.err, d.attempts, d.trace
 			if out.err == nil {
 				w.Complete()
+				accepted.written.complete = true
 			}
 			return out
 		}
@@ -428,7 +434,8 @@
 }
 
 // writeAnswerHead writes the head of a verbatim answer, which is its first event.
-func (e *Entry) writeAnswerHead(r *sched.Request, part []byte, w AnswerWriter, out *outcome) error {
+func (e *Entry) writeAnswerHead(accepted *call, part []byte, w AnswerWriter, out *outcome) error {
+	r := accepted.request
 	head := new(wire.AnswerHead)
 	if err := proto.Unmarshal(part, head); err != nil {
 		return err
@@ -438,5 +445,19 @@
 		// Logged at the head: a process that is killed during the answer logs no end.
 		e.log.WithField("request", r.ID).WithField("class", r.Class.GetName()).Info("answer_ends_with_connection")
 	}
-	return w.WriteHead(head)
+	var err error
+	accepted.written.framing, err = w.WriteHead(head)
+	return err
+}
+
+// writeBody writes a part of an answer's body. A part of a stream is an event, or a comment.
+func (w *written) writeBody(to AnswerWriter, part []byte, isStream bool) error {
+	if err := to.WriteBody(part); err != nil {
+		return err
+	}
+	w.bytes += len(part)
+	if isStream {
+		w.sequence.Add(part)
+	}
+	return nil
 }
--- a/entry/verbatim_test.go
+++ b/entry/verbatim_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carawaypitch/carawaypitch/engine/framing"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/settings"
@@ -28,10 +29,10 @@
 }
 
 // WriteHead implements AnswerWriter.
-func (w *recordingWriter) WriteHead(head *wire.AnswerHead) error {
+func (w *recordingWriter) WriteHead(head *wire.AnswerHead) (framing.Framing, error) {
 	w.head = head
 	w.heads++
-	return nil
+	return framing.Chunked, nil
 }
 
 // Complete implements AnswerWriter.
--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -45,6 +45,7 @@
 	parts       []uint64           // shared parts of its prompt, set at the dispatch
 	crash       *wire.Crash        // crash of the server while the attempt ran, nil for none
 	brokenOff   framing.Cause      // why its answer isn't whole, if the server broke it off
+	body        framing.End        // how the answer's body ended, set when the call has returned
 
 	state      attemptState
 	cancelOnly bool   // known only from a Cancel
--- a/gate/over.go
+++ b/gate/over.go
@@ -121,6 +121,7 @@
 	over.WastedPrefillTokens = a.run.wastedPrefill
 	over.Crash = a.crash
 	over.BrokenOff = string(a.brokenOff)
+	a.describeBody(over)
 	if over.Proof == wire.Proof_PROOF_CANCELLED && a.cancel.preemptorTier > 0 {
 		over.PreemptedByTier = a.cancel.preemptorTier
 		over.Resumable = g.resumable(a)
@@ -135,6 +136,14 @@
 	}
 }
 
+// describeBody adds how the body of the server's answer ended, if the call has returned.
+func (a *attempt) describeBody(over *wire.Over) {
+	if a.body.Cause == "" {
+		return
+	}
+	over.Framing, over.EndCause = a.body.Framing.String(), string(a.body.Cause)
+}
+
 // recordEnd stores the end of an attempt in the record of its request.
 func (g *Gate) recordEnd(a *attempt, over *wire.Over) {
 	if a.cancelOnly {
@@ -186,6 +195,7 @@
 	a.cancel.unprovableSent = final
 	own := unprovenOver(final)
 	own.BrokenOff = string(a.brokenOff)
+	a.describeBody(own)
 	g.reply(inquirer{entry: a.owner.id, number: a.number, server: a.server}, a.record.request, own)
 	for _, inq := range a.cancel.inquirers {
 		g.sendUnproven(inq, a.record.request, final)
--- a/gate/runs.go
+++ b/gate/runs.go
@@ -112,6 +112,7 @@
 		return
 	}
 	a.run.callOpen = false
+	a.body = e.Outcome.Body
 	if g.endedBySuspension(a, e) {
 		return
 	}
--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -65,6 +65,7 @@
 	began      bool       // an engine certainly began it
 	reason     string
 	frames     uint64
+	run        RunTrace
 }
 
 // ran returns what is proved about the whole request.
@@ -150,7 +151,9 @@
 	a.cost = s.attemptCost(r, to)
 	s.clocks[r.tier].Start(r.Organisation, a.cost)
 	r.attempt = a
-	r.attempts = append(r.attempts, attemptRecord{number: id.GetNumber(), server: to.name, agent: to.agent.name, sent: s.now})
+	r.attempts = append(r.attempts, attemptRecord{
+		number: id.GetNumber(), server: to.name, agent: to.agent.name, sent: s.now, run: r.beginRun(id, to),
+	})
 	to.agent.attempts[r] = struct{}{}
 	to.attemptSent(a)
 	s.inFlight++
--- a/sched/frames.go
+++ b/sched/frames.go
@@ -108,6 +108,7 @@
 		a.bytes += uint64(len(event))
 	}
 	r.eventsReceived += uint64(len(events))
+	r.noteRunEvents(events)
 	r.bindVersion()
 	s.noteStreamBegan(r)
 	r.noteEventTimes(s.now)
--- a/sched/proofs.go
+++ b/sched/proofs.go
@@ -71,6 +71,7 @@
 func (s *Scheduler) currentAttemptOver(r *request, m *wire.Over) {
 	s.countReportedWaste(r, m)
 	s.noteBrokenOff(r, m)
+	r.noteRunEnd(m)
 	switch m.GetProof() {
 	case wire.Proof_PROOF_NEVER_STARTED:
 		s.neverStarted(r, m)
--- a/sched/trace.go
+++ b/sched/trace.go
@@ -22,6 +22,10 @@
 	Attempts, Refusals int
 	// BrokenOff counts the attempts whose answers servers broke off.
 	BrokenOff int
+	// Runs are the runs that contributed events to the answer, in order, at most maxTracedRuns of them. RunsLeftOut counts the
+	// others.
+	Runs        []RunTrace
+	RunsLeftOut int
 	// SentAfter is the time from the arrival to the last attempt, 0 without one.
 	SentAfter time.Duration
 	// FirstEventAfter is the time from the arrival to the first event of the answer, 0 without one.
@@ -97,6 +101,7 @@
 		ExpectedRunTime: r.placement.finish,
 		DeadlineSlack:   r.placement.slack,
 	}
+	t.Runs, t.RunsLeftOut = r.tracedRuns()
 	if len(r.attempts) > 0 {
 		t.Server = r.currentRecord().server
 		t.SentAfter = r.currentRecord().sent.Sub(r.Arrived)
--- a/sched/types.go
+++ b/sched/types.go
@@ -113,6 +113,8 @@
 type Verbatim struct {
 	Host    string
 	Headers []*wire.Header
+	// LastEvent is the ID of the last event that the caller has of a stream that it resumes, empty for a new stream.
+	LastEvent string
 }
 
 // Event is an input to the scheduler.
--- a/story/story.go
+++ b/story/story.go
@@ -67,8 +67,8 @@
 }
 
 // Write writes the course of a request from the logs of any number of processes: the attempts at backend servers first,
-// then how the entry ended the request. Each line is followed by the state changes of the same process within
-// contextWindow before it, with their ages. Clocks of different processes may differ, since an age is the difference of
+// then how the entry ended the request, with the runs that contributed to the answer. Each line is followed by the state changes
+// of the same process within contextWindow before it, with their ages. Clocks of different processes may differ, since an age is the difference of
 // two times of one process. It returns the writer's error.
 func Write(w io.Writer, logs []*Log) error {
 	var all []traceEntry
@@ -137,6 +137,13 @@
 	if _, err := fmt.Fprintf(w, "%s: %s\n", c.line.Process, c.line.Text); err != nil {
 		return err
 	}
+	if runs := c.line.Field("runs"); runs != "" {
+		for run := range strings.SplitSeq(runs, "; ") {
+			if _, err := fmt.Fprintf(w, "    run %s\n", run); err != nil {
+				return err
+			}
+		}
+	}
 	for _, change := range c.context {
 		if change.Field("server") != "" && change.Field("server") != c.line.Field("server") {
 			continue
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -47,6 +47,16 @@
 	require.Contains(t, writeStory(t, "ffff"), "no line about this request")
 }
 
+// Guards against joins of runs that an operator has to look for inside a long line.
+func TestStoryListsTheRunsOfAnAnswer(t *testing.T) {
+	l, err := Read("entry-1", strings.NewReader(
+		`time=2026-01-02T15:04:06.000Z level=info event=request_answered request=77aa-2 runs="1@s1/v1 at:0 >1..2 a; 2@s2/v1 at:3 2>3..4 b"`+"\n"), "77aa")
+	require.NoError(t, err)
+	var out bytes.Buffer
+	require.NoError(t, Write(&out, []*Log{l}))
+	require.Contains(t, out.String(), "\n    run 1@s1/v1 at:0 >1..2 a\n    run 2@s2/v1 at:3 2>3..4 b\n")
+}
+
 // Guards against values that are read wrongly because of quotes, and against accepting lines of other programs.
 func TestParse(t *testing.T) {
 	line, ok := Parse("p", `time=2026-01-02T15:04:05.678Z level=info event=x a="1 \"2\"" b=3 c=`)
