--- a/network/reset.go
+++ b/network/reset.go
@@ -5,10 +5,18 @@
 	"net"
 )
 
+// lingerer is a connection whose unsent data can be dropped at its close. *net.TCPConn is one.
+type lingerer interface {
+	net.Conn
+	SetLinger(seconds int) error
+}
+
+var _ lingerer = (*net.TCPConn)(nil)
+
 // Reset closes a connection so that its peer sees an error instead of an ordinary end. What the peer has not
 // acknowledged yet is lost. A connection that can't be reset is closed.
 func Reset(conn net.Conn) {
-	if tcp, ok := underlying(conn).(*net.TCPConn); ok {
+	if tcp, ok := underlying(conn).(lingerer); ok {
 		_ = tcp.SetLinger(0)
 		_ = tcp.Close()
 	}
@@ -18,7 +26,7 @@
 // SetResetOnClose sets whether the peer sees an error instead of an ordinary end when the connection is closed, also by the kernel
 // when the process ends. It does nothing for a connection that can't be reset.
 func SetResetOnClose(conn net.Conn, reset bool) {
-	if tcp, ok := underlying(conn).(*net.TCPConn); ok {
+	if tcp, ok := underlying(conn).(lingerer); ok {
 		seconds := -1
 		if reset {
 			seconds = 0
