link, operator: connections and replies cut at each byte

Only whole messages arrive, once, frames in order. Sessions with control use the same framing and have no test of their own here.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,7 @@
 	causes  []error     // passed to the dialer's Down
 	downs   []time.Time // times of the calls of the dialer's Down
 
+	tls        *tls.Config // of the agent, nil for none
 	stopDialer func()
 }
 
@@ -53,6 +55,15 @@
 // newTestLink starts both sides and returns when they are linked. It must be called in a synctest bubble.
 func newTestLink(t *testing.T) *testLink {
 	t.Helper()
+	r := unstartedLink()
+	r.start(t)
+	synctest.Wait()
+	require.Equal(t, []string{"agent: up 1", "entry: up 7"}, r.eventLog())
+	return r
+}
+
+// unstartedLink returns a link of which neither side runs.
+func unstartedLink() *testLink {
 	r := &testLink{network: memory.New()}
 	r.server = &EntryServer{
 		Hello: func() *wire.AgentHello { return &wire.AgentHello{Agent: "agent-1", Incarnation: agentIncarnation} },
@@ -89,9 +100,6 @@
 		},
 		Jitter: func() float64 { return 0.5 },
 	}
-	r.start(t)
-	synctest.Wait()
-	require.Equal(t, []string{"agent: up 1", "entry: up 7"}, r.eventLog())
 	return r
 }
 
@@ -100,7 +108,7 @@
 	require.NoError(t, err)
 	r.dialer.Address = listener.Addr().String()
 	stopServer := runInBackground(func(ctx context.Context) {
-		if err := Serve(ctx, listener, nil, r.server.Register); err != nil {
+		if err := Serve(ctx, listener, r.tls, r.server.Register); err != nil {
 			r.recordEvent("serve: %v", err)
 		}
 	})
