experiment: callers read each event of a stream, and reports count the ways in which streams are out of order

An experiment compared a stream's text with the one wanted and said "wrong" of each difference. The stand-in's chunks now carry the position of their token beside the run's ID and the version; callers check each of them, and a run's report has the streams with an event missing, with one twice, of two runs or versions, and those that end like whole ones before their last event. Any of them is a violation.

--- a/engine/standin/chunks.go
+++ b/engine/standin/chunks.go
@@ -46,7 +46,7 @@
 	version string // of the engine's software
 	// cached is the number of prompt tokens from the cache. It is set at the end of the stream.
 	cached int
-	// tokenPrefix and tokenSuffix enclose a token's text in its chunk.
+	// tokenPrefix and tokenSuffix enclose a token's text in its chunk; its position, counted from 0, follows.
 	tokenPrefix, tokenSuffix string
 }
 
@@ -64,9 +64,9 @@
 	head := `{"id":` + quote(f.id) + `,"object":` + quote(f.chunkObject()) +
 		`,"created":` + strconv.FormatInt(created, 10) + `,"model":` + quote(s.spec.Model) + `,` +
 		fingerprint + `"choices":[{"index":0,`
-	f.tokenPrefix, f.tokenSuffix = head+`"text":"`, `","finish_reason":null}]}`
+	f.tokenPrefix, f.tokenSuffix = head+`"text":"`, `","finish_reason":null}],"position":`
 	if s.spec.Chat {
-		f.tokenPrefix, f.tokenSuffix = head+`"delta":{"content":"`, `"},"finish_reason":null}]}`
+		f.tokenPrefix, f.tokenSuffix = head+`"delta":{"content":"`, `"},"finish_reason":null}],"position":`
 	}
 	return f
 }
@@ -105,7 +105,8 @@
 	events = append(events, f.tokenPrefix...)
 	events = append(events, token(f.spec.Hash, index)...)
 	events = append(events, f.tokenSuffix...)
-	return append(events, "\n\n"...)
+	events = strconv.AppendInt(events, int64(index), 10)
+	return append(events, "}\n\n"...)
 }
 
 // roleChunk returns the first chunk of a chat.
--- a/experiment/load/answer.go
+++ b/experiment/load/answer.go
@@ -83,7 +83,10 @@
 }
 
 type completion struct {
-	Choices []choice `json:"choices"`
+	ID          string   `json:"id"`
+	Fingerprint string   `json:"system_fingerprint"`
+	Choices     []choice `json:"choices"`
+	Position    *int     `json:"position"` // of a token in its stream
 }
 
 // judgeBody compares a whole answer with the request.
@@ -137,6 +140,8 @@
 // judgeStream reads a stream to its end. Only the end mark makes it an answer.
 func judgeStream(o *Outcome, body io.Reader, check bool) {
 	var text strings.Builder
+	order := &orderCheck{repeatable: o.Arrival.Class.Repeatable}
+	defer func() { o.Order = order.faults }()
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 64<<10), maxAnswer)
 	o.Fate = Cut
@@ -147,14 +152,16 @@
 		}
 		if data == engine.StreamDone {
 			o.Fate = Whole
+			order.end(o.Arrival.OutputTokens)
 			break
 		}
-		if !o.event([]byte(data), &text) {
+		if !o.event([]byte(data), &text, order) {
 			break
 		}
 	}
 	if o.Fate != Whole && lines.Err() == nil {
 		if _, err := io.Copy(io.Discard, body); err == nil {
+			order.faults.FalseEnd = true
 			o.Fate, o.Detail = Wrong, "a stream without its end mark has the ordinary end of a whole one"
 			return
 		}
@@ -165,7 +172,7 @@
 }
 
 // event takes one event of a stream. It returns false at an error event, which ends it.
-func (o *Outcome) event(data []byte, text *strings.Builder) bool {
+func (o *Outcome) event(data []byte, text *strings.Builder, order *orderCheck) bool {
 	if bytes.HasPrefix(data, []byte(`{"error"`)) {
 		judgeRefusal(o, data, "an error event without a code")
 		return false
@@ -175,6 +182,7 @@
 		o.Detail = "an event is no JSON"
 		return false
 	}
+	order.event(chunk)
 	for _, c := range chunk.Choices {
 		text.WriteString(c.content())
 	}
--- a/experiment/load/outcome.go
+++ b/experiment/load/outcome.go
@@ -39,6 +39,8 @@
 	FirstByte, End time.Duration
 	// RequestID is the system's name of the request.
 	RequestID string
+	// Order is how the events of a stream followed each other.
+	Order Order
 	// Resent counts the tries beyond the first.
 	Resent int
 }
--- a/experiment/report/count.go
+++ b/experiment/report/count.go
@@ -56,7 +56,8 @@
 	run.Shares = c.shares(outcomes)
 	run.Pools = c.pools(outcomes)
 	run.Timeline = c.timeline(measured)
-	run.Violations = wrongAnswers(outcomes)
+	run.Order = countOrder(outcomes)
+	run.Violations = append(run.Order.violations(), wrongAnswers(outcomes)...)
 	return run
 }
 
@@ -195,6 +196,39 @@
 	return t
 }
 
+// countOrder counts the streams that began, and those out of order.
+func countOrder(outcomes []*load.Outcome) Order {
+	var sum Order
+	for _, o := range outcomes {
+		if !o.Arrival.Stream || o.Fate == load.Refused || o.Fate == load.Lost || o.Fate == load.Unanswered {
+			continue
+		}
+		sum.Streams++
+		for count, found := range map[*int]bool{
+			&sum.Missing: o.Order.Missing, &sum.Twice: o.Order.Twice, &sum.Joined: o.Order.Joined, &sum.FalseEnds: o.Order.FalseEnd,
+		} {
+			if found {
+				*count++
+			}
+		}
+	}
+	return sum
+}
+
+// violations returns one text if streams were out of order.
+func (o Order) violations() []string {
+	if o.Missing+o.Twice+o.Joined+o.FalseEnds == 0 {
+		return nil
+	}
+	return []string{o.String()}
+}
+
+// String sums the streams up.
+func (o Order) String() string {
+	return fmt.Sprintf("of %d streams: %d with an event missing, %d with one twice, %d of two runs, %d that end like whole ones",
+		o.Streams, o.Missing, o.Twice, o.Joined, o.FalseEnds)
+}
+
 // maxNamed bounds how many violations of a kind are named.
 const maxNamed = 5
 
--- a/experiment/report/report.go
+++ b/experiment/report/report.go
@@ -67,12 +67,23 @@
 	Asked []Asked `json:"asked"`
 	// Rollout is the roll-out of the scenario, nil for none.
 	Rollout *Rollout `json:"rollout,omitempty"`
+	// Order counts the streams whose events weren't those of one run in order.
+	Order Order `json:"order"`
 	// Violations are promises that were broken.
 	Violations []string `json:"violations"`
 	// Faults are those that were let happen, and their errors.
 	Faults []string `json:"faults"`
 }
 
+// Order counts streams, also those outside the measured time, and the ways in which their events were out of order.
+type Order struct {
+	Streams   int `json:"streams"`
+	Missing   int `json:"missing"`
+	Twice     int `json:"twice"`
+	Joined    int `json:"joined"`
+	FalseEnds int `json:"false_ends"`
+}
+
 // Asked is what a backend server asked of its senders during a fault, and what it got.
 type Asked struct {
 	Server string `json:"server"`
--- a/experiment/report/text.go
+++ b/experiment/report/text.go
@@ -92,6 +92,9 @@
 		}
 		fmt.Fprintln(w)
 	}
+	if r.Order.Streams > 0 {
+		fmt.Fprintf(w, "  order %s\n", r.Order)
+	}
 	r.Rollout.print(w)
 	for _, v := range r.Violations {
 		fmt.Fprintf(w, "  VIOLATION: %s\n", v)
