platform, engine: only a stream continues a stream

Callers saw the body of a refusal, of a failure or of an answer in one piece as the next bytes of their stream, and then an end that looked whole: a piece of another run joined, with the first run's status. Cause: checkResumed looked at the kind of an answer only for suspended runs. An attempt that continues a stream after an earlier one was broken off (SkipHead) was passed on whatever it was, unsigned 4xx included; so was an answer in one piece to the own protocol's resumption. It needs no fault of the network: a server that doesn't know the path any more suffices.

Change: framing.CheckContinuation decides, for both protocols: status 200 and text/event-stream. Anything else is an unknown outcome, which is tried again or ends the answer truthfully. framing.IsStream replaces two ways to read the content type.

Before: platform.TestOnlyAStreamContinuesAStream/a_refusal,_unsigned: 'Should be empty, but was [forbidden]'; in_one_piece: 'but was [whole]'; a_redirect: 'but was [elsewhere]'; a_refusal_as_a_stream, also for suspended runs: 'but was [id: 5'. engine.TestOnlyAStreamContinuesAStream: 'Should be empty, but was [{200 application/json ...}]' for resumed and suspended. After: both pass.

--- a/engine/http_run.go
+++ b/engine/http_run.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"mime"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -172,7 +171,13 @@
 	if response.StatusCode != http.StatusOK {
 		return h.deliverRefusal(c, response, outcome, sink)
 	}
-	if !isStream(response) {
+	contentType := response.Header.Get("Content-Type")
+	if from > 0 {
+		if err := framing.CheckContinuation(response.StatusCode, contentType); err != nil {
+			return outcome, c.fail(ErrOutcomeUnknown, err)
+		}
+	}
+	if !framing.IsStream(contentType) {
 		if outcome.Body, err = h.readAndDeliver(c, response, sink); err != nil {
 			return outcome, err
 		}
@@ -214,11 +219,6 @@
 	return outcome, nil
 }
 
-func isStream(response *http.Response) bool {
-	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
-	return err == nil && mediaType == ContentTypeStream
-}
-
 func streamPath(id AttemptID, action string) string {
 	return "/v1/streams/" + url.PathEscape(string(id)) + "/" + action
 }
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -1,6 +1,9 @@
 package engine
 
-import "github.com/carawaypitch/carawaypitch/backpressure"
+import (
+	"github.com/carawaypitch/carawaypitch/backpressure"
+	"github.com/carawaypitch/carawaypitch/engine/framing"
+)
 
 // Headers of the protocol.
 const (
@@ -26,7 +29,7 @@
 // Content types of the protocol.
 const (
 	ContentTypeJSON   = "application/json"
-	ContentTypeStream = "text/event-stream"
+	ContentTypeStream = framing.ContentTypeStream
 )
 
 // StreamDone is the payload that ends a complete stream.
