sched: a stream goes on only after an event that has an ID

Callers saw pieces twice: where the last event delivered had no ID, the next server was told to go on after an earlier one, or was told nothing and began anew in the middle of the answer. And where the head delivered was that of a refusal or of an answer in one piece whose body was lost on the link, another run's events could follow it. Cause: noteLastEvent kept the last event that has an ID, and canResume didn't ask whether it was the last one, nor what kind of answer had begun.

Change: the scheduler keeps whether the last event has an ID and whether the head is that of a stream (framing.CheckContinuation); without them the answer ends as broken off. Stand-in heads of entry's tests now say text/event-stream, as servers' do.

Servers that give each event an ID lose nothing.

--- a/engine/framing/sequence.go
+++ b/engine/framing/sequence.go
@@ -25,7 +25,7 @@
 
 // Add adds a part of the stream, with its line endings.
 func (s *Sequence) Add(part []byte) {
-	if !isEvent(part) {
+	if !IsEvent(part) {
 		return
 	}
 	s.Events++
@@ -49,8 +49,8 @@
 	s.last = number
 }
 
-// isEvent reports whether a part of a stream is an event.
-func isEvent(part []byte) bool {
+// IsEvent reports whether a part of a stream is an event: neither a comment nor an empty line.
+func IsEvent(part []byte) bool {
 	line := bytes.TrimRight(part[:min(len(part), len("\r\n"))], "\r\n")
 	return len(line) > 0 && part[0] != ':'
 }
--- a/entry/verbatim_test.go
+++ b/entry/verbatim_test.go
@@ -46,7 +46,9 @@
 
 func headEvent(t *testing.T, status uint32) string {
 	t.Helper()
-	data, err := proto.Marshal(&wire.AnswerHead{Status: status, Headers: []*wire.Header{{Name: "X-Theirs", Value: "1"}}})
+	data, err := proto.Marshal(&wire.AnswerHead{Status: status, Headers: []*wire.Header{
+		{Name: "X-Theirs", Value: "1"}, {Name: "Content-Type", Value: "text/event-stream"},
+	}})
 	require.NoError(t, err)
 	return string(data)
 }
--- a/sched/frames.go
+++ b/sched/frames.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/carawaypitch/carawaypitch/engine/framing"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -153,21 +155,40 @@
 	r.lastEventAt = now
 }
 
-// noteLastEvent keeps the last event with an ID that was delivered, after which another server continues the stream. The
-// first event of a verbatim answer is its head and not part of the stream, and a comment has no ID.
+// noteLastEvent keeps the last event that was delivered, after which another server continues the stream. The first event of a
+// verbatim answer is its head and not part of the stream, and a comment is no event.
 func (r *request) noteLastEvent(events [][]byte) {
 	if r.Verbatim == nil {
 		return
 	}
 	first := r.eventsReceived - uint64(len(events))
+	if first == 0 {
+		r.notContinuable = !isContinuableHead(events[0])
+	}
 	for i := len(events) - 1; i >= 0 && first+uint64(i) > 0; i-- {
-		if framing.EventID(events[i]) != "" {
+		if framing.IsEvent(events[i]) {
 			r.lastEvent = events[i]
+			r.lastUnnamed = framing.EventID(events[i]) == ""
 			return
 		}
 	}
 }
 
+// isContinuableHead reports whether the answer with the given head may be continued by another run.
+func isContinuableHead(event []byte) bool {
+	var head wire.AnswerHead
+	if proto.Unmarshal(event, &head) != nil {
+		return false
+	}
+	contentType := ""
+	for _, line := range head.GetHeaders() {
+		if line.GetName() == "Content-Type" {
+			contentType = line.GetValue()
+		}
+	}
+	return framing.CheckContinuation(int(head.GetStatus()), contentType) == nil
+}
+
 // engineCompleted handles the report that the engine completed the attempt. The last frames may arrive later, since
 // long ones travel on another stream.
 func (s *Scheduler) engineCompleted(r *request, m *wire.Over) {
--- a/sched/resume.go
+++ b/sched/resume.go
@@ -59,6 +59,8 @@
 		return true
 	case r.pool.key.kind == kindService:
 		return false
+	case r.lastUnnamed || r.notContinuable:
+		return false
 	case r.lastErr != nil && r.lastErr.Code == result.AnswerDigestMismatch:
 		return false
 	default:
