sched: a buffered verbatim answer begins anew at another server

Callers got the head of one run, with its length and signature, before the body of another, or the buffered events of an event stream twice. Cause: an answer that isn't passed on as it arrives is buffered until it is whole; prepareRetry kept the buffer for model servers that can resume, and the next attempt skipped its head. For verbatim answers no position after the last event is kept, so the next server began anew.

Change: the buffer of a verbatim answer is dropped before another attempt; its caller has received nothing of it.

Before, sched.TestBufferedVerbatimAnswerBeginsAnew: 'Should be zero, but was 2' (ResumeFrom of the second dispatch). After: passes.

--- a/sched/continuation_test.go
+++ b/sched/continuation_test.go
@@ -61,3 +61,17 @@
 		})
 	}
 }
+
+// Guards against the head of one run, with its length, before the body of another, and against events that come twice: what is buffered
+// of an answer that isn't passed on as it arrives is dropped before another server gives a whole one.
+func TestBufferedVerbatimAnswerBeginsAnew(t *testing.T) {
+	h, d := newVerbatimHarness(t, false)
+	h.frame(d.server, d.id, 0, headOf(t, 200, "text/plain"), "first")
+	h.prove(d.server, d.id, wire.Proof_PROOF_FAILED)
+	next := h.lastDispatch("r", 2)
+	require.Zero(t, h.sent[len(h.sent)-1].Message.GetDispatch().GetResumeFrom())
+	h.frame(next.server, next.id, 0, headOf(t, 200, "text/plain"), "second")
+	h.complete(next.server, next.id, 0, headOf(t, 200, "text/plain"), "second")
+	require.Contains(t, h.answers, "r")
+	require.Equal(t, []string{headOf(t, 200, "text/plain"), "second"}, h.events["r"])
+}
--- a/sched/request.go
+++ b/sched/request.go
@@ -84,6 +84,7 @@
 	eventsReceived uint64 // events of the answer received so far
 	tokensReceived uint32 // tokens in those events
 	lastEvent      []byte // last event delivered of a verbatim stream
+	firstRun       int    // index in attempts of the first one that contributed to the answer
 	lastUnnamed    bool   // lastEvent has no ID, so that no server can be told to continue after it
 	notContinuable bool   // the head delivered isn't that of a stream
 	// firstEventAt is when the first event of the answer arrived, not counting the head of a verbatim answer.
--- a/sched/resume.go
+++ b/sched/resume.go
@@ -82,6 +82,7 @@
 		return
 	}
 	r.eventsReceived = 0
+	r.firstRun = len(r.attempts)
 	r.tokensReceived = 0
 	r.buffer = nil
 	r.bufferSize = 0
@@ -89,9 +90,10 @@
 	r.unbind()
 }
 
-// prepareRetry discards the buffered part if it can't be continued.
+// prepareRetry discards the buffered part if it can't be continued. That of a verbatim answer can't: its head states the length of
+// the body that belongs to it, and the position after its last event isn't kept.
 func (s *Scheduler) prepareRetry(r *request) {
-	if r.eventsReceived > 0 && (r.pool.key.kind == kindService || !r.canGoOnAnywhere()) {
+	if r.eventsReceived > 0 && (r.pool.key.kind == kindService || r.Verbatim != nil || !r.canGoOnAnywhere()) {
 		r.resetAnswer()
 	}
 }
--- a/sched/run_trace.go
+++ b/sched/run_trace.go
@@ -71,7 +71,7 @@
 // tracedRuns returns the last runs that contributed events to the answer, and the number of those before.
 func (r *request) tracedRuns() ([]RunTrace, int) {
 	var runs []RunTrace
-	for i := range r.attempts {
+	for i := r.firstRun; i < len(r.attempts); i++ {
 		if r.attempts[i].frames > 0 {
 			runs = append(runs, r.attempts[i].run)
 		}
