entry: an answer without a head isn't whole

Callers would get 200 with an empty body, framed as whole: net/http writes a head of its own where a handler ends without one. Cause: relay took the agent's report of a whole answer as enough and didn't ask whether the answer had begun. The platform's adapter always sends a head first; found by reading, not seen in a run.

Change: without a head the request fails with answer_incomplete, as one that ran.

Before, entry.TestAnswerWithoutAHeadIsNotWhole: 'Should be zero, but was 1' (Complete). After: passes.

--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -424,6 +424,9 @@
 				_ = e.postEvent(e.runContext, sched.CallerLeft{Request: accepted.request.ID})
 			}
 			out.err, out.attempts, out.trace = d.err, d.attempts, d.trace
+			if out.err == nil && !headWritten {
+				out.err = result.New(result.AnswerIncomplete, "the answer has no head").WithRan(result.RanYes)
+			}
 			if out.err == nil {
 				w.Complete()
 				accepted.written.complete = true
--- a/entry/verbatim_test.go
+++ b/entry/verbatim_test.go
@@ -357,3 +357,19 @@
 		})
 	}
 }
+
+// Guards against an empty answer that looks whole: an agent reports an answer as complete of which not even the head has come.
+func TestAnswerWithoutAHeadIsNotWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newVerbatimHarness(t)
+		h.addService(1).setHandlers(func(d *receivedDispatch) { d.sendAnswer("") }, nil)
+		h.addModel(2).setHandlers(func(d *receivedDispatch) { d.sendAnswer("") }, nil)
+		for _, path := range []string{"/hold/", "/stream/"} {
+			got, err := h.exchange(t.Context(), verbatimCall(path, "k2"))
+			require.Zero(t, got.completed, path)
+			require.NotNil(t, err, path)
+			require.Equal(t, result.AnswerIncomplete, err.Code)
+			require.Equal(t, result.RanYes, err.Ran)
+		}
+	})
+}
