platform: another process at a server's address doesn't vouch for its answer's end

Callers saw answers that look whole although their server was killed: an answer without a length or chunks ends with its connection, and after that the server was only asked for a load report, or dialled. Servers that don't say when they started couldn't be told from the next process at their address: a restarted one, one of another service, or any program that listens.

Change: the service's health path, which answers with the server's ID, reaches the clients (ServerRecord.health_path), and the server is asked there first, with X-Expect-Instance. Another ID, 421 or an answer that no server gives means that the sender is gone. A server that is full, leaving or slow may not say its ID: then the check is as before. Cost: one probe for each such answer. platform/vouch.go holds the check. The stand-in answers health checks with its ID.

Before, platform.TestAnswerIsNotWholeIfAnotherProcessTookTheAddress, 20 of 40 cases (another_server, another_server,_leaving, misdirected, another_program, content): 'Expected error with "outcome unknown" in chain but got nil'. After: passes. Left: a new process at the address that is too slow or too full to answer its health check within 300 ms counts as the server still.

--- a/agent/announcement_selection.go
+++ b/agent/announcement_selection.go
@@ -208,6 +208,7 @@
 		Slots:   announcement.GetSlots(),
 
 		TokensPerEvent: pool.GetTokensPerEvent(),
+		HealthPath:     pool.GetHealthPath(),
 		Version:        announcement.GetVersion(),
 		Suspends:       pool.GetSuspends(),
 		SuspendedMs:    pool.GetSuspendedMs(),
