--- a/engine/framing/sequence.go
+++ b/engine/framing/sequence.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"strconv"
+
+	"github.com/go-faster/errors"
 )
 
 // Sequence follows the event IDs of a stream, or of the part of it that one run contributed.
@@ -14,13 +16,27 @@
 	// Gaps counts the events whose ID is not the previous one plus one. IDs that are not numbers aren't compared.
 	Gaps int
 
-	last uint64 // 0 if unknown
+	last  uint64
+	known bool // last is the number of the last event, or of the one before the first
 }
 
 // After returns the sequence of a stream that continues after the event with the given ID, empty for a new stream.
 func After(id string) Sequence {
-	last, _ := strconv.ParseUint(id, 10, 64)
-	return Sequence{last: last}
+	last, err := strconv.ParseUint(id, 10, 64)
+	return Sequence{last: last, known: err == nil}
+}
+
+// Check returns an error that matches ErrIncomplete for an event whose ID doesn't follow the previous one: a server that continues a
+// stream at or before an event that its caller has would have it delivered twice. IDs that are not numbers aren't compared.
+func (s *Sequence) Check(part []byte) error {
+	if !IsEvent(part) {
+		return nil
+	}
+	number, err := strconv.ParseUint(EventID(part), 10, 64)
+	if err == nil && s.known && number <= s.last {
+		return errors.Wrapf(ErrIncomplete, "event %d after %d", number, s.last)
+	}
+	return nil
 }
 
 // Add adds a part of the stream, with its line endings.
@@ -40,13 +56,12 @@
 	s.Last = id
 	number, err := strconv.ParseUint(id, 10, 64)
 	if err != nil {
-		s.last = 0
 		return
 	}
-	if s.last > 0 && number != s.last+1 {
+	if s.known && number != s.last+1 {
 		s.Gaps++
 	}
-	s.last = number
+	s.last, s.known = number, true
 }
 
 // IsEvent reports whether a part of a stream is an event: neither a comment nor an empty line.
--- a/engine/framing/sequence_test.go
+++ b/engine/framing/sequence_test.go
@@ -15,11 +15,11 @@
 		want  Sequence
 	}{
 		"none":                    {"", nil, Sequence{}},
-		"whole":                   {"", []string{event("1"), ": c\n", "\r\n", event("2")}, Sequence{Events: 2, First: "1", Last: "2", last: 2}},
-		"a gap":                   {"", []string{event("1"), event("3")}, Sequence{Events: 2, First: "1", Last: "3", Gaps: 1, last: 3}},
-		"twice":                   {"", []string{event("1"), event("1")}, Sequence{Events: 2, First: "1", Last: "1", Gaps: 1, last: 1}},
-		"goes on":                 {"4", []string{event("5")}, Sequence{Events: 1, First: "5", Last: "5", last: 5}},
-		"goes on after a gap":     {"4", []string{event("6")}, Sequence{Events: 1, First: "6", Last: "6", Gaps: 1, last: 6}},
+		"whole":                   {"", []string{event("1"), ": c\n", "\r\n", event("2")}, Sequence{Events: 2, First: "1", Last: "2", last: 2, known: true}},
+		"a gap":                   {"", []string{event("1"), event("3")}, Sequence{Events: 2, First: "1", Last: "3", Gaps: 1, last: 3, known: true}},
+		"twice":                   {"", []string{event("1"), event("1")}, Sequence{Events: 2, First: "1", Last: "1", Gaps: 1, last: 1, known: true}},
+		"goes on":                 {"4", []string{event("5")}, Sequence{Events: 1, First: "5", Last: "5", last: 5, known: true}},
+		"goes on after a gap":     {"4", []string{event("6")}, Sequence{Events: 1, First: "6", Last: "6", Gaps: 1, last: 6, known: true}},
 		"without IDs":             {"", []string{"data: x\n\n"}, Sequence{Events: 1, Unnamed: 1}},
 		"IDs that aren't numbers": {"", []string{event("b"), event("a")}, Sequence{Events: 2, First: "b", Last: "a"}},
 	} {
