control: a test of two lost disks after stops in a drawn order and pace

TestTwoLostDisksOfFiveVoters stops all instances in a fixed order, as fast as they end: which voters the group has at the end rests on how long each stop takes. The new test draws order and pauses from seeds, with the same demand (each instance reads the acknowledged state, five vote again). Clusters of the tests print the log lines of their instances if the test fails.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -9,12 +9,15 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/carawaypitch/carawaypitch/control"
+	"github.com/carawaypitch/carawaypitch/logging"
 	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/network/memory"
 	"github.com/carawaypitch/carawaypitch/quorum/journal"
@@ -34,6 +37,20 @@
 	classes   []settings.Class
 	instances []*instance
 	ctx       context.Context
+	log       *instanceLog
+}
+
+// instanceLog collects the log lines of all instances, for tests that fail.
+type instanceLog struct {
+	mu     sync.Mutex
+	output bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *instanceLog) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.output.Write(line)
 }
 
 type instance struct {
@@ -46,7 +63,14 @@
 }
 
 func newCluster(t *testing.T, size int, classes ...settings.Class) *cluster {
-	c := &cluster{t: t, net: memory.New(), classes: classes, ctx: t.Context()}
+	c := &cluster{t: t, net: memory.New(), classes: classes, ctx: t.Context(), log: new(instanceLog)}
+	t.Cleanup(func() {
+		if t.Failed() {
+			c.log.mu.Lock()
+			defer c.log.mu.Unlock()
+			t.Logf("log output of the instances:\n%s", c.log.output.String())
+		}
+	})
 	for i := 1; i <= size; i++ {
 		c.instances = append(c.instances, c.newInstance(i, size))
 	}
@@ -83,7 +107,10 @@
 // startOn runs an instance on a file system.
 func (c *cluster) startOn(n *instance, fs journal.FS) {
 	var err error
-	n.control, err = control.New(n.settings, control.Options{Network: c.net.Host(n.host), FS: fs, Seed: 1})
+	n.control, err = control.New(n.settings, control.Options{
+		Network: c.net.Host(n.host), FS: fs, Seed: 1,
+		Log: (&log.Logger{Handler: logging.NewHandler(c.log), Level: log.InfoLevel}).WithField("instance", n.settings.Instance),
+	})
 	require.NoError(c.t, err)
 	ctx, cancel := context.WithCancel(c.ctx)
 	n.cancel = cancel
--- a/control/voter_loss_test.go
+++ b/control/voter_loss_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -95,6 +98,50 @@
 	}
 }
 
+// Guards against a group that is lost with two disks because it had four voters for a while: a silent voter was removed before its
+// replacement had its vote, and the other instances stopped in between.
+func TestTwoLostDisksAfterDrawnStops(t *testing.T) {
+	const longestPause = 4 * time.Second // longer than the silence after which a voter is replaced
+	seeds := uint64(60)
+	if text := os.Getenv("CARAWAYPITCH_VOTER_STOPS"); text != "" {
+		var err error
+		seeds, err = strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err)
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				c := newClusterOfSixDisks(t)
+				defer c.stopAll()
+				leader := c.leader()
+				require.NoError(t, leader.control.PutDesired(t.Context(), testDesired(7)))
+				lost := []*instance{leader}
+				for _, n := range c.instances {
+					if n != leader && votersSeenByVoter(c, n) > 0 && len(lost) < 2 {
+						lost = append(lost, n)
+					}
+				}
+				for _, i := range random.Perm(len(c.instances)) {
+					time.Sleep(time.Duration(random.Int64N(int64(longestPause))))
+					c.stop(c.instances[i])
+				}
+				for _, n := range lost {
+					c.wipe(n)
+				}
+				c.startAll()
+				for _, n := range c.instances {
+					c.eventually("the acknowledged state can be read", func() bool {
+						desired, err := n.control.Desired(t.Context())
+						return err == nil && desired.GetVersion() == 7
+					})
+				}
+				c.eventually("five replicas vote again", func() bool { return countVoters(c, c.leader()) == 5 })
+			})
+		})
+	}
+}
+
 // Guards against votes of instances without a disk, which cannot keep what they acknowledge: a change would be lost
 // with the restart of two processes. The settings name such an instance as a replica.
 func TestInstanceWithoutDiskNeverVotes(t *testing.T) {
