sched: the only call of a pool at an entry isn't refused by times of earlier calls

Without room a call of a service is refused if the times of earlier calls, up to 2 s old, say that it ends after its objective. Refused calls give no sample, so nothing renewed these times meanwhile: after a slow period all callers were refused for up to 2 s, also if the service was idle and fast again.

A call isn't refused by such times if no other one of its pool waits or runs at the entry. One call at a time renews the estimate; all others are refused as before.

--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -157,14 +157,27 @@
 }
 
 // mayRefuseByEstimate reports whether estimates for the request's class are recent enough to refuse it. A refused call gives no
-// sample: by the times of a slow period all calls would be refused without end.
+// sample: by the times of a slow period all calls would be refused without end. A call that is the only one of the pool at this
+// entry is not refused, so that its time renews the estimate.
 func (s *Scheduler) mayRefuseByEstimate(r *request) bool {
 	if r.pool.key.kind == kindService {
-		return r.class.serviceTimes.isRecent(s.now)
+		return r.class.serviceTimes.isRecent(s.now) && s.hasOthers(r)
 	}
 	return r.hasEstimate()
 }
 
+// hasOthers reports whether other requests of the pool wait or run at this entry.
+func (s *Scheduler) hasOthers(r *request) bool {
+	others := r.pool.load.running
+	for tier := range r.pool.tiers {
+		others += r.pool.tiers[tier].count
+	}
+	if r.queue != nil {
+		others--
+	}
+	return others > 0
+}
+
 // attemptCost returns the tokens charged to the organisation for an attempt. A service call costs 1.
 func (s *Scheduler) attemptCost(r *request, to *server) int64 {
 	prompt := int64(r.PromptTokens) - int64(s.cachedTokens(r, to))
--- a/sched/estimate_recovery_test.go
+++ b/sched/estimate_recovery_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -88,3 +89,29 @@
 	h.frame("s1", sent.id, 0, "x")
 	h.complete("s1", sent.id, 0, "x")
 }
+
+// Guards against calls that are all refused for times of a slow period while the entry has none that would show the present time.
+func TestOneCallAtATimeTriesServiceThatWasSlow(t *testing.T) {
+	h := newHarness(t, Options{})
+	h.addServer("s1", kindService, testService, 1)
+	class := &wire.Class{Name: "hold", Tier: 2, DeadlineMs: 3000, LateMax: 0.01, LostMax: 0.01, Kind: kindService}
+	const objective = 300 * time.Millisecond
+	for n := range 2 * minSamples {
+		h.serveWithObjective(fmt.Sprint("slow-", n), class, objective, 400*time.Millisecond)
+	}
+	h.reportRoom("s1", kindService, testService, 0)
+	for n := range 4 {
+		id := fmt.Sprint("trial-", n)
+		h.arriveWithObjective(id, class, objective)
+		require.Nil(t, h.failures[id])
+		h.arriveWithObjective("beside-"+id, class, objective)
+		require.Equal(t, result.CannotFinishInTime, h.failures["beside-"+id].Code, "more than one call tries the service")
+		reserved := h.reserves(id)
+		h.offer("s1", reserved[len(reserved)-1].id)
+		h.arriveWithObjective("during-"+id, class, objective)
+		require.Equal(t, result.CannotFinishInTime, h.failures["during-"+id].Code, "more than one call tries the service")
+		h.now = h.now.Add(10 * time.Millisecond)
+		h.frame("s1", h.lastDispatch(id, 1).id, 0, "x")
+		h.complete("s1", h.lastDispatch(id, 1).id, 0, "x")
+	}
+}
