gate: room is reported again after calls that used it

An entry counts each call that it sends against the last report of the gate until the next one. A gate sent none if calls had begun and ended between two reports, since its room was the same again: after as many short calls as there are slots the server counted as full at the entry until the next heartbeat, though nothing ran there. A call that arrived then waited for an offer, or was refused by an estimate, which sent nothing that would have changed the room.

TestRoomIsBroadcastAfterCallsThatUsedIt, TestRoomIsBroadcastAfterRefusal: no report before, one after. gate: green.

--- a/gate/policy_test.go
+++ b/gate/policy_test.go
@@ -415,6 +415,42 @@
 	require.Len(t, offeredIDs(b.reserve(entryA, id("short", 1), work())), 1)
 }
 
+// Guards against a server that counts as full at entries after short calls: they count each call against the last report, and were
+// not told that the room is the same again.
+func TestRoomIsBroadcastAfterCallsThatUsedIt(t *testing.T) {
+	b := newReadyHarness(t)
+	b.advance(2 * roomInterval)
+	b.gate.room.lastSent, b.gate.room.sentAt = b.gate.currentRoom(), b.gate.now
+	for n := range 2 {
+		attempt := id(fmt.Sprint("short-", n), 1)
+		b.start(entryA, attempt, work())
+		b.finish(attempt)
+	}
+	b.actions = nil
+	b.advance(2 * roomInterval)
+	require.Len(t, rooms(b.actions), 1)
+	require.EqualValues(t, 2, rooms(b.actions)[0].Free)
+	b.advanceWith(2*time.Second, func() {})
+	require.Len(t, rooms(b.actions), 1, "no broadcast without a change")
+}
+
+// Guards against a server that counts as full at an entry whose call was refused for lack of room, while the room at the next report
+// is the same as before.
+func TestRoomIsBroadcastAfterRefusal(t *testing.T) {
+	b := newReadyHarness(t)
+	b.advance(2 * roomInterval)
+	b.gate.room.lastSent, b.gate.room.sentAt = b.gate.currentRoom(), b.gate.now
+	filled := b.fillSlots()
+	refusedWith(t, b.dispatch(entryA, id("refused", 1), work()), result.RefusedNeverStarted)
+	for _, attempt := range filled {
+		b.finish(attempt)
+	}
+	b.actions = nil
+	b.advance(2 * roomInterval)
+	require.Len(t, rooms(b.actions), 1)
+	require.EqualValues(t, 2, rooms(b.actions)[0].Free)
+}
+
 func TestRoomIsBroadcastOnChangeAtABoundedRate(t *testing.T) {
 	b := newReadyHarness(t)
 	b.advance(roomInterval)
--- a/gate/room.go
+++ b/gate/room.go
@@ -161,6 +161,7 @@
 	g.usage.memoryTokens += a.run.cacheTokens
 	g.usage.memoryVariance += a.run.cacheVariance
 	g.held = append(g.held, a)
+	g.room.used = true
 	g.takePermit(a)
 	if a.tier() <= firstTier && len(g.held) > g.limit.slots()-g.headroom.slots() {
 		g.headroom.recordUse()
@@ -225,11 +226,12 @@
 // roomBroadcast tracks the room that was last broadcast to entries.
 type roomBroadcast struct {
 	dirty    bool
+	used     bool // by attempts since the last broadcast; entries count these against it
 	lastSent *wire.Room
 	sentAt   time.Time
 }
 
-// broadcastRoom broadcasts the room if it changed, at most once in roomInterval. A new condition is sent at once.
+// broadcastRoom broadcasts the room if it changed or was used, at most once in roomInterval. A new condition is sent at once.
 func (g *Gate) broadcastRoom() {
 	if !g.room.dirty || !g.cleared() || g.server.record == nil {
 		return
@@ -239,9 +241,10 @@
 	}
 	g.room.dirty = false
 	room := g.currentRoom()
-	if g.room.lastSent != nil && !roomChanged(room, g.room.lastSent) {
+	if g.room.lastSent != nil && !g.room.used && !roomChanged(room, g.room.lastSent) {
 		return
 	}
+	g.room.used = false
 	g.room.lastSent = room
 	g.room.sentAt = g.now
 	g.emit(Broadcast{Message: &wire.AgentMessage{Kind: &wire.AgentMessage_Room{Room: room}}})
