--- a/entry/reply.go
+++ b/entry/reply.go
@@ -22,6 +22,7 @@
 	c       echo.Context
 	stream  bool
 	started bool // the status and part of a stream were sent
+	flushed bool // the head of a stream was sent
 	ended   bool // the end of the response was sent, or it was left to net/http to send a whole one
 	control *http.ResponseController
 	written written
@@ -45,7 +46,19 @@
 		}
 		w.written.sequence.Events++
 	}
-	return w.control.Flush()
+	return w.flush()
+}
+
+// flush sends what was written of a stream.
+func (w *reply) flush() error {
+	if err := w.control.Flush(); err != nil {
+		return err
+	}
+	if !w.flushed {
+		w.flushed = true
+		SetResetOnClose(w.c.Request().Context(), false)
+	}
+	return nil
 }
 
 func (w *reply) startStream() {
@@ -56,6 +69,8 @@
 	}
 	w.started = true
 	w.written.framing = framingToCaller(w.c.Request())
+	// Some callers take the end of a connection for the end of a head.
+	SetResetOnClose(w.c.Request().Context(), true)
 	w.c.Response().Header().Set(echo.HeaderContentType, engine.ContentTypeStream)
 	w.c.Response().Header().Set(echo.HeaderCacheControl, "no-cache")
 	w.c.Response().WriteHeader(http.StatusOK)
@@ -83,7 +98,7 @@
 	case w.stream:
 		w.startStream()
 		w.written.complete = w.write(streamEnd) == nil
-		_ = w.control.Flush()
+		_ = w.flush()
 	default:
 		_ = w.control.SetWriteDeadline(time.Now().Add(writeTimeout))
 		w.written.framing, w.written.bytes, w.written.complete = framing.Length, len(out.body), true
@@ -116,7 +131,7 @@
 	}
 	w.startStream()
 	_ = w.write(eventPrefix, string(data), eventEnd)
-	_ = w.control.Flush()
+	_ = w.flush()
 }
 
 func writeResponse(c echo.Context, status int, contentType string, body []byte) {
