--- a/entry/verbatim_test.go
+++ b/entry/verbatim_test.go
@@ -46,7 +46,9 @@
 
 func headEvent(t *testing.T, status uint32) string {
 	t.Helper()
-	data, err := proto.Marshal(&wire.AnswerHead{Status: status, Headers: []*wire.Header{{Name: "X-Theirs", Value: "1"}}})
+	data, err := proto.Marshal(&wire.AnswerHead{Status: status, Headers: []*wire.Header{
+		{Name: "X-Theirs", Value: "1"}, {Name: "Content-Type", Value: "text/event-stream"},
+	}})
 	require.NoError(t, err)
 	return string(data)
 }
@@ -355,3 +357,19 @@
 		})
 	}
 }
+
+// Guards against an empty answer that looks whole: an agent reports an answer as complete of which not even the head has come.
+func TestAnswerWithoutAHeadIsNotWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newVerbatimHarness(t)
+		h.addService(1).setHandlers(func(d *receivedDispatch) { d.sendAnswer("") }, nil)
+		h.addModel(2).setHandlers(func(d *receivedDispatch) { d.sendAnswer("") }, nil)
+		for _, path := range []string{"/hold/", "/stream/"} {
+			got, err := h.exchange(t.Context(), verbatimCall(path, "k2"))
+			require.Zero(t, got.completed, path)
+			require.NotNil(t, err, path)
+			require.Equal(t, result.AnswerIncomplete, err.Code)
+			require.Equal(t, result.RanYes, err.Ran)
+		}
+	})
+}
--- a/sched/resume.go
+++ b/sched/resume.go
@@ -59,6 +59,8 @@
 		return true
 	case r.pool.key.kind == kindService:
 		return false
+	case r.lastUnnamed || r.notContinuable:
+		return false
 	case r.lastErr != nil && r.lastErr.Code == result.AnswerDigestMismatch:
 		return false
 	default:
@@ -80,6 +82,7 @@
 		return
 	}
 	r.eventsReceived = 0
+	r.firstRun = len(r.attempts)
 	r.tokensReceived = 0
 	r.buffer = nil
 	r.bufferSize = 0
@@ -87,9 +90,10 @@
 	r.unbind()
 }
 
-// prepareRetry discards the buffered part if it can't be continued.
+// prepareRetry discards the buffered part if it can't be continued. That of a verbatim answer can't: its head states the length of
+// the body that belongs to it, and the position after its last event isn't kept.
 func (s *Scheduler) prepareRetry(r *request) {
-	if r.eventsReceived > 0 && (r.pool.key.kind == kindService || !r.canGoOnAnywhere()) {
+	if r.eventsReceived > 0 && (r.pool.key.kind == kindService || r.Verbatim != nil || !r.canGoOnAnywhere()) {
 		r.resetAnswer()
 	}
 }
