framing, sched, agent: a run that goes on begins at the event that is due

Callers would miss a piece where a stream goes on: a server that begins after the next event passed as one that goes on, since only the order of IDs was checked, and IDs may have gaps.

Change: where the IDs of all events so far are consecutive numbers, two at least, the first event of the next run must have the next number; otherwise the run is broken off as content_invalid before anything of it is passed on, and another attempt may go on. The scheduler tells the agent so (Dispatch.consecutive), the agent itself knows it for runs that it resumes. framing.Sequence decides. Streams with other steps are as before.

--- a/agent/engine_run.go
+++ b/agent/engine_run.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/engine/framing"
 	"github.com/carawaypitch/carawaypitch/holding"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -78,7 +79,10 @@
 		canTransferKV: capabilities.GetKv(),
 		wantsUsage:    !d.GetVerbatim() && wantsUsage(d.GetBody()),
 	}
-	r.received = position{head: d.GetResumeFrom() > 0, lastEvent: d.GetLastEvent(), tokens: int(d.GetResumeTokens())}
+	r.received = position{
+		head: d.GetResumeFrom() > 0, lastEvent: d.GetLastEvent(), tokens: int(d.GetResumeTokens()),
+		sequence: framing.After(framing.EventID(d.GetLastEvent()), d.GetConsecutive()),
+	}
 	r.changed = sync.NewCond(&r.mu)
 	return r
 }
@@ -141,6 +145,7 @@
 			Remaining:    r.remaining(),
 			Repeatable:   work.GetRepeatable(),
 			LastEvent:    d.GetLastEvent(),
+			Consecutive:  d.GetConsecutive(),
 			SkipHead:     d.GetResumeFrom() > 0,
 		},
 	}
--- a/agent/suspension.go
+++ b/agent/suspension.go
@@ -61,7 +61,8 @@
 	head       bool   // the head of a verbatim answer
 	firstEvent string // ID of the first event of this call
 	lastEvent  []byte
-	tokens     int // position after the last token
+	sequence   framing.Sequence // of the whole answer, as far as it is known here
+	tokens     int              // position after the last token
 }
 
 // receive records a payload that was accepted. The first one of a verbatim answer is its head and no event.
@@ -70,6 +71,9 @@
 		p.head = true
 		return
 	}
+	if verbatim {
+		p.sequence.Add(event)
+	}
 	if id := framing.EventID(event); verbatim && id != "" {
 		p.firstEvent = cmp.Or(p.firstEvent, id)
 		p.lastEvent = event
@@ -264,6 +268,7 @@
 	if request.Verbatim != nil {
 		request.Verbatim.LastEvent = r.received.lastEvent
 		request.Verbatim.SkipHead = r.received.head
+		request.Verbatim.Consecutive = r.received.sequence.Consecutive()
 	}
 	return request
 }
--- a/agent/suspension_test.go
+++ b/agent/suspension_test.go
@@ -622,3 +622,30 @@
 		})
 	}
 }
+
+// Guards against a resumed run that isn't held to the event that is due.
+func TestResumedRunSaysWhetherEventsAreConsecutive(t *testing.T) {
+	for name, test := range map[string]struct {
+		dispatch *wire.Dispatch
+		ids      []string
+		want     bool
+	}{
+		"consecutive":            {&wire.Dispatch{}, []string{"1", "2"}, true},
+		"a gap":                  {&wire.Dispatch{}, []string{"1", "3"}, false},
+		"one event":              {&wire.Dispatch{}, []string{"1"}, false},
+		"after consecutive ones": {&wire.Dispatch{ResumeFrom: 3, LastEvent: []byte("id: 2\n\n"), Consecutive: true}, []string{"3"}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			test.dispatch.Verbatim = true
+			r := newRun(test.dispatch, nil, nil)
+			if test.dispatch.GetResumeFrom() == 0 {
+				r.received.receive(true, []byte("head"), 0)
+			}
+			for _, id := range test.ids {
+				r.received.receive(true, []byte("id: "+id+"\ndata: x\n\n"), 0)
+			}
+			resumed := r.resumed(engine.Suspension{Handle: "h"})
+			require.Equal(t, test.want, resumed.continueAfter(resumed.verbatimRequest()).Verbatim.Consecutive)
+		})
+	}
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -79,6 +79,9 @@
 	// LastEvent is the last stream event that the caller has received, for an attempt that
 	// resumes after it; empty for an attempt from the start.
 	LastEvent []byte
+	// Consecutive reports whether the IDs of the events before are consecutive numbers, so that
+	// the next one is known.
+	Consecutive bool
 	// SkipHead is set if the caller has already received the response head.
 	SkipHead bool
 }
--- a/engine/framing/budget_test.go
+++ b/engine/framing/budget_test.go
@@ -51,7 +51,7 @@
 			if i%2 == 0 {
 				_, end = budget.ReadWhole(response, Opaque, 1<<40)
 			} else {
-				end = budget.ReadStream(response, Events, 1<<40, "", func(Part) error { return nil })
+				end = budget.ReadStream(response, Events, 1<<40, Sequence{}, func(Part) error { return nil })
 			}
 			assert.ErrorIs(t, end.Err(), ErrTooLarge)
 			assert.Equal(t, Unknown, end.Outcome)
@@ -82,7 +82,7 @@
 		const limit = 256 << 10
 		budget := NewBudget(limit)
 		body := &endlessBody{part: part}
-		end := budget.ReadStream(&http.Response{Body: body, ContentLength: -1}, Events, limit, "", func(Part) error { return ErrStop })
+		end := budget.ReadStream(&http.Response{Body: body, ContentLength: -1}, Events, limit, Sequence{}, func(Part) error { return ErrStop })
 		require.True(t, end.Outcome == Whole || end.Cause == TooLarge)
 		body = &endlessBody{part: part}
 		_, end = budget.ReadWhole(&http.Response{Body: body, ContentLength: -1}, JSON, limit)
--- a/engine/framing/end_test.go
+++ b/engine/framing/end_test.go
@@ -70,7 +70,7 @@
 	const whole = len(text) - len(": after\n")
 	for _, f := range []Framing{Length, Chunked, Connection} {
 		for n := range len(text) + 1 {
-			end := ReadStream(frame(t, f, text, n), MarkedEvents, 64, "", func(part Part) error {
+			end := ReadStream(frame(t, f, text, n), MarkedEvents, 64, Sequence{}, func(part Part) error {
 				if string(part.Raw) == marker {
 					return ErrStop
 				}
@@ -91,18 +91,18 @@
 	for _, err := range []error{context.Canceled, context.DeadlineExceeded} {
 		response := frame(t, Connection, "data: a\n\n", 0)
 		response.Body = io.NopCloser(iotest.ErrReader(err))
-		end := ReadStream(response, Events, 64, "", handle)
+		end := ReadStream(response, Events, 64, Sequence{}, handle)
 		require.Equal(t, Unknown, end.Outcome)
 		require.Equal(t, EndedHere, end.Cause)
 		require.ErrorIs(t, end.Err(), err)
 		require.NotErrorIs(t, end.Err(), ErrIncomplete)
 	}
 	refused := errors.New("refused")
-	end := ReadStream(frame(t, Chunked, "data: a\n\n", 9), Events, 64, "", func(Part) error { return refused })
+	end := ReadStream(frame(t, Chunked, "data: a\n\n", 9), Events, 64, Sequence{}, func(Part) error { return refused })
 	require.Equal(t, Unknown, end.Outcome)
 	require.ErrorIs(t, end.Err(), refused)
 	long := "data: " + strings.Repeat("x", 65) + "\n\n"
-	end = ReadStream(frame(t, Chunked, long, len(long)), Events, 64, "", handle)
+	end = ReadStream(frame(t, Chunked, long, len(long)), Events, 64, Sequence{}, handle)
 	require.Equal(t, TooLarge, end.Cause)
 	_, end = ReadWhole(frame(t, Length, long, len(long)), Opaque, 64)
 	require.Equal(t, TooLarge, end.Cause)
@@ -141,7 +141,7 @@
 		}
 		framing := []Framing{Length, Chunked, Connection}[kind%3]
 		var passed bytes.Buffer
-		end := ReadStream(frame(t, framing, text, cut), Events, 64, "", func(part Part) error {
+		end := ReadStream(frame(t, framing, text, cut), Events, 64, Sequence{}, func(part Part) error {
 			passed.Write(part.Raw)
 			return nil
 		})
--- a/engine/framing/read.go
+++ b/engine/framing/read.go
@@ -78,17 +78,16 @@
 var ErrStop = errors.New("framing: the end marker of the stream")
 
 // ReadStream reads a stream with a nil [Budget].
-func ReadStream(response *http.Response, content Content, limit int, after string, handle func(Part) error) End {
+func ReadStream(response *http.Response, content Content, limit int, after Sequence, handle func(Part) error) End {
 	return (*Budget)(nil).ReadStream(response, content, limit, after, handle)
 }
 
 // ReadStream passes the parts of a stream to handle until the stream ends. limit bounds the data of an event in bytes. after is the
-// ID of the event that the stream continues after, empty for a new one. A part that is not whole is not passed on, and an event whose
+// sequence that the stream continues, the zero value for a new one. A part that is not whole is not passed on, and an event whose
 // ID doesn't follow the previous one ends the reading as broken off. An error of handle ends the reading: [ErrStop] as whole, one that matches
 // [ErrIncomplete] as broken off, any other as unknown.
-func (b *Budget) ReadStream(response *http.Response, content Content, limit int, after string, handle func(Part) error) End {
+func (b *Budget) ReadStream(response *http.Response, content Content, limit int, after Sequence, handle func(Part) error) End {
 	end := End{Framing: Of(response)}
-	sequence := After(after)
 	reader := NewPartReader(response.Body, limit)
 	reader.reservation = b.open(response)
 	defer reader.reservation.close()
@@ -105,10 +104,10 @@
 			end.Events++
 		}
 		end.Bytes += int64(len(part.Raw))
-		if err := sequence.Check(part.Raw); err != nil {
+		if err := after.Check(part.Raw); err != nil {
 			return end.stopped(err)
 		}
-		sequence.Add(part.Raw)
+		after.Add(part.Raw)
 		if err := handle(part); err != nil {
 			return end.stopped(err)
 		}
--- a/engine/framing/sequence.go
+++ b/engine/framing/sequence.go
@@ -18,16 +18,27 @@
 
 	last  uint64
 	known bool // last is the number of the last event, or of the one before the first
+	due   bool // the first event must have the ID last plus one
 }
 
-// After returns the sequence of a stream that continues after the event with the given ID, empty for a new stream.
-func After(id string) Sequence {
+// minConsecutive is the number of events from which the step between IDs is known.
+const minConsecutive = 2
+
+// After returns the sequence of a stream that continues after the event with the given ID, empty for a new stream. consecutive reports
+// whether the IDs up to that one are consecutive numbers, so that the next one is known.
+func After(id string, consecutive bool) Sequence {
 	last, err := strconv.ParseUint(id, 10, 64)
-	return Sequence{last: last, known: err == nil}
+	return Sequence{last: last, known: err == nil, due: consecutive && err == nil}
+}
+
+// Consecutive reports whether the IDs of all events are consecutive numbers, those before the first one included.
+func (s *Sequence) Consecutive() bool {
+	return s.known && s.Gaps == 0 && s.Unnamed == 0 && (s.due || s.Events >= minConsecutive)
 }
 
 // Check returns an error that matches ErrIncomplete for an event whose ID doesn't follow the previous one: a server that continues a
-// stream at or before an event that its caller has would have it delivered twice. IDs that are not numbers aren't compared.
+// stream at or before an event that its caller has would have it delivered twice, and one that begins after the event that is due
+// would leave a piece out. IDs that are not numbers aren't compared.
 func (s *Sequence) Check(part []byte) error {
 	if !IsEvent(part) {
 		return nil
@@ -36,6 +47,9 @@
 	if err == nil && s.known && number <= s.last {
 		return errors.Wrapf(ErrIncomplete, "event %d after %d", number, s.last)
 	}
+	if err == nil && s.due && s.Events == 0 && number != s.last+1 {
+		return errors.Wrapf(ErrIncomplete, "event %d where %d is due", number, s.last+1)
+	}
 	return nil
 }
 
--- a/engine/framing/sequence_test.go
+++ b/engine/framing/sequence_test.go
@@ -24,7 +24,7 @@
 		"IDs that aren't numbers": {"", []string{event("b"), event("a")}, Sequence{Events: 2, First: "b", Last: "a"}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := After(test.after)
+			s := After(test.after, false)
 			for _, part := range test.parts {
 				s.Add([]byte(part))
 			}
--- a/engine/http_stream.go
+++ b/engine/http_stream.go
@@ -54,7 +54,7 @@
 
 // read reads a stream until the engine ends it.
 func (s *streamReader) read(response *http.Response, options HTTPOptions) error {
-	s.outcome.Body = options.Budget.ReadStream(response, framing.MarkedEvents, options.MaxEventBytes, "", func(part framing.Part) error {
+	s.outcome.Body = options.Budget.ReadStream(response, framing.MarkedEvents, options.MaxEventBytes, framing.Sequence{}, func(part framing.Part) error {
 		if !part.HasData {
 			return nil
 		}
--- a/sched/attempts.go
+++ b/sched/attempts.go
@@ -197,6 +197,7 @@
 		d.Host = v.Host
 		d.Headers = v.Headers
 		d.LastEvent = r.lastEvent
+		d.Consecutive = r.isConsecutive()
 		d.Stream = uint64(r.StreamKey)
 	}
 	return &wire.EntryMessage{Kind: &wire.EntryMessage_Dispatch{Dispatch: d}}
--- a/sched/continuation_test.go
+++ b/sched/continuation_test.go
@@ -75,3 +75,29 @@
 	require.Contains(t, h.answers, "r")
 	require.Equal(t, []string{headOf(t, 200, "text/plain"), "second"}, h.events["r"])
 }
+
+// Guards against a next server that isn't held to the event that is due, and against one that is although the IDs have gaps.
+func TestDispatchSaysWhetherEventsAreConsecutive(t *testing.T) {
+	for name, test := range map[string]struct {
+		ids  []string
+		want bool
+	}{
+		"consecutive":  {[]string{"1", "2", "3"}, true},
+		"larger steps": {[]string{"5", "10", "15"}, false},
+		"a gap":        {[]string{"1", "2", "4"}, false},
+		"one event":    {[]string{"1"}, false},
+		"no numbers":   {[]string{"a", "b"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, d := newVerbatimHarness(t, true)
+			events := []string{headOf(t, 200, "text/event-stream")}
+			for _, id := range test.ids {
+				events = append(events, "id: "+id+"\ndata: x\n\n")
+			}
+			h.frame(d.server, d.id, 0, events...)
+			h.prove(d.server, d.id, wire.Proof_PROOF_FAILED)
+			h.lastDispatch("r", 2)
+			require.Equal(t, test.want, h.sent[len(h.sent)-1].Message.GetDispatch().GetConsecutive())
+		})
+	}
+}
--- a/sched/run_trace.go
+++ b/sched/run_trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"github.com/carawaypitch/carawaypitch/engine/framing"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -39,10 +40,16 @@
 		Version:  to.record.GetVersion(),
 		Position: r.eventsReceived,
 		After:    after,
-		Sequence: framing.After(after),
+		Sequence: framing.After(after, r.isConsecutive()),
 	}
 }
 
+// isConsecutive reports whether the IDs of the events that were received of the answer are consecutive numbers.
+func (r *request) isConsecutive() bool {
+	runs, _ := r.tracedRuns()
+	return len(runs) > 0 && !slices.ContainsFunc(runs, func(run RunTrace) bool { return !run.Sequence.Consecutive() })
+}
+
 // noteRunEvents adds events that were appended to the answer to the trace of the current run. The first one of a verbatim answer
 // is its head.
 func (r *request) noteRunEvents(events [][]byte) {
