agent: events before the first token are not passed on twice

Callers of the own protocol saw an event twice in a stream: an attempt that ended after the event that names the role, and before its first token, was followed by one that begins anew, since no token was received, and sends that event again after the one that the caller has.

Cause: the position after which a stream goes on counts tokens there, and the event has none. Change: a run that begins anew drops as many events before its first token as the caller has. A run that continues from its memory drops none.

Before, agent.TestEventsBeforeTheFirstTokenAreNotRepeated/the_caller_has_it: 'should have 1 item(s), but has 2'; one_more_than_it_has: 'should have 2 item(s), but has 3'. After: passes, with the tests of agent.

--- a/agent/engine_run.go
+++ b/agent/engine_run.go
@@ -45,6 +45,7 @@
 	canResume     bool // whether the engine can resume
 	canTransferKV bool // whether the engine can export and import KV cache
 	wantsUsage    bool
+	repeated      uint32             // events before the first token that the caller has and this run sends again
 	disconnect    context.CancelFunc // closes the connection to the engine
 
 	arrivedAt      time.Time // when the dispatch was received
@@ -83,6 +84,9 @@
 		head: d.GetResumeFrom() > 0, lastEvent: d.GetLastEvent(), tokens: int(d.GetResumeTokens()),
 		sequence: framing.After(framing.EventID(d.GetLastEvent()), d.GetConsecutive()),
 	}
+	if !d.GetVerbatim() && !r.isService && d.GetResumeTokens() == 0 {
+		r.repeated = d.GetResumeFrom()
+	}
 	r.changed = sync.NewCond(&r.mu)
 	return r
 }
--- a/agent/run_sink.go
+++ b/agent/run_sink.go
@@ -30,12 +30,28 @@
 	if chunk.UsageOnly && !s.run.wantsUsage {
 		return nil
 	}
+	if s.run.isRepeated(chunk) {
+		return nil
+	}
 	event := slices.Clone(chunk.Data)
 	return s.put(event, chunk.Tokens, func(p *position) {
 		p.receive(s.run.dispatch.GetVerbatim(), event, chunk.Index+chunk.Tokens)
 	})
 }
 
+// isRepeated reports whether an event was sent by an earlier attempt that ended before its first token, such as the event that names
+// the role. An attempt that begins anew sends it again. It is called by the goroutine of the run only.
+func (r *engineRun) isRepeated(chunk engine.Chunk) bool {
+	if chunk.Tokens > 0 {
+		r.repeated = 0
+	}
+	if r.repeated == 0 {
+		return false
+	}
+	r.repeated--
+	return true
+}
+
 // Answer implements engine.Sink. The body of a model engine's answer with a status other than 200 is a refusal and not
 // passed on; a service's answer is passed on with any status.
 func (s *runSink) Answer(answer engine.Answer) error {
--- a/agent/run_sink_test.go
+++ b/agent/run_sink_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/wire"
 )
 
 func newSink(service bool) (*runSink, *engineRun, *int) {
@@ -90,3 +91,30 @@
 		assert.ErrorIs(t, <-done, errRunClosed)
 	})
 }
+
+// Guards against an event that comes twice: an attempt that ended before its first token had sent the event that names the role, and
+// the next attempt, which begins anew, sends it again.
+func TestEventsBeforeTheFirstTokenAreNotRepeated(t *testing.T) {
+	role, token := engine.Chunk{Data: []byte("role")}, engine.Chunk{Tokens: 1, Data: []byte("a")}
+	for name, test := range map[string]struct {
+		from   uint32 // events that the caller has
+		chunks []engine.Chunk
+		want   int
+	}{
+		"a new answer":              {0, []engine.Chunk{role, token}, 2},
+		"the caller has it":         {1, []engine.Chunk{role, token}, 1},
+		"one more than it has":      {1, []engine.Chunk{role, role, token}, 2},
+		"none is sent again":        {1, []engine.Chunk{token, {Index: 1, Data: []byte("end")}}, 2},
+		"an event between, at last": {1, []engine.Chunk{token, role}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRun(&wire.Dispatch{ResumeFrom: test.from}, nil, nil)
+			sink := &runSink{run: r, notify: func(*engineRun) error { return nil }}
+			for _, chunk := range test.chunks {
+				require.NoError(t, sink.Chunk(chunk))
+			}
+			events, _ := r.take()
+			require.Len(t, events, test.want)
+		})
+	}
+}
--- a/agent/suspension.go
+++ b/agent/suspension.go
@@ -244,6 +244,7 @@
 	next.canTransferKV = r.canTransferKV
 	next.suspension.count = r.suspension.count
 	next.resumption = &suspension
+	next.repeated = 0 // a run that continues sends nothing again
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next.received = r.received
