--- a/agent/suspension.go
+++ b/agent/suspension.go
@@ -61,7 +61,8 @@
 	head       bool   // the head of a verbatim answer
 	firstEvent string // ID of the first event of this call
 	lastEvent  []byte
-	tokens     int // position after the last token
+	sequence   framing.Sequence // of the whole answer, as far as it is known here
+	tokens     int              // position after the last token
 }
 
 // receive records a payload that was accepted. The first one of a verbatim answer is its head and no event.
@@ -70,6 +71,9 @@
 		p.head = true
 		return
 	}
+	if verbatim {
+		p.sequence.Add(event)
+	}
 	if id := framing.EventID(event); verbatim && id != "" {
 		p.firstEvent = cmp.Or(p.firstEvent, id)
 		p.lastEvent = event
@@ -240,6 +244,7 @@
 	next.canTransferKV = r.canTransferKV
 	next.suspension.count = r.suspension.count
 	next.resumption = &suspension
+	next.repeated = 0 // a run that continues sends nothing again
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next.received = r.received
@@ -264,6 +269,7 @@
 	if request.Verbatim != nil {
 		request.Verbatim.LastEvent = r.received.lastEvent
 		request.Verbatim.SkipHead = r.received.head
+		request.Verbatim.Consecutive = r.received.sequence.Consecutive()
 	}
 	return request
 }
