engine/framing: a malformed parameter doesn't make a stream an answer in one piece

Callers of a server whose Content-Type is text/event-stream with a malformed or repeated parameter got the events only at the end of the stream, and such a stream was not continued at another server. Cause: IsStream requires that mime.ParseMediaType succeeds; before platform looked at the beginning of the field only. Change: the parameters are not parsed.

Before, framing.TestMediaTypeOfStreams: 'text/event-stream; charset' expected true, actual false. After: passes.

--- a/engine/framing/stream.go
+++ b/engine/framing/stream.go
@@ -1,8 +1,8 @@
 package framing
 
 import (
-	"mime"
 	"net/http"
+	"strings"
 
 	"github.com/go-faster/errors"
 )
@@ -13,10 +13,11 @@
 // ErrNotContinued means that an answer doesn't continue the stream that its request continues.
 var ErrNotContinued = errors.New("the answer doesn't continue the stream")
 
-// IsStream reports whether the body of an answer with the given Content-Type is server-sent events.
+// IsStream reports whether the body of an answer with the given Content-Type is server-sent events. Its parameters don't matter, even
+// if they are malformed.
 func IsStream(contentType string) bool {
-	mediaType, _, err := mime.ParseMediaType(contentType)
-	return err == nil && mediaType == ContentTypeStream
+	mediaType, _, _ := strings.Cut(contentType, ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), ContentTypeStream)
 }
 
 // CheckContinuation returns ErrNotContinued unless the body of an answer may follow the events of an earlier answer of which
