engine/framing: a stream continues only with an event that is known not to be the last one again

Callers could get another run's events in the middle of a stream: a server that is asked to continue after an event, and answers with events that have no ID, IDs of another form, or the same ID that isn't a number, had them delivered. Change: the first event of a continuation with data has an ID, another one than the last event's, and a number if that is one.

Before, platform.TestContinuationBeginsWithALaterID, 5 of 12 cases (none; none, then the next; none, that isn't a number; no number after a number; the same that isn't a number): 'Expected error with "outcome unknown" in chain but got nil'. After: passes. Servers that give each event an ID lose nothing.

--- a/engine/framing/sequence.go
+++ b/engine/framing/sequence.go
@@ -17,22 +17,28 @@
 	Gaps int
 
 	last  uint64
-	known bool // last is the number of the last event, or of the one before the first
+	known bool   // last is the number of the last event, or of the one before the first
+	after string // ID of the event that a stream continues after, empty once its first event has come
 }
 
 // After returns the sequence of a stream that continues after the event with the given ID, empty for a new stream.
 func After(id string) Sequence {
 	last, err := strconv.ParseUint(id, 10, 64)
-	return Sequence{last: last, known: err == nil}
+	return Sequence{last: last, known: err == nil, after: id}
 }
 
 // Check returns an error that matches ErrIncomplete for an event whose ID doesn't follow the previous one: a server that continues a
-// stream at or before an event that its caller has would have it delivered twice. IDs that are not numbers aren't compared.
+// stream at or before an event that its caller has would have it delivered twice. IDs that are not numbers aren't compared, but a
+// stream continues only with an event that is known not to be the last one again.
 func (s *Sequence) Check(part []byte) error {
 	if !IsEvent(part) {
 		return nil
 	}
-	number, err := strconv.ParseUint(EventID(part), 10, 64)
+	id := EventID(part)
+	number, err := strconv.ParseUint(id, 10, 64)
+	if s.after != "" && (id == s.after || id != "" && err != nil && s.known || id == "" && hasData(part)) {
+		return errors.Wrapf(ErrIncomplete, "event %q continues the stream after %q", id, s.after)
+	}
 	if err == nil && s.known && number <= s.last {
 		return errors.Wrapf(ErrIncomplete, "event %d after %d", number, s.last)
 	}
@@ -46,6 +52,9 @@
 	}
 	s.Events++
 	id := EventID(part)
+	if id != "" {
+		s.after = ""
+	}
 	if id == "" {
 		s.Unnamed++
 		return
@@ -69,3 +78,13 @@
 	line := bytes.TrimRight(part[:min(len(part), len("\r\n"))], "\r\n")
 	return len(line) > 0 && part[0] != ':'
 }
+
+// hasData reports whether an event has a data field. One without changes only how its stream is read.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if _, ok := field(line, "data:"); ok {
+			return true
+		}
+	}
+	return false
+}
