sched: a refusal by an estimate tells the estimate

The log line and the caller got "the work can't be finished before its deadline", from which the estimates behind the refusal can't be told apart. The message holds the expected wait, the expected time at a server and the time left now.

--- a/sched/admission.go
+++ b/sched/admission.go
@@ -55,7 +55,8 @@
 	if s.canMeetDeadline(r) || s.feasibleWithoutLowerTiers(r) {
 		return nil
 	}
-	return result.New(result.CannotFinishInTime, "")
+	return result.New(result.CannotFinishInTime, "a wait of %d ms and %d ms at a server are expected, %d ms are left",
+		s.predictWait(r).Milliseconds(), s.bestRunTime(r).Milliseconds(), r.dueAt().Sub(s.now).Milliseconds())
 }
 
 // canMeetDeadline reports whether a request that arrives now will probably end before its deadline and, if it has
