--- a/agent/engine_run.go
+++ b/agent/engine_run.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/engine/framing"
 	"github.com/carawaypitch/carawaypitch/holding"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -44,6 +45,7 @@
 	canResume     bool // whether the engine can resume
 	canTransferKV bool // whether the engine can export and import KV cache
 	wantsUsage    bool
+	repeated      uint32             // events before the first token that the caller has and this run sends again
 	disconnect    context.CancelFunc // closes the connection to the engine
 
 	arrivedAt      time.Time // when the dispatch was received
@@ -78,7 +80,13 @@
 		canTransferKV: capabilities.GetKv(),
 		wantsUsage:    !d.GetVerbatim() && wantsUsage(d.GetBody()),
 	}
-	r.received = position{head: d.GetResumeFrom() > 0, lastEvent: d.GetLastEvent(), tokens: int(d.GetResumeTokens())}
+	r.received = position{
+		head: d.GetResumeFrom() > 0, lastEvent: d.GetLastEvent(), tokens: int(d.GetResumeTokens()),
+		sequence: framing.After(framing.EventID(d.GetLastEvent()), d.GetConsecutive()),
+	}
+	if !d.GetVerbatim() && !r.isService && d.GetResumeTokens() == 0 {
+		r.repeated = d.GetResumeFrom()
+	}
 	r.changed = sync.NewCond(&r.mu)
 	return r
 }
@@ -141,6 +149,7 @@
 			Remaining:    r.remaining(),
 			Repeatable:   work.GetRepeatable(),
 			LastEvent:    d.GetLastEvent(),
+			Consecutive:  d.GetConsecutive(),
 			SkipHead:     d.GetResumeFrom() > 0,
 		},
 	}
