--- a/engine/framing/sequence.go
+++ b/engine/framing/sequence.go
@@ -19,7 +19,7 @@
 	last  uint64
 	known bool   // last is the number of the last event, or of the one before the first
 	due   bool   // the first event must have the ID last plus one
-	after string // ID of the event that a stream continues after, empty once an event with an ID has come
+	after string // ID of the event that a stream continues after, empty once its first event has come
 }
 
 // minConsecutive is the number of events from which the step between IDs is known.
@@ -39,8 +39,8 @@
 
 // Check returns an error that matches ErrIncomplete for an event whose ID doesn't follow the previous one: a server that continues a
 // stream at or before an event that its caller has would have it delivered twice, and one that begins after the event that is due
-// would leave a piece out. IDs that are not numbers aren't compared, but a stream continues only with an event that is known not to be
-// the last one again.
+// would leave a piece out. IDs that are not numbers aren't compared, but a stream continues only with an event that is known not to
+// be the last one again.
 func (s *Sequence) Check(part []byte) error {
 	if !IsEvent(part) {
 		return nil
@@ -53,7 +53,7 @@
 	if err == nil && s.known && number <= s.last {
 		return errors.Wrapf(ErrIncomplete, "event %d after %d", number, s.last)
 	}
-	if err == nil && s.due && s.Events == 0 && number != s.last+1 {
+	if err == nil && s.due && s.First == "" && number != s.last+1 {
 		return errors.Wrapf(ErrIncomplete, "event %d where %d is due", number, s.last+1)
 	}
 	return nil
