--- a/entry/answer_writers_test.go
+++ b/entry/answer_writers_test.go
@@ -36,11 +36,9 @@
 	"platform/callers.go WriteBody a.control.Flush",
 	"platform/callers.go WriteBody a.w.Write",
 	// The own protocol.
-	"entry/reply.go writeEvents w.control.Flush",
+	"entry/reply.go flush w.control.Flush",
 	"entry/reply.go startStream w.c.Response().WriteHeader",
 	"entry/reply.go write w.c.Response().Write",
-	"entry/reply.go finish w.control.Flush",
-	"entry/reply.go writeErrorEvent w.control.Flush",
 	"entry/reply.go writeResponse c.Response().Write",
 	"entry/reply.go writeResponse c.Response().WriteHeader",
 	// The end of an answer that is broken off.
