--- a/link/serve.go
+++ b/link/serve.go
@@ -108,10 +108,13 @@
 		defer close(closed)
 		listener.Close()
 	})
+	// The address is free once run returns. The context may have ended without having begun to close the listener.
 	defer func() {
-		if !closeListener() {
-			<-closed // the address is free once this returns
+		if closeListener() {
+			listener.Close()
+			return
 		}
+		<-closed
 	}()
 	for {
 		conn, err := listener.Accept()
--- a/link/serve_close_test.go
+++ b/link/serve_close_test.go
@@ -45,3 +45,27 @@
 		require.True(t, l.closed.Load())
 	})
 }
+
+// lateContext is a context that, when it ends, hasn't yet called what is to be called at its end.
+type lateContext struct{ context.Context }
+
+// AfterFunc is what context.AfterFunc calls.
+func (lateContext) AfterFunc(func()) (stop func() bool) { return func() bool { return true } }
+
+// Value hides the inner context, which context.AfterFunc would use instead.
+func (lateContext) Value(any) any { return nil }
+
+// Guards against a process that is started again at once and finds its address in use: a connection came in when the context of the
+// server had ended and before the listener began to close, so that it was never closed.
+func TestServeClosesItsListenerIfAConnectionComesInAtItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		l := &lateListener{ctx: ctx}
+		done := make(chan error, 1)
+		go func() { done <- Serve(lateContext{ctx}, l, nil, func(*drpcmux.Mux) error { return nil }) }()
+		synctest.Wait()
+		cancel()
+		require.NoError(t, <-done)
+		require.True(t, l.closed.Load())
+	})
+}
