entry: connections are counted by the phase of their request, and a body that isn't read whole has a line

Nothing told what an entry was reading: entry_stopping gave the calls whose bodies had come, and a request that ended in its head or body left no line at all. The callers' listener now counts each connection from the first byte of a request to the end of its answer; entry_leaving, entry_stopping and drain_timed_out print the counts, carawaypitch_connections{phase} shows them, and request_body_unread and request_head_incomplete are the lines of requests that ended early. No decision changes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -98,6 +98,7 @@
 	inputs           *ring.Ring[input]
 	calls            *calls
 	inflight         *inflightKeys
+	requests         *openRequests
 	links            *links
 	prover           *prover
 	outbox           *outbox.Outbox
@@ -170,6 +171,7 @@
 		meter:           newMeter(),
 		inputs:          ring.New[input]("scheduler", inputRingSize),
 		calls:           newCalls(),
+		requests:        newOpenRequests(options.Log),
 		callerTimeouts:  newTimeoutTracker(),
 		backgroundSlots: make(chan struct{}, maxBackground),
 	}
@@ -348,7 +350,7 @@
 	}
 	e.announceLeaving(groupContext)
 	e.stopping.Store(true)
-	e.log.WithField("active", e.active.Load()).Info("entry_stopping")
+	e.log.WithFields(e.requests.fields()).WithField("active", e.active.Load()).Info("entry_stopping")
 	if !e.drain(groupContext) {
 		// Cut the requests still in flight while callers' connections can still be closed in order.
 		e.calls.failAll()
@@ -368,7 +370,7 @@
 	end := time.Now().Add(e.settings.Timing.Leave + e.settings.Timing.Drain)
 	e.drainDeadline.Store(&end)
 	e.leaving.Store(true)
-	e.log.WithField("active", e.active.Load()).WithField("for", e.settings.Timing.Leave).Info("entry_leaving")
+	e.log.WithFields(e.requests.fields()).WithField("active", e.active.Load()).WithField("for", e.settings.Timing.Leave).Info("entry_leaving")
 	pause.For(ctx, e.settings.Timing.Leave)
 }
 
@@ -382,7 +384,7 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			e.log.WithField("active", e.active.Load()).Warn("drain_timed_out")
+			e.log.WithFields(e.requests.fields()).WithField("active", e.active.Load()).Warn("drain_timed_out")
 			return false
 		}
 	}
--- a/entry/http.go
+++ b/entry/http.go
@@ -57,18 +57,19 @@
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
-	return listener, nil
+	return e.requests.listen(listener), nil
 }
 
 // runHTTP serves callers until ctx ends.
 func (e *Entry) runHTTP(ctx context.Context) error {
 	server := &http.Server{
-		Handler:           e.closeConnectionsWhenStopping(e.memory.countRequests(e.handler())),
+		Handler:           e.closeConnectionsWhenStopping(e.requests.track(e.memory.countRequests(e.handler()))),
 		ReadHeaderTimeout: httpHeaderTimeout,
 		ReadTimeout:       httpReadTimeout,
 		IdleTimeout:       httpIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       withCallerConn,
+		ConnState:         e.requests.stateChanged,
 	}
 	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -36,6 +36,7 @@
 	metricRingRefused     = "carawaypitch_ring_refused_total"
 	metricRingLength      = "carawaypitch_ring_length"
 	metricActive          = "carawaypitch_active_calls"
+	metricConnections     = "carawaypitch_connections"                   // callers' connections, by the phase of their request
 	metricTurnedAway      = "carawaypitch_connections_turned_away_total" // closed unread, by reason
 	metricConnectionWait  = "carawaypitch_connection_wait_seconds"       // from the acceptance of a connection until it is read; histogram
 	metricBodyBytes       = "carawaypitch_body_bytes"
@@ -79,6 +80,9 @@
 	m.set.NewGauge(metricRingRefused+`{ring="scheduler"}`, func() float64 { return float64(e.inputs.Refused()) })
 	m.set.NewGauge(metricRingLength+`{ring="scheduler"}`, func() float64 { return float64(e.inputs.Len()) })
 	m.set.NewGauge(metricActive, func() float64 { return float64(e.active.Load()) })
+	for phase := phaseIdle; phase < requestPhases; phase++ {
+		m.set.NewGauge(fmt.Sprintf("%s{phase=%q}", metricConnections, phase), func() float64 { return float64(e.requests.inPhase(phase)) })
+	}
 	m.set.NewGauge(metricBodyBytes, func() float64 { return float64(e.bodyBytes.Load()) })
 	for _, reason := range []turnAwayReason{turnAwayProcessor, turnAwayScheduler} {
 		m.add(fmt.Sprintf("%s{reason=%q}", metricTurnedAway, reason), 0)
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -30,8 +30,9 @@
 	Key string
 	// Headers are forwarded with the request.
 	Headers []*wire.Header
-	// Body is the complete body.
-	Body []byte
+	// Body is the complete body. AnnouncedBody is its length as the header gives it, negative if it doesn't.
+	Body          []byte
+	AnnouncedBody int64
 	// Arrived is when the request's header was received.
 	Arrived time.Time
 	// Timeout is how long the caller waits, 0 if unknown.
@@ -118,6 +119,16 @@
 	return admission, nil
 }
 
+// RefuseBody counts and logs the refusal of an admitted call whose body could not be read, and returns it.
+func (e *Entry) RefuseBody(ctx context.Context, admission *Admission, call *Call, err *result.Error) *result.Error {
+	e.log.WithField("request", call.ID).
+		WithField("body_bytes", bodyRead(ctx)).
+		WithField("announced", call.AnnouncedBody).
+		WithField("ms", e.now().Sub(call.Arrived).Milliseconds()).
+		Info("request_body_unread")
+	return e.refuseCall(call, admission, err)
+}
+
 // startWaitDivisor bounds the wait for the process to start to 1/startWaitDivisor of the caller's timeout. The rest is
 // left for a retry at another entry.
 const startWaitDivisor = 4
