entry: a stop waits for requests from their first byte, and refuses those that don't come in time

Callers whose heads or bodies took time saw their connections end without an answer when an entry was stopped.

Cause: the drain waited for calls, and a call began when its body was whole. With no calls left the scheduler, the session with control and the HTTP server ended together, and the HTTP server closed what was left after a second: bodies and heads that were coming, and requests that had become whole in that second and were queued at a scheduler that had ended. On the own interface calls were counted, but a body that didn't come until the end of the drain ended the same way, as did a head on a kept connection, which net/http counts as idle.

Change: the stop goes by the connections' phases. It waits for each request that had begun before; a second before the end of the drain it stops reading bodies and heads and refuses them (1402, not run; a head that isn't whole gets a 503 of its own), and behind such a refusal the connection lingers for half a second so that the refusal arrives. Then no further request is read, connections between two requests end without a byte read, and only when no request is open do the other goroutines end. EntryStopsBy is also known where timing.leave is 0.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -121,6 +121,9 @@
 		return nil, err
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, bound))
+	if wasRefusedUnread(c.Request().Context()) {
+		return nil, refusalOfBody()
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, result.New(result.BodyTooLarge, "want at most %d bytes", bound)
@@ -140,6 +143,11 @@
 	return body, nil
 }
 
+// refusalOfBody is the refusal of a request whose body a stopping entry has not read to its end.
+func refusalOfBody() *result.Error {
+	return result.New(result.Stopping, "the body did not come in time").WithRetryAfter(0)
+}
+
 // releaseBody subtracts a request's body from the count of body bytes.
 func (e *Entry) releaseBody(r *sched.Request) {
 	e.bodyBytes.Add(-int64(len(r.Body)))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,7 +21,6 @@
 	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/origin"
 	"github.com/carawaypitch/carawaypitch/outbox"
-	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/quota"
 	"github.com/carawaypitch/carawaypitch/ring"
 	"github.com/carawaypitch/carawaypitch/sched"
@@ -171,10 +170,10 @@
 		meter:           newMeter(),
 		inputs:          ring.New[input]("scheduler", inputRingSize),
 		calls:           newCalls(),
-		requests:        newOpenRequests(options.Log),
 		callerTimeouts:  newTimeoutTracker(),
 		backgroundSlots: make(chan struct{}, maxBackground),
 	}
+	e.requests = newOpenRequests(e.log, &e.stopping)
 	e.memory = newCallMemory(s.Memory, e.log, e.meter, e.now)
 	clocks := quota.Clock{Now: options.Now, SinceBoot: clock.SinceBoot}
 	e.caps = quota.NewCaps(s.Instance, e.incarnation, clocks, usageTolerance(s))
@@ -341,69 +340,6 @@
 	group.Add(func() error { return execute(ctx) }, func(error) { cancel() })
 }
 
-// runStop waits until stop ends, then stops the entry gracefully. It returns early if the other goroutines end.
-func (e *Entry) runStop(stop, groupContext context.Context) error {
-	select {
-	case <-stop.Done():
-	case <-groupContext.Done():
-		return nil
-	}
-	e.announceLeaving(groupContext)
-	e.stopping.Store(true)
-	e.log.WithFields(e.requests.fields()).WithField("active", e.active.Load()).Info("entry_stopping")
-	if !e.drain(groupContext) {
-		// Cut the requests still in flight while callers' connections can still be closed in order.
-		e.calls.failAll()
-	}
-	e.deregister(groupContext)
-	return nil
-}
-
-// announceLeaving reports the entry as not ready for settings.Timing.Leave before anything is refused.
-//
-// A load balancer keeps sending connections until its next readiness check. If they were refused at once, callers would
-// see errors caused by the shutdown although other entries are available.
-func (e *Entry) announceLeaving(ctx context.Context) {
-	if e.settings.Timing.Leave <= 0 {
-		return
-	}
-	end := time.Now().Add(e.settings.Timing.Leave + e.settings.Timing.Drain)
-	e.drainDeadline.Store(&end)
-	e.leaving.Store(true)
-	e.log.WithFields(e.requests.fields()).WithField("active", e.active.Load()).WithField("for", e.settings.Timing.Leave).Info("entry_leaving")
-	pause.For(ctx, e.settings.Timing.Leave)
-}
-
-// drain waits until nothing is in flight. It returns false if that takes longer than settings.Timing.Drain.
-func (e *Entry) drain(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, e.settings.Timing.Drain)
-	defer cancel()
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for e.active.Load() > 0 {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			e.log.WithFields(e.requests.fields()).WithField("active", e.active.Load()).Warn("drain_timed_out")
-			return false
-		}
-	}
-	return true
-}
-
-// deregister tells control that this incarnation has ended, so that its open records may be taken over immediately.
-func (e *Entry) deregister(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
-	defer cancel()
-	command := &wire.Command{Kind: &wire.Command_EndEntry{EndEntry: &wire.EndEntry{
-		Entry:       e.settings.Instance,
-		Incarnation: e.incarnation,
-	}}}
-	if _, err := e.control.Propose(ctx, command); err != nil {
-		e.log.WithError(err).Warn("deregister_failed")
-	}
-}
-
 // hello returns the hello message that this entry sends on links.
 func (e *Entry) hello() *wire.EntryHello {
 	return &wire.EntryHello{
--- a/entry/http.go
+++ b/entry/http.go
@@ -81,10 +81,13 @@
 		}
 	})
 	err := server.Serve(e.listener)
+	if e.requests.isClosing() {
+		<-ctx.Done() // the last requests have their answers by then
+	}
 	if !stop() {
 		<-stopped
 	}
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || e.requests.isClosing() {
 		return nil
 	}
 	server.Close()
--- a/entry/open_requests.go
+++ b/entry/open_requests.go
@@ -6,8 +6,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
+
+	"github.com/carawaypitch/carawaypitch/network"
 )
 
 // requestPhase is how far a connection has got with a request.
@@ -20,23 +24,31 @@
 	phaseCall                // the handler runs: admission, queue, attempts, answer
 	phaseBody                // the handler reads the body
 	phaseAnswer              // the handler has returned, and the end of its answer is being written
+	phaseLate                // the handler runs for a request whose head was read while the entry was stopping, and which is refused
 	requestPhases
 )
 
 // String implements fmt.Stringer.
 func (p requestPhase) String() string {
-	return [requestPhases]string{"idle", "head", "call", "body", "answer"}[p]
+	return [requestPhases]string{"idle", "head", "call", "body", "answer", "late"}[p]
 }
 
 // openRequests are the requests that this process has read a byte of, and whose answers it hasn't written to the end.
+//
+// The entry ends nothing that a request needs while there are any, see Entry.runStop.
 type openRequests struct {
-	log log.Interface
+	log      log.Interface
+	stopping *atomic.Bool // of the entry
 
-	mu    sync.Mutex
-	count [requestPhases]int // connections
+	mu      sync.Mutex
+	conns   map[*requestConn]struct{}
+	count   [requestPhases]int // connections
+	closing bool               // no further request is read
 }
 
-func newOpenRequests(logger log.Interface) *openRequests { return &openRequests{log: logger} }
+func newOpenRequests(logger log.Interface, stopping *atomic.Bool) *openRequests {
+	return &openRequests{log: logger, stopping: stopping, conns: make(map[*requestConn]struct{})}
+}
 
 // listen returns a listener whose connections are counted. They have to be what the HTTP server sees, since TLS reads bytes
 // that belong to no request.
@@ -58,7 +70,9 @@
 	c := &requestConn{Conn: conn, requests: l.requests}
 	l.requests.mu.Lock()
 	defer l.requests.mu.Unlock()
+	l.requests.conns[c] = struct{}{}
 	l.requests.count[phaseIdle]++
+	c.applyDeadline()
 	return c, nil
 }
 
@@ -67,8 +81,11 @@
 	net.Conn
 	requests *openRequests
 	phase    requestPhase
-	head     int   // bytes read of the request's head, perhaps with the beginning of its body
-	body     int64 // bytes read of the request's body
+	head     int       // bytes read of the request's head, perhaps with the beginning of its body
+	body     int64     // bytes read of the request's body
+	deadline time.Time // for reading, as the HTTP server set it
+	refused  bool      // nothing more is read of the request, which is or has to be refused
+	answered bool      // with refusalOfHead; the HTTP server writes nothing more
 	closed   bool
 }
 
@@ -79,37 +96,110 @@
 func (c *requestConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.requests.mu.Lock()
-		defer c.requests.mu.Unlock()
-		if c.phase == phaseIdle {
-			c.enter(phaseHead)
-			c.head = 0
-		}
-		if c.phase == phaseHead {
-			c.head += n
-		}
+		c.observeRead(n)
 	}
 	return n, err
 }
 
-// Close implements net.Conn.
+func (c *requestConn) observeRead(n int) {
+	c.requests.mu.Lock()
+	defer c.requests.mu.Unlock()
+	if c.phase == phaseIdle {
+		c.enter(phaseHead)
+		c.head = 0
+		c.applyDeadline()
+	}
+	if c.phase == phaseHead {
+		c.head += n
+	}
+}
+
+// Write implements net.Conn.
+func (c *requestConn) Write(b []byte) (int, error) {
+	if c.isAnswered() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *requestConn) isAnswered() bool {
+	c.requests.mu.Lock()
+	defer c.requests.mu.Unlock()
+	return c.answered
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *requestConn) SetReadDeadline(t time.Time) error {
+	c.requests.mu.Lock()
+	defer c.requests.mu.Unlock()
+	c.deadline = t
+	return c.applyDeadline()
+}
+
+// SetDeadline implements net.Conn.
+func (c *requestConn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// applyDeadline sets the deadline for reading: that of the HTTP server, or one in the past if nothing more is to be read.
+// A read that fails by it has read nothing, so that the caller can tell by the end of its connection that a request on it
+// was not read. The lock must be held.
+func (c *requestConn) applyDeadline() error {
+	if c.refused || c.requests.closing && c.phase == phaseIdle {
+		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return c.Conn.SetReadDeadline(c.deadline)
+}
+
+// Close implements net.Conn. Behind a refusal the rest of the request is read for a while first: closing a connection
+// with unread bytes resets it, and the caller may lose the refusal.
 func (c *requestConn) Close() error {
-	if phase, head := c.end(); phase == phaseHead {
-		c.requests.log.WithField("peer", c.RemoteAddr().String()).WithField("bytes", head).Info("request_head_incomplete")
+	phase, head, lingers := c.beginClose()
+	if phase == phaseHead {
+		c.requests.log.WithField("peer", c.RemoteAddr().String()).WithField("bytes", head).WithField("refused", lingers).Info("request_head_incomplete")
+	}
+	if !lingers {
+		c.uncount()
+		return c.Conn.Close()
 	}
-	return c.Conn.Close()
+	go func() {
+		defer c.Conn.Close()
+		defer c.uncount()
+		network.CloseWrite(c.Conn)
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}()
+	return nil
 }
 
-// end ends the counting of the connection. It returns its phase, phaseIdle if it had ended before, and the bytes of the head.
-func (c *requestConn) end() (requestPhase, int) {
+// lingerTimeout bounds reading the rest of a request that was refused before it was read whole.
+const lingerTimeout = 500 * time.Millisecond
+
+// beginClose returns the phase of the connection, the bytes of the head and whether a refusal was sent before the request was
+// read whole. From the second call on it returns phaseIdle and false.
+func (c *requestConn) beginClose() (phase requestPhase, head int, lingers bool) {
 	c.requests.mu.Lock()
 	defer c.requests.mu.Unlock()
 	if c.closed {
-		return phaseIdle, 0
+		return phaseIdle, 0, false
 	}
+	phase = c.phase
+	c.enter(phaseAnswer)
 	c.closed = true
-	c.requests.count[c.phase]--
-	return c.phase, c.head
+	return phase, c.head, c.refused
+}
+
+// uncount ends the counting of the connection.
+func (c *requestConn) uncount() {
+	c.requests.mu.Lock()
+	defer c.requests.mu.Unlock()
+	if _, counted := c.requests.conns[c]; counted {
+		delete(c.requests.conns, c)
+		c.requests.count[c.phase]--
+	}
 }
 
 // enter moves the connection to another phase. The lock must be held.
@@ -134,30 +224,48 @@
 
 // stateChanged is the hook of the HTTP server for the states of its connections.
 func (o *openRequests) stateChanged(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*requestConn); ok && state == http.StateIdle {
-		c.move(phaseIdle)
+	c, ok := conn.(*requestConn)
+	if !ok || state != http.StateIdle {
+		return
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c.enter(phaseIdle)
+	_ = c.applyDeadline()
 }
 
 // track follows the requests of a handler.
 func (o *openRequests) track(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := requestConnOf(r.Context())
-		c.move(phaseCall)
-		defer c.move(phaseAnswer)
-		if c != nil {
-			c.beginBody()
-			r.Body = &followedBody{ReadCloser: r.Body, conn: c}
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
 		}
+		if !c.begin() {
+			panic(http.ErrAbortHandler) // refused while its head was read
+		}
+		defer c.move(phaseAnswer)
+		r = r.WithContext(r.Context()) // the HTTP server looks at the body of its own request
+		r.Body = &followedBody{ReadCloser: r.Body, conn: c}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// beginBody notes that nothing of the current request's body has been read.
-func (c *requestConn) beginBody() {
+// begin begins the handling of a request. It returns false for one that was refused while its head was read.
+func (c *requestConn) begin() bool {
 	c.requests.mu.Lock()
 	defer c.requests.mu.Unlock()
+	if c.refused {
+		return false
+	}
 	c.body = 0
+	if c.requests.stopping.Load() {
+		c.enter(phaseLate)
+	} else {
+		c.enter(phaseCall)
+	}
+	return true
 }
 
 // followedBody is the body of a request, whose reading is a phase of its own.
@@ -168,17 +276,29 @@
 
 // Read implements io.Reader.
 func (b *followedBody) Read(p []byte) (int, error) {
-	b.conn.move(phaseBody)
+	b.conn.beginRead()
 	n, err := b.ReadCloser.Read(p)
-	b.conn.requests.mu.Lock()
-	defer b.conn.requests.mu.Unlock()
-	b.conn.body += int64(n)
-	if err != nil {
-		b.conn.enter(phaseCall)
-	}
+	b.conn.endRead(n, err != nil)
 	return n, err
 }
 
+func (c *requestConn) beginRead() {
+	c.requests.mu.Lock()
+	defer c.requests.mu.Unlock()
+	if c.phase == phaseCall {
+		c.enter(phaseBody)
+	}
+}
+
+func (c *requestConn) endRead(n int, ended bool) {
+	c.requests.mu.Lock()
+	defer c.requests.mu.Unlock()
+	c.body += int64(n)
+	if ended && c.phase == phaseBody {
+		c.enter(phaseCall)
+	}
+}
+
 // requestConnOf returns the connection of a request, nil if it is none of this entry's.
 func requestConnOf(ctx context.Context) *requestConn {
 	conn, _ := ctx.Value(rawConnKey{}).(*requestConn)
@@ -196,6 +316,72 @@
 	return c.body
 }
 
+// wasRefusedUnread reports whether the entry stopped reading the request with the given context, since it is stopping itself.
+// Such a request has to be refused, also if it happens to be whole: its connection reads nothing more.
+func wasRefusedUnread(ctx context.Context) bool {
+	c := requestConnOf(ctx)
+	if c == nil {
+		return false
+	}
+	c.requests.mu.Lock()
+	defer c.requests.mu.Unlock()
+	return c.refused
+}
+
+// close makes connections between two requests read nothing more, so that the HTTP server closes them.
+func (o *openRequests) close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closing = true
+	for c := range o.conns {
+		_ = c.applyDeadline()
+	}
+}
+
+func (o *openRequests) isClosing() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.closing
+}
+
+// refusalOfHead answers a request whose head has not been read whole.
+const refusalOfHead = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 0\r\nConnection: close\r\n\r\n"
+
+// refusalTimeout bounds writing refusalOfHead, for which there is room unless the caller has not read earlier answers.
+const refusalTimeout = 50 * time.Millisecond
+
+// refuseUnread ends the reading of requests that have not been read whole. Those with a head are refused by their handlers.
+func (o *openRequests) refuseUnread() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for c := range o.conns {
+		if c.refused || c.closed || c.phase != phaseHead && c.phase != phaseBody {
+			continue
+		}
+		c.refused = true
+		if c.phase == phaseHead {
+			c.answered = true
+			_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+			_, _ = io.WriteString(c.Conn, refusalOfHead)
+		}
+		_ = c.applyDeadline()
+	}
+}
+
+// inDrain returns the number of requests that a stopping entry still serves.
+func (o *openRequests) inDrain() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.count[phaseCall] + o.count[phaseBody] + o.count[phaseAnswer]
+}
+
+// open returns the number of requests that have begun and not ended.
+func (o *openRequests) open() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.conns) - o.count[phaseIdle]
+}
+
 // inPhase returns the number of connections in a phase.
 func (o *openRequests) inPhase(phase requestPhase) int {
 	o.mu.Lock()
--- /dev/null
+++ b/entry/stop.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/carawaypitch/carawaypitch/pause"
+	"github.com/carawaypitch/carawaypitch/wire"
+)
+
+const (
+	// unreadReserve is the time before the end of the drain at which requests that have not been read whole are refused.
+	unreadReserve = time.Second
+	// lastHeadTimeout bounds reading the heads that have begun when the drained entry closes its connections.
+	lastHeadTimeout = 300 * time.Millisecond
+	// lastAnswerTimeout bounds writing the last answers, until lastAnswerReserve after the end of the drain at the latest.
+	lastAnswerTimeout = time.Second
+	lastAnswerReserve = 200 * time.Millisecond
+)
+
+// runStop waits until stop ends, then stops the entry gracefully. It returns early if the other goroutines end.
+//
+// Requests are read and answered with the help of all other goroutines, which end when runStop returns. So it returns only
+// when no request is open any more, or when the time is over.
+func (e *Entry) runStop(stop, groupContext context.Context) error {
+	select {
+	case <-stop.Done():
+	case <-groupContext.Done():
+		return nil
+	}
+	end := time.Now().Add(e.settings.Timing.Leave + e.settings.Timing.Drain)
+	e.drainDeadline.Store(&end)
+	e.announceLeaving(groupContext)
+	e.stopping.Store(true)
+	e.log.WithFields(e.requests.fields()).WithField("active", e.active.Load()).Info("entry_stopping")
+	if !e.drain(groupContext, end) {
+		// Cut the requests still in flight while callers' connections can still be closed in order.
+		e.calls.failAll()
+	}
+	e.endConnections(groupContext, end.Add(lastAnswerReserve))
+	e.deregister(groupContext)
+	return nil
+}
+
+// announceLeaving reports the entry as not ready for settings.Timing.Leave before anything is refused.
+//
+// A load balancer keeps sending connections until its next readiness check. If they were refused at once, callers would
+// see errors caused by the shutdown although other entries are available.
+func (e *Entry) announceLeaving(ctx context.Context) {
+	if e.settings.Timing.Leave <= 0 {
+		return
+	}
+	e.leaving.Store(true)
+	e.log.WithFields(e.requests.fields()).WithField("active", e.active.Load()).WithField("for", e.settings.Timing.Leave).Info("entry_leaving")
+	pause.For(ctx, e.settings.Timing.Leave)
+}
+
+// drain waits until all requests that began before the entry was stopping have been answered. Those that have not been
+// read whole shortly before the end are refused. It returns false if there are requests left at the end.
+func (e *Entry) drain(ctx context.Context, end time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	for e.active.Load() > 0 || e.requests.inDrain() > 0 {
+		if time.Until(end) <= unreadReserve {
+			e.requests.refuseUnread()
+		}
+		if !pause.For(ctx, drainPollInterval) {
+			e.log.WithFields(e.requests.fields()).WithField("active", e.active.Load()).Warn("drain_timed_out")
+			return false
+		}
+	}
+	return true
+}
+
+// endConnections closes the callers' listener and the connections between two requests, and waits until the last requests,
+// which are all refused, have their answers.
+func (e *Entry) endConnections(ctx context.Context, end time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	e.requests.close()
+	e.listener.Close()
+	if !e.awaitNoRequests(ctx, lastHeadTimeout) {
+		e.requests.refuseUnread()
+		e.awaitNoRequests(ctx, lastAnswerTimeout)
+	}
+}
+
+// awaitNoRequests waits until no request is open. It returns false if that takes too long.
+func (e *Entry) awaitNoRequests(ctx context.Context, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for e.requests.open() > 0 {
+		if !pause.For(ctx, drainPollInterval) {
+			return false
+		}
+	}
+	return true
+}
+
+// deregister tells control that this incarnation has ended, so that its open records may be taken over immediately.
+func (e *Entry) deregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
+	defer cancel()
+	command := &wire.Command{Kind: &wire.Command_EndEntry{EndEntry: &wire.EndEntry{
+		Entry:       e.settings.Instance,
+		Incarnation: e.incarnation,
+	}}}
+	if _, err := e.control.Propose(ctx, command); err != nil {
+		e.log.WithError(err).Warn("deregister_failed")
+	}
+}
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -119,8 +119,12 @@
 	return admission, nil
 }
 
-// RefuseBody counts and logs the refusal of an admitted call whose body could not be read, and returns it.
+// RefuseBody counts and logs the refusal of an admitted call whose body could not be read, and returns it: err, unless the
+// entry itself ended the reading.
 func (e *Entry) RefuseBody(ctx context.Context, admission *Admission, call *Call, err *result.Error) *result.Error {
+	if wasRefusedUnread(ctx) {
+		err = refusalOfBody()
+	}
 	e.log.WithField("request", call.ID).
 		WithField("body_bytes", bodyRead(ctx)).
 		WithField("announced", call.AnnouncedBody).
@@ -157,6 +161,9 @@
 func (e *Entry) Exchange(ctx context.Context, admission *Admission, call *Call, w AnswerWriter) *result.Error {
 	e.active.Add(1)
 	defer e.active.Add(-1)
+	if wasRefusedUnread(ctx) {
+		return e.refuseCall(call, admission, refusalOfBody())
+	}
 	grant, err := e.chargeCap(ctx, admission, call)
 	if err != nil {
 		return e.refuseCall(call, admission, err)
--- a/network/reset.go
+++ b/network/reset.go
@@ -35,6 +35,22 @@
 	}
 }
 
+// CloseWrite ends the sending side of a connection: its peer reads what was sent, and then the end. It does nothing for a
+// connection whose sides don't end apart.
+func CloseWrite(conn net.Conn) {
+	for {
+		if closer, ok := conn.(interface{ CloseWrite() error }); ok {
+			_ = closer.CloseWrite()
+			return
+		}
+		outer, ok := conn.(wrapper)
+		if !ok {
+			return
+		}
+		conn = outer.NetConn()
+	}
+}
+
 // wrapper is a connection that wraps another one.
 type wrapper interface{ NetConn() net.Conn }
 
