entry: requests are answered also if an incarnation ends by itself

If control ends an incarnation, or one of its goroutines fails, callers whose requests were open saw their connections end without an answer. Cause: the HTTP server ended together with the scheduler, waited a second for calls that nobody served any more, and closed them; only then were the calls failed, with nobody left to write it. Now the end of the HTTP server fails the calls that are open (504, may have run), refuses what isn't read whole (503, not run), and closes once their answers are written, after a second at the latest.

Before: EOF for the call in flight (entry.TestRequestsOfASupersededIncarnation- AreAnswered); after: 1301's status and a refusal, and the next incarnation serves.

--- a/entry/call.go
+++ b/entry/call.go
@@ -237,7 +237,7 @@
 	call.update(func() { call.ended, call.err, call.attempts, call.trace = true, a.Err, attempts, a.Trace })
 }
 
-// failAll ends the remaining calls after the goroutines that serve them have ended. The outcome of these requests can
+// failAll ends the remaining calls when the goroutines that serve them end. The outcome of these requests can
 // no longer be determined.
 func (c *calls) failAll() {
 	c.mu.Lock()
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -51,15 +51,17 @@
 	cutOff      error
 	applied     []string // kinds of the applied commands, in order
 	origins     *origin.Table
-	originsTold int       // messages with origins of streams
-	isSilent    bool      // tells nothing of origins
-	heardAt     time.Time // zero means now
+	originsTold int        // messages with origins of streams
+	isSilent    bool       // tells nothing of origins
+	heardAt     time.Time  // zero means now
+	ends        chan error // ends Run with an error
 }
 
 func newFakeControl() *fakeControl {
 	return &fakeControl{
 		state:   state.New(),
 		origins: origin.NewTable(1000),
+		ends:    make(chan error),
 		view: &session.View{
 			ConfigVersion: 1, DirectoryVersion: 1, Classes: testClasses,
 			Agents: map[string]*wire.AgentRecord{}, Entries: map[string]*wire.EntryRecord{},
@@ -68,8 +70,12 @@
 }
 
 func (f *fakeControl) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-f.ends:
+		return err
+	}
 }
 
 func (f *fakeControl) Propose(_ context.Context, command *wire.Command) (*wire.CommandResult, error) {
--- a/entry/http.go
+++ b/entry/http.go
@@ -20,9 +20,7 @@
 	httpHeaderTimeout = 5 * time.Second
 	httpReadTimeout   = time.Minute
 	httpIdleTimeout   = 2 * time.Minute
-	// httpStopTimeout bounds the time for responses that are being written when the entry stops.
-	httpStopTimeout = time.Second
-	maxHeaderBytes  = 64 << 10
+	maxHeaderBytes    = 64 << 10
 )
 
 // Request and response headers.
@@ -74,11 +72,8 @@
 	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(stopped)
-		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), httpStopTimeout)
-		defer cancel()
-		if server.Shutdown(bounded) != nil {
-			server.Close()
-		}
+		e.answerRemaining(context.WithoutCancel(ctx))
+		server.Close()
 	})
 	err := server.Serve(e.listener)
 	if e.requests.isClosing() {
@@ -86,8 +81,6 @@
 	}
 	if !stop() {
 		<-stopped
-	}
-	if errors.Is(err, http.ErrServerClosed) || e.requests.isClosing() {
 		return nil
 	}
 	server.Close()
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -85,6 +85,23 @@
 	}
 }
 
+// answerRemaining ends the requests that are open when the goroutines end that serve them: none after runStop, all if another
+// goroutine has ended by itself.
+func (e *Entry) answerRemaining(ctx context.Context) {
+	e.stopping.Store(true)
+	e.requests.close()
+	e.listener.Close()
+	ctx, cancel := context.WithTimeout(ctx, lastAnswerTimeout)
+	defer cancel()
+	for e.requests.open() > 0 {
+		e.calls.failAll()
+		e.requests.refuseUnread()
+		if !pause.For(ctx, drainPollInterval) {
+			return
+		}
+	}
+}
+
 // awaitNoRequests waits until no request is open. It returns false if that takes too long.
 func (e *Entry) awaitNoRequests(ctx context.Context, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carawaypitch/carawaypitch/result"
+	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/settings"
 )
 
@@ -159,3 +160,22 @@
 		})
 	}
 }
+
+// Guards against connections that are closed without an answer when an incarnation ends because control has ended it.
+func TestRequestsOfASupersededIncarnationAreAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStopping(t)
+		s.addModel(2).ignoreMessages()
+		waiting := s.callAsync(1, chatPath, chatBody)
+		s.send(rawHead + "12345")
+		s.control.ends <- session.ErrSuperseded
+		answer := <-waiting
+		require.NoError(t, answer.err)
+		require.Equal(t, result.UnprovenAttemptAtDeadline, answer.code(t).Code)
+		response, body := s.answer()
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.Equal(t, result.RanNo, callResponse{body: body}.code(t).Ran)
+		time.Sleep(lastAnswerTimeout)
+		require.Equal(t, http.StatusOK, s.call(1, http.MethodPost, checkPath, "{}", gateCheckHeader).status, "the next incarnation serves")
+	})
+}
