entry, session: one version is concluded only from a directory confirmed since the request

Users of a like system saw streams go on at a server of another version, at a machine that was out of step while the new version joined.

Cause: an entry that was asked to go on with a stream of a pool of one version went by its directory if control had been heard within two seconds. A stream may have begun elsewhere, within these, at a version that this entry didn't know.

Polls are shared by requests that wait. What an answer says of versions counts before the answer counts as contact.

Before: entry.TestEntryOutOfContactDoesNotRelyOnItsDirectory goes on at v1 after 1 ms, 500 ms and 1.9 s of silence; after: refused, and served once in contact. control.TestConfirmationKnowsTheVersionsThatWereCommittedBefore plays cuts from one, some and all instances, one way and both, with real sessions.

--- a/capacity/view.go
+++ b/capacity/view.go
@@ -22,14 +22,15 @@
 	return new(wire.CommandResult), nil
 }
 
-func (c *fixedControl) View() *session.View              { return c.view }
-func (c *fixedControl) Subscribe(fn func(*session.View)) { fn(c.view) }
-func (c *fixedControl) Ready() error                     { return nil }
-func (c *fixedControl) CutOff() error                    { return nil }
-func (c *fixedControl) AddControls([]string)             {}
-func (c *fixedControl) Addresses() []string              { return nil }
-func (c *fixedControl) Refresh()                         {}
-func (c *fixedControl) HeardAt() time.Time               { return time.Now() }
+func (c *fixedControl) View() *session.View                          { return c.view }
+func (c *fixedControl) Subscribe(fn func(*session.View))             { fn(c.view) }
+func (c *fixedControl) Ready() error                                 { return nil }
+func (c *fixedControl) CutOff() error                                { return nil }
+func (c *fixedControl) AddControls([]string)                         {}
+func (c *fixedControl) Addresses() []string                          { return nil }
+func (c *fixedControl) Refresh()                                     {}
+func (c *fixedControl) HeardAt() time.Time                           { return time.Now() }
+func (c *fixedControl) ConfirmSince(context.Context, time.Time) bool { return true }
 
 func (c *fixedControl) ReportStreamOrigins(*wire.StreamOrigins) {}
 
--- a/control/stream_origins_test.go
+++ b/control/stream_origins_test.go
@@ -137,3 +137,79 @@
 		require.Greater(t, time.Since(e.HeardAt()), 2*time.Second)
 	})
 }
+
+// hostOf returns the host of a control instance.
+func hostOf(n *instance) string { return n.settings.Listen.Links[:len("10.0.0.1")] }
+
+// Guards against an entry that takes a pool for one of a single version because the control instance that it hears of is itself cut
+// off, or because it is cut off from some instances, in one direction or both, while a server of another version joins.
+func TestConfirmationKnowsTheVersionsThatWereCommittedBefore(t *testing.T) {
+	const entryIP = "10.0.1.1"
+	cuts := map[string]struct {
+		cut   func(c *cluster)
+		known bool // a confirmation is to be had
+	}{
+		"none":                     {func(*cluster) {}, true},
+		"from the leader":          {func(c *cluster) { c.net.Cut(entryIP, hostOf(c.leader())) }, true},
+		"from a follower":          {func(c *cluster) { c.net.Cut(entryIP, hostOf(c.follower())) }, true},
+		"from a follower, one way": {func(c *cluster) { c.net.CutOneWay(hostOf(c.follower()), entryIP) }, true},
+		"to all, one way":          {func(c *cluster) { cutAll(c, func(n *instance) { c.net.CutOneWay(entryIP, hostOf(n)) }) }, false},
+		"of all, one way":          {func(c *cluster) { cutAll(c, func(n *instance) { c.net.CutOneWay(hostOf(n), entryIP) }) }, false},
+		"from all":                 {func(c *cluster) { cutAll(c, func(n *instance) { c.net.Cut(entryIP, hostOf(n)) }) }, false},
+		"with a follower from the rest": {func(c *cluster) {
+			alone := c.follower()
+			for _, n := range c.instances {
+				if n != alone {
+					c.net.Cut(entryIP, hostOf(n))
+					c.net.Cut(hostOf(alone), hostOf(n))
+				}
+			}
+		}, false},
+	}
+	for name, k := range cuts {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 3)
+				c.startAll()
+				defer c.stopAll()
+				e := c.startOriginEntry("entry-1", entryIP)
+				defer e.stop()
+				announce := func(server, version, address string) {
+					require.NoError(t, c.leader().control.Announce(t.Context(), &wire.Announcement{
+						Server: server, Pool: "m", Version: version, Address: address, AvailabilityZone: "zone-1", Slots: 4, Sequence: 1,
+					}))
+				}
+				announce("s1", "v1", "10.0.2.1:1")
+				time.Sleep(2 * time.Minute)
+				require.True(t, e.knownVersions().Complete)
+				require.Empty(t, e.knownVersions().Mixed)
+				k.cut(c)
+				announce("s2", "v2", "10.0.2.2:1")
+				require.Equal(t, k.known, confirmNow(t, e), "confirmed")
+				require.Equal(t, k.known, e.knownVersions().Mixed["m"])
+				for _, a := range c.instances {
+					c.net.Heal(entryIP, hostOf(a))
+					for _, b := range c.instances {
+						c.net.Heal(hostOf(a), hostOf(b))
+					}
+				}
+				time.Sleep(time.Second)
+				require.True(t, confirmNow(t, e), "a second after the cut")
+				require.True(t, e.knownVersions().Mixed["m"])
+			})
+		})
+	}
+}
+
+func cutAll(c *cluster, cut func(*instance)) {
+	for _, n := range c.instances {
+		cut(n)
+	}
+}
+
+// confirmNow asks for a confirmation of now, for as long as a request waits for one.
+func confirmNow(t *testing.T, e *originEntry) bool {
+	ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
+	defer cancel()
+	return e.ConfirmSince(ctx, time.Now())
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,9 +70,11 @@
 	// AddControls opens links to further control instances; Addresses returns the addresses of all.
 	AddControls(addresses []string)
 	Addresses() []string
-	// HeardAt returns until when control can't have changed the directory unknown to this process. ReportStreamOrigins and
+	// HeardAt returns until when control can't have changed the directory unknown to this process. ConfirmSince waits until that is
+	// no earlier than a time, and reports whether it is. ReportStreamOrigins and
 	// LookUpStreamOrigin tell and ask which software versions began streams; see session.Session.
 	HeardAt() time.Time
+	ConfirmSince(context.Context, time.Time) bool
 	ReportStreamOrigins(*wire.StreamOrigins)
 	LookUpStreamOrigin(context.Context, origin.Key) *wire.StreamOriginReply
 }
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -158,6 +158,14 @@
 	return f.heardAt
 }
 
+func (f *fakeControl) ConfirmSince(ctx context.Context, since time.Time) bool {
+	if !f.HeardAt().Before(since) {
+		return true
+	}
+	<-ctx.Done()
+	return !f.HeardAt().Before(since)
+}
+
 func (f *fakeControl) ReportStreamOrigins(origins *wire.StreamOrigins) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/stream_origins.go
+++ b/entry/stream_origins.go
@@ -25,9 +25,6 @@
 	// remaining time that it may take.
 	originLookUpTimeout = 300 * time.Millisecond
 	originLookUpShare   = 4
-	// maxDirectoryAge is the time without contact to control after which this entry doesn't rely on its directory for what
-	// versions there are. Instances are polled each second.
-	maxDirectoryAge = 2 * time.Second
 	// maxEntryOrigins bounds the streams whose origins an entry keeps.
 	maxEntryOrigins = 1 << 15
 )
@@ -77,6 +74,7 @@
 // originContact is the part of Control that streamOrigins needs.
 type originContact interface {
 	HeardAt() time.Time
+	ConfirmSince(context.Context, time.Time) bool
 	ReportStreamOrigins(*wire.StreamOrigins)
 	LookUpStreamOrigin(context.Context, origin.Key) *wire.StreamOriginReply
 }
@@ -208,14 +206,24 @@
 type foundOrigin struct {
 	from   origin.Origin
 	source originSource
-	age    time.Duration // since it was noted, or since the last contact to control
+	age    time.Duration // since it was noted, or how long it took to confirm that the pool has one version
 }
 
-// find returns which version began a stream, with source originUnknown if that can't be known. pool is the only one in which it can
-// have begun, "" if there are several.
-func (o *streamOrigins) find(ctx context.Context, key origin.Key, pool string) foundOrigin {
-	if found := o.findHere(key, pool); found.source != originUnknown {
-		return found
+// find returns which version began a stream, with source originUnknown if that can't be known. pool returns the only one in which
+// it can have begun, "" if there are several.
+//
+// That a pool has servers of one version says what began a stream only if this entry knows the directory as of its caller's
+// request: a stream may have begun elsewhere, at a version that came a moment ago.
+func (o *streamOrigins) find(ctx context.Context, key origin.Key, pool func() string) foundOrigin {
+	arrived := o.now()
+	if from, age, ok := o.own(key); ok {
+		return foundOrigin{from, originOwn, age}
+	}
+	if o.soleVersion(pool()) != "" && o.confirmSince(ctx, arrived) {
+		only := pool()
+		if version := o.soleVersion(only); version != "" {
+			return foundOrigin{origin.Origin{Pool: only, Version: version}, originSoleVersion, o.now().Sub(arrived)}
+		}
 	}
 	reply := o.contact.LookUpStreamOrigin(ctx, key)
 	if reply == nil {
@@ -232,19 +240,29 @@
 	return found
 }
 
-// findHere is find without asking control.
-func (o *streamOrigins) findHere(key origin.Key, pool string) foundOrigin {
-	heard := o.contact.HeardAt()
+// confirmSince is Control.ConfirmSince for half of the time that ctx leaves, so that control can be asked for the stream's origin if
+// it can't be confirmed that there is one version.
+func (o *streamOrigins) confirmSince(ctx context.Context, since time.Time) bool {
+	if end, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(end)/2)
+		defer cancel()
+	}
+	return o.contact.ConfirmSince(ctx, since)
+}
+
+// own returns the origin of a stream as this entry noted it, and how long ago.
+func (o *streamOrigins) own(key origin.Key) (origin.Origin, time.Duration, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := o.now()
-	if from, age, ok := o.table.Get(now, key); ok {
-		return foundOrigin{from, originOwn, age}
-	}
-	if version, ok := o.sole[pool]; ok && now.Sub(heard) <= maxDirectoryAge {
-		return foundOrigin{origin.Origin{Pool: pool, Version: version}, originSoleVersion, now.Sub(heard)}
-	}
-	return foundOrigin{source: originUnknown}
+	return o.table.Get(o.now(), key)
+}
+
+// soleVersion returns the only version of a pool as far as this entry knows, "" if there may be several.
+func (o *streamOrigins) soleVersion(pool string) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sole[pool]
 }
 
 // bindResumption binds a request that resumes a stream to the pool and version that began it. It returns what is known of the
@@ -258,7 +276,7 @@
 	wait := min(originLookUpTimeout, max(r.Deadline.Sub(e.now()), 0)/originLookUpShare)
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	found := e.origins.find(ctx, stream.key, onlyPool)
+	found := e.origins.find(ctx, stream.key, func() string { return e.onlyPoolOf(call) })
 	e.meter.add(fmt.Sprintf(`%s{known_by=%q}`, metricResumed, found.source), 1)
 	e.logResumption(r, call, found)
 	if found.source == originUnknown {
@@ -273,6 +291,20 @@
 	return stream, nil
 }
 
+// onlyPoolOf returns the only pool to which the route of a call has led since any stream began that may be resumed, "" if there
+// may be others. It goes by the newest desired state, which may have come after the call was admitted.
+func (e *Entry) onlyPoolOf(call *Call) string {
+	table := e.catalogue.Load().routing
+	if table == nil {
+		return ""
+	}
+	found := table.find(call.Host, call.Path)
+	if found == nil {
+		return ""
+	}
+	return found.onlyPool(e.now())
+}
+
 // versionLinks is the number of servers of a version to which links are opened for a stream, if there are none yet.
 const versionLinks = 4
 
--- a/entry/stream_origins_sim_test.go
+++ b/entry/stream_origins_sim_test.go
@@ -271,8 +271,13 @@
 	if e.dead {
 		return
 	}
+	e.world.after(time.Second, e.poll)
+	e.ask()
+}
+
+// ask polls all linked instances at once, and brings the directory up to date.
+func (e *simEntry) ask() {
 	w := e.world
-	w.after(time.Second, e.poll)
 	for i, c := range w.controls {
 		if !e.reaches(i) {
 			continue
@@ -290,6 +295,14 @@
 // HeardAt implements originContact.
 func (e *simEntry) HeardAt() time.Time { return e.freshness.HeardAt() }
 
+// ConfirmSince implements originContact. The poll takes no time.
+func (e *simEntry) ConfirmSince(_ context.Context, since time.Time) bool {
+	if e.HeardAt().Before(since) {
+		e.ask()
+	}
+	return !e.HeardAt().Before(since)
+}
+
 // ReportStreamOrigins implements originContact.
 func (e *simEntry) ReportStreamOrigins(m *wire.StreamOrigins) {
 	for i := range e.linked {
@@ -386,7 +399,7 @@
 		return
 	}
 	key := origin.KeyOf("", s.attempt)
-	found := e.origins.find(context.Background(), key, "m")
+	found := e.origins.find(context.Background(), key, func() string { return "m" })
 	version := &found.from.Version
 	if w.unbound {
 		version = nil
--- a/entry/stream_versions_test.go
+++ b/entry/stream_versions_test.go
@@ -201,21 +201,32 @@
 	})
 }
 
-// Guards against an entry that is out of contact and goes on with streams at the one version that it knows, while servers of
-// another have come.
+// Guards against an entry that is out of contact, for however short a time, and goes on with streams at the one version that it
+// knows, while servers of another have come.
 func TestEntryOutOfContactDoesNotRelyOnItsDirectory(t *testing.T) {
+	for _, silence := range []time.Duration{time.Millisecond, 500 * time.Millisecond, 1900 * time.Millisecond, time.Minute} {
+		t.Run(silence.String(), func(t *testing.T) { checkOutOfContact(t, silence) })
+	}
+}
+
+func checkOutOfContact(t *testing.T, silence time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newSoleVersionHarness(t)
 		h.control.update(func() { h.control.heardAt, h.control.isSilent = time.Now(), true })
-		time.Sleep(maxDirectoryAge + time.Millisecond)
+		time.Sleep(silence)
 		goesOn, err := h.resumeStream(1, "again", "elsewhere")
 		require.Nil(t, goesOn)
 		require.Equal(t, result.RanNo, err.Ran)
+		require.Equal(t, result.StreamVersionUnknown, err.Code)
 		own, leave := h.beginStream(1, "own")
 		leave()
 		goesOn, err = h.resumeStream(1, "again-own", "own")
 		require.Nil(t, err, "the entry's own streams are known")
 		require.Equal(t, own.version, goesOn.version)
+		h.control.update(func() { h.control.heardAt, h.control.isSilent = time.Time{}, false })
+		goesOn, err = h.resumeStream(1, "again-in-contact", "elsewhere")
+		require.Nil(t, err, "in contact again")
+		require.NotNil(t, goesOn)
 	})
 }
 
--- a/session/peer.go
+++ b/session/peer.go
@@ -275,10 +275,10 @@
 	}
 	s := p.session
 	s.setLeader(f.GetLeader())
+	s.noteVersions(p, f, sent.at) // first, since ConfirmSince returns once the answer is recorded
 	s.mu.Lock()
 	s.freshness.RecordAnswer(p.index, sent.at, time.Now())
 	s.mu.Unlock()
-	s.noteVersions(p, f, sent.at)
 	if f.GetConfirmed() {
 		s.AddControls(f.GetControls())
 		s.updateZones(f.GetControls(), f.GetZones())
--- a/session/session.go
+++ b/session/session.go
@@ -138,6 +138,8 @@
 	versionsMu sync.Mutex // held while Config.OnVersions is called, so that the last call is the newest
 	versions   VersionAnswers
 
+	refreshedAt time.Time // when ConfirmSince last polled; guarded by mu
+
 	originQueries sync.Map // chan *wire.StreamOriginReply by ID of the query
 
 	registration *registration
--- a/session/stream_origins.go
+++ b/session/stream_origins.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/carawaypitch/carawaypitch/origin"
+	"github.com/carawaypitch/carawaypitch/pause"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
 
@@ -91,6 +92,38 @@
 	return s.freshness.HeardAt()
 }
 
+// Intervals of ConfirmSince.
+const (
+	confirmCheckInterval = 2 * time.Millisecond
+	// confirmPollInterval is the shortest interval between two polls, however many calls wait for one.
+	confirmPollInterval = 10 * time.Millisecond
+)
+
+// ConfirmSince reports whether control can't have changed the directory unknown to this process before a time, see HeardAt. If
+// that isn't known, it polls, and waits until it is or ctx ends.
+func (s *Session) ConfirmSince(ctx context.Context, since time.Time) bool {
+	for s.HeardAt().Before(since) {
+		if s.mustPoll(since, time.Now()) {
+			s.Refresh()
+		}
+		if !pause.For(ctx, confirmCheckInterval) {
+			return false
+		}
+	}
+	return true
+}
+
+// mustPoll reports whether no poll was sent since a time, and notes that one is sent now.
+func (s *Session) mustPoll(since, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.refreshedAt.Before(since) || now.Sub(s.refreshedAt) < confirmPollInterval {
+		return false
+	}
+	s.refreshedAt = now
+	return true
+}
+
 // ReportStreamOrigins tells all linked control instances which versions began streams. What is lost on the way is told again
 // over the next link, see Config.StreamOrigins.
 func (s *Session) ReportStreamOrigins(origins *wire.StreamOrigins) {
