agent: an ending agent answers the calls in progress

The agent's Run returned as soon as its HTTP server began to shut down, beside calls that were being read or answered, which lost their answers with the process: Serve returns at the beginning of Shutdown, and nobody waited for its end. Now it is waited for, a second at most. agent.TestStopAnswersCallsInProgress failed before: the agent had ended beside a call in progress.

--- a/agent/http.go
+++ b/agent/http.go
@@ -24,7 +24,7 @@
 	httpShutdownTimeout = time.Second
 )
 
-// serveHTTP serves HTTP until ctx ends.
+// serveHTTP serves HTTP until ctx ends and the calls in progress have their answers, for httpShutdownTimeout at most.
 func (a *Agent) serveHTTP(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
 		Handler:           a.routes(),
@@ -32,13 +32,17 @@
 		ReadTimeout:       httpReadTimeout,
 		IdleTimeout:       httpIdleTimeout,
 	}
+	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
 		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), httpShutdownTimeout)
 		defer cancel()
 		_ = server.Shutdown(shutdownCtx)
 	})
-	defer stop()
 	err := server.Serve(listener)
+	if !stop() {
+		<-stopped
+	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/agent/shutdown_test.go
+++ b/agent/shutdown_test.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"io"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,3 +89,37 @@
 		assert.Empty(t, env.control.commands(), "this incarnation was never registered")
 	})
 }
+
+// Guards against a call that is being read when an agent stops, and loses its answer with the process.
+func TestStopAnswersCallsInProgress(t *testing.T) {
+	withEnv(t, func(env *testEnv) {
+		env.startAgent()
+		env.startEngine(slowModel())
+		env.waitReady()
+		body, rest := io.Pipe()
+		request, err := http.NewRequestWithContext(env.t.Context(), http.MethodPost, "http://"+env.agent.HTTPAddr()+"/v1/leave", body)
+		require.NoError(env.t, err)
+		answered := make(chan int, 1)
+		go func() {
+			response, err := env.http.Do(request)
+			if err != nil {
+				answered <- 0
+				return
+			}
+			response.Body.Close()
+			answered <- response.StatusCode
+		}()
+		_, err = io.WriteString(rest, `{"server":`)
+		require.NoError(env.t, err)
+		synctest.Wait()
+		env.stop()
+		env.stop = nil
+		time.Sleep(httpShutdownTimeout / 2)
+		assert.Empty(env.t, env.ended, "the agent ended beside a call in progress")
+		_, err = io.WriteString(rest, `"none"}`)
+		require.NoError(env.t, err)
+		require.NoError(env.t, rest.Close())
+		assert.Equal(env.t, http.StatusNotFound, <-answered)
+		assert.NoError(env.t, <-env.ended)
+	})
+}
