entry: a stopping entry closes kept connections between two requests at once

While a stopping entry waited for bodies, up to seconds, callers that had kept their connections were refused on them with 503, one after the other, though other entries were there. Now connections that carried a request and are between two end as soon as the entry is stopping, with nothing read of a next one; new connections still get their refusal. entry.TestKeptConnectionEndsAsTheEntryIs- Stopping failed before: such a connection ended after 4.01 s.

--- a/entry/open_requests.go
+++ b/entry/open_requests.go
@@ -84,6 +84,7 @@
 	head     int       // bytes read of the request's head, perhaps with the beginning of its body
 	body     int64     // bytes read of the request's body
 	deadline time.Time // for reading, as the HTTP server set it
+	used     bool      // it carried a request before
 	refused  bool      // nothing more is read of the request, which is or has to be refused
 	answered bool      // with refusalOfHead; the HTTP server writes nothing more
 	closed   bool
@@ -148,12 +149,18 @@
 // A read that fails by it has read nothing, so that the caller can tell by the end of its connection that a request on it
 // was not read. The lock must be held.
 func (c *requestConn) applyDeadline() error {
-	if c.refused || c.requests.closing && c.phase == phaseIdle {
+	if c.refused || c.phase == phaseIdle && c.readsNoMore() {
 		return c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 	return c.Conn.SetReadDeadline(c.deadline)
 }
 
+// readsNoMore reports whether no further request is read on a connection. A stopping entry still refuses the requests of new
+// connections, while the callers of kept ones do better to connect elsewhere. The lock must be held.
+func (c *requestConn) readsNoMore() bool {
+	return c.requests.closing || c.used && c.requests.stopping.Load()
+}
+
 // Close implements net.Conn. Behind a refusal the rest of the request is read for a while first: closing a connection
 // with unread bytes resets it, and the caller may lose the refusal.
 func (c *requestConn) Close() error {
@@ -230,6 +237,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	c.used = true
 	c.enter(phaseIdle)
 	_ = c.applyDeadline()
 }
@@ -328,11 +336,24 @@
 	return c.refused
 }
 
-// close makes connections between two requests read nothing more, so that the HTTP server closes them.
+// closeKept closes the kept connections between two requests, once the entry is stopping.
+func (o *openRequests) closeKept() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.applyDeadlines()
+}
+
+// close closes all connections without a request, and reads none on new ones.
 func (o *openRequests) close() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.closing = true
+	o.applyDeadlines()
+}
+
+// applyDeadlines makes connections read nothing more that are to be closed, so that the HTTP server closes them. The lock must
+// be held.
+func (o *openRequests) applyDeadlines() {
 	for c := range o.conns {
 		_ = c.applyDeadline()
 	}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -32,6 +32,7 @@
 	e.drainDeadline.Store(&end)
 	e.announceLeaving(groupContext)
 	e.stopping.Store(true)
+	e.requests.closeKept()
 	e.log.WithFields(e.requests.fields()).WithField("active", e.active.Load()).Info("entry_stopping")
 	if !e.drain(groupContext, end) {
 		// Cut the requests still in flight while callers' connections can still be closed in order.
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -161,6 +161,32 @@
 	}
 }
 
+// Guards against callers that are refused on connections which they kept, while the stopping entry waits for other requests.
+func TestKeptConnectionEndsAsTheEntryIsStopping(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStopping(t)
+		s.send(rawHead + "1234567890")
+		response, _ := s.answer()
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		body, rest := io.Pipe()
+		request := s.request(context.Background(), 1, http.MethodPost, checkPath, "", gateCheckHeader)
+		request.Body, request.ContentLength = body, -1
+		go func() {
+			answer, err := s.client.Do(request)
+			if err == nil {
+				answer.Body.Close()
+			}
+		}()
+		synctest.Wait()
+		s.stop()
+		begun := time.Now()
+		s.readsEnd()
+		require.Less(t, time.Since(begun), 100*time.Millisecond)
+		require.NoError(t, rest.Close())
+		require.Less(t, <-s.ended, testDrain)
+	})
+}
+
 // Guards against connections that are closed without an answer when an incarnation ends because control has ended it.
 func TestRequestsOfASupersededIncarnationAreAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
