sched: a request that arrives past its objective is served late, not refused

Callers that send their bodies slowly weren't served at all, beside idle servers: a queued request that has reached no server ends at its objective, which counts from the head's arrival, so a body that took longer than the objective made a request that was over before it was scheduled (1205, and advice to come again).

Change: a request whose objective has passed when it reaches the scheduler is a late one from the start: it goes behind those that may be in time, as requests that are held past their objective do, and ends when it can't be answered within its deadline any more. The same holds for whatever else took the time before: the wait for the start of the process, or for a share of a cap. body_ms in the lines of a request's end, and carawaypitch_body_seconds by class, tell the body's time apart.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -55,6 +55,7 @@
 		Body:         body,
 		BodyDigest:   link.BodyDigest(body),
 		Arrived:      arrived,
+		Read:         e.now(),
 		Deadline:     arrived.Add(deadline),
 		Key:          key,
 	}, nil
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -39,6 +39,7 @@
 	metricConnections     = "carawaypitch_connections"                   // callers' connections, by the phase of their request
 	metricTurnedAway      = "carawaypitch_connections_turned_away_total" // closed unread, by reason
 	metricConnectionWait  = "carawaypitch_connection_wait_seconds"       // from the acceptance of a connection until it is read; histogram
+	metricBodyTime        = "carawaypitch_body_seconds"                  // from the arrival of a head until the body was read; histogram by class
 	metricBodyBytes       = "carawaypitch_body_bytes"
 	metricFirstEvent      = "carawaypitch_first_event_seconds"               // from arrival; histogram by tier
 	metricAnswer          = "carawaypitch_answer_seconds"                    // from arrival to the complete answer; histogram by tier
@@ -197,6 +198,11 @@
 }
 
 // observeAnswer records the durations of an answered request.
+// observeBody counts how long the body of a request took from the arrival of its head.
+func (m *meter) observeBody(r *sched.Request) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf("%s{class=%q}", metricBodyTime, r.Class.GetName())).Update(r.Read.Sub(r.Arrived).Seconds())
+}
+
 func (m *meter) observeAnswer(t sched.Trace, took time.Duration) {
 	label := fmt.Sprintf(`{tier="%d"}`, t.Tier)
 	m.set.GetOrCreateHistogram(metricAnswer + label).Update(took.Seconds())
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -90,7 +90,9 @@
 		WithField("class", r.Class.GetName()).
 		WithField("prompt", r.PromptTokens).
 		WithField("most_output", r.MaxTokens).
-		WithField("ms", e.now().Sub(r.Arrived).Milliseconds())
+		WithField("ms", e.now().Sub(r.Arrived).Milliseconds()).
+		WithField("body_ms", r.Read.Sub(r.Arrived).Milliseconds())
+	e.meter.observeBody(r)
 	fields = withTrace(fields, out.trace, e.settings.Admission.FleetDemand).
 		WithFields(sent.fields()).
 		WithFields(runFields(out.trace))
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -49,6 +49,8 @@
 	LastEvent, Resumes string
 	// Protocol is that of the caller, such as HTTP/1.0, for logs.
 	Protocol string
+
+	read time.Time // when the body had been read
 }
 
 // AnswerWriter receives an answer as it arrives. An error means that the caller is unreachable.
@@ -161,6 +163,7 @@
 func (e *Entry) Exchange(ctx context.Context, admission *Admission, call *Call, w AnswerWriter) *result.Error {
 	e.active.Add(1)
 	defer e.active.Add(-1)
+	call.read = e.now()
 	if wasRefusedUnread(ctx) {
 		return e.refuseCall(call, admission, refusalOfBody())
 	}
@@ -379,6 +382,7 @@
 		Parts:        call.Parts,
 		Stream:       route.GetPauseMs() > 0,
 		Arrived:      call.Arrived,
+		Read:         call.read,
 		Deadline:     call.Arrived.Add(timeout),
 		Objective:    route.objectiveTime(call.Arrived),
 		Pause:        time.Duration(route.GetPauseMs()) * time.Millisecond,
--- a/sched/objective_test.go
+++ b/sched/objective_test.go
@@ -201,3 +201,29 @@
 	h.frame("s1", id, 2, "z")
 	require.Equal(t, 500*time.Millisecond, h.s.trace(h.s.requests["a"]).LongestPause)
 }
+
+// Guards against refusing a request beside an idle server because its objective passed while its body was read.
+func TestRequestThatArrivesPastItsObjectiveIsServed(t *testing.T) {
+	h := newHarness(t, Options{})
+	h.addServer("s1", kindModel, testModel, 1)
+	h.arriveWithObjective("a", summary, -time.Second)
+	h.lastDispatch("a", 1)
+	require.Empty(t, h.failures)
+}
+
+// Guards against a request that arrives past its objective and takes the place of one that may be in time, and against ending it at
+// once while it may still be served by its deadline.
+func TestRequestThatArrivesPastItsObjectiveGoesLast(t *testing.T) {
+	h := newHarness(t, Options{})
+	h.addServer("s1", kindModel, testModel, 0)
+	h.arriveWithObjective("late", summary, -time.Second)
+	h.advance(time.Second)
+	require.Empty(t, h.failures)
+	h.arriveWithObjective("in time", summary, 300*time.Millisecond)
+	h.reportRoom("s1", kindModel, testModel, 1)
+	require.Len(t, h.dispatches("in time"), 1)
+	require.Empty(t, h.dispatches("late"))
+	h.advance(time.Duration(summary.GetDeadlineMs()) * time.Millisecond)
+	require.Equal(t, result.DeadlinePassedInQueue, h.failures["late"].Code)
+	require.Equal(t, result.RanNo, h.failures["late"].Ran)
+}
--- a/sched/request.go
+++ b/sched/request.go
@@ -134,6 +134,9 @@
 	s.setLength(r)
 	r.bindOrigin()
 	s.requests[in.ID] = r
+	if r.arrivesLate(s.now) {
+		s.startHold(r)
+	}
 	s.setTimer(r)
 	if len(in.EarlierServers) > 0 {
 		s.takeOver(r)
@@ -157,6 +160,12 @@
 	s.enqueue(r)
 }
 
+// arrivesLate reports whether the objective passed before the request could be queued, while its body was read for instance. Such a
+// request has waited for no server: it goes behind those that may be in time, and doesn't end for its objective.
+func (r *request) arrivesLate(now time.Time) bool {
+	return r.objectiveApplies() && !r.mayBeLate && !now.Before(r.Objective)
+}
+
 // enqueue adds a request without an attempt to its pool's queue, or refuses it if it has been quarantined
 // meanwhile.
 func (s *Scheduler) enqueue(r *request) {
--- a/sched/types.go
+++ b/sched/types.go
@@ -36,6 +36,7 @@
 	Parts        []Part   // of the prompt, in order; the last one belongs to this request alone; nil if not known
 	Stream       bool     // events are delivered as they arrive
 	Arrived      time.Time
+	Read         time.Time // when its body had been read, zero if unknown
 	Deadline     time.Time
 
 	// Objective is when the answer, or the first event of a stream, is due; zero for a request whose whole answer
