sched: a stream of a plain service is judged by its first event

Streams of plain services with a short goal were refused beside idle servers: "a wait of 0 ms and 579 ms at a server are expected, 299 ms are left". Cause: where no server has reported room, a request must be expected to meet its objective, which is about the first event of a stream, and for plain services the estimate was the time of the whole answer. Now the time until the first event is learnt by class, and the whole answer counts against the deadline only.

--- a/sched/admission.go
+++ b/sched/admission.go
@@ -220,12 +220,16 @@
 	return max(best, 0)
 }
 
-// bestTimeToFirstEvent estimates the time from dispatch to the first event at the server that is fastest for it; 0
-// for a request whose whole answer is due at its deadline.
+// bestTimeToFirstEvent estimates the time from dispatch to what the objective is about at the server that is fastest for it: the
+// first event of a stream, or the whole answer of a plain call. It is 0 for a request whose whole answer is due at its deadline, and
+// for a service's stream while nothing is known of first events.
 func (s *Scheduler) bestTimeToFirstEvent(r *request) time.Duration {
 	if r.Objective.IsZero() {
 		return 0
 	}
+	if r.pool.key.kind == kindService && r.Stream {
+		return time.Duration(r.class.firstEventTimes.value(0)) * time.Microsecond
+	}
 	if r.pool.key.kind == kindService {
 		return s.bestRunTime(r)
 	}
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -241,6 +241,9 @@
 	if r.pool.key.kind == kindService {
 		r.class.serviceTimes.add(s.now, took.Microseconds())
 		r.class.meanServiceTime.add(took)
+		if r.Stream && a.firstOffset == 0 && r.firstEventAt.After(a.sentAt) {
+			r.class.firstEventTimes.add(s.now, r.firstEventAt.Sub(a.sentAt).Microseconds())
+		}
 	} else {
 		r.class.outputTokens.add(int64(end.GetOutputTokens()))
 		r.class.runTimes.add(took.Milliseconds())
--- a/sched/estimate_recovery_test.go
+++ b/sched/estimate_recovery_test.go
@@ -115,3 +115,48 @@
 		h.complete("s1", h.lastDispatch(id, 1).id, 0, "x")
 	}
 }
+
+// arriveStream submits a stream of a plain service.
+func (h *harness) arriveStream(id string, class *wire.Class, objective, deadline time.Duration) {
+	h.t.Helper()
+	r := h.request(id, class)
+	r.Stream = true
+	r.Objective, r.Deadline = h.now.Add(objective), h.now.Add(deadline)
+	h.step(Arrive{Request: r})
+}
+
+// Guards against streams of plain services that are refused because their whole length exceeds an objective that is about their
+// first event.
+func TestStreamOfAServiceIsJudgedByItsFirstEvent(t *testing.T) {
+	class := &wire.Class{Name: "hold", Tier: 2, DeadlineMs: 3000, LateMax: 0.01, LostMax: 0.01, Kind: kindService}
+	const first, whole, objective = 10 * time.Millisecond, 600 * time.Millisecond, 300 * time.Millisecond
+	learn := func(first time.Duration) *harness {
+		h := newHarness(t, Options{})
+		h.addServer("s1", kindService, testService, 1)
+		for n := range 2 * minSamples {
+			id := fmt.Sprint("learnt-", n)
+			h.reportRoom("s1", kindService, testService, 1)
+			h.arriveStream(id, class, objective, 3*time.Second)
+			sent := h.lastDispatch(id, 1)
+			h.now = h.now.Add(first)
+			h.frame("s1", sent.id, 0, "x")
+			h.now = h.now.Add(whole - first)
+			h.frame("s1", sent.id, 1, "y")
+			h.complete("s1", sent.id, 0, "x", "y")
+		}
+		h.reportRoom("s1", kindService, testService, 1)
+		h.arriveStream("running", class, objective, 3*time.Second)
+		h.lastDispatch("running", 1)
+		h.reportRoom("s1", kindService, testService, 0)
+		return h
+	}
+	h := learn(first)
+	h.arriveStream("in time", class, objective, 3*time.Second)
+	require.NotContains(t, h.failures, "in time")
+	h.step(CallerLeft{Request: "in time"})
+	h.arriveStream("without time", class, objective, whole/2)
+	require.Equal(t, result.CannotFinishInTime, h.failures["without time"].Code, "it can't end by its deadline")
+	h = learn(whole - time.Millisecond)
+	h.arriveStream("late", class, objective, 3*time.Second)
+	require.Equal(t, result.CannotFinishInTime, h.failures["late"].Code, "its first event can't come by the objective")
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -82,7 +82,9 @@
 		trials:     map[poison.Key]*request{},
 		entryCount: 1,
 	}
-	s.classes[baselineClass] = &class{name: baselineClass, outputTokens: newRunningMedian(), serviceTimes: newRecentMedian()}
+	s.classes[baselineClass] = &class{
+		name: baselineClass, outputTokens: newRunningMedian(), serviceTimes: newRecentMedian(), firstEventTimes: newRecentMedian(),
+	}
 	for tier := range s.clocks {
 		s.clocks[tier] = fair.New()
 	}
--- a/sched/urgency.go
+++ b/sched/urgency.go
@@ -35,6 +35,7 @@
 	window          window
 	outputTokens    *runningMedian // tokens
 	serviceTimes    *recentMedian  // microseconds of a service call
+	firstEventTimes *recentMedian  // microseconds until the first event of a service's stream
 	meanServiceTime recentMean
 	runTimes        *runningMedian // milliseconds of a model's run
 	lengths         *lengthModel   // nil before it is used
@@ -54,7 +55,9 @@
 			spec:         spec,
 			outputTokens: newRunningMedian(),
 			serviceTimes: newRecentMedian(),
-			runTimes:     newRunningMedian(),
+
+			firstEventTimes: newRecentMedian(),
+			runTimes:        newRunningMedian(),
 		}
 		s.classes[c.name] = c
 	}
