entry: a body that doesn't come within the request's deadline is refused at the deadline

A caller whose body took longer than its request may take was told only after its whole body, or after a minute by a closed connection.

--- a/entry/open_requests.go
+++ b/entry/open_requests.go
@@ -336,6 +336,18 @@
 	return c.refused
 }
 
+// refuseUnread ends the reading of the request with the given context, which is refused.
+func refuseUnread(ctx context.Context) {
+	c := requestConnOf(ctx)
+	if c == nil {
+		return
+	}
+	c.requests.mu.Lock()
+	defer c.requests.mu.Unlock()
+	c.refused = true
+	_ = c.applyDeadline()
+}
+
 // closeKept closes the kept connections between two requests, once the entry is stopping.
 func (o *openRequests) closeKept() {
 	o.mu.Lock()
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -122,10 +122,13 @@
 }
 
 // RefuseBody counts and logs the refusal of an admitted call whose body could not be read, and returns it: err, unless the
-// entry itself ended the reading.
+// entry itself ended the reading. The rest of the body is read for a short time only, once the refusal is written.
 func (e *Entry) RefuseBody(ctx context.Context, admission *Admission, call *Call, err *result.Error) *result.Error {
-	if wasRefusedUnread(ctx) {
+	switch {
+	case wasRefusedUnread(ctx):
 		err = refusalOfBody()
+	case err.Code == result.DeadlinePassedInQueue:
+		refuseUnread(ctx)
 	}
 	e.log.WithField("request", call.ID).
 		WithField("body_bytes", bodyRead(ctx)).
@@ -359,10 +362,6 @@
 		class = proto.CloneOf(class)
 		class.Kind = kind
 	}
-	timeout := time.Duration(class.GetDeadlineMs()) * time.Millisecond
-	if call.Timeout > 0 {
-		timeout = min(timeout, call.Timeout)
-	}
 	prompt := call.PromptTokens
 	if !call.HasTokens {
 		prompt = uint32(len(call.Body))
@@ -383,7 +382,7 @@
 		Stream:       route.GetPauseMs() > 0,
 		Arrived:      call.Arrived,
 		Read:         call.read,
-		Deadline:     call.Arrived.Add(timeout),
+		Deadline:     deadline(class, call),
 		Objective:    route.objectiveTime(call.Arrived),
 		Pause:        time.Duration(route.GetPauseMs()) * time.Millisecond,
 		Abandon:      time.Duration(route.GetAbandonMs()) * time.Millisecond,
@@ -393,6 +392,20 @@
 	}
 }
 
+// deadline returns until when a call may be answered: the shorter of what its class allows and its caller waits.
+func deadline(class *wire.Class, call *Call) time.Time {
+	timeout := time.Duration(class.GetDeadlineMs()) * time.Millisecond
+	if call.Timeout > 0 {
+		timeout = min(timeout, call.Timeout)
+	}
+	return call.Arrived.Add(timeout)
+}
+
+// Deadline returns until when an admitted call may be answered. Its body is of no use after that.
+func (a *Admission) Deadline(call *Call) time.Time {
+	return deadline(a.route.class(a.member), call)
+}
+
 // isOverdue reports whether the objective of a call, counted from its caller's first try, has probably passed.
 func (e *Entry) isOverdue(route *route, class *wire.Class, organisation string, call *Call) bool {
 	elapsed := e.callerTimeouts.elapsedBefore(class.GetName(), organisation, call.Timeout)
