process: readiness and metrics are served by a server whose end the test of listeners shows

The readiness and metrics listener of entries was left out of the one test over all processes that listen, since it was made inside package platform. It is process.Server now, which returns once its listener and connections are closed; process.TestRunReturnsAfterAllListenersAreClosed and TestAddressesAreFreeOnceRunHasReturned have it beside control, agent and entry.

--- a/process/listeners_test.go
+++ b/process/listeners_test.go
@@ -17,6 +17,7 @@
 	"github.com/carawaypitch/carawaypitch/entry"
 	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/network/memory"
+	"github.com/carawaypitch/carawaypitch/process"
 	"github.com/carawaypitch/carawaypitch/settings"
 )
 
@@ -51,6 +52,11 @@
 		require.NoError(t, err)
 		return e
 	},
+	"readiness and metrics": func(t *testing.T, n network.Network, ip string) daemon {
+		s, err := process.NewServer(n, net.JoinHostPort(ip, "0"), http.NotFoundHandler(), time.Second)
+		require.NoError(t, err)
+		return s
+	},
 }
 
 // yields is how often a lateListener lets other goroutines run before it closes.
