inbound, entry: what callers send is reserved from a budget before it is taken

Callers saw an entry end for want of memory. Bodies were counted once they were whole: a body with a length allocated all of it from its head alone, a chunked one grew by doubling, and what was held was bounded for each request and not together. Unread bytes grew in the kernel to megabytes for each connection. A whole body was given free as soon as its caller left, while the scheduler and the agent still held it, so that callers that left in a row held as many bodies as they liked (573 MB, 800 connections, 4 MiB each; a heap profile shows 150 bodies and no handler).

One budget for each process now counts connections, heads, the buffers of bodies as they grow, and bodies until their requests are over, also at servers. A body that finds no room is refused with 503, 1211, not run, and its connection lingers so that the refusal arrives.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"io"
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,7 +10,9 @@
 	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/carawaypitch/carawaypitch/inbound"
 	"github.com/carawaypitch/carawaypitch/link"
+	"github.com/carawaypitch/carawaypitch/process"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/settings"
@@ -111,6 +113,9 @@
 	return min(deadline, time.Duration(ms)*time.Millisecond), nil
 }
 
+// bodyRoomTimeout bounds the wait for room for a body.
+const bodyRoomTimeout = 2 * time.Second
+
 // readBody reads the whole body. The total size of all bodies held is bounded, with a lower bound for tiers below the
 // first.
 func (e *Entry) readBody(c echo.Context, class *wire.Class) ([]byte, *result.Error) {
@@ -121,7 +126,8 @@
 	if err := heldCallOf(c.Request().Context()).admitBody(bound); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, bound))
+	reader := http.MaxBytesReader(c.Response(), c.Request().Body, bound)
+	body, err := inbound.ReadBody(c.Request().Context(), reader, c.Request().ContentLength, bound, time.Now().Add(bodyRoomTimeout))
 	if wasRefusedUnread(c.Request().Context()) {
 		return nil, refusalOfBody()
 	}
@@ -129,6 +135,10 @@
 	if errors.As(err, &tooLarge) {
 		return nil, result.New(result.BodyTooLarge, "want at most %d bytes", bound)
 	}
+	if inbound.IsRefusal(err) {
+		stopReading(c.Request().Context())
+		return nil, process.RefusalOfBody(err)
+	}
 	var refused *result.Error
 	if errors.As(err, &refused) {
 		return nil, refused
@@ -162,7 +172,7 @@
 }
 
 // submit passes a request to the scheduler. If it returns an error, the scheduler has not received the request.
-func (e *Entry) submit(r *sched.Request, held *heldCall, stream streamOrigin) (*call, *result.Error) {
+func (e *Entry) submit(ctx context.Context, r *sched.Request, held *heldCall, stream streamOrigin) (*call, *result.Error) {
 	held.assign(r.ID, r.Organisation)
 	if end := e.drainDeadline.Load(); end != nil {
 		r.EntryStopsBy = *end
@@ -172,12 +182,15 @@
 	if !held.follow(call) {
 		return nil, e.memory.refusal("the call was ended while its body was read")
 	}
+	call.body = inbound.Keep(ctx)
 	if !e.calls.register(call) {
+		call.body.Release()
 		return nil, result.New(result.Internal, "the request's identity is in use").WithRan(result.RanUnknown)
 	}
 	full := float64(e.inputs.Len()) > float64(e.inputs.Cap())*tierFraction(r.Class)
 	if full || !e.inputs.TryPush(input{event: sched.Arrive{Request: r}, at: time.Now()}) {
 		e.calls.remove(r.ID)
+		call.body.Release()
 		return nil, result.New(result.RingFull, "").WithRetryAfter(controlRetryAfter)
 	}
 	e.log.WithField("request", r.ID).
--- a/entry/call.go
+++ b/entry/call.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/carawaypitch/carawaypitch/holding"
+	"github.com/carawaypitch/carawaypitch/inbound"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/sched"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -32,6 +33,8 @@
 	stream  streamOrigin // what began the answer
 	written written      // used by the goroutine that serves the caller
 
+	body *inbound.Kept // held until the call has ended
+
 	held *heldCall     // nil if nothing is counted
 	flow readerFlow    // not followed if nothing is counted
 	cut  *result.Error // why the call was ended by this process, nil if it wasn't
@@ -225,6 +228,7 @@
 	}
 	c.remove(id)
 	call.update(func() { call.ended, call.end, call.trace = true, a.End, a.Trace })
+	call.body.Release()
 }
 
 func (c *calls) fail(a sched.Fail, attempts attemptSummary) {
@@ -235,6 +239,7 @@
 	}
 	c.remove(id)
 	call.update(func() { call.ended, call.err, call.attempts, call.trace = true, a.Err, attempts, a.Trace })
+	call.body.Release()
 }
 
 // failAll ends the remaining calls when the goroutines that serve them end. The outcome of these requests can
@@ -246,5 +251,6 @@
 	for id, call := range c.all {
 		delete(c.all, id)
 		call.update(func() { call.ended, call.err, call.attempts = true, err, attemptSummary{anySent: true} })
+		call.body.Release()
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,11 +16,13 @@
 
 	"github.com/carawaypitch/carawaypitch/clock"
 	"github.com/carawaypitch/carawaypitch/engine"
+	"github.com/carawaypitch/carawaypitch/inbound"
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/logging"
 	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/origin"
 	"github.com/carawaypitch/carawaypitch/outbox"
+	"github.com/carawaypitch/carawaypitch/process"
 	"github.com/carawaypitch/carawaypitch/quota"
 	"github.com/carawaypitch/carawaypitch/ring"
 	"github.com/carawaypitch/carawaypitch/sched"
@@ -50,6 +52,8 @@
 	NewEngine func(*wire.ServerRecord) (engine.Client, error)
 	// Control replaces the session with control, for tests.
 	Control Control
+	// Inbound is the budget of all listeners of the process; the default is one of settings.Inbound.
+	Inbound *inbound.Budget
 }
 
 // Control is the part of a session with control that an entry uses. Package session implements it.
@@ -175,6 +179,9 @@
 		callerTimeouts:  newTimeoutTracker(),
 		backgroundSlots: make(chan struct{}, maxBackground),
 	}
+	if e.options.Inbound == nil { // the next incarnation of the process uses the same
+		e.options.Inbound = process.NewBudget(s.Inbound, e.log, e.meter.set)
+	}
 	e.requests = newOpenRequests(e.log, &e.stopping)
 	e.memory = newCallMemory(s.Memory, e.log, e.meter, e.now)
 	clocks := quota.Clock{Now: options.Now, SinceBoot: clock.SinceBoot}
@@ -293,6 +300,9 @@
 	}
 }
 
+// Inbound returns the budget of all listeners of the process.
+func (e *Entry) Inbound() *inbound.Budget { return e.options.Inbound }
+
 // CallersAddr returns the address, IP:port, where callers connect.
 func (e *Entry) CallersAddr() string {
 	return e.listener.Addr().String()
--- a/entry/http.go
+++ b/entry/http.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
+	"github.com/carawaypitch/carawaypitch/inbound"
 	"github.com/carawaypitch/carawaypitch/process"
 	"github.com/carawaypitch/carawaypitch/result"
 )
@@ -20,7 +21,6 @@
 	httpHeaderTimeout = 5 * time.Second
 	httpReadTimeout   = time.Minute
 	httpIdleTimeout   = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
 )
 
 // Request and response headers.
@@ -40,6 +40,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "entry: listen")
 	}
+	listener = e.options.Inbound.Listen(listener)
 	turned := new(turnedAwayLog)
 	listener = turningListener{Listener: listener, turnsAway: e.turnsAway, turnedAway: func(reason turnAwayReason) {
 		e.noteTurnedAway(turned, reason)
@@ -61,13 +62,18 @@
 // runHTTP serves callers until ctx ends.
 func (e *Entry) runHTTP(ctx context.Context) error {
 	server := &http.Server{
-		Handler:           e.closeConnectionsWhenStopping(e.requests.track(e.memory.countRequests(e.handler()))),
+		Handler:           e.options.Inbound.Handler(e.closeConnectionsWhenStopping(e.requests.track(e.memory.countRequests(e.handler())))),
 		ReadHeaderTimeout: httpHeaderTimeout,
 		ReadTimeout:       httpReadTimeout,
 		IdleTimeout:       httpIdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       withCallerConn,
-		ConnState:         e.requests.stateChanged,
+		MaxHeaderBytes:    inbound.MaxHeaderBytes,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return withCallerConn(inbound.ConnContext(ctx, conn), conn)
+		},
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			inbound.ConnState(conn, state)
+			e.requests.stateChanged(conn, state)
+		},
 	}
 	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -61,7 +61,7 @@
 // this continues in the background.
 func (e *Entry) runKeyed(c echo.Context, op *operation, w *reply) error {
 	r := op.request
-	call, err := e.submit(r, heldCallOf(c.Request().Context()), streamOrigin{})
+	call, err := e.submit(c.Request().Context(), r, heldCallOf(c.Request().Context()), streamOrigin{})
 	if err != nil {
 		out := op.refuse(c.Request().Context(), err)
 		op.finish()
--- a/entry/links.go
+++ b/entry/links.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/inbound"
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/linkset"
 	"github.com/carawaypitch/carawaypitch/network"
@@ -105,6 +106,13 @@
 	return l.newest
 }
 
+// warnOfBodyLimit logs that the desired state allows bodies for which this process has no room, and which are refused.
+func (e *Entry) warnOfBodyLimit(bytes uint64) {
+	if room := inbound.LargestBody(int64(e.settings.Inbound.Bytes)); bytes > uint64(room) {
+		e.log.WithField("allowed", bytes).WithField("room", room).Warn("body_limit_over_room")
+	}
+}
+
 // apply puts a view in force: first in the scheduler, then for admission, then for the links.
 func (l *links) apply(ctx context.Context, last, view *session.View) error {
 	e := l.entry
@@ -113,6 +121,7 @@
 			return err
 		}
 		e.log.WithField("version", view.ConfigVersion).Info("config_applied")
+		e.warnOfBodyLimit(view.Desired.GetLimits().GetBodyBytes())
 		e.meter.declareClasses(view.Classes)
 		if e.settings.Placement.ByLength {
 			e.meter.declarePlacements(view.Classes)
--- a/entry/request_conn.go
+++ b/entry/request_conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/carawaypitch/carawaypitch/inbound"
 	"github.com/carawaypitch/carawaypitch/network"
 )
 
@@ -119,7 +120,9 @@
 		defer c.Conn.Close()
 		defer c.uncount()
 		network.CloseWrite(c.Conn)
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+		end := time.Now().Add(lingerTimeout)
+		_ = c.Conn.SetReadDeadline(end)
+		inbound.Of(c.Conn).ResumeReading(end)
 		_, _ = io.Copy(io.Discard, c.Conn)
 	}()
 	return nil
@@ -134,6 +137,10 @@
 		return phaseIdle, 0, false
 	}
 	phase = c.phase
+	if phase == phaseHead && !c.refused && inbound.Of(c.Conn).WasEvicted() {
+		c.refused = true
+		c.refuseHead()
+	}
 	c.enter(phaseAnswer)
 	c.closed = true
 	return phase, c.head, c.refused
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -43,7 +43,7 @@
 
 // serveOnce serves a call without a key.
 func (e *Entry) serveOnce(c echo.Context, r *sched.Request) error {
-	call, err := e.submit(r, heldCallOf(c.Request().Context()), streamOrigin{})
+	call, err := e.submit(c.Request().Context(), r, heldCallOf(c.Request().Context()), streamOrigin{})
 	if err != nil {
 		return e.refuse(c, r, err)
 	}
--- a/entry/verbatim.go
+++ b/entry/verbatim.go
@@ -127,7 +127,7 @@
 	switch {
 	case wasRefusedUnread(ctx):
 		err = refusalOfBody()
-	case err.Code == result.DeadlinePassedInQueue:
+	case err.Code == result.DeadlinePassedInQueue, err.Code == result.OverMemoryShare:
 		stopReading(ctx)
 	}
 	e.log.WithField("request", call.ID).
@@ -202,7 +202,7 @@
 	if held != heldCallOf(ctx) {
 		defer held.close()
 	}
-	accepted, err := e.submit(r, held, stream)
+	accepted, err := e.submit(ctx, r, held, stream)
 	if err != nil {
 		return e.refuseCall(call, admission, err)
 	}
--- a/result/table.go
+++ b/result/table.go
@@ -125,7 +125,7 @@
 	{
 		OverMemoryShare, "over_memory_share", http.StatusServiceUnavailable, onlyNo,
 		"the instance holds as much for callers as it may, or more than a share for this organisation",
-		"Retry after the time given; read answers as they come. Operators: see memory in the settings and docs/OPERATIONS.md.",
+		"Retry after the time given; send bodies without pauses, read answers as they come. Operators: see inbound and memory in the settings and docs/OPERATIONS.md.",
 	},
 	{
 		LargerThanServer, "larger_than_server", http.StatusServiceUnavailable, onlyNo,
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -24,6 +24,8 @@
 	Controls []string `json:"controls" settings:"required,dial"`
 	// Limits holds the resource limits of the process.
 	Limits AgentLimits `json:"limits"`
+	// Inbound bounds what clients make the process hold.
+	Inbound Inbound `json:"inbound"`
 	// TLS secures the connections to other processes. If it is empty, they are plain TCP.
 	TLS TLS `json:"tls"`
 	// Log configures logging.
@@ -124,8 +126,9 @@
 // DefaultAgent returns the default values, which apply to keys that a file omits.
 func DefaultAgent() Agent {
 	return Agent{
-		Role: RoleAgent,
-		Log:  Log{Level: log.InfoLevel},
+		Role:    RoleAgent,
+		Log:     Log{Level: log.InfoLevel},
+		Inbound: defaultInbound(),
 		Limits: AgentLimits{
 			MaxBody:         4 * MiB,
 			MaxAnswer:       16 * MiB,
@@ -164,6 +167,7 @@
 	c.checkAdvertised(a.Advertise, a.Listen.Links)
 	c.checkUnique("address", a.Controls, controlPath)
 	c.checkTLS("tls", a.TLS)
+	a.Inbound.validate(c)
 	checkPositive(c, "limits.max_body", a.Limits.MaxBody)
 	checkPositive(c, "limits.max_answer", a.Limits.MaxAnswer)
 	checkPositive(c, "limits.max_reservations", a.Limits.MaxReservations)
--- a/settings/control.go
+++ b/settings/control.go
@@ -52,6 +52,8 @@
 	Log Log `json:"log"`
 	// Limits holds the resource limits of the process.
 	Limits ControlLimits `json:"limits"`
+	// Inbound bounds what clients make the process hold.
+	Inbound Inbound `json:"inbound"`
 	// Timing holds the intervals and timeouts of the process.
 	Timing ControlTiming `json:"timing"`
 }
@@ -110,8 +112,9 @@
 // DefaultControl returns the default values, which apply to keys that a file omits.
 func DefaultControl() Control {
 	return Control{
-		Role: RoleControl,
-		Log:  Log{Level: log.InfoLevel},
+		Role:    RoleControl,
+		Log:     Log{Level: log.InfoLevel},
+		Inbound: defaultInbound(),
 		Limits: ControlLimits{
 			LogBytes: 64 * MiB,
 		},
@@ -154,6 +157,7 @@
 	if s.Voters < 0 {
 		c.report(result.SettingsOutOfRange, "voters", "want at least 1, got %d", s.Voters)
 	}
+	s.Inbound.validate(c)
 	checkPositive(c, "limits.log_bytes", s.Limits.LogBytes)
 	checkPositive(c, "timing.heartbeat", s.Timing.Heartbeat)
 	checkPositive(c, "timing.first_election", s.Timing.FirstElection)
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/carawaypitch/carawaypitch/inbound"
 	"github.com/carawaypitch/carawaypitch/result"
 )
 
@@ -31,6 +32,8 @@
 	Operators []OperatorAccount `json:"operators"`
 	// Limits holds the resource limits of the process.
 	Limits EntryLimits `json:"limits"`
+	// Inbound bounds what clients make the process hold.
+	Inbound Inbound `json:"inbound"`
 	// Rollout bounds what a version that is being rolled out may do before it has proved good.
 	Rollout EntryRollout `json:"rollout"`
 	// Admission configures which requests are accepted under overload.
@@ -178,8 +181,9 @@
 // DefaultEntry returns the default values, which apply to keys that a file omits.
 func DefaultEntry() Entry {
 	return Entry{
-		Role: RoleEntry,
-		Log:  Log{Level: log.InfoLevel},
+		Role:    RoleEntry,
+		Log:     Log{Level: log.InfoLevel},
+		Inbound: defaultInbound(),
 		Limits: EntryLimits{
 			MaxBody:         4 * MiB,
 			MaxAnswer:       16 * MiB,
@@ -220,6 +224,7 @@
 	c.checkUnique("address", e.Controls, controlPath)
 	c.checkTLS("tls", e.TLS)
 	c.checkTLS("caller_tls", e.CallerTLS)
+	e.Inbound.validate(c)
 	checkPositive(c, "limits.max_body", e.Limits.MaxBody)
 	checkPositive(c, "limits.max_answer", e.Limits.MaxAnswer)
 	checkPositive(c, "limits.max_queued", e.Limits.MaxQueued)
@@ -240,6 +245,9 @@
 	}
 	e.Rollout.validate(c)
 	e.Memory.validate(c, e.Limits.MaxBody)
+	if room := inbound.LargestBody(int64(e.Inbound.Bytes)); int64(e.Limits.MaxBody) > room {
+		c.report(result.SettingsOutOfRange, "inbound.bytes", "want room for a body of limits.max_body, have room for %d bytes", room)
+	}
 	c.checkSilenceTimeout("timing.cut_off", e.Timing.CutOff, e.Timing.Heartbeat)
 	c.checkSilenceTimeout("timing.lease", e.Timing.Lease, e.Timing.Heartbeat)
 }
