control, agent, process: requests of operators, servers and probes draw on the budget of their process

A control instance ended for want of memory by desired states that stop short or never end: a body up to 8 MiB was read into a buffer that doubles, for each connection, without a bound on the time. Heads of 1 MiB were read at control, at the agent's HTTP interface, and at readiness and metrics, and their bodies and answers had no bound on time either.

A body over the limit is known by its length before it is read.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,9 +14,11 @@
 	"github.com/carawaypitch/carawaypitch/engine"
 	"github.com/carawaypitch/carawaypitch/engine/framing"
 	"github.com/carawaypitch/carawaypitch/gate"
+	"github.com/carawaypitch/carawaypitch/inbound"
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/outbox"
+	"github.com/carawaypitch/carawaypitch/process"
 	"github.com/carawaypitch/carawaypitch/session"
 	"github.com/carawaypitch/carawaypitch/settings"
 	"github.com/carawaypitch/carawaypitch/wire"
@@ -70,6 +72,7 @@
 	httpListener net.Listener
 	linkListener net.Listener
 	linkTLS      *tls.Config
+	inbound      *inbound.Budget
 
 	meter   *meter
 	credits *credits
@@ -175,6 +178,8 @@
 		_ = a.httpListener.Close()
 		return errors.Wrap(err, "agent: listen.links")
 	}
+	a.inbound = process.NewBudget(a.settings.Inbound, a.log, a.meter.set)
+	a.httpListener = a.inbound.Listen(a.httpListener)
 	return nil
 }
 
--- a/agent/http.go
+++ b/agent/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/carawaypitch/carawaypitch/inbound"
 	"github.com/carawaypitch/carawaypitch/process"
 	"github.com/carawaypitch/carawaypitch/result"
 )
@@ -19,19 +19,19 @@
 const (
 	httpHeaderTimeout = 5 * time.Second
 	httpReadTimeout   = 10 * time.Second
+	httpWriteTimeout  = 20 * time.Second
 	httpIdleTimeout   = time.Minute
+	// bodyRoomTimeout bounds the wait for room for a body.
+	bodyRoomTimeout = time.Second
 	// httpShutdownTimeout bounds the calls in progress when the agent ends.
 	httpShutdownTimeout = time.Second
 )
 
 // serveHTTP serves HTTP until ctx ends and the calls in progress have their answers, for httpShutdownTimeout at most.
 func (a *Agent) serveHTTP(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{
-		Handler:           a.routes(),
-		ReadHeaderTimeout: httpHeaderTimeout,
-		ReadTimeout:       httpReadTimeout,
-		IdleTimeout:       httpIdleTimeout,
-	}
+	server := a.inbound.NewServer(a.routes(), inbound.Timeouts{
+		Header: httpHeaderTimeout, Read: httpReadTimeout, Write: httpWriteTimeout, Idle: httpIdleTimeout,
+	})
 	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(stopped)
@@ -73,7 +73,10 @@
 
 // readJSON decodes a JSON body of at most maxAnnouncementBytes. Errors have the code malformed_body or body_too_large.
 func readJSON(c echo.Context, into any) error {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnouncementBytes))
+	body, err := process.ReadBody(c, maxAnnouncementBytes, time.Now().Add(bodyRoomTimeout))
+	if result.Is(err, result.OverMemoryShare) {
+		return err
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return result.Wrap(err, result.BodyTooLarge, "want at most %d bytes", maxAnnouncementBytes)
--- a/control/control.go
+++ b/control/control.go
@@ -16,8 +16,10 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/carawaypitch/carawaypitch/demand"
+	"github.com/carawaypitch/carawaypitch/inbound"
 	"github.com/carawaypitch/carawaypitch/link"
 	"github.com/carawaypitch/carawaypitch/network"
+	"github.com/carawaypitch/carawaypitch/process"
 	"github.com/carawaypitch/carawaypitch/quorum/journal"
 	"github.com/carawaypitch/carawaypitch/quorum/replica"
 	"github.com/carawaypitch/carawaypitch/quota"
@@ -67,6 +69,7 @@
 	linkListener, operatorsListener net.Listener
 	linkTLS, dialTLS                *tls.Config
 	http                            *http.Server
+	inbound                         *inbound.Budget
 
 	stopping  atomic.Bool
 	proposals semaphore // in progress
@@ -99,12 +102,12 @@
 	if c.options.Operators == nil {
 		c.options.Operators = (*Control).routes
 	}
-	c.http = &http.Server{Handler: c.options.Operators(c), ReadHeaderTimeout: readHeaderTimeout}
+	c.http = c.inbound.NewServer(c.options.Operators(c), operatorTimeouts)
 	return c, nil
 }
 
-// readHeaderTimeout is the time that an operator's connection has to send a request header.
-const readHeaderTimeout = 10 * time.Second
+// operatorTimeouts bound the steps of the calls of operators and backend servers.
+var operatorTimeouts = inbound.Timeouts{Header: 10 * time.Second, Read: 30 * time.Second, Write: time.Minute, Idle: 2 * time.Minute}
 
 func (o Options) withDefaults() Options {
 	if o.Network == nil {
@@ -138,6 +141,7 @@
 	if c.linkListener, err = c.options.Network.Listen(c.settings.Listen.Links); err != nil {
 		return errors.Wrap(err, "control: listen.links")
 	}
+	c.inbound = process.NewBudget(c.settings.Inbound, c.log, c.options.Metrics)
 	if c.operatorsListener, err = c.listenOperators(); err != nil {
 		return err
 	}
@@ -160,6 +164,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "control: listen.operators")
 	}
+	listener = c.inbound.Listen(listener)
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
--- a/control/http_change.go
+++ b/control/http_change.go
@@ -4,13 +4,14 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"io"
-	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carawaypitch/carawaypitch/process"
 	"github.com/carawaypitch/carawaypitch/result"
 	"github.com/carawaypitch/carawaypitch/wire"
 )
@@ -65,9 +66,15 @@
 	return h.Sum(nil), nil
 }
 
+// bodyRoomTimeout bounds the wait for room for a body.
+const bodyRoomTimeout = time.Second
+
 // readBody reads a whole body of at most maxOperatorBody bytes.
 func readBody(call echo.Context) ([]byte, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(call.Response(), call.Request().Body, maxOperatorBody))
+	data, err := process.ReadBody(call, maxOperatorBody, time.Now().Add(bodyRoomTimeout))
+	if result.Is(err, result.OverMemoryShare) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, result.Wrap(err, result.BodyTooLarge, "the body can't be read, or is larger than %d bytes", maxOperatorBody)
 	}
--- a/process/listeners_test.go
+++ b/process/listeners_test.go
@@ -53,7 +53,7 @@
 		return e
 	},
 	"readiness and metrics": func(t *testing.T, n network.Network, ip string) daemon {
-		s, err := process.NewServer(n, net.JoinHostPort(ip, "0"), http.NotFoundHandler(), time.Second)
+		s, err := process.NewServer(n, net.JoinHostPort(ip, "0"), process.NewBudget(settings.DefaultEntry().Inbound, nil, nil), http.NotFoundHandler(), time.Second)
 		require.NoError(t, err)
 		return s
 	},
--- a/process/server.go
+++ b/process/server.go
@@ -8,22 +8,28 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/carawaypitch/carawaypitch/inbound"
 	"github.com/carawaypitch/carawaypitch/network"
 )
 
+// idleTimeout bounds the time between two requests of a connection.
+const idleTimeout = time.Minute
+
 // Server serves HTTP beside a daemon, such as its readiness and its metrics.
 type Server struct {
 	listener net.Listener
 	http     *http.Server
 }
 
-// NewServer listens at an address. Run must be called afterwards; it closes the listener.
-func NewServer(n network.Network, address string, handler http.Handler, headerTimeout time.Duration) (*Server, error) {
+// NewServer listens at an address. What its clients make the process hold is counted by the budget, and timeout bounds each step of a
+// request. Run must be called afterwards; it closes the listener.
+func NewServer(n network.Network, address string, budget *inbound.Budget, handler http.Handler, timeout time.Duration) (*Server, error) {
 	listener, err := n.Listen(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "process: listen")
 	}
-	return &Server{listener: listener, http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}, nil
+	timeouts := inbound.Timeouts{Header: timeout, Read: timeout, Write: 2 * timeout, Idle: idleTimeout}
+	return &Server{listener: budget.Listen(listener), http: budget.NewServer(handler, timeouts)}, nil
 }
 
 // Run serves until ctx ends, and returns nil once the listener and all connections are closed.
