link: what a link holds before its peer is known draws on the budget

Any client of a link's port made a process hold a packet of up to 3 MiB, and the buffer that doubles with it, for each of its connections, for as long as it liked, and took all descriptors.

A link is counted from its acceptance until its first message is valid, or its certificate is verified: its buffer as it grows, and 5 s in all. From then on nothing is counted and its receive window is free, so links between processes behave as before. All connections that clients open are counted against half of the descriptors beyond 200; an idle one makes place for a new one.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -179,7 +179,7 @@
 		return errors.Wrap(err, "agent: listen.links")
 	}
 	a.inbound = process.NewBudget(a.settings.Inbound, a.log, a.meter.set)
-	a.httpListener = a.inbound.Listen(a.httpListener)
+	a.httpListener, a.linkListener = a.inbound.Listen(a.httpListener), a.inbound.ListenLinks(a.linkListener)
 	return nil
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -142,6 +142,7 @@
 		return errors.Wrap(err, "control: listen.links")
 	}
 	c.inbound = process.NewBudget(c.settings.Inbound, c.log, c.options.Metrics)
+	c.linkListener = c.inbound.ListenLinks(c.linkListener)
 	if c.operatorsListener, err = c.listenOperators(); err != nil {
 		return err
 	}
--- a/control/peer_server.go
+++ b/control/peer_server.go
@@ -27,6 +27,7 @@
 	if hello.GetInstance() == "" || hello.GetReplica() == "" {
 		return link.ErrProtocol
 	}
+	link.Admit(stream.Context())
 	c := p.control
 	if err := stream.Send(&wire.ReplicaBatch{Hello: c.replicaHello()}); err != nil {
 		return err
@@ -102,6 +103,7 @@
 
 // Forward proposes a command that a follower has forwarded. It implements wire.DRPCReplicaLinkServer.
 func (p *peers) Forward(ctx context.Context, in *wire.Propose) (*wire.ProposeReply, error) {
+	link.Admit(ctx)
 	if !mayForward(in.GetCommand()) {
 		return notAllowed(in.GetId()), nil
 	}
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -63,6 +63,7 @@
 	if hello.GetInstance() == "" || hello.GetRole() == wire.Role_ROLE_UNSPECIFIED {
 		return link.ErrProtocol
 	}
+	link.Admit(stream.Context())
 	ctx, cancel := streamContext(stream.Context())
 	defer cancel()
 	sess := newSession(s.control, hello, cancel)
--- a/link/entry_server.go
+++ b/link/entry_server.go
@@ -198,12 +198,12 @@
 		return nil, errors.Wrap(ErrProtocol, "the first message isn't a hello")
 	}
 	hello := batch.GetMessages()[0].GetHello()
-	if s.Admit == nil {
-		return hello, nil
-	}
-	if err := s.Admit(hello); err != nil {
-		return nil, errors.Wrap(err, "link: entry not admitted")
+	if s.Admit != nil {
+		if err := s.Admit(hello); err != nil {
+			return nil, errors.Wrap(err, "link: entry not admitted")
+		}
 	}
+	Admit(ctx)
 	return hello, nil
 }
 
--- a/link/serve.go
+++ b/link/serve.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/carawaypitch/carawaypitch/inbound"
 	"github.com/carawaypitch/carawaypitch/network"
 	"github.com/carawaypitch/carawaypitch/pause"
 )
@@ -21,8 +22,17 @@
 type (
 	stoppingKey struct{}
 	abortKey    struct{}
+	admitKey    struct{}
 )
 
+// Admit ends the counting of a stream's connection by the budget of its listener, given by the stream's context. Handlers call it once
+// the peer has identified itself by its first message.
+func Admit(ctx context.Context) {
+	if conn, ok := ctx.Value(admitKey{}).(*inbound.Conn); ok {
+		conn.Admit()
+	}
+}
+
 // Stopping returns a channel that is closed when the Serve call that made ctx, the context of a stream, is stopping.
 // A handler then sends its remaining messages and returns; its stream stays usable for DefaultFlushTimeout. For any
 // other context the channel is ctx.Done().
@@ -156,6 +166,8 @@
 	ctx, abort := context.WithCancel(ctx)
 	defer abort()
 	ctx = context.WithValue(ctx, abortKey{}, abort)
+	counted := inbound.Of(conn)
+	ctx = context.WithValue(ctx, admitKey{}, counted)
 	// An idle connection has no stream that ends with ctx.
 	stopIdle := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stopIdle()
@@ -166,6 +178,7 @@
 			s.onRefusal(conn.RemoteAddr(), err)
 			return
 		}
+		counted.Admit()
 		conn = secure
 	}
 	// The error says only that the peer closed or was aborted; handlers report their own errors.
