inbound: connections with TLS count what TLS takes

160 idle connections took 28 MB without TLS and 38 MB with it, counted alike. One with TLS now counts 64 KiB more, so that as many as the budget allows fit into the memory. The test needs room for two connections where there is room for one.

--- a/control/control.go
+++ b/control/control.go
@@ -165,11 +165,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "control: listen.operators")
 	}
-	listener = c.inbound.Listen(listener)
-	if config != nil {
-		listener = tls.NewListener(listener, config)
+	if config == nil {
+		return c.inbound.Listen(listener), nil
 	}
-	return listener, nil
+	return tls.NewListener(c.inbound.ListenForTLS(listener), config), nil
 }
 
 // Close releases what New opened. It is for a control instance on which Run was never called.
--- a/entry/http.go
+++ b/entry/http.go
@@ -40,7 +40,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "entry: listen")
 	}
-	listener = e.options.Inbound.Listen(listener)
+	if config == nil {
+		listener = e.options.Inbound.Listen(listener)
+	} else {
+		listener = e.options.Inbound.ListenForTLS(listener)
+	}
 	turned := new(turnedAwayLog)
 	listener = turningListener{Listener: listener, turnsAway: e.turnsAway, turnedAway: func(reason turnAwayReason) {
 		e.noteTurnedAway(turned, reason)
--- a/inbound/budget.go
+++ b/inbound/budget.go
@@ -14,7 +14,9 @@
 	receiveBufferBytes = 64 << 10
 	// connectionBytes is what a connection takes: its receive buffer, goroutine, reader, writer and a small head.
 	connectionBytes = receiveBufferBytes + 16<<10
-	// smallBytes is what a connection may hold beyond connectionBytes without using the part of large bodies.
+	// tlsBytes is what TLS takes in addition: keys and records.
+	tlsBytes = 64 << 10
+	// smallBytes is what a connection may hold beyond that without using the part of large bodies.
 	smallBytes = 64 << 10
 	// largeShare is the part of the budget for what connections hold beyond smallBytes.
 	largeShare = 0.3
@@ -71,11 +73,14 @@
 	a.large -= b.large
 }
 
-// amountOf returns the amount of a connection that holds the given number of bytes beyond connectionBytes.
-func amountOf(extra int64) amount {
-	return amount{bytes: connectionBytes + extra, large: max(0, extra-smallBytes)}
+// with returns the amount of a connection that holds the given number of bytes beyond its own.
+func (c *Conn) with(extra int64) amount {
+	return amount{bytes: c.own + extra, large: max(0, extra-smallBytes)}
 }
 
+// amount returns what the connection holds. The lock of the budget must be held.
+func (c *Conn) amount() amount { return c.with(c.extra) }
+
 // waiter is a reservation for which there is no room yet.
 type waiter struct {
 	conn  *Conn
@@ -98,7 +103,7 @@
 
 // deficit returns by how much an additional reservation of a connection exceeds the limits; it fits if neither is positive.
 func (b *Budget) deficit(c *Conn, n int64) amount {
-	before, after := amountOf(c.extra), amountOf(c.extra+n)
+	before, after := c.amount(), c.with(c.extra+n)
 	missing := amount{bytes: b.held.bytes + n - b.limits.Bytes}
 	if after.large > before.large {
 		missing.large = b.held.large + after.large - before.large - b.largeLimit
@@ -110,14 +115,14 @@
 func (b *Budget) add(c *Conn) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	over := len(b.conns)-b.evicted >= b.limits.Connections || b.held.bytes-b.leaving.bytes+connectionBytes > b.limits.Bytes
+	over := len(b.conns)-b.evicted >= b.limits.Connections || b.held.bytes-b.leaving.bytes+c.own > b.limits.Bytes
 	tooLate := b.evicted >= maxLeaving || b.held.bytes > b.limits.Bytes+maxLeaving*connectionBytes
 	if over && (tooLate || !b.evictOne(time.Now())) {
 		b.observer.count(reasonConnection)
 		return false
 	}
 	b.conns[c] = struct{}{}
-	b.held.add(amountOf(0))
+	b.held.add(c.amount())
 	return true
 }
 
@@ -129,10 +134,10 @@
 		return
 	}
 	delete(b.conns, c)
-	b.held.subtract(amountOf(c.extra))
+	b.held.subtract(c.amount())
 	if c.evicted.Load() {
 		b.evicted--
-		b.leaving.subtract(amountOf(c.extra))
+		b.leaving.subtract(c.amount())
 	}
 	c.extra = 0
 	b.wakeAll()
@@ -152,7 +157,7 @@
 			err = ErrEvicted
 		case missing.bytes <= 0 && missing.large <= 0 && b.isNext(w):
 			b.change(c, n)
-		case connectionBytes+c.extra+n > b.limits.Bytes || c.extra+n-smallBytes > b.largeLimit, isQueued && !time.Now().Before(until):
+		case c.own+c.extra+n > b.limits.Bytes || c.extra+n-smallBytes > b.largeLimit, isQueued && !time.Now().Before(until):
 			b.observer.count(reasonNoRoom)
 			err = ErrNoRoom
 		default:
@@ -211,7 +216,7 @@
 	b.wakeAll()
 }
 
-// releaseAll subtracts what a connection holds beyond connectionBytes.
+// releaseAll subtracts what a connection holds beyond its own.
 func (b *Budget) releaseAll(c *Conn) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -226,9 +231,9 @@
 	if _, open := b.conns[c]; !open {
 		return
 	}
-	before := amountOf(c.extra)
+	before := c.amount()
 	c.extra += n
-	after := amountOf(c.extra)
+	after := c.amount()
 	b.held.subtract(before)
 	b.held.add(after)
 	if c.evicted.Load() {
@@ -265,7 +270,7 @@
 	var victim *Conn
 	var most float64
 	for c := range b.conns {
-		held := amountOf(c.extra)
+		held := c.amount()
 		if onlyLarge && held.large == 0 || !c.isEvictable(now) {
 			continue
 		}
@@ -284,7 +289,7 @@
 func (b *Budget) evict(c *Conn) {
 	b.observer.count(c.currentPhase().evictionReason())
 	b.evicted++
-	b.leaving.add(amountOf(c.extra))
+	b.leaving.add(c.amount())
 	c.stopReading()
 	b.wakeAll() // it may be waiting itself
 }
@@ -307,7 +312,7 @@
 	}
 	if _, open := b.conns[c]; open {
 		delete(b.conns, c)
-		b.held.subtract(amountOf(c.extra))
+		b.held.subtract(c.amount())
 		c.extra = 0
 		b.wakeAll()
 	}
--- a/inbound/budget_test.go
+++ b/inbound/budget_test.go
@@ -195,6 +195,23 @@
 	})
 }
 
+// Guards against connections with TLS that take more memory than is counted.
+func TestConnectionsWithTLSAreCounted(t *testing.T) {
+	b := New(Limits{Bytes: 3 * connectionBytes, Connections: 10}, Options{})
+	pipes := new(pipeListener)
+	l := b.ListenForTLS(pipes)
+	pipes.next, _ = net.Pipe()
+	conn, err := l.Accept()
+	require.NoError(t, err)
+	require.Equal(t, int64(connectionBytes+tlsBytes), held(b))
+	contextOf(conn.(*Conn))
+	pipes.next, _ = net.Pipe()
+	_, err = l.Accept()
+	require.Error(t, err, "there is no room for two")
+	require.NoError(t, conn.Close())
+	require.Zero(t, held(b))
+}
+
 // Guards against heads without an end, and against a head without room that an HTTP server answers by itself.
 func TestHeadWithoutRoomEndsItsConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -297,7 +314,7 @@
 					time.Sleep(p.begins)
 					near, far := net.Pipe()
 					defer func() { _ = far.Close() }()
-					c := &Conn{Conn: near, budget: b}
+					c := &Conn{Conn: near, budget: b, own: connectionBytes}
 					c.enter(phaseIdle)
 					if !b.add(c) {
 						return
@@ -362,7 +379,7 @@
 			b.Run(name+"/"+kind, func(b *testing.B) {
 				budget := New(Limits{Bytes: 1 << 28, Connections: 4}, Options{})
 				near, _ := net.Pipe()
-				c := &Conn{Conn: near, budget: budget}
+				c := &Conn{Conn: near, budget: budget, own: connectionBytes}
 				budget.add(c)
 				ctx := contextOf(c)
 				text := strings.Repeat("x", size)
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -39,7 +39,8 @@
 	net.Conn
 	budget *Budget
 
-	extra int64 // bytes held beyond connectionBytes; guarded by the lock of the budget
+	own   int64 // bytes of the connection itself
+	extra int64 // bytes held beyond them; guarded by the lock of the budget
 	kept  *Kept // of the request that is handled; used by its handler only
 
 	phase    atomic.Int32
--- a/inbound/kept.go
+++ b/inbound/kept.go
@@ -31,8 +31,8 @@
 func (b *Budget) keep(c *Conn) *Kept {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	k := &Kept{budget: b, held: amountOf(c.extra)}
-	k.held.bytes -= connectionBytes
+	k := &Kept{budget: b, held: c.amount()}
+	k.held.bytes -= c.own
 	k.needed.Store(keepers)
 	b.change(c, -c.extra)
 	b.held.add(k.held)
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -23,18 +23,26 @@
 	net.Listener
 	budget *Budget
 	first  phase
+	own    int64 // bytes of a connection itself
 }
 
 // Listen returns a listener for requests whose connections are counted. A connection that there is no room for is closed unread.
 func (b *Budget) Listen(l net.Listener) net.Listener {
 	network.SetReceiveBuffer(l, unacceptedBytes)
-	return listener{Listener: l, budget: b, first: phaseIdle}
+	return listener{Listener: l, budget: b, first: phaseIdle, own: connectionBytes}
+}
+
+// ListenForTLS is Listen for connections on which TLS is spoken.
+func (b *Budget) ListenForTLS(l net.Listener) net.Listener {
+	counted := b.Listen(l).(listener)
+	counted.own += tlsBytes
+	return counted
 }
 
 // ListenLinks returns a listener for links between processes. A connection is counted until its peer is identified, see Conn.Admit, and
 // closed if that takes longer than handshakeTimeout.
 func (b *Budget) ListenLinks(l net.Listener) net.Listener {
-	return listener{Listener: l, budget: b, first: phaseHandshake}
+	return listener{Listener: l, budget: b, first: phaseHandshake, own: connectionBytes}
 }
 
 // Accept implements net.Listener.
@@ -44,7 +52,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: conn, budget: l.budget}
+		c := &Conn{Conn: conn, budget: l.budget, own: l.own}
 		c.enter(l.first)
 		if !l.budget.add(c) {
 			_ = conn.Close()
