entry: a planned stop ends in time beside clients that hold requests open

Beside clients that stop short and connect again, two of five stops of an entry took until SIGKILL (8.003 s of 8 s, trace of both shapes). Requests that arrive while the entry stops are refused and read to their end for a while, so there were some until the end of the drain at each stop; writing the last answers, the deregistration and the wait for the last connections then came after it, one after the other: 0.2 s, 0.2 s without a quorum of control, up to 1 s.

The last answers have time until the end of the drain, and 0.2 s only if the drain itself took so long; the deregistration ends 50 ms later, and a planned stop waits no further for connections.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -13,9 +13,11 @@
 	unreadReserve = time.Second
 	// lastHeadTimeout bounds reading the heads that have begun when the drained entry closes its connections.
 	lastHeadTimeout = 300 * time.Millisecond
-	// lastAnswerTimeout bounds writing the last answers, until lastAnswerReserve after the end of the drain at the latest.
+	// lastAnswerTimeout bounds writing the last answers, until the end of the drain, and for lastAnswerReserve if that has come.
 	lastAnswerTimeout = time.Second
 	lastAnswerReserve = 200 * time.Millisecond
+	// deregisterReserve is the time after that until which control may confirm that the entry has ended.
+	deregisterReserve = 50 * time.Millisecond
 )
 
 // runStop waits until stop ends, then stops the entry gracefully. It returns early if the other goroutines end.
@@ -38,8 +40,11 @@
 		// Cut the requests still in flight while callers' connections can still be closed in order.
 		e.calls.failAll()
 	}
-	e.endConnections(groupContext, end.Add(lastAnswerReserve))
-	e.deregister(groupContext)
+	if last := time.Now().Add(lastAnswerReserve); last.After(end) {
+		end = last
+	}
+	e.endConnections(groupContext, end)
+	e.deregister(groupContext, end.Add(deregisterReserve))
 	return nil
 }
 
@@ -87,12 +92,16 @@
 }
 
 // answerRemaining ends the requests that are open when the goroutines end that serve them: none after runStop, all if another
-// goroutine has ended by itself.
+// goroutine has ended by itself. It waits no longer than a planned stop may take.
 func (e *Entry) answerRemaining(ctx context.Context) {
 	e.stopping.Store(true)
 	e.requests.close()
 	e.listener.Close()
-	ctx, cancel := context.WithTimeout(ctx, lastAnswerTimeout)
+	timeout := lastAnswerTimeout
+	if end := e.drainDeadline.Load(); end != nil {
+		timeout = min(timeout, time.Until(*end))
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for e.requests.open() > 0 {
 		e.calls.failAll()
@@ -115,9 +124,10 @@
 	return true
 }
 
-// deregister tells control that this incarnation has ended, so that its open records may be taken over immediately.
-func (e *Entry) deregister(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
+// deregister tells control that this incarnation has ended, so that its open records may be taken over immediately. It takes no longer
+// than until a time, after which the process may be killed.
+func (e *Entry) deregister(ctx context.Context, end time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, min(deregisterTimeout, time.Until(end)))
 	defer cancel()
 	command := &wire.Command{Kind: &wire.Command_EndEntry{EndEntry: &wire.EndEntry{
 		Entry:       e.settings.Instance,
