inbound: what was passed on twice, refused heads, and steps of the clock

Found in reading: a request passed on a second time would have kept its room for good; an evicted connection whose head is refused read nothing more, so closing it could reset the refusal; the time without progress followed the time of day, so that a step of the clock made all connections look stalled; and the line about limited clients was written with the lock of the budget held, so that a blocked log stopped all listeners. The reading behind a refusal is tested (TestHeadWithoutRoomEndsItsConnection fails without the change of phase); the others are by reading, no run shows them.

--- a/inbound/budget.go
+++ b/inbound/budget.go
@@ -51,6 +51,7 @@
 	limits     Limits
 	largeLimit int64
 	observer   *observer
+	made       time.Time
 
 	mu      sync.Mutex
 	conns   map[*Conn]struct{}
@@ -90,7 +91,7 @@
 
 // New returns a budget with the given limits.
 func New(limits Limits, options Options) *Budget {
-	b := &Budget{limits: limits, largeLimit: int64(largeShare * float64(limits.Bytes)), conns: make(map[*Conn]struct{})}
+	b := &Budget{limits: limits, largeLimit: int64(largeShare * float64(limits.Bytes)), conns: make(map[*Conn]struct{}), made: time.Now()}
 	b.observer = newObserver(b, options)
 	return b
 }
@@ -274,7 +275,7 @@
 		if onlyLarge && held.large == 0 || !c.isEvictable(now) {
 			continue
 		}
-		if score := float64(held.bytes) * now.Sub(c.progressAt()).Seconds(); victim == nil || score > most {
+		if score := float64(held.bytes) * c.stalledFor(now).Seconds(); victim == nil || score > most {
 			victim, most = c, score
 		}
 	}
--- a/inbound/budget_test.go
+++ b/inbound/budget_test.go
@@ -226,6 +226,10 @@
 		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 		require.Less(t, read, 2*connectionBytes)
 		require.True(t, c.WasEvicted())
+		c.ResumeReading(time.Now().Add(time.Second))
+		rest, err := io.CopyN(io.Discard, c, 1<<19)
+		require.NoError(t, err, "behind a refusal")
+		require.Equal(t, int64(1<<19), rest)
 		_ = far.Close()
 	})
 }
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -44,7 +44,7 @@
 	kept  *Kept // of the request that is handled; used by its handler only
 
 	phase    atomic.Int32
-	progress atomic.Int64 // when bytes were read or the phase changed, Unix time in nanoseconds
+	progress atomic.Int64 // when bytes were read or the phase changed, in nanoseconds since the budget was made
 	head     atomic.Int64 // bytes read of the head, or of the first message of a link
 	covered  atomic.Int64 // bytes of it that are reserved
 	evicted  atomic.Bool
@@ -118,7 +118,7 @@
 }
 
 func (c *Conn) noteRead(n int) {
-	c.progress.Store(time.Now().UnixNano())
+	c.noteProgress()
 	switch c.currentPhase() {
 	case phaseIdle:
 		c.head.Store(int64(n))
@@ -131,11 +131,16 @@
 func (c *Conn) currentPhase() phase { return phase(c.phase.Load()) }
 
 func (c *Conn) enter(p phase) {
-	c.progress.Store(time.Now().UnixNano())
+	c.noteProgress()
 	c.phase.Store(int32(p))
 }
 
-func (c *Conn) progressAt() time.Time { return time.Unix(0, c.progress.Load()) }
+func (c *Conn) noteProgress() { c.progress.Store(int64(time.Since(c.budget.made))) }
+
+// stalledFor returns the time without progress.
+func (c *Conn) stalledFor(now time.Time) time.Duration {
+	return now.Sub(c.budget.made) - time.Duration(c.progress.Load())
+}
 
 // isEvictable reports whether the connection may be closed to make room: nothing is lost that was read whole.
 func (c *Conn) isEvictable(now time.Time) bool {
@@ -145,7 +150,7 @@
 	case phaseIdle:
 		return !c.evicted.Load()
 	default:
-		return !c.evicted.Load() && now.Sub(c.progressAt()) >= stallTimeout
+		return !c.evicted.Load() && c.stalledFor(now) >= stallTimeout
 	}
 }
 
@@ -183,6 +188,7 @@
 	if !c.WasEvicted() {
 		return
 	}
+	c.enter(phaseFinishing)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_ = c.Conn.SetReadDeadline(until)
--- a/inbound/kept.go
+++ b/inbound/kept.go
@@ -17,12 +17,12 @@
 }
 
 // Keep holds what was read of the request with the given context beyond the end of its handler. Release has to follow. It returns nil
-// if the request isn't counted.
+// if the request isn't counted. A request that is passed on again keeps nothing more.
 //
 // A request whose caller has left is over only when the servers that it was sent to are known not to run it.
 func Keep(ctx context.Context) *Kept {
 	c := ConnOf(ctx)
-	if c == nil {
+	if c == nil || c.kept != nil {
 		return nil
 	}
 	return c.budget.keep(c)
--- a/inbound/observer.go
+++ b/inbound/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -46,6 +47,7 @@
 	counters map[reason]*metrics.Counter
 	logged   time.Time
 	since    map[reason]int // the last line
+	writing  atomic.Bool    // a line is being written
 }
 
 func newObserver(b *Budget, options Options) *observer {
@@ -69,7 +71,7 @@
 	}
 	o.since[r]++
 	now := time.Now()
-	if o.log == nil || now.Sub(o.logged) < logInterval {
+	if o.log == nil || now.Sub(o.logged) < logInterval || !o.writing.CompareAndSwap(false, true) {
 		return
 	}
 	o.logged = now
@@ -83,5 +85,8 @@
 		}
 	}
 	clear(o.since)
-	o.log.WithFields(fields).Warn("clients_limited")
+	go func() { // a log that blocks must not hold the lock of the budget
+		defer o.writing.Store(false)
+		o.log.WithFields(fields).Warn("clients_limited")
+	}()
 }
