link, inbound: a link's room is given free when its reader has ended, not when its connection closes

The library closes a connection first and ends its goroutines after that.

The server of links now gives the room free once a link has ended. HTTP servers end the handler, which frees a body's room, before its goroutine, so by reading they are not concerned.

--- a/inbound/budget_test.go
+++ b/inbound/budget_test.go
@@ -245,6 +245,9 @@
 		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 		require.Equal(t, handshakeTimeout, time.Since(begun))
 		require.NoError(t, stranger.Close())
+		require.Equal(t, int64(connectionBytes), held(b), "its reader may still hold what it read")
+		stranger.Release()
+		require.Zero(t, held(b))
 
 		known, far := dial()
 		known.Admit()
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -194,13 +194,23 @@
 	_ = c.Conn.SetReadDeadline(until)
 }
 
-// Close implements net.Conn. It frees all that the connection holds.
+// Close implements net.Conn. It frees all that the connection holds, unless it is a link's, which Release frees.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
-	c.budget.remove(c)
+	if c.currentPhase() != phaseHandshake {
+		c.budget.remove(c)
+	}
 	return err
 }
 
+// Release frees what a link holds. Its server calls it when it has ended the link: the buffers that the link's first message was read
+// into are still used when the connection is closed.
+func (c *Conn) Release() {
+	if c != nil {
+		c.budget.remove(c)
+	}
+}
+
 // Admit ends the counting of a link whose peer has been identified.
 func (c *Conn) Admit() {
 	if c == nil || c.admitted.Load() || !c.budget.admit(c) {
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -40,7 +40,7 @@
 }
 
 // ListenLinks returns a listener for links between processes. A connection is counted until its peer is identified, see Conn.Admit, and
-// closed if that takes longer than handshakeTimeout.
+// closed if that takes longer than handshakeTimeout. Its user calls Conn.Release at its end.
 func (b *Budget) ListenLinks(l net.Listener) net.Listener {
 	return listener{Listener: l, budget: b, first: phaseHandshake, own: connectionBytes}
 }
--- a/link/serve.go
+++ b/link/serve.go
@@ -167,6 +167,7 @@
 	defer abort()
 	ctx = context.WithValue(ctx, abortKey{}, abort)
 	counted := inbound.Of(conn)
+	defer counted.Release()
 	ctx = context.WithValue(ctx, admitKey{}, counted)
 	// An idle connection has no stream that ends with ctx.
 	stopIdle := context.AfterFunc(ctx, func() { conn.Close() })
