--- a/review/second/platform/server.go
+++ b/review/second/platform/server.go
@@ -18,6 +18,8 @@
 	ip      string
 	address string
 	work    time.Duration
+	// One of failEvery requests is answered with status failWith after it ran; 0 for none.
+	failEvery, failWith int
 
 	http     *http.Server
 	stopBeat chan struct{}
@@ -25,6 +27,7 @@
 	mu       sync.Mutex
 	sequence int
 	ran      map[string]int // by the caller's ID of the attempt
+	served   int
 }
 
 // startServer starts a server at an address of its own that announces itself as the pages tell.
@@ -89,11 +92,17 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	s.mu.Lock()
 	s.ran[attempt]++
+	s.served++
+	fails := s.failEvery > 0 && s.served%s.failEvery == 0
 	s.mu.Unlock()
 	s.d.record.write("server %s of %s runs %s %s of tenant %s", s.id, s.service, attempt, r.URL.Path, r.Header.Get("X-Tenant"))
 	time.Sleep(s.work)
 	w.Header().Set("X-Attempt-Id", attempt)
 	w.Header().Set("X-Server-Signature", "sig-"+attempt)
+	if fails {
+		s.d.record.write("server %s answers %s with %d of its own", s.id, attempt, s.failWith)
+		w.WriteHeader(s.failWith)
+	}
 	fmt.Fprintf(w, "%s of %s ran %s\n", s.id, s.service, attempt)
 }
 
