--- a/review/second/platform/client.go
+++ b/review/second/platform/client.go
@@ -20,8 +20,15 @@
 	err     error
 }
 
-// ask sends one request on a new connection to an entry.
+// ask sends one request on a new connection to an entry, and records it.
 func (d *deployment) ask(m *machine, method, path, key string, timeout time.Duration) answer {
+	a := d.askQuietly(m, method, path, key, timeout)
+	d.record.write("caller: %s %s %s with key %s at %s: %d %q %v", a.attempt, method, path, key, m.name, a.status, a.body, a.err)
+	return a
+}
+
+// askQuietly is ask without the record.
+func (d *deployment) askQuietly(m *machine, method, path, key string, timeout time.Duration) answer {
 	a := answer{attempt: fmt.Sprintf("a%08x", attempts.Add(1))}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -43,6 +50,5 @@
 		body, a.err = io.ReadAll(response.Body)
 		a.status, a.body = response.StatusCode, strings.TrimSpace(string(body))
 	}
-	d.record.write("caller: %s %s %s with key %s at %s: %d %q %v", a.attempt, method, path, key, m.name, a.status, a.body, a.err)
 	return a
 }
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -14,6 +14,7 @@
 	"replaced-core": replacedCore,
 	"own-refusal":   ownRefusal,
 	"many-changes":  manyChanges,
+	"held-answers":  heldAnswers,
 	"soak":          soakCase,
 }
 
--- a/review/second/platform/server.go
+++ b/review/second/platform/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -20,6 +21,8 @@
 	work    time.Duration
 	// One of failEvery requests is answered with status failWith after it ran; 0 for none.
 	failEvery, failWith int
+	// answerBytes is the least length of an answer.
+	answerBytes int
 
 	http     *http.Server
 	stopBeat chan struct{}
@@ -95,7 +98,9 @@
 	s.served++
 	fails := s.failEvery > 0 && s.served%s.failEvery == 0
 	s.mu.Unlock()
-	s.d.record.write("server %s of %s runs %s %s of tenant %s", s.id, s.service, attempt, r.URL.Path, r.Header.Get("X-Tenant"))
+	if s.answerBytes == 0 {
+		s.d.record.write("server %s of %s runs %s %s of tenant %s", s.id, s.service, attempt, r.URL.Path, r.Header.Get("X-Tenant"))
+	}
 	time.Sleep(s.work)
 	w.Header().Set("X-Attempt-Id", attempt)
 	w.Header().Set("X-Server-Signature", "sig-"+attempt)
@@ -103,7 +108,7 @@
 		s.d.record.write("server %s answers %s with %d of its own", s.id, attempt, s.failWith)
 		w.WriteHeader(s.failWith)
 	}
-	fmt.Fprintf(w, "%s of %s ran %s\n", s.id, s.service, attempt)
+	fmt.Fprintf(w, "%s of %s ran %s\n%s", s.id, s.service, attempt, strings.Repeat("x", s.answerBytes))
 }
 
 // hasRun reports whether the server ran an attempt.
