--- a/review/second/platform/deployment.go
+++ b/review/second/platform/deployment.go
@@ -17,12 +17,11 @@
 
 // bounds are the bounds of the rules that a deployment's settings name.
 type bounds struct {
-	machines      int // machines with a disk that may be lost at once
-	catchUp       time.Duration
-	contact       time.Duration
-	configApply   time.Duration
-	memoryMB      int
-	serviceMemory int
+	machines    int // machines with a disk that may be lost at once
+	catchUp     time.Duration
+	contact     time.Duration
+	configApply time.Duration
+	memoryMB    int
 }
 
 // grown holds the bounds of the installations with six machines with a disk.
--- a/review/second/platform/operator.go
+++ b/review/second/platform/operator.go
@@ -18,6 +18,7 @@
 	sent desired
 }
 
+// desired is a desired state.
 type desired struct {
 	Version  int              `json:"version"`
 	Routes   []map[string]any `json:"routes"`
@@ -34,29 +35,11 @@
 	}
 }
 
-// streamRoute is a route to model servers.
-func streamRoute(name, prefix, service string, resumable bool, timeoutMS int) map[string]any {
-	return map[string]any{
-		"name": name, "hostname": host, "path_prefix": prefix, "type": "streaming", "timeout_ms": timeoutMS, "slo_ms": 1000,
-		"priority": 0, "backend": service, "max_attempts": 2, "public": false, "session_affinity": true, "resumable": resumable,
-		"itl_target_ms": 800,
-	}
-}
-
+// plainService is a plain service.
 func plainService(name string) map[string]any {
 	return map[string]any{"name": name, "health_path": "/healthz", "max_connections": 120, "protocol": "h1", "tls": false}
 }
 
-func modelService(name string) map[string]any {
-	s := plainService(name)
-	s["max_connections"] = 380
-	s["runtime"] = map[string]any{
-		"slots": 5, "kv_capacity": 236203, "kv_bytes": 18432, "link_mbps": 370000.0, "migrations": false, "replicas_kv": false,
-		"stride": 4, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_ttl_s": 5.0, "models": []any{map[string]any{"name": "m"}},
-	}
-	return s
-}
-
 var standardLimits = map[string]any{
 	"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 }
