--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -11,11 +11,12 @@
 
 // cases holds the cases by name. trouble is whether the disruption is made.
 var cases = map[string]func(r *record, trouble bool) error{
-	"replaced-core":  replacedCore,
-	"own-refusal":    ownRefusal,
-	"many-changes":   manyChanges,
-	"held-answers":   heldAnswers,
-	"diskless-churn": disklessChurn,
+	"replaced-core":       replacedCore,
+	"own-refusal":         ownRefusal,
+	"many-changes":        manyChanges,
+	"planned-replacement": plannedReplacement,
+	"held-answers":        heldAnswers,
+	"diskless-churn":      disklessChurn,
 }
 
 func main() {
