--- a/review/second/platform/replaced_core.go
+++ b/review/second/platform/replaced_core.go
@@ -9,12 +9,11 @@
 
 const (
 	coreMachines = 6
-	rounds       = 16 // of replacements
-	perRound     = 2  // machines replaced in a round: as many as may be lost at once
+	replacements = 32
 )
 
-// replacedCore replaces the machines of the core one after the other, each by an empty one at another address, as many at
-// once as the deployment bears. Entries run on meanwhile. Then a desired state drops a route and takes a key away.
+// replacedCore replaces the machines of the core one after the other, each by an empty one at another address, as fast as the
+// deployment bears. Entries run on meanwhile. Then a desired state drops a route and takes a key away.
 func replacedCore(r *record, trouble bool) error {
 	d, err := newDeployment(r, grown)
 	if err != nil {
@@ -66,8 +65,8 @@
 	}
 	time.Sleep(grown.catchUp) // until then the machines count as lost
 	if trouble {
-		for round := range rounds {
-			if err := replaceRound(d, o, round, entries); err != nil {
+		for n := range replacements {
+			if err := replaceOldest(d, o, n, entries); err != nil {
 				return err
 			}
 		}
@@ -106,22 +105,17 @@
 	return nil
 }
 
-// replaceRound adds empty machines at other addresses and has as many of the oldest ones leave. It ends when the new ones have had
-// their time to catch up. The entries' settings files name instances that run, and each entry gets SIGHUP.
-func replaceRound(d *deployment, o *operator, round int, entries []*machine) error {
+// replaceOldest adds an empty machine at another address and has the oldest one leave. It takes as long as a machine counts as lost,
+// divided by the number that may be lost at once. The entries' settings files name instances that run, and each entry gets SIGHUP.
+func replaceOldest(d *deployment, o *operator, n int, entries []*machine) error {
 	before := d.running("control")
 	began := time.Now()
-	for i := range perRound {
-		if _, err := d.addMachine("control", before[i].zone, true, before[perRound:perRound+3]); err != nil {
-			return err
-		}
-	}
-	for _, m := range before[:perRound] {
-		m.signal(syscall.SIGTERM)
-	}
-	for _, m := range before[:perRound] {
-		m.awaitEnd(8 * time.Second)
+	oldest := before[0]
+	if _, err := d.addMachine("control", oldest.zone, true, before[len(before)-3:]); err != nil {
+		return err
 	}
+	oldest.signal(syscall.SIGTERM)
+	oldest.awaitEnd(8 * time.Second)
 	now := d.running("control")
 	for _, m := range entries {
 		if err := m.writeSettings(now[len(now)-3:]); err != nil {
@@ -130,12 +124,12 @@
 		_ = m.process.Process.Signal(syscall.SIGHUP)
 	}
 	for _, m := range now {
-		if err := o.awaitReads(m, 5*time.Second); err != nil {
+		if err := o.awaitReads(m, 8*time.Second); err != nil {
 			return err
 		}
 	}
-	d.record.write("round %d: %d instances, all answer reads with version %d, %.1f s after it began", round, len(now), o.version,
+	d.record.write("replacement %d: %d instances, all answer reads with version %d, %.1f s after it began", n, len(now), o.version,
 		time.Since(began).Seconds())
-	time.Sleep(time.Until(began.Add(d.bounds.catchUp)))
+	time.Sleep(time.Until(began.Add(d.bounds.catchUp / time.Duration(d.bounds.machines))))
 	return nil
 }
