--- a/review/second/platform/held_answers.go
+++ b/review/second/platform/held_answers.go
@@ -51,7 +51,7 @@
 	}
 	var servers []*server
 	for range 3 {
-		s, err := d.startServer("registry", 5*time.Millisecond)
+		s, err := d.startServer("registry", 60*time.Millisecond)
 		if err != nil {
 			return err
 		}
--- a/review/second/platform/replaced_core.go
+++ b/review/second/platform/replaced_core.go
@@ -8,36 +8,31 @@
 )
 
 const (
-	coreMachines = 6
-	replacements = 32
+	turnovers        = 10 // of the machines without a disk, and with them of the seeds
+	turnoverInterval = 2500 * time.Millisecond
+	// forgetTime is how long the group gets after that to forget those that left.
+	forgetTime = 31 * time.Second
+	// replacementTime is how long the group gets for each machine with a disk that is replaced: more than twice catch_up_s.
+	replacementTime = 9 * time.Second
 )
 
-// replacedCore replaces the machines of the core one after the other, each by an empty one at another address, as fast as the
-// deployment bears. Entries run on meanwhile. Then a desired state drops a route and takes a key away.
+// replacedCore replaces the machines of control at other addresses while entries run on: first those without a disk, several times,
+// with the entries' settings naming the new ones as seeds, then each of the three with a disk once, one after the other. Then a
+// desired state drops a route and takes a key away.
 func replacedCore(r *record, trouble bool) error {
-	d, err := newDeployment(r, grown)
+	d, err := newDeployment(r, small)
 	if err != nil {
 		return err
 	}
 	defer d.stop()
-	var core []*machine
-	for i := range coreMachines {
-		core = append(core, d.newMachine("control", d.zones[i%3], true))
-	}
-	for _, m := range core {
-		if err := m.start(core[:3]); err != nil {
-			return err
-		}
+	core, entries, err := d.startSmall(2)
+	if err != nil {
+		return err
 	}
-	var entries []*machine
-	for i := range 2 {
-		m, err := d.addMachine("entry", d.zones[i], false, core[:3])
-		if err != nil {
-			return err
-		}
-		entries = append(entries, m)
+	learners, err := d.addLearners(core)
+	if err != nil {
+		return err
 	}
-	d.bootstrap = false
 	o := &operator{d: d}
 	state := desired{
 		Routes: []map[string]any{
@@ -63,17 +58,27 @@
 			return err
 		}
 	}
-	time.Sleep(grown.catchUp) // until then the machines count as lost
+	d.bootstrap = false
+	time.Sleep(small.catchUp)
 	if trouble {
-		for n := range replacements {
-			if err := replaceOldest(d, o, n, entries); err != nil {
+		for range turnovers {
+			if learners, err = d.turnOver(core, learners, entries); err != nil {
 				return err
 			}
 		}
-	} else {
-		time.Sleep(10 * time.Second)
 	}
-	time.Sleep(grown.contact)
+	if trouble {
+		time.Sleep(forgetTime)
+	}
+	for i := range 3 {
+		if err := d.replace(core, i, o); err != nil {
+			return err
+		}
+		if err := nameSeeds(core, entries); err != nil {
+			return err
+		}
+		r.write("the entries' settings name the three instances with a disk")
+	}
 	for _, m := range entries {
 		r.write("%s: ready %t", m.name, d.isReady(m))
 		d.ask(m, http.MethodGet, "/kept/1", "key-kept", 2*time.Second)
@@ -84,7 +89,7 @@
 	if err := o.put(state, 5*time.Second); err != nil {
 		return err
 	}
-	time.Sleep(grown.configApply + 100*time.Millisecond)
+	time.Sleep(small.configApply + 100*time.Millisecond)
 	broken := 0
 	for i := range 4 {
 		m := entries[i%2]
@@ -96,40 +101,62 @@
 		}
 	}
 	for _, m := range d.running("control") {
-		r.write("read at %s: version %d", m.name, o.readAt(m))
+		r.write("read at %s, disk %t: version %d", m.name, m.hasDisk, o.readAt(m))
 	}
 	if broken > 0 {
 		return fmt.Errorf("%w: CONFIG: %d of 8 requests, sent %s after the acknowledgement of version %d, ran as only an older version allows",
-			errBroken, broken, grown.configApply, o.version)
+			errBroken, broken, small.configApply, o.version)
 	}
 	return nil
 }
 
-// replaceOldest adds an empty machine at another address and has the oldest one leave. It takes as long as a machine counts as lost,
-// divided by the number that may be lost at once. The entries' settings files name instances that run, and each entry gets SIGHUP.
-func replaceOldest(d *deployment, o *operator, n int, entries []*machine) error {
-	before := d.running("control")
+// turnOver replaces the machines without a disk that serve control, and names the new ones as seeds in the entries' settings.
+func (d *deployment) turnOver(core, learners, entries []*machine) ([]*machine, error) {
 	began := time.Now()
-	oldest := before[0]
-	if _, err := d.addMachine("control", oldest.zone, true, before[len(before)-3:]); err != nil {
-		return err
+	next, err := d.addLearners(core)
+	if err != nil {
+		return nil, err
 	}
-	oldest.signal(syscall.SIGTERM)
-	oldest.awaitEnd(8 * time.Second)
-	now := d.running("control")
+	if err := nameSeeds(next, entries); err != nil {
+		return nil, err
+	}
+	for _, m := range learners {
+		m.signal(syscall.SIGTERM)
+	}
+	for _, m := range learners {
+		m.awaitEnd(8 * time.Second)
+	}
+	time.Sleep(time.Until(began.Add(turnoverInterval)))
+	return next, nil
+}
+
+// nameSeeds writes the entries' settings files with other seeds, and signals that they have changed.
+func nameSeeds(seeds, entries []*machine) error {
 	for _, m := range entries {
-		if err := m.writeSettings(now[len(now)-3:]); err != nil {
+		if err := m.writeSettings(seeds); err != nil {
 			return err
 		}
-		_ = m.process.Process.Signal(syscall.SIGHUP)
+		m.signal(syscall.SIGHUP)
+	}
+	return nil
+}
+
+// replace adds an empty machine with a disk at another address and has one of the core leave.
+func (d *deployment) replace(core []*machine, i int, o *operator) error {
+	old := core[i]
+	successor, err := d.addMachine("control", old.zone, true, core)
+	if err != nil {
+		return err
 	}
-	for _, m := range now {
-		if err := o.awaitReads(m, 8*time.Second); err != nil {
+	old.signal(syscall.SIGTERM)
+	old.awaitEnd(8 * time.Second)
+	core[i] = successor
+	time.Sleep(replacementTime)
+	for _, m := range core {
+		if err := o.awaitReads(m, 5*time.Second); err != nil {
 			return err
 		}
 	}
-	d.record.write("replacement %d: %d instances, all answer reads with version %d, %.1f s after it began", n, len(now), o.version,
-		time.Since(began).Seconds())
-	time.Sleep(time.Until(began.Add(d.bounds.catchUp / time.Duration(d.bounds.machines))))
+	d.record.write("%s has taken the place of %s, all three with a disk answer reads with version %d", successor.name, old.name, o.version)
 	return nil
 }
